Serve a request end to end through a router process

Cause: an empty tree. A caller's request now passes a router to a target that the published route selects, and the answer streams back; the configuration comes from the log service's stand-in. Not done: everything beyond the thin path (fleet policy, claims, operators, faults).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := packages/loomyard packages/loomyard-router packages/loomyardctl packages/loomyard-standins
+SOURCES := packages tests
+
+.PHONY: setup demo serve test lint format clean
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: constraints.txt $(PACKAGES:%=%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -c constraints.txt --upgrade setuptools wheel black ruff mypy types-PyYAML matplotlib
+	$(BIN)/pip install --quiet -c constraints.txt --no-build-isolation $(PACKAGES:%=-e %)
+	touch $@
+
+demo: setup
+	$(BIN)/python -m loomyard_standins.demo
+
+serve: setup
+	$(BIN)/python -m loomyard_standins.demo --serve
+
+test: setup
+	$(BIN)/python -m loomyard_standins.testing tests
+
+lint: setup
+	$(BIN)/black --quiet --check $(SOURCES)
+	$(BIN)/ruff check --quiet --output-format concise $(SOURCES)
+	$(BIN)/mypy --no-error-summary
+
+format: setup
+	$(BIN)/black --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet --fix --unsafe-fixes $(SOURCES)
+	$(BIN)/black --quiet $(SOURCES)
+
+bench-%: setup
+	$(BIN)/python -m loomyard_standins.benches.$*
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/__init__.py
@@ -0,0 +1,1 @@
+"""The loomyard router: from callers to targets, in fair shares."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/callers/problems.py
@@ -0,0 +1,75 @@
+"""Faults as callers see them."""
+
+from __future__ import annotations
+
+import json
+import math
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from loomyard.errors import Executed, ResultCode
+
+if TYPE_CHECKING:
+    from loomyard.errors import Fault
+
+PROBLEM_TYPE = "application/problem+json"
+JSON_TYPE = "application/json"
+
+_STATUS = {
+    ResultCode.MALFORMED_REQUEST: HTTPStatus.BAD_REQUEST,
+    ResultCode.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    ResultCode.UNKNOWN_KEY: HTTPStatus.UNAUTHORIZED,
+    ResultCode.UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
+    ResultCode.NO_ROUTE: HTTPStatus.FORBIDDEN,
+    ResultCode.UNKNOWN_PATH: HTTPStatus.NOT_FOUND,
+    ResultCode.METHOD_NOT_ALLOWED: HTTPStatus.METHOD_NOT_ALLOWED,
+    ResultCode.INVALID_RESUME: HTTPStatus.BAD_REQUEST,
+    ResultCode.UNKNOWN_REQUEST: HTTPStatus.NOT_FOUND,
+    ResultCode.DEADLINE_PASSED: HTTPStatus.GATEWAY_TIMEOUT,
+    ResultCode.QUEUE_FULL: HTTPStatus.TOO_MANY_REQUESTS,
+    ResultCode.TARGET_UNREACHABLE: HTTPStatus.BAD_GATEWAY,
+    ResultCode.ANSWER_LOST: HTTPStatus.BAD_GATEWAY,
+    ResultCode.ANSWER_INCOMPLETE: HTTPStatus.BAD_GATEWAY,
+    ResultCode.ANSWER_INVALID: HTTPStatus.BAD_GATEWAY,
+    ResultCode.STREAM_GONE: HTTPStatus.GONE,
+    ResultCode.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    ResultCode.KEY_EXPIRED: HTTPStatus.CONFLICT,
+    ResultCode.KEY_IN_PROGRESS: HTTPStatus.CONFLICT,
+    ResultCode.OUTCOME_UNKNOWN: HTTPStatus.CONFLICT,
+}
+
+
+def status_of(code: ResultCode) -> HTTPStatus:
+    """Return the HTTP status of a code."""
+    return _STATUS.get(code, HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def problem_headers(fault: Fault, request_id: str) -> list[tuple[str, str]]:
+    """Return the headers of a problem."""
+    headers = [("Loomyard-Request-Id", request_id), ("X-Request-Id", request_id)]
+    if fault.retry_after is not None:
+        headers.append(("Retry-After", str(math.ceil(fault.retry_after))))
+    return headers
+
+
+def problem_document(fault: Fault, request_id: str, *, openai: bool) -> tuple[str, bytes]:
+    """Return content type and body of a problem, in the OpenAI error shape where asked."""
+    extra: dict[str, Any] = {
+        "code": int(fault.code),
+        "request_id": request_id,
+        "executed": fault.executed.value,
+        "retry_safe": fault.executed is Executed.NO,
+    }
+    name = fault.code.name.lower()
+    if openai:
+        error = {"message": fault.detail, "type": name, "param": None, "loomyard": extra}
+        body: dict[str, Any] = {"error": error | {"code": str(int(fault.code))}}
+        return JSON_TYPE, json.dumps(body).encode()
+    body = {
+        "type": f"urn:loomyard:problem:{int(fault.code)}",
+        "title": name.replace("_", " "),
+        "status": int(status_of(fault.code)),
+        "detail": fault.detail,
+        **extra,
+    }
+    return PROBLEM_TYPE, json.dumps(body).encode()
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At most one execution for each idempotency key."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration on its way from the log into force."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/members/__init__.py
@@ -0,0 +1,1 @@
+"""Which routers are there."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/members/membership.py
@@ -0,0 +1,74 @@
+"""The protocol of membership."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class MemberState(Enum):
+    """What is believed of a router."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+@frozen(kw_only=True)
+class Member:
+    """A router: its name, the incarnation of this start, its peer address and data centre."""
+
+    name: str
+    incarnation: int
+    address: str
+    data_centre: str
+    state: MemberState = MemberState.ALIVE
+
+
+class Membership(Protocol):
+    """Know the routers of the fleet."""
+
+    @property
+    def own(self) -> Member:
+        """Return this router."""
+
+    def live(self) -> tuple[Member, ...]:
+        """Return the routers alive or suspected, this one included, by name."""
+
+    def find(self, name: str) -> Member | None:
+        """Return a router by name, also a dead one that is remembered."""
+
+    def suspect(self, name: str) -> None:
+        """Report that a router did not answer."""
+
+    def subscribe(self, changed: Callable[[], None]) -> None:
+        """Call back after each change of the live routers."""
+
+
+class SoleMembership:
+    """A fleet of one router."""
+
+    def __init__(self, own: Member) -> None:
+        self._own = own
+
+    @property
+    def own(self) -> Member:
+        return self._own
+
+    def live(self) -> tuple[Member, ...]:
+        return (self._own,)
+
+    def find(self, name: str) -> Member | None:
+        return self._own if name == self._own.name else None
+
+    def suspect(self, name: str) -> None:
+        pass
+
+    def subscribe(self, changed: Callable[[], None]) -> None:
+        pass
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between routers."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/peers/links.py
@@ -0,0 +1,34 @@
+"""The protocol of messages between routers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Protocol, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from result import Result
+
+    from loomyard.errors import Fault
+    from loomyard_router.members.membership import Member
+
+M = TypeVar("M")
+
+
+class PeerLinks(Protocol):
+    """Send typed messages (attrs classes registered by ``handle``) to other routers.
+
+    Messages may be lost, doubled or late; the sender is authenticated.
+    """
+
+    def send(self, to: str, message: Any) -> bool:
+        """Send without waiting for an answer; false where there is no link now."""
+
+    def request(self, to: str, message: Any, deadline: float) -> Result[Any, Fault]:
+        """Send and return the answer.
+
+        Error: ``PEER_UNREACHABLE``.
+        """
+
+    def handle(self, kind: type[M], handler: Callable[[Member, M], Any]) -> None:
+        """Register the handler of a message type; what it returns is the answer."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/relays/__init__.py
@@ -0,0 +1,1 @@
+"""Answers on their way from target to caller."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/requests/__init__.py
@@ -0,0 +1,1 @@
+"""A caller's request from arrival to outcome."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/requests/answer.py
@@ -0,0 +1,16 @@
+"""The answer to a caller's request."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from attrs import field, frozen
+
+
+@frozen(kw_only=True)
+class Answer:
+    """Status, headers and a body that is read as it arrives."""
+
+    status: int
+    headers: list[tuple[str, str]] = field(factory=list)
+    body: Iterator[bytes]
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Who may send next: the share policies."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/shares/account_queues.py
@@ -0,0 +1,60 @@
+"""The queues of one service, one for each client account."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from loomyard_router.shares.waiting import WaitingRequest
+
+
+class AccountQueues:
+    """First in, first out within an account; accounts in no order of their own."""
+
+    def __init__(self) -> None:
+        self._queues: OrderedDict[str, deque[WaitingRequest]] = OrderedDict()
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    @property
+    def accounts(self) -> Iterator[str]:
+        """Return the names of the accounts that wait."""
+        return iter(self._queues)
+
+    def length(self, account: str) -> int:
+        """Return how many requests of an account wait."""
+        return len(self._queues.get(account, ()))
+
+    def head(self, account: str) -> WaitingRequest:
+        """Return the oldest request of an account that waits."""
+        return self._queues[account][0]
+
+    def push(self, waiting: WaitingRequest) -> None:
+        """Add a request."""
+        self._queues.setdefault(waiting.account.metadata.name, deque()).append(waiting)
+        self._size += 1
+
+    def pop(self, account: str) -> WaitingRequest:
+        """Take the oldest request of an account."""
+        waiting = self._queues[account].popleft()
+        self._size -= 1
+        if not self._queues[account]:
+            del self._queues[account]
+        return waiting
+
+    def remove(self, waiting: WaitingRequest) -> bool:
+        """Take a request out; false where it is not there."""
+        account = waiting.account.metadata.name
+        try:
+            self._queues[account].remove(waiting)
+        except (KeyError, ValueError):
+            return False
+        self._size -= 1
+        if not self._queues[account]:
+            del self._queues[account]
+        return True
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/shares/local.py
@@ -0,0 +1,105 @@
+"""The ``local`` policy: each router is fair by itself over a fixed part of the slots."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from loomyard.errors import Fault, ResultCode
+from loomyard_router.shares.account_queues import AccountQueues
+from loomyard_router.shares.admission import Admission
+from loomyard_router.shares.service_counters import ServiceCounters
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard.objects import Target
+    from loomyard.routing import Routing
+    from loomyard_router.shares.waiting import WaitingRequest
+
+QUEUE_FULL_RETRY_AFTER = 1.0
+
+
+class LocalPolicy:
+    """Least service over weight first, over this router's part of each target's slots."""
+
+    def __init__(self, clock: Clock, *, position: int, routers: int) -> None:
+        self._clock = clock
+        self._position = position
+        self._routers = routers
+        self._queues: defaultdict[str, AccountQueues] = defaultdict(AccountQueues)
+        self._running: Counter[str] = Counter()
+        self._counters = ServiceCounters()
+
+    def submit(self, waiting: WaitingRequest) -> Result[None, Fault]:
+        service = waiting.service.metadata.name
+        account = waiting.account
+        queues = self._queues[service]
+        if queues.length(account.metadata.name) >= account.queue_limit:
+            return Err(
+                Fault(
+                    code=ResultCode.QUEUE_FULL,
+                    detail=f"{account.queue_limit} requests wait already",
+                    retry_after=QUEUE_FULL_RETRY_AFTER,
+                )
+            )
+        self._counters.activate(account)
+        queues.push(waiting)
+        self._admit(service)
+        return Ok(None)
+
+    def withdraw(self, waiting: WaitingRequest) -> bool:
+        removed = self._queues[waiting.service.metadata.name].remove(waiting)
+        if removed:
+            self._counters.deactivate(waiting.account)
+        return removed
+
+    def charge(self, admission: Admission, cost: float) -> None:
+        self._counters.add(admission.waiting.account, cost - admission.charged)
+        admission.charged = cost
+
+    def finish(self, admission: Admission, cost: float) -> None:
+        self.charge(admission, cost)
+        self._running[admission.target.metadata.name] -= 1
+        self._counters.deactivate(admission.waiting.account)
+        for service in admission.target.services:
+            self._admit(service)
+
+    def reconfigure(self, routing: Routing) -> None:
+        for service in list(self._queues):
+            self._admit(service)
+
+    def start(self) -> None:
+        pass
+
+    def stop(self) -> None:
+        pass
+
+    def _admit(self, service: str) -> None:
+        queues = self._queues[service]
+        while True:
+            ready = [name for name in queues.accounts if self._find_slot(queues.head(name))]
+            if not ready:
+                return
+            waiting = queues.pop(min(ready, key=self._counters.level))
+            target = self._find_slot(waiting)
+            assert target is not None
+            self._running[target.metadata.name] += 1
+            admission = Admission(waiting=waiting, target=target, admitted_at=self._clock.now())
+            self.charge(admission, waiting.estimate)
+            waiting.admitted.set(admission)
+
+    def _find_slot(self, waiting: WaitingRequest) -> Target | None:
+        free = [target for target in waiting.targets if self._free(target) > 0]
+        return max(free, key=self._free, default=None)
+
+    def _free(self, target: Target) -> int:
+        share, rest = divmod(target.slots, self._routers)
+        extra = 1 if self._position < rest else 0
+        return share + extra - self._running[target.metadata.name]
+
+
+def make_local_policy(clock: Clock, *, position: int = 0, routers: int = 1) -> LocalPolicy:
+    """Make the ``local`` policy of the router at a position among a number of routers."""
+    return LocalPolicy(clock, position=position, routers=routers)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/shares/waiting.py
@@ -0,0 +1,28 @@
+"""A request that waits for a slot."""
+
+from __future__ import annotations
+
+from attrs import define, field
+from gevent.event import AsyncResult
+
+from loomyard.objects import ClientAccount, Service, Target
+
+
+@define(kw_only=True, eq=False)
+class WaitingRequest:
+    """A request that waits for a slot.
+
+    ``estimate`` is in the units of the service; ``enqueued_at`` and ``deadline`` are in seconds
+    of the monotonic clock. ``prefix`` names the prompt prefix for cache locality. ``admitted``
+    gets the ``Admission``, or a ``Fault`` where the policy gives the request up.
+    """
+
+    request_id: str
+    account: ClientAccount
+    service: Service
+    targets: tuple[Target, ...]
+    estimate: float
+    enqueued_at: float
+    deadline: float
+    prefix: str = ""
+    admitted: AsyncResult = field(factory=AsyncResult)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/targets/__init__.py
@@ -0,0 +1,1 @@
+"""The targets and how they are called."""
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what lies outside loomyard; not shipped."""
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/fleet.py
@@ -0,0 +1,126 @@
+"""A small fleet with its stand-ins in one process."""
+
+from __future__ import annotations
+
+import secrets
+
+import gevent
+from attrs import define, field
+
+from loomyard.codec import encode
+from loomyard.configuration import Change, Put
+from loomyard.objects import (
+    ClientAccount,
+    ConfigObject,
+    Metadata,
+    Operation,
+    Route,
+    Service,
+    ServiceType,
+    Target,
+)
+from loomyard_router.application import Application, make_application
+from loomyard_router.callers.keys import digest_key
+from loomyard_router.configuration.follower import CONFIG_STREAM
+from loomyard_router.settings import Settings
+from loomyard_standins.engine import EngineServer
+from loomyard_standins.log_service import LogServer, MemoryLog
+from loomyard_standins.plain_service import PlainServer
+
+ACCOUNTS = {"kiosk": 1.0, "genealogy": 1.0, "labels": 1.0, "handover": 2.0}
+DATA_CENTRES = ("dc-1", "dc-2")
+
+
+@define(eq=False)
+class StandinFleet:
+    """Routers, engines, a plain service and a log service."""
+
+    log: LogServer
+    engines: list[EngineServer] = field(factory=list)
+    plain: PlainServer = field(factory=PlainServer)
+    routers: list[Application] = field(factory=list)
+
+    @property
+    def urls(self) -> list[str]:
+        return [f"http://127.0.0.1:{router.port}" for router in self.routers]
+
+    def publish(self, objects: list[ConfigObject]) -> None:
+        """Append a change and wait until it is in force on every router."""
+        change = Change(change_id=secrets.token_hex(8), puts=[Put(object=o) for o in objects])
+        version = self.log.log.append(CONFIG_STREAM, encode(change)).unwrap()
+        while any(router.follower.state.version < version for router in self.routers):
+            gevent.sleep(0.01)
+
+    def stop(self) -> None:
+        """Stop everything."""
+        for part in [*self.routers, *self.engines, self.plain, self.log]:
+            part.stop()
+
+
+def start_fleet(*, routers: int = 3, engines: int = 4, policy: str = "local") -> StandinFleet:
+    """Start a fleet with the sample configuration in force."""
+    fleet = StandinFleet(LogServer(MemoryLog()))
+    fleet.log.start()
+    fleet.plain.start()
+    for _ in range(engines):
+        engine = EngineServer(model="assistant")
+        engine.start()
+        fleet.engines.append(engine)
+    for position in range(routers):
+        settings = Settings(
+            name=f"router-{position}",
+            data_centre=DATA_CENTRES[position % len(DATA_CENTRES)],
+            listen="127.0.0.1:0",
+            log_service=fleet.log.address,
+            policy=policy,
+            position=position,
+            routers=routers,
+        )
+        router = make_application(settings)
+        router.start()
+        fleet.routers.append(router)
+    fleet.publish(sample_objects(fleet))
+    return fleet
+
+
+def sample_key(account: str) -> str:
+    """Return the key of a sample account."""
+    return f"key-{account}"
+
+
+def sample_objects(fleet: StandinFleet) -> list[ConfigObject]:
+    """Return accounts, services, targets and routes for the stand-ins."""
+    objects: list[ConfigObject] = [
+        ClientAccount(
+            metadata=Metadata(name=name, labels={"tier": "standard"}),
+            key_digests=[digest_key(sample_key(name))],
+            weight=weight,
+        )
+        for name, weight in ACCOUNTS.items()
+    ]
+    receipts = Operation(path="/receipts", method="POST", idempotent=False)
+    objects += [
+        Service(metadata=Metadata(name="assistant")),
+        Service(metadata=Metadata(name="records"), type=ServiceType.PLAIN, operations=[receipts]),
+    ]
+    for number, engine in enumerate(fleet.engines):
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        objects.append(
+            Target(
+                metadata=Metadata(name=f"engine-{number}", labels={"dc": data_centre}),
+                url=engine.url,
+                services=["assistant"],
+                data_centre=data_centre,
+            )
+        )
+    objects += [
+        Target(metadata=Metadata(name="records-0"), url=fleet.plain.url, services=["records"]),
+        Route(
+            metadata=Metadata(name="assistant"),
+            service="assistant",
+            accounts="tier=standard",
+            targets="dc in (dc-1,dc-2)",
+        ),
+        Route(metadata=Metadata(name="records"), service="records"),
+    ]
+    return objects
--- /dev/null
+++ b/packages/loomyard/src/loomyard/events.py
@@ -0,0 +1,42 @@
+"""Numbered log events."""
+
+from __future__ import annotations
+
+import logging
+from enum import Enum
+
+
+class Event(Enum):
+    """A log event: number, level and meaning."""
+
+    ROUTER_STARTED = (100, logging.INFO, "the router serves callers")
+    ROUTER_STOPPING = (101, logging.INFO, "a planned stop began")
+    ROUTER_STOPPED = (102, logging.INFO, "a planned stop ended")
+    CONFIGURATION_ADOPTED = (200, logging.INFO, "a configuration version is in force")
+    CONFIGURATION_REJECTED = (201, logging.WARNING, "a change was rejected in log order")
+    RECORD_INVALID = (202, logging.ERROR, "a log record could not be read and was skipped")
+    SNAPSHOT_WRITTEN = (203, logging.INFO, "a configuration snapshot was appended")
+    LOG_UNAVAILABLE = (300, logging.WARNING, "the log service did not answer")
+    LOG_RECOVERED = (301, logging.INFO, "the log service answers again")
+    REQUEST_REFUSED = (400, logging.INFO, "a request was refused before it ran")
+    ATTEMPT_FAILED = (401, logging.WARNING, "an attempt at a target failed")
+    CALLER_GONE = (402, logging.INFO, "the caller left; the work was cancelled")
+    HANDLER_FAILED = (900, logging.ERROR, "a task ended with an unexpected error")
+
+    @property
+    def number(self) -> int:
+        return self.value[0]
+
+    @property
+    def level(self) -> int:
+        return self.value[1]
+
+    @property
+    def meaning(self) -> str:
+        return self.value[2]
+
+
+def emit(logger: logging.Logger, event: Event, **fields: object) -> None:
+    """Log an event with its fields."""
+    if logger.isEnabledFor(event.level):
+        logger.log(event.level, event.meaning, extra={"event": event, "fields": fields})
--- /dev/null
+++ b/packages/loomyard/src/loomyard/manifests.py
@@ -0,0 +1,105 @@
+"""Manifests: YAML with one object a document."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import yaml
+from cattrs import BaseValidationError, transform_error
+from result import Err, Ok, Result
+
+from loomyard.codec import CODEC, KIND_FIELD
+from loomyard.errors import FieldFault
+from loomyard.objects import KINDS, ConfigObject, ObjectRef, ref_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+MAX_MANIFEST_BYTES = 16 * 1024 * 1024
+
+
+def read_manifests(
+    sources: Iterable[tuple[str, str]],
+) -> Result[list[ConfigObject], list[FieldFault]]:
+    """Read the objects of pairs of source name and text; report every fault."""
+    objects: list[ConfigObject] = []
+    faults: list[FieldFault] = []
+    seen: set[ObjectRef] = set()
+    for source, text in sources:
+        for document in _documents(source, text, faults):
+            item = _read_object(source, document, faults)
+            if item is None:
+                continue
+            if ref_of(item) in seen:
+                faults.append(_fault(source, str(ref_of(item)), "metadata.name", "given twice"))
+            seen.add(ref_of(item))
+            objects.append(item)
+    return Err(faults) if faults else Ok(objects)
+
+
+def _documents(source: str, text: str, faults: list[FieldFault]) -> list[Any]:
+    if len(text) > MAX_MANIFEST_BYTES:
+        faults.append(_fault(source, "-", "-", f"longer than {MAX_MANIFEST_BYTES} bytes"))
+        return []
+    try:
+        return [document for document in yaml.safe_load_all(text) if document is not None]
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        faults.append(_fault(source, "-", "-", f"not YAML: {error}"))
+        return []
+
+
+def _read_object(source: str, document: Any, faults: list[FieldFault]) -> ConfigObject | None:
+    if not isinstance(document, dict):
+        faults.append(_fault(source, "-", "-", "not a mapping"))
+        return None
+    fields = dict(document)
+    kind_name = fields.pop(KIND_FIELD, None)
+    name = _describe(kind_name, fields)
+    kind = KINDS.get(kind_name) if isinstance(kind_name, str) else None
+    if kind is None:
+        faults.append(_fault(source, name, KIND_FIELD, f"not one of {', '.join(KINDS)}"))
+        return None
+    try:
+        # Structured first and validated after, so that all faults are reported and not the first.
+        with attrs.validators.disabled():
+            item: ConfigObject = CODEC.structure(fields, kind)
+    except BaseValidationError as error:
+        for line in transform_error(error, path="$"):
+            detail, _, path = line.rpartition(" @ ")
+            faults.append(_fault(source, name, path.removeprefix("$.") or "-", detail or line))
+        return None
+    except (ValueError, TypeError, RecursionError) as error:
+        faults.append(_fault(source, name, "-", str(error)))
+        return None
+    invalid = list(_invalid_fields(item, ""))
+    faults.extend(_fault(source, name, path, detail) for path, detail in invalid)
+    return None if invalid else item
+
+
+def _invalid_fields(value: Any, path: str) -> Iterator[tuple[str, str]]:
+    if isinstance(value, list):
+        for index, part in enumerate(value):
+            yield from _invalid_fields(part, f"{path}[{index}]")
+    if not attrs.has(type(value)):
+        return
+    for attribute in attrs.fields(type(value)):
+        part = getattr(value, attribute.name)
+        place = f"{path}.{attribute.name}" if path else attribute.name
+        yield from _invalid_fields(part, place)
+        if attribute.validator is None:
+            continue
+        try:
+            attribute.validator(value, attribute, part)
+        except (ValueError, TypeError) as error:
+            yield place, str(error.args[0])
+
+
+def _describe(kind: Any, fields: dict[str, Any]) -> str:
+    metadata = fields.get("metadata")
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    return f"{kind}/{name}"
+
+
+def _fault(source: str, item: str, field: str, detail: str) -> FieldFault:
+    return FieldFault(source=source, object=item, field=field, detail=detail)
--- /dev/null
+++ b/packages/loomyard/src/loomyard/objects/client_account.py
@@ -0,0 +1,32 @@
+"""A client account: who calls, with what share."""
+
+from __future__ import annotations
+
+import re
+
+from attrs import Attribute, field, frozen, validators
+
+from loomyard.objects.metadata import Metadata
+
+_DIGEST = re.compile(r"[0-9a-f]{64}\Z")
+
+
+def _check_digest(_: object, __: Attribute, value: str) -> None:
+    if not _DIGEST.match(value):
+        raise ValueError("not a SHA-256 digest in 64 lower-case hexadecimal digits")
+
+
+@frozen(kw_only=True)
+class ClientAccount:
+    """A client account.
+
+    ``key_digests`` are SHA-256 digests of bearer keys; ``queue_limit`` counts waiting requests
+    per router and service.
+    """
+
+    metadata: Metadata
+    key_digests: list[str] = field(
+        factory=list, validator=validators.deep_iterable(member_validator=_check_digest)
+    )
+    weight: float = field(default=1.0, validator=validators.gt(0))
+    queue_limit: int = field(default=256, validator=validators.ge(1))
--- /dev/null
+++ b/packages/loomyard/src/loomyard/platform/http_log.py
@@ -0,0 +1,77 @@
+"""The log service over HTTP: ``/streams/NAME/records`` with CBOR batches."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from geventhttpclient import HTTPClient
+from result import Err, Ok, Result
+
+from loomyard.codec import decode
+from loomyard.errors import Executed, Fault, ResultCode
+from loomyard.platform.log_service import LogBatch
+
+if TYPE_CHECKING:
+    from loomyard.platform.log_service import LogService
+
+CONNECT_TIMEOUT = 1.0
+ANSWER_TIMEOUT = 5.0
+CONCURRENCY = 16
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+
+
+class HttpLogService:
+    """Streams of a log service that answers over HTTP."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._client = HTTPClient(
+            host,
+            port,
+            concurrency=CONCURRENCY,
+            connection_timeout=CONNECT_TIMEOUT,
+            network_timeout=ANSWER_TIMEOUT,
+        )
+
+    def append(self, stream: str, payload: bytes) -> Result[int, Fault]:
+        """Append a record and return its offset."""
+        try:
+            response = self._client.post(f"/streams/{stream}/records", body=payload)
+            body = bytes(response.read())
+        except ConnectionRefusedError as error:
+            return Err(_unavailable(str(error)))
+        except Exception as error:  # a reset or a timeout: the record may be there
+            return Err(_lost(str(error)))
+        if response.status_code == HTTP_UNAVAILABLE:
+            return Err(_unavailable("the log service refused the append"))
+        if response.status_code != HTTP_OK or not body.isdigit():
+            return Err(_lost(f"status {response.status_code}"))
+        return Ok(int(body))
+
+    def read(
+        self, stream: str, offset: int, *, limit: int = 1000, wait: float = 0.0
+    ) -> Result[LogBatch, Fault]:
+        """Read from an offset on; wait up to some seconds while there is nothing new."""
+        query = f"from={offset}&limit={limit}&wait={wait:.3f}"
+        try:
+            response = self._client.get(f"/streams/{stream}/records?{query}")
+            body = bytes(response.read())
+        except Exception as error:
+            return Err(_unavailable(str(error)))
+        if response.status_code != HTTP_OK:
+            return Err(_unavailable(f"status {response.status_code}"))
+        return decode(body, LogBatch).map_err(_unavailable)
+
+
+def connect_log(address: str) -> LogService:
+    """Make a log client for ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return HttpLogService(host, int(port))
+
+
+def _unavailable(detail: str) -> Fault:
+    return Fault(code=ResultCode.LOG_UNAVAILABLE, detail=detail)
+
+
+def _lost(detail: str) -> Fault:
+    return Fault(code=ResultCode.LOG_ANSWER_LOST, detail=detail, executed=Executed.UNKNOWN)
--- /dev/null
+++ b/packages/loomyard/src/loomyard/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers."""
--- /dev/null
+++ b/packages/loomyardctl/src/loomyardctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/tests/test_loomyard/test_manifests.py
@@ -0,0 +1,52 @@
+"""Tests of the reading of manifests."""
+
+from __future__ import annotations
+
+import unittest
+
+from loomyard.manifests import read_manifests
+from loomyard.objects import ClientAccount
+
+GOOD = """
+kind: ClientAccount
+metadata: {name: kiosk, labels: {tier: gold}}
+weight: 2
+---
+kind: Route
+metadata: {name: all}
+service: assistant
+accounts: tier in (gold)
+"""
+BAD = """
+kind: ClientAccount
+metadata: {name: Kiosk}
+weight: -1
+---
+kind: Route
+metadata: {name: all}
+service: assistant
+accounts: "tier in"
+---
+kind: Router
+metadata: {name: r}
+"""
+
+
+class ManifestTest(unittest.TestCase):
+    def test_reads_objects(self) -> None:
+        objects = read_manifests([("a.yaml", GOOD)]).unwrap()
+        self.assertIsInstance(objects[0], ClientAccount)
+        self.assertEqual(objects[0].metadata.labels, {"tier": "gold"})
+
+    def test_reports_every_fault_with_its_place(self) -> None:
+        faults = read_manifests([("b.yaml", BAD), ("c.yaml", "{")]).unwrap_err()
+        places = [(fault.source, fault.object, fault.field) for fault in faults]
+        self.assertIn(("b.yaml", "ClientAccount/Kiosk", "weight"), places)
+        self.assertIn(("b.yaml", "ClientAccount/Kiosk", "metadata.name"), places)
+        self.assertIn(("b.yaml", "Route/all", "accounts"), places)
+        self.assertIn(("b.yaml", "Router/r", "kind"), places)
+        self.assertIn(("c.yaml", "-", "-"), places)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_loomyard_router/test_whole_path.py
@@ -0,0 +1,64 @@
+"""Tests of the whole path, with the callers' usual client."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+import openai
+from geventhttpclient import HTTPClient
+
+from loomyard_standins.fleet import sample_key, start_fleet
+
+
+class WholePathTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = start_fleet(routers=2, engines=2)
+        cls.addClassCleanup(cls.fleet.stop)
+
+    def client(self, key: str = sample_key("kiosk")) -> openai.OpenAI:
+        return openai.OpenAI(base_url=self.fleet.urls[0] + "/v1", api_key=key, max_retries=0)
+
+    def test_lists_models(self) -> None:
+        self.assertEqual([model.id for model in self.client().models.list()], ["assistant"])
+
+    def test_whole_answer(self) -> None:
+        answer = self.client().chat.completions.create(
+            model="assistant", messages=[{"role": "user", "content": "hi"}], max_tokens=5
+        )
+        self.assertEqual(answer.choices[0].message.content, "t0 t1 t2 t3 t4 ")
+        self.assertEqual(answer.usage.completion_tokens, 5)
+
+    def test_streamed_answer(self) -> None:
+        chunks = list(
+            self.client().completions.create(
+                model="assistant", prompt="hi", max_tokens=4, stream=True
+            )
+        )
+        text = "".join(chunk.choices[0].text for chunk in chunks if chunk.choices)
+        self.assertEqual(text, "t0 t1 t2 t3 ")
+
+    def test_unknown_key(self) -> None:
+        with self.assertRaises(openai.AuthenticationError) as caught:
+            self.client("wrong").models.list()
+        self.assertEqual(caught.exception.body["loomyard"]["executed"], "no")
+
+    def test_plain_service(self) -> None:
+        client = HTTPClient("127.0.0.1", self.fleet.routers[1].port)
+        headers = {"Authorization": f"Bearer {sample_key('labels')}"}
+        response = client.post("/services/records/lots/7?x=1", b"steel", headers)
+        self.assertEqual(json.loads(response.read())["echo"], "steel")
+        self.assertEqual(self.fleet.plain.ran[-1][1], "/lots/7")
+
+    def test_unknown_service_is_a_problem_document(self) -> None:
+        client = HTTPClient("127.0.0.1", self.fleet.routers[1].port)
+        headers = {"Authorization": f"Bearer {sample_key('labels')}"}
+        response = client.get("/services/none/", headers)
+        problem = json.loads(response.read())
+        self.assertEqual((response.status_code, problem["code"]), (404, 1004))
+        self.assertEqual((problem["executed"], problem["retry_safe"]), ("no", True))
+
+
+if __name__ == "__main__":
+    unittest.main()
