Name the parts of a router behind protocols

Cause: the fleet policy, claims, membership, orders and operators are to be built side by side; each needs an edge to build against. Parts and Platform name them; the plain forms (one router, no peers, no claims, configured targets) keep the thin path green.

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import secrets
 from typing import TYPE_CHECKING
 
 from gevent.pywsgi import WSGIServer
@@ -11,37 +12,34 @@
 from loomyard.events import Event, emit
 from loomyard.platform.http_log import connect_log
 from loomyard_router.callers.app import CallersApp
+from loomyard_router.claims.no_claims import NoClaims
 from loomyard_router.configuration.follower import ConfigFollower
+from loomyard_router.members.membership import Member, SoleMembership
+from loomyard_router.parts import Parts, Platform
+from loomyard_router.peers.no_peers import NoPeers
 from loomyard_router.requests.estimates import CostEstimates
+from loomyard_router.requests.journal import Journal
 from loomyard_router.requests.serving import Serving
 from loomyard_router.shares.fifo import make_fifo_policy
 from loomyard_router.shares.local import make_local_policy
+from loomyard_router.targets.directory import make_configured_targets
 from loomyard_router.targets.http_engine import make_http_engine
 
 if TYPE_CHECKING:
-    from loomyard.clock import Clock
-    from loomyard.platform.engine import Engine
-    from loomyard.platform.log_service import LogService
     from loomyard_router.settings import Settings
     from loomyard_router.shares.policy import SharePolicy
 
 logger = logging.getLogger(__name__)
 
+INCARNATION_BITS = 48
+
 
 class Application:
     """One router."""
 
-    def __init__(
-        self,
-        settings: Settings,
-        *,
-        follower: ConfigFollower,
-        policy: SharePolicy,
-        callers: CallersApp,
-    ) -> None:
+    def __init__(self, settings: Settings, parts: Parts, callers: CallersApp) -> None:
+        self.parts = parts
         self._settings = settings
-        self._follower = follower
-        self._policy = policy
         host, _, port = settings.listen.rpartition(":")
         self._server = WSGIServer((host, int(port)), callers, log=None, error_log=logger)
 
@@ -49,49 +47,66 @@
     def port(self) -> int:
         return self._server.server_port
 
-    @property
-    def follower(self) -> ConfigFollower:
-        return self._follower
-
     def start(self) -> None:
         """Start to follow the configuration and to serve callers."""
-        self._follower.subscribe(self._policy.reconfigure)
-        self._follower.start()
-        self._policy.start()
+        parts = self.parts
+        parts.follower.subscribe(parts.targets.reconfigure)
+        parts.follower.subscribe(parts.policy.reconfigure)
+        for part in (parts.peers, parts.members, parts.follower, parts.targets):
+            part.start()
+        parts.claims.start()
+        parts.policy.start()
         self._server.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, port=self.port)
 
     def stop(self) -> None:
         """Stop at once."""
         self._server.stop()
-        self._policy.stop()
-        self._follower.stop()
-
-
-def make_application(
-    settings: Settings,
-    *,
-    clock: Clock | None = None,
-    log: LogService | None = None,
-    engine: Engine | None = None,
-) -> Application:
-    """Wire a router from its settings; parts given replace those of the settings."""
-    clock = clock or SystemClock()
-    log = log or connect_log(settings.log_service)
-    follower = ConfigFollower(log, clock)
-    policy = _make_policy(settings, clock)
+        parts = self.parts
+        parts.policy.stop()
+        parts.claims.stop()
+        for part in (parts.targets, parts.follower, parts.members, parts.peers):
+            part.stop()
+
+
+def make_platform(settings: Settings) -> Platform:
+    """Connect to the outside systems that the settings name."""
+    clock = SystemClock()
+    log = connect_log(settings.log_service)
+    return Platform(clock=clock, log=log, engine=make_http_engine(clock))
+
+
+def make_application(settings: Settings, platform: Platform | None = None) -> Application:
+    """Wire a router from its settings."""
+    platform = platform or make_platform(settings)
+    clock = platform.clock
+    own = Member(
+        name=settings.name,
+        incarnation=secrets.randbits(INCARNATION_BITS),
+        address="",
+        data_centre=settings.data_centre,
+    )
+    parts = Parts(
+        members=SoleMembership(own),
+        peers=NoPeers(),
+        follower=ConfigFollower(platform.log, clock),
+        targets=make_configured_targets(),
+        policy=_make_policy(settings, platform),
+        claims=NoClaims(),
+        journal=Journal(clock),
+    )
     serving = Serving(
         clock=clock,
-        follower=follower,
-        policy=policy,
-        engine=engine or make_http_engine(clock),
+        follower=parts.follower,
+        policy=parts.policy,
+        engine=platform.engine,
         estimates=CostEstimates(),
     )
-    callers = CallersApp(clock=clock, follower=follower, serving=serving)
-    return Application(settings, follower=follower, policy=policy, callers=callers)
+    callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
+    return Application(settings, parts, callers)
 
 
-def _make_policy(settings: Settings, clock: Clock) -> SharePolicy:
+def _make_policy(settings: Settings, platform: Platform) -> SharePolicy:
     if settings.policy == "fifo":
-        return make_fifo_policy(clock)
-    return make_local_policy(clock, position=settings.position, routers=settings.routers)
+        return make_fifo_policy(platform.clock)
+    return make_local_policy(platform.clock, position=settings.position, routers=settings.routers)
--- a/packages/loomyard-router/src/loomyard_router/claims/keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/keeper.py
@@ -66,3 +66,9 @@
 
     def abandon(self, claim: Claim) -> None:
         """Give back a claim of which nothing was sent."""
+
+    def start(self) -> None:
+        """Start the tasks."""
+
+    def stop(self) -> None:
+        """End the tasks."""
--- a/packages/loomyard-router/src/loomyard_router/members/membership.py
+++ b/packages/loomyard-router/src/loomyard_router/members/membership.py
@@ -50,6 +50,15 @@
     def subscribe(self, changed: Callable[[], None]) -> None:
         """Call back after each change of the live routers."""
 
+    def leave(self) -> None:
+        """Tell the others that this router is leaving; it stays until it stops."""
+
+    def start(self) -> None:
+        """Start the tasks."""
+
+    def stop(self) -> None:
+        """End the tasks."""
+
 
 class SoleMembership:
     """A fleet of one router."""
@@ -72,3 +81,12 @@
 
     def subscribe(self, changed: Callable[[], None]) -> None:
         pass
+
+    def leave(self) -> None:
+        pass
+
+    def start(self) -> None:
+        pass
+
+    def stop(self) -> None:
+        pass
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/parts.py
@@ -0,0 +1,42 @@
+"""The parts of a router, as the application wires them."""
+
+from __future__ import annotations
+
+from attrs import define
+
+from loomyard.clock import Clock
+from loomyard.platform.engine import Engine
+from loomyard.platform.log_service import LogService
+from loomyard.platform.vm_list import VmList
+from loomyard.platform.weight_store import WeightStore
+from loomyard_router.claims.keeper import ClaimKeeper
+from loomyard_router.configuration.follower import ConfigFollower
+from loomyard_router.members.membership import Membership
+from loomyard_router.peers.links import PeerLinks
+from loomyard_router.requests.journal import Journal
+from loomyard_router.shares.policy import SharePolicy
+from loomyard_router.targets.directory import TargetDirectory
+
+
+@define(kw_only=True, eq=False)
+class Platform:
+    """The outside systems and the clock; ``None`` where the settings name none."""
+
+    clock: Clock
+    log: LogService
+    engine: Engine
+    vm_list: VmList | None = None
+    weight_store: WeightStore | None = None
+
+
+@define(kw_only=True, eq=False)
+class Parts:
+    """What works together in one router."""
+
+    members: Membership
+    peers: PeerLinks
+    follower: ConfigFollower
+    targets: TargetDirectory
+    policy: SharePolicy
+    claims: ClaimKeeper
+    journal: Journal
--- a/packages/loomyard-router/src/loomyard_router/peers/links.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/links.py
@@ -32,3 +32,9 @@
 
     def handle(self, kind: type[M], handler: Callable[[Member, M], Any]) -> None:
         """Register the handler of a message type; what it returns is the answer."""
+
+    def start(self) -> None:
+        """Start the tasks."""
+
+    def stop(self) -> None:
+        """End the tasks."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/targets/directory.py
@@ -0,0 +1,93 @@
+"""The protocol of what is known of targets, and the plain reading of the configuration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from loomyard.objects import TargetState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard.objects import Target
+    from loomyard.routing import Routing
+
+
+class TargetDirectory(Protocol):
+    """Know which targets may get work, how much, and what their caches hold."""
+
+    def may_send(self, name: str) -> bool:
+        """Tell whether a target may get new work now."""
+
+    def slots(self, target: Target) -> int:
+        """Return how many requests of the whole fleet keep the target just full."""
+
+    def holds_prefix(self, name: str, prefix: str) -> bool:
+        """Tell whether a target probably caches a prompt prefix."""
+
+    def note_prefix(self, name: str, prefix: str) -> None:
+        """Take in that a request with a prefix was sent to a target."""
+
+    def report_leaving(self, name: str) -> None:
+        """Take in that a target says, or a peer heard, that it is leaving."""
+
+    def report_attempt(self, name: str, *, answered: bool) -> None:
+        """Take in whether a target answered an attempt."""
+
+    def reconfigure(self, routing: Routing) -> None:
+        """Take over a configuration."""
+
+    def subscribe(self, changed: Callable[[], None]) -> None:
+        """Call back after each change of what may be sent where."""
+
+    def start(self) -> None:
+        """Start the tasks."""
+
+    def stop(self) -> None:
+        """End the tasks."""
+
+
+class ConfiguredTargets:
+    """What the configuration alone says of targets."""
+
+    def __init__(self) -> None:
+        self._targets: dict[str, Target] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def may_send(self, name: str) -> bool:
+        target = self._targets.get(name)
+        return target is not None and target.state is TargetState.ACTIVE
+
+    def slots(self, target: Target) -> int:
+        return target.slots
+
+    def holds_prefix(self, name: str, prefix: str) -> bool:
+        return False
+
+    def note_prefix(self, name: str, prefix: str) -> None:
+        pass
+
+    def report_leaving(self, name: str) -> None:
+        pass
+
+    def report_attempt(self, name: str, *, answered: bool) -> None:
+        pass
+
+    def reconfigure(self, routing: Routing) -> None:
+        self._targets = dict(routing.targets)
+        for listener in self._listeners:
+            listener()
+
+    def subscribe(self, changed: Callable[[], None]) -> None:
+        self._listeners.append(changed)
+
+    def start(self) -> None:
+        pass
+
+    def stop(self) -> None:
+        pass
+
+
+def make_configured_targets() -> ConfiguredTargets:
+    """Make a directory that reads the configuration only."""
+    return ConfiguredTargets()
--- a/packages/loomyard-standins/src/loomyard_standins/fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/fleet.py
@@ -48,7 +48,7 @@
         """Append a change and wait until it is in force on every router."""
         change = Change(change_id=secrets.token_hex(8), puts=[Put(object=o) for o in objects])
         version = self.log.log.append(CONFIG_STREAM, encode(change)).unwrap()
-        while any(router.follower.state.version < version for router in self.routers):
+        while any(router.parts.follower.state.version < version for router in self.routers):
             gevent.sleep(0.01)
 
     def stop(self) -> None:
