Tell a call that was not sent from one that may have run

Cause: the client library sends GET, PUT and DELETE again by itself after a lost connection, so a call marked as not repeatable could run twice; and a failed connect could not be told from a lost answer. The adapter now takes sockets from the library's pool, writes the request once and reads the answer in blocks with the library's parser. Calls that may run once take a fresh connection. Conclusion: a fault before the first byte is 'no', each later one 'unknown'.

--- a/packages/loomyard-router/src/loomyard_router/targets/http_engine.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/http_engine.py
@@ -1,101 +1,72 @@
-"""Targets that speak the OpenAI HTTP interface, or plain HTTP."""
+"""Targets that speak the OpenAI HTTP interface, or plain HTTP.
+
+The contract of a target beyond its interface:
+
+- It sends the header ``Loomyard-Attempt`` of a request back with the answer.
+- A refusal that carries ``Loomyard-Not-Run: 1`` states that nothing of the request ran;
+  ``Loomyard-Leaving: 1`` states the same and that the target takes no new work.
+- An engine numbers the events of a stream with ``id:`` lines from 0, keeps the last streams for
+  ``GET /streams/ATTEMPT?after=NUMBER``, and ends a cancelled stream without ``[DONE]``.
+"""
 
 from __future__ import annotations
 
 import json
+import re
 from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
-from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPConnectionClosed
 from result import Err, Ok, Result
 
 from loomyard.codec import CODEC
 from loomyard.errors import Executed, Fault, ResultCode
-from loomyard.platform.engine import CacheEvent, EngineOrder, LoadReport
+from loomyard.platform.engine import CacheEvent, EngineOrder, LoadReport, TargetCall
+from loomyard_router.targets.http_answer import ATTEMPT_HEADER, HttpAnswer, read_response
+from loomyard_router.targets.http_connections import Connections
 
 if TYPE_CHECKING:
-    from geventhttpclient.response import HTTPSocketPoolResponse
+    from geventhttpclient.connectionpool import ConnectionPool
 
     from loomyard.clock import Clock
-    from loomyard.platform.engine import TargetAnswer, TargetCall
+    from loomyard.platform.engine import TargetAnswer
 
-ATTEMPT_HEADER = "Loomyard-Attempt"
-CONNECT_TIMEOUT = 1.0
 CONTROL_TIMEOUT = 2.0
-ANSWER_TIMEOUT = 300.0
-CONCURRENCY = 4096
-BLOCK_SIZE = 65536
+IDLE_TIMEOUT = 60.0
+MIN_TIMEOUT = 0.001
 HTTP_OK = 200
 HTTP_CONFLICT = 409
-
-
-class HttpAnswer:
-    """An answer over HTTP."""
-
-    def __init__(self, response: HTTPSocketPoolResponse) -> None:
-        self._response = response
-        self._stream = str(response.get("content-type", "")).startswith("text/event-stream")
-
-    @property
-    def status(self) -> int:
-        return self._response.status_code
-
-    @property
-    def headers(self) -> list[tuple[str, str]]:
-        return [(str(name), str(value)) for name, value in self._response.items()]
-
-    @property
-    def attempt_id(self) -> str:
-        return str(self._response.get(ATTEMPT_HEADER, ""))
-
-    def read(self) -> Result[bytes, Fault]:
-        try:
-            if self._stream:
-                return Ok(bytes(self._response.readline(b"\n\n")))
-            return Ok(bytes(self._response.read(BLOCK_SIZE)))
-        except Exception as error:
-            return Err(
-                Fault(
-                    code=ResultCode.ANSWER_INCOMPLETE,
-                    detail=str(error) or type(error).__name__,
-                    executed=Executed.UNKNOWN,
-                )
-            )
-
-    def close(self) -> None:
-        self._response.release()
+_HEAD = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+ /[^\x00-\x20\x7f]* HTTP/1\.1\r\n")
 
 
 class HttpEngine:
-    """Call targets over HTTP, with kept connections."""
+    """Call targets over HTTP; no call is ever sent twice by itself."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._clients: dict[tuple[str, int], HTTPClient] = {}
+        self._connections = Connections()
 
     def open(self, call: TargetCall) -> Result[TargetAnswer, Fault]:
-        try:
-            client = self._client(call.url)
-            headers = [*call.headers, (ATTEMPT_HEADER, call.attempt_id)]
-            path = urlsplit(call.url).path.rstrip("/") + call.path
-            response = client.request(call.method, path, body=call.body, headers=dict(headers))
-        except (ConnectionRefusedError, OSError) as error:
-            return Err(_open_fault(error))
-        except Exception as error:
-            return Err(_lost(error))
-        return Ok(HttpAnswer(response))
+        return self._exchange(call, kept=call.idempotent)
 
     def resume(self, call: TargetCall, after: int) -> Result[TargetAnswer, Fault]:
-        try:
-            path = f"/streams/{call.attempt_id}?after={after}"
-            response = self._client(call.url).request("GET", path)
-        except Exception as error:
-            return Err(_lost(error))
-        if response.status_code != HTTP_OK:
-            response.read()
-            detail = f"status {response.status_code}"
-            return Err(Fault(code=ResultCode.STREAM_GONE, detail=detail, executed=Executed.UNKNOWN))
-        return Ok(HttpAnswer(response))
+        path = f"/streams/{call.attempt_id}?after={after}"
+        asked = TargetCall(
+            attempt_id=call.attempt_id,
+            url=call.url,
+            method="GET",
+            path=path,
+            deadline=call.deadline,
+        )
+        opened = self._exchange(asked, kept=True)
+        if opened.is_err():
+            return Err(opened.unwrap_err())
+        answer = opened.unwrap()
+        if answer.status == HTTP_OK:
+            return Ok(answer)
+        answer.close()
+        detail = f"the engine does not keep the stream: status {answer.status}"
+        return Err(Fault(code=ResultCode.STREAM_GONE, detail=detail, executed=Executed.UNKNOWN))
 
     def cancel(self, url: str, attempt_id: str) -> Result[None, Fault]:
         return self._control(url, "POST", f"/streams/{attempt_id}/cancel").map(lambda _: None)
@@ -111,38 +82,93 @@
         path = f"/orders/{order.action}/{order.subject}?fencing={order.fencing}"
         return self._control(url, "POST", path).map(lambda _: None)
 
-    def _control(self, url: str, method: str, path: str) -> Result[bytes, Fault]:
+    def _exchange(self, call: TargetCall, *, kept: bool) -> Result[HttpAnswer, Fault]:
+        match _render(call):
+            case Err(fault):
+                return Err(fault)
+            case Ok(data):
+                pass
+        pool = self._connections.pool(call.url, kept=kept)
+        seconds = max(MIN_TIMEOUT, call.deadline - self._clock.now())
         try:
-            response = self._client(url).request(method, path)
-            body = bytes(response.read())
+            sock = pool.get_socket()
         except Exception as error:
-            return Err(_lost(error))
-        if response.status_code == HTTP_CONFLICT:
+            return Err(_unreachable(error))
+        return _send(pool, sock, data, call.method, seconds)
+
+    def _control(self, url: str, method: str, path: str) -> Result[bytes, Fault]:
+        deadline = self._clock.now() + CONTROL_TIMEOUT
+        call = TargetCall(attempt_id="", url=url, method=method, path=path, deadline=deadline)
+        opened = self._exchange(call, kept=True)
+        if opened.is_err():
+            return Err(opened.unwrap_err())
+        answer = opened.unwrap()
+        match _read_all(answer):
+            case Err(fault):
+                return Err(fault)
+            case Ok(body):
+                pass
+        if answer.status == HTTP_CONFLICT:
             return Err(Fault(code=ResultCode.ORDER_FENCED, detail=body.decode(errors="replace")))
-        if response.status_code != HTTP_OK:
-            detail = f"status {response.status_code}"
+        if answer.status != HTTP_OK:
+            detail = f"status {answer.status}"
             return Err(Fault(code=ResultCode.TARGET_REFUSED, detail=detail))
         return Ok(body)
 
-    def _client(self, url: str) -> HTTPClient:
-        parts = urlsplit(url)
-        address = (parts.hostname or "", parts.port or 80)
-        if address not in self._clients:
-            self._clients[address] = HTTPClient(
-                *address,
-                concurrency=CONCURRENCY,
-                connection_timeout=CONNECT_TIMEOUT,
-                network_timeout=ANSWER_TIMEOUT,
-                block_size=BLOCK_SIZE,
-            )
-        return self._clients[address]
-
 
 def make_http_engine(clock: Clock) -> HttpEngine:
     """Make the adapter for HTTP targets."""
     return HttpEngine(clock)
 
 
+def _render(call: TargetCall) -> Result[bytes, Fault]:
+    parts = urlsplit(call.url)
+    path = parts.path.rstrip("/") + call.path
+    headers = [("Host", parts.netloc), *call.headers, ("Content-Length", str(len(call.body)))]
+    if call.attempt_id:
+        headers.append((ATTEMPT_HEADER, call.attempt_id))
+    try:
+        head = f"{call.method} {path} HTTP/1.1\r\n".encode("latin-1")
+        lines = [f"{name}: {value}".encode("latin-1") for name, value in headers]
+    except UnicodeEncodeError:
+        return Err(Fault(code=ResultCode.MALFORMED_REQUEST, detail="a header is not Latin-1"))
+    if not _HEAD.fullmatch(head) or any(b"\r" in line or b"\n" in line for line in lines):
+        detail = "method, path or a header can't be sent over HTTP"
+        return Err(Fault(code=ResultCode.MALFORMED_REQUEST, detail=detail))
+    return Ok(head + b"\r\n".join(lines) + b"\r\n\r\n" + call.body)
+
+
+def _send(
+    pool: ConnectionPool, sock: object, data: bytes, method: str, seconds: float
+) -> Result[HttpAnswer, Fault]:
+    try:
+        sock.settimeout(seconds)  # type: ignore[attr-defined]
+        sock.sendall(data)  # type: ignore[attr-defined]
+    except BaseException as error:
+        pool.release_socket(sock)  # type: ignore[arg-type]
+        if not isinstance(error, Exception):
+            raise
+        return Err(_lost(error))
+    try:
+        response = read_response(sock, pool, method)  # type: ignore[arg-type]
+    except Exception as error:
+        return Err(_lost(error))
+    response.set_timeout(min(IDLE_TIMEOUT, seconds))
+    return Ok(HttpAnswer(response))
+
+
+def _read_all(answer: HttpAnswer) -> Result[bytes, Fault]:
+    blocks = []
+    while True:
+        match answer.read():
+            case Err(fault):
+                return Err(fault)
+            case Ok(b""):
+                return Ok(b"".join(blocks))
+            case Ok(block):
+                blocks.append(block)
+
+
 def _parse(body: bytes, kind: type) -> Result:
     try:
         return Ok(CODEC.structure(json.loads(body), kind))
@@ -150,12 +176,13 @@
         return Err(Fault(code=ResultCode.ANSWER_INVALID, detail=str(error)))
 
 
-def _open_fault(error: OSError) -> Fault:
-    if isinstance(error, ConnectionRefusedError):
-        return Fault(code=ResultCode.TARGET_UNREACHABLE, detail=str(error))
-    return _lost(error)
+def _unreachable(error: Exception) -> Fault:
+    detail = f"no connection: {str(error) or type(error).__name__}"
+    return Fault(code=ResultCode.TARGET_UNREACHABLE, detail=detail)
 
 
 def _lost(error: Exception) -> Fault:
-    detail = str(error) or type(error).__name__
-    return Fault(code=ResultCode.ANSWER_LOST, detail=detail, executed=Executed.UNKNOWN)
+    detail = f"no answer: {str(error) or type(error).__name__}"
+    closed = isinstance(error, (OSError, HTTPConnectionClosed))
+    code = ResultCode.ANSWER_LOST if closed else ResultCode.ANSWER_INVALID
+    return Fault(code=code, detail=detail, executed=Executed.UNKNOWN)
--- a/packages/loomyard/src/loomyard/platform/engine.py
+++ b/packages/loomyard/src/loomyard/platform/engine.py
@@ -17,7 +17,7 @@
     """One attempt at one target.
 
     ``attempt_id`` is unique over the fleet; answers carry it back. ``deadline`` is in seconds
-    of the monotonic clock.
+    of the monotonic clock. A call that is not ``idempotent`` is never sent twice by the adapter.
     """
 
     attempt_id: str
@@ -27,6 +27,7 @@
     headers: list[tuple[str, str]] = field(factory=list)
     body: bytes = b""
     deadline: float
+    idempotent: bool = True
 
 
 class TargetAnswer(Protocol):
