--- a/packages/loomyard-router/src/loomyard_router/targets/http_engine.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/http_engine.py
@@ -145,12 +145,12 @@
         sock.settimeout(seconds)  # type: ignore[attr-defined]
         sock.sendall(data)  # type: ignore[attr-defined]
     except BaseException as error:
-        pool.release_socket(sock)  # type: ignore[arg-type]
+        pool.release_socket(sock)
         if not isinstance(error, Exception):
             raise
         return Err(_lost(error))
     try:
-        response = read_response(sock, pool, method)  # type: ignore[arg-type]
+        response = read_response(sock, pool, method)
     except Exception as error:
         return Err(_lost(error))
     response.set_timeout(min(IDLE_TIMEOUT, seconds))
@@ -158,7 +158,7 @@
 
 
 def _read_all(answer: HttpAnswer) -> Result[bytes, Fault]:
-    blocks = []
+    blocks: list[bytes] = []
     while True:
         match answer.read():
             case Err(fault):
