Serve a request in steps that each know what is certain

Cause: the thin path sent once, told nothing of claims, passed the usage event on unasked and cut a caller off when an engine's stream broke. Claim, queue, sending, retries and both kinds of answer are now separate parts; a retry needs certainty that nothing ran or an idempotent request of which nothing was passed on, and a budget; a broken stream is resumed at its engine after the last whole event; an answer of another attempt does not count. Conclusion: the steps stand apart; speed is not measured yet.

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -99,8 +99,11 @@
         clock=clock,
         follower=parts.follower,
         policy=parts.policy,
+        targets=parts.targets,
+        claims=parts.claims,
         engine=platform.engine,
         estimates=CostEstimates(),
+        journal=parts.journal,
     )
     callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
     return Application(settings, parts, callers)
--- a/packages/loomyard-router/src/loomyard_router/callers/problems.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/problems.py
@@ -31,6 +31,7 @@
     ResultCode.ANSWER_LOST: HTTPStatus.BAD_GATEWAY,
     ResultCode.ANSWER_INCOMPLETE: HTTPStatus.BAD_GATEWAY,
     ResultCode.ANSWER_INVALID: HTTPStatus.BAD_GATEWAY,
+    ResultCode.TARGET_FAILED: HTTPStatus.BAD_GATEWAY,
     ResultCode.STREAM_GONE: HTTPStatus.GONE,
     ResultCode.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
     ResultCode.KEY_EXPIRED: HTTPStatus.CONFLICT,
@@ -52,19 +53,19 @@
     return headers
 
 
-def problem_document(fault: Fault, request_id: str, *, openai: bool) -> tuple[str, bytes]:
+def problem_document(
+    fault: Fault, request_id: str, *, openai: bool, idempotent: bool = False
+) -> tuple[str, bytes]:
     """Return content type and body of a problem, in the OpenAI error shape where asked."""
     extra: dict[str, Any] = {
         "code": int(fault.code),
         "request_id": request_id,
         "executed": fault.executed.value,
-        "retry_safe": fault.executed is Executed.NO,
+        "retry_safe": idempotent or fault.executed is Executed.NO,
     }
     name = fault.code.name.lower()
     if openai:
-        error = {"message": fault.detail, "type": name, "param": None, "loomyard": extra}
-        body: dict[str, Any] = {"error": error | {"code": str(int(fault.code))}}
-        return JSON_TYPE, json.dumps(body).encode()
+        return JSON_TYPE, json.dumps(_openai_error(fault, extra)).encode()
     body = {
         "type": f"urn:loomyard:problem:{int(fault.code)}",
         "title": name.replace("_", " "),
@@ -73,3 +74,20 @@
         **extra,
     }
     return PROBLEM_TYPE, json.dumps(body).encode()
+
+
+def error_event(fault: Fault, request_id: str, *, idempotent: bool) -> bytes:
+    """Return the event that ends a broken stream."""
+    _, body = problem_document(fault, request_id, openai=True, idempotent=idempotent)
+    return b"data: " + body + b"\n\n"
+
+
+def _openai_error(fault: Fault, extra: dict[str, Any]) -> dict[str, Any]:
+    error = {
+        "message": fault.detail,
+        "type": fault.code.name.lower(),
+        "param": None,
+        "code": str(int(fault.code)),
+        "loomyard": extra,
+    }
+    return {"error": error}
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/relays/usage.py
@@ -0,0 +1,34 @@
+"""Usage as a target counted it."""
+
+from __future__ import annotations
+
+import json
+import re
+
+from attrs import frozen
+
+_USAGE = re.compile(rb'"usage":\s*(\{)')
+MAX_USAGE_LENGTH = 2048
+
+
+@frozen
+class Usage:
+    """Prompt tokens and generated tokens."""
+
+    prompt: int
+    completion: int
+
+
+def find_usage(tail: bytes) -> Usage | None:
+    """Read the last usage object in the tail of an answer."""
+    found = list(_USAGE.finditer(tail))
+    if not found:
+        return None
+    start = found[-1].start(1)
+    try:
+        text = tail[start : start + MAX_USAGE_LENGTH].decode(errors="replace")
+        usage, _ = json.JSONDecoder().raw_decode(text)
+        counted = Usage(int(usage["prompt_tokens"]), int(usage["completion_tokens"]))
+    except (ValueError, KeyError, TypeError, OverflowError):
+        return None
+    return counted if min(counted.prompt, counted.completion) >= 0 else None
--- a/packages/loomyard-router/src/loomyard_router/requests/answer.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/answer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable
 
 from attrs import field, frozen
 
@@ -13,4 +13,4 @@
 
     status: int
     headers: list[tuple[str, str]] = field(factory=list)
-    body: Iterator[bytes]
+    body: Iterable[bytes]
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/requests/claimed_run.py
@@ -0,0 +1,70 @@
+"""The claim of one request, from claim to outcome."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from loomyard_router.claims.keeper import ClaimKey, RecordedOutcome
+
+if TYPE_CHECKING:
+    from loomyard.errors import Fault
+    from loomyard_router.claims.keeper import Claim, ClaimKeeper
+    from loomyard_router.requests.request import Request
+
+
+class ClaimedRun:
+    """Steer a claim through its order; without a claim every step does nothing."""
+
+    def __init__(self, keeper: ClaimKeeper, claim: Claim | None = None) -> None:
+        self._keeper = keeper
+        self._claim = claim
+        self._begun = False
+
+    def begin(self, deadline: float) -> Result[None, Fault]:
+        """Record, once, that the request is about to be sent."""
+        if self._claim is None or self._begun:
+            return Ok(None)
+        begun = self._keeper.begin(self._claim, deadline)
+        self._begun = begun.is_ok()
+        return begun
+
+    def finish(self, outcome: RecordedOutcome | None) -> None:
+        """Record the outcome, once; ``None`` where it is unknown."""
+        claim, self._claim = self._claim, None
+        if claim is not None:
+            self._keeper.finish(claim, outcome)
+
+    def abandon(self) -> None:
+        """Give the claim back, as nothing was sent."""
+        claim, self._claim = self._claim, None
+        if claim is not None:
+            self._keeper.abandon(claim)
+
+
+def claim_run(keeper: ClaimKeeper, request: Request) -> Result[ClaimedRun | RecordedOutcome, Fault]:
+    """Claim the key of a request that may run once; other requests need no claim."""
+    if request.idempotent or request.key is None:
+        return Ok(ClaimedRun(keeper))
+    key = ClaimKey(
+        account=request.account.metadata.name,
+        key=request.key,
+        fingerprint=_fingerprint(request),
+    )
+    claimed = keeper.claim(key, request.deadline)
+    if claimed.is_err():
+        return Err(claimed.unwrap_err())
+    granted = claimed.unwrap()
+    if isinstance(granted, RecordedOutcome):
+        return Ok(granted)
+    return Ok(ClaimedRun(keeper, granted))
+
+
+def _fingerprint(request: Request) -> bytes:
+    digest = hashlib.sha256()
+    for part in (request.service.metadata.name, request.method, request.path):
+        digest.update(part.encode() + b"\0")
+    digest.update(request.body)
+    return digest.digest()
--- a/packages/loomyard-router/src/loomyard_router/requests/request.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/request.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from loomyard.objects import ClientAccount, Service
+from loomyard_router.requests.presence import CallerPresence
 
 
 @define(kw_only=True, eq=False)
@@ -13,7 +14,8 @@
 
     ``deadline`` is in seconds of the monotonic clock; ``key`` is the caller's idempotency key;
     ``cost_hint`` is in units of the service. ``usage_asked`` tells whether the caller wants the
-    usage event of a stream.
+    usage event of a stream; ``deadline_asked`` whether the caller set the deadline, which then
+    bounds the whole answer and not its begin only.
     """
 
     request_id: str
@@ -31,3 +33,5 @@
     cost_hint: float | None = None
     prefix: str = ""
     usage_asked: bool = True
+    deadline_asked: bool = False
+    presence: CallerPresence = field(factory=CallerPresence)
--- a/packages/loomyard-router/src/loomyard_router/requests/serving.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/serving.py
@@ -1,37 +1,35 @@
-"""The way of a request: route, queue, slot, target, answer."""
+"""The way of a request: claim, queue, slot, target, answer."""
 
 from __future__ import annotations
 
-import logging
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from gevent import Timeout
+import attrs
 from result import Err, Ok, Result
 
-from loomyard.errors import Executed, Fault, ResultCode
-from loomyard.events import Event, emit
-from loomyard.objects import ServiceType
-from loomyard.platform.engine import TargetCall
-from loomyard_router.relays.event_stream import StreamProgress, relay_events
-from loomyard_router.requests.answer import Answer
-from loomyard_router.requests.costs import time_cost, token_cost
-from loomyard_router.shares.waiting import WaitingRequest
+from loomyard.errors import Executed, Fault
+from loomyard_router.claims.keeper import RecordedOutcome
+from loomyard_router.requests.claimed_run import ClaimedRun, claim_run
+from loomyard_router.requests.journal import Step
+from loomyard_router.requests.retries import FailedAttempt, Retries
+from loomyard_router.requests.sender import Sender
+from loomyard_router.requests.slot_queue import SlotQueue, deadline_fault, stopping_fault
+from loomyard_router.requests.stream_answers import StreamAnswer
+from loomyard_router.requests.whole_answers import hold_whole, pass_whole, replay
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from loomyard.clock import Clock
-    from loomyard.platform.engine import Engine, TargetAnswer
+    from loomyard.platform.engine import Engine
+    from loomyard_router.claims.keeper import ClaimKeeper
     from loomyard_router.configuration.follower import ConfigFollower
+    from loomyard_router.requests.answer import Answer
+    from loomyard_router.requests.attempt import Attempt
     from loomyard_router.requests.estimates import CostEstimates
+    from loomyard_router.requests.journal import Journal
     from loomyard_router.requests.request import Request
-    from loomyard_router.shares.admission import Admission
     from loomyard_router.shares.policy import SharePolicy
-
-logger = logging.getLogger(__name__)
-
-QUEUE_TIMEOUT_RETRY_AFTER = 2.0
-CHARGE_EVERY_EVENTS = 64
+    from loomyard_router.targets.directory import TargetDirectory
 
 
 class Serving:
@@ -43,143 +41,124 @@
         clock: Clock,
         follower: ConfigFollower,
         policy: SharePolicy,
+        targets: TargetDirectory,
+        claims: ClaimKeeper,
         engine: Engine,
         estimates: CostEstimates,
+        journal: Journal,
+        retries: Retries | None = None,
     ) -> None:
         self._clock = clock
-        self._follower = follower
-        self._policy = policy
+        self._claims = claims
         self._engine = engine
-        self._estimates = estimates
-
-    def serve(self, request: Request) -> Result[Answer, Fault]:
-        """Queue, send and relay a request.
-
-        Errors: all codes from 1005 to 3006.
-        """
-        waiting = self._enqueue(request)
-        if waiting.is_err():
-            return Err(waiting.unwrap_err())
-        admission = self._await_slot(waiting.unwrap())
-        if admission.is_err():
-            return Err(admission.unwrap_err())
-        return self._send(request, admission.unwrap())
-
-    def _enqueue(self, request: Request) -> Result[WaitingRequest, Fault]:
-        routing = self._follower.routing
-        targets = routing.resolve(request.account, request.service.metadata.name)
-        if targets.is_err():
-            return Err(targets.unwrap_err())
-        waiting = WaitingRequest(
-            request_id=request.request_id,
-            account=request.account,
-            service=request.service,
-            targets=targets.unwrap(),
-            estimate=self._estimates.estimate(request.account, request.service, request.cost_hint),
-            enqueued_at=self._clock.now(),
-            deadline=request.deadline,
-            prefix=request.prefix,
+        self._journal = journal
+        self._retries = retries or Retries(clock)
+        self._queue = SlotQueue(
+            clock=clock, follower=follower, policy=policy, targets=targets, estimates=estimates
         )
-        return self._policy.submit(waiting).map(lambda _: waiting)
-
-    def _await_slot(self, waiting: WaitingRequest) -> Result[Admission, Fault]:
-        seconds = max(0.0, waiting.deadline - self._clock.now())
-        with Timeout(seconds, False):
-            admitted = waiting.admitted.get()
-            return Err(admitted) if isinstance(admitted, Fault) else Ok(admitted)
-        if not self._policy.withdraw(waiting):
-            return Ok(waiting.admitted.get())
-        return Err(
-            Fault(
-                code=ResultCode.QUEUE_TIMEOUT,
-                detail="no slot came free before the deadline",
-                retry_after=QUEUE_TIMEOUT_RETRY_AFTER,
-            )
+        self._sender = Sender(
+            clock=clock,
+            engine=engine,
+            policy=policy,
+            targets=targets,
+            estimates=estimates,
+            journal=journal,
         )
 
-    def _send(self, request: Request, admission: Admission) -> Result[Answer, Fault]:
-        call = TargetCall(
-            attempt_id=f"{request.request_id}.1",
-            url=admission.target.url,
-            method=request.method,
-            path=request.path,
-            headers=request.headers,
-            body=request.body,
-            deadline=request.deadline,
-        )
-        opened = self._engine.open(call)
-        if opened.is_err():
-            fault = opened.unwrap_err()
-            ran = fault.executed is not Executed.NO
-            self._policy.finish(admission, admission.charged if ran else 0.0)
-            emit(logger, Event.ATTEMPT_FAILED, attempt=call.attempt_id, code=int(fault.code))
-            return Err(fault)
-        answer = opened.unwrap()
-        relay = self._relay_stream if request.stream else self._relay_whole
-        return Ok(
-            Answer(
-                status=answer.status,
-                headers=answer.headers,
-                body=relay(request, admission, call, answer),
-            )
-        )
+    def stop(self) -> None:
+        """Take no new work and refuse what waits; what runs goes on."""
+        self._queue.stop()
+
+    def serve(self, request: Request) -> Result[Answer, Fault]:
+        """Claim, queue, send and relay a request.
 
-    def _relay_stream(
-        self, request: Request, admission: Admission, call: TargetCall, answer: TargetAnswer
-    ) -> Iterator[bytes]:
-        progress = StreamProgress()
-        charged_events = 0
-        source = _AnswerSource(answer)
+        Errors: all codes from 1005 to 4005.
+        """
+        self._journal.record(request.request_id, Step.RECEIVED, request.account.metadata.name)
+        if self._queue.stopping:
+            return self._refuse(request, stopping_fault())
+        if self._clock.now() >= request.deadline:
+            return self._refuse(request, deadline_fault())
+        match claim_run(self._claims, request):
+            case Err(fault):
+                return self._refuse(request, fault)
+            case Ok(RecordedOutcome() as outcome):
+                self._journal.record(request.request_id, Step.ANSWERED, "the recorded outcome")
+                return Ok(replay(outcome))
+            case Ok(ClaimedRun() as run):
+                return self._run(request, run)
+        raise AssertionError("a claim is a run, an outcome or a fault")
+
+    def _run(self, request: Request, run: ClaimedRun) -> Result[Answer, Fault]:
+        certain = True
         try:
-            for data in relay_events(source, progress):
-                if progress.events - charged_events >= CHARGE_EVERY_EVENTS:
-                    charged_events = progress.events
-                    reached = token_cost(request.service, prompt=0, completion=progress.events)
-                    self._policy.charge(admission, max(admission.charged, reached))
-                yield data
-        finally:
-            if not progress.done:
-                self._engine.cancel(call.url, call.attempt_id)
-            answer.close()
-            prompt, completion = progress.usage or (0, progress.events)
-            cost = token_cost(request.service, prompt=prompt, completion=completion)
-            self._settle(request, admission, cost)
-
-    def _relay_whole(
-        self, request: Request, admission: Admission, call: TargetCall, answer: TargetAnswer
-    ) -> Iterator[bytes]:
-        progress = StreamProgress()
-        source = _AnswerSource(answer)
+            avoided: set[str] = set()
+            number = 1
+            while True:
+                match self._attempt(request, run, number, avoided):
+                    case Ok(answer):
+                        self._journal.record(request.request_id, Step.ANSWERED)
+                        return Ok(answer)
+                    case Err(failed):
+                        pass
+                certain = certain and failed.fault.executed is Executed.NO
+                final = self._retries.refuse(request, failed, number)
+                if final is not None:
+                    return self._give_up(request, run, final, certain)
+                avoided.add(failed.target or "")
+                self._journal.record(request.request_id, Step.RETRIED, failed.fault.detail)
+                self._retries.wait(request, number)
+                number += 1
+        except BaseException:
+            run.finish(None)
+            raise
+
+    def _attempt(
+        self, request: Request, run: ClaimedRun, number: int, avoided: set[str]
+    ) -> Result[Answer, FailedAttempt]:
+        taken = self._queue.take(request, avoided)
+        if taken.is_err():
+            return Err(FailedAttempt(fault=taken.unwrap_err()))
+        admission = taken.unwrap()
+        target = admission.target.metadata.name
+        if number == 1:
+            self._retries.deposit(request.account.metadata.name, target)
+        self._journal.record(request.request_id, Step.ADMITTED, target)
+        sent = self._sender.send(request, admission, run, number)
+        answered = sent.and_then(lambda attempt: self._begin_answer(request, attempt, run))
+        return answered.map_err(lambda fault: FailedAttempt(fault=fault, target=target))
+
+    def _begin_answer(
+        self, request: Request, attempt: Attempt, run: ClaimedRun
+    ) -> Result[Answer, Fault]:
         try:
-            while data := source.read():
-                progress.tail = (progress.tail + data)[-4096:]
-                yield data
-        finally:
-            answer.close()
-            if request.service.type is ServiceType.MODEL:
-                prompt, completion = progress.usage or (0, 0)
-                cost = token_cost(request.service, prompt=prompt, completion=completion)
-            else:
-                seconds = self._clock.now() - admission.admitted_at
-                cost = time_cost(request.service, seconds)
-            self._settle(request, admission, cost)
-
-    def _settle(self, request: Request, admission: Admission, cost: float) -> None:
-        self._estimates.learn(request.account, request.service, cost)
-        self._policy.finish(admission, cost)
-
-
-class _AnswerSource:
-    """The body of an answer; a fault ends it."""
-
-    def __init__(self, answer: TargetAnswer) -> None:
-        self._answer = answer
-        self.fault: Fault | None = None
-
-    def read(self) -> bytes:
-        match self._answer.read():
-            case Ok(data):
-                return data
-            case Err(fault):
-                self.fault = fault
-        return b""
+            if request.stream and attempt.answer.status == HTTPStatus.OK:
+                stream = StreamAnswer(
+                    clock=self._clock,
+                    engine=self._engine,
+                    request=request,
+                    attempt=attempt,
+                    run=run,
+                )
+                return stream.begin().map(stream.answer)
+            held = hold_whole(request, attempt)
+            return held.map(lambda whole: pass_whole(request, attempt, run, whole=whole))
+        except BaseException:
+            attempt.answer.close()
+            attempt.settlement.settle_uncertain()
+            raise
+
+    def _give_up(
+        self, request: Request, run: ClaimedRun, fault: Fault, certain: bool
+    ) -> Result[Answer, Fault]:
+        if certain:
+            run.abandon()
+        else:
+            run.finish(None)
+            executed = Executed.UNKNOWN if fault.executed is Executed.NO else fault.executed
+            fault = attrs.evolve(fault, executed=executed)
+        return self._refuse(request, fault)
+
+    def _refuse(self, request: Request, fault: Fault) -> Result[Answer, Fault]:
+        self._journal.record(request.request_id, Step.REFUSED, f"{fault.detail} [{fault.code:d}]")
+        return Err(fault)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/requests/slot_queue.py
@@ -0,0 +1,156 @@
+"""Waiting for a slot."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gevent import Timeout
+from result import Err, Ok, Result
+
+from loomyard.errors import Fault, ResultCode
+from loomyard_router.shares.waiting import WaitingRequest
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard.objects import Target
+    from loomyard_router.configuration.follower import ConfigFollower
+    from loomyard_router.requests.estimates import CostEstimates
+    from loomyard_router.requests.request import Request
+    from loomyard_router.shares.admission import Admission
+    from loomyard_router.shares.policy import SharePolicy
+    from loomyard_router.targets.directory import TargetDirectory
+
+QUEUE_TIMEOUT_RETRY_AFTER = 2.0
+STOPPING_RETRY_AFTER = 1.0
+NO_TARGET_RETRY_AFTER = 2.0
+
+
+class SlotQueue:
+    """Queue requests with the share policy until each has a slot or its final answer."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        follower: ConfigFollower,
+        policy: SharePolicy,
+        targets: TargetDirectory,
+        estimates: CostEstimates,
+    ) -> None:
+        self._clock = clock
+        self._follower = follower
+        self._policy = policy
+        self._targets = targets
+        self._estimates = estimates
+        self._waiting: set[WaitingRequest] = set()
+        self._stopping = False
+
+    @property
+    def stopping(self) -> bool:
+        return self._stopping
+
+    def stop(self) -> None:
+        """Refuse all that waits and all that comes."""
+        self._stopping = True
+        for waiting in list(self._waiting):
+            self._give_up(waiting, stopping_fault())
+
+    def take(self, request: Request, avoided: set[str]) -> Result[Admission, Fault]:
+        """Wait for a slot, at a target that is not avoided where there is one.
+
+        Errors: all codes of 2xxx, ``UNKNOWN_SERVICE``, ``NO_ROUTE``, ``NO_TARGET``,
+        ``DEADLINE_PASSED``, ``CALLER_GONE``.
+        """
+        if self._stopping:
+            return Err(stopping_fault())
+        if self._clock.now() >= request.deadline:
+            return Err(deadline_fault())
+        targets = self._candidates(request, avoided)
+        if targets.is_err():
+            return Err(targets.unwrap_err())
+        waiting = self._make_waiting(request, targets.unwrap())
+        submitted = self._policy.submit(waiting)
+        if submitted.is_err():
+            return Err(submitted.unwrap_err())
+        return self._await(request, waiting)
+
+    def _candidates(self, request: Request, avoided: set[str]) -> Result[tuple[Target, ...], Fault]:
+        routing = self._follower.routing
+        resolved = routing.resolve(request.account, request.service.metadata.name)
+        if resolved.is_err():
+            return resolved
+        usable = [t for t in resolved.unwrap() if self._targets.may_send(t.metadata.name)]
+        if not usable:
+            fault = Fault(
+                code=ResultCode.NO_TARGET,
+                detail="no target of the route takes new work now",
+                retry_after=NO_TARGET_RETRY_AFTER,
+            )
+            return Err(fault)
+        untried = [t for t in usable if t.metadata.name not in avoided]
+        return Ok(tuple(untried or usable))
+
+    def _make_waiting(self, request: Request, targets: tuple[Target, ...]) -> WaitingRequest:
+        return WaitingRequest(
+            request_id=request.request_id,
+            account=request.account,
+            service=request.service,
+            targets=targets,
+            estimate=self._estimates.estimate(request.account, request.service, request.cost_hint),
+            enqueued_at=self._clock.now(),
+            deadline=request.deadline,
+            prefix=request.prefix,
+        )
+
+    def _await(self, request: Request, waiting: WaitingRequest) -> Result[Admission, Fault]:
+        def leave() -> None:
+            self._give_up(waiting, gone_fault())
+
+        self._waiting.add(waiting)
+        request.presence.subscribe(leave)
+        try:
+            with Timeout(max(0.0, waiting.deadline - self._clock.now()), False):
+                return _read(waiting)
+            if not self._policy.withdraw(waiting):
+                return _read(waiting)
+        except BaseException:
+            self._policy.withdraw(waiting)
+            raise
+        finally:
+            self._waiting.discard(waiting)
+            request.presence.unsubscribe(leave)
+        return Err(
+            Fault(
+                code=ResultCode.QUEUE_TIMEOUT,
+                detail="no slot came free before the deadline",
+                retry_after=QUEUE_TIMEOUT_RETRY_AFTER,
+            )
+        )
+
+    def _give_up(self, waiting: WaitingRequest, fault: Fault) -> None:
+        if not waiting.admitted.ready() and self._policy.withdraw(waiting):
+            waiting.admitted.set(fault)
+
+
+def stopping_fault() -> Fault:
+    """Return the fault of a request that comes while the router stops."""
+    return Fault(
+        code=ResultCode.STOPPING,
+        detail="this router is stopping",
+        retry_after=STOPPING_RETRY_AFTER,
+    )
+
+
+def deadline_fault() -> Fault:
+    """Return the fault of a request that is too late."""
+    return Fault(code=ResultCode.DEADLINE_PASSED, detail="the deadline has passed")
+
+
+def gone_fault() -> Fault:
+    """Return the fault of a request whose caller has gone."""
+    return Fault(code=ResultCode.CALLER_GONE, detail="the caller has gone")
+
+
+def _read(waiting: WaitingRequest) -> Result[Admission, Fault]:
+    admitted = waiting.admitted.get()
+    return Err(admitted) if isinstance(admitted, Fault) else Ok(admitted)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/requests/stream_answers.py
@@ -0,0 +1,129 @@
+"""Answers that are streamed as events."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import gevent
+from result import Err, Ok, Result
+
+from loomyard.errors import Fault, ResultCode
+from loomyard.events import Event, emit
+from loomyard_router.callers.problems import error_event
+from loomyard_router.claims.keeper import RecordedOutcome
+from loomyard_router.relays.event_stream import EventStream
+from loomyard_router.relays.stream_relay import StreamRelay
+from loomyard_router.requests.answer import Answer
+from loomyard_router.requests.answer_check import EVENT_STREAM_TYPE
+from loomyard_router.requests.body import Body
+from loomyard_router.requests.slot_queue import gone_fault
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from loomyard.clock import Clock
+    from loomyard.platform.engine import Engine
+    from loomyard_router.requests.attempt import Attempt
+    from loomyard_router.requests.claimed_run import ClaimedRun
+    from loomyard_router.requests.request import Request
+
+logger = logging.getLogger(__name__)
+
+CHARGE_EVERY_EVENTS = 64
+
+
+class StreamAnswer:
+    """One stream from engine to caller."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        engine: Engine,
+        request: Request,
+        attempt: Attempt,
+        run: ClaimedRun,
+    ) -> None:
+        self._clock = clock
+        self._engine = engine
+        self._request = request
+        self._attempt = attempt
+        self._run = run
+        self._stream = EventStream(drop_usage=not request.usage_asked)
+        self._relay = StreamRelay(attempt.answer, self._stream, self._resume)
+        self._charged = 0
+
+    def begin(self) -> Result[bytes, Fault]:
+        """Read the first events; the attempt is settled on an error."""
+        self._request.presence.subscribe(self._relay.close)
+        begun = self._relay.read()
+        if begun.is_err():
+            self._close()
+            if self._request.presence.gone:
+                return Err(gone_fault())
+        return begun
+
+    def answer(self, first: bytes) -> Answer:
+        """Return the answer that goes on from the first events."""
+        headers = [("Content-Type", EVENT_STREAM_TYPE), ("Cache-Control", "no-store")]
+        body = Body(self._blocks(first), self._close)
+        return Answer(status=self._attempt.answer.status, headers=headers, body=body)
+
+    def _blocks(self, first: bytes) -> Generator[bytes, None, None]:
+        yield first
+        while True:
+            if self._is_late():
+                detail = "the deadline passed during the answer"
+                yield self._error(Fault(code=ResultCode.DEADLINE_PASSED, detail=detail))
+                return
+            match self._relay.read():
+                case Ok(b""):
+                    break
+                case Ok(events):
+                    self._charge()
+                    yield events
+                case Err(fault):
+                    yield self._error(fault)
+                    return
+        self._settle()
+        self._relay.finish()
+
+    def _is_late(self) -> bool:
+        request = self._request
+        return request.deadline_asked and self._clock.now() >= request.deadline
+
+    def _charge(self) -> None:
+        events = self._stream.events
+        if events - self._charged >= CHARGE_EVERY_EVENTS:
+            self._charged = events
+            self._attempt.settlement.charge(events)
+
+    def _error(self, fault: Fault) -> bytes:
+        return error_event(fault, self._request.request_id, idempotent=self._request.idempotent)
+
+    def _resume(self, after: int) -> Result:
+        if self._request.presence.gone:
+            return Err(gone_fault())
+        emit(logger, Event.STREAM_RESUMED, attempt=self._attempt.call.attempt_id, after=after)
+        return self._engine.resume(self._attempt.call, after)
+
+    def _settle(self) -> None:
+        self._attempt.settlement.settle(self._stream.usage, self._stream.events)
+        if self._stream.done:
+            status = self._attempt.answer.status
+            outcome = RecordedOutcome(status=status, content_type=EVENT_STREAM_TYPE, body=None)
+            self._run.finish(outcome)
+        else:
+            self._run.finish(None)
+
+    def _close(self) -> None:
+        self._request.presence.unsubscribe(self._relay.close)
+        self._settle()
+        self._relay.close()
+        if self._stream.done:
+            return
+        call = self._attempt.call
+        gevent.spawn(self._engine.cancel, call.url, call.attempt_id)
+        if self._request.presence.gone:
+            emit(logger, Event.CALLER_GONE, attempt=call.attempt_id)
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -21,6 +21,7 @@
     REQUEST_REFUSED = (400, logging.INFO, "a request was refused before it ran")
     ATTEMPT_FAILED = (401, logging.WARNING, "an attempt at a target failed")
     CALLER_GONE = (402, logging.INFO, "the caller left; the work was cancelled")
+    STREAM_RESUMED = (403, logging.INFO, "a broken stream is resumed at its engine")
     HANDLER_FAILED = (900, logging.ERROR, "a task ended with an unexpected error")
 
     @property
