--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/loomyard packages/loomyard-router packages/loomyardctl packages/loomyard-standins
 SOURCES := packages tests
 
-.PHONY: setup demo serve test lint format clean
+.PHONY: setup demo serve test lint format tables clean
 setup: $(VENV)/.ready
 
 $(VENV)/.ready: constraints.txt $(PACKAGES:%=%/pyproject.toml)
@@ -32,6 +32,9 @@
 	$(BIN)/ruff check --quiet --fix --unsafe-fixes $(SOURCES)
 	$(BIN)/black --quiet $(SOURCES)
 
+tables: setup
+	$(BIN)/python -m loomyard_standins.tables docs
+
 bench-%: setup
 	$(BIN)/python -m loomyard_standins.benches.$*
 
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -36,14 +36,15 @@
     arguments: Sequence[str], environment: Mapping[str, str]
 ) -> Result[Settings, list[FieldFault]]:
     """Read flags over environment variables over defaults, and check them all."""
-    parser = _make_parser(environment)
+    parser = make_parser(environment)
     namespace = parser.parse_args(list(arguments))
     settings = Settings(**vars(namespace))
     faults = _check(settings)
     return Err(faults) if faults else Ok(settings)
 
 
-def _make_parser(environment: Mapping[str, str]) -> argparse.ArgumentParser:
+def make_parser(environment: Mapping[str, str]) -> argparse.ArgumentParser:
+    """Make the parser of the settings."""
     parser = argparse.ArgumentParser(
         prog="loomyard-router",
         description="Route requests of client accounts to targets, in fair shares.",
--- a/packages/loomyard/src/loomyard/errors.py
+++ b/packages/loomyard/src/loomyard/errors.py
@@ -23,58 +23,66 @@
     5xxx configuration, 6xxx platform and peers, 7xxx settings.
     """
 
-    MALFORMED_REQUEST = 1001
-    BODY_TOO_LARGE = 1002
-    UNKNOWN_KEY = 1003
-    UNKNOWN_SERVICE = 1004
-    NO_ROUTE = 1005
-    DEADLINE_PASSED = 1006
-    UNKNOWN_PATH = 1007
-    METHOD_NOT_ALLOWED = 1008
-    INVALID_RESUME = 1009
-    UNKNOWN_REQUEST = 1010
-    CALLER_GONE = 1011
-
-    QUEUE_FULL = 2001
-    DEADLINE_UNREACHABLE = 2002
-    QUEUE_TIMEOUT = 2003
-    STOPPING = 2004
-    RETRY_BUDGET_SPENT = 2005
-    NOT_READY = 2006
-
-    NO_TARGET = 3001
-    TARGET_UNREACHABLE = 3002
-    TARGET_REFUSED = 3003
-    ANSWER_LOST = 3004
-    ANSWER_INCOMPLETE = 3005
-    ANSWER_INVALID = 3006
-    STREAM_GONE = 3007
-    ORDER_FENCED = 3008
-
-    KEY_REUSED = 4001
-    KEY_EXPIRED = 4002
-    OUTCOME_UNKNOWN = 4003
-    KEY_IN_PROGRESS = 4004
-    CLAIM_UNAVAILABLE = 4005
-
-    INVALID_MANIFEST = 5001
-    STALE_VERSION = 5002
-    CHANGE_REJECTED = 5003
-    CHANGE_UNSETTLED = 5004
-    UNKNOWN_OBJECT = 5005
-    INVALID_SELECTOR = 5006
-    SNAPSHOT_UNUSABLE = 5007
-
-    LOG_UNAVAILABLE = 6001
-    LOG_ANSWER_LOST = 6002
-    LOG_TRIMMED = 6003
-    PEER_REFUSED = 6004
-    PEER_UNREACHABLE = 6005
-    OPERATOR_REFUSED = 6006
-    MESSAGE_INVALID = 6007
-    WEIGHT_STORE_LIMITED = 6008
-
-    INVALID_SETTING = 7001
+    meaning: str
+
+    def __new__(cls, value: int, meaning: str = "") -> ResultCode:
+        code = int.__new__(cls, value)
+        code._value_ = value
+        code.meaning = meaning
+        return code
+
+    MALFORMED_REQUEST = 1001, "the request cannot be read"
+    BODY_TOO_LARGE = 1002, "the body is longer than allowed"
+    UNKNOWN_KEY = 1003, "no client account has this bearer key"
+    UNKNOWN_SERVICE = 1004, "no such service or model"
+    NO_ROUTE = 1005, "no route lets this client account use the service"
+    DEADLINE_PASSED = 1006, "the deadline of the request has passed"
+    UNKNOWN_PATH = 1007, "nothing is served at this path"
+    METHOD_NOT_ALLOWED = 1008, "the path does not take this method"
+    INVALID_RESUME = 1009, "the request id or event id of a resume is not valid"
+    UNKNOWN_REQUEST = 1010, "no router remembers this request"
+    CALLER_GONE = 1011, "the caller left before the answer was complete"
+
+    QUEUE_FULL = 2001, "too many requests of this client account wait already"
+    DEADLINE_UNREACHABLE = 2002, "the queue is too long for the deadline"
+    QUEUE_TIMEOUT = 2003, "no slot came free before the deadline"
+    STOPPING = 2004, "the router is being stopped"
+    RETRY_BUDGET_SPENT = 2005, "the budget for retries is spent"
+    NOT_READY = 2006, "the router has no configuration yet"
+
+    NO_TARGET = 3001, "the route selects no target that may get work"
+    TARGET_UNREACHABLE = 3002, "no connection to the target; nothing was sent"
+    TARGET_REFUSED = 3003, "the target refused the request and did not run it"
+    ANSWER_LOST = 3004, "the request was sent and no answer came"
+    ANSWER_INCOMPLETE = 3005, "the answer ended early"
+    ANSWER_INVALID = 3006, "the answer is not one to this request"
+    STREAM_GONE = 3007, "the target no longer has the stream"
+    ORDER_FENCED = 3008, "the engine refused an order with an old fencing number"
+
+    KEY_REUSED = 4001, "the idempotency key was used for another request"
+    KEY_EXPIRED = 4002, "the idempotency key is older than the window"
+    OUTCOME_UNKNOWN = 4003, "it is not known whether the request ran"
+    KEY_IN_PROGRESS = 4004, "a request with this idempotency key is running"
+    CLAIM_UNAVAILABLE = 4005, "the log service cannot order the claim now"
+
+    INVALID_MANIFEST = 5001, "an object or field is not valid"
+    STALE_VERSION = 5002, "the change is based on an older version"
+    CHANGE_REJECTED = 5003, "the change was rejected in log order"
+    CHANGE_UNSETTLED = 5004, "it is not known yet whether the change was accepted"
+    UNKNOWN_OBJECT = 5005, "no such object"
+    INVALID_SELECTOR = 5006, "the selector cannot be read"
+    SNAPSHOT_UNUSABLE = 5007, "no usable configuration snapshot"
+
+    LOG_UNAVAILABLE = 6001, "the log service did not take the call"
+    LOG_ANSWER_LOST = 6002, "the log service may have taken the append"
+    LOG_TRIMMED = 6003, "the records asked for are no longer kept"
+    PEER_REFUSED = 6004, "the peer is a stranger or sent an old message"
+    PEER_UNREACHABLE = 6005, "no link to the peer"
+    OPERATOR_REFUSED = 6006, "the operator key is not valid"
+    MESSAGE_INVALID = 6007, "the message cannot be read"
+    WEIGHT_STORE_LIMITED = 6008, "the weight store allows no load yet"
+
+    INVALID_SETTING = 7001, "a setting is not valid"
 
 
 @frozen(kw_only=True)
