--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Benches: `make bench-NAME` runs the module of that name."""
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/slopes/probes.py
@@ -0,0 +1,14 @@
+"""The probes by name."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loomyard_standins.benches.slopes.configuration_probe import ConfigurationProbe
+
+if TYPE_CHECKING:
+    from loomyard_standins.benches.slopes.probe import Probe
+
+PROBES: dict[str, Probe] = {
+    "configuration_accounts": ConfigurationProbe(),
+}
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/slopes/sample.py
@@ -0,0 +1,16 @@
+"""One measured point."""
+
+from __future__ import annotations
+
+from attrs import field, frozen
+
+
+@frozen(kw_only=True)
+class Sample:
+    """A size and what was measured at it, by quantity.
+
+    The name of a quantity ends in its unit: ``rss_bytes``, ``cpu_seconds``, ``sent_bytes``.
+    """
+
+    size: int
+    quantities: dict[str, float] = field(factory=dict)
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/slopes/usage.py
@@ -0,0 +1,22 @@
+"""Memory and processor time of this process."""
+
+from __future__ import annotations
+
+import gc
+import os
+import time
+from pathlib import Path
+
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def resident_bytes() -> int:
+    """Return the resident memory after a collection."""
+    gc.collect()
+    pages = Path("/proc/self/statm").read_text().split()[1]
+    return int(pages) * PAGE_BYTES
+
+
+def cpu_seconds() -> float:
+    """Return the processor time used so far."""
+    return time.process_time()
