--- a/packages/loomyard-router/src/loomyard_router/__main__.py
+++ b/packages/loomyard-router/src/loomyard_router/__main__.py
@@ -38,7 +38,7 @@
         gevent.signal_handler(number, stopping.set)
     application.start()
     stopping.wait()
-    application.stop()
+    application.drain()
     return 0
 
 
--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -6,12 +6,14 @@
 import secrets
 from typing import TYPE_CHECKING
 
-from gevent.pywsgi import WSGIServer
+from gevent.event import Event as GeventEvent
 
 from loomyard.clock import SystemClock
 from loomyard.events import Event, emit
 from loomyard.platform.http_log import connect_log
 from loomyard_router.callers.app import CallersApp
+from loomyard_router.callers.handler import CallerServer
+from loomyard_router.callers.in_flight import InFlight
 from loomyard_router.claims.no_claims import NoClaims
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.members.membership import Member, SoleMembership
@@ -26,6 +28,7 @@
 from loomyard_router.targets.http_engine import make_http_engine
 
 if TYPE_CHECKING:
+    from loomyard.clock import Clock
     from loomyard_router.settings import Settings
     from loomyard_router.shares.policy import SharePolicy
 
@@ -37,11 +40,25 @@
 class Application:
     """One router."""
 
-    def __init__(self, settings: Settings, parts: Parts, callers: CallersApp) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        parts: Parts,
+        callers: CallersApp,
+        *,
+        clock: Clock,
+        serving: Serving,
+    ) -> None:
         self.parts = parts
         self._settings = settings
+        self._clock = clock
+        self._serving = serving
+        self._in_flight = InFlight(clock)
+        self._drained: GeventEvent | None = None
         host, _, port = settings.listen.rpartition(":")
-        self._server = WSGIServer((host, int(port)), callers, log=None, error_log=logger)
+        self._server = CallerServer(
+            (host, int(port)), callers, log=None, error_log=logger, in_flight=self._in_flight
+        )
 
     @property
     def port(self) -> int:
@@ -59,6 +76,24 @@
         self._server.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, port=self.port)
 
+    def drain(self) -> None:
+        """Stop as planned: refuse new and waiting work, let what runs end, then stop.
+
+        A second call waits for the first.
+        """
+        if self._drained is not None:
+            self._drained.wait()
+            return
+        self._drained = GeventEvent()
+        emit(logger, Event.ROUTER_STOPPING, in_flight=len(self._in_flight))
+        deadline = self._clock.now() + self._settings.drain_seconds
+        self._serving.stop()
+        self.parts.members.leave()
+        self._in_flight.wait_idle(deadline)
+        emit(logger, Event.ROUTER_STOPPED, in_flight=len(self._in_flight))
+        self.stop()
+        self._drained.set()
+
     def stop(self) -> None:
         """Stop at once."""
         self._server.stop()
@@ -106,7 +141,7 @@
         journal=parts.journal,
     )
     callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
-    return Application(settings, parts, callers)
+    return Application(settings, parts, callers, clock=clock, serving=serving)
 
 
 def _make_policy(settings: Settings, platform: Platform) -> SharePolicy:
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/callers/handler.py
@@ -0,0 +1,109 @@
+"""The HTTP side of a caller's connection."""
+
+from __future__ import annotations
+
+import logging
+import secrets
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from loomyard.errors import Fault, ResultCode
+from loomyard.events import Event, emit
+from loomyard_router.callers.presence_watch import PresenceWatch
+from loomyard_router.callers.problems import problem_document
+from loomyard_router.requests.presence import CallerPresence
+from loomyard_router.requests.whole_answers import AnswerBrokenError
+
+if TYPE_CHECKING:
+    from loomyard_router.callers.in_flight import InFlight
+
+logger = logging.getLogger(__name__)
+
+PRESENCE_KEY = "loomyard.presence"
+TARGET_KEY = "REQUEST_URI"
+CONNECTION_TIMEOUT = 60.0
+MAX_LENGTH_DIGITS = 18
+
+
+class CallerHandler(WSGIHandler):
+    """Refuse what is not HTTP with a numbered problem and watch for callers that hang up.
+
+    The timeout of the connection bounds each wait for a caller, to read or to write.
+    """
+
+    server: CallerServer
+
+    def read_request(self, raw_requestline: str) -> bool:
+        read = super().read_request(raw_requestline)
+        lengths = self.headers.get_all("content-length", [])
+        coding = self.headers.get("transfer-encoding")
+        if len(lengths) > 1 or not all(_is_length(length) for length in lengths):
+            raise ValueError("Content-Length is not one whole number")
+        if coding is not None and coding.lower() != "chunked":
+            raise ValueError("Transfer-Encoding is not chunked")
+        return read
+
+    def get_environ(self) -> dict[str, Any]:
+        environ = super().get_environ()
+        environ[PRESENCE_KEY] = CallerPresence()
+        environ[TARGET_KEY] = self.path
+        return environ
+
+    def run_application(self) -> None:
+        watch = PresenceWatch(self.socket, self.environ[PRESENCE_KEY])
+        self.server.in_flight.enter()
+        try:
+            super().run_application()
+        except AnswerBrokenError:
+            self.close_connection = True
+        finally:
+            self.server.in_flight.leave()
+            watch.stop()
+            if self.close_connection or self.environ[PRESENCE_KEY].gone:
+                self.close_connection = True
+                self.wsgi_input.content_length = 0
+                self.wsgi_input.chunked_input = False
+
+    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
+        self.close_connection = True
+        if isinstance(v, OSError):
+            return
+        emit(logger, Event.HANDLER_FAILED, error=f"{t.__name__}: {v}")
+        super().handle_error(t, v, tb)
+
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        detail = str(ex) or type(ex).__name__
+        fault = Fault(code=ResultCode.MALFORMED_REQUEST, detail=f"not an HTTP request: {detail}")
+        emit(logger, Event.REQUEST_REFUSED, code=int(fault.code), detail=detail)
+        kind, body = problem_document(fault, f"req-{secrets.token_hex(8)}", openai=False)
+        status = HTTPStatus.BAD_REQUEST
+        head = (
+            f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Type: {kind}\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        return str(status.value), head.encode() + body
+
+
+class CallerServer(WSGIServer):
+    """The listener for callers."""
+
+    handler_class = CallerHandler
+
+    def __init__(self, *arguments: Any, in_flight: InFlight, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.in_flight = in_flight
+
+    def wrap_socket_and_handle(self, client_socket: Any, address: Any) -> Any:
+        client_socket.settimeout(CONNECTION_TIMEOUT)
+        return super().wrap_socket_and_handle(client_socket, address)
+
+    def handle(self, sock: Any, address: Any) -> None:
+        sock.settimeout(CONNECTION_TIMEOUT)
+        super().handle(sock, address)
+
+
+def _is_length(text: str) -> bool:
+    text = text.strip()
+    return text.isascii() and text.isdigit() and len(text) <= MAX_LENGTH_DIGITS
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/callers/presence_watch.py
@@ -0,0 +1,56 @@
+"""Notice callers that hang up."""
+
+from __future__ import annotations
+
+import socket as sockets
+from typing import TYPE_CHECKING
+
+import gevent
+
+if TYPE_CHECKING:
+    from gevent.socket import socket
+
+    from loomyard_router.requests.presence import CallerPresence
+
+READABLE = 1
+ESTABLISHED = 1
+CHECK_SECONDS = 1.0
+
+
+class PresenceWatch:
+    """Watch the connection of a caller while its request is served.
+
+    A connection that becomes readable is either closed or carries the next request; the state
+    of the TCP connection tells which, without a byte being read.
+    """
+
+    def __init__(self, sock: socket, presence: CallerPresence) -> None:
+        self._sock = sock
+        self._presence = presence
+        loop = gevent.get_hub().loop
+        self._readable = loop.io(sock.fileno(), READABLE)
+        self._timer = loop.timer(CHECK_SECONDS, CHECK_SECONDS)
+        self._readable.start(self._check)
+
+    def stop(self) -> None:
+        """Watch no longer."""
+        for watcher in (self._readable, self._timer):
+            watcher.stop()
+            watcher.close()
+
+    def _check(self) -> None:
+        if _is_connected(self._sock):
+            self._readable.stop()
+            self._timer.start(self._check)
+            return
+        self._timer.stop()
+        self._readable.stop()
+        gevent.spawn(self._presence.leave)
+
+
+def _is_connected(sock: socket) -> bool:
+    try:
+        info = sock.getsockopt(sockets.IPPROTO_TCP, sockets.TCP_INFO, 1)
+    except OSError:
+        return False
+    return info[0] == ESTABLISHED
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/callers/prompt_prefix.py
@@ -0,0 +1,31 @@
+"""The name of a prompt's prefix, for cache locality."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any
+
+PREFIX_LENGTH = 256
+
+
+def prompt_prefix(document: dict[str, Any]) -> str:
+    """Return the digest of the first characters of the prompt as JSON text.
+
+    Engines name cached prefixes in the same way; only as much as counts is encoded.
+    """
+    prompt = document.get("messages") or document.get("prompt", "")
+    return hashlib.sha256(_head(prompt)[:PREFIX_LENGTH].encode()).hexdigest()
+
+
+def _head(prompt: Any) -> str:
+    if isinstance(prompt, str):
+        return json.dumps(prompt[:PREFIX_LENGTH])
+    if not isinstance(prompt, list):
+        return json.dumps(prompt)
+    text = "["
+    for number, item in enumerate(prompt):
+        text += (", " if number else "") + json.dumps(item)
+        if len(text) >= PREFIX_LENGTH:
+            return text
+    return text + "]"
--- a/packages/loomyard-router/src/loomyard_router/requests/serving.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/serving.py
@@ -65,6 +65,10 @@
             journal=journal,
         )
 
+    @property
+    def stopping(self) -> bool:
+        return self._queue.stopping
+
     def stop(self) -> None:
         """Take no new work and refuse what waits; what runs goes on."""
         self._queue.stop()
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -30,6 +30,7 @@
     position: int = 0
     routers: int = 1
     log_format: str = "text"
+    drain_seconds: float = 60.0
 
 
 def parse_settings(
@@ -67,6 +68,7 @@
     add("policy", "local", "share policy", choices=POLICIES)
     add("position", 0, "position of this router for the local policy", type=int)
     add("routers", 1, "number of routers for the local policy", type=int)
+    add("drain-seconds", 60.0, "longest wait of a planned stop for what runs", type=float)
     add("log-format", "text", "text or json", choices=("text", "json"))
     return parser
 
