--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/scripted_target.py
@@ -0,0 +1,107 @@
+"""A target that answers byte for byte as a test tells it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+from gevent.server import StreamServer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gevent.socket import socket
+
+    Script = Callable[["ReceivedCall", socket], bool | None]
+
+HEAD_END = b"\r\n\r\n"
+READ_SIZE = 65536
+
+
+@frozen(kw_only=True)
+class ReceivedCall:
+    """A request as it came over a connection; ``connection`` counts connections from 0."""
+
+    connection: int
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def attempt(self) -> str:
+        return self.headers.get("loomyard-attempt", "")
+
+
+class ScriptedTarget:
+    """Call a script for each request; the connection goes on while it returns true."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.calls: list[ReceivedCall] = []
+        self._connections = 0
+        self._server = StreamServer(("127.0.0.1", 0), self._handle)
+
+    @property
+    def url(self) -> str:
+        return f"http://127.0.0.1:{self._server.server_port}"
+
+    @property
+    def work(self) -> list[ReceivedCall]:
+        """Return the calls that ask for work, not those that steer."""
+        return [call for call in self.calls if not call.line.endswith("/cancel")]
+
+    def start(self) -> None:
+        """Start to serve."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop to serve."""
+        self._server.stop()
+
+    def _handle(self, sock: socket, _: object) -> None:
+        number = self._connections
+        self._connections += 1
+        try:
+            rest = b""
+            while True:
+                call, rest = _read_call(sock, rest, number)
+                if call is None:
+                    return
+                self.calls.append(call)
+                if not self.script(call, sock):
+                    return
+        except OSError:
+            pass
+        finally:
+            sock.close()
+
+
+def answer_bytes(
+    call: ReceivedCall, body: bytes, *, status: str = "200 OK", headers: str = ""
+) -> bytes:
+    """Return a whole answer to a call."""
+    head = f"HTTP/1.1 {status}\r\nLoomyard-Attempt: {call.attempt}\r\n{headers}"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def stream_head(call: ReceivedCall) -> bytes:
+    """Return the head of an event stream that ends with its connection."""
+    kind = "Content-Type: text/event-stream\r\nConnection: close\r\n"
+    return f"HTTP/1.1 200 OK\r\n{kind}Loomyard-Attempt: {call.attempt}\r\n\r\n".encode()
+
+
+def _read_call(sock: socket, data: bytes, number: int) -> tuple[ReceivedCall | None, bytes]:
+    while HEAD_END not in data:
+        block = sock.recv(READ_SIZE)
+        if not block:
+            return None, b""
+        data += block
+    head, _, rest = data.partition(HEAD_END)
+    line, *lines = head.decode("latin-1").split("\r\n")
+    headers = {name.lower(): value.strip() for name, _, value in (x.partition(":") for x in lines)}
+    length = int(headers.get("content-length", "0"))
+    while len(rest) < length:
+        rest += sock.recv(READ_SIZE)
+    path = line.rpartition(" ")[0]
+    call = ReceivedCall(connection=number, line=path, headers=headers, body=rest[:length])
+    return call, rest[length:]
