Link routers by authenticated websockets and know them by gossip

A router knew no other router. Membership now follows SWIM over UDP: one random probe a period, indirect probes, suspicion before death, refutation, news in bounded number on the probes; so the load of a router does not grow with the fleet. Links are websockets, opened when first needed; both sides prove the fleet secret over a transcript of names, incarnations and nonces, and each frame carries a MAC under an implied sequence number. Messages go in a compact CBOR form.

The demo's routers are now a real fleet.

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import secrets
 from typing import TYPE_CHECKING
 
 from gevent.pywsgi import WSGIServer
@@ -11,12 +10,12 @@
 from loomyard.clock import SystemClock
 from loomyard.events import Event, emit
 from loomyard.platform.http_log import connect_log
+from loomyard.platform.http_vm_list import connect_vm_list
 from loomyard_router.callers.app import CallersApp
 from loomyard_router.claims.no_claims import NoClaims
 from loomyard_router.configuration.follower import ConfigFollower
-from loomyard_router.members.membership import Member, SoleMembership
+from loomyard_router.fleet_parts import make_fleet_parts
 from loomyard_router.parts import Parts, Platform
-from loomyard_router.peers.no_peers import NoPeers
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
 from loomyard_router.requests.serving import Serving
@@ -31,8 +30,6 @@
 
 logger = logging.getLogger(__name__)
 
-INCARNATION_BITS = 48
-
 
 class Application:
     """One router."""
@@ -54,6 +51,8 @@
         parts.follower.subscribe(parts.policy.reconfigure)
         for part in (parts.peers, parts.members, parts.follower, parts.targets):
             part.start()
+        if parts.vm_watch is not None:
+            parts.vm_watch.start()
         parts.claims.start()
         parts.policy.start()
         self._server.start()
@@ -65,6 +64,8 @@
         parts = self.parts
         parts.policy.stop()
         parts.claims.stop()
+        if parts.vm_watch is not None:
+            parts.vm_watch.stop()
         for part in (parts.targets, parts.follower, parts.members, parts.peers):
             part.stop()
 
@@ -73,22 +74,20 @@
     """Connect to the outside systems that the settings name."""
     clock = SystemClock()
     log = connect_log(settings.log_service)
-    return Platform(clock=clock, log=log, engine=make_http_engine(clock))
+    vm_list = connect_vm_list(settings.vm_list) if settings.vm_list else None
+    return Platform(clock=clock, log=log, engine=make_http_engine(clock), vm_list=vm_list)
 
 
 def make_application(settings: Settings, platform: Platform | None = None) -> Application:
     """Wire a router from its settings."""
     platform = platform or make_platform(settings)
     clock = platform.clock
-    own = Member(
-        name=settings.name,
-        incarnation=secrets.randbits(INCARNATION_BITS),
-        address="",
-        data_centre=settings.data_centre,
-    )
+    fleet = make_fleet_parts(settings, platform)
     parts = Parts(
-        members=SoleMembership(own),
-        peers=NoPeers(),
+        members=fleet.members,
+        peers=fleet.peers,
+        traffic=fleet.traffic,
+        vm_watch=fleet.vm_watch,
         follower=ConfigFollower(platform.log, clock),
         targets=make_configured_targets(),
         policy=_make_policy(settings, platform),
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/members/datagram_seal.py
@@ -0,0 +1,98 @@
+"""Authentication of datagrams: an HMAC, bound to the receiver, and no number twice."""
+
+from __future__ import annotations
+
+from attrs import define, field
+from result import Err, Ok, Result
+
+from loomyard.clock import Clock
+from loomyard.errors import Fault, ResultCode
+from loomyard_router.members.messages import Datagram
+from loomyard_router.peers.compact_codec import pack, unpack
+from loomyard_router.peers.fleet_secret import MAC_BYTES, FleetSecret, matches, tag
+
+PURPOSE = b"loomyard datagram 1"
+WINDOW = 64
+MAX_SENDERS = 4096
+FORGET_AFTER = 3600.0
+
+
+@define(eq=False)
+class _Window:
+    incarnation: int
+    highest: int
+    seen: int
+    used_at: float
+
+
+@define(eq=False)
+class ReplayWindow:
+    """Which of the newest numbers of each sender were seen; numbers may come out of order."""
+
+    clock: Clock
+    _windows: dict[str, _Window] = field(factory=dict)
+
+    def admit(self, sender: str, incarnation: int, sequence: int) -> bool:
+        """Take a number; false where it was seen, is too old or is of an old incarnation."""
+        now = self.clock.now()
+        window = self._windows.get(sender)
+        if window is None or incarnation > window.incarnation:
+            self._make_room(now)
+            self._windows[sender] = _Window(incarnation, sequence, 1, now)
+            return True
+        if incarnation < window.incarnation:
+            return False
+        return _admit(window, sequence, now)
+
+    def _make_room(self, now: float) -> None:
+        if len(self._windows) < MAX_SENDERS:
+            return
+        for name, window in list(self._windows.items()):
+            if window.used_at < now - FORGET_AFTER:
+                del self._windows[name]
+
+
+def _admit(window: _Window, sequence: int, now: float) -> bool:
+    ahead = sequence - window.highest
+    if ahead > 0:
+        mask = (1 << WINDOW) - 1
+        window.seen = ((window.seen << ahead) | 1) & mask if ahead < WINDOW else 1
+        window.highest = sequence
+    else:
+        bit = 1 << -ahead if -ahead < WINDOW else 0
+        if not bit or window.seen & bit:
+            return False
+        window.seen |= bit
+    window.used_at = now
+    return True
+
+
+class DatagramSeal:
+    """Seal datagrams for an address and open those for the own address."""
+
+    def __init__(self, secret: FleetSecret, clock: Clock) -> None:
+        self._keys = secret.keys(PURPOSE)
+        self._window = ReplayWindow(clock)
+
+    def seal(self, datagram: Datagram, address: str) -> bytes:
+        """Encode a datagram that only the router at an address accepts."""
+        body = pack(datagram)
+        return tag(self._keys[0], address.encode(), body) + body
+
+    def open(self, data: bytes, own_address: str) -> Result[Datagram, Fault]:
+        """Check and decode a datagram."""
+        mac, body = data[:MAC_BYTES], data[MAC_BYTES:]
+        if not any(matches(key, mac, own_address.encode(), body) for key in self._keys):
+            return _refuse("a wrong key or another router's datagram")
+        match unpack(body, Datagram):
+            case Ok(datagram):
+                pass
+            case Err(detail):
+                return Err(Fault(code=ResultCode.MESSAGE_INVALID, detail=detail))
+        if not self._window.admit(datagram.sender, datagram.incarnation, datagram.sequence):
+            return _refuse(f"a replay or an old incarnation of {datagram.sender}")
+        return Ok(datagram)
+
+
+def _refuse(detail: str) -> Err[Fault]:
+    return Err(Fault(code=ResultCode.PEER_REFUSED, detail=detail))
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/members/datagrams.py
@@ -0,0 +1,62 @@
+"""Datagrams between routers over UDP."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from typing import TYPE_CHECKING, Protocol
+
+import gevent
+
+from loomyard_router.peers.sockets import split_address
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable
+
+MAX_DATAGRAM_BYTES = 1200
+RECEIVE_BYTES = 2048
+HEADER_BYTES = 28  # of IPv4 and UDP
+
+
+class Datagrams(Protocol):
+    """Send datagrams, which may be lost, doubled or late, and receive them."""
+
+    def send(self, address: str, data: bytes) -> None:
+        """Send without waiting; ``address`` is ``host:port``."""
+
+    def start(self, receive: Callable[[bytes], None]) -> None:
+        """Start to give datagrams to a function."""
+
+    def stop(self) -> None:
+        """End."""
+
+
+class UdpDatagrams:
+    """Datagrams on a bound UDP socket."""
+
+    def __init__(self, bound: socket.socket) -> None:
+        self._socket = bound
+        self._task: gevent.Greenlet | None = None
+
+    def send(self, address: str, data: bytes) -> None:
+        # One that can't be sent is as good as lost on the way.
+        with suppress(OSError, ValueError):
+            self._socket.sendto(data, split_address(address))
+
+    def start(self, receive: Callable[[bytes], None]) -> None:
+        self._task = gevent.spawn(self._run, receive)
+
+    def stop(self) -> None:
+        if self._task is not None:
+            self._task.kill()
+        self._socket.close()
+
+    def _run(self, receive: Callable[[bytes], None]) -> None:
+        while True:
+            try:
+                data = self._socket.recv(RECEIVE_BYTES)
+            except ConnectionError:
+                continue  # an ICMP answer to an earlier send
+            except OSError:
+                return
+            receive(data)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/members/exchange.py
@@ -0,0 +1,106 @@
+"""Datagrams out and in: sealed, counted and laden with news."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from result import Err, Ok
+
+from loomyard.events import Event, emit
+from loomyard_router.members.datagrams import HEADER_BYTES
+from loomyard_router.members.messages import Datagram, DatagramKind
+from loomyard_router.members.news import News
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard_router.members.datagram_seal import DatagramSeal
+    from loomyard_router.members.datagrams import Datagrams
+    from loomyard_router.members.messages import MemberUpdate
+    from loomyard_router.members.table import MemberTable
+    from loomyard_router.members.topics import Topics
+    from loomyard_router.peers.traffic import TrafficCounters
+
+logger = logging.getLogger(__name__)
+
+COMPLAINT_INTERVAL = 1.0
+
+
+class Exchange:
+    """Send datagrams of this router and open those of others."""
+
+    def __init__(
+        self,
+        *,
+        table: MemberTable,
+        topics: Topics,
+        datagrams: Datagrams,
+        seal: DatagramSeal,
+        traffic: TrafficCounters,
+        clock: Clock,
+    ) -> None:
+        self.news = News(table, topics)
+        self._table = table
+        self._topics = topics
+        self._datagrams = datagrams
+        self._seal = seal
+        self._traffic = traffic
+        self._clock = clock
+        self._sequence = 0
+        self._complain_at = clock.now()
+
+    @property
+    def digest(self) -> int:
+        return self._table.digest ^ self._topics.digest
+
+    def send(
+        self,
+        kind: DatagramKind,
+        address: str,
+        nonce: int,
+        *,
+        own: MemberUpdate,
+        first: list[MemberUpdate],
+        everything: bool = False,
+        target: str = "",
+    ) -> None:
+        """Send a datagram with ``first`` and what other news fits."""
+        updates, items = self.news.take(first=first, everything=everything)
+        self._sequence += 1
+        datagram = Datagram(
+            kind=kind,
+            sender=own.name,
+            incarnation=own.incarnation,
+            refutation=own.refutation,
+            sequence=self._sequence,
+            nonce=nonce,
+            digest=self.digest,
+            updates=updates,
+            items=items,
+            target=target,
+        )
+        data = self._seal.seal(datagram, address)
+        self._traffic.sent(_traffic_kind(kind), len(data) + HEADER_BYTES)
+        self._datagrams.send(address, data)
+
+    def open(self, data: bytes, own_address: str) -> Datagram | None:
+        """Return an authentic datagram, or count and log that it was refused."""
+        match self._seal.open(data, own_address):
+            case Ok(datagram):
+                self._traffic.received(_traffic_kind(datagram.kind), len(data) + HEADER_BYTES)
+                return datagram
+            case Err(fault):
+                self._traffic.refused("datagram")
+                self._complain(fault.detail)
+        return None
+
+    def _complain(self, detail: str) -> None:
+        """Log a refusal, but not each one of a flood."""
+        now = self._clock.now()
+        if now >= self._complain_at:
+            self._complain_at = now + COMPLAINT_INTERVAL
+            emit(logger, Event.DATAGRAM_REFUSED, detail=detail)
+
+
+def _traffic_kind(kind: DatagramKind) -> str:
+    return f"member-{kind.name.lower().replace('_', '-')}"
--- a/packages/loomyard-router/src/loomyard_router/members/membership.py
+++ b/packages/loomyard-router/src/loomyard_router/members/membership.py
@@ -36,10 +36,13 @@
 
     @property
     def own(self) -> Member:
-        """Return this router."""
+        """Return this router; its incarnation may rise, so read it when it is needed."""
 
     def live(self) -> tuple[Member, ...]:
-        """Return the routers alive or suspected, this one included, by name."""
+        """Return the routers alive or suspected, this one included, by name.
+
+        Leaving ones are not among them, unless this one leaves and no other is left.
+        """
 
     def find(self, name: str) -> Member | None:
         """Return a router by name, also a dead one that is remembered."""
@@ -50,6 +53,18 @@
     def subscribe(self, changed: Callable[[], None]) -> None:
         """Call back after each change of the live routers."""
 
+    def subscribe_pause(self, paused: Callable[[float], None]) -> None:
+        """Call back with the seconds of a pause of this process, once it is noticed."""
+
+    def announce(self, topic: str, key: str, value: int, *, until: float) -> None:
+        """Spread a small item to all routers; the highest value of a key wins.
+
+        ``until`` is the monotonic time at which the item is forgotten.
+        """
+
+    def subscribe_topic(self, topic: str, heard: Callable[[str, int], None]) -> None:
+        """Call back with key and value of each item learned from others, known ones first."""
+
     def leave(self) -> None:
         """Tell the others that this router is leaving; it stays until it stops."""
 
@@ -82,6 +97,15 @@
     def subscribe(self, changed: Callable[[], None]) -> None:
         pass
 
+    def subscribe_pause(self, paused: Callable[[float], None]) -> None:
+        pass
+
+    def announce(self, topic: str, key: str, value: int, *, until: float) -> None:
+        pass
+
+    def subscribe_topic(self, topic: str, heard: Callable[[str, int], None]) -> None:
+        pass
+
     def leave(self) -> None:
         pass
 
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/members/seeds.py
@@ -0,0 +1,27 @@
+"""Addresses at which routers may be found: those of the settings and of the VM list."""
+
+from __future__ import annotations
+
+from attrs import define
+
+from loomyard.platform.vm_list import Vm, VmState
+
+
+@define(eq=False)
+class Seeds:
+    """Where to look for routers; the VM list lags, so it tells of places, never of life."""
+
+    settings: tuple[str, ...] = ()
+    vms: tuple[Vm, ...] = ()
+
+    @property
+    def addresses(self) -> set[str]:
+        return {*self.settings, *(vm.address for vm in self.vms if vm.address)}
+
+    @property
+    def names(self) -> set[str]:
+        return {vm.name for vm in self.vms}
+
+    @property
+    def leaving(self) -> frozenset[str]:
+        return frozenset(vm.name for vm in self.vms if vm.address and vm.state is VmState.LEAVING)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/members/table.py
@@ -0,0 +1,105 @@
+"""What a router believes of all routers."""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+import cbor2
+from attrs import define, field
+
+from loomyard_router.members.membership import Member, MemberState
+from loomyard_router.members.messages import Liveness, MemberUpdate
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+NEVER = float("inf")
+
+
+@define(eq=False)
+class MemberRecord:
+    """The update that holds for a router, and the deadlines that hang on it."""
+
+    update: MemberUpdate
+    suspected_until: float = NEVER
+    forget_at: float = NEVER
+
+    @property
+    def live(self) -> bool:
+        return self.update.liveness is not Liveness.DEAD
+
+
+@define(eq=False)
+class MemberTable:
+    """Records by name; an update replaces another only with a greater version."""
+
+    records: dict[str, MemberRecord] = field(factory=dict)
+    vms_leaving: frozenset[str] = frozenset()
+    revision: int = 0
+    _digest: int | None = None
+
+    @property
+    def digest(self) -> int:
+        """Return a sum over what is believed of live routers, equal where tables agree."""
+        if self._digest is None:
+            self._digest = 0
+            for record in self.live():
+                update = record.update
+                data = [update.name, *update.version, update.leaving]
+                self._digest ^= zlib.crc32(cbor2.dumps(data))
+        return self._digest
+
+    def live(self) -> Iterable[MemberRecord]:
+        """Return the records of routers that are not dead."""
+        return (record for record in self.records.values() if record.live)
+
+    def find(self, name: str) -> MemberRecord | None:
+        """Return the record of a router."""
+        return self.records.get(name)
+
+    def apply(self, update: MemberUpdate) -> bool:
+        """Take an update over; false where what is believed is as new."""
+        record = self.records.get(update.name)
+        if record is None:
+            self.records[update.name] = MemberRecord(update)
+        elif update.version <= record.update.version:
+            return False
+        else:
+            record.update = update
+            record.suspected_until = record.forget_at = NEVER
+        self._note_change()
+        return True
+
+    def mark_leaving(self, names: frozenset[str]) -> None:
+        """Take over which VMs the platform calls leaving."""
+        if names != self.vms_leaving:
+            self.vms_leaving = names
+            self._note_change()
+
+    def forget(self, name: str) -> None:
+        """Drop a record."""
+        del self.records[name]
+        self._note_change()
+
+    def member(self, record: MemberRecord) -> Member:
+        """Return a router as the other parts see it."""
+        update = record.update
+        return Member(
+            name=update.name,
+            incarnation=update.incarnation,
+            address=update.address,
+            data_centre=update.data_centre,
+            state=self._state(update),
+        )
+
+    def _note_change(self) -> None:
+        self.revision += 1
+        self._digest = None
+
+    def _state(self, update: MemberUpdate) -> MemberState:
+        if update.liveness is Liveness.DEAD:
+            return MemberState.DEAD
+        if update.leaving or update.name in self.vms_leaving:
+            return MemberState.LEAVING
+        return MemberState.SUSPECT if update.liveness is Liveness.SUSPECT else MemberState.ALIVE
--- a/packages/loomyard-router/src/loomyard_router/parts.py
+++ b/packages/loomyard-router/src/loomyard_router/parts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import define
+from attrs import define, field
 
 from loomyard.clock import Clock
 from loomyard.platform.engine import Engine
@@ -12,7 +12,9 @@
 from loomyard_router.claims.keeper import ClaimKeeper
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.members.membership import Membership
+from loomyard_router.members.vm_watch import VmWatch
 from loomyard_router.peers.links import PeerLinks
+from loomyard_router.peers.traffic import TrafficCounters
 from loomyard_router.requests.journal import Journal
 from loomyard_router.shares.policy import SharePolicy
 from loomyard_router.targets.directory import TargetDirectory
@@ -40,3 +42,5 @@
     policy: SharePolicy
     claims: ClaimKeeper
     journal: Journal
+    traffic: TrafficCounters = field(factory=TrafficCounters)
+    vm_watch: VmWatch | None = None
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/peers/link.py
@@ -0,0 +1,242 @@
+"""One authenticated connection to another router."""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from attrs import define
+from gevent.event import AsyncResult
+from result import Err, Ok, Result
+from websockets.exceptions import ConnectionClosed
+
+from loomyard.errors import Fault, ResultCode
+from loomyard.events import Event, emit
+from loomyard_router.peers.compact_codec import COMPACT, structure
+from loomyard_router.peers.fleet_secret import MAC_BYTES
+from loomyard_router.peers.frames import Envelope, FrameOpener, FrameSealer, encode_envelope
+from loomyard_router.peers.message_types import kind_of, name_of
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from websockets.sync.connection import Connection
+
+    from loomyard.clock import Clock
+    from loomyard_router.members.membership import Member
+    from loomyard_router.peers.handshake import Agreement
+    from loomyard_router.peers.traffic import TrafficCounters
+
+logger = logging.getLogger(__name__)
+
+MAX_FRAME_BYTES = 1 << 20
+MAX_QUEUED_BYTES = 4 << 20
+MAX_QUEUED_MESSAGES = 4096
+MAX_REQUESTS_RUNNING = 256
+BATCH_BYTES = 64 << 10
+# A frame header of websockets is 2 to 10 bytes and 4 more for the mask of the opening side.
+FRAME_OVERHEAD = 6
+FRAME = "frame"
+
+
+@define(eq=False)
+class _Queued:
+    kind: str
+    data: bytes
+
+
+class PeerLink:
+    """Send and receive on one connection; ``run`` is its task."""
+
+    def __init__(
+        self,
+        *,
+        connection: Connection,
+        agreement: Agreement,
+        peer: Member,
+        clock: Clock,
+        traffic: TrafficCounters,
+        deliver: Callable[[Member, Any], Any],
+    ) -> None:
+        self.peer = peer
+        self.used_at = clock.now()
+        self._connection = connection
+        self._clock = clock
+        self._traffic = traffic
+        self._deliver = deliver
+        self._sealer = FrameSealer(key=agreement.send_key)
+        self._opener = FrameOpener(key=agreement.receive_key)
+        self._queue: deque[_Queued] = deque()
+        self._queued_bytes = 0
+        self._flushing = False
+        self._closed = False
+        self._answers: dict[int, AsyncResult] = {}
+        self._requests = 0
+        self._requests_running = 0
+
+    @property
+    def closed(self) -> bool:
+        return self._closed
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether nothing is queued and no answer is awaited or owed."""
+        return not (self._queue or self._answers or self._requests_running)
+
+    def send(self, message: Any) -> bool:
+        """Queue a message; false where the link is closed or its queue is full."""
+        return self._enqueue(message, request=0, answers=0)
+
+    def request(self, message: Any, deadline: float) -> Result[Any, Fault]:
+        """Send a request and wait for its answer until a deadline."""
+        self._requests += 1
+        number = self._requests
+        answer: AsyncResult = AsyncResult()
+        self._answers[number] = answer
+        try:
+            if not self._enqueue(message, request=number, answers=0):
+                return _unreachable(f"the link to {self.peer.name} is closed or full")
+            return answer.get(timeout=max(0.0, deadline - self._clock.now()))
+        except gevent.Timeout:
+            return _unreachable(f"{self.peer.name} did not answer in time")
+        finally:
+            del self._answers[number]
+
+    def run(self) -> None:
+        """Receive until the connection ends."""
+        try:
+            while self._receive(self._connection.recv()):
+                pass
+        except (ConnectionClosed, OSError, EOFError):
+            pass
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Close at once and fail the requests that wait."""
+        if self._closed:
+            return
+        self._closed = True
+        for answer in self._answers.values():
+            answer.set(_unreachable(f"the link to {self.peer.name} closed"))
+        for queued in self._queue:
+            self._traffic.dropped(queued.kind)
+        self._queue.clear()
+        self._connection.close_socket()
+
+    def _enqueue(self, message: Any, *, request: int, answers: int) -> bool:
+        name = name_of(type(message))
+        body = COMPACT.unstructure(message)
+        data = encode_envelope(Envelope(name, body, request, answers))
+        full = self._queued_bytes + len(data) > MAX_QUEUED_BYTES
+        if self._closed or full or len(self._queue) >= MAX_QUEUED_MESSAGES:
+            self._traffic.dropped(name)
+            return False
+        if len(data) > MAX_FRAME_BYTES - MAC_BYTES:
+            self._traffic.dropped(name)
+            emit(logger, Event.PEER_MESSAGE_TOO_LARGE, kind=name, size=len(data))
+            return False
+        self._queue.append(_Queued(name, data))
+        self._queued_bytes += len(data)
+        if not self._flushing:
+            self._flushing = True
+            gevent.spawn(self._flush)
+        return True
+
+    def _flush(self) -> None:
+        """Write what is queued; a task for as long as there is something, so none idles."""
+        try:
+            while self._queue:
+                self._connection.send(self._sealer.seal(self._next_batch()))
+        except (ConnectionClosed, OSError):
+            self.close()
+        finally:
+            self._flushing = False
+
+    def _next_batch(self) -> list[bytes]:
+        batch: list[bytes] = []
+        size = 0
+        while self._queue and (not batch or size + len(self._queue[0].data) <= BATCH_BYTES):
+            queued = self._queue.popleft()
+            batch.append(queued.data)
+            size += len(queued.data)
+            self._traffic.sent(queued.kind, len(queued.data))
+        self._queued_bytes -= size
+        self._traffic.sent(FRAME, MAC_BYTES + FRAME_OVERHEAD)
+        self.used_at = self._clock.now()
+        return batch
+
+    def _receive(self, frame: bytes | str) -> bool:
+        if not isinstance(frame, bytes):
+            return self._refuse("a text frame")
+        match self._opener.open(frame):
+            case Ok(envelopes):
+                pass
+            case Err(fault):
+                return self._refuse(fault.detail)
+        self.used_at = self._clock.now()
+        self._traffic.received(FRAME, MAC_BYTES + FRAME_OVERHEAD)
+        for envelope, size in envelopes:
+            self._take(envelope, size)
+        return True
+
+    def _take(self, envelope: Envelope, size: int) -> None:
+        kind = kind_of(envelope.kind)
+        if kind is None:
+            self._traffic.refused("unknown")
+            emit(logger, Event.PEER_MESSAGE_INVALID, peer=self.peer.name, kind=envelope.kind)
+            return
+        self._traffic.received(envelope.kind, size)
+        match structure(envelope.body, kind):
+            case Ok(message):
+                self._route(envelope, message)
+            case Err(detail):
+                self._traffic.refused(envelope.kind)
+                emit(
+                    logger,
+                    Event.PEER_MESSAGE_INVALID,
+                    peer=self.peer.name,
+                    kind=envelope.kind,
+                    detail=detail,
+                )
+
+    def _route(self, envelope: Envelope, message: Any) -> None:
+        if envelope.answers:
+            if (answer := self._answers.get(envelope.answers)) is not None:
+                answer.set(Ok(message))
+        elif not envelope.request:
+            self._call(message)
+        elif self._requests_running < MAX_REQUESTS_RUNNING:
+            # A handler may wait, for the log service say; it must not hold back the link.
+            self._requests_running += 1
+            gevent.spawn(self._answer, envelope.request, message)
+        else:
+            self._traffic.refused(envelope.kind)
+
+    def _answer(self, request: int, message: Any) -> None:
+        try:
+            answer = self._call(message)
+            if answer is not None:
+                self._enqueue(answer, request=0, answers=request)
+        except KeyError:
+            emit(logger, Event.HANDLER_FAILED, detail=f"unregistered answer to {message!r}")
+        finally:
+            self._requests_running -= 1
+
+    def _call(self, message: Any) -> Any:
+        try:
+            return self._deliver(self.peer, message)
+        except Exception as error:  # a faulty handler must not end the link
+            emit(logger, Event.HANDLER_FAILED, detail=repr(error), kind=type(message).__name__)
+            return None
+
+    def _refuse(self, detail: str) -> bool:
+        self._traffic.refused(FRAME)
+        emit(logger, Event.PEER_REFUSED, peer=self.peer.name, detail=detail)
+        return False
+
+
+def _unreachable(detail: str) -> Err[Fault]:
+    return Err(Fault(code=ResultCode.PEER_UNREACHABLE, detail=detail))
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/peers/sockets.py
@@ -0,0 +1,50 @@
+"""The sockets of a router's peer address: TCP for links and UDP for datagrams, one port."""
+
+from __future__ import annotations
+
+import socket
+
+from attrs import frozen
+
+BIND_ATTEMPTS = 20
+BACKLOG = 256
+
+
+@frozen(kw_only=True)
+class PeerSockets:
+    """Both sockets and the address they are bound to."""
+
+    stream: socket.socket
+    datagram: socket.socket
+    address: str
+
+    def close(self) -> None:
+        """Close both."""
+        self.stream.close()
+        self.datagram.close()
+
+
+def bind_peer_sockets(listen: str) -> PeerSockets:
+    """Bind both sockets to ``host:port``; port 0 takes one that is free for both."""
+    host, port = split_address(listen)
+    attempts = 1 if port else BIND_ATTEMPTS
+    for attempt in range(attempts):
+        stream = socket.create_server((host, port), backlog=BACKLOG)
+        datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        bound = stream.getsockname()[1]
+        try:
+            datagram.bind((host, bound))
+        except OSError:
+            stream.close()
+            datagram.close()
+            if attempt + 1 == attempts:
+                raise
+            continue
+        return PeerSockets(stream=stream, datagram=datagram, address=f"{host}:{bound}")
+    raise AssertionError("unreachable")
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
@@ -0,0 +1,299 @@
+"""Links to other routers over websockets, each opened when it is first needed."""
+
+from __future__ import annotations
+
+import logging
+import socket
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import gevent
+from gevent.event import Event as GeventEvent
+from gevent.lock import BoundedSemaphore
+from result import Err, Ok, Result
+from websockets.exceptions import WebSocketException
+from websockets.sync.client import connect
+from websockets.sync.server import serve
+
+from loomyard.errors import Fault, ResultCode
+from loomyard.events import Event, emit
+from loomyard_router.members.membership import Member, MemberState
+from loomyard_router.peers.handshake import HANDSHAKE_TIMEOUT, accept_link, open_link
+from loomyard_router.peers.link import MAX_FRAME_BYTES, PeerLink
+from loomyard_router.peers.message_types import name_of, register_message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from websockets.sync.connection import Connection
+    from websockets.sync.server import Server
+
+    from loomyard.clock import Clock
+    from loomyard_router.members.membership import Membership
+    from loomyard_router.peers.fleet_secret import FleetSecret
+    from loomyard_router.peers.handshake import Agreement
+    from loomyard_router.peers.tls import PeerTls
+    from loomyard_router.peers.traffic import TrafficCounters
+
+logger = logging.getLogger(__name__)
+# The library tells of each connection at INFO; the events of this module say what matters.
+library_logger = logging.getLogger("loomyard.websockets")
+library_logger.setLevel(logging.CRITICAL)
+
+CONNECT_TIMEOUT = 1.0
+RETRY_AFTER = 0.25
+IDLE_AFTER = 60.0
+SWEEP_INTERVAL = 5.0
+MAX_PENDING = 64
+MAX_HANDSHAKES = 64
+USER_TIMEOUT_MILLISECONDS = 3000
+M = TypeVar("M")
+
+
+class WebSocketLinks:
+    """The ``PeerLinks`` of a router; a link lives while it is used, so the mesh stays sparse."""
+
+    def __init__(
+        self,
+        *,
+        members: Membership,
+        secret: FleetSecret,
+        listener: socket.socket,
+        clock: Clock,
+        traffic: TrafficCounters,
+        tls: PeerTls | None = None,
+    ) -> None:
+        self.traffic = traffic
+        self._members = members
+        self._secret = secret
+        self._listener = listener
+        self._clock = clock
+        self._tls = tls
+        self._handlers: dict[type, Callable[[Member, Any], Any]] = {}
+        self._links: dict[str, PeerLink] = {}
+        self._all: set[PeerLink] = set()
+        self._pending: dict[str, list[Any]] = {}
+        self._opening: dict[str, GeventEvent] = {}
+        self._retry_at: dict[str, float] = {}
+        self._handshakes = BoundedSemaphore(MAX_HANDSHAKES)
+        self._server: Server | None = None
+        self._tasks: list[gevent.Greenlet] = []
+
+    def send(self, to: str, message: Any) -> bool:
+        """Queue a message; where there is no link yet, it waits for one within a bound."""
+        link = self._find(to)
+        if link is not None:
+            return link.send(message)
+        if self._start_opening(to) is None:
+            self.traffic.dropped(name_of(type(message)))
+            return False
+        return self._hold_back(to, message)
+
+    def request(self, to: str, message: Any, deadline: float) -> Result[Any, Fault]:
+        """Send and wait for the answer, opening a link where there is none."""
+        link = self._find(to) or self._await_link(to, deadline)
+        if link is None:
+            return Err(Fault(code=ResultCode.PEER_UNREACHABLE, detail=f"no link to {to}"))
+        outcome = link.request(message, deadline)
+        if outcome.is_err():
+            self._members.suspect(to)
+        return outcome
+
+    def handle(self, kind: type[M], handler: Callable[[Member, M], Any]) -> None:
+        register_message(kind)
+        self._handlers[kind] = handler
+
+    def start(self) -> None:
+        """Start to accept links."""
+        self._members.subscribe(self._drop_dead)
+        self._server = serve(
+            self._accept,
+            sock=self._listener,
+            ssl=self._tls.server if self._tls else None,
+            compression=None,
+            ping_interval=None,
+            open_timeout=HANDSHAKE_TIMEOUT,
+            max_size=MAX_FRAME_BYTES,
+            server_header=None,
+            logger=library_logger,
+        )
+        self._tasks = [gevent.spawn(self._server.serve_forever), gevent.spawn(self._sweep)]
+
+    def stop(self) -> None:
+        """Close all links at once."""
+        gevent.killall(self._tasks)
+        self._listener.close()
+        for link in list(self._all):
+            link.close()
+
+    def _find(self, to: str) -> PeerLink | None:
+        link = self._links.get(to)
+        return None if link is None or link.closed else link
+
+    def _hold_back(self, to: str, message: Any) -> bool:
+        pending = self._pending.setdefault(to, [])
+        if len(pending) >= MAX_PENDING:
+            self.traffic.dropped(name_of(type(message)))
+            return False
+        pending.append(message)
+        return True
+
+    def _release(self, to: str, link: PeerLink | None) -> None:
+        for message in self._pending.pop(to, []):
+            if link is None:
+                self.traffic.dropped(name_of(type(message)))
+            else:
+                link.send(message)
+
+    def _start_opening(self, to: str) -> GeventEvent | None:
+        """Open a link in its own task; ``None`` where that can't be tried now."""
+        if to in self._opening:
+            return self._opening[to]
+        member = self._members.find(to)
+        if member is None or member.state is MemberState.DEAD or to == self._members.own.name:
+            return None
+        if self._clock.now() < self._retry_at.get(to, 0.0):
+            return None
+        opened = GeventEvent()
+        self._opening[to] = opened
+        gevent.spawn(self._open, member, opened)
+        return opened
+
+    def _await_link(self, to: str, deadline: float) -> PeerLink | None:
+        opened = self._start_opening(to)
+        if opened is None:
+            return None
+        opened.wait(max(0.0, deadline - self._clock.now()))
+        return self._find(to)
+
+    def _open(self, member: Member, opened: GeventEvent) -> None:
+        link = None
+        try:
+            link = self._connect(member)
+        except (OSError, WebSocketException, TimeoutError, EOFError) as error:
+            self._note_failure(member, str(error) or type(error).__name__)
+        finally:
+            self._opening.pop(member.name, None)
+            self._release(member.name, link)
+            opened.set()
+        if link is not None:
+            self._serve_link(link)
+
+    def _connect(self, member: Member) -> PeerLink | None:
+        scheme = "wss" if self._tls else "ws"
+        connection = connect(
+            f"{scheme}://{member.address}/",
+            ssl=self._tls.client if self._tls else None,
+            compression=None,
+            ping_interval=None,
+            proxy=None,
+            open_timeout=CONNECT_TIMEOUT,
+            max_size=MAX_FRAME_BYTES,
+            user_agent_header=None,
+            logger=library_logger,
+        )
+        outcome = open_link(connection, self._members.own, member.name, self._secret)
+        return self._admit(connection, outcome, member.address)
+
+    def _accept(self, connection: Connection) -> None:
+        if not self._handshakes.acquire(blocking=False):
+            return
+        try:
+            outcome = accept_link(connection, self._members.own, self._secret)
+        except (OSError, WebSocketException, EOFError):
+            return
+        finally:
+            self._handshakes.release()
+        link = self._admit(connection, outcome, str(connection.remote_address))
+        if link is not None:
+            self._serve_link(link)
+
+    def _admit(
+        self, connection: Connection, outcome: Result[Agreement, Fault], address: str
+    ) -> PeerLink | None:
+        match outcome:
+            case Ok(agreement):
+                pass
+            case Err(fault):
+                emit(logger, Event.PEER_REFUSED, address=address, detail=fault.detail)
+                self.traffic.refused("handshake")
+                connection.close_socket()
+                return None
+        peer = _member_of(agreement)
+        known = self._members.find(peer.name)
+        if known is not None and known.incarnation > peer.incarnation:
+            emit(logger, Event.PEER_REFUSED, peer=peer.name, detail="an old incarnation")
+            self.traffic.refused("handshake")
+            connection.close_socket()
+            return None
+        _limit_silence(connection.socket)
+        link = PeerLink(
+            connection=connection,
+            agreement=agreement,
+            peer=peer,
+            clock=self._clock,
+            traffic=self.traffic,
+            deliver=self._deliver,
+        )
+        self._keep(link)
+        return link
+
+    def _keep(self, link: PeerLink) -> None:
+        """Send on the newest link of the newest incarnation; older ones only receive."""
+        name = link.peer.name
+        self._all.add(link)
+        self._retry_at.pop(name, None)
+        current = self._find(name)
+        if current is not None and current.peer.incarnation < link.peer.incarnation:
+            current.close()
+        if current is None or current.peer.incarnation <= link.peer.incarnation:
+            self._links[name] = link
+
+    def _serve_link(self, link: PeerLink) -> None:
+        try:
+            link.run()
+        finally:
+            self._all.discard(link)
+            if self._links.get(link.peer.name) is link:
+                del self._links[link.peer.name]
+
+    def _deliver(self, sender: Member, message: Any) -> Any:
+        handler = self._handlers.get(type(message))
+        return handler(sender, message) if handler else None
+
+    def _note_failure(self, member: Member, detail: str) -> None:
+        self._retry_at[member.name] = self._clock.now() + RETRY_AFTER
+        emit(logger, Event.PEER_UNREACHABLE, peer=member.name, detail=detail)
+        self._members.suspect(member.name)
+
+    def _drop_dead(self) -> None:
+        for link in list(self._all):
+            member = self._members.find(link.peer.name)
+            if member is None:
+                continue
+            replaced = member.incarnation > link.peer.incarnation
+            if replaced or member.state is MemberState.DEAD:
+                link.close()
+
+    def _sweep(self) -> None:
+        while True:
+            self._clock.sleep(SWEEP_INTERVAL)
+            idle_before = self._clock.now() - IDLE_AFTER
+            for link in list(self._all):
+                if link.idle and link.used_at < idle_before:
+                    link.close()
+
+
+def _member_of(agreement: Agreement) -> Member:
+    peer = agreement.peer
+    return Member(
+        name=peer.name,
+        incarnation=peer.incarnation,
+        address=peer.address,
+        data_centre=peer.data_centre,
+    )
+
+
+def _limit_silence(connection: socket.socket) -> None:
+    """Let the kernel end a connection whose bytes stay unacknowledged, and send at once."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -6,7 +6,7 @@
 import os
 from typing import TYPE_CHECKING
 
-from attrs import frozen
+from attrs import field, frozen
 from result import Err, Ok, Result
 
 from loomyard.errors import FieldFault, ResultCode
@@ -15,6 +15,8 @@
     from collections.abc import Mapping, Sequence
 
 ENVIRONMENT_PREFIX = "LOOMYARD_"
+FLEET_SECRET_VARIABLE = ENVIRONMENT_PREFIX + "FLEET_SECRET"
+MAX_SECRETS = 2
 POLICIES = ("fleet", "local", "fifo")
 
 
@@ -30,6 +32,14 @@
     position: int = 0
     routers: int = 1
     log_format: str = "text"
+    peer_listen: str = ""
+    peers: tuple[str, ...] = ()
+    fleet_secret: tuple[str, ...] = field(default=(), repr=False)
+    peer_certificate: str = ""
+    peer_key: str = ""
+    peer_authority: str = ""
+    vm_list: str = ""
+    probe_period: float = 0.5
 
 
 def parse_settings(
@@ -38,6 +48,9 @@
     """Read flags over environment variables over defaults, and check them all."""
     parser = make_parser(environment)
     namespace = parser.parse_args(list(arguments))
+    if not namespace.fleet_secret:
+        # Not as a default of the parser, which ``--help`` would print.
+        namespace.fleet_secret = _split(environment.get(FLEET_SECRET_VARIABLE, ""))
     settings = Settings(**vars(namespace))
     faults = _check(settings)
     return Err(faults) if faults else Ok(settings)
@@ -68,6 +81,20 @@
     add("position", 0, "position of this router for the local policy", type=int)
     add("routers", 1, "number of routers for the local policy", type=int)
     add("log-format", "text", "text or json", choices=("text", "json"))
+    add("peer-listen", "", "TCP and UDP address for other routers; none: a fleet of one")
+    add("peers", "", "addresses of some other routers, with commas", type=_split)
+    parser.add_argument(
+        "--fleet-secret",
+        default=(),
+        type=_split,
+        help="secret of the fleet; two with a comma while it is changed, the first one signs;"
+        f" better set by [{FLEET_SECRET_VARIABLE}]",
+    )
+    add("peer-certificate", "", "PEM certificate for TLS between routers")
+    add("peer-key", "", "PEM key of the certificate")
+    add("peer-authority", "", "PEM authority that signs the routers' certificates")
+    add("vm-list", "", "address of the VM list")
+    add("probe-period", 0.5, "seconds between probes of other routers", type=float)
     return parser
 
 
@@ -78,9 +105,34 @@
         host, _, port = value.rpartition(":")
         if not host or not port.isdigit():
             faults.append(_fault(name, f"not host:port: {value!r}"))
+    return faults + _check_peers(settings)
+
+
+def _check_peers(settings: Settings) -> list[FieldFault]:
+    faults = []
+    addresses = [("peers", peer) for peer in settings.peers]
+    for name in ("peer_listen", "vm_list"):
+        addresses += [(name, getattr(settings, name))] if getattr(settings, name) else []
+    for name, value in addresses:
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit():
+            faults.append(_fault(name, f"not host:port: {value!r}"))
+    if settings.peer_listen and not settings.fleet_secret:
+        faults.append(_fault("fleet_secret", "needed with peer_listen"))
+    if len(settings.fleet_secret) > MAX_SECRETS:
+        faults.append(_fault("fleet_secret", f"more than {MAX_SECRETS}"))
+    certificates = (settings.peer_certificate, settings.peer_key, settings.peer_authority)
+    if any(certificates) and not all(certificates):
+        faults.append(_fault("peer_certificate", "certificate, key and authority go together"))
+    if settings.probe_period <= 0:
+        faults.append(_fault("probe_period", "not above 0"))
     return faults
 
 
+def _split(text: str) -> tuple[str, ...]:
+    return tuple(part.strip() for part in text.split(",") if part.strip())
+
+
 def _fault(name: str, detail: str) -> FieldFault:
     return FieldFault(
         source="settings",
--- a/packages/loomyard-standins/src/loomyard_standins/fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/fleet.py
@@ -19,6 +19,7 @@
     ServiceType,
     Target,
 )
+from loomyard.platform.vm_list import Vm
 from loomyard_router.application import Application, make_application
 from loomyard_router.callers.keys import digest_key
 from loomyard_router.configuration.follower import CONFIG_STREAM
@@ -26,9 +27,11 @@
 from loomyard_standins.engine import EngineServer
 from loomyard_standins.log_service import LogServer, MemoryLog
 from loomyard_standins.plain_service import PlainServer
+from loomyard_standins.vm_list import MemoryVmList, VmListServer
 
 ACCOUNTS = {"kiosk": 1.0, "genealogy": 1.0, "labels": 1.0, "handover": 2.0}
 DATA_CENTRES = ("dc-1", "dc-2")
+FLEET_SECRET = "stand-in fleet"
 
 
 @define(eq=False)
@@ -38,6 +41,7 @@
     log: LogServer
     engines: list[EngineServer] = field(factory=list)
     plain: PlainServer = field(factory=PlainServer)
+    vms: VmListServer = field(factory=lambda: VmListServer(MemoryVmList()))
     routers: list[Application] = field(factory=list)
 
     @property
@@ -51,9 +55,21 @@
         while any(router.parts.follower.state.version < version for router in self.routers):
             gevent.sleep(0.01)
 
+    def list_vm(self, router: Application) -> None:
+        """Put the VM of a router on the VM list."""
+        own = router.parts.members.own
+        vm = Vm(name=own.name, data_centre=own.data_centre, address=own.address)
+        self.vms.vm_list.vms.append(vm)
+        self.vms.vm_list.publish()
+
+    def await_members(self) -> None:
+        """Wait until every router knows all."""
+        while any(len(r.parts.members.live()) < len(self.routers) for r in self.routers):
+            gevent.sleep(0.01)
+
     def stop(self) -> None:
         """Stop everything."""
-        for part in [*self.routers, *self.engines, self.plain, self.log]:
+        for part in [*self.routers, *self.engines, self.plain, self.vms, self.log]:
             part.stop()
 
 
@@ -62,6 +78,7 @@
     fleet = StandinFleet(LogServer(MemoryLog()))
     fleet.log.start()
     fleet.plain.start()
+    fleet.vms.start()
     for _ in range(engines):
         engine = EngineServer(model="assistant")
         engine.start()
@@ -75,10 +92,16 @@
             policy=policy,
             position=position,
             routers=routers,
+            peer_listen="127.0.0.1:0",
+            peers=tuple(router.parts.members.own.address for router in fleet.routers[:1]),
+            fleet_secret=(FLEET_SECRET,),
+            vm_list=fleet.vms.address,
         )
         router = make_application(settings)
         router.start()
         fleet.routers.append(router)
+        fleet.list_vm(router)
+    fleet.await_members()
     fleet.publish(sample_objects(fleet))
     return fleet
 
--- a/packages/loomyard-standins/src/loomyard_standins/vm_list.py
+++ b/packages/loomyard-standins/src/loomyard_standins/vm_list.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import json
+from typing import TYPE_CHECKING, Any
 
+from gevent.pywsgi import WSGIServer
 from result import Err, Ok, Result
 
+from loomyard.codec import CODEC
 from loomyard.errors import Fault, ResultCode
+from loomyard.platform.vm_list import Vm
 
 if TYPE_CHECKING:
-    from loomyard.platform.vm_list import Vm
+    from collections.abc import Callable, Iterable
 
 
 class MemoryVmList:
@@ -26,5 +30,34 @@
 
     def read(self) -> Result[list[Vm], Fault]:
         if self.down:
-            return Err(Fault(code=ResultCode.LOG_UNAVAILABLE, detail="the VM list is down"))
+            return Err(Fault(code=ResultCode.VM_LIST_UNAVAILABLE, detail="the VM list is down"))
         return Ok(list(self._published))
+
+
+class VmListServer:
+    """A ``MemoryVmList`` over HTTP."""
+
+    def __init__(self, vm_list: MemoryVmList, listen: tuple[str, int] = ("127.0.0.1", 0)) -> None:
+        self.vm_list = vm_list
+        self._server = WSGIServer(listen, self._serve, log=None)
+
+    @property
+    def address(self) -> str:
+        return f"{self._server.server_host}:{self._server.server_port}"
+
+    def start(self) -> None:
+        """Start to serve."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop to serve."""
+        self._server.stop()
+
+    def _serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
+        match self.vm_list.read():
+            case Ok(vms):
+                start_response("200 OK", [("Content-Type", "application/json")])
+                return [json.dumps(CODEC.unstructure(vms, list[Vm])).encode()]
+            case Err(_):
+                start_response("503 Service Unavailable", [])
+        return [b""]
