--- a/packages/loomyard/src/loomyard/errors.py
+++ b/packages/loomyard/src/loomyard/errors.py
@@ -58,6 +58,7 @@
     ANSWER_INVALID = 3006, "the answer is not one to this request"
     STREAM_GONE = 3007, "the target no longer has the stream"
     ORDER_FENCED = 3008, "the engine refused an order with an old fencing number"
+    TARGET_FAILED = 3009, "the engine answered with an error of its own"
 
     KEY_REUSED = 4001, "the idempotency key was used for another request"
     KEY_EXPIRED = 4002, "the idempotency key is older than the window"
