Let the stand-in engine publish its cache and take orders

The engine had a prefix cache that nobody saw and no orders. It now answers /cache-events (bounded, lagging, with gaps) and /orders with and without the check of the fencing number, refuses new work while leaving (503, Loomyard-Not-Run: 1, Loomyard-Leaving: 1), takes longer for the first step on a cache miss, and can report its load late or not at all.

Conclusion: tests of targets and orders can count from what the engine saw.

--- a/packages/loomyard-standins/src/loomyard_standins/engine.py
+++ b/packages/loomyard-standins/src/loomyard_standins/engine.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
-from collections import OrderedDict
+import time
+from collections import OrderedDict, deque
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs
 
@@ -14,13 +14,21 @@
 from gevent.lock import BoundedSemaphore
 from gevent.pywsgi import WSGIServer
 
+from loomyard.codec import CODEC
+from loomyard.platform.engine import EngineOrder
+from loomyard.prefixes import prefix_of
+from loomyard_standins.engine_cache import CAPACITY, PrefixCache
+from loomyard_standins.engine_orders import OrderBook
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
 DEFAULT_TOKENS = 16
 KEPT_STREAMS = 256
-CACHED_PREFIXES = 64
-PREFIX_LENGTH = 256
+HIT_PART = 0.1
+SAMPLES_PER_LAG = 8
+NOT_RUN = [("Loomyard-Not-Run", "1"), ("Content-Type", "application/json")]
+LEAVING = [*NOT_RUN, ("Loomyard-Leaving", "1")]
 
 
 @define(eq=False)
@@ -38,7 +46,12 @@
 
 
 class EngineServer:
-    """An engine that makes one token of each running request every step."""
+    """An engine that makes one token of each running request every step.
+
+    The first step takes ``prefill_seconds`` more, and ``HIT_PART`` of them on a cached prefix.
+    Faults: ``leaving`` and ``failing`` refuse new work, ``load_silent`` answers no load report,
+    ``load_lag`` is the age of a load report in seconds.
+    """
 
     def __init__(
         self,
@@ -47,16 +60,26 @@
         slots: int = 8,
         step_seconds: float = 0.003,
         listen: tuple[str, int] = ("127.0.0.1", 0),
+        prefill_seconds: float = 0.0,
+        cached_prefixes: int = CAPACITY,
+        checks_fencing: bool = False,
+        load_lag: float = 0.0,
     ) -> None:
         self.model = model
+        self.prefill_seconds = prefill_seconds
+        self.cache = PrefixCache(cached_prefixes)
+        self.orders = OrderBook([model], checks_fencing)
+        self.load_lag = load_lag
+        self.leaving = False
+        self.failing = False
+        self.load_silent = False
+        self._samples: deque[tuple[float, dict[str, Any]]] = deque()
         self.step_seconds = step_seconds
         self.streams: OrderedDict[str, EngineStream] = OrderedDict()
         self.opened: list[str] = []
         self.running = 0
         self.waiting = 0
-        self.highest_fencing = -1
         self._slots = BoundedSemaphore(slots)
-        self._prefixes: OrderedDict[str, None] = OrderedDict()
         self._server = WSGIServer(listen, self._serve, log=None)
 
     @property
@@ -66,9 +89,12 @@
     def start(self) -> None:
         """Start to serve."""
         self._server.start()
+        if self.load_lag:
+            gevent.spawn(self._sample_load)
 
     def stop(self) -> None:
         """Stop to serve."""
+        self.load_lag = 0.0
         self._server.stop()
 
     def _serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
@@ -83,12 +109,25 @@
             _start_stream(start_response, stream)
             return _follow(stream, int(query["after"][0]) + 1)
         if parts[0] == "load":
-            return _json(start_response, self._load())
+            return self._report_load(start_response)
+        if parts[0] == "cache-events":
+            events = self.cache.events_after(int(query["after"][0]))
+            return _json(start_response, CODEC.unstructure(events))
+        if parts[0] == "orders":
+            fencing = int(query["fencing"][0])
+            order = EngineOrder(action=parts[1], subject=parts[2], fencing=fencing)
+            return self._take_order(order, start_response)
         start_response("404 Not Found", [])
         return [b""]
 
     def _complete(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
         body = json.loads(environ["wsgi.input"].read())
+        if self.leaving or self.failing:
+            start_response("503 Service Unavailable", LEAVING if self.leaving else NOT_RUN)
+            return [b"{}"]
+        if self.orders.taken and body.get("model") not in self.orders.models:
+            start_response("404 Not Found", NOT_RUN)
+            return [b"{}"]
         attempt = environ.get("HTTP_LOOMYARD_ATTEMPT", "")
         chat = environ["PATH_INFO"].endswith("/chat/completions")
         prompt = json.dumps(body.get("messages") or body.get("prompt", ""))
@@ -99,8 +138,9 @@
         self.streams[attempt] = stream
         while len(self.streams) > KEPT_STREAMS:
             self.streams.popitem(last=False)
-        self._touch_prefix(prompt)
-        gevent.spawn(self._generate, stream, chat)
+        hit = self.cache.touch(prefix_of(body))
+        prefill = self.prefill_seconds * (HIT_PART if hit else 1.0)
+        gevent.spawn(self._generate, stream, chat, prefill)
         if body.get("stream"):
             _start_stream(start_response, stream)
             return _follow(stream, 0)
@@ -108,11 +148,13 @@
             pass
         return _json(start_response, self._whole(stream, chat), attempt)
 
-    def _generate(self, stream: EngineStream, chat: bool) -> None:
+    def _generate(self, stream: EngineStream, chat: bool, prefill: float) -> None:
         self.waiting += 1
         with self._slots:
             self.waiting -= 1
             self.running += 1
+            if prefill:
+                gevent.sleep(prefill)
             for number in range(stream.tokens):
                 gevent.sleep(self.step_seconds)
                 if stream.cancelled:
@@ -163,16 +205,35 @@
             "running": self.running,
             "waiting": self.waiting,
             "step_seconds": self.step_seconds,
-            "models": [self.model],
-            "fencing": self.highest_fencing,
+            "models": list(self.orders.models),
+            "fencing": self.orders.highest_fencing,
+            "leaving": self.leaving,
         }
 
-    def _touch_prefix(self, prompt: str) -> None:
-        prefix = hashlib.sha256(prompt[:PREFIX_LENGTH].encode()).hexdigest()
-        self._prefixes[prefix] = None
-        self._prefixes.move_to_end(prefix)
-        while len(self._prefixes) > CACHED_PREFIXES:
-            self._prefixes.popitem(last=False)
+    def _report_load(self, start_response: Callable) -> Iterable[bytes]:
+        if self.load_silent:
+            start_response("503 Service Unavailable", [])
+            return [b""]
+        return _json(start_response, self._lagging_load())
+
+    def _lagging_load(self) -> dict[str, Any]:
+        if not self.load_lag:
+            return self._load()
+        known_since = time.monotonic() - self.load_lag
+        while len(self._samples) > 1 and self._samples[1][0] <= known_since:
+            self._samples.popleft()
+        return self._samples[0][1] if self._samples else self._load()
+
+    def _sample_load(self) -> None:
+        while self.load_lag:
+            self._samples.append((time.monotonic(), self._load()))
+            gevent.sleep(self.load_lag / SAMPLES_PER_LAG)
+
+    def _take_order(self, order: EngineOrder, start_response: Callable) -> Iterable[bytes]:
+        if not self.orders.take(order):
+            start_response("409 Conflict", [("Content-Type", "application/json")])
+            return [b'"old fencing number"']
+        return _json(start_response, {})
 
 
 def _push(stream: EngineStream, data: str) -> None:
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/engine_cache.py
@@ -0,0 +1,64 @@
+"""The prefix cache of an engine: bounded, with events that come late and with gaps."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+
+from loomyard.platform.engine import CacheEvent
+
+CAPACITY = 64
+KEPT_EVENTS = 512
+
+
+class PrefixCache:
+    """The least recently used prefix leaves first.
+
+    ``lag`` newest events are held back; ``lose`` counts events to come that are never published.
+    """
+
+    def __init__(self, capacity: int = CAPACITY, kept_events: int = KEPT_EVENTS) -> None:
+        self.lag = 0
+        self.lose = 0
+        self.hits = 0
+        self.misses = 0
+        self._capacity = capacity
+        self._prefixes: OrderedDict[str, None] = OrderedDict()
+        self._events: deque[CacheEvent] = deque(maxlen=kept_events)
+        self._sequence = 0
+
+    def __contains__(self, prefix: str) -> bool:
+        return prefix in self._prefixes
+
+    def touch(self, prefix: str) -> bool:
+        """Use a prefix; tell whether it was there."""
+        if prefix in self._prefixes:
+            self.hits += 1
+            self._prefixes.move_to_end(prefix)
+            return True
+        self.misses += 1
+        self._prefixes[prefix] = None
+        self._publish(prefix, stored=True)
+        while len(self._prefixes) > self._capacity:
+            evicted, _ = self._prefixes.popitem(last=False)
+            self._publish(evicted, stored=False)
+        return False
+
+    def clear(self) -> None:
+        """Forget everything and number events from the start, as a restart does."""
+        self._prefixes.clear()
+        self._events.clear()
+        self._sequence = 0
+
+    def events_after(self, sequence: int) -> list[CacheEvent]:
+        """Return the published events after a number; all kept ones after a restart."""
+        published = list(self._events)[: max(0, len(self._events) - self.lag)]
+        if sequence > self._sequence:
+            return published
+        return [event for event in published if event.sequence > sequence]
+
+    def _publish(self, prefix: str, *, stored: bool) -> None:
+        self._sequence += 1
+        if self.lose:
+            self.lose -= 1
+            return
+        self._events.append(CacheEvent(sequence=self._sequence, prefix=prefix, stored=stored))
