--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/targets/slot_estimate.py
@@ -0,0 +1,102 @@
+"""How many requests keep an engine just full, from its lagging load reports."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from loomyard.platform.engine import LoadReport
+
+MAX_SLOTS = 4096
+# The estimate never passes this many times the configured slots.
+MAX_GROWTH = 4
+# Queued requests that are welcome: the next one starts while the answer to the last travels.
+ALLOWANCE_PART = 0.05
+GROWTH_PART = 0.25
+REPORTS_TO_SHRINK = 3
+# Growing must add at least this part of the throughput that it would add to a perfect engine.
+MIN_GAIN = 0.25
+REPROBE_SECONDS = 60.0
+MAX_REPROBE_SECONDS = 960.0
+
+
+class SlotEstimate:
+    """Grow where a report shows the last growth in use without a queue; else read the limit off.
+
+    A full engine with a queue shows its limit as ``running``, however old the report is, so
+    shrinking needs no control loop that could swing with the lag.
+    """
+
+    def __init__(self, start: int) -> None:
+        self._start = start
+        self._slots = start
+        self._queueing: deque[int] = deque(maxlen=REPORTS_TO_SHRINK)
+        self._last_full: tuple[int, float] | None = None
+        self._grow_after = float("-inf")
+        self._reprobe = REPROBE_SECONDS
+
+    @property
+    def slots(self) -> int:
+        return self._slots
+
+    def restart(self, start: int, slots: int | None = None) -> None:
+        """Begin again from a new configuration or from what a peer found."""
+        self.__init__(start)  # type: ignore[misc]
+        self._slots = self._bounded(start if slots is None else slots)
+
+    def observe(self, report: LoadReport, now: float) -> bool:
+        """Take a report in; tell whether the estimate changed."""
+        before = self._slots
+        if report.waiting > allowance(report.running):
+            self._see_queue(report, now)
+        else:
+            self._queueing.clear()
+            if report.running >= self._slots:
+                self._see_full(report, now)
+        return self._slots != before
+
+    def _see_queue(self, report: LoadReport, now: float) -> None:
+        self._queueing.append(report.running)
+        if len(self._queueing) < REPORTS_TO_SHRINK:
+            return
+        limit = max(self._queueing)
+        found = self._bounded(limit + allowance(limit))
+        if found < self._slots:
+            self._slots = found
+            self._hold_growth(now)
+
+    def _see_full(self, report: LoadReport, now: float) -> None:
+        if self._gained_too_little(report):
+            assert self._last_full is not None
+            self._slots = self._bounded(self._last_full[0])
+            self._last_full = None
+            self._hold_growth(now)
+            return
+        if now < self._grow_after:
+            return
+        if report.step_seconds > 0:
+            self._last_full = (report.running, report.step_seconds)
+        self._slots = self._bounded(self._slots + max(1, int(self._slots * GROWTH_PART)))
+
+    def _gained_too_little(self, report: LoadReport) -> bool:
+        if self._last_full is None or report.step_seconds <= 0:
+            return False
+        running, step_seconds = self._last_full
+        if report.running <= running:
+            return False
+        wanted = 1 + MIN_GAIN * (report.running / running - 1)
+        gain = (report.running / report.step_seconds) / (running / step_seconds)
+        return gain < wanted
+
+    def _hold_growth(self, now: float) -> None:
+        self._grow_after = now + self._reprobe
+        self._reprobe = min(2 * self._reprobe, MAX_REPROBE_SECONDS)
+
+    def _bounded(self, slots: int) -> int:
+        return max(1, min(slots, self._start * MAX_GROWTH, MAX_SLOTS))
+
+
+def allowance(running: int) -> int:
+    """Return how many requests may queue at an engine that runs some."""
+    return max(1, round(running * ALLOWANCE_PART))
