Fake the interfaces of a router and check what callers and targets saw

Cause: the promises have to be proved under faults from what callers and targets see, with no sockets and an injected clock. A fake fleet of routers stands between a fake engine, the log in memory and callers that call the WSGI application; named fault points freeze, cut or end one router at one step. Ten invariants have a checker each; each checker was first seen to fail on a planted bug (tests/test_loomyard_standins/test_checkers.py), and none reports a sound run. The application names its callers' app, so that a call needs no socket.

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -39,6 +39,7 @@
 
     def __init__(self, settings: Settings, parts: Parts, callers: CallersApp) -> None:
         self.parts = parts
+        self.callers = callers
         self._settings = settings
         host, _, port = settings.listen.rpartition(":")
         self._server = WSGIServer((host, int(port)), callers, log=None, error_log=logger)
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes at the interfaces, invariant checkers and the fault matrix."""
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_call.py
@@ -0,0 +1,118 @@
+"""A caller that calls a router's application without a socket."""
+
+from __future__ import annotations
+
+import io
+import json
+from typing import TYPE_CHECKING, Any
+
+from gevent import GreenletExit
+
+from loomyard_standins.faults.fake_target import expected_text, plain_body
+from loomyard_standins.faults.sightings import CallerSaw, Ending
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard.clock import Clock
+
+MODEL = "assistant"
+PLAIN = "records"
+MODEL_PATH = "/v1/completions"
+RECEIPTS_PATH = f"/services/{PLAIN}/receipts"
+LOOKUPS_PATH = f"/services/{PLAIN}/lookups"
+TEST_HOST = "127.0.0.1"
+EXECUTED = "executed"
+
+
+def fake_key(account: str) -> str:
+    """Return the bearer key of an account."""
+    return f"key-{account}"
+
+
+def make_model_call(
+    marker: str, router: str, now: float, *, tokens: int = 6, stream: bool = True
+) -> tuple[CallerSaw, dict[str, Any]]:
+    """Make a call of the model service and its WSGI environ."""
+    body = {"model": MODEL, "prompt": marker, "max_tokens": tokens, "stream": stream}
+    saw = CallerSaw(
+        marker=marker,
+        account=marker.partition("/")[0],
+        router=router,
+        expected=expected_text(marker, tokens),
+        started=now,
+        stream=stream,
+    )
+    return saw, make_environ(saw.account, MODEL_PATH, json.dumps(body).encode())
+
+
+def make_plain_call(
+    marker: str, router: str, now: float, *, idempotent: bool = False, key: str | None = None
+) -> tuple[CallerSaw, dict[str, Any]]:
+    """Make a call of the plain service and its WSGI environ."""
+    saw = CallerSaw(
+        marker=marker,
+        account=marker.partition("/")[0],
+        router=router,
+        expected=plain_body(marker),
+        started=now,
+        idempotent=idempotent,
+    )
+    path = LOOKUPS_PATH if idempotent else RECEIPTS_PATH
+    environ = make_environ(saw.account, path, marker.encode())
+    if key is not None:
+        environ["HTTP_IDEMPOTENCY_KEY"] = key
+    return saw, environ
+
+
+def make_environ(account: str, path: str, body: bytes, method: str = "POST") -> dict[str, Any]:
+    """Make a WSGI environ."""
+    return {
+        "REQUEST_METHOD": method,
+        "SCRIPT_NAME": "",
+        "PATH_INFO": path,
+        "QUERY_STRING": "",
+        "SERVER_PROTOCOL": "HTTP/1.1",
+        "SERVER_NAME": TEST_HOST,
+        "SERVER_PORT": "80",
+        "REMOTE_ADDR": TEST_HOST,
+        "HTTP_AUTHORIZATION": f"Bearer {fake_key(account)}",
+        "CONTENT_TYPE": "application/json",
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.input": io.BytesIO(body),
+        "wsgi.errors": io.StringIO(),
+        "wsgi.url_scheme": "http",
+    }
+
+
+def perform(app: Callable[..., Any], environ: dict[str, Any], saw: CallerSaw, clock: Clock) -> None:
+    """Call, read the answer to its end and note how it ended."""
+
+    def start_response(status: str, headers: list[tuple[str, str]], *_: Any) -> Any:
+        saw.status = int(status.split()[0])
+        saw.headers = {name.lower(): value for name, value in headers}
+        return None
+
+    body: Any = None
+    try:
+        body = app(environ, start_response)
+        for data in body:
+            saw.body += data
+        saw.ending = Ending.WHOLE
+    except (Exception, GreenletExit):
+        # The WSGI server closes the connection without the end of the body.
+        saw.ending = Ending.CUT
+    finally:
+        saw.ended = clock.now()
+        _read_problem(saw)
+        if hasattr(body, "close"):
+            body.close()
+
+
+def _read_problem(saw: CallerSaw) -> None:
+    try:
+        problem = json.loads(saw.body)
+        details = problem["error"]["loomyard"] if "error" in problem else problem
+        saw.executed, saw.code = details[EXECUTED], details["code"]
+    except (ValueError, LookupError, TypeError):
+        return
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
@@ -0,0 +1,284 @@
+"""Two or three routers in one process, with fakes at every interface."""
+
+from __future__ import annotations
+
+import secrets
+from contextlib import suppress
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from result import Ok
+
+from loomyard.codec import encode
+from loomyard.configuration import Change, Put
+from loomyard.objects import (
+    ClientAccount,
+    ConfigObject,
+    Metadata,
+    Operation,
+    Route,
+    Service,
+    ServiceType,
+    Target,
+)
+from loomyard_router.application import make_application
+from loomyard_router.callers.keys import digest_key
+from loomyard_router.configuration.follower import CONFIG_STREAM
+from loomyard_router.parts import Platform
+from loomyard_router.settings import Settings
+from loomyard_standins.fake_clock import FakeClock
+from loomyard_standins.faults.fake_call import (
+    MODEL,
+    PLAIN,
+    fake_key,
+    make_environ,
+    make_model_call,
+    make_plain_call,
+    perform,
+)
+from loomyard_standins.faults.fake_engine import FakeEngine
+from loomyard_standins.faults.fake_router import FakeRouter
+from loomyard_standins.faults.fake_target import FakeTarget
+from loomyard_standins.faults.fault_points import FaultPoints, RouterKilled
+from loomyard_standins.faults.pointed_platform import (
+    PointedClock,
+    PointedEngine,
+    PointedLog,
+    PointedVmList,
+)
+from loomyard_standins.faults.sightings import CallerSaw, Ending, GenerationSeen, Sightings
+from loomyard_standins.log_service import MemoryLog
+from loomyard_standins.memory_network import MemoryNetwork
+from loomyard_standins.vm_list import MemoryVmList
+from loomyard_standins.weight_store import LimitedWeightStore
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard.platform.engine import Engine
+
+    App = Callable[..., Any]
+
+ACCOUNTS = ("kiosk", "genealogy", "labels")
+STEP_SECONDS = 0.05
+TURNS = 12
+LOAD_INTERVAL = 1.0
+GENERATION_PREFIX = "generation-"
+WATCHER = "kiosk"
+
+
+class FakeFleet:
+    """Routers with fakes at their interfaces and one clock that tests move.
+
+    ``wrap_engine`` may put a planted bug between each router and its targets, ``wrap_app``
+    between each router and its callers.
+    """
+
+    def __init__(
+        self,
+        *,
+        routers: int = 2,
+        policy: str = "local",
+        wrap_engine: Callable[[Engine], Engine] = lambda engine: engine,
+        wrap_app: Callable[[App], App] = lambda app: app,
+        checks_fencing: bool = True,
+    ) -> None:
+        self.clock = FakeClock()
+        self.sightings = Sightings()
+        self.log = MemoryLog()
+        self.vm_list = MemoryVmList()
+        self.network = MemoryNetwork()
+        self.weight_store = LimitedWeightStore(self.clock, interval=LOAD_INTERVAL)
+        self.engines = [
+            FakeTarget(f"engine-{n}", self.clock, self.sightings, checks_fencing=checks_fencing)
+            for n in range(2)
+        ]
+        self.records = [
+            FakeTarget(f"records-{n}", self.clock, self.sightings, plain=True) for n in range(2)
+        ]
+        self.targets = {target.name: target for target in [*self.engines, *self.records]}
+        self.routers: dict[str, FakeRouter] = {}
+        self.generation = 0
+        self._wrap_engine = wrap_engine
+        self._wrap_app = wrap_app
+        self._policy = policy
+        self._count = routers
+        self._starts = 0
+        self.publish(self._objects())
+        for position in range(routers):
+            self.start(f"router-{position}")
+        self.turn()
+
+    def start(self, name: str) -> FakeRouter:
+        """Start a router, empty; a start of the same name replaces it."""
+        points = FaultPoints()
+        engine = self._wrap_engine(FakeEngine(list(self.targets.values())))
+        platform = Platform(
+            clock=PointedClock(self.clock, points),
+            log=PointedLog(self.log, points),
+            engine=PointedEngine(engine, points),
+            vm_list=PointedVmList(self.vm_list, points),
+            weight_store=self.weight_store,
+        )
+        settings = Settings(
+            name=name,
+            listen="127.0.0.1:0",
+            log_service="127.0.0.1:1",
+            policy=self._policy,
+            position=int(name.rpartition("-")[2]),
+            routers=self._count,
+        )
+        self._starts += 1
+        router = FakeRouter(name, make_application(settings, platform), points)
+        self.routers[name] = router
+        router.application.start()
+        return router
+
+    def kill(self, name: str) -> None:
+        """End a router at once; its callers see their connections break."""
+        router = self.routers[name]
+        router.points.kill()
+        self.network.leave(name)
+        with suppress(RouterKilled):
+            router.application.stop()
+        gevent.killall([call for call in router.calls if call is not gevent.getcurrent()])
+
+    def restart(self, name: str) -> None:
+        """Kill a router and start it again, empty."""
+        self.kill(name)
+        self.start(name)
+
+    def cut(self, name: str) -> None:
+        """Cut a router from the log service and from the other routers."""
+        self.routers[name].points.log_cut = True
+        self.network.cut({name}, set(self.routers) - {name})
+
+    def heal(self) -> None:
+        """Mend every lasting fault that is not a death."""
+        self.network.heal()
+        self.log.down = False
+        self.log.delay = 0.0
+        for router in self.routers.values():
+            router.points.log_cut = False
+            router.points.wake()
+        for target in self.targets.values():
+            target.release()
+            if not target.up:
+                target.revive()
+        self.vm_list.publish()
+
+    def turn(self, turns: int = TURNS) -> None:
+        """Let every task run that can."""
+        for _ in range(turns):
+            gevent.sleep(0)
+
+    def run(self, seconds: float) -> None:
+        """Move the clock in small steps."""
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.clock.advance(STEP_SECONDS)
+            self.turn()
+
+    def call_model(
+        self, marker: str, router: str, *, tokens: int = 6, stream: bool = True
+    ) -> CallerSaw:
+        """Start a call of the model service."""
+        saw, environ = make_model_call(
+            marker, router, self.clock.now(), tokens=tokens, stream=stream
+        )
+        return self._call(saw, environ)
+
+    def call_plain(
+        self, marker: str, router: str, *, idempotent: bool = False, key: str | None = None
+    ) -> CallerSaw:
+        """Start a call of the plain service."""
+        saw, environ = make_plain_call(
+            marker, router, self.clock.now(), idempotent=idempotent, key=key
+        )
+        return self._call(saw, environ)
+
+    def publish(self, objects: list[ConfigObject]) -> bool:
+        """Append a change of new objects; false where the log service refuses."""
+        change = Change(change_id=secrets.token_hex(8), puts=[Put(object=o) for o in objects])
+        return isinstance(self.log.append(CONFIG_STREAM, encode(change)), Ok)
+
+    def publish_generation(self) -> None:
+        """Publish a service whose presence callers can see."""
+        self.generation += 1
+        name = f"{GENERATION_PREFIX}{self.generation}"
+        objects: list[ConfigObject] = [
+            Service(metadata=Metadata(name=name)),
+            Route(metadata=Metadata(name=name), service=name, targets="kind=engine"),
+        ]
+        if self.publish(objects):
+            reachable = frozenset(
+                name
+                for name, router in self.routers.items()
+                if not (router.points.paused or router.points.log_cut or router.points.dead)
+            )
+            self.sightings.generations[self.generation] = (self.clock.now(), reachable)
+
+    def watch_generation(self, name: str) -> None:
+        """Let a caller list the models of a router and note the newest generation."""
+        router = self.routers[name]
+        if router.points.paused or router.points.dead:
+            return
+        environ = make_environ(WATCHER, "/v1/models", b"", method="GET")
+        saw = CallerSaw(
+            marker="", account=WATCHER, router=name, expected="", started=self.clock.now()
+        )
+        perform(router.application.callers, environ, saw, self.clock)
+        if saw.ending is not Ending.WHOLE or saw.status != 200:
+            return
+        prefix = f'"{GENERATION_PREFIX}'.encode()
+        numbers = [int(part.split(b'"')[0]) for part in saw.body.split(prefix)[1:]]
+        self.sightings.seen.append(
+            GenerationSeen(router=name, at=self.clock.now(), generation=max(numbers, default=0))
+        )
+
+    def watch_generations(self) -> None:
+        """Watch the generation of every router."""
+        for name in self.routers:
+            self.watch_generation(name)
+
+    def close(self) -> None:
+        """End every router."""
+        for name in list(self.routers):
+            self.kill(name)
+        self.turn()
+
+    def _call(self, saw: CallerSaw, environ: dict[str, Any]) -> CallerSaw:
+        self.sightings.callers.append(saw)
+        router = self.routers[saw.router]
+        if router.points.dead:
+            saw.ending, saw.ended = Ending.CUT, self.clock.now()
+            return saw
+        app = self._wrap_app(router.application.callers)
+        router.calls.append(gevent.spawn(perform, app, environ, saw, self.clock))
+        self.turn()
+        return saw
+
+    def _objects(self) -> list[ConfigObject]:
+        receipts = Operation(path="/receipts", method="POST", idempotent=False)
+        accounts = [
+            ClientAccount(metadata=Metadata(name=name), key_digests=[digest_key(fake_key(name))])
+            for name in ACCOUNTS
+        ]
+        services = [
+            Service(metadata=Metadata(name=MODEL), default_cost=10.0),
+            Service(metadata=Metadata(name=PLAIN), type=ServiceType.PLAIN, operations=[receipts]),
+        ]
+        targets = [self._target_object(target) for target in self.targets.values()]
+        routes = [Route(metadata=Metadata(name=name), service=name) for name in (MODEL, PLAIN)]
+        return [*accounts, *services, *targets, *routes]
+
+    def _target_object(self, target: FakeTarget) -> Target:
+        return Target(
+            metadata=Metadata(
+                name=target.name, labels={"kind": "plain" if target.plain else "engine"}
+            ),
+            url=target.url,
+            services=[PLAIN if target.plain else MODEL],
+            slots=2,
+            vm=target.name,
+            checks_fencing=target.checks_fencing,
+        )
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_router.py
@@ -0,0 +1,19 @@
+"""One start of a router in a fake fleet."""
+
+from __future__ import annotations
+
+from attrs import define, field
+from gevent import Greenlet
+
+from loomyard_router.application import Application
+from loomyard_standins.faults.fault_points import FaultPoints
+
+
+@define(eq=False)
+class FakeRouter:
+    """A router, its fault points and the tasks of its callers."""
+
+    name: str
+    application: Application
+    points: FaultPoints
+    calls: list[Greenlet] = field(factory=list)
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_target.py
@@ -0,0 +1,275 @@
+"""A target in memory that fails as it is told and keeps what it saw."""
+
+from __future__ import annotations
+
+import json
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+from gevent.event import Event
+from result import Err, Ok, Result
+
+from loomyard.errors import Executed, Fault, ResultCode
+from loomyard.platform.engine import CacheEvent, EngineOrder, LoadReport, TargetCall
+from loomyard_standins.faults.answer_fault import AnswerFault
+from loomyard_standins.faults.fake_answer import FakeAnswer
+from loomyard_standins.faults.sightings import OrderSeen, Run
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard.clock import Clock
+    from loomyard_standins.faults.sightings import Sightings
+
+DEFAULT_TOKENS = 6
+LATE_SECONDS = 1.0
+STEP_SECONDS = 0.003
+EVENT_STREAM = "text/event-stream"
+JSON_TYPE = "application/json"
+BROKEN = frozenset(
+    [
+        AnswerFault.GONE_DURING,
+        AnswerFault.HALF,
+        AnswerFault.HALF_FORGOTTEN,
+        AnswerFault.DOUBLED,
+    ]
+)
+
+
+class FakeTarget:
+    """A model engine or a plain server.
+
+    ``faults`` are used up one a call. ``held`` blocks every read while it is set. ``on_run`` is
+    called after a call ran and before its answer goes out.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        clock: Clock,
+        sightings: Sightings,
+        *,
+        plain: bool = False,
+        checks_fencing: bool = False,
+    ) -> None:
+        self.name = name
+        self.plain = plain
+        self.checks_fencing = checks_fencing
+        self.up = True
+        self.leaving = False
+        self.faults: deque[AnswerFault] = deque()
+        self.on_run: Callable[[Run], None] = lambda run: None
+        self.models: set[str] = set()
+        self.highest_fencing = -1
+        self._clock = clock
+        self._sightings = sightings
+        self._kept: dict[str, Run] = {}
+        self._released = Event()
+        self._released.set()
+        self._replays: set[str] = set()
+
+    @property
+    def url(self) -> str:
+        return f"http://{self.name}"
+
+    @property
+    def running(self) -> int:
+        """Return how many reads are held."""
+        return 0 if self._released.is_set() else len(self._kept)
+
+    def hold(self) -> None:
+        """Block the answers."""
+        self._released.clear()
+
+    def release(self) -> None:
+        """Let the answers go on."""
+        self._released.set()
+
+    def revive(self) -> None:
+        """Start again, empty."""
+        self.up = True
+        self._kept.clear()
+
+    def open(self, call: TargetCall) -> Result[FakeAnswer, Fault]:
+        """Run a call."""
+        fault = self.faults.popleft() if self.faults else None
+        if not self.up or fault is AnswerFault.REFUSED:
+            return Err(_fault(ResultCode.TARGET_UNREACHABLE, "refused", Executed.NO))
+        if self.leaving:
+            return Ok(self._refuse(call))
+        run = self._run(call)
+        self.on_run(run)
+        if fault is AnswerFault.LATE:
+            self._clock.sleep(LATE_SECONDS)
+        if fault in (AnswerFault.GONE_BEFORE, AnswerFault.LOST):
+            self.up = fault is AnswerFault.LOST
+            return Err(_fault(ResultCode.ANSWER_LOST, "no answer came", Executed.UNKNOWN))
+        return Ok(self._answer(run, fault))
+
+    def resume(self, call: TargetCall, after: int) -> Result[FakeAnswer, Fault]:
+        """Return the rest of a kept stream; one that was told to double repeats an event."""
+        if not self.up:
+            return Err(_fault(ResultCode.TARGET_UNREACHABLE, "refused", Executed.UNKNOWN))
+        run = self._kept.get(call.attempt_id)
+        if run is None:
+            return Err(_fault(ResultCode.STREAM_GONE, "not kept", Executed.UNKNOWN))
+        start = after if run.attempt_id in self._replays else after + 1
+        return Ok(self._make(run, run.chunks[max(0, start) :]))
+
+    def cancel(self, attempt_id: str) -> Result[None, Fault]:
+        """Stop the work of an attempt."""
+        if attempt_id in self._kept:
+            self._kept[attempt_id].cancelled = True
+        return Ok(None)
+
+    def load(self) -> Result[LoadReport, Fault]:
+        """Report the load."""
+        if not self.up:
+            return Err(_fault(ResultCode.TARGET_UNREACHABLE, "refused", Executed.NO))
+        return Ok(
+            LoadReport(
+                running=self.running,
+                waiting=0,
+                step_seconds=STEP_SECONDS,
+                models=sorted(self.models),
+                fencing=self.highest_fencing,
+                leaving=self.leaving,
+            )
+        )
+
+    def cache_events(self, after: int) -> Result[list[CacheEvent], Fault]:
+        """Report no cache event."""
+        return Ok([])
+
+    def order(self, order: EngineOrder) -> Result[None, Fault]:
+        """Take an order, or refuse it where its fencing number is old."""
+        if not self.up:
+            return Err(_fault(ResultCode.TARGET_UNREACHABLE, "refused", Executed.NO))
+        fenced = self.checks_fencing and order.fencing < self.highest_fencing
+        self._sightings.orders.append(
+            OrderSeen(
+                target=self.name,
+                checks_fencing=self.checks_fencing,
+                action=order.action,
+                subject=order.subject,
+                fencing=order.fencing,
+                at=self._clock.now(),
+                effective=not fenced,
+            )
+        )
+        if fenced:
+            return Err(_fault(ResultCode.ORDER_FENCED, "old fencing number", Executed.NO))
+        self.highest_fencing = max(self.highest_fencing, order.fencing)
+        if order.action.startswith("unload"):
+            self.models.discard(order.subject)
+        else:
+            self.models.add(order.subject)
+        return Ok(None)
+
+    def _run(self, call: TargetCall) -> Run:
+        marker, tokens, chunks = self._generate(call)
+        run = Run(
+            target=self.name,
+            attempt_id=call.attempt_id,
+            marker=marker,
+            at=self._clock.now(),
+            tokens=tokens,
+            chunks=chunks,
+        )
+        self._sightings.runs.append(run)
+        self._kept[call.attempt_id] = run
+        return run
+
+    def _generate(self, call: TargetCall) -> tuple[str, int, list[bytes]]:
+        if self.plain:
+            marker = call.body.decode()
+            return marker, 0, [plain_body(marker).encode()]
+        body = json.loads(call.body)
+        marker, tokens = body["prompt"], int(body.get("max_tokens", DEFAULT_TOKENS))
+        if body.get("stream"):
+            return marker, tokens, _stream_chunks(call.attempt_id, marker, tokens)
+        return marker, tokens, [_whole_chunk(call.attempt_id, marker, tokens)]
+
+    def _answer(self, run: Run, fault: AnswerFault | None) -> FakeAnswer:
+        chunks = run.chunks
+        half = chunks[: len(chunks) // 2] if len(chunks) > 1 else [chunks[0][: len(chunks[0]) // 2]]
+        if fault is AnswerFault.GARBAGE:
+            return self._make(run, [b"\x00\xff garbage"])
+        if fault is AnswerFault.CROSSED:
+            other = Run(target=self.name, attempt_id="other.1", marker="other", at=run.at)
+            marked = [chunk.replace(run.marker.encode(), b"other") for chunk in chunks]
+            return self._make(other, marked)
+        if fault is AnswerFault.HALF_ENDED:
+            return self._make(run, half)
+        if fault not in BROKEN:
+            gone = fault is AnswerFault.GONE_AFTER
+            return self._make(run, chunks, after_end=self._die if gone else None)
+        if fault is AnswerFault.DOUBLED:
+            self._replays.add(run.attempt_id)
+        if fault is AnswerFault.HALF_FORGOTTEN:
+            del self._kept[run.attempt_id]
+        gone = fault is AnswerFault.GONE_DURING
+        return self._make(run, half, broken=True, after_end=self._die if gone else None)
+
+    def _make(
+        self,
+        run: Run,
+        chunks: list[bytes],
+        *,
+        broken: bool = False,
+        after_end: Callable[[], None] | None = None,
+    ) -> FakeAnswer:
+        stream = chunks[0].startswith(b"id: ") if chunks else True
+        return FakeAnswer(
+            attempt_id=run.attempt_id,
+            chunks=chunks,
+            content_type=EVENT_STREAM if stream else JSON_TYPE,
+            before_read=self._released.wait,
+            broken=broken,
+            after_end=after_end or (lambda: None),
+        )
+
+    def _refuse(self, call: TargetCall) -> FakeAnswer:
+        return FakeAnswer(
+            attempt_id=call.attempt_id,
+            chunks=[b'{"error": "leaving"}'],
+            content_type=JSON_TYPE,
+            before_read=self._released.wait,
+            status=503,
+        )
+
+    def _die(self) -> None:
+        self.up = False
+
+
+def expected_text(marker: str, tokens: int) -> str:
+    """Return the text that a model generates for a marker."""
+    return "".join(f"{marker}.{number} " for number in range(tokens))
+
+
+def plain_body(marker: str) -> str:
+    """Return the body with which a plain server answers a marker."""
+    return json.dumps({"echo": marker})
+
+
+def _stream_chunks(attempt_id: str, marker: str, tokens: int) -> list[bytes]:
+    data: list[Any] = [
+        {"id": attempt_id, "choices": [{"index": 0, "text": f"{marker}.{number} "}]}
+        for number in range(tokens)
+    ]
+    data.append({"id": attempt_id, "choices": [], "usage": _usage(tokens)})
+    texts = [*map(json.dumps, data), "[DONE]"]
+    return [f"id: {n}\ndata: {text}\n\n".encode() for n, text in enumerate(texts)]
+
+
+def _whole_chunk(attempt_id: str, marker: str, tokens: int) -> bytes:
+    choice = {"index": 0, "text": expected_text(marker, tokens)}
+    return json.dumps({"id": attempt_id, "choices": [choice], "usage": _usage(tokens)}).encode()
+
+
+def _usage(tokens: int) -> dict[str, int]:
+    return {"prompt_tokens": 1, "completion_tokens": tokens, "total_tokens": tokens + 1}
+
+
+def _fault(code: ResultCode, detail: str, executed: Executed) -> Fault:
+    return Fault(code=code, detail=detail, executed=executed)
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fault_points.py
@@ -0,0 +1,68 @@
+"""Named points of one router process at which a test can stop it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import Event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class RouterKilled(gevent.GreenletExit):
+    """Raised in every task of a killed router at its next step."""
+
+
+class FaultPoints:
+    """The process of one router: running, paused or dead; cut from the log service or not.
+
+    ``reach`` stands before each effect on the outside. An action that is armed at a point runs
+    once, when the point is reached; then the task waits while the process is paused.
+    """
+
+    def __init__(self) -> None:
+        self.dead = False
+        self.log_cut = False
+        self.reached: Counter[str] = Counter()
+        self._running = Event()
+        self._running.set()
+        self._armed: dict[str, Callable[[], None]] = {}
+
+    @property
+    def paused(self) -> bool:
+        return not self._running.is_set()
+
+    def arm(self, point: str, action: Callable[[], None]) -> None:
+        """Run an action when a point is reached next."""
+        self._armed[point] = action
+
+    def reach(self, point: str) -> None:
+        """Pass a point, or wait there, or end there."""
+        self.pass_on()
+        self.reached[point] += 1
+        if action := self._armed.pop(point, None):
+            action()
+        self.pass_on()
+
+    def pass_on(self) -> None:
+        """Wait while paused; end where dead."""
+        while self.paused and not self.dead:
+            self._running.wait()
+        if self.dead:
+            raise RouterKilled
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        self._running.clear()
+
+    def wake(self) -> None:
+        """Let the process go on."""
+        self._running.set()
+
+    def kill(self) -> None:
+        """Refuse all further effects of the process."""
+        self.dead = True
+        self._running.set()
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/pointed_platform.py
@@ -0,0 +1,178 @@
+"""The platform as one router reaches it, through its fault points."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from result import Err, Result
+
+from loomyard.errors import Fault, ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard.clock import Clock
+    from loomyard.platform.engine import Engine, EngineOrder, TargetAnswer, TargetCall
+    from loomyard.platform.log_service import LogBatch, LogService
+    from loomyard.platform.vm_list import Vm, VmList
+    from loomyard_router.members.membership import Member
+    from loomyard_router.peers.links import PeerLinks
+    from loomyard_standins.faults.fault_points import FaultPoints
+
+
+class PointedClock:
+    """A clock that a paused process can't read."""
+
+    def __init__(self, clock: Clock, points: FaultPoints) -> None:
+        self._clock = clock
+        self._points = points
+
+    def now(self) -> float:
+        self._points.pass_on()
+        return self._clock.now()
+
+    def wall(self) -> float:
+        return self._clock.wall()
+
+    def sleep(self, seconds: float) -> None:
+        self._points.pass_on()
+        self._clock.sleep(seconds)
+        self._points.pass_on()
+
+
+class PointedLog:
+    """A log service that a router can be cut from."""
+
+    def __init__(self, log: LogService, points: FaultPoints) -> None:
+        self._log = log
+        self._points = points
+
+    def append(self, stream: str, payload: bytes) -> Result[int, Fault]:
+        self._points.reach(f"log.append {stream}")
+        if self._points.log_cut:
+            return Err(_cut())
+        result = self._log.append(stream, payload)
+        self._points.reach(f"log.appended {stream}")
+        return Err(_cut()) if self._points.log_cut else result
+
+    def read(
+        self, stream: str, offset: int, *, limit: int = 1000, wait: float = 0.0
+    ) -> Result[LogBatch, Fault]:
+        self._points.reach(f"log.read {stream}")
+        if self._points.log_cut:
+            return Err(_cut())
+        result = self._log.read(stream, offset, limit=limit, wait=wait)
+        self._points.reach(f"log.answered {stream}")
+        return Err(_cut()) if self._points.log_cut else result
+
+
+class PointedAnswer:
+    """An answer that a router reads."""
+
+    def __init__(self, answer: TargetAnswer, points: FaultPoints) -> None:
+        self._answer = answer
+        self._points = points
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._answer, name)
+
+    def read(self) -> Result[bytes, Fault]:
+        result = self._answer.read()
+        ended = result.is_err() or not result.unwrap()
+        self._points.reach("engine.ended" if ended else "engine.read")
+        return result
+
+    def close(self) -> None:
+        self._answer.close()
+
+
+class PointedEngine:
+    """The targets as a router reaches them."""
+
+    def __init__(self, engine: Engine, points: FaultPoints) -> None:
+        self._engine = engine
+        self._points = points
+
+    def open(self, call: TargetCall) -> Result[TargetAnswer, Fault]:
+        self._points.reach("engine.open")
+        result = self._engine.open(call)
+        self._points.reach("engine.opened")
+        return result.map(lambda answer: PointedAnswer(answer, self._points))
+
+    def resume(self, call: TargetCall, after: int) -> Result[TargetAnswer, Fault]:
+        self._points.reach("engine.resume")
+        result = self._engine.resume(call, after)
+        return result.map(lambda answer: PointedAnswer(answer, self._points))
+
+    def order(self, url: str, order: EngineOrder) -> Result[None, Fault]:
+        self._points.reach("engine.order")
+        result = self._engine.order(url, order)
+        self._points.reach("engine.ordered")
+        return result
+
+    def cancel(self, url: str, attempt_id: str) -> Result[None, Fault]:
+        self._points.pass_on()
+        return self._engine.cancel(url, attempt_id)
+
+    def load(self, url: str) -> Result:
+        self._points.pass_on()
+        return self._engine.load(url)
+
+    def cache_events(self, url: str, after: int) -> Result:
+        self._points.pass_on()
+        return self._engine.cache_events(url, after)
+
+
+class PointedVmList:
+    """The VM list as a router reads it."""
+
+    def __init__(self, vms: VmList, points: FaultPoints) -> None:
+        self._vms = vms
+        self._points = points
+
+    def read(self) -> Result[list[Vm], Fault]:
+        self._points.pass_on()
+        return self._vms.read()
+
+
+class PointedPeers:
+    """The other routers as a router reaches them; a request ends at its deadline."""
+
+    def __init__(self, peers: PeerLinks, clock: Clock, points: FaultPoints) -> None:
+        self._peers = peers
+        self._clock = clock
+        self._points = points
+
+    def send(self, to: str, message: Any) -> bool:
+        self._points.reach(f"peer.send {type(message).__name__}")
+        return self._peers.send(to, message)
+
+    def request(self, to: str, message: Any, deadline: float) -> Result[Any, Fault]:
+        self._points.reach(f"peer.request {type(message).__name__}")
+        asked = gevent.spawn(self._peers.request, to, message, deadline)
+        timer = gevent.spawn(self._clock.sleep, max(0.0, deadline - self._clock.now()))
+        gevent.wait([asked, timer], count=1)
+        timer.kill(block=False)
+        self._points.pass_on()
+        if asked.successful() and isinstance(asked.value, Result):
+            return asked.value
+        asked.kill(block=False)
+        return Err(Fault(code=ResultCode.PEER_UNREACHABLE, detail=f"no answer from {to}"))
+
+    def handle(self, kind: type, handler: Callable[[Member, Any], Any]) -> None:
+        def gated(sender: Member, message: Any) -> Any:
+            self._points.reach(f"peer.receive {kind.__name__}")
+            return handler(sender, message)
+
+        self._peers.handle(kind, gated)
+
+    def start(self) -> None:
+        self._peers.start()
+
+    def stop(self) -> None:
+        self._peers.stop()
+
+
+def _cut() -> Fault:
+    return Fault(code=ResultCode.LOG_UNAVAILABLE, detail="cut from the log service")
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/sightings.py
@@ -0,0 +1,89 @@
+"""What targets and callers saw: the only evidence that the checkers use."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from attrs import define, field
+
+
+@define(kw_only=True, eq=False)
+class Run:
+    """A call that a target ran; ``marker`` names the request, ``tokens`` what was generated."""
+
+    target: str
+    attempt_id: str
+    marker: str
+    at: float
+    tokens: int = 0
+    chunks: list[bytes] = field(factory=list)
+    cancelled: bool = False
+
+
+@define(kw_only=True, eq=False)
+class OrderSeen:
+    """An order that reached a target, and whether it took effect."""
+
+    target: str
+    checks_fencing: bool
+    action: str
+    subject: str
+    fencing: int
+    at: float
+    effective: bool
+
+
+class Ending(Enum):
+    """How an answer ended for its caller."""
+
+    OPEN = "still open"
+    WHOLE = "ended cleanly"
+    CUT = "the connection broke"
+
+
+@define(kw_only=True, eq=False)
+class CallerSaw:
+    """One call as its caller saw it; ``expected`` is the text or body of the whole answer."""
+
+    marker: str
+    account: str
+    router: str
+    expected: str
+    started: float
+    stream: bool = False
+    idempotent: bool = True
+    status: int = 0
+    headers: dict[str, str] = field(factory=dict)
+    body: bytes = b""
+    ending: Ending = Ending.OPEN
+    ended: float | None = None
+    executed: str = ""
+    code: int = 0
+
+
+@define(kw_only=True, eq=False)
+class GenerationSeen:
+    """The newest published generation that a router let a caller see."""
+
+    router: str
+    at: float
+    generation: int
+
+
+@define(eq=False)
+class Sightings:
+    """Everything that was seen.
+
+    ``leaving`` maps a target to the time from which the first router knew; ``stopped`` maps a
+    router to the time of its planned stop; ``generations`` maps a published generation to the
+    time of its acceptance and the routers that could reach the log for the whole time allowed.
+    """
+
+    runs: list[Run] = field(factory=list)
+    orders: list[OrderSeen] = field(factory=list)
+    callers: list[CallerSaw] = field(factory=list)
+    seen: list[GenerationSeen] = field(factory=list)
+    leaving: dict[str, float] = field(factory=dict)
+    stopped: dict[str, float] = field(factory=dict)
+    generations: dict[int, tuple[float, frozenset[str]]] = field(factory=dict)
+    weights: dict[str, float] = field(factory=dict)
--- /dev/null
+++ b/tests/test_loomyard_standins/test_checkers.py
@@ -0,0 +1,137 @@
+"""Tests that each checker of an invariant fails on a planted bug."""
+
+from __future__ import annotations
+
+import unittest
+
+from loomyard.platform.engine import EngineOrder
+from loomyard_standins.faults import planted_bugs as bugs
+from loomyard_standins.faults.answer_fault import AnswerFault
+from loomyard_standins.faults.checkers import CHECKERS, Invariant, check
+from loomyard_standins.faults.fake_fleet import FakeFleet
+from loomyard_standins.faults.sightings import CallerSaw, Run, Sightings
+
+
+class CheckersTest(unittest.TestCase):
+    def fleet(self, **options) -> FakeFleet:
+        fleet = FakeFleet(**options)
+        self.addCleanup(fleet.close)
+        return fleet
+
+    def assert_violated(self, invariant: Invariant, sightings: Sightings) -> None:
+        self.assertEqual({found.invariant for found in check(sightings)}, {invariant})
+
+    def test_every_invariant_has_a_checker(self) -> None:
+        self.assertEqual(set(CHECKERS), set(Invariant))
+
+    def test_no_violation_without_a_bug(self) -> None:
+        fleet = self.fleet()
+        fleet.call_model("kiosk/1", "router-0")
+        fleet.call_model("kiosk/2", "router-1", stream=False)
+        fleet.call_plain("labels/1", "router-0", idempotent=True)
+        fleet.publish_generation()
+        fleet.run(0.1)
+        fleet.watch_generations()
+        self.assertEqual(check(fleet.sightings), [])
+        self.assertEqual(len(fleet.sightings.runs), 3)
+
+    def test_whole_answer(self) -> None:
+        for bug in (bugs.CrossesAnswers, bugs.DoublesEvents, bugs.DropsEvents):
+            with self.subTest(bug=bug.__name__):
+                fleet = self.fleet(wrap_app=bug)
+                fleet.call_model("kiosk/1", "router-0")
+                self.assert_violated(Invariant.WHOLE_ANSWER, fleet.sightings)
+        for bug in (bugs.CrossesAnswers, bugs.CutsWholeAnswers):
+            with self.subTest(bug=bug.__name__, stream=False):
+                fleet = self.fleet(wrap_app=bug)
+                fleet.call_model("kiosk/1", "router-0", stream=False)
+                self.assert_violated(Invariant.WHOLE_ANSWER, fleet.sightings)
+
+    def test_not_executed(self) -> None:
+        fleet = self.fleet(wrap_engine=bugs.DeniesExecution)
+        for target in fleet.targets.values():
+            target.faults.extend([AnswerFault.LOST] * 9)
+        fleet.call_plain("kiosk/1", "router-0")
+        self.assert_violated(Invariant.NOT_EXECUTED, fleet.sightings)
+
+    def test_at_most_once(self) -> None:
+        fleet = self.fleet(wrap_engine=bugs.SendsTwice)
+        fleet.call_plain("kiosk/1", "router-0")
+        self.assert_violated(Invariant.AT_MOST_ONCE, fleet.sightings)
+
+    def test_leaving(self) -> None:
+        fleet = self.fleet()
+        fleet.sightings.leaving = dict.fromkeys(fleet.targets, fleet.clock.now())
+        fleet.run(2.1)
+        fleet.call_model("kiosk/1", "router-0")
+        self.assert_violated(Invariant.LEAVING, fleet.sightings)
+
+    def test_planned_stop(self) -> None:
+        fleet = self.fleet()
+        fleet.engines[0].hold()
+        fleet.engines[1].hold()
+        fleet.call_model("kiosk/1", "router-0")
+        fleet.sightings.stopped["router-0"] = fleet.clock.now()
+        fleet.kill("router-0")
+        self.assert_violated(Invariant.PLANNED_STOP, fleet.sightings)
+
+    def test_never_reverts(self) -> None:
+        fleet = self.fleet()
+        fleet.cut("router-1")
+        fleet.publish_generation()
+        fleet.run(0.1)
+        fleet.watch_generation("router-0")
+        fleet.routers["router-0"] = fleet.routers["router-1"]
+        fleet.watch_generation("router-0")
+        self.assert_violated(Invariant.NEVER_REVERTS, fleet.sightings)
+
+    def test_in_force(self) -> None:
+        fleet = self.fleet()
+        fleet.cut("router-1")
+        fleet.publish_generation()
+        fleet.sightings.generations[1] = (fleet.clock.now(), frozenset(fleet.routers))
+        fleet.run(3.1)
+        fleet.watch_generations()
+        self.assert_violated(Invariant.IN_FORCE, fleet.sightings)
+
+    def test_no_starvation(self) -> None:
+        fleet = self.fleet()
+        for engine in fleet.engines:
+            engine.hold()
+        for number in range(5):
+            fleet.call_model(f"genealogy/{number}", "router-0")
+        fleet.call_model("kiosk/1", "router-0")
+        fleet.run(31)
+        fleet.call_plain("labels/1", "router-1", idempotent=True)
+        self.assert_violated(Invariant.NO_STARVATION, fleet.sightings)
+
+    def test_bounded_gap(self) -> None:
+        def saw(marker: str) -> CallerSaw:
+            account = marker.partition("/")[0]
+            return CallerSaw(marker=marker, account=account, router="r", expected="", started=0.0)
+
+        def run(number: int) -> Run:
+            marker = f"genealogy/{number}"
+            return Run(target="t", attempt_id="a", marker=marker, at=1.0 + number, tokens=100)
+
+        sightings = Sightings(weights={"genealogy": 1.0, "kiosk": 1.0})
+        sightings.callers = [saw("kiosk/0"), *(saw(f"genealogy/{n}") for n in range(8))]
+        sightings.runs = [run(number) for number in range(3)]
+        self.assertEqual(check(sightings), [])
+        sightings.runs = [run(number) for number in range(8)]
+        self.assert_violated(Invariant.BOUNDED_GAP, sightings)
+
+    def test_fenced(self) -> None:
+        for checks in (True, False):
+            fleet = self.fleet(checks_fencing=checks)
+            engine = fleet.engines[0]
+            for fencing in (7, 5):
+                engine.order(EngineOrder(action="load", subject="m", fencing=fencing))
+            if checks:
+                self.assertEqual(check(fleet.sightings), [])
+            else:
+                self.assert_violated(Invariant.FENCED, fleet.sightings)
+
+
+if __name__ == "__main__":
+    unittest.main()
