Check that requests end, that the fleet recovers and that routers agree

Cause: three promises had no checker: no caller is left without an outcome, a fleet serves again once its faults are mended, and all routers end with the same configuration. Each checker was seen to fail on a planted bug. A target's refusal counts as a sighting of a call, so that a router that goes on to call a leaving target is found.

--- a/packages/loomyard-standins/src/loomyard_standins/faults/checkers.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/checkers.py
@@ -36,6 +36,9 @@
     IN_FORCE = "an accepted configuration is in force everywhere within 3 s"
     NO_STARVATION = "every waiting client account gets service within a bound"
     BOUNDED_GAP = "the gap between two backlogged client accounts stays bounded"
+    ENDS = "every request ends for its caller"
+    RECOVERS = "after the faults are mended every live router serves"
+    AGREED = "all routers end with the same configuration"
     FENCED = "no order with an old fencing number takes effect"
 
 
@@ -161,6 +164,28 @@
         highest[order.target] = max(order.fencing, highest.get(order.target, -1))
 
 
+def check_ends(sightings: Sightings) -> Iterator[str]:
+    """Check that no caller is left without an outcome."""
+    for saw in sightings.callers:
+        if saw.ended is None:
+            yield f"{saw.marker}: still open at {saw.router}"
+
+
+def check_recovers(sightings: Sightings) -> Iterator[str]:
+    """Check that calls after the mending get whole answers."""
+    for saw in sightings.callers:
+        if saw.probe and not (saw.status == HTTP_OK and is_whole(saw)):
+            yield f"{saw.marker}: {saw.ending.value}, status {saw.status}, code {saw.code}"
+
+
+def check_agreed(sightings: Sightings) -> Iterator[str]:
+    """Check that the routers list the same models at the end."""
+    final = [seen for seen in sightings.seen if seen.final]
+    for seen in final[1:]:
+        if different := seen.models ^ final[0].models:
+            yield f"{seen.router} and {final[0].router} differ in {sorted(different)}"
+
+
 CHECKERS: dict[Invariant, Callable[[Sightings], Iterator[str]]] = {
     Invariant.WHOLE_ANSWER: check_whole_answers,
     Invariant.NOT_EXECUTED: check_not_executed,
@@ -171,6 +196,9 @@
     Invariant.IN_FORCE: check_in_force,
     Invariant.NO_STARVATION: check_no_starvation,
     Invariant.BOUNDED_GAP: check_bounded_gap,
+    Invariant.ENDS: check_ends,
+    Invariant.RECOVERS: check_recovers,
+    Invariant.AGREED: check_agreed,
     Invariant.FENCED: check_fenced,
 }
 
@@ -183,7 +211,8 @@
 def _runs_by_marker(sightings: Sightings) -> defaultdict[str, list[Run]]:
     runs: defaultdict[str, list[Run]] = defaultdict(list)
     for run in sightings.runs:
-        runs[run.marker].append(run)
+        if not run.refused:
+            runs[run.marker].append(run)
     return runs
 
 
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_answer.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_answer.py
@@ -34,11 +34,27 @@
         self._before_read = before_read
         self._broken = broken
         self._after_end = after_end
+        self._exhausted = False
+
+    @property
+    def open(self) -> bool:
+        """Tell whether the answer is still on its way."""
+        return not (self._exhausted or self.closed)
+
+    def break_off(self) -> None:
+        """Break the connection now."""
+        self._chunks.clear()
+        self._broken = True
+
+    def call_at_end(self, action: Callable[[], None]) -> None:
+        """Call once all is read."""
+        self._after_end = action
 
     def read(self) -> Result[bytes, Fault]:
         self._before_read()
         if self._chunks:
             return Ok(self._chunks.pop(0))
+        self._exhausted = True
         self._after_end()
         if self._broken:
             return Err(
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_call.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_call.py
@@ -19,6 +19,8 @@
 MODEL = "assistant"
 PLAIN = "records"
 MODEL_PATH = "/v1/completions"
+MODELS_PATH = "/v1/models"
+HTTP_OK = 200
 RECEIPTS_PATH = f"/services/{PLAIN}/receipts"
 LOOKUPS_PATH = f"/services/{PLAIN}/lookups"
 TEST_HOST = "127.0.0.1"
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import json
 import secrets
+from collections import deque
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
@@ -27,8 +29,11 @@
 from loomyard_router.parts import Platform
 from loomyard_router.settings import Settings
 from loomyard_standins.fake_clock import FakeClock
+from loomyard_standins.faults.answer_fault import AnswerFault
 from loomyard_standins.faults.fake_call import (
+    HTTP_OK,
     MODEL,
+    MODELS_PATH,
     PLAIN,
     fake_key,
     make_environ,
@@ -46,7 +51,7 @@
     PointedLog,
     PointedVmList,
 )
-from loomyard_standins.faults.sightings import CallerSaw, Ending, GenerationSeen, Sightings
+from loomyard_standins.faults.sightings import CallerSaw, Ending, ModelsSeen, Sightings
 from loomyard_standins.log_service import MemoryLog
 from loomyard_standins.memory_network import MemoryNetwork
 from loomyard_standins.vm_list import MemoryVmList
@@ -65,6 +70,7 @@
 LOAD_INTERVAL = 1.0
 GENERATION_PREFIX = "generation-"
 WATCHER = "kiosk"
+OPEN_FAULTS = frozenset([AnswerFault.GONE_DURING, AnswerFault.GONE_AFTER, AnswerFault.DOUBLED])
 
 
 class FakeFleet:
@@ -85,17 +91,15 @@
     ) -> None:
         self.clock = FakeClock()
         self.sightings = Sightings()
+        self.faults: deque[AnswerFault] = deque()
         self.log = MemoryLog()
         self.vm_list = MemoryVmList()
         self.network = MemoryNetwork()
         self.weight_store = LimitedWeightStore(self.clock, interval=LOAD_INTERVAL)
         self.engines = [
-            FakeTarget(f"engine-{n}", self.clock, self.sightings, checks_fencing=checks_fencing)
-            for n in range(2)
-        ]
-        self.records = [
-            FakeTarget(f"records-{n}", self.clock, self.sightings, plain=True) for n in range(2)
+            self._make_target(f"engine-{n}", checks_fencing=checks_fencing) for n in range(2)
         ]
+        self.records = [self._make_target(f"records-{n}", plain=True) for n in range(2)]
         self.targets = {target.name: target for target in [*self.engines, *self.records]}
         self.routers: dict[str, FakeRouter] = {}
         self.generation = 0
@@ -155,6 +159,7 @@
 
     def heal(self) -> None:
         """Mend every lasting fault that is not a death."""
+        self.faults.clear()
         self.network.heal()
         self.log.down = False
         self.log.delay = 0.0
@@ -167,6 +172,17 @@
                 target.revive()
         self.vm_list.publish()
 
+    def fail_answer(self, fault: AnswerFault) -> None:
+        """Fail an answer that is on its way, where the fault fits it, or else the next one."""
+        if fault in OPEN_FAULTS and any([t.fail_open(fault) for t in self.targets.values()]):
+            return
+        self.faults.append(fault)
+
+    def trim_log(self) -> None:
+        """Forget all records that are old."""
+        for stream in self.log.streams:
+            self.log.trim(stream, self.log.end(stream))
+
     def turn(self, turns: int = TURNS) -> None:
         """Let every task run that can."""
         for _ in range(turns):
@@ -217,35 +233,59 @@
             )
             self.sightings.generations[self.generation] = (self.clock.now(), reachable)
 
-    def watch_generation(self, name: str) -> None:
-        """Let a caller list the models of a router and note the newest generation."""
-        router = self.routers[name]
-        if router.points.paused or router.points.dead:
-            return
-        environ = make_environ(WATCHER, "/v1/models", b"", method="GET")
-        saw = CallerSaw(
-            marker="", account=WATCHER, router=name, expected="", started=self.clock.now()
-        )
-        perform(router.application.callers, environ, saw, self.clock)
-        if saw.ending is not Ending.WHOLE or saw.status != 200:
+    def publish_race(self) -> None:
+        """Publish two changes of which only one can be accepted."""
+        for name in ("race-a", "race-b"):
+            self.publish(
+                [
+                    Service(metadata=Metadata(name=name)),
+                    Route(metadata=Metadata(name="race"), service=name, targets="kind=engine"),
+                ]
+            )
+
+    def probe(self) -> None:
+        """Call every live router, which must serve."""
+        for name, router in self.routers.items():
+            if router.points.dead:
+                continue
+            marker = f"{WATCHER}/probe-{len(self.sightings.callers)}"
+            self.call_model(marker, name).probe = True
+            self.call_plain(f"{marker}-plain", name, idempotent=True).probe = True
+
+    def watch_models(self, *, final: bool = False) -> None:
+        """Let a caller list the models of every router that runs."""
+        for name, router in self.routers.items():
+            if not (router.points.paused or router.points.dead):
+                self.watch_router(name, final=final)
+
+    def watch_router(self, name: str, *, final: bool = False) -> None:
+        """Let a caller list the models of a router."""
+        environ = make_environ(WATCHER, MODELS_PATH, b"", method="GET")
+        now = self.clock.now()
+        saw = CallerSaw(marker="", account=WATCHER, router=name, expected="", started=now)
+        perform(self.routers[name].application.callers, environ, saw, self.clock)
+        if saw.ending is not Ending.WHOLE or saw.status != HTTP_OK:
             return
-        prefix = f'"{GENERATION_PREFIX}'.encode()
-        numbers = [int(part.split(b'"')[0]) for part in saw.body.split(prefix)[1:]]
+        models = frozenset(model["id"] for model in json.loads(saw.body)["data"])
+        numbers = [
+            int(model.removeprefix(GENERATION_PREFIX))
+            for model in models
+            if model.startswith(GENERATION_PREFIX)
+        ]
+        generation = max(numbers, default=0)
         self.sightings.seen.append(
-            GenerationSeen(router=name, at=self.clock.now(), generation=max(numbers, default=0))
+            ModelsSeen(router=name, at=now, generation=generation, models=models, final=final)
         )
 
-    def watch_generations(self) -> None:
-        """Watch the generation of every router."""
-        for name in self.routers:
-            self.watch_generation(name)
-
     def close(self) -> None:
         """End every router."""
         for name in list(self.routers):
             self.kill(name)
         self.turn()
 
+    def _make_target(self, name: str, **options: bool) -> FakeTarget:
+        return FakeTarget(name, self.clock, self.sightings, self.faults, **options)
+
     def _call(self, saw: CallerSaw, environ: dict[str, Any]) -> CallerSaw:
         self.sightings.callers.append(saw)
         router = self.routers[saw.router]
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_target.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_target.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from collections import deque
 from typing import TYPE_CHECKING, Any
 
 from gevent.event import Event
@@ -16,6 +15,7 @@
 from loomyard_standins.faults.sightings import OrderSeen, Run
 
 if TYPE_CHECKING:
+    from collections import deque
     from collections.abc import Callable
 
     from loomyard.clock import Clock
@@ -39,8 +39,8 @@
 class FakeTarget:
     """A model engine or a plain server.
 
-    ``faults`` are used up one a call. ``held`` blocks every read while it is set. ``on_run`` is
-    called after a call ran and before its answer goes out.
+    ``faults`` may be shared by targets; each fails one call. ``on_run`` is called after a call
+    ran and before its answer goes out.
     """
 
     def __init__(
@@ -48,6 +48,7 @@
         name: str,
         clock: Clock,
         sightings: Sightings,
+        faults: deque[AnswerFault],
         *,
         plain: bool = False,
         checks_fencing: bool = False,
@@ -57,7 +58,7 @@
         self.checks_fencing = checks_fencing
         self.up = True
         self.leaving = False
-        self.faults: deque[AnswerFault] = deque()
+        self.faults = faults
         self.on_run: Callable[[Run], None] = lambda run: None
         self.models: set[str] = set()
         self.highest_fencing = -1
@@ -67,6 +68,7 @@
         self._released = Event()
         self._released.set()
         self._replays: set[str] = set()
+        self._answers: list[FakeAnswer] = []
 
     @property
     def url(self) -> str:
@@ -90,15 +92,29 @@
         self.up = True
         self._kept.clear()
 
+    def fail_open(self, fault: AnswerFault) -> bool:
+        """Fail the answers that are on their way; false where there is none."""
+        answers = [answer for answer in self._answers if answer.open]
+        for answer in answers:
+            if fault is AnswerFault.GONE_AFTER:
+                answer.call_at_end(self._die)
+                continue
+            answer.break_off()
+            if fault is AnswerFault.DOUBLED:
+                self._replays.add(answer.attempt_id)
+        if answers and fault is AnswerFault.GONE_DURING:
+            self._die()
+        return bool(answers)
+
     def open(self, call: TargetCall) -> Result[FakeAnswer, Fault]:
         """Run a call."""
-        fault = self.faults.popleft() if self.faults else None
-        if not self.up or fault is AnswerFault.REFUSED:
+        if not self.up or self._takes(AnswerFault.REFUSED):
             return Err(_fault(ResultCode.TARGET_UNREACHABLE, "refused", Executed.NO))
-        if self.leaving:
-            return Ok(self._refuse(call))
         run = self._run(call)
+        if run.refused:
+            return Ok(self._refuse(call))
         self.on_run(run)
+        fault = self.faults.popleft() if self.faults else None
         if fault is AnswerFault.LATE:
             self._clock.sleep(LATE_SECONDS)
         if fault in (AnswerFault.GONE_BEFORE, AnswerFault.LOST):
@@ -175,8 +191,12 @@
             at=self._clock.now(),
             tokens=tokens,
             chunks=chunks,
+            refused=self.leaving,
         )
         self._sightings.runs.append(run)
+        if run.refused:
+            self._sightings.leaving.setdefault(self.name, run.at)
+            return run
         self._kept[call.attempt_id] = run
         return run
 
@@ -220,7 +240,7 @@
         after_end: Callable[[], None] | None = None,
     ) -> FakeAnswer:
         stream = chunks[0].startswith(b"id: ") if chunks else True
-        return FakeAnswer(
+        answer = FakeAnswer(
             attempt_id=run.attempt_id,
             chunks=chunks,
             content_type=EVENT_STREAM if stream else JSON_TYPE,
@@ -228,6 +248,8 @@
             broken=broken,
             after_end=after_end or (lambda: None),
         )
+        self._answers = [*(a for a in self._answers if a.open), answer]
+        return answer
 
     def _refuse(self, call: TargetCall) -> FakeAnswer:
         return FakeAnswer(
@@ -238,8 +260,17 @@
             status=503,
         )
 
+    def _takes(self, fault: AnswerFault) -> bool:
+        if self.faults and self.faults[0] is fault:
+            self.faults.popleft()
+            return True
+        return False
+
     def _die(self) -> None:
         self.up = False
+        for answer in self._answers:
+            if answer.open:
+                answer.break_off()
 
 
 def expected_text(marker: str, tokens: int) -> str:
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/injection.py
@@ -0,0 +1,106 @@
+"""How each fault is brought about in a fake fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loomyard_standins.faults.answer_fault import AnswerFault
+from loomyard_standins.faults.fault_kind import FaultKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard_standins.faults.fake_fleet import FakeFleet
+
+VICTIM = "router-0"
+OTHER = "router-1"
+SLOW_SECONDS = 0.02
+FLOOD_REQUESTS = 300
+FLOOD_ACCOUNT = "labels"
+
+
+def inject(fault: FaultKind, fleet: FakeFleet) -> None:
+    """Bring a fault about now."""
+    _INJECTIONS[fault](fleet)
+
+
+def _kill(fleet: FakeFleet) -> None:
+    fleet.kill(VICTIM)
+
+
+def _restart(fleet: FakeFleet) -> None:
+    fleet.restart(VICTIM)
+
+
+def _pause(fleet: FakeFleet) -> None:
+    fleet.routers[VICTIM].points.pause()
+
+
+def _partition(fleet: FakeFleet) -> None:
+    fleet.cut(VICTIM)
+
+
+def _answers(fault: AnswerFault) -> Callable[[FakeFleet], None]:
+    def apply(fleet: FakeFleet) -> None:
+        fleet.fail_answer(fault)
+
+    return apply
+
+
+def _log_down(fleet: FakeFleet) -> None:
+    fleet.log.down = True
+
+
+def _log_slow(fleet: FakeFleet) -> None:
+    fleet.log.delay = SLOW_SECONDS
+
+
+def _log_answer_lost(fleet: FakeFleet) -> None:
+    fleet.log.lose_answers = 1
+
+
+def _log_trimmed(fleet: FakeFleet) -> None:
+    fleet.trim_log()
+
+
+def _vm_list_stale(fleet: FakeFleet) -> None:
+    # The list still says that the VM lives, while the target on it refuses new work.
+    fleet.engines[0].leaving = True
+    fleet.records[0].leaving = True
+
+
+def _operators_racing(fleet: FakeFleet) -> None:
+    fleet.publish_race()
+
+
+def _flood(fleet: FakeFleet) -> None:
+    for number in range(FLOOD_REQUESTS):
+        router = VICTIM if number % 2 else OTHER
+        fleet.call_model(f"{FLOOD_ACCOUNT}/flood-{number}", router, tokens=2)
+
+
+def _weight_store_limited(fleet: FakeFleet) -> None:
+    fleet.weight_store.reserve("other-model")
+
+
+_INJECTIONS: dict[FaultKind, Callable[[FakeFleet], None]] = {
+    FaultKind.ROUTER_KILLED: _kill,
+    FaultKind.ROUTER_PAUSED: _pause,
+    FaultKind.ROUTER_RESTARTED: _restart,
+    FaultKind.ROUTER_PARTITIONED: _partition,
+    FaultKind.TARGET_GONE_BEFORE: _answers(AnswerFault.GONE_BEFORE),
+    FaultKind.TARGET_GONE_DURING: _answers(AnswerFault.GONE_DURING),
+    FaultKind.TARGET_GONE_AFTER: _answers(AnswerFault.GONE_AFTER),
+    FaultKind.ANSWER_LATE: _answers(AnswerFault.LATE),
+    FaultKind.ANSWER_LOST: _answers(AnswerFault.LOST),
+    FaultKind.ANSWER_DOUBLED: _answers(AnswerFault.DOUBLED),
+    FaultKind.ANSWER_CROSSED: _answers(AnswerFault.CROSSED),
+    FaultKind.LOG_DOWN: _log_down,
+    FaultKind.LOG_SLOW: _log_slow,
+    FaultKind.LOG_ANSWER_LOST: _log_answer_lost,
+    FaultKind.LOG_TRIMMED: _log_trimmed,
+    FaultKind.VM_LIST_STALE: _vm_list_stale,
+    FaultKind.OPERATORS_RACING: _operators_racing,
+    FaultKind.FLOOD: _flood,
+    FaultKind.WEIGHT_STORE_LIMITED: _weight_store_limited,
+}
--- a/packages/loomyard-standins/src/loomyard_standins/faults/sightings.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/sightings.py
@@ -9,7 +9,11 @@
 
 @define(kw_only=True, eq=False)
 class Run:
-    """A call that a target ran; ``marker`` names the request, ``tokens`` what was generated."""
+    """A call that reached a target.
+
+    ``marker`` names the request, ``tokens`` counts what was generated. A call that the target
+    refused was not run.
+    """
 
     target: str
     attempt_id: str
@@ -18,6 +22,7 @@
     tokens: int = 0
     chunks: list[bytes] = field(factory=list)
     cancelled: bool = False
+    refused: bool = False
 
 
 @define(kw_only=True, eq=False)
@@ -59,21 +64,25 @@
     ended: float | None = None
     executed: str = ""
     code: int = 0
+    probe: bool = False
 
 
 @define(kw_only=True, eq=False)
-class GenerationSeen:
-    """The newest published generation that a router let a caller see."""
+class ModelsSeen:
+    """The models that a router listed to a caller, and the newest generation among them."""
 
     router: str
     at: float
     generation: int
+    models: frozenset[str] = frozenset()
+    final: bool = False
 
 
 @define(eq=False)
 class Sightings:
     """Everything that was seen.
 
+    A ``probe`` is a call after all faults are mended; ``final`` lists were read at the very end.
     ``leaving`` maps a target to the time from which the first router knew; ``stopped`` maps a
     router to the time of its planned stop; ``generations`` maps a published generation to the
     time of its acceptance and the routers that could reach the log for the whole time allowed.
@@ -82,7 +91,7 @@
     runs: list[Run] = field(factory=list)
     orders: list[OrderSeen] = field(factory=list)
     callers: list[CallerSaw] = field(factory=list)
-    seen: list[GenerationSeen] = field(factory=list)
+    seen: list[ModelsSeen] = field(factory=list)
     leaving: dict[str, float] = field(factory=dict)
     stopped: dict[str, float] = field(factory=dict)
     generations: dict[int, tuple[float, frozenset[str]]] = field(factory=dict)
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/step.py
@@ -0,0 +1,35 @@
+"""The columns of the fault matrix."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Operation(Enum):
+    """What is under way when a fault comes."""
+
+    REQUEST = "request"
+    CHANGE = "configuration change"
+    STOP = "planned stop"
+
+
+class Step(Enum):
+    """A step of an operation, at which a fault comes."""
+
+    REQUEST_RECEIVED = (Operation.REQUEST, "received")
+    REQUEST_QUEUED = (Operation.REQUEST, "queued")
+    REQUEST_CLAIMED = (Operation.REQUEST, "claimed")
+    REQUEST_SENT = (Operation.REQUEST, "sent")
+    REQUEST_ANSWERING = (Operation.REQUEST, "answering")
+    REQUEST_ENDED = (Operation.REQUEST, "ended")
+    CHANGE_PROPOSED = (Operation.CHANGE, "proposed")
+    CHANGE_APPENDED = (Operation.CHANGE, "appended")
+    CHANGE_IN_FORCE = (Operation.CHANGE, "in force")
+
+    @property
+    def operation(self) -> Operation:
+        return self.value[0]
+
+    @property
+    def label(self) -> str:
+        return self.value[1]
--- a/packages/loomyard-standins/src/loomyard_standins/log_service.py
+++ b/packages/loomyard-standins/src/loomyard_standins/log_service.py
@@ -35,6 +35,11 @@
         self._first: defaultdict[str, int] = defaultdict(int)
         self._grown = Event()
 
+    @property
+    def streams(self) -> list[str]:
+        """Return the names of the streams."""
+        return list(self._records)
+
     def append(self, stream: str, payload: bytes) -> Result[int, Fault]:
         if self.delay:
             gevent.sleep(self.delay)
@@ -60,7 +65,7 @@
     ) -> Result[LogBatch, Fault]:
         if self.delay:
             gevent.sleep(self.delay)
-        if wait and offset >= self._end(stream) and not self.down:
+        if wait and offset >= self.end(stream) and not self.down:
             self._await_growth(stream, offset, wait)
         if self.down:
             return Err(_unavailable())
@@ -68,20 +73,21 @@
         start = max(offset, first)
         kept = self._records[stream][start - first : start - first + limit]
         records = tuple(LogRecord(start + i, payload) for i, payload in enumerate(kept))
-        return Ok(LogBatch(first, self._end(stream), records))
+        return Ok(LogBatch(first, self.end(stream), records))
 
     def trim(self, stream: str, before: int) -> None:
         """Forget the records before an offset."""
-        count = max(0, min(before, self._end(stream)) - self._first[stream])
+        count = max(0, min(before, self.end(stream)) - self._first[stream])
         del self._records[stream][:count]
         self._first[stream] += count
 
-    def _end(self, stream: str) -> int:
+    def end(self, stream: str) -> int:
+        """Return the offset of the next record."""
         return self._first[stream] + len(self._records[stream])
 
     def _await_growth(self, stream: str, offset: int, wait: float) -> None:
         with gevent.Timeout(wait, False):
-            while offset >= self._end(stream) and not self.down:
+            while offset >= self.end(stream) and not self.down:
                 self._grown.wait()
 
 
--- a/tests/test_loomyard_standins/test_checkers.py
+++ b/tests/test_loomyard_standins/test_checkers.py
@@ -31,7 +31,7 @@
         fleet.call_plain("labels/1", "router-0", idempotent=True)
         fleet.publish_generation()
         fleet.run(0.1)
-        fleet.watch_generations()
+        fleet.watch_models()
         self.assertEqual(check(fleet.sightings), [])
         self.assertEqual(len(fleet.sightings.runs), 3)
 
@@ -49,8 +49,7 @@
 
     def test_not_executed(self) -> None:
         fleet = self.fleet(wrap_engine=bugs.DeniesExecution)
-        for target in fleet.targets.values():
-            target.faults.extend([AnswerFault.LOST] * 9)
+        fleet.faults.extend([AnswerFault.LOST] * 9)
         fleet.call_plain("kiosk/1", "router-0")
         self.assert_violated(Invariant.NOT_EXECUTED, fleet.sightings)
 
@@ -80,9 +79,9 @@
         fleet.cut("router-1")
         fleet.publish_generation()
         fleet.run(0.1)
-        fleet.watch_generation("router-0")
+        fleet.watch_router("router-0")
         fleet.routers["router-0"] = fleet.routers["router-1"]
-        fleet.watch_generation("router-0")
+        fleet.watch_router("router-0")
         self.assert_violated(Invariant.NEVER_REVERTS, fleet.sightings)
 
     def test_in_force(self) -> None:
@@ -91,7 +90,7 @@
         fleet.publish_generation()
         fleet.sightings.generations[1] = (fleet.clock.now(), frozenset(fleet.routers))
         fleet.run(3.1)
-        fleet.watch_generations()
+        fleet.watch_models()
         self.assert_violated(Invariant.IN_FORCE, fleet.sightings)
 
     def test_no_starvation(self) -> None:
@@ -103,12 +102,17 @@
         fleet.call_model("kiosk/1", "router-0")
         fleet.run(31)
         fleet.call_plain("labels/1", "router-1", idempotent=True)
+        for engine in fleet.engines:
+            engine.release()
+        fleet.turn()
         self.assert_violated(Invariant.NO_STARVATION, fleet.sightings)
 
     def test_bounded_gap(self) -> None:
         def saw(marker: str) -> CallerSaw:
             account = marker.partition("/")[0]
-            return CallerSaw(marker=marker, account=account, router="r", expected="", started=0.0)
+            return CallerSaw(
+                marker=marker, account=account, router="r", expected="", started=0.0, ended=9.0
+            )
 
         def run(number: int) -> Run:
             marker = f"genealogy/{number}"
@@ -121,6 +125,29 @@
         sightings.runs = [run(number) for number in range(8)]
         self.assert_violated(Invariant.BOUNDED_GAP, sightings)
 
+    def test_ends(self) -> None:
+        fleet = self.fleet()
+        for engine in fleet.engines:
+            engine.hold()
+        fleet.call_model("kiosk/1", "router-0")
+        self.assert_violated(Invariant.ENDS, fleet.sightings)
+
+    def test_recovers(self) -> None:
+        fleet = self.fleet()
+        fleet.log.down = True
+        for engine in fleet.engines:
+            engine.up = False
+        fleet.probe()
+        self.assert_violated(Invariant.RECOVERS, fleet.sightings)
+
+    def test_agreed(self) -> None:
+        fleet = self.fleet()
+        fleet.cut("router-1")
+        fleet.publish_race()
+        fleet.run(0.1)
+        fleet.watch_models(final=True)
+        self.assert_violated(Invariant.AGREED, fleet.sightings)
+
     def test_fenced(self) -> None:
         for checks in (True, False):
             fleet = self.fleet(checks_fencing=checks)
