--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -36,6 +36,7 @@
 
     def __init__(self, settings: Settings, parts: Parts, callers: CallersApp) -> None:
         self.parts = parts
+        self.callers = callers
         self._settings = settings
         host, _, port = settings.listen.rpartition(":")
         self._server = WSGIServer((host, int(port)), callers, log=None, error_log=logger)
@@ -98,8 +99,11 @@
         clock=clock,
         follower=parts.follower,
         policy=parts.policy,
+        targets=parts.targets,
+        claims=parts.claims,
         engine=platform.engine,
         estimates=CostEstimates(),
+        journal=parts.journal,
     )
     callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
     return Application(settings, parts, callers)
