Stop every router of the test that swaps two

Cause: test_never_reverts put router-1 in the place of router-0, so that router-0 was never stopped; its listener was collected while libev still watched it, and the run of all tests aborted in about every second run ('invalid fd found in epoll_ctl'). Conclusion: the test swaps the two routers and checks the same; close() now stops both.

--- a/tests/test_loomyard_standins/test_checkers.py
+++ b/tests/test_loomyard_standins/test_checkers.py
@@ -83,7 +83,8 @@
         fleet.publish_generation()
         fleet.run(0.1)
         fleet.watch_router("router-0")
-        fleet.routers["router-0"] = fleet.routers["router-1"]
+        routers = fleet.routers
+        routers["router-0"], routers["router-1"] = routers["router-1"], routers["router-0"]
         fleet.watch_router("router-0")
         self.assert_violated(Invariant.NEVER_REVERTS, fleet.sightings)
 
