End kept connections with their server

Cause: the run of all tests aborted in libev ('invalid fd found in epoll_ctl'). Two things leave libev a watcher of a closed file: gevent's server without a pool lets connections that wait be collected, which this mends, and the accept loop of websockets leaves its poller open.

--- a/packages/loomyard-router/src/loomyard_router/callers/handler.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/handler.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
+from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from loomyard.errors import Fault, ResultCode
@@ -92,9 +93,13 @@
     handler_class = CallerHandler
 
     def __init__(self, *arguments: Any, in_flight: InFlight, **options: Any) -> None:
-        super().__init__(*arguments, **options)
+        super().__init__(*arguments, spawn=Pool(), **options)
         self.in_flight = in_flight
 
+    def stop(self, timeout: float | None = 0) -> None:
+        """Close the listener and end all connections, the idle ones too."""
+        super().stop(timeout)
+
     def wrap_socket_and_handle(self, client_socket: Any, address: Any) -> Any:
         client_socket.settimeout(CONNECTION_TIMEOUT)
         return super().wrap_socket_and_handle(client_socket, address)
--- a/packages/loomyard-standins/src/loomyard_standins/engine.py
+++ b/packages/loomyard-standins/src/loomyard_standins/engine.py
@@ -12,11 +12,11 @@
 from attrs import define, field
 from gevent.event import Event
 from gevent.lock import BoundedSemaphore
-from gevent.pywsgi import WSGIServer
 
 from loomyard.codec import CODEC
 from loomyard.platform.engine import EngineOrder
 from loomyard.prefixes import prefix_of
+from loomyard_standins.closing_server import ClosingServer
 from loomyard_standins.engine_cache import CAPACITY, PrefixCache
 from loomyard_standins.engine_orders import OrderBook
 
@@ -80,7 +80,7 @@
         self.running = 0
         self.waiting = 0
         self._slots = BoundedSemaphore(slots)
-        self._server = WSGIServer(listen, self._serve, log=None)
+        self._server = ClosingServer(listen, self._serve)
 
     @property
     def url(self) -> str:
--- a/packages/loomyard-standins/src/loomyard_standins/log_service.py
+++ b/packages/loomyard-standins/src/loomyard_standins/log_service.py
@@ -8,12 +8,12 @@
 
 import gevent
 from gevent.event import Event
-from gevent.pywsgi import WSGIServer
 from result import Err, Ok, Result
 
 from loomyard.codec import encode
 from loomyard.errors import Executed, Fault, ResultCode
 from loomyard.platform.log_service import LogBatch, LogRecord
+from loomyard_standins.closing_server import ClosingServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -96,7 +96,7 @@
 
     def __init__(self, log: MemoryLog, listen: tuple[str, int] = ("127.0.0.1", 0)) -> None:
         self.log = log
-        self._server = WSGIServer(listen, self._serve, log=None)
+        self._server = ClosingServer(listen, self._serve)
 
     @property
     def address(self) -> str:
--- a/packages/loomyard-standins/src/loomyard_standins/plain_service.py
+++ b/packages/loomyard-standins/src/loomyard_standins/plain_service.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING, Any
 
 import gevent
-from gevent.pywsgi import WSGIServer
+
+from loomyard_standins.closing_server import ClosingServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -20,7 +21,7 @@
     ) -> None:
         self.seconds = seconds
         self.ran: list[tuple[str, str, bytes]] = []
-        self._server = WSGIServer(listen, self._serve, log=None)
+        self._server = ClosingServer(listen, self._serve)
 
     @property
     def url(self) -> str:
--- a/packages/loomyard-standins/src/loomyard_standins/scripted_target.py
+++ b/packages/loomyard-standins/src/loomyard_standins/scripted_target.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import frozen
+from gevent.pool import Pool
 from gevent.server import StreamServer
 
 if TYPE_CHECKING:
@@ -39,7 +40,7 @@
         self.script = script
         self.calls: list[ReceivedCall] = []
         self._connections = 0
-        self._server = StreamServer(("127.0.0.1", 0), self._handle)
+        self._server = StreamServer(("127.0.0.1", 0), self._handle, spawn=Pool())
 
     @property
     def url(self) -> str:
@@ -56,7 +57,7 @@
 
     def stop(self) -> None:
         """Stop to serve."""
-        self._server.stop()
+        self._server.stop(timeout=0)
 
     def _handle(self, sock: socket, _: object) -> None:
         number = self._connections
--- a/packages/loomyard-standins/src/loomyard_standins/vm_list.py
+++ b/packages/loomyard-standins/src/loomyard_standins/vm_list.py
@@ -5,12 +5,12 @@
 import json
 from typing import TYPE_CHECKING, Any
 
-from gevent.pywsgi import WSGIServer
 from result import Err, Ok, Result
 
 from loomyard.codec import CODEC
 from loomyard.errors import Fault, ResultCode
 from loomyard.platform.vm_list import Vm
+from loomyard_standins.closing_server import ClosingServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -39,7 +39,7 @@
 
     def __init__(self, vm_list: MemoryVmList, listen: tuple[str, int] = ("127.0.0.1", 0)) -> None:
         self.vm_list = vm_list
-        self._server = WSGIServer(listen, self._serve, log=None)
+        self._server = ClosingServer(listen, self._serve)
 
     @property
     def address(self) -> str:
