Close links safely under gevent's selector

Any broken handshake could have ended a router. Now only the polling task closes the socket, others shut it down; and connections are accepted by gevent's server in place of the library's loop, which left a watcher on the closed listener.

--- a/packages/loomyard-router/src/loomyard_router/peers/link.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/link.py
@@ -14,6 +14,7 @@
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
+from loomyard_router.peers.acceptor import MAX_FRAME_BYTES
 from loomyard_router.peers.compact_codec import COMPACT, structure
 from loomyard_router.peers.fleet_secret import MAC_BYTES
 from loomyard_router.peers.frames import Envelope, FrameOpener, FrameSealer, encode_envelope
@@ -31,7 +32,6 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_FRAME_BYTES = 1 << 20
 MAX_QUEUED_BYTES = 4 << 20
 MAX_QUEUED_MESSAGES = 4096
 MAX_REQUESTS_RUNNING = 256
--- a/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
@@ -12,20 +12,20 @@
 from result import Err, Ok, Result
 from websockets.exceptions import WebSocketException
 from websockets.sync.client import connect
-from websockets.sync.server import serve
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard_router.members.membership import Member, MemberState
-from loomyard_router.peers.handshake import HANDSHAKE_TIMEOUT, accept_link, open_link
-from loomyard_router.peers.link import MAX_FRAME_BYTES, PeerLink
+from loomyard_router.peers.acceptor import MAX_FRAME_BYTES, Acceptor, library_logger
+from loomyard_router.peers.connections import OpenedConnection
+from loomyard_router.peers.handshake import accept_link, open_link
+from loomyard_router.peers.link import PeerLink
 from loomyard_router.peers.message_types import name_of, register_message
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from websockets.sync.connection import Connection
-    from websockets.sync.server import Server
 
     from loomyard.clock import Clock
     from loomyard_router.members.membership import Membership
@@ -35,10 +35,6 @@
     from loomyard_router.peers.traffic import TrafficCounters
 
 logger = logging.getLogger(__name__)
-# The library tells of each connection at INFO; the events of this module say what matters.
-library_logger = logging.getLogger("loomyard.websockets")
-library_logger.setLevel(logging.CRITICAL)
-
 CONNECT_TIMEOUT = 1.0
 RETRY_AFTER = 0.25
 IDLE_AFTER = 60.0
@@ -65,7 +61,6 @@
         self.traffic = traffic
         self._members = members
         self._secret = secret
-        self._listener = listener
         self._clock = clock
         self._tls = tls
         self._handlers: dict[type, Callable[[Member, Any], Any]] = {}
@@ -75,8 +70,8 @@
         self._opening: dict[str, GeventEvent] = {}
         self._retry_at: dict[str, float] = {}
         self._handshakes = BoundedSemaphore(MAX_HANDSHAKES)
-        self._server: Server | None = None
-        self._tasks: list[gevent.Greenlet] = []
+        self._acceptor = Acceptor(listener, self._accept, tls.server if tls else None)
+        self._sweeper: gevent.Greenlet | None = None
 
     def send(self, to: str, message: Any) -> bool:
         """Queue a message; where there is no link yet, it waits for one within a bound."""
@@ -105,23 +100,14 @@
     def start(self) -> None:
         """Start to accept links."""
         self._members.subscribe(self._drop_dead)
-        self._server = serve(
-            self._accept,
-            sock=self._listener,
-            ssl=self._tls.server if self._tls else None,
-            compression=None,
-            ping_interval=None,
-            open_timeout=HANDSHAKE_TIMEOUT,
-            max_size=MAX_FRAME_BYTES,
-            server_header=None,
-            logger=library_logger,
-        )
-        self._tasks = [gevent.spawn(self._server.serve_forever), gevent.spawn(self._sweep)]
+        self._acceptor.start()
+        self._sweeper = gevent.spawn(self._sweep)
 
     def stop(self) -> None:
         """Close all links at once."""
-        gevent.killall(self._tasks)
-        self._listener.close()
+        self._acceptor.stop()
+        if self._sweeper is not None:
+            self._sweeper.kill()
         for link in list(self._all):
             link.close()
 
@@ -183,6 +169,7 @@
         connection = connect(
             f"{scheme}://{member.address}/",
             ssl=self._tls.client if self._tls else None,
+            create_connection=OpenedConnection,
             compression=None,
             ping_interval=None,
             proxy=None,
