--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -40,6 +40,7 @@
     peer_authority: str = ""
     vm_list: str = ""
     probe_period: float = 0.5
+    drain_seconds: float = 60.0
 
 
 def parse_settings(
@@ -80,6 +81,7 @@
     add("policy", "local", "share policy", choices=POLICIES)
     add("position", 0, "position of this router for the local policy", type=int)
     add("routers", 1, "number of routers for the local policy", type=int)
+    add("drain-seconds", 60.0, "longest wait of a planned stop for what runs", type=float)
     add("log-format", "text", "text or json", choices=("text", "json"))
     add("peer-listen", "", "TCP and UDP address for other routers; none: a fleet of one")
     add("peers", "", "addresses of some other routers, with commas", type=_split)
