--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -32,6 +32,7 @@
     position: int = 0
     routers: int = 1
     log_format: str = "text"
+    drain_seconds: float = 60.0
     peer_listen: str = ""
     peers: tuple[str, ...] = ()
     fleet_secret: tuple[str, ...] = field(default=(), repr=False)
@@ -40,7 +41,6 @@
     peer_authority: str = ""
     vm_list: str = ""
     probe_period: float = 0.5
-    drain_seconds: float = 60.0
 
 
 def parse_settings(
