--- a/packages/loomyard-router/src/loomyard_router/members/pause.py
+++ b/packages/loomyard-router/src/loomyard_router/members/pause.py
@@ -1,4 +1,4 @@
-"""Notice that this process stood still."""
+"""Notice that this process was slow or stood still."""
 
 from __future__ import annotations
 
@@ -7,13 +7,16 @@
 
 @define(eq=False, kw_only=True)
 class PauseWatch:
-    """Compare the ticks of a timer with the clock; seconds beyond ``bound`` are a pause."""
+    """Compare a timer of ``interval`` seconds with the clock; beyond ``bound`` is a pause."""
 
+    interval: float
     bound: float
     ticked_at: float
 
-    def tick(self, now: float) -> float:
-        """Return the seconds of a pause since the last tick, or 0."""
-        silence = now - self.ticked_at
+    def tick(self, now: float) -> tuple[float, bool]:
+        """Return by how many seconds this tick is late, and whether that is a pause."""
+        late = now - self.ticked_at - self.interval
         self.ticked_at = now
-        return silence if silence > self.bound else 0.0
+        if late <= self.interval:
+            return 0.0, False
+        return late, late > self.bound
--- a/packages/loomyard-router/src/loomyard_router/members/probes.py
+++ b/packages/loomyard-router/src/loomyard_router/members/probes.py
@@ -30,9 +30,6 @@
     _probes: dict[int, Probe] = field(factory=dict)
     _nonce: int = 0
 
-    def __len__(self) -> int:
-        return len(self._probes)
-
     def add(self, probe: Probe) -> int:
         """Keep a probe and return its nonce."""
         self._nonce += 1
@@ -60,6 +57,8 @@
         failed = [self._probes.pop(nonce) for nonce in late]
         return [probe for probe in failed if not probe.requester]
 
-    def clear(self) -> None:
-        """Give all up without a verdict."""
-        self._probes.clear()
+    def postpone(self, seconds: float) -> None:
+        """Move all deadlines."""
+        for probe in self._probes.values():
+            probe.indirect_at += seconds
+            probe.deadline += seconds
