--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/shares/allocator.py
@@ -0,0 +1,261 @@
+"""The allocator: levels of accounts and slots of targets over the whole fleet."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from loomyard_router.shares.demands import Demands
+from loomyard_router.shares.granting import grant_demands
+from loomyard_router.shares.levels import FleetLevels
+from loomyard_router.shares.messages import ShareReply, ShareReset
+from loomyard_router.shares.reporting_router import IDLE_LEASE, LEASE, ReportingRouter
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard.clock import Clock
+    from loomyard_router.members.membership import Member
+    from loomyard_router.shares.capacity import Capacity
+    from loomyard_router.shares.messages import AccountReport, ShareReport
+    from loomyard_router.shares.pacing import Pacer
+
+# Replies to one router that are not urgent leave at least this much time between them.
+REPLY_GAP = 0.5
+# Clocks of routers may differ in speed by this part.
+CLOCK_DRIFT = 0.01
+# Account levels that moved by less than this part of the margin are not told.
+TOLD_PART = 0.125
+CREDIT_MARGINS = 4.0
+
+
+class Allocator:
+    """Grant slots to the waiting account with the least level, and tell levels.
+
+    It has no state that the reports of the routers do not bring back.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        *,
+        capacity: Capacity,
+        live: Callable[[], tuple[Member, ...]],
+        fleet_size: Callable[[], int],
+        send: Callable[[str, ShareReply | ShareReset], int],
+        pacer: Pacer,
+    ) -> None:
+        self._clock = clock
+        self._capacity = capacity
+        self._live = live
+        self._fleet_size = fleet_size
+        self._send = send
+        self._pacer = pacer
+        self._routers: dict[str, ReportingRouter] = {}
+        self._levels = FleetLevels()
+        self._margin = 0
+        self._began_at: float | None = None
+        self._dirty = False
+
+    @property
+    def levels(self) -> FleetLevels:
+        return self._levels
+
+    @property
+    def routers(self) -> dict[str, ReportingRouter]:
+        """Return the routers heard from, by name."""
+        return self._routers
+
+    def handle_report(self, member: Member, report: ShareReport) -> None:
+        """Take in a report; late and doubled ones change nothing."""
+        now = self._clock.now()
+        router = self._routers.get(member.name)
+        if router is None or router.source != _source(member) or report.session > router.session:
+            if report.baseline:
+                self._send(member.name, ShareReset(report.session))
+                return
+            router = self._begin(member, report)
+        if report.session < router.session or report.sequence <= router.sequence:
+            return
+        first = not router.sequence
+        if self._began_at is None:
+            self._began_at = now
+        router.hear(report, now)
+        router.reply_due = True
+        router.urgent |= first
+        if not first and router.take_slots(report):
+            self._dirty = True
+        self._take_accounts(router, report, now, first)
+
+    def poll(self) -> None:
+        """Grant what can be granted and send the replies that are due."""
+        now = self._clock.now()
+        self._expire(now)
+        if self._dirty:
+            self._allocate(now)
+        for router in sorted(self._routers.values(), key=lambda r: (not r.urgent, r.replied_at)):
+            if router.urgent or (router.reply_due and now >= router.replied_at + REPLY_GAP):
+                if not self._pacer.allows(now):
+                    return
+                self._reply(router, now)
+
+    def touch(self) -> None:
+        """Take in that capacity changed."""
+        self._dirty = True
+
+    def _forget(self) -> None:
+        self._levels = FleetLevels()
+        self._began_at = None
+
+    def _begin(self, member: Member, report: ShareReport) -> ReportingRouter:
+        known = self._routers.get(member.name)
+        if known is not None:
+            self._drop(known)
+        router = ReportingRouter(member, report.session)
+        router.adopt_slots(report)
+        self._routers[member.name] = router
+        self._dirty = True
+        return router
+
+    def _take_accounts(
+        self, router: ReportingRouter, report: ShareReport, now: float, first: bool
+    ) -> None:
+        for account, update in report.accounts.items():
+            self._levels.report(router.source, account, update.service, update.known_level)
+            before = router.accounts.get(account)
+            lift = not first or update.known_level < 0
+            self._note_presence(account, before, update, now, lift)
+            self._dirty = True
+            if update.waiting or update.running:
+                router.accounts[account] = update
+            else:
+                router.accounts.pop(account, None)
+                router.offsets.drop(account)
+
+    def _note_presence(
+        self,
+        account: bytes,
+        before: AccountReport | None,
+        update: AccountReport,
+        now: float,
+        lift: bool,
+    ) -> None:
+        waited, waits = bool(before and before.waiting), bool(update.waiting)
+        if waits and not waited:
+            credit = self._margin * CREDIT_MARGINS
+            self._levels.begin_waiting(account, now, credit=credit, lift=lift)
+        if waited and not waits:
+            self._levels.end_waiting(account, now)
+        if (waits or update.running) and before is None:
+            self._levels.begin_active(account)
+        if before is not None and not waits and not update.running:
+            self._levels.end_active(account, now)
+
+    def _expire(self, now: float) -> None:
+        for router in list(self._routers.values()):
+            if now >= router.heard_at + router.longest_lease * (1 + CLOCK_DRIFT):
+                self._drop(router)
+                del self._routers[router.name]
+                self._dirty = True
+        if not self._routers:
+            self._forget()
+
+    def _drop(self, router: ReportingRouter) -> None:
+        now = self._clock.now()
+        for account, report in router.accounts.items():
+            if report.waiting:
+                self._levels.end_waiting(account, now)
+            self._levels.end_active(account, now)
+
+    def _allocate(self, now: float) -> None:
+        self._dirty = False
+        demands = Demands(self._routers.values(), self._levels)
+        if demands.floor is not None:
+            self._levels.floor = demands.floor
+            self._margin = demands.margin
+        free = self._free_slots(now)
+        self._recall(free)
+        if self._may_grant(now):
+            grant_demands(demands, free, self._capacity)
+            self._spread(demands, free)
+        self._tell_lowest(Demands(self._routers.values(), self._levels))
+
+    def _free_slots(self, now: float) -> dict[bytes, int]:
+        """Return the free slots of each target; negative where too many are out."""
+        part = self._part(now)
+        free = {t: math.ceil(slots * part) for t, slots in self._capacity.slots().items()}
+        for router in self._routers.values():
+            for target, lease in router.leases.items():
+                free[target] = free.get(target, 0) - lease.committed
+        return free
+
+    def _part(self, now: float) -> float:
+        """Return the part of all slots that may be out: less than all without a majority."""
+        heard, total = len(self._routers), self._fleet_size()
+        settled = now >= self._granting_from()
+        return heard / total if settled and 2 * heard <= total else 1.0
+
+    def _may_grant(self, now: float) -> bool:
+        """Tell whether slots that nobody here reported are surely free."""
+        if now >= self._granting_from():
+            return True
+        return all(member.name in self._routers for member in self._live())
+
+    def _granting_from(self) -> float:
+        began_at = math.inf if self._began_at is None else self._began_at
+        return began_at + IDLE_LEASE * (1 + CLOCK_DRIFT)
+
+    def _recall(self, free: dict[bytes, int]) -> None:
+        for target, slots in free.items():
+            for _ in range(-slots):
+                holder = max(self._routers.values(), key=lambda r: r.granted(target))
+                if not holder.granted(target):
+                    break
+                holder.grant(target, holder.granted(target) - 1)
+
+    def _spread(self, demands: Demands, free: dict[bytes, int]) -> None:
+        """Lease slots that nobody waits for evenly, so that work need not ask first."""
+        routers = list(self._routers.values())
+        for target, slots in free.items():
+            if any(service in demands.by_service for service in self._capacity.services(target)):
+                continue
+            for _ in range(slots):
+                router = min(routers, key=lambda r: (r.granted(target), r.spread_rank(target)))
+                router.grant(target, router.granted(target) + 1, urgent=False)
+
+    def _tell_lowest(self, demands: Demands) -> None:
+        for router in self._routers.values():
+            held = {s for t in router.leases for s in self._capacity.services(t)}
+            for service in held | set(router.lowest):
+                lowest = demands.lowest_elsewhere(service, router.name) if service in held else None
+                self._tell_lowest_to(router, service, None if lowest is None else round(lowest))
+
+    def _tell_lowest_to(self, router: ReportingRouter, service: bytes, lowest: int | None) -> None:
+        told = router.lowest.get(service)
+        if told is not None and lowest is not None and self._near(told, lowest):
+            return
+        if router.lowest.set(service, lowest, router.next_reply):
+            router.reply_due = True
+            router.urgent |= told is None
+
+    def _near(self, told: int, value: int) -> bool:
+        return abs(told - value) < TOLD_PART * self._margin
+
+    def _reply(self, router: ReportingRouter, now: float) -> None:
+        for account in router.accounts:
+            offset = self._levels.offset(router.source, account)
+            told = router.offsets.get(account)
+            if told is None or not self._near(told, offset):
+                router.offsets.set(account, offset, router.next_reply)
+        idle = not any(r.accounts for r in self._routers.values())
+        reply = router.make_reply(
+            lease=IDLE_LEASE if idle else LEASE,
+            floor=round(self._levels.floor),
+            margin=self._margin,
+        )
+        router.replied_at = now
+        self._pacer.spend(self._send(router.name, reply))
+
+
+def _source(member: Member) -> tuple[str, int]:
+    return member.name, member.incarnation
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/shares/capacity.py
@@ -0,0 +1,66 @@
+"""The slots of targets and who may use them, by short identifiers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loomyard_router.shares.short_ids import short_id
+
+if TYPE_CHECKING:
+    from loomyard.objects import ClientAccount, Target
+    from loomyard.routing import Routing
+    from loomyard_router.targets.directory import TargetDirectory
+
+
+class Capacity:
+    """Look-ups over one configuration and what the directory says of its targets."""
+
+    def __init__(self, directory: TargetDirectory) -> None:
+        self._directory = directory
+        self._routing: Routing | None = None
+        self._targets: dict[bytes, Target] = {}
+        self._services: dict[bytes, str] = {}
+        self._accounts: dict[bytes, ClientAccount] = {}
+        self._allowed: dict[tuple[bytes, bytes], tuple[bytes, ...]] = {}
+
+    def reconfigure(self, routing: Routing) -> None:
+        """Take over a configuration."""
+        self._routing = routing
+        self._targets = {short_id(name): target for name, target in routing.targets.items()}
+        self._services = {short_id(name): name for name in routing.services}
+        self._accounts = {short_id(name): account for name, account in routing.accounts.items()}
+        self._allowed.clear()
+
+    def slots(self) -> dict[bytes, int]:
+        """Return the slots of each target that may get work."""
+        usable = self._directory.may_send
+        return {
+            key: self._directory.slots(target)
+            for key, target in self._targets.items()
+            if usable(target.metadata.name)
+        }
+
+    def usable(self, target: bytes) -> bool:
+        """Tell whether a target may get new work."""
+        found = self._targets.get(target)
+        return found is not None and self._directory.may_send(found.metadata.name)
+
+    def services(self, target: bytes) -> list[bytes]:
+        """Return the services of a target."""
+        found = self._targets.get(target)
+        return [short_id(name) for name in found.services] if found else []
+
+    def targets(self, account: bytes, service: bytes) -> tuple[bytes, ...]:
+        """Return the targets that an account may use for a service."""
+        key = account, service
+        if key not in self._allowed:
+            self._allowed[key] = self._resolve(account, service)
+        return self._allowed[key]
+
+    def _resolve(self, account: bytes, service: bytes) -> tuple[bytes, ...]:
+        found = self._accounts.get(account)
+        name = self._services.get(service)
+        if self._routing is None or found is None or name is None:
+            return ()
+        targets = self._routing.resolve(found, name).unwrap_or(())
+        return tuple(short_id(target.metadata.name) for target in targets)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/shares/fleet.py
@@ -0,0 +1,304 @@
+"""The ``fleet`` policy: fair over all routers, with slots leased to where the neediest wait."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import gevent
+
+from loomyard.codec import encode
+from loomyard.events import Event, emit
+from loomyard.rendezvous import choose
+from loomyard_router.shares.account_levels import AccountLevels
+from loomyard_router.shares.admission import Admission
+from loomyard_router.shares.allocator import Allocator
+from loomyard_router.shares.capacity import Capacity
+from loomyard_router.shares.held_slots import HeldSlots
+from loomyard_router.shares.messages import ShareReply, ShareReport, ShareReset
+from loomyard_router.shares.overdue import Overdue
+from loomyard_router.shares.pacing import Pacer
+from loomyard_router.shares.parents import find_allocator
+from loomyard_router.shares.reporter import Reporter
+from loomyard_router.shares.request_queues import RequestQueues
+from loomyard_router.shares.short_ids import short_id
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gevent import Greenlet
+    from result import Result
+
+    from loomyard.clock import Clock
+    from loomyard.errors import Fault
+    from loomyard.routing import Routing
+    from loomyard_router.members.membership import Member, Membership
+    from loomyard_router.peers.links import PeerLinks
+    from loomyard_router.shares.waiting import WaitingRequest
+    from loomyard_router.targets.directory import TargetDirectory
+
+logger = logging.getLogger(__name__)
+
+POLL_INTERVAL = 0.02
+# A router keeps a freed slot while its neediest account is within this many mean requests of the
+# neediest elsewhere.
+KEEP_MARGINS = 3.0
+MESSAGES_PER_SECOND = 16.0
+BYTES_PER_SECOND = 1700.0
+MESSAGE_BURST = 8.0
+
+
+class FleetPolicy:
+    """Admit the neediest account of this router to leased slots; give slots to needier ones."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        *,
+        members: Membership,
+        peers: PeerLinks,
+        directory: TargetDirectory,
+        fleet_size: Callable[[], int],
+    ) -> None:
+        self._clock = clock
+        self._members = members
+        self._peers = peers
+        self._queues = RequestQueues(clock)
+        self._levels = AccountLevels()
+        self._held = HeldSlots()
+        self._overdue = Overdue()
+        self._capacity = Capacity(directory)
+        self._in_flight: Counter[str] = Counter()
+        self._exchanging = False
+        self._task: Greenlet | None = None
+        pacer = Pacer(messages=MESSAGES_PER_SECOND, size=BYTES_PER_SECOND, burst=MESSAGE_BURST)
+        self._reporter = Reporter(
+            members=members,
+            find_allocator=find_allocator,
+            send=self._send_report,
+            pacer=pacer,
+            queues=self._queues,
+            levels=self._levels,
+            held=self._held,
+            overdue=self._overdue,
+        )
+        self._allocator = Allocator(
+            clock,
+            capacity=self._capacity,
+            live=members.live,
+            fleet_size=fleet_size,
+            send=self._send_reply,
+            pacer=pacer,
+        )
+        peers.handle(ShareReport, self._handle_report)
+        peers.handle(ShareReply, self._handle_reply)
+        peers.handle(ShareReset, self._handle_reset)
+        members.subscribe(self._allocator.touch)
+        directory.subscribe(self._allocator.touch)
+
+    def submit(self, waiting: WaitingRequest) -> Result[None, Fault]:
+        pushed = self._queues.push(waiting)
+        if pushed.is_ok():
+            account = short_id(waiting.account.metadata.name)
+            self._levels.begin(account)
+            self._admit()
+            self._note_waiting(waiting)
+            self._exchange()
+        return pushed
+
+    def withdraw(self, waiting: WaitingRequest) -> bool:
+        removed = self._queues.remove(waiting)
+        if removed:
+            self._levels.end(short_id(waiting.account.metadata.name))
+        return removed
+
+    def charge(self, admission: Admission, cost: float) -> None:
+        self._levels.add(admission.waiting.account, cost - admission.charged)
+        admission.charged = cost
+
+    def finish(self, admission: Admission, cost: float) -> None:
+        self.charge(admission, cost)
+        self._held.release(short_id(admission.target.metadata.name))
+        self._in_flight[admission.waiting.service.metadata.name] -= 1
+        self._levels.end(short_id(admission.waiting.account.metadata.name))
+        self._admit()
+        self._exchange()
+
+    def reconfigure(self, routing: Routing) -> None:
+        self._capacity.reconfigure(routing)
+        self._allocator.touch()
+        self._admit()
+
+    def start(self) -> None:
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        if self._task is not None:
+            self._task.kill()
+        self._held.lapse()
+        self._reporter.urgent = True
+        self._exchange()
+
+    def poll(self) -> None:
+        """Do what has become due."""
+        self._admit()
+        self._exchange()
+
+    def _run(self) -> None:
+        while True:
+            self._clock.sleep(POLL_INTERVAL)
+            try:
+                self.poll()
+            except Exception as error:  # the policy must outlive a fault of one round
+                emit(logger, Event.HANDLER_FAILED, task="shares", error=repr(error))
+
+    def _exchange(self) -> None:
+        """Send what is due; what arrives meanwhile, from this router itself, waits its turn."""
+        if self._exchanging:
+            return
+        self._exchanging = True
+        try:
+            now = self._clock.now()
+            self._give_back_idle(now)
+            self._reporter.poll(now)
+            self._allocator.poll()
+        finally:
+            self._exchanging = False
+
+    def _note_waiting(self, waiting: WaitingRequest) -> None:
+        service, account = waiting.service.metadata.name, waiting.account.metadata.name
+        if count := self._queues.length(service, account):
+            self._reporter.note_waiting(short_id(account), short_id(service), count)
+
+    def _admit(self) -> None:
+        now = self._clock.now()
+        if not self._held.valid(now):
+            self._admit_floor(now)
+            return
+        free = self._held.free(now)
+        while free and (waiting := self._neediest(free, now)) is not None:
+            target = self._choose_target(waiting, free)
+            free[target] -= 1
+            if not free[target]:
+                del free[target]
+            if self._keeps(waiting, now) or not self._reporter.may_send(now):
+                self._start(waiting, target, now)
+            else:
+                self._held.give_back(target)
+                self._reporter.urgent = True
+
+    def _admit_floor(self, now: float) -> None:
+        """Send one request at a time to each service while no lease holds."""
+        for service in self._queues.services:
+            queues = self._queues.of(service)
+            if queues is None or self._in_flight[service]:
+                continue
+            name = min(queues.accounts, key=lambda a: self._levels.level(short_id(a)))
+            waiting = queues.head(name)
+            usable = [t for t in waiting.targets_by_id if self._capacity.usable(t)]
+            if usable:
+                own = self._members.own.name
+                names = {waiting.targets_by_id[t].metadata.name: t for t in usable}
+                self._start(waiting, names[choose(own, names)], now)
+
+    def _neediest(self, free: dict[bytes, int], now: float) -> WaitingRequest | None:
+        best: WaitingRequest | None = None
+        least = (True, float("inf"))
+        for service in self._queues.services:
+            queues = self._queues.of(service)
+            assert queues is not None
+            for name in queues.accounts:
+                head = queues.head(name)
+                rank = not self._overdue.applies(head, now), self._levels.level(short_id(name))
+                if rank < least and any(self._usable(t, head) for t in free):
+                    best, least = head, rank
+        return best
+
+    def _usable(self, target: bytes, waiting: WaitingRequest) -> bool:
+        return target in waiting.targets_by_id and self._capacity.usable(target)
+
+    def _choose_target(self, waiting: WaitingRequest, free: dict[bytes, int]) -> bytes:
+        return max((t for t in free if self._usable(t, waiting)), key=lambda t: free[t])
+
+    def _keeps(self, waiting: WaitingRequest, now: float) -> bool:
+        lowest = self._reporter.lowest.get(short_id(waiting.service.metadata.name))
+        if lowest is None or self._overdue.applies(waiting, now):
+            return True
+        level = self._levels.level(short_id(waiting.account.metadata.name))
+        return level <= lowest + KEEP_MARGINS * self._reporter.margin
+
+    def _start(self, waiting: WaitingRequest, target: bytes, now: float) -> None:
+        service, account = waiting.service.metadata.name, waiting.account.metadata.name
+        taken = self._queues.pop(service, account)
+        assert taken is waiting
+        self._held.take(target)
+        self._in_flight[service] += 1
+        self._overdue.note(waiting, now)
+        self._reporter.note_admitted(short_id(account), short_id(service))
+        admission = Admission(
+            waiting=waiting, target=waiting.targets_by_id[target], admitted_at=now
+        )
+        self.charge(admission, waiting.estimate)
+        waiting.admitted.set(admission)
+
+    def _give_back_idle(self, now: float) -> None:
+        """Give back free slots that somebody else could use."""
+        if not self._reporter.lowest or not self._reporter.may_send(now):
+            return
+        for target, slots in self._held.free(now).items():
+            if any(service in self._reporter.lowest for service in self._capacity.services(target)):
+                self._held.give_back(target, slots)
+                self._reporter.urgent = True
+
+    def _handle_report(self, sender: Member, report: ShareReport) -> None:
+        self._allocator.handle_report(sender, report)
+        self._exchange()
+
+    def _handle_reply(self, sender: Member, reply: ShareReply) -> None:
+        if self._reporter.accept(reply):
+            self._admit()
+            self._exchange()
+
+    def _handle_reset(self, sender: Member, reset: ShareReset) -> None:
+        if self._reporter.is_session(reset.session):
+            self._reporter.begin_session()
+            self._exchange()
+
+    def _send_report(self, to: str, report: ShareReport) -> int:
+        if to == self._members.own.name:
+            self._allocator.handle_report(self._members.own, report)
+            return 0
+        return self._send(to, report)
+
+    def _send_reply(self, to: str, reply: ShareReply | ShareReset) -> int:
+        own = self._members.own
+        if to != own.name:
+            return self._send(to, reply)
+        if isinstance(reply, ShareReset):
+            self._handle_reset(own, reply)
+        else:
+            self._handle_reply(own, reply)
+        return 0
+
+    def _send(self, to: str, message: ShareReport | ShareReply | ShareReset) -> int:
+        self._peers.send(to, message)
+        return len(encode(message))
+
+
+def make_fleet_policy(
+    clock: Clock,
+    *,
+    members: Membership,
+    peers: PeerLinks,
+    directory: TargetDirectory,
+    fleet_size: Callable[[], int] | None = None,
+) -> FleetPolicy:
+    """Make the ``fleet`` policy."""
+    return FleetPolicy(
+        clock,
+        members=members,
+        peers=peers,
+        directory=directory,
+        fleet_size=fleet_size or (lambda: len(members.live())),
+    )
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/shares/levels.py
@@ -0,0 +1,82 @@
+"""Levels of client accounts over the whole fleet: service over weight, as the allocator sees it."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+
+from loomyard_router.shares.messages import UNKNOWN_LEVEL
+
+LINGER = 1.0
+
+
+class FleetLevels:
+    """Sum what routers report of accounts, and lift accounts that come back from idleness.
+
+    A source is one start of one router. An account whose queues were empty everywhere for
+    ``LINGER`` seconds is lifted to the floor, the least level among the backlogged; where some
+    of its requests still ran, to a margin below the floor.
+    """
+
+    def __init__(self) -> None:
+        self.floor = 0.0
+        self._levels: dict[bytes, float] = {}
+        self._reported: defaultdict[tuple[str, int], dict[bytes, int]] = defaultdict(dict)
+        self._waiting: Counter[bytes] = Counter()
+        self._active: Counter[bytes] = Counter()
+        self._waited_at: dict[bytes, float] = {}
+        self._active_at: dict[bytes, float] = {}
+
+    def level(self, account: bytes) -> float:
+        """Return the level of an account."""
+        return self._levels.get(account, self.floor)
+
+    def offset(self, source: tuple[str, int], account: bytes) -> int:
+        """Return the level less what a source reported."""
+        return round(self.level(account) - self._reported[source].get(account, 0))
+
+    def report(self, source: tuple[str, int], account: bytes, service: int, known: int) -> None:
+        """Take in the service that a source gave an account since its start."""
+        reported = self._reported[source].get(account)
+        self._reported[source][account] = service
+        level = self._levels.get(account)
+        if reported is not None and level is not None:
+            self._levels[account] = level + service - reported
+        elif known != UNKNOWN_LEVEL:
+            self._levels[account] = max(known, level or 0.0)
+        else:
+            self._levels[account] = self.level(account) + service
+
+    def begin_waiting(self, account: bytes, now: float, *, credit: float, lift: bool) -> None:
+        """Take in that an account waits at one more router."""
+        if lift and not self._waiting[account] and self._absent(self._waited_at, account, now):
+            idle = not self._active[account] and self._absent(self._active_at, account, now)
+            least = self.floor if idle else self.floor - credit
+            self._levels[account] = max(self.level(account), least)
+        self._waiting[account] += 1
+
+    def end_waiting(self, account: bytes, now: float) -> None:
+        """Take in that an account waits at one router less."""
+        self._leave(self._waiting, self._waited_at, account, now)
+
+    def begin_active(self, account: bytes) -> None:
+        """Take in that an account waits or runs at one more router."""
+        self._active[account] += 1
+
+    def end_active(self, account: bytes, now: float) -> None:
+        """Take in that an account waits or runs at one router less."""
+        self._leave(self._active, self._active_at, account, now)
+
+    def forget(self, source: tuple[str, int]) -> None:
+        """Drop the counters of a start of a router that has ended."""
+        self._reported.pop(source, None)
+
+    def _absent(self, left_at: dict[bytes, float], account: bytes, now: float) -> bool:
+        return now - left_at.get(account, -LINGER) >= LINGER
+
+    def _leave(
+        self, counter: Counter[bytes], left_at: dict[bytes, float], account: bytes, now: float
+    ) -> None:
+        counter[account] -= 1
+        if counter[account] <= 0:
+            del counter[account]
+            left_at[account] = now
--- a/packages/loomyard-router/src/loomyard_router/shares/local.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/local.py
@@ -2,24 +2,22 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import Counter
 from typing import TYPE_CHECKING
 
-from result import Err, Ok, Result
-
-from loomyard.errors import Fault, ResultCode
-from loomyard_router.shares.account_queues import AccountQueues
 from loomyard_router.shares.admission import Admission
+from loomyard_router.shares.request_queues import RequestQueues
 from loomyard_router.shares.service_counters import ServiceCounters
 
 if TYPE_CHECKING:
+    from result import Result
+
     from loomyard.clock import Clock
+    from loomyard.errors import Fault
     from loomyard.objects import Target
     from loomyard.routing import Routing
     from loomyard_router.shares.waiting import WaitingRequest
 
-QUEUE_FULL_RETRY_AFTER = 1.0
-
 
 class LocalPolicy:
     """Least service over weight first, over this router's part of each target's slots."""
@@ -28,29 +26,19 @@
         self._clock = clock
         self._position = position
         self._routers = routers
-        self._queues: defaultdict[str, AccountQueues] = defaultdict(AccountQueues)
+        self._queues = RequestQueues(clock)
         self._running: Counter[str] = Counter()
         self._counters = ServiceCounters()
 
     def submit(self, waiting: WaitingRequest) -> Result[None, Fault]:
-        service = waiting.service.metadata.name
-        account = waiting.account
-        queues = self._queues[service]
-        if queues.length(account.metadata.name) >= account.queue_limit:
-            return Err(
-                Fault(
-                    code=ResultCode.QUEUE_FULL,
-                    detail=f"{account.queue_limit} requests wait already",
-                    retry_after=QUEUE_FULL_RETRY_AFTER,
-                )
-            )
-        self._counters.activate(account)
-        queues.push(waiting)
-        self._admit(service)
-        return Ok(None)
+        pushed = self._queues.push(waiting)
+        if pushed.is_ok():
+            self._counters.activate(waiting.account)
+            self._admit(waiting.service.metadata.name)
+        return pushed
 
     def withdraw(self, waiting: WaitingRequest) -> bool:
-        removed = self._queues[waiting.service.metadata.name].remove(waiting)
+        removed = self._queues.remove(waiting)
         if removed:
             self._counters.deactivate(waiting.account)
         return removed
@@ -67,7 +55,7 @@
             self._admit(service)
 
     def reconfigure(self, routing: Routing) -> None:
-        for service in list(self._queues):
+        for service in self._queues.services:
             self._admit(service)
 
     def start(self) -> None:
@@ -77,12 +65,11 @@
         pass
 
     def _admit(self, service: str) -> None:
-        queues = self._queues[service]
-        while True:
+        while (queues := self._queues.of(service)) is not None:
             ready = [name for name in queues.accounts if self._find_slot(queues.head(name))]
             if not ready:
                 return
-            waiting = queues.pop(min(ready, key=self._counters.level))
+            waiting = self._queues.pop(service, min(ready, key=self._counters.level))
             target = self._find_slot(waiting)
             assert target is not None
             self._running[target.metadata.name] += 1
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/shares/messages.py
@@ -0,0 +1,95 @@
+"""Messages between a router and the allocator; levels and service are in units over weight."""
+
+from __future__ import annotations
+
+from attrs import field, frozen
+
+from loomyard.codec import CODEC
+
+UNKNOWN_LEVEL = -1
+
+
+@frozen
+class Waiting:
+    """Requests of one account that wait for one service at one router.
+
+    ``estimate`` is the cost of the oldest over weight; ``overdue`` asks for the floor by age.
+    """
+
+    count: int
+    estimate: int
+    overdue: bool = False
+
+
+@frozen
+class AccountReport:
+    """What one router did for one account since its start.
+
+    ``known_level`` is the account's level as this router sees it, ``UNKNOWN_LEVEL`` where the
+    router was never told one.
+    """
+
+    service: int
+    known_level: int
+    running: bool
+    waiting: dict[bytes, Waiting]
+
+
+@frozen
+class SlotReport:
+    """Slots of one target at one router: the limit it keeps, and those in use above it."""
+
+    limit: int
+    excess: int
+
+
+@frozen
+class ShareReport:
+    """Tell the allocator what changed since its acknowledged ``baseline``.
+
+    ``acknowledged`` is the last reply of the session that the router applied.
+    """
+
+    session: int
+    sequence: int
+    acknowledged: int
+    baseline: int
+    accounts: dict[bytes, AccountReport] = field(factory=dict)
+    slots: dict[bytes, SlotReport] = field(factory=dict)
+
+
+@frozen
+class ShareReply:
+    """Tell a router what changed since its acknowledged reply.
+
+    ``offsets`` are levels less what this router reported of the account; ``lowest`` is the level
+    of the neediest account that waits for a service elsewhere, ``None`` where none does; ``limits``
+    are slots of targets, leased for ``lease_ms`` from when the acknowledged report was sent.
+    """
+
+    session: int
+    sequence: int
+    acknowledged: int
+    lease_ms: int
+    floor: int
+    margin: int
+    offsets: dict[bytes, int] = field(factory=dict)
+    lowest: dict[bytes, int | None] = field(factory=dict)
+    limits: dict[bytes, int] = field(factory=dict)
+
+
+@frozen
+class ShareReset:
+    """Ask a router to begin a new session, since this one is not known here."""
+
+    session: int
+
+
+def _send_as_tuples() -> None:
+    # Field names would double the size of these messages.
+    for kind in (ShareReset, Waiting, AccountReport, SlotReport, ShareReport, ShareReply):
+        CODEC.register_unstructure_hook(kind, CODEC.unstructure_attrs_astuple)
+        CODEC.register_structure_hook(kind, CODEC.structure_attrs_fromtuple)
+
+
+_send_as_tuples()
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporter.py
@@ -0,0 +1,194 @@
+"""Report to the allocator, on change and within the budget, and take its replies in."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from loomyard_router.shares.messages import AccountReport, ShareReport, Waiting
+from loomyard_router.shares.share_session import ShareSession
+from loomyard_router.shares.short_ids import short_id
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard_router.members.membership import Membership
+    from loomyard_router.shares.account_levels import AccountLevels
+    from loomyard_router.shares.held_slots import HeldSlots
+    from loomyard_router.shares.messages import ShareReply
+    from loomyard_router.shares.overdue import Overdue
+    from loomyard_router.shares.pacing import Pacer
+    from loomyard_router.shares.request_queues import RequestQueues
+
+# Reports that are not urgent leave at least this much time between them.
+REPORT_GAP = 0.5
+# An unanswered first report is repeated after this time.
+OPENING_GAP = 0.25
+UNANSWERED_BEFORE_SUSPICION = 4
+RENEWALS_PER_LEASE = 3
+MOST_WAITING_REPORTED = 32
+# Service that moved by less than this part of the margin is not reported.
+REPORTED_PART = 0.125
+KNOWN_SINCE_BEFORE = 0
+
+
+class Reporter:
+    """The side of a router in the exchange with the allocator."""
+
+    def __init__(
+        self,
+        *,
+        members: Membership,
+        find_allocator: Callable[[Membership], str],
+        send: Callable[[str, ShareReport], int],
+        pacer: Pacer,
+        queues: RequestQueues,
+        levels: AccountLevels,
+        held: HeldSlots,
+        overdue: Overdue,
+    ) -> None:
+        self._members = members
+        self._find_allocator = find_allocator
+        self._send = send
+        self._pacer = pacer
+        self._queues = queues
+        self._levels = levels
+        self._held = held
+        self._overdue = overdue
+        self._session = ShareSession(1)
+        self._allocator = ""
+        self._sent_at = float("-inf")
+        self._unanswered = 0
+        self._lease = 0.0
+        self._asked: Counter[tuple[bytes, bytes]] = Counter()
+        self.urgent = False
+        self.margin = 0
+        self.lowest: dict[bytes, int] = {}
+
+    def may_send(self, now: float) -> bool:
+        """Tell whether a report may go now."""
+        return self._session.opened and self._pacer.allows(now)
+
+    def note_waiting(self, account: bytes, service: bytes, count: int) -> None:
+        """Report at once where many more requests wait than the allocator knows."""
+        known = self._asked[account, service]
+        if known < MOST_WAITING_REPORTED and count >= max(1, 2 * known):
+            self.urgent = True
+
+    def note_admitted(self, account: bytes, service: bytes) -> None:
+        """Take in that one request less waits."""
+        if self._asked[account, service] > 0:
+            self._asked[account, service] -= 1
+
+    def poll(self, now: float) -> None:
+        """Send a report where one is due."""
+        allocator = self._find_allocator(self._members)
+        if allocator != self._allocator:
+            self._allocator = allocator
+            self.begin_session()
+        if self._lease and not self._held.valid(now):
+            self._held.lapse()
+            self.lowest.clear()
+            self._lease = 0.0
+            self.begin_session()
+        if self._due(now) and self._pacer.allows(now):
+            self._report(now)
+
+    def begin_session(self) -> None:
+        """Start over: the next report says everything."""
+        self._session = ShareSession(self._session.number + 1)
+        self._asked.clear()
+        self._sent_at = float("-inf")
+        self._unanswered = 0
+
+    def is_session(self, number: int) -> bool:
+        """Tell whether a session is the current one."""
+        return number == self._session.number
+
+    def accept(self, reply: ShareReply) -> bool:
+        """Take in a reply; false where it is late or doubled."""
+        deadline = self._session.accept(reply)
+        if deadline is None:
+            return False
+        self._unanswered = 0
+        self._lease = reply.lease_ms / 1000
+        self._held.lease_until = max(self._held.lease_until, deadline)
+        self.margin = reply.margin
+        self._levels.tell(reply.offsets, reply.floor)
+        for service, lowest in reply.lowest.items():
+            if lowest is None:
+                self.lowest.pop(service, None)
+            else:
+                self.lowest[service] = lowest
+        for target, limit in reply.limits.items():
+            self._held.set_limit(target, limit)
+        return True
+
+    def _due(self, now: float) -> bool:
+        since = now - self._sent_at
+        if not self._session.opened:
+            return since >= OPENING_GAP
+        if self.urgent or since >= self._lease / RENEWALS_PER_LEASE:
+            return True
+        return since >= REPORT_GAP and self._changed(now)
+
+    def _changed(self, now: float) -> bool:
+        """Tell whether something changed that is worth a report of its own."""
+        session = self._session
+        for account, report in self._accounts(now).items():
+            told = session.accounts.get(account)
+            if told is None or told.service != report.service or told.running != report.running:
+                return True
+            if told.waiting.keys() != report.waiting.keys():
+                return True
+        slots = self._held.report(session.slots)
+        return any(session.slots.get(target) != slot for target, slot in slots.items())
+
+    def _report(self, now: float) -> None:
+        report = self._session.make_report(
+            self._accounts(now), self._held.report(self._session.slots), now
+        )
+        self._note_asked(report)
+        self.urgent = False
+        self._sent_at = now
+        self._unanswered += 1
+        if self._unanswered >= UNANSWERED_BEFORE_SUSPICION:
+            self._members.suspect(self._allocator)
+        self._pacer.spend(self._send(self._allocator, report))
+
+    def _note_asked(self, report: ShareReport) -> None:
+        for account, entry in report.accounts.items():
+            for service, waiting in entry.waiting.items():
+                self._asked[account, service] = waiting.count
+
+    def _accounts(self, now: float) -> dict[bytes, AccountReport]:
+        waiting = self._waiting(now)
+        accounts = set(self._levels.active) | set(self._session.accounts)
+        return {account: self._account(account, waiting.get(account, {})) for account in accounts}
+
+    def _waiting(self, now: float) -> dict[bytes, dict[bytes, Waiting]]:
+        found: dict[bytes, dict[bytes, Waiting]] = {}
+        for service in self._queues.services:
+            queues = self._queues.of(service)
+            assert queues is not None
+            for name in queues.accounts:
+                head = queues.head(name)
+                found.setdefault(short_id(name), {})[short_id(service)] = Waiting(
+                    min(queues.length(name), MOST_WAITING_REPORTED),
+                    round(head.estimate / head.account.weight),
+                    self._overdue.applies(head, now),
+                )
+        return found
+
+    def _account(self, account: bytes, waiting: dict[bytes, Waiting]) -> AccountReport:
+        before = self._session.accounts.get(account)
+        service = self._levels.service(account)
+        known = self._levels.known_level(account)
+        running = account in self._levels.active
+        if before is None:
+            return AccountReport(service, known, running, waiting)
+        # The level matters in the first report only, which rebuilds an allocator.
+        known = KNOWN_SINCE_BEFORE if self._session.knows(account) else before.known_level
+        if abs(service - before.service) < REPORTED_PART * self.margin:
+            service = before.service
+        return AccountReport(service, known, running, waiting)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
@@ -0,0 +1,149 @@
+"""One router that reports to the allocator, as the allocator sees it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from zlib import crc32
+
+from attrs import define, field
+
+from loomyard_router.members.membership import Member
+from loomyard_router.shares.changed_values import ChangedValues
+from loomyard_router.shares.messages import AccountReport, ShareReply
+from loomyard_router.shares.slot_lease import SlotLease
+
+if TYPE_CHECKING:
+    from loomyard_router.shares.messages import ShareReport
+
+LEASE = 2.4
+# The lease while nothing waits or runs anywhere, so that renewals are few.
+IDLE_LEASE = 6.0
+
+
+@define
+class PendingGrant:
+    """A slot granted for a demand by a reply that is not acknowledged yet."""
+
+    reply: int
+    account: bytes
+    service: bytes
+
+
+@define(eq=False)
+class ReportingRouter:
+    """What a router reported in a session and what was replied."""
+
+    member: Member
+    session: int
+    sequence: int = 0
+    heard_at: float = 0.0
+    promised: dict[int, float] = field(factory=lambda: {0: IDLE_LEASE})
+    reply_sequence: int = 0
+    acknowledged: int = 0
+    reply_due: bool = False
+    urgent: bool = False
+    replied_at: float = float("-inf")
+    accounts: dict[bytes, AccountReport] = field(factory=dict)
+    leases: dict[bytes, SlotLease] = field(factory=dict)
+    pending: list[PendingGrant] = field(factory=list)
+    offsets: ChangedValues[bytes, int] = field(factory=ChangedValues)
+    lowest: ChangedValues[bytes, int | None] = field(factory=ChangedValues)
+    limits: ChangedValues[bytes, int] = field(factory=ChangedValues)
+
+    @property
+    def name(self) -> str:
+        return self.member.name
+
+    @property
+    def source(self) -> tuple[str, int]:
+        """Return what tells this start of the router from others."""
+        return self.member.name, self.member.incarnation
+
+    @property
+    def next_reply(self) -> int:
+        """Return the number of the reply to come."""
+        return self.reply_sequence + 1
+
+    def lease(self, target: bytes) -> SlotLease:
+        """Return the slots of a target at this router."""
+        return self.leases.setdefault(target, SlotLease())
+
+    @property
+    def longest_lease(self) -> float:
+        """Return the longest lease, in seconds, that the router may go by."""
+        return max(self.promised.values())
+
+    def granted(self, target: bytes) -> int:
+        """Return how many slots of a target the router may keep."""
+        lease = self.leases.get(target)
+        return lease.granted if lease else 0
+
+    def spread_rank(self, target: bytes) -> int:
+        """Return an order of routers that differs from target to target."""
+        return crc32(target + self.name.encode())
+
+    def hear(self, report: ShareReport, now: float) -> None:
+        """Take in the numbers of a report."""
+        self.sequence = report.sequence
+        self.heard_at = now
+        self.acknowledged = max(self.acknowledged, report.acknowledged)
+        # A reply that is superseded no longer binds.
+        superseded = [number for number in self.promised if number < self.acknowledged]
+        for number in superseded:
+            del self.promised[number]
+
+    def make_reply(self, *, lease: float, floor: int, margin: int) -> ShareReply:
+        """Make the reply with all that the router may not know."""
+        self.reply_sequence += 1
+        self.promised[self.reply_sequence] = lease
+        self.reply_due = self.urgent = False
+        return ShareReply(
+            session=self.session,
+            sequence=self.reply_sequence,
+            acknowledged=self.sequence,
+            lease_ms=round(lease * 1000),
+            floor=floor,
+            margin=margin,
+            offsets=self.offsets.since(self.acknowledged),
+            lowest=self.lowest.since(self.acknowledged),
+            limits=self.limits.since(self.acknowledged),
+        )
+
+    def take_slots(self, report: ShareReport) -> bool:
+        """Take over what a report says of slots; true where some came free."""
+        self.pending = [grant for grant in self.pending if grant.reply > report.acknowledged]
+        before = self._committed()
+        for target, slot in report.slots.items():
+            lease = self.lease(target)
+            lease.limit, lease.excess = slot.limit, slot.excess
+        for target, lease in list(self.leases.items()):
+            if lease.acknowledge(report.acknowledged):
+                self.limits.adopt(target, lease.granted)
+            if not lease.committed:
+                del self.leases[target]
+                self.limits.drop(target)
+        return self._committed() < before
+
+    def adopt_slots(self, report: ShareReport) -> None:
+        """Take over the slots that a router keeps as it begins a session."""
+        for target, slot in report.slots.items():
+            self.leases[target] = SlotLease(
+                granted=slot.limit, limit=slot.limit, excess=slot.excess
+            )
+            self.limits.adopt(target, slot.limit)
+
+    def grant(self, target: bytes, slots: int, *, urgent: bool = True) -> None:
+        """Let the router keep a number of slots of a target from the next reply on."""
+        self.lease(target).change(slots, self.next_reply)
+        self.limits.set(target, slots, self.next_reply)
+        self.reply_due = True
+        self.urgent |= urgent
+
+    def unmet(self, account: bytes, service: bytes) -> int:
+        """Return how many waiting requests were not granted a slot yet."""
+        waiting = self.accounts[account].waiting[service].count
+        granted = sum(1 for g in self.pending if g.account == account and g.service == service)
+        return waiting - granted
+
+    def _committed(self) -> int:
+        return sum(lease.committed for lease in self.leases.values())
--- a/packages/loomyard-router/src/loomyard_router/shares/waiting.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/waiting.py
@@ -6,6 +6,7 @@
 from gevent.event import AsyncResult
 
 from loomyard.objects import ClientAccount, Service, Target
+from loomyard_router.shares.short_ids import short_id
 
 
 @define(kw_only=True, eq=False)
@@ -26,3 +27,8 @@
     deadline: float
     prefix: str = ""
     admitted: AsyncResult = field(factory=AsyncResult)
+    targets_by_id: dict[bytes, Target] = field(init=False)
+
+    @targets_by_id.default
+    def _index_targets(self) -> dict[bytes, Target]:
+        return {short_id(target.metadata.name): target for target in self.targets}
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/share_driver.py
@@ -0,0 +1,380 @@
+"""Drive share policies over virtual time, to compare them in seconds of real time."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from collections.abc import Callable
+from itertools import combinations
+from math import exp, log
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field, frozen
+
+from loomyard.configuration import ConfigState, VersionedObject
+from loomyard.objects import ClientAccount, ConfigObject, Metadata, Route, Service, Target, ref_of
+from loomyard.routing import Routing
+from loomyard_router.members.membership import Member
+from loomyard_router.requests.estimates import CostEstimates
+from loomyard_router.shares.fifo import make_fifo_policy
+from loomyard_router.shares.fleet import POLL_INTERVAL, FleetPolicy, make_fleet_policy
+from loomyard_router.shares.local import make_local_policy
+from loomyard_router.shares.waiting import WaitingRequest
+from loomyard_router.targets.directory import make_configured_targets
+from loomyard_standins.virtual_time import Agenda, VirtualMembers, VirtualNetwork
+
+if TYPE_CHECKING:
+
+    from loomyard_router.shares.admission import Admission
+    from loomyard_router.shares.policy import SharePolicy
+
+LINK_DELAY = 0.0015
+STEP = 0.003
+CHUNK = 64
+SAMPLE_INTERVAL = 0.1
+DEADLINE = 1e9
+DETECTION_DELAY = 1.0
+
+
+@frozen(kw_only=True)
+class Load:
+    """What an account sends: ``outstanding`` requests at all times between its ``spans``."""
+
+    account: str
+    service: str
+    mean: float
+    outstanding: int
+    routers: tuple[int, ...]
+    weight: float = 1.0
+    spans: tuple[tuple[float, float], ...] = ((0.0, 1e9),)
+
+
+@frozen(kw_only=True)
+class Figures:
+    """What a run came to; ``gap`` in tokens over weight, the rest per second and router."""
+
+    policy: str
+    gap: float
+    utilisation: float
+    messages: float
+    bytes: float
+    busiest_messages: float
+    busiest_bytes: float
+    excess: int
+
+
+class _Admitted:
+    """Stand in for the ``AsyncResult`` of a waiting request."""
+
+    def __init__(self, call: Callable[[Any], None]) -> None:
+        self.set = call
+
+
+@define(eq=False)
+class _Engine:
+    slots: int
+    running: int = 0
+    queue: deque[Callable[[], None]] = field(factory=deque)
+
+
+class ShareDriver:
+    """Routers of one policy, engines of fixed speed and accounts with closed loops."""
+
+    def __init__(
+        self,
+        policy: str,
+        loads: list[Load],
+        *,
+        routers: int = 8,
+        engines: dict[str, tuple[int, int]],
+        seed: int = 1,
+        settle: float = 10.0,
+    ) -> None:
+        self.agenda = Agenda()
+        self.policy = policy
+        self.loads = loads
+        self.random = random.Random(seed)
+        self.network = VirtualNetwork(self.agenda, delay=LINK_DELAY, seed=seed)
+        self.routing = _make_routing(loads, engines)
+        self.engines = {name: _Engine(t.slots) for name, t in self.routing.targets.items()}
+        self.count = 1 if policy == "single" else routers
+        self.members: dict[int, VirtualMembers] = {}
+        self.policies: dict[int, SharePolicy] = {}
+        self.estimates: dict[int, CostEstimates] = {}
+        self.open: dict[tuple[int, str], Callable[[], None]] = {}
+        self.served: Counter[str] = Counter()
+        self.waiting: Counter[tuple[str, str]] = Counter()
+        self.settle = settle
+        self.gap = 0.0
+        self.gap_at = (0.0, "", "")
+        self.busy = 0.0
+        self.room = 0.0
+        self.excess = 0
+        self.trace: list[tuple[float, dict[str, float]]] = []
+        self._extremes: dict[tuple[str, str], tuple[float, float]] = {}
+        self._number = 0
+        self._generation = dict.fromkeys(range(self.count), 0)
+        for position in range(self.count):
+            self.start_router(position)
+        self.agree()
+
+    def start_router(self, position: int) -> None:
+        """Start a router empty."""
+        self._generation[position] += 1
+        generation = self._generation[position]
+        member = Member(
+            name=f"router-{position}", incarnation=generation, address="", data_centre=""
+        )
+        members = VirtualMembers(member)
+        directory = make_configured_targets()
+        policy: SharePolicy
+        if self.policy == "fifo":
+            policy = make_fifo_policy(self.agenda)
+        elif self.policy in ("single", "local"):
+            policy = make_local_policy(self.agenda, position=position, routers=self.count)
+        else:
+            policy = fleet = make_fleet_policy(
+                self.agenda,
+                members=members,
+                peers=self.network.join(member),
+                directory=directory,
+                fleet_size=lambda: self.count,
+            )
+            self.agenda.every(POLL_INTERVAL, lambda: self._poll(position, generation, fleet))
+        directory.reconfigure(self.routing)
+        policy.reconfigure(self.routing)
+        self.members[position] = members
+        self.policies[position] = policy
+        self.estimates[position] = CostEstimates()
+
+    def kill_router(self, position: int) -> None:
+        """End a router; its callers turn to the next one; the others notice after a while."""
+        self._generation[position] += 1
+        self.network.links.pop(f"router-{position}", None)
+        del self.policies[position]
+        del self.members[position]
+        for key in [key for key in self.open if key[0] == position]:
+            self.open.pop(key)()
+        self.agenda.after(DETECTION_DELAY, self.agree)
+
+    def agree(self) -> None:
+        """Let all routers know of all."""
+        view = [members.own for members in self.members.values()]
+        for members in self.members.values():
+            members.set_view(view)
+
+    def run(self, seconds: float) -> Figures:
+        """Run and return the figures."""
+        for load in self.loads:
+            for number in range(load.outstanding):
+                self._launch(load, number)
+        self.agenda.every(SAMPLE_INTERVAL, self._sample)
+        self.agenda.run(seconds)
+        sent, size = self.network.messages, self.network.bytes
+        return Figures(
+            policy=self.policy,
+            gap=round(self.gap),
+            utilisation=round(100 * self.busy / max(1e-9, self.room), 3),
+            messages=round(sum(sent.values()) / seconds / self.count, 2),
+            bytes=round(sum(size.values()) / seconds / self.count),
+            busiest_messages=round(max(sent.values(), default=0) / seconds, 2),
+            busiest_bytes=round(max(size.values(), default=0) / seconds),
+            excess=self.excess,
+        )
+
+    def _poll(self, position: int, generation: int, policy: FleetPolicy) -> bool:
+        if self._generation[position] != generation:
+            return False
+        policy.poll()
+        return True
+
+    def _launch(self, load: Load, number: int) -> None:
+        for begin, end in load.spans:
+            self.agenda.after(begin, lambda end=end: self._submit(load, number, end))
+
+    def _submit(self, load: Load, number: int, until: float) -> None:
+        if self.agenda.now() >= until:
+            return
+        position = load.routers[number % len(load.routers)] % self.count
+        while position not in self.policies:
+            position = (position + 1) % self.count
+        tokens = max(1, round(self.random.lognormvariate(log(load.mean) - 0.5, 1.0)))
+        hint = tokens * exp(self.random.uniform(-log(4), log(4)))
+        account = self.routing.accounts[load.account]
+        service = self.routing.services[load.service]
+        now = self.agenda.now()
+        waiting = WaitingRequest(
+            request_id=str(self._next()),
+            account=account,
+            service=service,
+            targets=self.routing.resolve(account, load.service).unwrap(),
+            estimate=self.estimates[position].estimate(account, service, hint),
+            enqueued_at=now,
+            deadline=now + DEADLINE,
+        )
+        key = (load.account, load.service)
+
+        def again() -> None:
+            self._submit(load, number, until)
+
+        attempt = _Attempt(self, position, waiting, tokens, again)
+        waiting.admitted = _Admitted(attempt.begin)
+        self.waiting[key] += 1
+        self.open[position, waiting.request_id] = attempt.abandon
+        if self.policies[position].submit(waiting).is_err():
+            self.waiting[key] -= 1
+            del self.open[position, waiting.request_id]
+            self.agenda.after(1.0, again)
+
+    def _next(self) -> int:
+        self._number += 1
+        return self._number
+
+    def _sample(self) -> None:
+        if self.agenda.now() < self.settle:
+            return
+        self._sample_use()
+        self._sample_gap()
+
+    def _sample_use(self) -> None:
+        wanted = {service for (_, service), count in self.waiting.items() if count > 0}
+        for name, engine in self.engines.items():
+            self.excess = max(self.excess, len(engine.queue))
+            if wanted & set(self.routing.targets[name].services):
+                self.busy += engine.running
+                self.room += engine.slots
+
+    def _sample_gap(self) -> None:
+        backlogged = sorted({account for (account, _), n in self.waiting.items() if n > 0})
+        served = {a: self.served[a] / self.routing.accounts[a].weight for a in backlogged}
+        self.trace.append((self.agenda.now(), {a: float(n) for a, n in self.served.items()}))
+        extremes = {}
+        for pair in combinations(backlogged, 2):
+            difference = served[pair[0]] - served[pair[1]]
+            low, high = self._extremes.get(pair, (difference, difference))
+            low, high = min(low, difference), max(high, difference)
+            extremes[pair] = low, high
+            if high - low > self.gap:
+                self.gap = high - low
+                self.gap_at = (self.agenda.now(), *pair)
+        self._extremes = extremes
+
+
+class _Attempt:
+    """One request, from its submission to its end."""
+
+    def __init__(
+        self,
+        driver: ShareDriver,
+        position: int,
+        waiting: WaitingRequest,
+        tokens: int,
+        again: Callable[[], None],
+    ) -> None:
+        self._driver = driver
+        self._position = position
+        self._waiting = waiting
+        self._tokens = tokens
+        self._again = again
+        self._done = 0
+        self._policy = driver.policies[position]
+        self._admission: Admission | None = None
+        self._running = False
+        self._ended = False
+
+    def begin(self, admission: Admission) -> None:
+        """Go to the engine."""
+        self._admission = admission
+        engine = self._engine
+        if engine.running < engine.slots:
+            self._run()
+        else:
+            engine.queue.append(self._run)
+
+    def abandon(self) -> None:
+        """End with the router; the caller tries again."""
+        self._ended = True
+        if self._running:
+            self._leave_engine()
+        else:
+            self._driver.waiting[self._key] -= 1
+        self._driver.agenda.after(0.01, self._again)
+
+    @property
+    def _key(self) -> tuple[str, str]:
+        return self._waiting.account.metadata.name, self._waiting.service.metadata.name
+
+    @property
+    def _engine(self) -> _Engine:
+        assert self._admission is not None
+        return self._driver.engines[self._admission.target.metadata.name]
+
+    def _run(self) -> None:
+        if self._ended:
+            self._start_next()
+            return
+        self._running = True
+        self._driver.waiting[self._key] -= 1
+        self._engine.running += 1
+        self._step()
+
+    def _step(self) -> None:
+        count = min(CHUNK, self._tokens - self._done)
+        self._driver.agenda.after(count * STEP, lambda: self._progress(count))
+
+    def _progress(self, count: int) -> None:
+        if self._ended:
+            return
+        admission = self._admission
+        assert admission is not None
+        self._done += count
+        self._driver.served[self._key[0]] += count
+        if self._done < self._tokens:
+            self._policy.charge(admission, max(admission.charged, float(self._done)))
+            self._step()
+            return
+        self._ended = True
+        self._driver.open.pop((self._position, self._waiting.request_id), None)
+        self._driver.estimates[self._position].learn(
+            self._waiting.account, self._waiting.service, self._tokens
+        )
+        self._leave_engine()
+        # The answer reaches the router, and the caller's next request comes, a link later.
+        self._driver.agenda.after(LINK_DELAY, self._finish)
+
+    def _finish(self) -> None:
+        assert self._admission is not None
+        self._policy.finish(self._admission, float(self._tokens))
+        self._again()
+
+    def _leave_engine(self) -> None:
+        self._running = False
+        self._engine.running -= 1
+        self._start_next()
+
+    def _start_next(self) -> None:
+        engine = self._engine
+        if engine.queue and engine.running < engine.slots:
+            engine.queue.popleft()()
+
+
+def _make_routing(loads: list[Load], engines: dict[str, tuple[int, int]]) -> Routing:
+    weights = {load.account: load.weight for load in loads}
+    objects: list[ConfigObject] = [
+        ClientAccount(metadata=Metadata(name=name), weight=weight)
+        for name, weight in weights.items()
+    ]
+    for service, (count, slots) in engines.items():
+        objects.append(Service(metadata=Metadata(name=service)))
+        objects.append(Route(metadata=Metadata(name=service), service=service))
+        objects += [
+            Target(
+                metadata=Metadata(name=f"{service}-{number}"),
+                url="http://127.0.0.1:1",
+                services=[service],
+                slots=slots,
+            )
+            for number in range(count)
+        ]
+    versioned = {ref_of(item): VersionedObject(item, 0) for item in objects}
+    return Routing(ConfigState(objects=versioned, version=0))
