Carry told levels on at the rate of the floor

Stale levels made routers give slots back that nobody needier waited for: the slower the ticks, the lower the utilisation. Replies now tell the floor and its growth, and the lowest level elsewhere as a distance from the floor, which hardly changes under steady load.

--- a/packages/loomyard-router/src/loomyard_router/requests/estimates.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/estimates.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+from math import sqrt
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from loomyard.objects import ClientAccount, Service
 
-WEIGHT_OF_LAST = 0.2
+WEIGHT_OF_LAST = 0.1
+# A hint moves the estimate from the mean by at most this factor, since costs have a heavy tail:
+# what is charged too much at dispatch is missing to the account until the request ends.
+MOST_OVER_MEAN = 2.0
 
 
 class CostEstimates:
-    """A moving average of settled costs; rough hints count as much as what was learned."""
+    """A moving average of settled costs, which rough hints move within bounds."""
 
     def __init__(self) -> None:
         self._means: dict[tuple[str, str], float] = {}
@@ -20,7 +24,9 @@
         """Return the expected cost in units of the service."""
         key = (account.metadata.name, service.metadata.name)
         mean = self._means.get(key, service.default_cost)
-        return mean if hint is None else (mean + hint) / 2
+        if hint is None:
+            return mean
+        return min(mean * MOST_OVER_MEAN, max(mean / MOST_OVER_MEAN, sqrt(mean * hint)))
 
     def learn(self, account: ClientAccount, service: Service, cost: float) -> None:
         """Take a settled cost in."""
--- a/packages/loomyard-router/src/loomyard_router/shares/account_levels.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/account_levels.py
@@ -16,7 +16,6 @@
     """Service of this router since its start plus the offset that the allocator told."""
 
     def __init__(self) -> None:
-        self.floor = 0.0
         self._service: dict[bytes, float] = {}
         self._offsets: dict[bytes, float] = {}
         self._told: set[bytes] = set()
@@ -44,10 +43,10 @@
         key = short_id(account.metadata.name)
         self._service[key] = self._service.get(key, 0.0) + cost / account.weight
 
-    def begin(self, account: bytes) -> None:
+    def begin(self, account: bytes, floor: float) -> None:
         """Count one more request that waits or runs; presume the floor for an unknown account."""
         if account not in self._told and not self._active[account]:
-            missing = self.floor - self.level(account)
+            missing = floor - self.level(account)
             self._offsets[account] = self._offsets.get(account, 0.0) + max(0.0, missing)
         self._active[account] += 1
 
@@ -57,8 +56,7 @@
         if not self._active[account]:
             del self._active[account]
 
-    def tell(self, offsets: dict[bytes, int], floor: int) -> None:
+    def tell(self, offsets: dict[bytes, int]) -> None:
         """Take over what the allocator told."""
-        self.floor = floor
         self._offsets.update(offsets)
         self._told.update(offsets)
--- a/packages/loomyard-router/src/loomyard_router/shares/allocator.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/allocator.py
@@ -21,7 +21,7 @@
     from loomyard_router.shares.pacing import Pacer
 
 # Replies to one router that are not urgent leave at least this much time between them.
-REPLY_GAP = 0.5
+REPLY_GAP = 0.8
 # Clocks of routers may differ in speed by this part.
 CLOCK_DRIFT = 0.01
 # Account levels that moved by less than this part of the margin are not told.
@@ -170,8 +170,10 @@
     def _allocate(self, now: float) -> None:
         self._dirty = False
         demands = Demands(self._routers.values(), self._levels)
-        if demands.floor is not None:
-            self._levels.floor = demands.floor
+        if demands.floor is None:
+            self._levels.floor.rest()
+        else:
+            self._levels.floor.note(demands.floor, now)
             self._margin = demands.margin
         free = self._free_slots(now)
         self._recall(free)
@@ -228,7 +230,8 @@
             held = {s for t in router.leases for s in self._capacity.services(t)}
             for service in held | set(router.lowest):
                 lowest = demands.lowest_elsewhere(service, router.name) if service in held else None
-                self._tell_lowest_to(router, service, None if lowest is None else round(lowest))
+                above = None if lowest is None else round(lowest - self._levels.floor.value)
+                self._tell_lowest_to(router, service, above)
 
     def _tell_lowest_to(self, router: ReportingRouter, service: bytes, lowest: int | None) -> None:
         told = router.lowest.get(service)
@@ -250,7 +253,7 @@
         idle = not any(r.accounts for r in self._routers.values())
         reply = router.make_reply(
             lease=IDLE_LEASE if idle else LEASE,
-            floor=round(self._levels.floor),
+            floor=self._levels.floor,
             margin=self._margin,
         )
         router.replied_at = now
--- a/packages/loomyard-router/src/loomyard_router/shares/fleet.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/fleet.py
@@ -43,7 +43,7 @@
 POLL_INTERVAL = 0.02
 # A router keeps a freed slot while its neediest account is within this many mean requests of the
 # neediest elsewhere.
-KEEP_MARGINS = 3.0
+KEEP_MARGINS = 4.0
 MESSAGES_PER_SECOND = 16.0
 BYTES_PER_SECOND = 1700.0
 MESSAGE_BURST = 8.0
@@ -101,7 +101,7 @@
         pushed = self._queues.push(waiting)
         if pushed.is_ok():
             account = short_id(waiting.account.metadata.name)
-            self._levels.begin(account)
+            self._levels.begin(account, self._reporter.told.floor(self._clock.now()))
             self._admit()
             self._note_waiting(waiting)
             self._exchange()
@@ -222,11 +222,12 @@
         return max((t for t in free if self._usable(t, waiting)), key=lambda t: free[t])
 
     def _keeps(self, waiting: WaitingRequest, now: float) -> bool:
-        lowest = self._reporter.lowest.get(short_id(waiting.service.metadata.name))
+        told = self._reporter.told
+        lowest = told.lowest(short_id(waiting.service.metadata.name), now)
         if lowest is None or self._overdue.applies(waiting, now):
             return True
         level = self._levels.level(short_id(waiting.account.metadata.name))
-        return level <= lowest + KEEP_MARGINS * self._reporter.margin
+        return level <= lowest + KEEP_MARGINS * told.margin
 
     def _start(self, waiting: WaitingRequest, target: bytes, now: float) -> None:
         service, account = waiting.service.metadata.name, waiting.account.metadata.name
@@ -244,10 +245,10 @@
 
     def _give_back_idle(self, now: float) -> None:
         """Give back free slots that somebody else could use."""
-        if not self._reporter.lowest or not self._reporter.may_send(now):
+        if not self._reporter.told or not self._reporter.may_send(now):
             return
         for target, slots in self._held.free(now).items():
-            if any(service in self._reporter.lowest for service in self._capacity.services(target)):
+            if any(service in self._reporter.told for service in self._capacity.services(target)):
                 self._held.give_back(target, slots)
                 self._reporter.urgent = True
 
@@ -256,7 +257,7 @@
         self._exchange()
 
     def _handle_reply(self, sender: Member, reply: ShareReply) -> None:
-        if self._reporter.accept(reply):
+        if self._reporter.accept(reply, self._clock.now()):
             self._admit()
             self._exchange()
 
--- a/packages/loomyard-router/src/loomyard_router/shares/levels.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/levels.py
@@ -4,6 +4,7 @@
 
 from collections import Counter, defaultdict
 
+from loomyard_router.shares.floor_level import FloorLevel
 from loomyard_router.shares.messages import UNKNOWN_LEVEL
 
 LINGER = 1.0
@@ -18,7 +19,7 @@
     """
 
     def __init__(self) -> None:
-        self.floor = 0.0
+        self.floor = FloorLevel()
         self._levels: dict[bytes, float] = {}
         self._reported: defaultdict[tuple[str, int], dict[bytes, int]] = defaultdict(dict)
         self._waiting: Counter[bytes] = Counter()
@@ -28,7 +29,7 @@
 
     def level(self, account: bytes) -> float:
         """Return the level of an account."""
-        return self._levels.get(account, self.floor)
+        return self._levels.get(account, self.floor.value)
 
     def offset(self, source: tuple[str, int], account: bytes) -> int:
         """Return the level less what a source reported."""
@@ -50,7 +51,7 @@
         """Take in that an account waits at one more router."""
         if lift and not self._waiting[account] and self._absent(self._waited_at, account, now):
             idle = not self._active[account] and self._absent(self._active_at, account, now)
-            least = self.floor if idle else self.floor - credit
+            least = self.floor.value if idle else self.floor.value - credit
             self._levels[account] = max(self.level(account), least)
         self._waiting[account] += 1
 
--- a/packages/loomyard-router/src/loomyard_router/shares/messages.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/messages.py
@@ -62,8 +62,9 @@
 class ShareReply:
     """Tell a router what changed since its acknowledged reply.
 
-    ``offsets`` are levels less what this router reported of the account; ``lowest`` is the level
-    of the neediest account that waits for a service elsewhere, ``None`` where none does; ``limits``
+    ``offsets`` are levels less what this router reported of the account; ``lowest`` is how far
+    the neediest account that waits for a service elsewhere is above the floor, ``None`` where none
+    waits; ``floor_rate`` is the growth of the floor a second; ``limits``
     are slots of targets, leased for ``lease_ms`` from when the acknowledged report was sent.
     """
 
@@ -72,6 +73,7 @@
     acknowledged: int
     lease_ms: int
     floor: int
+    floor_rate: int
     margin: int
     offsets: dict[bytes, int] = field(factory=dict)
     lowest: dict[bytes, int | None] = field(factory=dict)
--- a/packages/loomyard-router/src/loomyard_router/shares/reporter.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporter.py
@@ -8,6 +8,7 @@
 from loomyard_router.shares.messages import AccountReport, ShareReport, Waiting
 from loomyard_router.shares.share_session import ShareSession
 from loomyard_router.shares.short_ids import short_id
+from loomyard_router.shares.told_levels import ToldLevels
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,7 +22,7 @@
     from loomyard_router.shares.request_queues import RequestQueues
 
 # Reports that are not urgent leave at least this much time between them.
-REPORT_GAP = 0.5
+REPORT_GAP = 0.8
 # An unanswered first report is repeated after this time.
 OPENING_GAP = 0.25
 UNANSWERED_BEFORE_SUSPICION = 4
@@ -62,12 +63,11 @@
         self._lease = 0.0
         self._asked: Counter[tuple[bytes, bytes]] = Counter()
         self.urgent = False
-        self.margin = 0
-        self.lowest: dict[bytes, int] = {}
+        self.told = ToldLevels()
 
     def may_send(self, now: float) -> bool:
         """Tell whether a report may go now."""
-        return self._session.opened and self._pacer.allows(now)
+        return self._session.opened and (self._reports_to_itself or self._pacer.allows(now))
 
     def note_waiting(self, account: bytes, service: bytes, count: int) -> None:
         """Report at once where many more requests wait than the allocator knows."""
@@ -88,10 +88,10 @@
             self.begin_session()
         if self._lease and not self._held.valid(now):
             self._held.lapse()
-            self.lowest.clear()
+            self.told.clear()
             self._lease = 0.0
             self.begin_session()
-        if self._due(now) and self._pacer.allows(now):
+        if self._due(now) and (self._reports_to_itself or self._pacer.allows(now)):
             self._report(now)
 
     def begin_session(self) -> None:
@@ -105,7 +105,7 @@
         """Tell whether a session is the current one."""
         return number == self._session.number
 
-    def accept(self, reply: ShareReply) -> bool:
+    def accept(self, reply: ShareReply, now: float) -> bool:
         """Take in a reply; false where it is late or doubled."""
         deadline = self._session.accept(reply)
         if deadline is None:
@@ -113,17 +113,16 @@
         self._unanswered = 0
         self._lease = reply.lease_ms / 1000
         self._held.lease_until = max(self._held.lease_until, deadline)
-        self.margin = reply.margin
-        self._levels.tell(reply.offsets, reply.floor)
-        for service, lowest in reply.lowest.items():
-            if lowest is None:
-                self.lowest.pop(service, None)
-            else:
-                self.lowest[service] = lowest
+        self.told.accept(reply, now)
+        self._levels.tell(reply.offsets)
         for target, limit in reply.limits.items():
             self._held.set_limit(target, limit)
         return True
 
+    @property
+    def _reports_to_itself(self) -> bool:
+        return self._allocator == self._members.own.name
+
     def _due(self, now: float) -> bool:
         since = now - self._sent_at
         if not self._session.opened:
@@ -189,6 +188,6 @@
             return AccountReport(service, known, running, waiting)
         # The level matters in the first report only, which rebuilds an allocator.
         known = KNOWN_SINCE_BEFORE if self._session.knows(account) else before.known_level
-        if abs(service - before.service) < REPORTED_PART * self.margin:
+        if abs(service - before.service) < REPORTED_PART * self.told.margin:
             service = before.service
         return AccountReport(service, known, running, waiting)
--- a/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
@@ -13,6 +13,7 @@
 from loomyard_router.shares.slot_lease import SlotLease
 
 if TYPE_CHECKING:
+    from loomyard_router.shares.floor_level import FloorLevel
     from loomyard_router.shares.messages import ShareReport
 
 LEASE = 2.4
@@ -92,7 +93,7 @@
         for number in superseded:
             del self.promised[number]
 
-    def make_reply(self, *, lease: float, floor: int, margin: int) -> ShareReply:
+    def make_reply(self, *, lease: float, floor: FloorLevel, margin: int) -> ShareReply:
         """Make the reply with all that the router may not know."""
         self.reply_sequence += 1
         self.promised[self.reply_sequence] = lease
@@ -102,7 +103,8 @@
             sequence=self.reply_sequence,
             acknowledged=self.sequence,
             lease_ms=round(lease * 1000),
-            floor=floor,
+            floor=round(floor.value),
+            floor_rate=round(floor.rate),
             margin=margin,
             offsets=self.offsets.since(self.acknowledged),
             lowest=self.lowest.since(self.acknowledged),
