Let log order decide who sends the request of a key

Cause: nothing kept a non-idempotent request from running twice. The keeper claims through the hosts of 16 log partitions (rendezvous; two hosts each follow and append in groups); the first Begun record of a key in log order owns it, everything else is refused or attaches.

Weighed: a Claimed record before queueing as well. Left out: one more record for each request and a takeover rule, and a router that dies while the request is queued leaves nothing behind anyway.

The HTTP log client had one pool of 16 connections for appends and for reads that wait; 16 partitions and the configuration would have left appends without a connection. Two pools now.

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -12,7 +12,7 @@
 from loomyard.events import Event, emit
 from loomyard.platform.http_log import connect_log
 from loomyard_router.callers.app import CallersApp
-from loomyard_router.claims.no_claims import NoClaims
+from loomyard_router.claims.log_claims import make_log_claims
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.members.membership import Member, SoleMembership
 from loomyard_router.parts import Parts, Platform
@@ -86,13 +86,21 @@
         address="",
         data_centre=settings.data_centre,
     )
+    members = SoleMembership(own)
+    peers = NoPeers()
     parts = Parts(
-        members=SoleMembership(own),
-        peers=NoPeers(),
+        members=members,
+        peers=peers,
         follower=ConfigFollower(platform.log, clock),
         targets=make_configured_targets(),
         policy=_make_policy(settings, platform),
-        claims=NoClaims(),
+        claims=make_log_claims(
+            log=platform.log,
+            clock=clock,
+            members=members,
+            peers=peers,
+            window=settings.claim_window,
+        ),
         journal=Journal(clock),
     )
     serving = Serving(
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/claims/hosting.py
@@ -0,0 +1,151 @@
+"""Which routers host a claim partition, and the partitions that this router hosts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from result import Ok
+
+from loomyard.rendezvous import rank
+from loomyard_router.claims.key_state import Phase
+from loomyard_router.claims.keys import PARTITIONS, partition_of, stream_of
+from loomyard_router.claims.messages import (
+    BeginAnswer,
+    BeginClaim,
+    KeyView,
+    LookUp,
+    SettleClaims,
+    Settled,
+)
+from loomyard_router.claims.partition import ClaimPartition
+from loomyard_router.claims.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from loomyard.clock import Clock
+    from loomyard.platform.log_service import LogService
+    from loomyard_router.members.membership import Member, Membership
+    from loomyard_router.peers.links import PeerLinks
+
+# The second host follows as well, so that it can answer as soon as the first is gone.
+HOSTS = 2
+# A router that drops to this rank stops to follow; between the two it stays as it is.
+DROP_RANK = 3
+# How far the wall clocks of routers and callers may lie apart.
+CLOCK_MARGIN = 30.0
+HOST_SECONDS = 1.5
+
+Message = LookUp | BeginClaim | SettleClaims
+
+
+class ClaimHosting:
+    """Ask the hosts of partitions, this router among them.
+
+    Who hosts only decides who writes; log order decides who wins, whatever the views are.
+    """
+
+    def __init__(
+        self, *, log: LogService, clock: Clock, members: Membership, peers: PeerLinks
+    ) -> None:
+        self._log = log
+        self._clock = clock
+        self._members = members
+        self._peers = peers
+        self._hosts: list[list[str]] = []
+        self._partitions: dict[int, ClaimPartition] = {}
+
+    def start(self) -> None:
+        """Start to host and to answer."""
+        for kind in (LookUp, BeginClaim, SettleClaims):
+            self._peers.handle(kind, self._answer_peer)
+        self._members.subscribe(self._assign)
+        self._assign()
+
+    def stop(self) -> None:
+        """Stop to host."""
+        for partition in self._partitions.values():
+            partition.stop()
+        self._partitions.clear()
+
+    def ask(self, key: bytes, message: Message, deadline: float) -> Iterator[Any]:
+        """Yield the answers of the hosts in their order; a host that does not answer is left."""
+        return self.ask_partition(partition_of(key), message, deadline)
+
+    def ask_partition(self, partition: int, message: Message, deadline: float) -> Iterator[Any]:
+        """Yield the answers of the hosts of a partition."""
+        own = self._members.own.name
+        for host in self._hosts[partition]:
+            if self._clock.now() >= deadline:
+                return
+            if host == own:
+                yield self.answer(message, deadline)
+                continue
+            match self._peers.request(host, message, deadline):
+                case Ok(answer):
+                    yield answer
+
+    def answer(self, message: Message, deadline: float) -> KeyView | BeginAnswer | Settled:
+        """Answer as a host."""
+        match message:
+            case LookUp():
+                return self._look_up(message)
+            case BeginClaim():
+                return self._begin(message, deadline)
+            case SettleClaims():
+                return self._settle(message, deadline)
+
+    def _answer_peer(self, sender: Member, message: Any) -> Any:
+        return self.answer(message, self._clock.now() + HOST_SECONDS)
+
+    def _assign(self) -> None:
+        names = [member.name for member in self._members.live()]
+        own = self._members.own.name
+        ranked = [rank(stream_of(number), names) for number in range(PARTITIONS)]
+        self._hosts = [order[:HOSTS] for order in ranked]
+        for number, order in enumerate(ranked):
+            if own in order[:HOSTS] and number not in self._partitions:
+                self._partitions[number] = ClaimPartition(self._log, self._clock, number)
+                self._partitions[number].start()
+            elif own not in order[:DROP_RANK] and number in self._partitions:
+                self._partitions.pop(number).stop()
+
+    def _ready(self, number: int) -> ClaimPartition | None:
+        partition = self._partitions.get(number)
+        return partition if partition is not None and partition.ready else None
+
+    def _look_up(self, message: LookUp) -> KeyView:
+        partition = self._ready(partition_of(message.key))
+        if partition is None:
+            return KeyView(ready=False)
+        state = partition.find(message.key)
+        if state is None:
+            return KeyView(ready=not partition.full, phase=Phase.FREE)
+        return KeyView(
+            ready=True,
+            phase=state.phase,
+            fingerprint=state.fingerprint,
+            owner=state.owner,
+            incarnation=state.incarnation,
+            answer_by=state.answer_by,
+            outcome=state.outcome,
+        )
+
+    def _begin(self, message: BeginClaim, deadline: float) -> BeginAnswer:
+        begun = message.begun
+        partition = self._ready(partition_of(begun.key))
+        if partition is None:
+            return BeginAnswer(detail="the host has not read the partition to its end")
+        if abs(begun.begun_at - self._clock.wall()) > CLOCK_MARGIN:
+            return BeginAnswer(detail="the wall clocks of claimant and host differ")
+        state = partition.find(begun.key)
+        if state is not None and state.claim_id != begun.claim_id:
+            return BeginAnswer(verdict=Verdict.TAKEN)
+        verdict = partition.begin(begun, deadline)
+        return BeginAnswer(verdict=verdict, detail="" if verdict else "no answer of the log")
+
+    def _settle(self, message: SettleClaims, deadline: float) -> Settled:
+        partition = self._partitions.get(message.partition)
+        if partition is None:
+            return Settled(done=False)
+        return Settled(done=partition.settle([*message.abandoned, *message.finished], deadline))
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/claims/key_state.py
@@ -0,0 +1,32 @@
+"""What is known of a key."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from attrs import define
+
+from loomyard_router.claims.keeper import RecordedOutcome
+
+
+class Phase(Enum):
+    """How far the execution of a key has come."""
+
+    FREE = "free"
+    BEGUN = "begun"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+
+
+@define(kw_only=True, eq=False)
+class KeyState:
+    """The claim that owns a key; wall times in seconds as in ``Begun``."""
+
+    claim_id: bytes
+    fingerprint: bytes
+    owner: str
+    incarnation: int
+    answer_by: float
+    keep_until: float
+    phase: Phase = Phase.BEGUN
+    outcome: RecordedOutcome | None = None
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -15,6 +15,8 @@
     from collections.abc import Mapping, Sequence
 
 ENVIRONMENT_PREFIX = "LOOMYARD_"
+MIN_CLAIM_WINDOW = 300.0
+RETENTION_MARGIN = 300.0
 POLICIES = ("fleet", "local", "fifo")
 
 
@@ -30,6 +32,8 @@
     position: int = 0
     routers: int = 1
     log_format: str = "text"
+    claim_window: float = 3600.0
+    log_retention: float = 86400.0
 
 
 def parse_settings(
@@ -68,6 +72,8 @@
     add("position", 0, "position of this router for the local policy", type=int)
     add("routers", 1, "number of routers for the local policy", type=int)
     add("log-format", "text", "text or json", choices=("text", "json"))
+    add("claim-window", 3600.0, "seconds for which an idempotency key is remembered", type=float)
+    add("log-retention", 86400.0, "seconds for which the log service keeps records", type=float)
     return parser
 
 
@@ -78,9 +84,20 @@
         host, _, port = value.rpartition(":")
         if not host or not port.isdigit():
             faults.append(_fault(name, f"not host:port: {value!r}"))
+    faults += _check_window(settings)
     return faults
 
 
+def _check_window(settings: Settings) -> list[FieldFault]:
+    """Check that what a trimmed log forgot is past the window of all that it still holds."""
+    if settings.claim_window < MIN_CLAIM_WINDOW:
+        return [_fault("claim_window", f"shorter than {MIN_CLAIM_WINDOW:.0f} s")]
+    if 2 * settings.claim_window + RETENTION_MARGIN > settings.log_retention:
+        detail = f"twice the window and {RETENTION_MARGIN:.0f} s exceed log_retention"
+        return [_fault("claim_window", detail)]
+    return []
+
+
 def _fault(name: str, detail: str) -> FieldFault:
     return FieldFault(
         source="settings",
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -21,6 +21,13 @@
     REQUEST_REFUSED = (400, logging.INFO, "a request was refused before it ran")
     ATTEMPT_FAILED = (401, logging.WARNING, "an attempt at a target failed")
     CALLER_GONE = (402, logging.INFO, "the caller left; the work was cancelled")
+    CLAIM_OUTCOME_UNKNOWN = (
+        550,
+        logging.WARNING,
+        "a request was sent once; its outcome is unknown",
+    )
+    CLAIMS_TRIMMED = (551, logging.WARNING, "a claim stream was trimmed past what was read")
+    CLAIM_END_DROPPED = (552, logging.ERROR, "the end of a claim was not recorded")
     HANDLER_FAILED = (900, logging.ERROR, "a task ended with an unexpected error")
 
     @property
--- a/packages/loomyard/src/loomyard/platform/http_log.py
+++ b/packages/loomyard/src/loomyard/platform/http_log.py
@@ -16,7 +16,7 @@
 
 CONNECT_TIMEOUT = 1.0
 ANSWER_TIMEOUT = 5.0
-CONCURRENCY = 16
+CONCURRENCY = 64
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 
@@ -25,18 +25,14 @@
     """Streams of a log service that answers over HTTP."""
 
     def __init__(self, host: str, port: int) -> None:
-        self._client = HTTPClient(
-            host,
-            port,
-            concurrency=CONCURRENCY,
-            connection_timeout=CONNECT_TIMEOUT,
-            network_timeout=ANSWER_TIMEOUT,
-        )
+        # Reads that wait for news must not keep appends from a connection.
+        self._appends = _make_client(host, port)
+        self._reads = _make_client(host, port)
 
     def append(self, stream: str, payload: bytes) -> Result[int, Fault]:
         """Append a record and return its offset."""
         try:
-            response = self._client.post(f"/streams/{stream}/records", body=payload)
+            response = self._appends.post(f"/streams/{stream}/records", body=payload)
             body = bytes(response.read())
         except ConnectionRefusedError as error:
             return Err(_unavailable(str(error)))
@@ -54,7 +50,7 @@
         """Read from an offset on; wait up to some seconds while there is nothing new."""
         query = f"from={offset}&limit={limit}&wait={wait:.3f}"
         try:
-            response = self._client.get(f"/streams/{stream}/records?{query}")
+            response = self._reads.get(f"/streams/{stream}/records?{query}")
             body = bytes(response.read())
         except Exception as error:
             return Err(_unavailable(str(error)))
@@ -69,6 +65,16 @@
     return HttpLogService(host, int(port))
 
 
+def _make_client(host: str, port: int) -> HTTPClient:
+    return HTTPClient(
+        host,
+        port,
+        concurrency=CONCURRENCY,
+        connection_timeout=CONNECT_TIMEOUT,
+        network_timeout=ANSWER_TIMEOUT,
+    )
+
+
 def _unavailable(detail: str) -> Fault:
     return Fault(code=ResultCode.LOG_UNAVAILABLE, detail=detail)
 
