--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -14,7 +14,7 @@
 from loomyard_router.callers.app import CallersApp
 from loomyard_router.callers.handler import CallerServer
 from loomyard_router.callers.in_flight import InFlight
-from loomyard_router.claims.no_claims import NoClaims
+from loomyard_router.claims.log_claims import make_log_claims
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.fleet_parts import make_fleet_parts
 from loomyard_router.parts import Parts, Platform
@@ -127,7 +127,13 @@
         follower=ConfigFollower(platform.log, clock),
         targets=make_configured_targets(),
         policy=_make_policy(settings, platform),
-        claims=NoClaims(),
+        claims=make_log_claims(
+            log=platform.log,
+            clock=clock,
+            members=fleet.members,
+            peers=fleet.peers,
+            window=settings.claim_window,
+        ),
         journal=Journal(clock),
     )
     serving = Serving(
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -17,6 +17,8 @@
 ENVIRONMENT_PREFIX = "LOOMYARD_"
 FLEET_SECRET_VARIABLE = ENVIRONMENT_PREFIX + "FLEET_SECRET"
 MAX_SECRETS = 2
+MIN_CLAIM_WINDOW = 300.0
+RETENTION_MARGIN = 300.0
 POLICIES = ("fleet", "local", "fifo")
 
 
@@ -41,6 +43,8 @@
     peer_authority: str = ""
     vm_list: str = ""
     probe_period: float = 0.5
+    claim_window: float = 3600.0
+    log_retention: float = 86400.0
 
 
 def parse_settings(
@@ -97,6 +101,8 @@
     add("peer-authority", "", "PEM authority that signs the routers' certificates")
     add("vm-list", "", "address of the VM list")
     add("probe-period", 0.5, "seconds between probes of other routers", type=float)
+    add("claim-window", 3600.0, "seconds for which an idempotency key is remembered", type=float)
+    add("log-retention", 86400.0, "seconds for which the log service keeps records", type=float)
     return parser
 
 
@@ -107,7 +113,7 @@
         host, _, port = value.rpartition(":")
         if not host or not port.isdigit():
             faults.append(_fault(name, f"not host:port: {value!r}"))
-    return faults + _check_peers(settings)
+    return faults + _check_peers(settings) + _check_window(settings)
 
 
 def _check_peers(settings: Settings) -> list[FieldFault]:
@@ -135,6 +141,16 @@
     return tuple(part.strip() for part in text.split(",") if part.strip())
 
 
+def _check_window(settings: Settings) -> list[FieldFault]:
+    """Check that what a trimmed log forgot is past the window of all that it still holds."""
+    if settings.claim_window < MIN_CLAIM_WINDOW:
+        return [_fault("claim_window", f"shorter than {MIN_CLAIM_WINDOW:.0f} s")]
+    if 2 * settings.claim_window + RETENTION_MARGIN > settings.log_retention:
+        detail = f"twice the window and {RETENTION_MARGIN:.0f} s exceed log_retention"
+        return [_fault("claim_window", detail)]
+    return []
+
+
 def _fault(name: str, detail: str) -> FieldFault:
     return FieldFault(
         source="settings",
