--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/targets/cache_follower.py
@@ -0,0 +1,60 @@
+"""Follow the cache events of the targets that this router sends most to."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import gevent
+from result import Ok
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard.objects import Target
+    from loomyard.platform.engine import Engine
+    from loomyard_router.targets.prefix_index import PrefixIndex
+
+POLL_SECONDS = 2.0
+# Bounds what a router hears of caches, however many targets there are.
+FOLLOWED_TARGETS = 8
+
+
+class CacheFollower:
+    """Pull events of a few targets; own sends tell which."""
+
+    def __init__(self, clock: Clock, engine: Engine, index: PrefixIndex) -> None:
+        self._clock = clock
+        self._engine = engine
+        self._index = index
+        self._sends: Counter[str] = Counter()
+        self._due = clock.now()
+        self._task: gevent.Greenlet | None = None
+
+    def note_send(self, name: str) -> None:
+        """Count a send with a prefix."""
+        self._sends[name] += 1
+
+    def run_due(self, targets: dict[str, Target]) -> None:
+        """Start to pull where that is due."""
+        now = self._clock.now()
+        if now < self._due or (self._task is not None and not self._task.dead):
+            return
+        self._due = now + POLL_SECONDS
+        followed = [name for name, _ in self._sends.most_common(FOLLOWED_TARGETS)]
+        self._sends = Counter({n: c // 2 for n, c in self._sends.items() if c > 1 and n in targets})
+        self._task = gevent.spawn(self._pull, [targets[n] for n in followed if n in targets])
+
+    def stop(self) -> None:
+        """End the pull."""
+        if self._task is not None:
+            self._task.kill()
+
+    def _pull(self, targets: list[Target]) -> None:
+        for target in targets:
+            name = target.metadata.name
+            match self._engine.cache_events(target.url, self._index.sequence(name)):
+                case Ok(events):
+                    self._index.take_events(name, events)
+                case _:
+                    # Engines without events answer with an error; own sends must do there.
+                    del self._sends[name]
--- a/packages/loomyard-router/src/loomyard_router/targets/choosing.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/choosing.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from hashlib import blake2b
 from typing import TYPE_CHECKING, Protocol
 
 from attrs import frozen
 
+from loomyard import rendezvous
 from loomyard.objects import Target
 
 if TYPE_CHECKING:
@@ -15,7 +15,6 @@
 # A target is taken for its cache only while its part of free slots is at most this far below the
 # freest candidate's, so that locality costs at most this much imbalance.
 LOCALITY_MARGIN = 0.25
-RANK_BYTES = 8
 
 
 @frozen(kw_only=True)
@@ -57,16 +56,6 @@
         return max(free, key=lambda c: c.free_part).target
     least = max(c.free_part for c in free) - margin
     near = [c for c in free if c.free_part >= least]
-    return max(near, key=lambda c: _preference(c, prefix, directory)).target
-
-
-def _preference(
-    candidate: Candidate, prefix: str, directory: PrefixKnowledge
-) -> tuple[bool, bytes]:
-    name = candidate.target.metadata.name
-    return directory.holds_prefix(name, prefix), rank(prefix, name)
-
-
-def rank(key: str, name: str) -> bytes:
-    """Return the rendezvous rank of a name for a key; the greatest wins."""
-    return blake2b(f"{key}\0{name}".encode(), digest_size=RANK_BYTES).digest()
+    holders = [c for c in near if directory.holds_prefix(c.target.metadata.name, prefix)]
+    by_name = {c.target.metadata.name: c.target for c in holders or near}
+    return by_name[rendezvous.choose(prefix, by_name)]
--- a/packages/loomyard-router/src/loomyard_router/targets/directory.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/directory.py
@@ -16,8 +16,8 @@
 class TargetDirectory(Protocol):
     """Know which targets may get work, how much, and what their caches hold."""
 
-    def may_send(self, name: str) -> bool:
-        """Tell whether a target may get new work now."""
+    def may_send(self, name: str, service: str = "") -> bool:
+        """Tell whether a target may get new work now, of a service that it has loaded."""
 
     def slots(self, target: Target) -> int:
         """Return how many requests of the whole fleet keep the target just full."""
@@ -54,9 +54,11 @@
         self._targets: dict[str, Target] = {}
         self._listeners: list[Callable[[], None]] = []
 
-    def may_send(self, name: str) -> bool:
+    def may_send(self, name: str, service: str = "") -> bool:
         target = self._targets.get(name)
-        return target is not None and target.state is TargetState.ACTIVE
+        if target is None or target.state is not TargetState.ACTIVE:
+            return False
+        return not service or service in target.services
 
     def slots(self, target: Target) -> int:
         return target.slots
--- a/packages/loomyard-router/src/loomyard_router/targets/http_engine.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/http_engine.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
+from gevent import Timeout
 from geventhttpclient import HTTPClient
 from result import Err, Ok, Result
 
@@ -113,9 +114,12 @@
 
     def _control(self, url: str, method: str, path: str) -> Result[bytes, Fault]:
         try:
-            response = self._client(url).request(method, path)
-            body = bytes(response.read())
-        except Exception as error:
+            with Timeout(CONTROL_TIMEOUT):
+                response = self._client(url).request(method, path)
+                body = bytes(response.read())
+        except ConnectionRefusedError as error:
+            return Err(_open_fault(error))
+        except (Exception, Timeout) as error:
             return Err(_lost(error))
         if response.status_code == HTTP_CONFLICT:
             return Err(Fault(code=ResultCode.ORDER_FENCED, detail=body.decode(errors="replace")))
@@ -156,6 +160,6 @@
     return _lost(error)
 
 
-def _lost(error: Exception) -> Fault:
+def _lost(error: BaseException) -> Fault:
     detail = str(error) or type(error).__name__
     return Fault(code=ResultCode.ANSWER_LOST, detail=detail, executed=Executed.UNKNOWN)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
@@ -0,0 +1,249 @@
+"""What a router knows of targets from the configuration, peers, VM list and targets themselves."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import gevent
+from result import Err, Ok, Result
+
+from loomyard.codec import decode, encode
+from loomyard.errors import Fault, ResultCode
+from loomyard.events import Event, emit
+from loomyard.objects import ServiceType, Target, TargetState
+from loomyard_router.targets.cache_follower import CacheFollower
+from loomyard_router.targets.gossip import Gossip, NoGossip
+from loomyard_router.targets.health import TargetHealth
+from loomyard_router.targets.leaving_ledger import LeavingLedger
+from loomyard_router.targets.leaving_record import LeavingRecord
+from loomyard_router.targets.load_poller import LoadPoller
+from loomyard_router.targets.prefix_index import PrefixIndex
+from loomyard_router.targets.slot_book import SlotBook
+from loomyard_router.targets.vm_watcher import VmWatcher
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard.clock import Clock
+    from loomyard.platform.engine import Engine, LoadReport
+    from loomyard.platform.vm_list import VmList
+    from loomyard.routing import Routing
+    from loomyard_router.members.membership import Membership
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 0.25
+# Longer than load reports lag.
+TARGET_HOLD = 10.0
+TARGET_EXPIRY = 60.0
+# Longer than the VM list lags.
+VM_HOLD = 60.0
+TARGET_TOPIC = "targets.leaving"
+VM_TOPIC = "targets.vms"
+
+
+class KnownTargets:
+    """The target directory of a router."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        engine: Engine,
+        members: Membership,
+        gossip: Gossip,
+        vm_list: VmList | None,
+    ) -> None:
+        self._clock = clock
+        self._gossip = gossip
+        self._targets: dict[str, Target] = {}
+        self._versions: dict[str, int] = {}
+        self._polled: set[str] = set()
+        self._sendable: set[str] = set()
+        self._listeners: list[Callable[[], None]] = []
+        self._task: gevent.Greenlet | None = None
+        self._health = TargetHealth(clock)
+        self._slots = SlotBook(clock, gossip, changed=self._tell)
+        self._prefixes = PrefixIndex(clock)
+        self._caches = CacheFollower(clock, engine, self._prefixes)
+        self._loads = LoadPoller(clock, engine, members, self._take_load)
+        self._leaving = LeavingLedger(
+            clock, hold=TARGET_HOLD, expiry=TARGET_EXPIRY, changed=self._target_changed
+        )
+        self._leaving_vms = LeavingLedger(
+            clock, hold=VM_HOLD, expiry=None, changed=self._vm_changed
+        )
+        self._vms = None
+        if vm_list is not None:
+            self._vms = VmWatcher(clock, vm_list, members, self._leaving_vms)
+        gossip.subscribe_topic(TARGET_TOPIC, _hearing(self._leaving))
+        gossip.subscribe_topic(VM_TOPIC, _hearing(self._leaving_vms))
+
+    def may_send(self, name: str, service: str = "") -> bool:
+        if name not in self._sendable:
+            return False
+        return not service or service in self._slots.loaded(self._targets[name])
+
+    def slots(self, target: Target) -> int:
+        if self._health.is_half_open(target.metadata.name):
+            return 1
+        return self._slots.slots(target)
+
+    def holds_prefix(self, name: str, prefix: str) -> bool:
+        return self._prefixes.holds(name, prefix)
+
+    def note_prefix(self, name: str, prefix: str) -> None:
+        if prefix:
+            self._prefixes.note(name, prefix)
+            self._caches.note_send(name)
+
+    def report_leaving(self, name: str) -> None:
+        if name in self._targets:
+            self._leaving.see_leaving(name, self._versions[name])
+
+    def report_attempt(self, name: str, *, answered: bool) -> None:
+        if name not in self._targets:
+            return
+        if answered and self._health.answered(name):
+            self._refresh()
+        elif not answered and self._health.failed(name):
+            emit(logger, Event.TARGET_EJECTED, target=name)
+            self._refresh()
+
+    def reconfigure(self, routing: Routing) -> None:
+        self._targets = dict(routing.targets)
+        self._versions = {name: routing.target_version(name) for name in self._targets}
+        for name, version in self._versions.items():
+            self._leaving.supersede(name, version)
+        names = set(self._targets)
+        models = {n for n, s in routing.services.items() if s.type is ServiceType.MODEL}
+        polled = [t for t in self._targets.values() if models.intersection(t.services)]
+        self._polled = {target.metadata.name for target in polled}
+        self._leaving.retain(names, routing.version)
+        self._leaving_vms.retain(self._vm_names(), routing.version)
+        self._health.retain(names)
+        self._prefixes.retain(names)
+        self._slots.retain(names)
+        self._loads.set_targets(polled)
+        self._refresh()
+
+    def subscribe(self, changed: Callable[[], None]) -> None:
+        self._listeners.append(changed)
+
+    def start(self) -> None:
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        if self._task is not None:
+            self._task.kill()
+        self._loads.stop()
+        self._caches.stop()
+
+    def tick(self) -> None:
+        """Start what is due."""
+        self._leaving.expire()
+        if self._vms is not None:
+            self._vms.run_due(self._vm_names())
+        self._loads.run_due()
+        for name in self._health.probes_due():
+            if name in self._polled:
+                self._loads.poll(name)
+            elif self._health.probed(name, answered=True):
+                # A plain service has no load report; its next request is the probe.
+                self._refresh()
+        self._caches.run_due(self._targets)
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self.tick()
+            except Exception:
+                logger.exception("a tick of the target directory failed")
+                emit(logger, Event.HANDLER_FAILED, part="targets")
+            self._clock.sleep(TICK_SECONDS)
+
+    def _take_load(self, target: Target, loaded: Result[LoadReport, Fault]) -> None:
+        name = target.metadata.name
+        if name not in self._targets:
+            return
+        match loaded:
+            case Ok(report):
+                self._take_report(target, report)
+            case Err(fault):
+                pass
+        reached = loaded.is_ok() or fault.code not in UNREACHED
+        if self._health.probed(name, answered=reached):
+            self._prefixes.forget(name)
+            self._refresh()
+
+    def _take_report(self, target: Target, report: LoadReport) -> None:
+        name = target.metadata.name
+        if report.leaving:
+            self._leaving.see_leaving(name, self._versions[name])
+        else:
+            self._leaving.see_live(name)
+        if self._loads.is_mine(name):
+            self._slots.observe(target, report)
+
+    def _target_changed(self, name: str, record: LeavingRecord, own: bool) -> None:
+        self._conclude(TARGET_TOPIC, name, record, own=own)
+        if record.leaving:
+            self._prefixes.forget(name)
+
+    def _vm_changed(self, name: str, record: LeavingRecord, own: bool) -> None:
+        self._conclude(VM_TOPIC, name, record, own=own)
+
+    def _conclude(self, topic: str, name: str, record: LeavingRecord, *, own: bool) -> None:
+        event = Event.TARGET_LEAVING if record.leaving else Event.TARGET_RETURNED
+        emit(logger, event, name=name, topic=topic, sequence=record.sequence, own=own)
+        self._refresh()
+        if own:
+            self._gossip.announce(topic, name, encode(record))
+
+    def _refresh(self) -> None:
+        usable = {name for name in self._targets if self._is_usable(name)}
+        pools: dict[str, set[str]] = {}
+        for name in usable:
+            for service in self._targets[name].services:
+                pools.setdefault(service, set()).add(name)
+        self._sendable = usable - self._health.ejected(pools)
+        self._tell()
+
+    def _is_usable(self, name: str) -> bool:
+        target = self._targets[name]
+        if target.state is not TargetState.ACTIVE or self._leaving.is_leaving(name):
+            return False
+        return not target.vm or not self._leaving_vms.is_leaving(target.vm)
+
+    def _vm_names(self) -> set[str]:
+        return {target.vm for target in self._targets.values() if target.vm}
+
+    def _tell(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+
+UNREACHED = frozenset([ResultCode.TARGET_UNREACHABLE, ResultCode.ANSWER_LOST])
+
+
+def make_known_targets(
+    clock: Clock,
+    engine: Engine,
+    members: Membership,
+    *,
+    gossip: Gossip | None = None,
+    vm_list: VmList | None = None,
+) -> KnownTargets:
+    """Make the target directory of a router."""
+    return KnownTargets(clock, engine, members, gossip or NoGossip(), vm_list)
+
+
+def _hearing(ledger: LeavingLedger) -> Callable[[str, bytes], None]:
+    def hear(name: str, value: bytes) -> None:
+        match decode(value, LeavingRecord):
+            case Ok(record):
+                ledger.hear(name, record)
+            case Err(detail):
+                emit(logger, Event.TARGET_NOTICE_INVALID, name=name, detail=detail)
+
+    return hear
--- a/packages/loomyard-router/src/loomyard_router/targets/leaving_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/leaving_ledger.py
@@ -82,8 +82,9 @@
 
     def supersede(self, name: str, version: int) -> None:
         """Drop what was known before a new configuration of the object."""
-        entry = self._entries.get(name)
-        if entry is not None and entry.record.version < version:
+        # Made also where nothing was known: late notices of before must not count afterwards.
+        entry = self._entries.setdefault(name, _Entry())
+        if entry.record.version < version:
             entry.record = LeavingRecord(version, 0, leaving=False)
 
     def expire(self) -> None:
@@ -96,10 +97,11 @@
             if entry.record.leaving and now - entry.last_leaving_at >= held:
                 self._conclude(name, entry, entry.record.version, leaving=False)
 
-    def retain(self, names: set[str]) -> None:
-        """Forget everything else."""
+    def retain(self, names: set[str], version: int) -> None:
+        """Forget everything else but what peers know of a later configuration."""
         for name in self._entries.keys() - names:
-            del self._entries[name]
+            if self._entries[name].record.version <= version:
+                del self._entries[name]
 
     def _learn_leaving(self, entry: _Entry) -> None:
         now = self._clock.now()
--- a/packages/loomyard-router/src/loomyard_router/targets/slot_estimate.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/slot_estimate.py
@@ -14,6 +14,8 @@
 # Queued requests that are welcome: the next one starts while the answer to the last travels.
 ALLOWANCE_PART = 0.05
 GROWTH_PART = 0.25
+# A report of this part of the slots in use counts as full: the rest travels.
+FULL_PART = 0.9
 REPORTS_TO_SHRINK = 3
 # Growing must add at least this part of the throughput that it would add to a perfect engine.
 MIN_GAIN = 0.25
@@ -40,10 +42,13 @@
     def slots(self) -> int:
         return self._slots
 
-    def restart(self, start: int, slots: int | None = None) -> None:
-        """Begin again from a new configuration or from what a peer found."""
-        self.__init__(start)  # type: ignore[misc]
-        self._slots = self._bounded(start if slots is None else slots)
+    @property
+    def start(self) -> int:
+        return self._start
+
+    def adopt(self, slots: int) -> None:
+        """Go on from what a peer found."""
+        self._slots = self._bounded(slots)
 
     def observe(self, report: LoadReport, now: float) -> bool:
         """Take a report in; tell whether the estimate changed."""
@@ -52,7 +57,7 @@
             self._see_queue(report, now)
         else:
             self._queueing.clear()
-            if report.running >= self._slots:
+            if report.waiting == 0 and report.running >= FULL_PART * self._slots:
                 self._see_full(report, now)
         return self._slots != before
 
--- a/packages/loomyard/src/loomyard/objects/target.py
+++ b/packages/loomyard/src/loomyard/objects/target.py
@@ -20,6 +20,8 @@
 class Target:
     """A target that serves one or more services.
 
+    ``services`` are loaded from the start; ``loadable`` are further ones that it may be ordered
+    to load, which may unload the others. Without ``loadable`` a target gets no orders.
     ``slots`` bounds the requests in flight; ``checks_fencing`` says whether the target refuses
     an order with an old fencing number; ``vm`` is the name of its VM in the VM list.
     """
@@ -27,6 +29,7 @@
     metadata: Metadata
     url: str = field(validator=validators.matches_re(r"https?://[^/\s]+(/\S*)?"))
     services: list[str] = field(validator=validators.min_len(1))
+    loadable: list[str] = field(factory=list)
     slots: int = field(default=8, validator=[validators.ge(1), validators.le(4096)])
     data_centre: str = ""
     vm: str = ""
--- a/packages/loomyard/src/loomyard/routing.py
+++ b/packages/loomyard/src/loomyard/routing.py
@@ -6,8 +6,9 @@
 
 from result import Err, Ok, Result
 
+from loomyard.configuration.state import EMPTY_VERSION
 from loomyard.errors import Fault, ResultCode
-from loomyard.objects import ClientAccount, Route, Service, Target
+from loomyard.objects import ClientAccount, ObjectRef, Route, Service, Target
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -35,6 +36,11 @@
     def version(self) -> int:
         return self._state.version
 
+    def target_version(self, name: str) -> int:
+        """Return the log offset of the change that wrote a target; ``-1`` where there is none."""
+        found = self._state.get(ObjectRef(Target.__name__, name))
+        return EMPTY_VERSION if found is None else found.version
+
     def find_account(self, digest: str) -> ClientAccount | None:
         """Return the account with a key of this digest."""
         return self._account_by_digest.get(digest)
@@ -47,7 +53,7 @@
         return self._resolved[key]
 
     def resolve(self, account: ClientAccount, service: str) -> Result[tuple[Target, ...], Fault]:
-        """Return the targets for an account's call.
+        """Return the targets for an account's call, also those that may only load the service.
 
         Errors: ``UNKNOWN_SERVICE``, ``NO_ROUTE``, ``NO_TARGET``.
         """
@@ -61,7 +67,8 @@
         found = tuple(
             target
             for target in self.targets.values()
-            if service in target.services and selector.matches(target.metadata.labels)
+            if service in (*target.services, *target.loadable)
+            and selector.matches(target.metadata.labels)
         )
         if not found:
             detail = f"route {route.metadata.name!r} selects no target"
