--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -21,6 +21,7 @@
     REQUEST_REFUSED = (400, logging.INFO, "a request was refused before it ran")
     ATTEMPT_FAILED = (401, logging.WARNING, "an attempt at a target failed")
     CALLER_GONE = (402, logging.INFO, "the caller left; the work was cancelled")
+    STREAM_RESUMED = (403, logging.INFO, "a broken stream is resumed at its engine")
     TARGET_EJECTED = (600, logging.WARNING, "attempts at a target fail; it gets no new work")
     TARGET_LEAVING = (601, logging.INFO, "a target or its VM is leaving; it gets no new work")
     TARGET_RETURNED = (602, logging.INFO, "a target or its VM that was leaving has returned")
--- a/tests/test_loomyard_standins/test_engine.py
+++ b/tests/test_loomyard_standins/test_engine.py
@@ -17,7 +17,8 @@
         server = EngineServer(model="assistant", step_seconds=0.0001, **options)
         server.start()
         self.addCleanup(server.stop)
-        self.engine = make_http_engine(SystemClock())
+        self.clock = SystemClock()
+        self.engine = make_http_engine(self.clock)
         return server
 
     def complete(self, server: EngineServer, prompt: str, model: str = "assistant") -> object:
@@ -28,7 +29,7 @@
             method="POST",
             path="/v1/completions",
             body=body,
-            deadline=0.0,
+            deadline=self.clock.now() + 10.0,
         )
         answer = self.engine.open(call).unwrap()
         while answer.read().unwrap():
