Know the targets from all sources

The directory read the configuration only. It now joins configuration, VM list, the target's own word (refusal, load report) and what peers heard: numbered records, the greater wins, a return needs evidence that outlasts its source's lag, a new configuration ends what was known before it. Failing targets are ejected per router, at most half of a service and never the last, until a probe answers. One router of the fleet polls each target; estimates and loaded services go round by gossip on change.

Found by the tests: a notice of before a new configuration revived "leaving" on a router that had known nothing; the version is now kept for every target. The prefix digest of callers moved to loomyard.prefixes, since engines name prefixes in the same way.

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -24,8 +24,8 @@
 from loomyard_router.requests.serving import Serving
 from loomyard_router.shares.fifo import make_fifo_policy
 from loomyard_router.shares.local import make_local_policy
-from loomyard_router.targets.directory import make_configured_targets
 from loomyard_router.targets.http_engine import make_http_engine
+from loomyard_router.targets.known_targets import make_known_targets
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -121,11 +121,12 @@
         address="",
         data_centre=settings.data_centre,
     )
+    members = SoleMembership(own)
     parts = Parts(
-        members=SoleMembership(own),
+        members=members,
         peers=NoPeers(),
         follower=ConfigFollower(platform.log, clock),
-        targets=make_configured_targets(),
+        targets=make_known_targets(clock, platform.engine, members, vm_list=platform.vm_list),
         policy=_make_policy(settings, platform),
         claims=NoClaims(),
         journal=Journal(clock),
--- a/packages/loomyard-router/src/loomyard_router/callers/request_reader.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/request_reader.py
@@ -11,6 +11,7 @@
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.objects import ServiceType
+from loomyard.prefixes import prefix_of
 from loomyard_router.callers.fields import (
     DEADLINE_HEADER,
     malformed,
@@ -23,7 +24,6 @@
 )
 from loomyard_router.callers.handler import PRESENCE_KEY, TARGET_KEY
 from loomyard_router.callers.problems import JSON_TYPE
-from loomyard_router.callers.prompt_prefix import prompt_prefix
 from loomyard_router.requests.presence import CallerPresence
 from loomyard_router.requests.request import Request
 
@@ -180,7 +180,7 @@
 
 
 def _fill_model_fields(request: Request, document: dict[str, Any]) -> None:
-    request.prefix = prompt_prefix(document)
+    request.prefix = prefix_of(document)
     request.stream = bool(document.get("stream"))
     if not request.stream:
         return
--- a/packages/loomyard-router/src/loomyard_router/requests/sender.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/sender.py
@@ -74,7 +74,8 @@
 
     def _hindrance(self, request: Request, admission: Admission, run: ClaimedRun) -> Fault | None:
         """Check all that may have changed while the request waited, last the time."""
-        if not self._targets.may_send(admission.target.metadata.name):
+        name, service = admission.target.metadata.name, request.service.metadata.name
+        if not self._targets.may_send(name, service):
             detail = "the target takes no new work any more"
             return Fault(code=ResultCode.TARGET_REFUSED, detail=detail)
         if self._clock.now() >= request.deadline:
@@ -97,11 +98,13 @@
         self._targets.note_prefix(name, request.prefix)
         with _CancelWhenGone(request, self._engine, call):
             opened = self._engine.open(call)
-        self._targets.report_attempt(name, answered=opened.is_ok())
         if opened.is_err():
+            self._targets.report_attempt(name, answered=False)
             return Err(self._fail(request, call, settlement, opened.unwrap_err()))
         answer = opened.unwrap()
         fault = check_answer(request, call, answer)
+        if fault is None or fault.code is not ResultCode.TARGET_REFUSED:
+            self._targets.report_attempt(name, answered=fault is None)
         if fault is not None:
             self._note_refusal(name, answer, fault)
             answer.close()
--- a/packages/loomyard-router/src/loomyard_router/requests/slot_queue.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/slot_queue.py
@@ -79,7 +79,11 @@
         resolved = routing.resolve(request.account, request.service.metadata.name)
         if resolved.is_err():
             return resolved
-        usable = [t for t in resolved.unwrap() if self._targets.may_send(t.metadata.name)]
+        usable = [
+            t
+            for t in resolved.unwrap()
+            if self._targets.may_send(t.metadata.name, request.service.metadata.name)
+        ]
         if not usable:
             fault = Fault(
                 code=ResultCode.NO_TARGET,
