Speak the gossip that membership offers

Leaving records and loaded services are now numbers of the same order and are repeated while they hold. Slot estimates don't fit that gossip (600 targets), so the router that polls a target sends them over peer links on change: to all routers of a small fleet, to three per service of a large one. Ruled out: estimates by gossip, polling by everyone (360 x 600 polls a second).

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -122,11 +122,14 @@
         data_centre=settings.data_centre,
     )
     members = SoleMembership(own)
+    peers = NoPeers()
     parts = Parts(
         members=members,
-        peers=NoPeers(),
+        peers=peers,
         follower=ConfigFollower(platform.log, clock),
-        targets=make_known_targets(clock, platform.engine, members, vm_list=platform.vm_list),
+        targets=make_known_targets(
+            clock, platform.engine, members, peers, vm_list=platform.vm_list
+        ),
         policy=_make_policy(settings, platform),
         claims=NoClaims(),
         journal=Journal(clock),
--- a/packages/loomyard-router/src/loomyard_router/targets/gossip.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/gossip.py
@@ -9,20 +9,20 @@
 
 
 class Gossip(Protocol):
-    """Spread small values to every router; late, doubled and reordered, but in the end."""
+    """Spread small numbers to every router; ``Membership`` does."""
 
-    def announce(self, topic: str, key: str, value: bytes) -> None:
-        """Spread the value of a key of a topic."""
+    def announce(self, topic: str, key: str, value: int, *, until: float) -> None:
+        """Spread a small item to all routers; the highest value of a key wins."""
 
-    def subscribe_topic(self, topic: str, heard: Callable[[str, bytes], None]) -> None:
-        """Call back with each key and value that peers announce."""
+    def subscribe_topic(self, topic: str, heard: Callable[[str, int], None]) -> None:
+        """Call back with key and value of each item learned from others."""
 
 
 class NoGossip:
     """Reach nobody."""
 
-    def announce(self, topic: str, key: str, value: bytes) -> None:
+    def announce(self, topic: str, key: str, value: int, *, until: float) -> None:
         pass
 
-    def subscribe_topic(self, topic: str, heard: Callable[[str, bytes], None]) -> None:
+    def subscribe_topic(self, topic: str, heard: Callable[[str, int], None]) -> None:
         pass
--- a/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
@@ -8,7 +8,6 @@
 import gevent
 from result import Err, Ok, Result
 
-from loomyard.codec import decode, encode
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard.objects import ServiceType, Target, TargetState
@@ -16,8 +15,9 @@
 from loomyard_router.targets.gossip import Gossip, NoGossip
 from loomyard_router.targets.health import TargetHealth
 from loomyard_router.targets.leaving_ledger import LeavingLedger
-from loomyard_router.targets.leaving_record import LeavingRecord
+from loomyard_router.targets.leaving_record import LeavingRecord, leaving_record
 from loomyard_router.targets.load_poller import LoadPoller
+from loomyard_router.targets.loaded_book import LoadedBook
 from loomyard_router.targets.prefix_index import PrefixIndex
 from loomyard_router.targets.slot_book import SlotBook
 from loomyard_router.targets.vm_watcher import VmWatcher
@@ -30,6 +30,7 @@
     from loomyard.platform.vm_list import VmList
     from loomyard.routing import Routing
     from loomyard_router.members.membership import Membership
+    from loomyard_router.peers.links import PeerLinks
 
 logger = logging.getLogger(__name__)
 
@@ -41,6 +42,8 @@
 VM_HOLD = 60.0
 TARGET_TOPIC = "targets.leaving"
 VM_TOPIC = "targets.vms"
+LEAVING_ITEM_SECONDS = 600.0
+UNREACHED = frozenset([ResultCode.TARGET_UNREACHABLE, ResultCode.ANSWER_LOST])
 
 
 class KnownTargets:
@@ -51,6 +54,7 @@
         clock: Clock,
         engine: Engine,
         members: Membership,
+        peers: PeerLinks,
         gossip: Gossip,
         vm_list: VmList | None,
     ) -> None:
@@ -63,7 +67,8 @@
         self._listeners: list[Callable[[], None]] = []
         self._task: gevent.Greenlet | None = None
         self._health = TargetHealth(clock)
-        self._slots = SlotBook(clock, gossip, changed=self._tell)
+        self._slots = SlotBook(clock, members, peers, changed=self._tell)
+        self._loaded = LoadedBook(clock, gossip, changed=self._tell)
         self._prefixes = PrefixIndex(clock)
         self._caches = CacheFollower(clock, engine, self._prefixes)
         self._loads = LoadPoller(clock, engine, members, self._take_load)
@@ -82,7 +87,7 @@
     def may_send(self, name: str, service: str = "") -> bool:
         if name not in self._sendable:
             return False
-        return not service or service in self._slots.loaded(self._targets[name])
+        return not service or service in self._loaded.services(self._targets[name])
 
     def slots(self, target: Target) -> int:
         if self._health.is_half_open(target.metadata.name):
@@ -123,7 +128,8 @@
         self._leaving_vms.retain(self._vm_names(), routing.version)
         self._health.retain(names)
         self._prefixes.retain(names)
-        self._slots.retain(names)
+        self._slots.set_targets(self._targets)
+        self._loaded.retain(names)
         self._loads.set_targets(polled)
         self._refresh()
 
@@ -183,7 +189,8 @@
         else:
             self._leaving.see_live(name)
         if self._loads.is_mine(name):
-            self._slots.observe(target, report)
+            self._slots.observe(name, report)
+            self._loaded.observe(target, report)
 
     def _target_changed(self, name: str, record: LeavingRecord, own: bool) -> None:
         self._conclude(TARGET_TOPIC, name, record, own=own)
@@ -198,7 +205,8 @@
         emit(logger, event, name=name, topic=topic, sequence=record.sequence, own=own)
         self._refresh()
         if own:
-            self._gossip.announce(topic, name, encode(record))
+            until = self._clock.now() + LEAVING_ITEM_SECONDS
+            self._gossip.announce(topic, name, record.to_number(), until=until)
 
     def _refresh(self) -> None:
         usable = {name for name in self._targets if self._is_usable(name)}
@@ -223,27 +231,21 @@
             listener()
 
 
-UNREACHED = frozenset([ResultCode.TARGET_UNREACHABLE, ResultCode.ANSWER_LOST])
-
-
 def make_known_targets(
     clock: Clock,
     engine: Engine,
     members: Membership,
+    peers: PeerLinks,
     *,
     gossip: Gossip | None = None,
     vm_list: VmList | None = None,
 ) -> KnownTargets:
     """Make the target directory of a router."""
-    return KnownTargets(clock, engine, members, gossip or NoGossip(), vm_list)
+    return KnownTargets(clock, engine, members, peers, gossip or NoGossip(), vm_list)
 
 
-def _hearing(ledger: LeavingLedger) -> Callable[[str, bytes], None]:
-    def hear(name: str, value: bytes) -> None:
-        match decode(value, LeavingRecord):
-            case Ok(record):
-                ledger.hear(name, record)
-            case Err(detail):
-                emit(logger, Event.TARGET_NOTICE_INVALID, name=name, detail=detail)
+def _hearing(ledger: LeavingLedger) -> Callable[[str, int], None]:
+    def hear(name: str, value: int) -> None:
+        ledger.hear(name, leaving_record(value))
 
     return hear
--- a/packages/loomyard-router/src/loomyard_router/targets/leaving_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/leaving_ledger.py
@@ -15,6 +15,8 @@
 
 UNKNOWN = LeavingRecord(-1, 0, leaving=False)
 MAX_HOLD_FACTOR = 8.0
+# Gossip forgets items after some minutes; routers that start later must hear them too.
+REPEAT_SECONDS = 60.0
 
 
 @define(eq=False)
@@ -22,6 +24,7 @@
     record: LeavingRecord = UNKNOWN
     last_leaving_at: float = float("-inf")
     hold_factor: float = 1.0
+    told_at: float = float("-inf")
 
 
 class LeavingLedger:
@@ -54,7 +57,10 @@
         """Take in evidence of this router that something is leaving."""
         entry = self._entries.setdefault(name, _Entry())
         if entry.record.leaving and entry.record.version >= version:
-            entry.last_leaving_at = self._clock.now()
+            entry.last_leaving_at = now = self._clock.now()
+            if now - entry.told_at >= REPEAT_SECONDS:
+                entry.told_at = now
+                self._changed(name, entry.record, True)
             return
         self._learn_leaving(entry)
         self._conclude(name, entry, version, leaving=True)
@@ -113,4 +119,5 @@
 
     def _conclude(self, name: str, entry: _Entry, version: int, *, leaving: bool) -> None:
         entry.record = entry.record.follow(version, leaving=leaving)
+        entry.told_at = self._clock.now()
         self._changed(name, entry.record, True)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/targets/loaded_services.py
@@ -0,0 +1,34 @@
+"""Which of its services a target has loaded, as a number that goes between routers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from loomyard.objects import Target
+
+MASK_BITS = 32
+MASK = (1 << MASK_BITS) - 1
+
+
+def to_number(target: Target, sequence: int, models: Iterable[str]) -> int:
+    """Return a number that grows with the sequence; services stand in configured order."""
+    known = set(models)
+    mask = sum(1 << n for n, service in enumerate(_services(target)) if service in known)
+    return sequence << MASK_BITS | mask
+
+
+def sequence_of(number: int) -> int:
+    """Return the sequence of a number."""
+    return number >> MASK_BITS
+
+
+def services_of(target: Target, number: int) -> list[str]:
+    """Return the loaded services of a number."""
+    return [service for n, service in enumerate(_services(target)) if number >> n & 1]
+
+
+def _services(target: Target) -> list[str]:
+    return [*target.services, *target.loadable][:MASK_BITS]
--- a/packages/loomyard-router/src/loomyard_router/targets/slot_book.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/slot_book.py
@@ -1,15 +1,12 @@
-"""The slot estimates and loaded services of all targets, shared between routers."""
+"""The slot estimates of all targets, shared between the routers that need them."""
 
 from __future__ import annotations
 
-import logging
 from typing import TYPE_CHECKING
 
-from attrs import define, field
-from result import Err, Ok
+from attrs import define
 
-from loomyard.codec import decode, encode
-from loomyard.events import Event, emit
+from loomyard import rendezvous
 from loomyard_router.targets.slot_estimate import SlotEstimate
 from loomyard_router.targets.slots_notice import SlotsNotice
 
@@ -19,92 +16,89 @@
     from loomyard.clock import Clock
     from loomyard.objects import Target
     from loomyard.platform.engine import LoadReport
-    from loomyard_router.targets.gossip import Gossip
+    from loomyard_router.members.membership import Member, Membership
+    from loomyard_router.peers.links import PeerLinks
 
-logger = logging.getLogger(__name__)
-
-SLOTS_TOPIC = "targets.slots"
+# Up to this many routers all hear of each estimate; in larger fleets the first few by rendezvous
+# hash of each service do, who keep its slots.
+SMALL_FLEET = 16
+KEEPERS = 3
+REPEAT_SECONDS = 30.0
 
 
 @define(eq=False)
 class _Entry:
     estimate: SlotEstimate
     sequence: int = 0
-    models: list[str] = field(factory=list)
+    told_at: float = float("-inf")
 
 
 class SlotBook:
     """Estimate what this router polls; adopt what other routers found."""
 
-    def __init__(self, clock: Clock, gossip: Gossip, changed: Callable[[], None]) -> None:
+    def __init__(
+        self, clock: Clock, members: Membership, peers: PeerLinks, changed: Callable[[], None]
+    ) -> None:
         self._clock = clock
-        self._gossip = gossip
+        self._members = members
+        self._peers = peers
         self._changed = changed
+        self._targets: dict[str, Target] = {}
         self._entries: dict[str, _Entry] = {}
-        self._heard: dict[str, SlotsNotice] = {}
-        gossip.subscribe_topic(SLOTS_TOPIC, self._hear)
+        peers.handle(SlotsNotice, self._hear)
+
+    def set_targets(self, targets: dict[str, Target]) -> None:
+        """Take the targets over; a new number of configured slots starts an estimate anew."""
+        self._targets = targets
+        for name in self._entries.keys() - targets:
+            del self._entries[name]
+        for name, entry in self._entries.items():
+            if entry.estimate.start != targets[name].slots:
+                entry.estimate = SlotEstimate(targets[name].slots)
 
     def slots(self, target: Target) -> int:
         """Return the estimate for a target."""
-        return self._entry(target).estimate.slots
+        entry = self._entries.get(target.metadata.name)
+        return target.slots if entry is None else entry.estimate.slots
 
-    def loaded(self, target: Target) -> list[str]:
-        """Return the services that a target can serve now."""
-        if not target.loadable:
-            return target.services
-        models = self._entry(target).models
-        return models or target.services
-
-    def observe(self, target: Target, report: LoadReport) -> None:
+    def observe(self, name: str, report: LoadReport) -> None:
         """Take in a load report of a target that this router polls."""
-        entry = self._entry(target)
-        changed = entry.estimate.observe(report, self._clock.now())
-        if target.loadable and set(report.models) != set(entry.models):
-            entry.models = list(report.models)
-            changed = True
-        if not changed:
+        entry = self._entry(name)
+        now = self._clock.now()
+        changed = entry.estimate.observe(report, now)
+        if changed:
+            entry.sequence += 1
+        learned = entry.estimate.slots != entry.estimate.start
+        # Repeats reach keepers that are new and make up for lost messages.
+        if changed or (learned and now - entry.told_at >= REPEAT_SECONDS):
+            entry.told_at = now
+            self._tell(name, entry)
+        if changed:
+            self._changed()
+
+    def _tell(self, name: str, entry: _Entry) -> None:
+        notice = SlotsNotice(target=name, sequence=entry.sequence, slots=entry.estimate.slots)
+        for router in self._audience(name):
+            self._peers.send(router, notice)
+
+    def _audience(self, name: str) -> set[str]:
+        names = [member.name for member in self._members.live()]
+        if len(names) > SMALL_FLEET:
+            services = self._targets[name].services
+            names = [n for s in services for n in rendezvous.rank(s, names)[:KEEPERS]]
+        return set(names) - {self._members.own.name}
+
+    def _hear(self, _: Member, notice: SlotsNotice) -> None:
+        if notice.target not in self._targets:
             return
-        entry.sequence += 1
-        notice = SlotsNotice(
-            sequence=entry.sequence, slots=entry.estimate.slots, models=entry.models
-        )
-        self._gossip.announce(SLOTS_TOPIC, target.metadata.name, encode(notice))
-        self._changed()
-
-    def retain(self, names: set[str]) -> None:
-        """Forget all other targets."""
-        for name in self._entries.keys() - names:
-            del self._entries[name]
-        for name in self._heard.keys() - names:
-            del self._heard[name]
-
-    def _entry(self, target: Target) -> _Entry:
-        name = target.metadata.name
-        entry = self._entries.get(name)
-        if entry is None or entry.estimate.start != target.slots:
-            sequence = entry.sequence if entry else 0
-            models = entry.models if entry else []
-            entry = _Entry(SlotEstimate(target.slots), sequence, models)
-            self._entries[name] = entry
-            if name in self._heard:
-                self._adopt(entry, self._heard.pop(name))
-        return entry
-
-    def _hear(self, name: str, value: bytes) -> None:
-        match decode(value, SlotsNotice):
-            case Err(detail):
-                emit(logger, Event.TARGET_NOTICE_INVALID, name=name, detail=detail)
-            case Ok(notice):
-                entry = self._entries.get(name)
-                if entry is None:
-                    self._heard[name] = notice
-                elif self._adopt(entry, notice):
-                    self._changed()
-
-    def _adopt(self, entry: _Entry, notice: SlotsNotice) -> bool:
+        entry = self._entry(notice.target)
         if notice.sequence <= entry.sequence:
-            return False
+            return
         entry.sequence = notice.sequence
-        entry.models = notice.models
         entry.estimate.adopt(notice.slots)
-        return True
+        self._changed()
+
+    def _entry(self, name: str) -> _Entry:
+        if name not in self._entries:
+            self._entries[name] = _Entry(SlotEstimate(self._targets[name].slots))
+        return self._entries[name]
--- a/packages/loomyard-router/src/loomyard_router/targets/slots_notice.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/slots_notice.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from attrs import field, frozen
+from attrs import frozen
 
 
 @frozen(kw_only=True)
 class SlotsNotice:
-    """The greater ``sequence`` is the newer; ``models`` are loaded now, where that can change."""
+    """A slot estimate; of one target the greater ``sequence`` is the newer."""
 
+    target: str
     sequence: int
     slots: int
-    models: list[str] = field(factory=list)
--- a/packages/loomyard-standins/src/loomyard_standins/memory_gossip.py
+++ b/packages/loomyard-standins/src/loomyard_standins/memory_gossip.py
@@ -14,9 +14,9 @@
 
     def __init__(self) -> None:
         self.cut = False
-        self.announced: list[tuple[str, str, bytes]] = []
+        self.announced: list[tuple[str, str, int]] = []
         self._members: list[GossipMember] = []
-        self._held: list[tuple[GossipMember, str, str, bytes]] = []
+        self._held: list[tuple[GossipMember, str, str, int]] = []
 
     def join(self) -> GossipMember:
         """Make the gossip of a router."""
@@ -24,7 +24,7 @@
         self._members.append(member)
         return member
 
-    def spread(self, sender: GossipMember, topic: str, key: str, value: bytes) -> None:
+    def spread(self, sender: GossipMember, topic: str, key: str, value: int) -> None:
         """Deliver an announcement, or hold it."""
         self.announced.append((topic, key, value))
         if self.cut:
@@ -47,15 +47,15 @@
 
     def __init__(self, network: MemoryGossip) -> None:
         self._network = network
-        self._handlers: defaultdict[str, list[Callable[[str, bytes], None]]] = defaultdict(list)
+        self._handlers: defaultdict[str, list[Callable[[str, int], None]]] = defaultdict(list)
 
-    def announce(self, topic: str, key: str, value: bytes) -> None:
+    def announce(self, topic: str, key: str, value: int, *, until: float) -> None:
         self._network.spread(self, topic, key, value)
 
-    def subscribe_topic(self, topic: str, heard: Callable[[str, bytes], None]) -> None:
+    def subscribe_topic(self, topic: str, heard: Callable[[str, int], None]) -> None:
         self._handlers[topic].append(heard)
 
-    def hear(self, topic: str, key: str, value: bytes) -> None:
+    def hear(self, topic: str, key: str, value: int) -> None:
         """Give an announcement to the handlers."""
         for handler in self._handlers[topic]:
             handler(key, value)
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -25,7 +25,6 @@
     TARGET_EJECTED = (600, logging.WARNING, "attempts at a target fail; it gets no new work")
     TARGET_LEAVING = (601, logging.INFO, "a target or its VM is leaving; it gets no new work")
     TARGET_RETURNED = (602, logging.INFO, "a target or its VM that was leaving has returned")
-    TARGET_NOTICE_INVALID = (603, logging.WARNING, "a peer's notice of a target is not readable")
     HANDLER_FAILED = (900, logging.ERROR, "a task ended with an unexpected error")
 
     @property
--- a/tests/test_loomyard_router/test_targets/test_known_targets.py
+++ b/tests/test_loomyard_router/test_targets/test_known_targets.py
@@ -23,6 +23,7 @@
 from loomyard_standins.fake_clock import FakeClock
 from loomyard_standins.memory_engines import MemoryEngines
 from loomyard_standins.memory_gossip import MemoryGossip
+from loomyard_standins.memory_network import MemoryNetwork
 from loomyard_standins.vm_list import MemoryVmList
 
 URL = "http://{}"
@@ -38,6 +39,7 @@
         self.clock = FakeClock()
         self.engines = MemoryEngines()
         self.gossip = MemoryGossip()
+        self.network = MemoryNetwork()
         self.vm_list = MemoryVmList()
         self.state = ConfigState()
         self.routers = [self.make_router(f"router-{n}") for n in range(2)]
@@ -55,6 +57,7 @@
             self.clock,
             self.engines,
             SoleMembership(own),
+            self.network.join(own),
             gossip=self.gossip.join(),
             vm_list=self.vm_list,
         )
