--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -41,6 +41,9 @@
     )
     CLAIMS_TRIMMED = (551, logging.WARNING, "a claim stream was trimmed past what was read")
     CLAIM_END_DROPPED = (552, logging.ERROR, "the end of a claim was not recorded")
+    TARGET_EJECTED = (600, logging.WARNING, "attempts at a target fail; it gets no new work")
+    TARGET_LEAVING = (601, logging.INFO, "a target or its VM is leaving; it gets no new work")
+    TARGET_RETURNED = (602, logging.INFO, "a target or its VM that was leaving has returned")
     HANDLER_FAILED = (900, logging.ERROR, "a task ended with an unexpected error")
 
     @property
--- a/tests/test_loomyard_router/test_claims.py
+++ b/tests/test_loomyard_router/test_claims.py
@@ -161,7 +161,7 @@
         self.fleet.pass_time(2 * WINDOW + 200)
         self.serve(keeper)
         for stream in list(self.log._records):
-            if (self.log._end(stream)) > 2:
+            if (self.log.end(stream)) > 2:
                 self.log.trim(stream, 2)
         self.fleet.pass_time()
         self.fleet.kill("a")
