--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines, under a lease with a fencing number."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/orders/order_sender.py
@@ -0,0 +1,110 @@
+"""Bring one target to the desired service, one safe order at a time."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from attrs import define
+from result import Err, Ok
+
+from loomyard.errors import Executed, ResultCode
+from loomyard.events import Event, emit
+from loomyard.platform.engine import EngineOrder
+from loomyard_router.orders.order_action import OrderAction
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard.objects import Target
+    from loomyard.platform.engine import Engine
+    from loomyard.platform.weight_store import WeightStore
+    from loomyard_router.orders.order_lease_keeper import OrderLeaseKeeper
+    from loomyard_router.orders.target_view import TargetView
+
+logger = logging.getLogger(__name__)
+
+# Longer than the call of an order may take; what is left of the lease must cover it.
+ORDER_SECONDS = 3.0
+# A load shows in the reports only when it is done; before that it is not ordered again.
+LOAD_SECONDS = 30.0
+RETRY_SECONDS = 2.0
+DEFAULT_LIMIT_SECONDS = 5.0
+
+
+@define(eq=False)
+class _Progress:
+    next_at: float = float("-inf")
+    load_at: float | None = None
+
+
+class OrderSender:
+    """Send what is missing between the state read back and the desired one.
+
+    Each order is idempotent; an answer that was lost is settled by the next reading.
+    """
+
+    def __init__(
+        self, clock: Clock, engine: Engine, weights: WeightStore, lease: OrderLeaseKeeper
+    ) -> None:
+        self._clock = clock
+        self._engine = engine
+        self._weights = weights
+        self._lease = lease
+        self._progress: dict[str, _Progress] = {}
+
+    def clear(self) -> None:
+        """Forget what is under way."""
+        self._progress.clear()
+
+    def work(self, view: TargetView, service: str) -> bool:
+        """Send the next order; tell whether the target is as desired."""
+        name = view.target.metadata.name
+        if view.loaded == {service}:
+            self._progress.pop(name, None)
+            emit(logger, Event.ORDER_CONFIRMED, target=name, service=service)
+            return True
+        progress = self._progress.setdefault(name, _Progress())
+        if self._clock.now() < progress.next_at:
+            return False
+        surplus = sorted(view.loaded - {service})
+        if surplus:
+            self._send(view.target, OrderAction.UNLOAD, surplus[0], progress)
+        elif self._may_load(service, progress):
+            self._send(view.target, OrderAction.LOAD, service, progress)
+        return False
+
+    def _may_load(self, service: str, progress: _Progress) -> bool:
+        now = self._clock.now()
+        if progress.load_at is None:
+            match self._weights.reserve(service):
+                case Err(fault):
+                    progress.next_at = now + (fault.retry_after or DEFAULT_LIMIT_SECONDS)
+                    return False
+                case Ok(at):
+                    progress.load_at = at
+        if self._clock.now() < progress.load_at:
+            return False
+        progress.load_at = None
+        return True
+
+    def _send(self, target: Target, action: OrderAction, subject: str, progress: _Progress) -> None:
+        name = target.metadata.name
+        progress.next_at = self._clock.now() + RETRY_SECONDS
+        lease = self._lease.held(ORDER_SECONDS)
+        if lease is None:
+            return
+        if not target.checks_fencing and self._clock.now() < lease.since + ORDER_SECONDS:
+            # An order of the predecessor may still be on its way to an engine that takes it.
+            return
+        order = EngineOrder(action=action, subject=subject, fencing=lease.fencing)
+        match self._engine.order(target.url, order):
+            case Ok(_):
+                executed = Executed.YES
+                emit(logger, Event.ORDER_SENT, target=name, action=action, subject=subject)
+            case Err(fault):
+                executed = fault.executed
+                emit(logger, Event.ORDER_FAILED, target=name, code=int(fault.code))
+                if fault.code is ResultCode.ORDER_FENCED:
+                    self._lease.drop()
+        if action is OrderAction.LOAD and executed is not Executed.NO:
+            progress.next_at = self._clock.now() + LOAD_SECONDS
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/orders/paced_weights.py
@@ -0,0 +1,31 @@
+"""Pace loads where no weight store tells its limit."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from loomyard.errors import Fault, ResultCode
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+
+LOAD_INTERVAL = 10.0
+
+
+class PacedWeights:
+    """Allow one load in an interval."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._next = clock.now()
+
+    def reserve(self, model: str) -> Result[float, Fault]:
+        now = self._clock.now()
+        if now < self._next:
+            detail = f"no load of {model!r} yet"
+            left = self._next - now
+            return Err(Fault(code=ResultCode.WEIGHT_STORE_LIMITED, detail=detail, retry_after=left))
+        self._next = now + LOAD_INTERVAL
+        return Ok(now)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/orders/target_view.py
@@ -0,0 +1,26 @@
+"""A target as the planning of orders sees it."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from loomyard.objects import Target
+from loomyard.platform.engine import LoadReport
+
+
+@frozen(kw_only=True)
+class TargetView:
+    """A target, its latest load report and whether it may get new work."""
+
+    target: Target
+    report: LoadReport
+    usable: bool
+
+    @property
+    def idle(self) -> bool:
+        return self.report.running == 0 and self.report.waiting == 0
+
+    @property
+    def loaded(self) -> set[str]:
+        """Return the services loaded now, of those that the target may have."""
+        return {*self.target.services, *self.target.loadable}.intersection(self.report.models)
--- a/packages/loomyard-router/src/loomyard_router/targets/loaded_book.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/loaded_book.py
@@ -39,7 +39,7 @@
 
     def observe(self, target: Target, report: LoadReport) -> None:
         """Take in a load report of a target that this router polls."""
-        if not target.loadable or not report.models:
+        if not target.loadable:
             return
         name = target.metadata.name
         now = self._clock.now()
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -25,6 +25,11 @@
     TARGET_EJECTED = (600, logging.WARNING, "attempts at a target fail; it gets no new work")
     TARGET_LEAVING = (601, logging.INFO, "a target or its VM is leaving; it gets no new work")
     TARGET_RETURNED = (602, logging.INFO, "a target or its VM that was leaving has returned")
+    ORDER_LEASE_TAKEN = (610, logging.INFO, "this router holds the lease on orders to engines")
+    ORDER_LEASE_LOST = (611, logging.INFO, "another router took the lease on orders to engines")
+    ORDER_SENT = (612, logging.INFO, "an engine took an order")
+    ORDER_FAILED = (613, logging.WARNING, "an order was refused or its answer was lost")
+    ORDER_CONFIRMED = (614, logging.INFO, "a target reports the state that was ordered")
     HANDLER_FAILED = (900, logging.ERROR, "a task ended with an unexpected error")
 
     @property
