--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -14,7 +14,7 @@
 from loomyard_router.callers.app import CallersApp
 from loomyard_router.callers.handler import CallerServer
 from loomyard_router.callers.in_flight import InFlight
-from loomyard_router.claims.no_claims import NoClaims
+from loomyard_router.claims.log_claims import make_log_claims
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.fleet_parts import make_fleet_parts
 from loomyard_router.parts import Parts, Platform
@@ -23,8 +23,8 @@
 from loomyard_router.requests.serving import Serving
 from loomyard_router.shares.fifo import make_fifo_policy
 from loomyard_router.shares.local import make_local_policy
-from loomyard_router.targets.directory import make_configured_targets
 from loomyard_router.targets.http_engine import make_http_engine
+from loomyard_router.targets.known_targets import make_known_targets
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -125,9 +125,17 @@
         traffic=fleet.traffic,
         vm_watch=fleet.vm_watch,
         follower=ConfigFollower(platform.log, clock),
-        targets=make_configured_targets(),
+        targets=make_known_targets(
+            clock, platform.engine, fleet.members, fleet.peers, vm_list=platform.vm_list
+        ),
         policy=_make_policy(settings, platform),
-        claims=NoClaims(),
+        claims=make_log_claims(
+            log=platform.log,
+            clock=clock,
+            members=fleet.members,
+            peers=fleet.peers,
+            window=settings.claim_window,
+        ),
         journal=Journal(clock),
     )
     serving = Serving(
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -34,6 +34,21 @@
     ATTEMPT_FAILED = (401, logging.WARNING, "an attempt at a target failed")
     CALLER_GONE = (402, logging.INFO, "the caller left; the work was cancelled")
     STREAM_RESUMED = (403, logging.INFO, "a broken stream is resumed at its engine")
+    CLAIM_OUTCOME_UNKNOWN = (
+        550,
+        logging.WARNING,
+        "a request was sent once; its outcome is unknown",
+    )
+    CLAIMS_TRIMMED = (551, logging.WARNING, "a claim stream was trimmed past what was read")
+    CLAIM_END_DROPPED = (552, logging.ERROR, "the end of a claim was not recorded")
+    TARGET_EJECTED = (600, logging.WARNING, "attempts at a target fail; it gets no new work")
+    TARGET_LEAVING = (601, logging.INFO, "a target or its VM is leaving; it gets no new work")
+    TARGET_RETURNED = (602, logging.INFO, "a target or its VM that was leaving has returned")
+    ORDER_LEASE_TAKEN = (610, logging.INFO, "this router holds the lease on orders to engines")
+    ORDER_LEASE_LOST = (611, logging.INFO, "another router took the lease on orders to engines")
+    ORDER_SENT = (612, logging.INFO, "an engine took an order")
+    ORDER_FAILED = (613, logging.WARNING, "an order was refused or its answer was lost")
+    ORDER_CONFIRMED = (614, logging.INFO, "a target reports the state that was ordered")
     HANDLER_FAILED = (900, logging.ERROR, "a task ended with an unexpected error")
 
     @property
