Test what is certain about a request by what its targets saw

Cause: the promises of the caller path (not run, unknown, one send, exactly the rest of a stream) need tests that count at the target.

--- a/packages/loomyard-router/src/loomyard_router/requests/claimed_run.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/claimed_run.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import hashlib
 from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
 
-from loomyard_router.claims.keeper import ClaimKey, RecordedOutcome
+from loomyard_router.claims.keeper import RecordedOutcome
+from loomyard_router.claims.keys import claim_key_of
 
 if TYPE_CHECKING:
     from loomyard.errors import Fault
@@ -46,13 +46,9 @@
 
 def claim_run(keeper: ClaimKeeper, request: Request) -> Result[ClaimedRun | RecordedOutcome, Fault]:
     """Claim the key of a request that may run once; other requests need no claim."""
-    if request.idempotent or request.key is None:
+    key = claim_key_of(request)
+    if key is None:
         return Ok(ClaimedRun(keeper))
-    key = ClaimKey(
-        account=request.account.metadata.name,
-        key=request.key,
-        fingerprint=_fingerprint(request),
-    )
     claimed = keeper.claim(key, request.deadline)
     if claimed.is_err():
         return Err(claimed.unwrap_err())
@@ -60,11 +56,3 @@
     if isinstance(granted, RecordedOutcome):
         return Ok(granted)
     return Ok(ClaimedRun(keeper, granted))
-
-
-def _fingerprint(request: Request) -> bytes:
-    digest = hashlib.sha256()
-    for part in (request.service.metadata.name, request.method, request.path):
-        digest.update(part.encode() + b"\0")
-    digest.update(request.body)
-    return digest.digest()
--- a/packages/loomyard-standins/src/loomyard_standins/scripted_target.py
+++ b/packages/loomyard-standins/src/loomyard_standins/scripted_target.py
@@ -32,9 +32,13 @@
     def attempt(self) -> str:
         return self.headers.get("loomyard-attempt", "")
 
+    @property
+    def is_cancel(self) -> bool:
+        return self.line.endswith("/cancel")
+
 
 class ScriptedTarget:
-    """Call a script for each request; the connection goes on while it returns true."""
+    """Call a script for each request but cancels; the connection goes on while it returns true."""
 
     def __init__(self, script: Script) -> None:
         self.script = script
@@ -49,7 +53,7 @@
     @property
     def work(self) -> list[ReceivedCall]:
         """Return the calls that ask for work, not those that steer."""
-        return [call for call in self.calls if not call.line.endswith("/cancel")]
+        return [call for call in self.calls if not call.is_cancel]
 
     def start(self) -> None:
         """Start to serve."""
@@ -69,7 +73,9 @@
                 if call is None:
                     return
                 self.calls.append(call)
-                if not self.script(call, sock):
+                if call.is_cancel:
+                    sock.sendall(answer_bytes(call, b"{}"))
+                elif not self.script(call, sock):
                     return
         except OSError:
             pass
--- /dev/null
+++ b/tests/test_loomyard_router/test_targets/test_http_engine.py
@@ -0,0 +1,109 @@
+"""Tests of the adapter for HTTP targets: what is certain about a call."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from gevent import socket as sockets
+
+from loomyard.clock import SystemClock
+from loomyard.errors import Executed, ResultCode
+from loomyard.platform.engine import TargetCall
+from loomyard_router.targets.http_engine import make_http_engine
+from loomyard_standins.scripted_target import ScriptedTarget, answer_bytes
+
+if TYPE_CHECKING:
+    from gevent.socket import socket
+
+    from loomyard_standins.scripted_target import ReceivedCall
+
+METHODS = ("GET", "PUT", "DELETE", "POST")
+
+
+class HttpEngineTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = SystemClock()
+        self.engine = make_http_engine(self.clock)
+        self.target = ScriptedTarget(answer_once)
+        self.target.start()
+        self.addCleanup(self.target.stop)
+
+    def call(self, method: str = "POST", *, idempotent: bool = True, url: str = "") -> TargetCall:
+        return TargetCall(
+            attempt_id="r.1",
+            url=url or self.target.url,
+            method=method,
+            path="/x",
+            body=b"steel",
+            deadline=self.clock.now() + 5.0,
+            idempotent=idempotent,
+        )
+
+    def test_a_call_that_loses_its_kept_connection_is_not_sent_again(self) -> None:
+        for method in METHODS:
+            with self.subTest(method=method):
+                self.target.script = answer_once
+                self.engine.open(self.call(method)).unwrap().read()
+                self.target.calls.clear()
+                self.target.script = lambda call, sock: None
+                fault = self.engine.open(self.call(method)).unwrap_err()
+                self.assertEqual(fault.executed, Executed.UNKNOWN)
+                self.assertEqual(len(self.target.calls), 1)
+
+    def test_a_call_that_may_run_once_takes_no_kept_connection(self) -> None:
+        for _ in range(2):
+            self.engine.open(self.call(idempotent=True)).unwrap().read()
+        for _ in range(2):
+            self.engine.open(self.call(idempotent=False)).unwrap().read()
+        self.assertEqual([call.connection for call in self.target.calls], [0, 0, 1, 2])
+
+    def test_no_connection_is_certain(self) -> None:
+        unused = sockets.socket()
+        unused.bind(("127.0.0.1", 0))
+        self.addCleanup(unused.close)
+        url = f"http://127.0.0.1:{unused.getsockname()[1]}"
+        fault = self.engine.open(self.call(url=url)).unwrap_err()
+        self.assertEqual((fault.code, fault.executed), (ResultCode.TARGET_UNREACHABLE, Executed.NO))
+
+    def test_garbage_and_half_answers(self) -> None:
+        answers = {
+            b"no HTTP at all\r\n\r\n": ResultCode.ANSWER_INVALID,
+            b"HTTP/1.1 200 OK\r\nContent-Length: ten\r\n\r\n": ResultCode.ANSWER_INVALID,
+            b"HTTP/1.1 200": ResultCode.ANSWER_INVALID,
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf": ResultCode.ANSWER_INCOMPLETE,
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n": (
+                ResultCode.ANSWER_INCOMPLETE
+            ),
+        }
+        for data, code in answers.items():
+            with self.subTest(data=data):
+                self.target.script = lambda call, sock, data=data: sock.sendall(data)
+                fault = self.read_fault()
+                self.assertEqual((fault.code, fault.executed), (code, Executed.UNKNOWN))
+
+    def read_fault(self):
+        opened = self.engine.open(self.call())
+        if opened.is_err():
+            return opened.unwrap_err()
+        while True:
+            read = opened.unwrap().read()
+            if read.is_err():
+                return read.unwrap_err()
+            self.assertNotEqual(read.unwrap(), b"")
+
+    def test_a_header_that_would_split_the_request_is_refused(self) -> None:
+        call = self.call()
+        call.headers.append(("Accept", "x\r\nContent-Length: 0"))
+        fault = self.engine.open(call).unwrap_err()
+        self.assertEqual(fault.code, ResultCode.MALFORMED_REQUEST)
+        self.assertEqual(self.target.calls, [])
+
+
+def answer_once(call: ReceivedCall, sock: socket) -> bool:
+    sock.sendall(answer_bytes(call, b"done"))
+    return True
+
+
+if __name__ == "__main__":
+    unittest.main()
