--- a/packages/loomyard-router/src/loomyard_router/callers/handler.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/handler.py
@@ -67,6 +67,19 @@
                 self.wsgi_input.content_length = 0
                 self.wsgi_input.chunked_input = False
 
+    def _sendall(self, data: bytes) -> None:
+        sent = self.socket.send(data)
+        if sent < len(data):
+            super()._sendall(data[sent:])
+        self.response_length += sent
+
+    def _write(self, data: bytes) -> None:
+        if not data:
+            return
+        if self.response_use_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._sendall(data)
+
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
         self.close_connection = True
         if isinstance(v, OSError):
--- a/packages/loomyard-router/src/loomyard_router/targets/http_answer.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/http_answer.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from gevent import get_hub
 from geventhttpclient.response import HTTPConnectionClosed, HTTPSocketPoolResponse
 from result import Err, Ok, Result
 
@@ -14,10 +15,31 @@
 
 ATTEMPT_HEADER = "Loomyard-Attempt"
 BLOCK_SIZE = 65536
+READABLE = 1
 
 
 class BlockResponse(HTTPSocketPoolResponse):
-    """A response whose body is read in blocks, as much as is there."""
+    """A response whose body is read in blocks, as much as is there.
+
+    A stall is noticed by one slow timer for each answer in place of a timeout for each read.
+    """
+
+    def __init__(self, sock: socket, pool: object, **options: Any) -> None:
+        self._reads = 0
+        self._seen_reads = 0
+        self._stall: Any = None
+        self._readable: Any = None
+        super().__init__(sock, pool, **options)  # type: ignore[arg-type]
+
+    def watch(self, stall_seconds: float) -> None:
+        """Prepare to read the body; a wait of up to twice the given time ends it."""
+        if self._sock is None:
+            return
+        self._sock.settimeout(None)
+        loop = get_hub().loop
+        self._readable = loop.io(self._sock.fileno(), READABLE)
+        self._stall = loop.timer(stall_seconds, stall_seconds)
+        self._stall.start(self._check_stall)
 
     def read_block(self) -> bytes:
         """Return what has arrived, waiting for the first byte; empty at the end of the body."""
@@ -26,23 +48,39 @@
             sock = self._sock
             if sock is None:
                 raise HTTPConnectionClosed("connection closed")
+            get_hub().wait(self._readable)
+            self._reads += 1
             self.feed(sock.recv(BLOCK_SIZE))
         block = bytes(buffer)
         buffer.clear()
         return block
 
-    def set_timeout(self, seconds: float) -> None:
-        """Bound each wait for bytes."""
-        if self._sock is not None:
-            self._sock.settimeout(seconds)
+    def release(self) -> None:
+        self._unwatch()
+        super().release()
 
     def abort(self) -> None:
-        """Close the connection unless the whole answer was read."""
+        """Close the connection unless the whole answer was read; a waiting task gets an error."""
+        self._unwatch()
         pool, sock = self._pool, self._sock
         self._sock = self._pool = None
         if pool is not None and sock is not None:
             pool.release_socket(sock)
 
+    def _check_stall(self) -> None:
+        if self._reads == self._seen_reads:
+            self.abort()
+        self._seen_reads = self._reads
+
+    def _unwatch(self) -> None:
+        stall, self._stall = self._stall, None
+        if stall is not None:
+            stall.stop()
+            stall.close()
+        readable, self._readable = self._readable, None
+        if readable is not None:
+            get_hub().cancel_wait(readable, HTTPConnectionClosed("connection closed"), True)
+
 
 class HttpAnswer:
     """An answer over HTTP."""
@@ -79,4 +117,4 @@
 
 def read_response(sock: socket, pool: object, method: str) -> BlockResponse:
     """Read status and headers; the connection goes back to the pool after the body."""
-    return BlockResponse(sock, pool, block_size=BLOCK_SIZE, method=method)  # type: ignore[arg-type]
+    return BlockResponse(sock, pool, block_size=BLOCK_SIZE, method=method)
--- a/packages/loomyard-router/src/loomyard_router/targets/http_engine.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/http_engine.py
@@ -32,7 +32,7 @@
     from loomyard.platform.engine import TargetAnswer
 
 CONTROL_TIMEOUT = 2.0
-IDLE_TIMEOUT = 60.0
+STALL_TIMEOUT = 30.0
 MIN_TIMEOUT = 0.001
 HTTP_OK = 200
 HTTP_CONFLICT = 409
@@ -153,7 +153,7 @@
         response = read_response(sock, pool, method)
     except Exception as error:
         return Err(_lost(error))
-    response.set_timeout(min(IDLE_TIMEOUT, seconds))
+    response.watch(min(STALL_TIMEOUT, seconds))
     return Ok(HttpAnswer(response))
 
 
