Register the messages of claims; show utilisation and control traffic in the demo

Cause: over real links every remote claim ended with 'unregistered answer', so keyed receipts were refused at all routers but the hosts; the fake network accepts any type, which hid it. Ruled out: the log and the fold (claims on the hosting router worked). Conclusion: answers are registered like messages.

--- a/packages/loomyard-router/src/loomyard_router/claims/messages.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/messages.py
@@ -8,8 +8,10 @@
 from loomyard_router.claims.key_state import Phase
 from loomyard_router.claims.records import Abandoned, Begun, Finished
 from loomyard_router.claims.verdict import Verdict
+from loomyard_router.peers.message_types import peer_message
 
 
+@peer_message("claim.lookup")
 @frozen(kw_only=True)
 class LookUp:
     """Ask what is known of a key; answered by ``KeyView``."""
@@ -17,6 +19,7 @@
     key: bytes
 
 
+@peer_message("claim.view")
 @frozen(kw_only=True)
 class KeyView:
     """What a host knows of a key; ``ready`` is false where it knows too little to answer."""
@@ -30,6 +33,7 @@
     outcome: RecordedOutcome | None = None
 
 
+@peer_message("claim.begin")
 @frozen(kw_only=True)
 class BeginClaim:
     """Ask to append a ``Begun`` record; answered by ``BeginAnswer``."""
@@ -37,6 +41,7 @@
     begun: Begun
 
 
+@peer_message("claim.begun")
 @frozen(kw_only=True)
 class BeginAnswer:
     """The verdict; ``None`` where there is none, and then ``detail`` says why."""
@@ -45,6 +50,7 @@
     detail: str = ""
 
 
+@peer_message("claim.settle")
 @frozen(kw_only=True)
 class SettleClaims:
     """Ask to append how claims of one partition ended; answered by ``Settled``."""
@@ -54,6 +60,7 @@
     finished: list[Finished] = field(factory=list)
 
 
+@peer_message("claim.settled")
 @frozen(kw_only=True)
 class Settled:
     """Whether all records were read back from the log."""
--- a/packages/loomyard-standins/src/loomyard_standins/demo.py
+++ b/packages/loomyard-standins/src/loomyard_standins/demo.py
@@ -7,30 +7,37 @@
 monkey.patch_all()
 
 import argparse  # noqa: E402
-import json  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
-from collections import Counter  # noqa: E402
-from urllib.parse import urlsplit  # noqa: E402
 
 import gevent  # noqa: E402
-from geventhttpclient import HTTPClient  # noqa: E402
-from hdrh.histogram import HdrHistogram  # noqa: E402
 
-from loomyard_standins.fleet import ACCOUNTS, StandinFleet, sample_key, start_fleet  # noqa: E402
+from loomyard_standins.demonstration.callers import Caller  # noqa: E402
+from loomyard_standins.demonstration.tally import Tally  # noqa: E402
+from loomyard_standins.demonstration.utilisation import UtilisationMeter  # noqa: E402
+from loomyard_standins.fleet import (  # noqa: E402
+    ACCOUNTS,
+    ENGINE_SLOTS,
+    StandinFleet,
+    sample_key,
+    start_fleet,
+)
 
 SECONDS = 10.0
 CALLERS_PER_ACCOUNT = 12
-MAX_MILLISECONDS = 60_000
+RECEIPT_ACCOUNT = "kiosk"
+SERVE_SECONDS = 365 * 24 * 3600
 
 
 def main() -> int:
     """Run the demonstration, or serve until interrupted."""
-    parser = argparse.ArgumentParser()
+    parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--serve", action="store_true", help="keep the fleet running")
-    fleet = start_fleet()
+    parser.add_argument("--policy", default="fleet", help="share policy")
+    arguments = parser.parse_args()
+    fleet = start_fleet(policy=arguments.policy)
     try:
-        if parser.parse_args().serve:
+        if arguments.serve:
             _serve(fleet)
         else:
             _demonstrate(fleet)
@@ -46,51 +53,58 @@
     print(
         f"curl -sN {fleet.urls[0]}/v1/chat/completions"
         f" -H 'Authorization: Bearer {sample_key('kiosk')}'"
-        """ -H 'Content-Type: application/json'"""
-        """ -d '{"model":"assistant","stream":true,"messages":[{"role":"user","content":"hi"}]}'"""
+        " -H 'Content-Type: application/json'"
+        """ -d '{"model":"assistant","stream":true,"messages":[{"role":"user","content":"hi"}]}'""",
+        flush=True,
     )
-    sys.stdout.flush()
-    gevent.sleep(3600 * 24 * 365)
+    gevent.sleep(SERVE_SECONDS)
 
 
 def _demonstrate(fleet: StandinFleet) -> None:
-    tokens: Counter[str] = Counter()
-    latency = {name: HdrHistogram(1, MAX_MILLISECONDS, 3) for name in ACCOUNTS}
-    until = time.monotonic() + SECONDS
-    callers = [
-        gevent.spawn(_call, fleet, account, number, until, tokens, latency[account])
-        for account in ACCOUNTS
-        for number in range(CALLERS_PER_ACCOUNT)
-    ]
-    gevent.joinall(callers, raise_error=True)
-    print(f"{'account':12} {'weight':>6} {'tokens':>8} {'p50 ms':>7} {'p99 ms':>7}")
+    tallies = {name: Tally() for name in ACCOUNTS}
+    receipts = Tally()
+    meter = UtilisationMeter(fleet.engines, ENGINE_SLOTS * len(fleet.engines))
+    appends = fleet.log.log.appends
+    sent = [(r.parts.traffic.sent_bytes, r.parts.traffic.sent_messages) for r in fleet.routers]
+    _call(fleet, tallies, receipts, until=time.monotonic() + SECONDS)
+    utilisation = meter.stop()
+    print(f"{'account':12} {'weight':>6} {'answers':>8} {'tokens':>8} {'share':>6} {'p50 ms':>7}"
+          f" {'p99 ms':>7} {'refused':>8}")  # fmt: skip
+    total = sum(tally.tokens for tally in tallies.values())
     for name, weight in ACCOUNTS.items():
-        p50, p99 = (latency[name].get_value_at_percentile(p) for p in (50, 99))
-        print(f"{name:12} {weight:6.1f} {tokens[name]:8} {p50:7} {p99:7}")
-
-
-def _call(
-    fleet: StandinFleet,
-    account: str,
-    number: int,
-    until: float,
-    tokens: Counter[str],
-    latency: HdrHistogram,
-) -> None:
-    parts = urlsplit(fleet.urls[number % len(fleet.urls)])
-    client = HTTPClient(parts.hostname, parts.port, network_timeout=60.0)
-    headers = {"Authorization": f"Bearer {sample_key(account)}"}
-    while (started := time.monotonic()) < until:
-        stream = number % 2 == 0
-        body = {"model": "assistant", "prompt": "x" * 40, "max_tokens": 40, "stream": stream}
-        response = client.post("/v1/completions", json.dumps(body), headers)
-        answer = bytes(response.read())
-        tokens[account] += answer.count(b"\n\n") - 2 if stream else _tokens(answer)
-        latency.record_value(max(1, int(1000 * (time.monotonic() - started))))
-
-
-def _tokens(answer: bytes) -> int:
-    return json.loads(answer)["usage"]["completion_tokens"]
+        _print_tally(name, weight, tallies[name], total)
+    print(
+        f"receipts: {receipts.answers} written at most once each, p50 {receipts.percentile(50)} ms,"
+        f" {fleet.log.log.appends - appends} log appends"
+    )
+    print(f"utilisation of the engines: {utilisation:.1%}")
+    for router, (sent_bytes, sent_messages) in zip(fleet.routers, sent, strict=True):
+        traffic = router.parts.traffic
+        print(
+            f"control sent by {router.parts.members.own.name}:"
+            f" {(traffic.sent_bytes - sent_bytes) / SECONDS:.0f} bytes/s,"
+            f" {(traffic.sent_messages - sent_messages) / SECONDS:.1f} messages/s"
+        )
+
+
+def _print_tally(name: str, weight: float, tally: Tally, total: int) -> None:
+    print(
+        f"{name:12} {weight:6.1f} {tally.answers:8} {tally.tokens:8}"
+        f" {tally.tokens / max(1, total):6.1%} {tally.percentile(50):7} {tally.percentile(99):7}"
+        f" {tally.refusals:8}"
+    )
+
+
+def _call(fleet: StandinFleet, tallies: dict[str, Tally], receipts: Tally, *, until: float) -> None:
+    tasks = []
+    for name, tally in tallies.items():
+        for number in range(CALLERS_PER_ACCOUNT):
+            caller = Caller(fleet.urls[number % len(fleet.urls)], sample_key(name), tally)
+            tasks.append(gevent.spawn(caller.ask, until, stream=number % 2 == 0))
+    for url in fleet.urls:
+        writer = Caller(url, sample_key(RECEIPT_ACCOUNT), receipts)
+        tasks.append(gevent.spawn(writer.write_receipts, until))
+    gevent.joinall(tasks, raise_error=True)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/demonstration/__init__.py
@@ -0,0 +1,1 @@
+"""The callers of the demonstration and what they saw."""
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/demonstration/callers.py
@@ -0,0 +1,66 @@
+"""Callers that ask again as soon as they are answered."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import TYPE_CHECKING
+from urllib.parse import urlsplit
+
+from geventhttpclient import HTTPClient
+
+if TYPE_CHECKING:
+    from loomyard_standins.demonstration.tally import Tally
+
+TOKENS = 40
+PROMPT = "Swap receipt for rider 17: "
+HTTP_OK = 200
+ANSWER_TIMEOUT = 60.0
+EVENTS_BESIDE_TOKENS = 2
+
+
+class Caller:
+    """One caller of a client account, at one router."""
+
+    def __init__(self, url: str, key: str, tally: Tally) -> None:
+        parts = urlsplit(url)
+        self._client = HTTPClient(parts.hostname, parts.port, network_timeout=ANSWER_TIMEOUT)
+        self._headers = {"Authorization": f"Bearer {key}"}
+        self._tally = tally
+
+    def ask(self, until: float, *, stream: bool) -> None:
+        """Ask for completions until a monotonic time."""
+        body = {"model": "assistant", "prompt": PROMPT, "max_tokens": TOKENS, "stream": stream}
+        if stream:
+            body["stream_options"] = {"include_usage": True}
+        while time.monotonic() < until:
+            answer = self._post("/v1/completions", body)
+            if answer is not None:
+                self._tally.tokens += _count_tokens(answer, stream=stream)
+
+    def write_receipts(self, until: float) -> None:
+        """Write receipts, each at most once, until a monotonic time."""
+        number = 0
+        while time.monotonic() < until:
+            number += 1
+            key = f'"{id(self)}-{number}"'
+            self._post("/services/records/receipts", {"n": number}, {"Idempotency-Key": key})
+
+    def _post(
+        self, path: str, body: dict[str, object], headers: dict[str, str] | None = None
+    ) -> bytes | None:
+        started = time.monotonic()
+        all_headers = self._headers | (headers or {})
+        response = self._client.post(path, json.dumps(body), all_headers)
+        answer = bytes(response.read())
+        if response.status_code != HTTP_OK:
+            self._tally.refusals += 1
+            return None
+        self._tally.record(time.monotonic() - started)
+        return answer
+
+
+def _count_tokens(answer: bytes, *, stream: bool) -> int:
+    if stream:
+        return answer.count(b"\n\n") - EVENTS_BESIDE_TOKENS
+    return json.loads(answer)["usage"]["completion_tokens"]
--- a/packages/loomyard-standins/src/loomyard_standins/fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/fleet.py
@@ -30,6 +30,7 @@
 from loomyard_standins.vm_list import MemoryVmList, VmListServer
 
 ACCOUNTS = {"kiosk": 1.0, "genealogy": 1.0, "labels": 1.0, "handover": 2.0}
+ENGINE_SLOTS = 8
 DATA_CENTRES = ("dc-1", "dc-2")
 FLEET_SECRET = "stand-in fleet"
 
@@ -80,7 +81,7 @@
     fleet.plain.start()
     fleet.vms.start()
     for _ in range(engines):
-        engine = EngineServer(model="assistant")
+        engine = EngineServer(model="assistant", slots=ENGINE_SLOTS)
         engine.start()
         fleet.engines.append(engine)
     for position in range(routers):
@@ -133,6 +134,7 @@
                 metadata=Metadata(name=f"engine-{number}", labels={"dc": data_centre}),
                 url=engine.url,
                 services=["assistant"],
+                slots=ENGINE_SLOTS,
                 data_centre=data_centre,
             )
         )
--- a/tests/test_loomyard_router/test_whole_path.py
+++ b/tests/test_loomyard_router/test_whole_path.py
@@ -51,6 +51,20 @@
         self.assertEqual(json.loads(response.read())["echo"], "steel")
         self.assertEqual(self.fleet.plain.ran[-1][1], "/lots/7")
 
+    def test_a_receipt_runs_once_at_whichever_router_it_is_repeated(self) -> None:
+        headers = {"Authorization": f"Bearer {sample_key('kiosk')}", "Idempotency-Key": '"r-1"'}
+        answers = [
+            bytes(
+                HTTPClient("127.0.0.1", router.port)
+                .post("/services/records/receipts", b"swap", headers)
+                .read()
+            )
+            for router in self.fleet.routers * 2
+        ]
+        self.assertEqual(len(set(answers)), 1)
+        ran = [call for call in self.fleet.plain.ran if call[1] == "/receipts"]
+        self.assertEqual(len(ran), 1)
+
     def test_unknown_service_is_a_problem_document(self) -> None:
         client = HTTPClient("127.0.0.1", self.fleet.routers[1].port)
         headers = {"Authorization": f"Bearer {sample_key('labels')}"}
