Harden the links: welcome, small handshakes, one link of two, told failures

A stranger could make the router buffer 16 frames of 1 MB before it proved anything: frames are 4 KB until the secret is proven, and the acceptor ends the handshake with a welcome, so that the opener knows that it was admitted (an old incarnation is not). Where both sides open a link at once both send on the same one and the other ends when idle. A handler that fails or is missing is told to the requester at once; the end of a link that this side did not close hastens a probe.

--- a/packages/loomyard-router/src/loomyard_router/peers/acceptor.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/acceptor.py
@@ -25,7 +25,8 @@
 
 MAX_CONNECTIONS = 1024
 OPEN_TIMEOUT = 3.0
-MAX_FRAME_BYTES = 1 << 20
+# Of a stranger, until it has proven the fleet secret.
+MAX_HANDSHAKE_BYTES = 4096
 
 
 class Acceptor:
@@ -49,7 +50,7 @@
             ping_interval=None,
             open_timeout=OPEN_TIMEOUT,
             close_timeout=OPEN_TIMEOUT,
-            max_size=MAX_FRAME_BYTES,
+            max_size=MAX_HANDSHAKE_BYTES,
             server_header=None,
             logger=library_logger,
         )
--- a/packages/loomyard-router/src/loomyard_router/peers/frames.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/frames.py
@@ -14,6 +14,10 @@
 from loomyard_router.peers.fleet_secret import MAC_BYTES, matches, tag
 
 SEQUENCE_BYTES = 8
+MAX_FRAME_BYTES = 1 << 20
+# Names of answers that are no message: nothing, and a handler that failed or is missing.
+NOTHING = ""
+FAILED = "!"
 
 
 @frozen
--- a/packages/loomyard-router/src/loomyard_router/peers/handshake.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/handshake.py
@@ -1,8 +1,8 @@
 """The mutual proof of the fleet secret at the start of a link.
 
-The opener sends ``Hello``, the acceptor answers ``Challenge`` with its proof, the opener ends
-with ``Proof``. All proofs and session keys are HMACs over the whole transcript, which binds them
-to both names, both incarnations and both nonces.
+The opener sends ``Hello``, the acceptor answers ``Challenge`` with its proof, the opener sends
+``Proof``, the acceptor ends with ``Welcome``. All proofs and session keys are HMACs over the whole
+transcript, which binds them to both names, both incarnations and both nonces.
 """
 
 from __future__ import annotations
@@ -19,12 +19,15 @@
 from loomyard_router.peers.fleet_secret import KEY_ID_BYTES, FleetSecret, digest
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from loomyard_router.members.membership import Member
 
 NONCE_BYTES = 16
 SESSION = b"loomyard link 1"
 OPENER = b"opener"
 ACCEPTOR = b"acceptor"
+WELCOME = b"welcome"
 KEY_ID = b"key id"
 HANDSHAKE_TIMEOUT = 3.0
 T = TypeVar("T")
@@ -67,6 +70,13 @@
     proof: bytes
 
 
+@frozen(kw_only=True)
+class Welcome:
+    """The acceptor takes the link."""
+
+    proof: bytes
+
+
 @frozen(kw_only=True)
 class Agreement:
     """The authenticated peer and a key for each direction."""
@@ -107,12 +117,22 @@
     if challenge.acceptor.name != wanted:
         return _refuse(f"{challenge.acceptor.name!r} answers in the place of {wanted!r}")
     channel.send(pack(Proof(proof=digest(key, OPENER, transcript))))
+    answer = _receive(channel, Welcome)
+    if answer.is_err():
+        return Err(answer.unwrap_err())
+    if not hmac.compare_digest(answer.unwrap().proof, digest(key, WELCOME, transcript)):
+        return _refuse("the peer's welcome is wrong")
     send_key, receive_key = _session_keys(key, transcript)
     return Ok(Agreement(peer=challenge.acceptor, send_key=send_key, receive_key=receive_key))
 
 
-def accept_link(channel: Channel, own: Member, secret: FleetSecret) -> Result[Agreement, Fault]:
-    """Prove and demand proof as the side that accepted the connection."""
+def accept_link(
+    channel: Channel, own: Member, secret: FleetSecret, admit: Callable[[Identity], str]
+) -> Result[Agreement, Fault]:
+    """Prove and demand proof as the side that accepted the connection.
+
+    ``admit`` is asked about the proven identity; it returns why it refuses, or nothing.
+    """
     received = _receive(channel, Hello)
     if received.is_err():
         return Err(received.unwrap_err())
@@ -139,6 +159,9 @@
         return Err(answer.unwrap_err())
     if not hmac.compare_digest(answer.unwrap().proof, digest(key, OPENER, transcript)):
         return _refuse(f"the proof of {hello.opener.name!r} is wrong")
+    if refusal := admit(hello.opener):
+        return _refuse(refusal)
+    channel.send(pack(Welcome(proof=digest(key, WELCOME, transcript))))
     receive_key, send_key = _session_keys(key, transcript)
     return Ok(Agreement(peer=hello.opener, send_key=send_key, receive_key=receive_key))
 
--- a/packages/loomyard-router/src/loomyard_router/peers/link.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/link.py
@@ -14,10 +14,17 @@
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
-from loomyard_router.peers.acceptor import MAX_FRAME_BYTES
 from loomyard_router.peers.compact_codec import COMPACT, structure
 from loomyard_router.peers.fleet_secret import MAC_BYTES
-from loomyard_router.peers.frames import Envelope, FrameOpener, FrameSealer, encode_envelope
+from loomyard_router.peers.frames import (
+    FAILED,
+    MAX_FRAME_BYTES,
+    NOTHING,
+    Envelope,
+    FrameOpener,
+    FrameSealer,
+    encode_envelope,
+)
 from loomyard_router.peers.message_types import kind_of, name_of
 
 if TYPE_CHECKING:
@@ -59,8 +66,10 @@
         clock: Clock,
         traffic: TrafficCounters,
         deliver: Callable[[Member, Any], Any],
+        opener: str,
     ) -> None:
         self.peer = peer
+        self.opener = opener
         self.used_at = clock.now()
         self._connection = connection
         self._clock = clock
@@ -72,6 +81,7 @@
         self._queued_bytes = 0
         self._flushing = False
         self._closed = False
+        self._ended = False
         self._answers: dict[int, AsyncResult] = {}
         self._requests = 0
         self._requests_running = 0
@@ -80,6 +90,11 @@
     def closed(self) -> bool:
         return self._closed
 
+    @property
+    def closed_here(self) -> bool:
+        """Tell whether this side closed the link, and not the peer or the network."""
+        return self._closed and not self._ended
+
     @property
     def idle(self) -> bool:
         """Tell whether nothing is queued and no answer is awaited or owed."""
@@ -87,7 +102,7 @@
 
     def send(self, message: Any) -> bool:
         """Queue a message; false where the link is closed or its queue is full."""
-        return self._enqueue(message, request=0, answers=0)
+        return self._enqueue(name_of(type(message)), message)
 
     def request(self, message: Any, deadline: float) -> Result[Any, Fault]:
         """Send a request and wait for its answer until a deadline."""
@@ -96,7 +111,7 @@
         answer: AsyncResult = AsyncResult()
         self._answers[number] = answer
         try:
-            if not self._enqueue(message, request=number, answers=0):
+            if not self._enqueue(name_of(type(message)), message, request=number):
                 return _unreachable(f"the link to {self.peer.name} is closed or full")
             return answer.get(timeout=max(0.0, deadline - self._clock.now()))
         except gevent.Timeout:
@@ -110,7 +125,7 @@
             while self._receive(self._connection.recv()):
                 pass
         except (ConnectionClosed, OSError, EOFError):
-            pass
+            self._ended = not self._closed
         finally:
             self.close()
 
@@ -126,8 +141,7 @@
         self._queue.clear()
         self._connection.close_socket()
 
-    def _enqueue(self, message: Any, *, request: int, answers: int) -> bool:
-        name = name_of(type(message))
+    def _enqueue(self, name: str, message: Any, *, request: int = 0, answers: int = 0) -> bool:
         body = COMPACT.unstructure(message)
         data = encode_envelope(Envelope(name, body, request, answers))
         full = self._queued_bytes + len(data) > MAX_QUEUED_BYTES
@@ -151,6 +165,7 @@
             while self._queue:
                 self._connection.send(self._sealer.seal(self._next_batch()))
         except (ConnectionClosed, OSError):
+            self._ended = not self._closed
             self.close()
         finally:
             self._flushing = False
@@ -184,11 +199,17 @@
 
     def _take(self, envelope: Envelope, size: int) -> None:
         kind = kind_of(envelope.kind)
-        if kind is None:
+        if envelope.answers and envelope.kind in (NOTHING, FAILED):
+            self._traffic.received(envelope.kind, size)
+            self._settle(envelope.answers, _without_message(envelope.kind))
+        elif kind is None:
             self._traffic.refused("unknown")
             emit(logger, Event.PEER_MESSAGE_INVALID, peer=self.peer.name, kind=envelope.kind)
-            return
-        self._traffic.received(envelope.kind, size)
+        else:
+            self._traffic.received(envelope.kind, size)
+            self._read(envelope, kind)
+
+    def _read(self, envelope: Envelope, kind: type) -> None:
         match structure(envelope.body, kind):
             case Ok(message):
                 self._route(envelope, message)
@@ -204,8 +225,7 @@
 
     def _route(self, envelope: Envelope, message: Any) -> None:
         if envelope.answers:
-            if (answer := self._answers.get(envelope.answers)) is not None:
-                answer.set(Ok(message))
+            self._settle(envelope.answers, Ok(message))
         elif not envelope.request:
             self._call(message)
         elif self._requests_running < MAX_REQUESTS_RUNNING:
@@ -215,22 +235,31 @@
         else:
             self._traffic.refused(envelope.kind)
 
+    def _settle(self, request: int, outcome: Result[Any, Fault]) -> None:
+        if (answer := self._answers.get(request)) is not None:
+            answer.set(outcome)
+
     def _answer(self, request: int, message: Any) -> None:
         try:
-            answer = self._call(message)
-            if answer is not None:
-                self._enqueue(answer, request=0, answers=request)
-        except KeyError:
-            emit(logger, Event.HANDLER_FAILED, detail=f"unregistered answer to {message!r}")
+            match self._call(message):
+                case Ok(None):
+                    self._enqueue(NOTHING, None, answers=request)
+                case Ok(answer):
+                    self._enqueue(name_of(type(answer)), answer, answers=request)
+                case Err(_):
+                    self._enqueue(FAILED, None, answers=request)
         finally:
             self._requests_running -= 1
 
-    def _call(self, message: Any) -> Any:
+    def _call(self, message: Any) -> Result[Any, str]:
         try:
-            return self._deliver(self.peer, message)
+            answer = self._deliver(self.peer, message)
+            if answer is not None:
+                name_of(type(answer))
         except Exception as error:  # a faulty handler must not end the link
             emit(logger, Event.HANDLER_FAILED, detail=repr(error), kind=type(message).__name__)
-            return None
+            return Err(repr(error))
+        return Ok(answer)
 
     def _refuse(self, detail: str) -> bool:
         self._traffic.refused(FRAME)
@@ -238,5 +267,11 @@
         return False
 
 
+def _without_message(kind: str) -> Result[None, Fault]:
+    if kind == NOTHING:
+        return Ok(None)
+    return Err(Fault(code=ResultCode.PEER_FAILED, detail="the handler of the peer failed"))
+
+
 def _unreachable(detail: str) -> Err[Fault]:
     return Err(Fault(code=ResultCode.PEER_UNREACHABLE, detail=detail))
--- a/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
@@ -16,8 +16,9 @@
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard_router.members.membership import Member, MemberState
-from loomyard_router.peers.acceptor import MAX_FRAME_BYTES, Acceptor, library_logger
+from loomyard_router.peers.acceptor import Acceptor, library_logger
 from loomyard_router.peers.connections import OpenedConnection
+from loomyard_router.peers.frames import MAX_FRAME_BYTES
 from loomyard_router.peers.handshake import accept_link, open_link
 from loomyard_router.peers.link import PeerLink
 from loomyard_router.peers.message_types import name_of, register_message
@@ -30,7 +31,7 @@
     from loomyard.clock import Clock
     from loomyard_router.members.membership import Membership
     from loomyard_router.peers.fleet_secret import FleetSecret
-    from loomyard_router.peers.handshake import Agreement
+    from loomyard_router.peers.handshake import Agreement, Identity
     from loomyard_router.peers.tls import PeerTls
     from loomyard_router.peers.traffic import TrafficCounters
 
@@ -64,8 +65,7 @@
         self._clock = clock
         self._tls = tls
         self._handlers: dict[type, Callable[[Member, Any], Any]] = {}
-        self._links: dict[str, PeerLink] = {}
-        self._all: set[PeerLink] = set()
+        self._links: dict[str, list[PeerLink]] = {}
         self._pending: dict[str, list[Any]] = {}
         self._opening: dict[str, GeventEvent] = {}
         self._retry_at: dict[str, float] = {}
@@ -108,12 +108,16 @@
         self._acceptor.stop()
         if self._sweeper is not None:
             self._sweeper.kill()
-        for link in list(self._all):
+        for link in self._all():
             link.close()
 
+    def _all(self) -> list[PeerLink]:
+        return [link for links in self._links.values() for link in links]
+
     def _find(self, to: str) -> PeerLink | None:
-        link = self._links.get(to)
-        return None if link is None or link.closed else link
+        """Return the link to send on; where both sides opened one, both choose the same."""
+        links = [link for link in self._links.get(to, ()) if not link.closed]
+        return min(links, key=lambda link: (-link.peer.incarnation, link.opener), default=None)
 
     def _hold_back(self, to: str, message: Any) -> bool:
         pending = self._pending.setdefault(to, [])
@@ -179,23 +183,39 @@
             logger=library_logger,
         )
         outcome = open_link(connection, self._members.own, member.name, self._secret)
-        return self._admit(connection, outcome, member.address)
+        return self._keep(connection, outcome, member.address, own=True)
 
     def _accept(self, connection: Connection) -> None:
         if not self._handshakes.acquire(blocking=False):
             return
+
+        def admit(peer: Identity) -> str:
+            connection.protocol.max_message_size = MAX_FRAME_BYTES
+            return self._objection(peer)
+
         try:
-            outcome = accept_link(connection, self._members.own, self._secret)
+            outcome = accept_link(connection, self._members.own, self._secret, admit)
         except (OSError, WebSocketException, EOFError):
             return
         finally:
             self._handshakes.release()
-        link = self._admit(connection, outcome, str(connection.remote_address))
+        link = self._keep(connection, outcome, str(connection.remote_address), own=False)
         if link is not None:
             self._serve_link(link)
 
-    def _admit(
-        self, connection: Connection, outcome: Result[Agreement, Fault], address: str
+    def _objection(self, peer: Identity) -> str:
+        known = self._members.find(peer.name)
+        if known is not None and known.incarnation > peer.incarnation:
+            return f"an old incarnation of {peer.name}"
+        return ""
+
+    def _keep(
+        self,
+        connection: Connection,
+        outcome: Result[Agreement, Fault],
+        address: str,
+        *,
+        own: bool,
     ) -> PeerLink | None:
         match outcome:
             case Ok(agreement):
@@ -205,14 +225,8 @@
                 self.traffic.refused("handshake")
                 connection.close_socket()
                 return None
-        peer = _member_of(agreement)
-        known = self._members.find(peer.name)
-        if known is not None and known.incarnation > peer.incarnation:
-            emit(logger, Event.PEER_REFUSED, peer=peer.name, detail="an old incarnation")
-            self.traffic.refused("handshake")
-            connection.close_socket()
-            return None
         _limit_silence(connection.socket)
+        peer = _member_of(agreement.peer)
         link = PeerLink(
             connection=connection,
             agreement=agreement,
@@ -220,32 +234,27 @@
             clock=self._clock,
             traffic=self.traffic,
             deliver=self._deliver,
+            opener=self._members.own.name if own else peer.name,
         )
-        self._keep(link)
+        self._links.setdefault(peer.name, []).append(link)
+        self._retry_at.pop(peer.name, None)
         return link
 
-    def _keep(self, link: PeerLink) -> None:
-        """Send on the newest link of the newest incarnation; older ones only receive."""
-        name = link.peer.name
-        self._all.add(link)
-        self._retry_at.pop(name, None)
-        current = self._find(name)
-        if current is not None and current.peer.incarnation < link.peer.incarnation:
-            current.close()
-        if current is None or current.peer.incarnation <= link.peer.incarnation:
-            self._links[name] = link
-
     def _serve_link(self, link: PeerLink) -> None:
+        name = link.peer.name
         try:
             link.run()
         finally:
-            self._all.discard(link)
-            if self._links.get(link.peer.name) is link:
-                del self._links[link.peer.name]
+            links = self._links[name]
+            links.remove(link)
+            if not links:
+                del self._links[name]
+        if not link.closed_here:
+            # The end of a link is the first sign of a router that died.
+            self._members.suspect(name)
 
     def _deliver(self, sender: Member, message: Any) -> Any:
-        handler = self._handlers.get(type(message))
-        return handler(sender, message) if handler else None
+        return self._handlers[type(message)](sender, message)
 
     def _note_failure(self, member: Member, detail: str) -> None:
         self._retry_at[member.name] = self._clock.now() + RETRY_AFTER
@@ -253,7 +262,7 @@
         self._members.suspect(member.name)
 
     def _drop_dead(self) -> None:
-        for link in list(self._all):
+        for link in self._all():
             member = self._members.find(link.peer.name)
             if member is None:
                 continue
@@ -265,13 +274,12 @@
         while True:
             self._clock.sleep(SWEEP_INTERVAL)
             idle_before = self._clock.now() - IDLE_AFTER
-            for link in list(self._all):
+            for link in self._all():
                 if link.idle and link.used_at < idle_before:
                     link.close()
 
 
-def _member_of(agreement: Agreement) -> Member:
-    peer = agreement.peer
+def _member_of(peer: Identity) -> Member:
     return Member(
         name=peer.name,
         incarnation=peer.incarnation,
--- a/packages/loomyard/src/loomyard/errors.py
+++ b/packages/loomyard/src/loomyard/errors.py
@@ -82,6 +82,7 @@
     OPERATOR_REFUSED = 6006, "the operator key is not valid"
     MESSAGE_INVALID = 6007, "the message cannot be read"
     WEIGHT_STORE_LIMITED = 6008, "the weight store allows no load yet"
+    PEER_FAILED = 6011, "a peer could not answer a message"
     VM_LIST_UNAVAILABLE = 6010, "the VM list did not answer"
 
     INVALID_SETTING = 7001, "a setting is not valid"
