Wire the fleet policy and drive it through idle phases, kills and a partition

Open: the partition, nine services where the byte budget binds (1.7 KB/s), and a restarted allocator that grants before it knows the others.

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -23,14 +23,18 @@
 from loomyard_router.requests.journal import Journal
 from loomyard_router.requests.serving import Serving
 from loomyard_router.shares.fifo import make_fifo_policy
+from loomyard_router.shares.fleet import make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
 from loomyard_router.targets.directory import make_configured_targets
 from loomyard_router.targets.http_engine import make_http_engine
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
+    from loomyard_router.members.membership import Membership
+    from loomyard_router.peers.links import PeerLinks
     from loomyard_router.settings import Settings
     from loomyard_router.shares.policy import SharePolicy
+    from loomyard_router.targets.directory import TargetDirectory
 
 logger = logging.getLogger(__name__)
 
@@ -122,12 +126,13 @@
         address="",
         data_centre=settings.data_centre,
     )
+    members, peers, targets = SoleMembership(own), NoPeers(), make_configured_targets()
     parts = Parts(
-        members=SoleMembership(own),
-        peers=NoPeers(),
+        members=members,
+        peers=peers,
         follower=ConfigFollower(platform.log, clock),
-        targets=make_configured_targets(),
-        policy=_make_policy(settings, platform),
+        targets=targets,
+        policy=_make_policy(settings, platform.clock, members, peers, targets),
         claims=NoClaims(),
         journal=Journal(clock),
     )
@@ -145,7 +150,15 @@
     return Application(settings, parts, callers, clock=clock, serving=serving)
 
 
-def _make_policy(settings: Settings, platform: Platform) -> SharePolicy:
+def _make_policy(
+    settings: Settings,
+    clock: Clock,
+    members: Membership,
+    peers: PeerLinks,
+    directory: TargetDirectory,
+) -> SharePolicy:
     if settings.policy == "fifo":
-        return make_fifo_policy(platform.clock)
-    return make_local_policy(platform.clock, position=settings.position, routers=settings.routers)
+        return make_fifo_policy(clock)
+    if settings.policy == "local":
+        return make_local_policy(clock, position=settings.position, routers=settings.routers)
+    return make_fleet_policy(clock, members=members, peers=peers, directory=directory)
--- a/packages/loomyard-standins/src/loomyard_standins/share_driver.py
+++ b/packages/loomyard-standins/src/loomyard_standins/share_driver.py
@@ -19,6 +19,7 @@
 from loomyard_router.shares.fifo import make_fifo_policy
 from loomyard_router.shares.fleet import POLL_INTERVAL, FleetPolicy, make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
+from loomyard_router.shares.parents import find_allocator
 from loomyard_router.shares.waiting import WaitingRequest
 from loomyard_router.targets.directory import make_configured_targets
 from loomyard_standins.virtual_time import Agenda, VirtualMembers, VirtualNetwork
@@ -157,6 +158,43 @@
             self.open.pop(key)()
         self.agenda.after(DETECTION_DELAY, self.agree)
 
+    def restart_router(self, position: int) -> None:
+        """Start a killed router empty; the others notice after a while."""
+        self.start_router(position)
+        self.agenda.after(DETECTION_DELAY, self.agree)
+
+    def find_allocator(self) -> int:
+        """Return the position of the allocator while all routers live."""
+        return int(find_allocator(self.members[0]).rpartition("-")[2])
+
+    def cut(self, side: set[int]) -> None:
+        """Cut a side off; each side comes to believe the other dead."""
+        names = {f"router-{position}" for position in side}
+        self.network.cuts = {
+            frozenset((name, other))
+            for name in names
+            for other in self.network.links
+            if other not in names
+        }
+        self.agenda.after(DETECTION_DELAY, lambda: self._split(side))
+
+    def heal(self) -> None:
+        """Mend the cut."""
+        self.network.cuts = set()
+        self.agenda.after(DETECTION_DELAY, self.agree)
+
+    def resettle(self, seconds: float = 2.0) -> None:
+        """Leave the next seconds out of the figures."""
+        self.settle = self.agenda.now() + seconds
+        self._extremes = {}
+
+    def _split(self, side: set[int]) -> None:
+        for position, members in self.members.items():
+            near = [
+                other.own for p, other in self.members.items() if (p in side) == (position in side)
+            ]
+            members.set_view(near)
+
     def agree(self) -> None:
         """Let all routers know of all."""
         view = [members.own for members in self.members.values()]
--- a/packages/loomyard-standins/src/loomyard_standins/share_rounds.py
+++ b/packages/loomyard-standins/src/loomyard_standins/share_rounds.py
@@ -2,18 +2,20 @@
 
 from __future__ import annotations
 
+import argparse
 import json
 import random
-import sys
-import time
+from typing import TYPE_CHECKING
 
 import attrs
 
-from loomyard_standins.share_driver import Load, ShareDriver
+from loomyard_standins.share_driver import DETECTION_DELAY, Load, ShareDriver
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 ACCOUNTS = 16
 ROUTERS = 8
-POLICIES = ("single", "local", "fifo", "fleet")
 
 
 def one_service_loads(seed: int) -> list[Load]:
@@ -31,22 +33,97 @@
     return loads
 
 
-def main() -> None:
-    """Run the scenarios and print one line for each."""
-    policies = sys.argv[1].split(",") if len(sys.argv) > 1 else POLICIES
-    seconds = float(sys.argv[2]) if len(sys.argv) > 2 else 60.0
-    seeds = int(sys.argv[3]) if len(sys.argv) > 3 else 1
-    for policy in policies:
-        for seed in range(1, seeds + 1):
-            started = time.monotonic()
-            driver = ShareDriver(policy, one_service_loads(seed), engines={"s": (12, 8)}, seed=seed)
-            figures = attrs.asdict(driver.run(seconds))
-            took = round(time.monotonic() - started, 1)
-            print(
-                json.dumps({"scenario": "one", "seed": seed, **figures, "took": took}),
-                driver.gap_at,
-                flush=True,
+def many_service_loads(seed: int) -> list[Load]:
+    """Return 16 accounts over 6 language and 3 plain services, most of them on several."""
+    chance = random.Random(seed)
+    loads = []
+    for number in range(ACCOUNTS):
+        mean = 150 * (2000 / 150) ** (number / (ACCOUNTS - 1))
+        routers = tuple(chance.sample(range(ROUTERS), chance.choice((1, 2))))
+        services = chance.sample(LANGUAGE_SERVICES, chance.choice((1, 2, 3)))
+        services += chance.sample(PLAIN_SERVICES, chance.choice((0, 1)))
+        for service in services:
+            plain = service in PLAIN_SERVICES
+            loads.append(
+                Load(
+                    account=f"account-{number}",
+                    service=service,
+                    mean=60.0 if plain else mean,
+                    outstanding=16,
+                    routers=routers,
+                )
             )
+    return loads
+
+
+def idle_loads(seed: int) -> list[Load]:
+    """Return 16 accounts of which half go idle and come back, each at its own times."""
+    chance = random.Random(seed)
+    loads = []
+    for number, load in enumerate(one_service_loads(seed)):
+        if number % 2:
+            begin = chance.uniform(0, 5)
+            spans = tuple((begin + 12 * n, begin + 12 * n + 7) for n in range(10))
+            load = attrs.evolve(load, spans=spans)
+        loads.append(load)
+    return loads
+
+
+def kill(driver: ShareDriver) -> None:
+    """Kill a router, then the allocator, and start them again empty."""
+    for at, position in ((15.0, 0), (30.0, driver.find_allocator())):
+        driver.agenda.after(at, lambda position=position: driver.kill_router(position))
+        driver.agenda.after(at, driver.resettle)
+        driver.agenda.after(at + 7, lambda position=position: driver.restart_router(position))
+        driver.agenda.after(at + 7, driver.resettle)
+
+
+def partition(driver: ShareDriver) -> None:
+    """Cut three routers off for 10 seconds."""
+    driver.agenda.after(20.0, lambda: driver.cut({0, 1, 2}))
+    driver.agenda.after(30.0, driver.heal)
+    # What a side could not know is not held against it; what counts is the time after the cut.
+    driver.agenda.after(20.0, lambda: driver.resettle(DETECTION_DELAY + 12.0))
+
+
+LANGUAGE_SERVICES = [f"language-{number}" for number in range(6)]
+PLAIN_SERVICES = [f"plain-{number}" for number in range(3)]
+ONE_SERVICE = {"s": (12, 8)}
+MANY_SERVICES = {name: (2, 8) for name in LANGUAGE_SERVICES} | {
+    name: (1, 8) for name in PLAIN_SERVICES
+}
+SCENARIOS: dict[str, tuple[Callable[[int], list[Load]], dict, Callable[[ShareDriver], None]]] = {
+    "calm": (one_service_loads, ONE_SERVICE, lambda driver: None),
+    "idle": (idle_loads, ONE_SERVICE, lambda driver: None),
+    "kill": (one_service_loads, ONE_SERVICE, kill),
+    "partition": (one_service_loads, ONE_SERVICE, partition),
+    "many": (many_service_loads, MANY_SERVICES, lambda driver: None),
+}
+
+
+def main() -> None:
+    """Run the scenarios and print one line for each run."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--policies", default="single,local,fifo,fleet")
+    parser.add_argument("--scenarios", default=",".join(SCENARIOS))
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--seeds", type=int, default=3)
+    options = parser.parse_args()
+    for scenario in options.scenarios.split(","):
+        for policy in options.policies.split(","):
+            for seed in range(1, options.seeds + 1):
+                figures = run(scenario, policy, seed, options.seconds)
+                print(json.dumps({"scenario": scenario, "seed": seed, **figures}), flush=True)
+
+
+def run(scenario: str, policy: str, seed: int, seconds: float) -> dict[str, object]:
+    """Run a scenario."""
+    make_loads, engines, plan = SCENARIOS[scenario]
+    driver = ShareDriver(policy, make_loads(seed), engines=engines, seed=seed)
+    if policy != "single":
+        plan(driver)
+    figures = driver.run(seconds)
+    return attrs.asdict(figures)
 
 
 if __name__ == "__main__":
