--- a/packages/loomyard-standins/src/loomyard_standins/fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/fleet.py
@@ -31,6 +31,7 @@
 
 ACCOUNTS = {"kiosk": 1.0, "genealogy": 1.0, "labels": 1.0, "handover": 2.0}
 ENGINE_SLOTS = 8
+ENGINE_STEP_SECONDS = 0.006
 DATA_CENTRES = ("dc-1", "dc-2")
 FLEET_SECRET = "stand-in fleet"
 
@@ -81,7 +82,9 @@
     fleet.plain.start()
     fleet.vms.start()
     for _ in range(engines):
-        engine = EngineServer(model="assistant", slots=ENGINE_SLOTS)
+        engine = EngineServer(
+            model="assistant", slots=ENGINE_SLOTS, step_seconds=ENGINE_STEP_SECONDS
+        )
         engine.start()
         fleet.engines.append(engine)
     for position in range(routers):
