Count target time of a plain call from when it is sent

Cause: a plain call was charged from its admission, so the claim's append before sending counted as service: in make demo (policy fleet) the account that also wrote receipts got 7.9 % of the tokens where 20 % was due. Ruled out: the fleet's levels (local showed 16.8 %).

--- a/packages/loomyard-router/src/loomyard_router/requests/sender.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/sender.py
@@ -96,6 +96,7 @@
         call = _make_call(request, admission, number)
         self._journal.record(request.request_id, Step.SENT, f"{call.attempt_id} to {name}")
         self._targets.note_prefix(name, request.prefix)
+        settlement.note_sent()
         with _CancelWhenGone(request, self._engine, call):
             opened = self._engine.open(call)
         if opened.is_err():
--- a/packages/loomyard-router/src/loomyard_router/requests/settlement.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/settlement.py
@@ -35,8 +35,13 @@
         self._estimates = estimates
         self._request = request
         self._admission = admission
+        self._sent_at = admission.admitted_at
         self._open = True
 
+    def note_sent(self) -> None:
+        """Count target time from now on; what the slot waited for before is not service."""
+        self._sent_at = self._clock.now()
+
     def charge(self, events: int) -> None:
         """Charge what a stream has reached."""
         if self._open:
@@ -68,7 +73,7 @@
     def _cost(self, usage: Usage | None, events: int) -> float:
         service = self._request.service
         if service.type is not ServiceType.MODEL:
-            return time_cost(service, self._clock.now() - self._admission.admitted_at)
+            return time_cost(service, self._clock.now() - self._sent_at)
         if usage is not None:
             return token_cost(service, prompt=usage.prompt, completion=usage.completion)
         prompt = len(self._request.body) // BYTES_PER_TOKEN
