Send heads with their first bytes, and nothing late for Nagle's sake

Cause: head and first event went out in two writes, and small writes could wait for an acknowledgement.

--- a/packages/loomyard-router/src/loomyard_router/callers/handler.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/handler.py
@@ -9,6 +9,7 @@
 
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.socket import IPPROTO_TCP, TCP_NODELAY
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
@@ -74,11 +75,18 @@
         self.response_length += sent
 
     def _write(self, data: bytes) -> None:
-        if not data:
-            return
-        if self.response_use_chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._sendall(data)
+        if data:
+            self._sendall(self._frame(data))
+
+    def _write_with_headers(self, data: bytes) -> None:
+        self.headers_sent = True
+        self.finalize_headers()
+        lines = [b"%b: %b\r\n" % header for header in self.response_headers]
+        head = b"HTTP/1.1 %b\r\n%b\r\n" % (self.status, b"".join(lines))
+        self._sendall(head + self._frame(data) if data else head)
+
+    def _frame(self, data: bytes) -> bytes:
+        return b"%x\r\n%b\r\n" % (len(data), data) if self.response_use_chunked else data
 
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
         self.close_connection = True
@@ -119,6 +127,7 @@
 
     def handle(self, sock: Any, address: Any) -> None:
         sock.settimeout(CONNECTION_TIMEOUT)
+        sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         super().handle(sock, address)
 
 
--- a/packages/loomyard-router/src/loomyard_router/relays/usage.py
+++ b/packages/loomyard-router/src/loomyard_router/relays/usage.py
@@ -9,6 +9,7 @@
 
 _USAGE = re.compile(rb'"usage":\s*(\{)')
 MAX_USAGE_LENGTH = 2048
+_DECODER = json.JSONDecoder()
 
 
 @frozen
@@ -27,7 +28,7 @@
     start = found[-1].start(1)
     try:
         text = tail[start : start + MAX_USAGE_LENGTH].decode(errors="replace")
-        usage, _ = json.JSONDecoder().raw_decode(text)
+        usage, _ = _DECODER.raw_decode(text)
         counted = Usage(int(usage["prompt_tokens"]), int(usage["completion_tokens"]))
     except (ValueError, KeyError, TypeError, OverflowError):
         return None
--- a/packages/loomyard-router/src/loomyard_router/targets/http_connections.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/http_connections.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
+from gevent.socket import IPPROTO_TCP, TCP_NODELAY
 from geventhttpclient.connectionpool import ConnectionPool, SSLConnectionPool
 
 if TYPE_CHECKING:
@@ -16,7 +17,22 @@
 DEFAULT_PORTS = {"http": 80, "https": 443}
 
 
-class FreshConnections:
+class PromptConnections:
+    """Mix in connections that send each write at once."""
+
+    def after_connect(self, sock: socket) -> None:
+        sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+
+
+class KeptPool(PromptConnections, ConnectionPool):
+    """Plain connections that are kept for the next request."""
+
+
+class KeptSslPool(PromptConnections, SSLConnectionPool):
+    """TLS connections that are kept for the next request."""
+
+
+class FreshConnections(PromptConnections):
     """Mix in connections that carry one request only."""
 
     def return_socket(self, sock: socket) -> None:
@@ -52,7 +68,7 @@
 
 
 def _make_pool(scheme: str, host: str, port: int, kept: bool) -> ConnectionPool:
-    plain, secure = (ConnectionPool, SSLConnectionPool) if kept else (FreshPool, FreshSslPool)
+    plain, secure = (KeptPool, KeptSslPool) if kept else (FreshPool, FreshSslPool)
     kind = secure if scheme == "https" else plain
     return kind(
         host,
