--- a/tests/test_loomyard_router/claims_fleet.py
+++ b/tests/test_loomyard_router/claims_fleet.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 from result import Err, Ok
 
-from loomyard.errors import ResultCode
+from loomyard.errors import Fault, ResultCode
 from loomyard_router.claims.keeper import Claim, ClaimKey, RecordedOutcome
 from loomyard_router.claims.log_claims import LogClaims, make_log_claims
 from loomyard_router.members.membership import Member, MemberState
@@ -134,7 +134,7 @@
         number = self.sends[claim.key.key]
         return RecordedOutcome(status=200, content_type="text/plain", body=b"%d" % number)
 
-    def serve(self, keeper: LogClaims, wanted: ClaimKey, pause=lambda step: None):
+    def serve(self, keeper: LogClaims, wanted: ClaimKey, pause=lambda step: True):
         """Do what the serving of a request does; ``pause`` is called between the steps."""
         deadline = self.clock.now() + TIMEOUT
         while True:
@@ -148,7 +148,9 @@
                     continue
                 case Err(fault):
                     return Err(fault)
-            pause("begun")
+            if not pause("begun"):
+                keeper.abandon(claim)
+                return Err(Fault(code=ResultCode.TARGET_UNREACHABLE, detail=""))
             outcome = self.send(claim)
             pause("sent")
             keeper.finish(claim, outcome)
