--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -3,45 +3,64 @@
 from __future__ import annotations
 
 import logging
-import secrets
 from typing import TYPE_CHECKING
 
-from gevent.pywsgi import WSGIServer
+from gevent.event import Event as GeventEvent
 
 from loomyard.clock import SystemClock
 from loomyard.events import Event, emit
 from loomyard.platform.http_log import connect_log
+from loomyard.platform.http_vm_list import connect_vm_list
 from loomyard_router.callers.app import CallersApp
+from loomyard_router.callers.handler import CallerServer
+from loomyard_router.callers.in_flight import InFlight
 from loomyard_router.claims.log_claims import make_log_claims
 from loomyard_router.configuration.follower import ConfigFollower
-from loomyard_router.members.membership import Member, SoleMembership
+from loomyard_router.fleet_parts import make_fleet_parts
 from loomyard_router.parts import Parts, Platform
-from loomyard_router.peers.no_peers import NoPeers
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
 from loomyard_router.requests.serving import Serving
 from loomyard_router.shares.fifo import make_fifo_policy
+from loomyard_router.shares.fleet import make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
-from loomyard_router.targets.directory import make_configured_targets
 from loomyard_router.targets.http_engine import make_http_engine
+from loomyard_router.targets.known_targets import make_known_targets
 
 if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard_router.members.membership import Membership
+    from loomyard_router.peers.links import PeerLinks
     from loomyard_router.settings import Settings
     from loomyard_router.shares.policy import SharePolicy
+    from loomyard_router.targets.directory import TargetDirectory
 
 logger = logging.getLogger(__name__)
 
-INCARNATION_BITS = 48
-
 
 class Application:
     """One router."""
 
-    def __init__(self, settings: Settings, parts: Parts, callers: CallersApp) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        parts: Parts,
+        callers: CallersApp,
+        *,
+        clock: Clock,
+        serving: Serving,
+    ) -> None:
         self.parts = parts
+        self.callers = callers
         self._settings = settings
+        self._clock = clock
+        self._serving = serving
+        self._in_flight = InFlight(clock)
+        self._drained: GeventEvent | None = None
         host, _, port = settings.listen.rpartition(":")
-        self._server = WSGIServer((host, int(port)), callers, log=None, error_log=logger)
+        self._server = CallerServer(
+            (host, int(port)), callers, log=None, error_log=logger, in_flight=self._in_flight
+        )
 
     @property
     def port(self) -> int:
@@ -54,17 +73,39 @@
         parts.follower.subscribe(parts.policy.reconfigure)
         for part in (parts.peers, parts.members, parts.follower, parts.targets):
             part.start()
+        if parts.vm_watch is not None:
+            parts.vm_watch.start()
         parts.claims.start()
         parts.policy.start()
         self._server.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, port=self.port)
 
+    def drain(self) -> None:
+        """Stop as planned: refuse new and waiting work, let what runs end, then stop.
+
+        A second call waits for the first.
+        """
+        if self._drained is not None:
+            self._drained.wait()
+            return
+        self._drained = GeventEvent()
+        emit(logger, Event.ROUTER_STOPPING, in_flight=len(self._in_flight))
+        deadline = self._clock.now() + self._settings.drain_seconds
+        self._serving.stop()
+        self.parts.members.leave()
+        self._in_flight.wait_idle(deadline)
+        emit(logger, Event.ROUTER_STOPPED, in_flight=len(self._in_flight))
+        self.stop()
+        self._drained.set()
+
     def stop(self) -> None:
         """Stop at once."""
         self._server.stop()
         parts = self.parts
         parts.policy.stop()
         parts.claims.stop()
+        if parts.vm_watch is not None:
+            parts.vm_watch.stop()
         for part in (parts.targets, parts.follower, parts.members, parts.peers):
             part.stop()
 
@@ -73,32 +114,31 @@
     """Connect to the outside systems that the settings name."""
     clock = SystemClock()
     log = connect_log(settings.log_service)
-    return Platform(clock=clock, log=log, engine=make_http_engine(clock))
+    vm_list = connect_vm_list(settings.vm_list) if settings.vm_list else None
+    return Platform(clock=clock, log=log, engine=make_http_engine(clock), vm_list=vm_list)
 
 
 def make_application(settings: Settings, platform: Platform | None = None) -> Application:
     """Wire a router from its settings."""
     platform = platform or make_platform(settings)
     clock = platform.clock
-    own = Member(
-        name=settings.name,
-        incarnation=secrets.randbits(INCARNATION_BITS),
-        address="",
-        data_centre=settings.data_centre,
+    fleet = make_fleet_parts(settings, platform)
+    targets = make_known_targets(
+        clock, platform.engine, fleet.members, fleet.peers, vm_list=platform.vm_list
     )
-    members = SoleMembership(own)
-    peers = NoPeers()
     parts = Parts(
-        members=members,
-        peers=peers,
+        members=fleet.members,
+        peers=fleet.peers,
+        traffic=fleet.traffic,
+        vm_watch=fleet.vm_watch,
         follower=ConfigFollower(platform.log, clock),
-        targets=make_configured_targets(),
-        policy=_make_policy(settings, platform),
+        targets=targets,
+        policy=_make_policy(settings, clock, fleet.members, fleet.peers, targets),
         claims=make_log_claims(
             log=platform.log,
             clock=clock,
-            members=members,
-            peers=peers,
+            members=fleet.members,
+            peers=fleet.peers,
             window=settings.claim_window,
         ),
         journal=Journal(clock),
@@ -107,14 +147,25 @@
         clock=clock,
         follower=parts.follower,
         policy=parts.policy,
+        targets=parts.targets,
+        claims=parts.claims,
         engine=platform.engine,
         estimates=CostEstimates(),
+        journal=parts.journal,
     )
     callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
-    return Application(settings, parts, callers)
+    return Application(settings, parts, callers, clock=clock, serving=serving)
 
 
-def _make_policy(settings: Settings, platform: Platform) -> SharePolicy:
+def _make_policy(
+    settings: Settings,
+    clock: Clock,
+    members: Membership,
+    peers: PeerLinks,
+    directory: TargetDirectory,
+) -> SharePolicy:
     if settings.policy == "fifo":
-        return make_fifo_policy(platform.clock)
-    return make_local_policy(platform.clock, position=settings.position, routers=settings.routers)
+        return make_fifo_policy(clock)
+    if settings.policy == "local":
+        return make_local_policy(clock, position=settings.position, routers=settings.routers)
+    return make_fleet_policy(clock, members=members, peers=peers, directory=directory)
--- a/tests/test_loomyard_router/claims_fleet.py
+++ b/tests/test_loomyard_router/claims_fleet.py
@@ -40,7 +40,7 @@
 
     def _await_growth(self, stream, offset, wait):
         until = self._clock.now() + wait
-        while offset >= self._end(stream) and self._clock.now() < until:
+        while offset >= self.end(stream) and self._clock.now() < until:
             gevent.wait([self._grown, self._clock._moved], count=1)
 
 
