--- a/packages/loomyard-router/src/loomyard_router/__main__.py
+++ b/packages/loomyard-router/src/loomyard_router/__main__.py
@@ -36,6 +36,7 @@
     stopping = GeventEvent()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopping.set)
+    application.on_stop_request(stopping.set)
     application.start()
     stopping.wait()
     application.stop()
--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -13,8 +13,10 @@
 from loomyard.platform.http_log import connect_log
 from loomyard_router.callers.app import CallersApp
 from loomyard_router.claims.no_claims import NoClaims
+from loomyard_router.configuration.distribution import make_distribution
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.members.membership import Member, SoleMembership
+from loomyard_router.operators.interface import make_operators_interface
 from loomyard_router.parts import Parts, Platform
 from loomyard_router.peers.no_peers import NoPeers
 from loomyard_router.requests.estimates import CostEstimates
@@ -26,6 +28,8 @@
 from loomyard_router.targets.http_engine import make_http_engine
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from loomyard_router.settings import Settings
     from loomyard_router.shares.policy import SharePolicy
 
@@ -37,16 +41,32 @@
 class Application:
     """One router."""
 
-    def __init__(self, settings: Settings, parts: Parts, callers: CallersApp) -> None:
+    def __init__(
+        self, settings: Settings, platform: Platform, parts: Parts, callers: CallersApp
+    ) -> None:
         self.parts = parts
         self._settings = settings
         host, _, port = settings.listen.rpartition(":")
         self._server = WSGIServer((host, int(port)), callers, log=None, error_log=logger)
+        self.stopping = False
+        self.operators = make_operators_interface(
+            settings, platform, parts, stopping=lambda: self.stopping, begin_stop=self.request_stop
+        )
+        self._stop_listeners: list[Callable[[], None]] = []
 
     @property
     def port(self) -> int:
         return self._server.server_port
 
+    def on_stop_request(self, listener: Callable[[], None]) -> None:
+        """Call back when an operator asks for a planned stop."""
+        self._stop_listeners.append(listener)
+
+    def request_stop(self) -> None:
+        """Ask for a planned stop, as a signal to the process does."""
+        for listener in self._stop_listeners:
+            listener()
+
     def start(self) -> None:
         """Start to follow the configuration and to serve callers."""
         parts = self.parts
@@ -56,13 +76,17 @@
             part.start()
         parts.claims.start()
         parts.policy.start()
+        parts.distribution.start()
         self._server.start()
+        self.operators.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, port=self.port)
 
     def stop(self) -> None:
         """Stop at once."""
+        self.operators.stop()
         self._server.stop()
         parts = self.parts
+        parts.distribution.stop()
         parts.policy.stop()
         parts.claims.stop()
         for part in (parts.targets, parts.follower, parts.members, parts.peers):
@@ -86,10 +110,16 @@
         address="",
         data_centre=settings.data_centre,
     )
+    members = SoleMembership(own)
+    peers = NoPeers()
+    follower = ConfigFollower(platform.log, clock)
     parts = Parts(
-        members=SoleMembership(own),
-        peers=NoPeers(),
-        follower=ConfigFollower(platform.log, clock),
+        members=members,
+        peers=peers,
+        follower=follower,
+        distribution=make_distribution(
+            platform, follower, members, peers, retention=settings.log_retention
+        ),
         targets=make_configured_targets(),
         policy=_make_policy(settings, platform),
         claims=NoClaims(),
@@ -103,7 +133,7 @@
         estimates=CostEstimates(),
     )
     callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
-    return Application(settings, parts, callers)
+    return Application(settings, platform, parts, callers)
 
 
 def _make_policy(settings: Settings, platform: Platform) -> SharePolicy:
--- a/packages/loomyard-router/src/loomyard_router/callers/app.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/app.py
@@ -37,6 +37,7 @@
 
 MAX_BODY = 8 * 1024 * 1024
 DEFAULT_TIMEOUT = 300.0
+NOT_READY_RETRY_AFTER = 1.0
 MODEL_PATHS = ("/v1/completions", "/v1/chat/completions")
 SERVICES_PREFIX = "/services/"
 HOP_HEADERS = frozenset(
@@ -65,6 +66,11 @@
                 return _refuse(start_response, fault, request_id, openai=openai)
 
     def _handle(self, environ: Environ, request_id: str) -> Result[Answer, Fault]:
+        if not self._follower.ready:
+            detail = "this router has no configuration yet"
+            return Err(
+                Fault(code=ResultCode.NOT_READY, detail=detail, retry_after=NOT_READY_RETRY_AFTER)
+            )
         account = authenticate(self._follower.routing, environ.get("HTTP_AUTHORIZATION", ""))
         if account is None:
             return Err(Fault(code=ResultCode.UNKNOWN_KEY, detail="unknown or missing bearer key"))
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/configuration/snapshot_writer.py
@@ -0,0 +1,110 @@
+"""Write a snapshot when one is due and this router is the one to write it."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import gevent
+from result import Err, Ok
+
+from loomyard.codec import encode
+from loomyard.configuration import (
+    CONFIG_STREAM,
+    EMPTY_VERSION,
+    SnapshotNotice,
+    format_digest,
+)
+from loomyard.events import Event, emit
+from loomyard.rendezvous import choose
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard.configuration import ConfigState
+    from loomyard.platform.log_service import LogService
+    from loomyard_router.configuration.follower import ConfigFollower
+    from loomyard_router.configuration.log_snapshots import LogSnapshots
+    from loomyard_router.members.membership import Membership
+
+logger = logging.getLogger(__name__)
+
+CHECK_SECONDS = 10.0
+DUE_RECORDS = 1000
+DUE_AGE = 0.25  # of the log's retention: three snapshots may fail before one is missed
+WRITER_KEY = "loomyard.configuration.snapshot"
+
+
+class SnapshotWriter:
+    """Keep a snapshot on the log that is younger than the log's retention.
+
+    Membership only chooses who writes. Two writers, or one that was paused, do no harm: a
+    snapshot is a starting point and never replaces a state.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: LogService,
+        clock: Clock,
+        follower: ConfigFollower,
+        snapshots: LogSnapshots,
+        members: Membership,
+        retention: float,
+    ) -> None:
+        self._log = log
+        self._clock = clock
+        self._follower = follower
+        self._snapshots = snapshots
+        self._members = members
+        self._due_age = retention * DUE_AGE
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Start to check."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop to check."""
+        if self._task is not None:
+            self._task.kill()
+
+    def check(self) -> bool:
+        """Write a snapshot if it is due here; tell whether one was written."""
+        follower = self._follower
+        if not (follower.ready and follower.log_reachable and self._is_due()):
+            return False
+        names = [member.name for member in self._members.live()]
+        if choose(WRITER_KEY, names) != self._members.own.name:
+            return False
+        return self._write(follower.state)
+
+    def _is_due(self) -> bool:
+        state, notice = self._follower.state, self._follower.replica.notice
+        if state.version == EMPTY_VERSION:
+            return False
+        if notice is None:
+            return True
+        if self._clock.wall() - notice.written_at >= self._due_age:
+            return True
+        return state.applied - notice.snapshot_of >= DUE_RECORDS
+
+    def _write(self, state: ConfigState) -> bool:
+        match self._snapshots.write(state):
+            case Err(fault):
+                emit(logger, Event.SNAPSHOT_FAILED, code=int(fault.code), detail=fault.detail)
+                return False
+            case Ok(count):
+                emit(logger, Event.SNAPSHOT_WRITTEN, as_of=state.applied, parts=count)
+        notice = SnapshotNotice(
+            snapshot_of=state.applied,
+            version=state.version,
+            digest=format_digest(state.digest),
+            writer=self._members.own.name,
+            written_at=self._clock.wall(),
+        )
+        return self._log.append(CONFIG_STREAM, encode(notice)).is_ok()
+
+    def _run(self) -> None:
+        while True:
+            self._clock.sleep(CHECK_SECONDS)
+            self.check()
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface of operators."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/operators/app.py
@@ -0,0 +1,155 @@
+"""The WSGI application of operators."""
+
+from __future__ import annotations
+
+import json
+import logging
+import secrets
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, TypeVar
+from urllib.parse import parse_qs
+
+from cattrs import BaseValidationError, transform_error
+from result import Err, Ok, Result
+
+from loomyard.codec import CODEC
+from loomyard.configuration import Verdict
+from loomyard.errors import Fault, ResultCode
+from loomyard.events import Event, emit
+from loomyard_router.callers.problems import (
+    JSON_TYPE,
+    problem_document,
+    problem_headers,
+    status_of,
+)
+from loomyard_router.operators.documents import ChangeRequest, FleetReport, ObjectEntry, ObjectList
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from loomyard.objects import ObjectRef
+    from loomyard_router.configuration.follower import ConfigFollower
+    from loomyard_router.operators.changes import ChangePublisher
+    from loomyard_router.operators.explanations import Explanations
+    from loomyard_router.operators.fleet_status import FleetStatus
+    from loomyard_router.operators.keys import OperatorKeys
+    from loomyard_router.operators.router_drains import RouterDrains
+
+    Environ = dict[str, Any]
+    StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+T = TypeVar("T")
+
+logger = logging.getLogger(__name__)
+
+PREFIX = "/operators/v1/"
+MAX_BODY = 2 * 1024 * 1024
+AUTHOR_HEADER = "HTTP_LOOMYARD_AUTHOR"
+
+_VERDICT_STATUS = {
+    Verdict.ACCEPTED.value: HTTPStatus.OK,
+    Verdict.STALE.value: HTTPStatus.CONFLICT,
+}
+
+
+class OperatorsApp:
+    """Serve /operators/v1: ``objects``, ``changes``, ``status``, ``requests`` and drains."""
+
+    def __init__(
+        self,
+        *,
+        keys: OperatorKeys,
+        follower: ConfigFollower,
+        changes: ChangePublisher,
+        status: FleetStatus,
+        explanations: Explanations,
+        drains: RouterDrains,
+    ) -> None:
+        self._keys = keys
+        self._follower = follower
+        self._changes = changes
+        self._status = status
+        self._explanations = explanations
+        self._drains = drains
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        request_id = f"op-{secrets.token_hex(8)}"
+        match self._handle(environ):
+            case Ok((status, document)):
+                body = json.dumps(CODEC.unstructure(document)).encode()
+                headers = [("Content-Type", JSON_TYPE), ("Loomyard-Request-Id", request_id)]
+            case Err(fault):
+                status = status_of(fault.code)
+                content_type, body = problem_document(fault, request_id, openai=False)
+                headers = [("Content-Type", content_type), *problem_headers(fault, request_id)]
+        start_response(f"{status.value} {status.phrase}", headers)
+        return [body]
+
+    def _handle(self, environ: Environ) -> Result[tuple[HTTPStatus, object], Fault]:
+        if not self._keys.accepts(environ.get("HTTP_AUTHORIZATION", "")):
+            emit(logger, Event.OPERATOR_REFUSED, peer=environ.get("REMOTE_ADDR", ""))
+            return Err(_fault(ResultCode.OPERATOR_REFUSED, "unknown or missing operator key"))
+        path = environ["PATH_INFO"]
+        words = path.removeprefix(PREFIX).split("/") if path.startswith(PREFIX) else []
+        match (environ["REQUEST_METHOD"], *words):
+            case ("GET", "objects"):
+                return _plain(Ok(self._list(parse_qs(environ.get("QUERY_STRING", "")))))
+            case ("POST", "changes"):
+                return _read(environ, ChangeRequest).and_then(self._change)
+            case ("GET", "changes", change_id):
+                return self._changes.find(change_id).map(_change_answer)
+            case ("GET", "status"):
+                return _plain(Ok(self._report()))
+            case ("GET", "requests", request_id):
+                return _plain(self._explanations.explain(request_id))
+            case ("POST", "targets", name, "drain"):
+                author = environ.get(AUTHOR_HEADER, "")
+                return self._changes.drain_target(name, author).map(_change_answer)
+            case ("POST", "routers", name, "drain"):
+                return _plain(self._drains.drain(name))
+        return Err(_fault(ResultCode.UNKNOWN_PATH, f"no such path or method: {path}"))
+
+    def _change(self, request: ChangeRequest) -> Result[tuple[HTTPStatus, object], Fault]:
+        return self._changes.publish(request).map(_change_answer)
+
+    def _report(self) -> FleetReport:
+        routers, silent = self._status.collect()
+        return FleetReport(answered_by=self._status.own().name, routers=routers, silent=silent)
+
+    def _list(self, query: dict[str, list[str]]) -> ObjectList:
+        state = self._follower.state
+        kinds, refs = query.get("kind", []), set(query.get("ref", []))
+
+        def is_asked(ref: ObjectRef) -> bool:
+            return (not kinds or ref.kind in kinds) and (not refs or str(ref) in refs)
+
+        found = sorted(ref for ref in state.objects if is_asked(ref))
+        entries = [
+            ObjectEntry(object=state.objects[ref].object, version=state.objects[ref].version)
+            for ref in found
+        ]
+        return ObjectList(version=state.version, applied=state.applied, objects=entries)
+
+
+def _plain(result: Result[Any, Fault]) -> Result[tuple[HTTPStatus, object], Fault]:
+    return result.map(lambda document: (HTTPStatus.OK, document))
+
+
+def _change_answer(outcome: Any) -> tuple[HTTPStatus, object]:
+    return _VERDICT_STATUS.get(outcome.verdict, HTTPStatus.UNPROCESSABLE_ENTITY), outcome
+
+
+def _read(environ: Environ, kind: type[T]) -> Result[T, Fault]:
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > MAX_BODY:
+        return Err(_fault(ResultCode.BODY_TOO_LARGE, f"the body is longer than {MAX_BODY} bytes"))
+    try:
+        return Ok(CODEC.structure(json.loads(environ["wsgi.input"].read(length)), kind))
+    except BaseValidationError as error:
+        return Err(_fault(ResultCode.INVALID_MANIFEST, "; ".join(transform_error(error))))
+    except (ValueError, TypeError, RecursionError) as error:
+        return Err(_fault(ResultCode.MALFORMED_REQUEST, f"not a change: {error}"))
+
+
+def _fault(code: ResultCode, detail: str) -> Fault:
+    return Fault(code=code, detail=detail)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/operators/interface.py
@@ -0,0 +1,78 @@
+"""The operators' interface of a router: its parts and its listener."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from gevent.pywsgi import WSGIServer
+
+from loomyard_router.operators.app import OperatorsApp
+from loomyard_router.operators.changes import ChangePublisher
+from loomyard_router.operators.explanations import Explanations
+from loomyard_router.operators.fleet_status import FleetStatus
+from loomyard_router.operators.keys import OperatorKeys
+from loomyard_router.operators.router_drains import RouterDrains
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard_router.parts import Parts, Platform
+    from loomyard_router.settings import Settings
+
+logger = logging.getLogger(__name__)
+
+
+class OperatorsInterface:
+    """Answer operators on a listener of their own; without an address only peers are answered."""
+
+    def __init__(self, server: WSGIServer | None) -> None:
+        self._server = server
+
+    @property
+    def port(self) -> int:
+        return 0 if self._server is None else self._server.server_port
+
+    def start(self) -> None:
+        """Start to serve."""
+        if self._server is not None:
+            self._server.start()
+
+    def stop(self) -> None:
+        """Stop to serve."""
+        if self._server is not None:
+            self._server.stop()
+
+
+def make_operators_interface(
+    settings: Settings,
+    platform: Platform,
+    parts: Parts,
+    *,
+    stopping: Callable[[], bool],
+    begin_stop: Callable[[], None],
+) -> OperatorsInterface:
+    """Wire the operators' interface and register its messages between routers."""
+    clock, follower, members, peers = platform.clock, parts.follower, parts.members, parts.peers
+    status = FleetStatus(
+        clock=clock, follower=follower, members=members, peers=peers, stopping=stopping
+    )
+    app = OperatorsApp(
+        keys=OperatorKeys(settings.operator_keys),
+        follower=follower,
+        changes=ChangePublisher(clock=clock, log=platform.log, follower=follower, status=status),
+        status=status,
+        explanations=Explanations(clock=clock, journal=parts.journal, members=members, peers=peers),
+        drains=RouterDrains(clock=clock, members=members, peers=peers, begin_stop=begin_stop),
+    )
+    return OperatorsInterface(_make_server(settings, app))
+
+
+def _make_server(settings: Settings, app: OperatorsApp) -> WSGIServer | None:
+    if not settings.operator_listen:
+        return None
+    host, _, port = settings.operator_listen.rpartition(":")
+    tls = {}
+    if settings.operator_certificate:
+        tls = {"certfile": settings.operator_certificate, "keyfile": settings.operator_private_key}
+    return WSGIServer((host, int(port)), app, log=None, error_log=logger, **tls)
--- a/packages/loomyard-router/src/loomyard_router/parts.py
+++ b/packages/loomyard-router/src/loomyard_router/parts.py
@@ -10,6 +10,7 @@
 from loomyard.platform.vm_list import VmList
 from loomyard.platform.weight_store import WeightStore
 from loomyard_router.claims.keeper import ClaimKeeper
+from loomyard_router.configuration.distribution import ConfigDistribution
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.members.membership import Membership
 from loomyard_router.peers.links import PeerLinks
@@ -36,6 +37,7 @@
     members: Membership
     peers: PeerLinks
     follower: ConfigFollower
+    distribution: ConfigDistribution
     targets: TargetDirectory
     policy: SharePolicy
     claims: ClaimKeeper
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -4,6 +4,7 @@
 
 import argparse
 import os
+import re
 from typing import TYPE_CHECKING
 
 from attrs import frozen
@@ -17,6 +18,9 @@
 ENVIRONMENT_PREFIX = "LOOMYARD_"
 POLICIES = ("fleet", "local", "fifo")
 
+_ADDRESS = re.compile(r"\S+:\d+\Z")
+_DIGEST = re.compile(r"[0-9a-f]{64}\Z")
+
 
 @frozen(kw_only=True)
 class Settings:
@@ -30,6 +34,11 @@
     position: int = 0
     routers: int = 1
     log_format: str = "text"
+    log_retention: float = 86_400.0
+    operator_listen: str = ""
+    operator_keys: tuple[str, ...] = ()
+    operator_certificate: str = ""
+    operator_private_key: str = ""
 
 
 def parse_settings(
@@ -68,6 +77,11 @@
     add("position", 0, "position of this router for the local policy", type=int)
     add("routers", 1, "number of routers for the local policy", type=int)
     add("log-format", "text", "text or json", choices=("text", "json"))
+    add("log-retention", 86_400.0, "seconds the log service keeps a record", type=float)
+    add("operator-listen", "", "address for operators; none turns their interface off")
+    add("operator-keys", "", "SHA-256 digests of operator keys, by commas", type=_split)
+    add("operator-certificate", "", "file of the operator listener's TLS certificate chain")
+    add("operator-private-key", "", "file of the operator listener's TLS private key")
     return parser
 
 
@@ -78,9 +92,28 @@
         host, _, port = value.rpartition(":")
         if not host or not port.isdigit():
             faults.append(_fault(name, f"not host:port: {value!r}"))
+    return faults + _check_operators(settings)
+
+
+def _check_operators(settings: Settings) -> list[FieldFault]:
+    faults = []
+    if settings.log_retention <= 0:
+        faults.append(_fault("log_retention", "not above 0"))
+    if settings.operator_listen and not _ADDRESS.match(settings.operator_listen):
+        faults.append(_fault("operator_listen", f"not host:port: {settings.operator_listen!r}"))
+    if settings.operator_listen and not settings.operator_keys:
+        faults.append(_fault("operator_keys", "a listener for operators needs at least one"))
+    if not all(_DIGEST.match(digest) for digest in settings.operator_keys):
+        faults.append(_fault("operator_keys", "not SHA-256 digests in lower-case hexadecimal"))
+    if bool(settings.operator_certificate) != bool(settings.operator_private_key):
+        faults.append(_fault("operator_certificate", "give certificate and private key, or none"))
     return faults
 
 
+def _split(text: str) -> tuple[str, ...]:
+    return tuple(part.strip() for part in text.split(",") if part.strip())
+
+
 def _fault(name: str, detail: str) -> FieldFault:
     return FieldFault(
         source="settings",
--- a/packages/loomyard-standins/src/loomyard_standins/fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/fleet.py
@@ -29,6 +29,7 @@
 
 ACCOUNTS = {"kiosk": 1.0, "genealogy": 1.0, "labels": 1.0, "handover": 2.0}
 DATA_CENTRES = ("dc-1", "dc-2")
+OPERATOR_KEY = "key-operator"
 
 
 @define(eq=False)
@@ -75,6 +76,8 @@
             policy=policy,
             position=position,
             routers=routers,
+            operator_listen="127.0.0.1:0",
+            operator_keys=(digest_key(OPERATOR_KEY),),
         )
         router = make_application(settings)
         router.start()
--- /dev/null
+++ b/packages/loomyard/src/loomyard/configuration/packing.py
@@ -0,0 +1,93 @@
+"""Pack a configuration into parts, and back."""
+
+from __future__ import annotations
+
+import hashlib
+import io
+import zlib
+from typing import TYPE_CHECKING, Any
+
+import cbor2
+import gevent
+from cattrs import BaseValidationError, transform_error
+from result import Err, Ok, Result
+
+from loomyard.codec import CODEC
+from loomyard.configuration.digest import format_digest
+from loomyard.configuration.snapshot import PART_BYTES, SnapshotPart
+from loomyard.configuration.state import ConfigState, VersionedObject, make_state
+from loomyard.objects import ConfigObject, ObjectRef
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+BATCH_OBJECTS = 50
+COMPRESSION_LEVEL = 6
+MAX_UNPACKED_BYTES = 256 * 1024 * 1024
+_OBJECT_KIND: Any = ConfigObject  # a union, which type checkers do not take for a type
+
+
+def pack(state: ConfigState, *, part_bytes: int = PART_BYTES) -> tuple[SnapshotPart, ...]:
+    """Pack a state; other tasks run between the batches of objects."""
+    data = _compress(state)
+    checksum = hashlib.sha256(data).digest()
+    slices = [data[start : start + part_bytes] for start in range(0, len(data), part_bytes)]
+    return tuple(
+        SnapshotPart(
+            as_of=state.applied,
+            version=state.version,
+            digest=format_digest(state.digest),
+            checksum=checksum,
+            index=index,
+            count=len(slices),
+            data=part,
+        )
+        for index, part in enumerate(slices)
+    )
+
+
+def unpack(parts: Sequence[SnapshotPart]) -> Result[ConfigState, str]:
+    """Return the state of the parts of one snapshot, given in order."""
+    head = parts[0]
+    data = b"".join(part.data for part in parts)
+    if hashlib.sha256(data).digest() != head.checksum:
+        return Err("the checksum differs")
+    try:
+        state = make_state(_decompress(data), version=head.version, applied=head.as_of)
+    except BaseValidationError as error:
+        return Err("; ".join(transform_error(error)))
+    except Exception as error:  # zlib, cbor2 and hooks raise many types on hostile bytes
+        return Err(f"{type(error).__name__}: {error}")
+    if format_digest(state.digest) != head.digest:
+        return Err("the digest differs")
+    return Ok(state)
+
+
+def _compress(state: ConfigState) -> bytes:
+    compressor = zlib.compressobj(COMPRESSION_LEVEL)
+    data = bytearray()
+    for batch in _batches(state):
+        fields = [[item.version, _plain(item.object)] for item in batch]
+        data += compressor.compress(cbor2.dumps(fields))
+        gevent.sleep(0)
+    return bytes(data + compressor.flush())
+
+
+def _batches(state: ConfigState) -> Iterator[list[VersionedObject]]:
+    refs: list[ObjectRef] = sorted(state.objects, key=lambda ref: (ref.kind, ref.name))
+    for start in range(0, max(1, len(refs)), BATCH_OBJECTS):
+        yield [state.objects[ref] for ref in refs[start : start + BATCH_OBJECTS]]
+
+
+def _plain(item: ConfigObject) -> object:
+    return CODEC.unstructure(item, unstructure_as=ConfigObject)
+
+
+def _decompress(data: bytes) -> Iterator[VersionedObject]:
+    unpacked = zlib.decompressobj().decompress(data, MAX_UNPACKED_BYTES)
+    stream = io.BytesIO(unpacked)
+    decoder = cbor2.CBORDecoder(stream)
+    while stream.tell() < len(unpacked):
+        for version, fields in decoder.decode():
+            yield VersionedObject(CODEC.structure(fields, _OBJECT_KIND), version)
+        gevent.sleep(0)
--- /dev/null
+++ b/packages/loomyard/src/loomyard/configuration/records.py
@@ -0,0 +1,48 @@
+"""The records of the configuration stream and their fold."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import frozen
+from result import Ok
+
+from loomyard.codec import decode
+from loomyard.configuration.change import Change
+from loomyard.configuration.decision import Decision
+from loomyard.configuration.fold import apply_decision, decide
+from loomyard.configuration.snapshot import SnapshotNotice
+from loomyard.configuration.state import ConfigState, Verdict
+
+CONFIG_STREAM = "loomyard.configuration"
+MAX_CHANGE_BYTES = 512 * 1024
+
+ConfigRecord = Change | SnapshotNotice
+_RECORD_KIND: Any = ConfigRecord
+
+
+@frozen
+class FoldedRecord:
+    """The state after a record; ``record`` is ``None`` where it could not be read."""
+
+    state: ConfigState
+    record: ConfigRecord | None
+    decision: Decision
+
+
+def fold_record(state: ConfigState, offset: int, payload: bytes) -> FoldedRecord:
+    """Fold a record as it stands in the log; a pure function, also of unreadable bytes."""
+    if offset <= state.applied:
+        return FoldedRecord(state, None, Decision(Verdict.REPEATED))
+    if len(payload) > MAX_CHANGE_BYTES:
+        detail = f"the record is longer than {MAX_CHANGE_BYTES} bytes"
+        return FoldedRecord(state.advance(offset), None, Decision(Verdict.INVALID, detail))
+    decoded = decode(payload, _RECORD_KIND)
+    if decoded.is_err():
+        decision = Decision(Verdict.INVALID, decoded.unwrap_err())
+        return FoldedRecord(state.advance(offset), None, decision)
+    match decoded:
+        case Ok(Change() as change):
+            decision = decide(state, change)
+            return FoldedRecord(apply_decision(state, offset, change, decision), change, decision)
+    return FoldedRecord(state.advance(offset), decoded.unwrap(), Decision(Verdict.ACCEPTED))
--- a/packages/loomyard/src/loomyard/manifests.py
+++ b/packages/loomyard/src/loomyard/manifests.py
@@ -17,25 +17,54 @@
     from collections.abc import Iterable, Iterator
 
 MAX_MANIFEST_BYTES = 16 * 1024 * 1024
+VERSION_FIELD = "version"
+
+
+@attrs.frozen
+class Manifest:
+    """An object, its source, and the version it is based on where the manifest names one."""
+
+    object: ConfigObject
+    source: str
+    version: int | None = None
 
 
 def read_manifests(
     sources: Iterable[tuple[str, str]],
 ) -> Result[list[ConfigObject], list[FieldFault]]:
     """Read the objects of pairs of source name and text; report every fault."""
-    objects: list[ConfigObject] = []
+    return read_versioned(sources).map(lambda manifests: [item.object for item in manifests])
+
+
+def read_versioned(
+    sources: Iterable[tuple[str, str]],
+) -> Result[list[Manifest], list[FieldFault]]:
+    """Read the manifests of pairs of source name and text; report every fault."""
+    manifests: list[Manifest] = []
     faults: list[FieldFault] = []
     seen: set[ObjectRef] = set()
     for source, text in sources:
         for document in _documents(source, text, faults):
+            version = _take_version(source, document, faults)
             item = _read_object(source, document, faults)
             if item is None:
                 continue
             if ref_of(item) in seen:
                 faults.append(_fault(source, str(ref_of(item)), "metadata.name", "given twice"))
             seen.add(ref_of(item))
-            objects.append(item)
-    return Err(faults) if faults else Ok(objects)
+            manifests.append(Manifest(item, source, version))
+    return Err(faults) if faults else Ok(manifests)
+
+
+def _take_version(source: str, document: Any, faults: list[FieldFault]) -> int | None:
+    if not isinstance(document, dict) or VERSION_FIELD not in document:
+        return None
+    version = document.pop(VERSION_FIELD)
+    if isinstance(version, bool) or not isinstance(version, int):
+        name = _describe(document.get(KIND_FIELD), document)
+        faults.append(_fault(source, name, VERSION_FIELD, "not a whole number"))
+        return None
+    return version
 
 
 def _documents(source: str, text: str, faults: list[FieldFault]) -> list[Any]:
--- a/packages/loomyard/src/loomyard/routing.py
+++ b/packages/loomyard/src/loomyard/routing.py
@@ -4,32 +4,53 @@
 
 from typing import TYPE_CHECKING
 
+from attrs import frozen
 from result import Err, Ok, Result
 
 from loomyard.errors import Fault, ResultCode
-from loomyard.objects import ClientAccount, Route, Service, Target
+from loomyard.objects import ClientAccount, ConfigObject, ObjectRef, Route, Service, Target
+from loomyard.selectors import Selector, parse_selector
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable
 
     from loomyard.configuration import ConfigState
 
+CACHED_ROUTES = 20_000
+
+
+@frozen
+class _ParsedRoute:
+    route: Route
+    accounts: Selector
+    targets: Selector
+
 
 class Routing:
-    """Look-ups over one configuration, made once for it."""
+    """Look-ups over one configuration, made once for it.
 
-    def __init__(self, state: ConfigState) -> None:
+    ``predecessor`` and ``changed`` let a change cost little where the configuration is large:
+    the indices of kinds that did not change are taken over.
+    """
+
+    def __init__(
+        self,
+        state: ConfigState,
+        predecessor: Routing | None = None,
+        changed: Iterable[ObjectRef] = (),
+    ) -> None:
         self._state = state
-        objects = [versioned.object for versioned in state.objects.values()]
-        self.accounts = {o.metadata.name: o for o in objects if isinstance(o, ClientAccount)}
-        self.services = {o.metadata.name: o for o in objects if isinstance(o, Service)}
-        self.targets = {o.metadata.name: o for o in objects if isinstance(o, Target)}
-        self._account_by_digest = {
-            digest: account for account in self.accounts.values() for digest in account.key_digests
-        }
-        routes = [o for o in objects if isinstance(o, Route)]
-        self._routes = sorted(routes, key=lambda r: (-r.priority, r.metadata.name))
-        self._resolved: dict[tuple[str, str], Route | None] = {}
+        self.accounts: dict[str, ClientAccount] = {}
+        self.services: dict[str, Service] = {}
+        self.targets: dict[str, Target] = {}
+        self._parsed: dict[str, _ParsedRoute] = {}
+        if predecessor is None:
+            self._take_over(state.objects)
+        else:
+            self._inherit(predecessor, frozenset(changed))
+        self._routes = self._order_routes()
+        self._account_routes: dict[tuple[str, str], _ParsedRoute | None] = {}
+        self._route_targets: dict[str, tuple[Target, ...]] = {}
 
     @property
     def version(self) -> int:
@@ -37,14 +58,13 @@
 
     def find_account(self, digest: str) -> ClientAccount | None:
         """Return the account with a key of this digest."""
-        return self._account_by_digest.get(digest)
+        owner = self._state.key_owners.get(digest)
+        return None if owner is None else self.accounts.get(owner.name)
 
     def find_route(self, account: ClientAccount, service: str) -> Route | None:
         """Return the route that counts for an account and a service."""
-        key = (account.metadata.name, service)
-        if key not in self._resolved:
-            self._resolved[key] = next(self._matching(account, service), None)
-        return self._resolved[key]
+        found = self._find(account, service)
+        return None if found is None else found.route
 
     def resolve(self, account: ClientAccount, service: str) -> Result[tuple[Target, ...], Fault]:
         """Return the targets for an account's call.
@@ -53,23 +73,74 @@
         """
         if service not in self.services:
             return Err(Fault(code=ResultCode.UNKNOWN_SERVICE, detail=f"no service {service!r}"))
-        route = self.find_route(account, service)
-        if route is None:
+        found = self._find(account, service)
+        if found is None:
             detail = f"no route lets this account use {service!r}"
             return Err(Fault(code=ResultCode.NO_ROUTE, detail=detail))
-        selector = route.target_selector
-        found = tuple(
-            target
-            for target in self.targets.values()
-            if service in target.services and selector.matches(target.metadata.labels)
-        )
-        if not found:
-            detail = f"route {route.metadata.name!r} selects no target"
+        targets = self._targets_of(found)
+        if not targets:
+            detail = f"route {found.route.metadata.name!r} selects no target"
             return Err(Fault(code=ResultCode.NO_TARGET, detail=detail))
-        return Ok(found)
+        return Ok(targets)
+
+    def _find(self, account: ClientAccount, service: str) -> _ParsedRoute | None:
+        key = (account.metadata.name, service)
+        if key not in self._account_routes:
+            if len(self._account_routes) >= CACHED_ROUTES:
+                self._account_routes.clear()
+            self._account_routes[key] = self._match(account, service)
+        return self._account_routes[key]
 
-    def _matching(self, account: ClientAccount, service: str) -> Iterator[Route]:
+    def _match(self, account: ClientAccount, service: str) -> _ParsedRoute | None:
         labels = account.metadata.labels
-        for route in self._routes:
-            if route.service == service and route.account_selector.matches(labels):
-                yield route
+        candidates = self._routes.get(service, ())
+        return next((parsed for parsed in candidates if parsed.accounts.matches(labels)), None)
+
+    def _targets_of(self, parsed: _ParsedRoute) -> tuple[Target, ...]:
+        name = parsed.route.metadata.name
+        if name not in self._route_targets:
+            self._route_targets[name] = tuple(
+                target
+                for target in self.targets.values()
+                if parsed.route.service in target.services
+                and parsed.targets.matches(target.metadata.labels)
+            )
+        return self._route_targets[name]
+
+    def _inherit(self, predecessor: Routing, changed: frozenset[ObjectRef]) -> None:
+        kinds = {ref.kind for ref in changed}
+        for kind, name in _INDICES.items():
+            index = getattr(predecessor, name)
+            setattr(self, name, dict(index) if kind in kinds else index)
+        for ref in changed:
+            getattr(self, _INDICES[ref.kind]).pop(ref.name, None)
+        self._take_over(ref for ref in changed if ref in self._state.objects)
+
+    def _take_over(self, refs: Iterable[ObjectRef]) -> None:
+        for ref in refs:
+            item = self._state.objects[ref].object
+            getattr(self, _INDICES[ref.kind])[ref.name] = _indexed(item)
+
+    def _order_routes(self) -> dict[str, list[_ParsedRoute]]:
+        ordered = sorted(
+            self._parsed.values(), key=lambda p: (-p.route.priority, p.route.metadata.name)
+        )
+        by_service: dict[str, list[_ParsedRoute]] = {}
+        for parsed in ordered:
+            by_service.setdefault(parsed.route.service, []).append(parsed)
+        return by_service
+
+
+_INDICES = {
+    ClientAccount.__name__: "accounts",
+    Service.__name__: "services",
+    Target.__name__: "targets",
+    Route.__name__: "_parsed",
+}
+
+
+def _indexed(item: ConfigObject) -> ConfigObject | _ParsedRoute:
+    if not isinstance(item, Route):
+        return item
+    accounts = parse_selector(item.accounts).unwrap()
+    return _ParsedRoute(item, accounts, parse_selector(item.targets).unwrap())
