Publish, compare, drain and explain from the command line

Cause: loomyardctl could only validate. Each command is a module now; apply bases each object on the version it read, or on the version its manifest names, sends one change, and after a lost answer asks for the change by its id instead of sending it again. Exit codes tell rejected, invalid, unreachable and unsettled apart. Measured: 12 new tests, each command against a router in this process.

--- a/packages/loomyard-router/src/loomyard_router/operators/app.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/app.py
@@ -12,7 +12,7 @@
 from cattrs import BaseValidationError, transform_error
 from result import Err, Ok, Result
 
-from loomyard.codec import CODEC
+from loomyard.codec import CODEC, DOCUMENT_CODEC
 from loomyard.configuration import Verdict
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
@@ -76,7 +76,7 @@
         request_id = f"op-{secrets.token_hex(8)}"
         match self._handle(environ):
             case Ok((status, document)):
-                body = json.dumps(CODEC.unstructure(document)).encode()
+                body = json.dumps(DOCUMENT_CODEC.unstructure(document)).encode()
                 headers = [("Content-Type", JSON_TYPE), ("Loomyard-Request-Id", request_id)]
             case Err(fault):
                 status = status_of(fault.code)
--- a/packages/loomyard/src/loomyard/codec.py
+++ b/packages/loomyard/src/loomyard/codec.py
@@ -18,9 +18,9 @@
 KIND_FIELD = "kind"
 
 
-def make_codec() -> Converter:
+def make_codec(*, omit_if_default: bool = True) -> Converter:
     """Make the converter that all messages and records share."""
-    codec = make_converter(forbid_extra_keys=True, omit_if_default=True)
+    codec = make_converter(forbid_extra_keys=True, omit_if_default=omit_if_default)
     codec.register_unstructure_hook(ConfigObject, _unstructure_object(codec))
     codec.register_structure_hook(ConfigObject, _structure_object(codec))
     return codec
@@ -64,3 +64,5 @@
 
 # Stands last because making it needs the hooks above.
 CODEC = make_codec()
+# For people and other programs, who should see the defaults.
+DOCUMENT_CODEC = make_codec(omit_if_default=False)
--- a/packages/loomyardctl/src/loomyardctl/__main__.py
+++ b/packages/loomyardctl/src/loomyardctl/__main__.py
@@ -2,33 +2,44 @@
 
 from __future__ import annotations
 
-import argparse
+import os
+import ssl
 import sys
-from pathlib import Path
+from typing import TYPE_CHECKING
 
-from result import Err, Ok
+from loomyardctl.arguments import make_parser
+from loomyardctl.client import OperatorsClient
+from loomyardctl.context import Context
+from loomyardctl.exit_codes import ExitCode
+from loomyardctl.output import OutputFormat
+from loomyardctl.publishing import find_author
 
-from loomyard.manifests import read_manifests
-
-EXIT_INVALID = 2
+if TYPE_CHECKING:
+    import argparse
+    from collections.abc import Mapping, Sequence
 
 
 def main() -> int:
     """Run one command."""
-    parser = argparse.ArgumentParser(prog="loomyardctl", description="Steer a loomyard fleet.")
-    commands = parser.add_subparsers(dest="command", required=True)
-    validate = commands.add_parser("validate", help="check manifests without a fleet")
-    validate.add_argument("files", nargs="+", type=Path)
-    arguments = parser.parse_args()
-    sources = [(str(path), path.read_text()) for path in arguments.files]
-    match read_manifests(sources):
-        case Ok(objects):
-            print(f"{len(objects)} objects are valid")
-            return 0
-        case Err(faults):
-            for fault in faults:
-                print(fault, file=sys.stderr)
-    return EXIT_INVALID
+    return run(sys.argv[1:], os.environ)
+
+
+def run(words: Sequence[str], environment: Mapping[str, str]) -> int:
+    """Run the command of some words and return its exit code."""
+    arguments = make_parser(environment).parse_args(list(words))
+    try:
+        client = _make_client(arguments)
+    except OSError as error:
+        print(f"the certificates cannot be read: {error}", file=sys.stderr)
+        return ExitCode.USAGE
+    context = Context(client=client, output=OutputFormat(arguments.output), arguments=arguments)
+    return arguments.run(context)
+
+
+def _make_client(arguments: argparse.Namespace) -> OperatorsClient:
+    context = ssl.create_default_context(cafile=arguments.ca_file) if arguments.ca_file else None
+    urls = arguments.router or arguments.default_routers
+    return OperatorsClient(urls, arguments.key, find_author(), context)
 
 
 if __name__ == "__main__":
--- a/packages/loomyardctl/src/loomyardctl/client.py
+++ b/packages/loomyardctl/src/loomyardctl/client.py
@@ -27,7 +27,7 @@
     def __init__(
         self, urls: Sequence[str], key: str, author: str, context: SSLContext | None = None
     ) -> None:
-        self._urls = urls
+        self._urls = list(urls)
         self._headers = {"Authorization": f"Bearer {key}", "Loomyard-Author": author}
         self._context = context
 
@@ -41,9 +41,10 @@
 
     def _try_all(self, method: str, path: str, document: Any) -> Result[Reply, Unanswered]:
         failures = []
-        for url in self._urls:
+        for url in list(self._urls):
             match self._request(url, method, path, document):
                 case Ok(reply):
+                    self._prefer(url)
                     return Ok(reply)
                 case Err(unanswered):
                     failures.append(f"{url}: {unanswered.detail}")
@@ -52,6 +53,11 @@
         detail = "; ".join(failures)
         return Err(Unanswered(detail=detail, executed=Executed.NO))
 
+    def _prefer(self, url: str) -> None:
+        """Ask a router that answered first, so that a change goes where a read went."""
+        self._urls.remove(url)
+        self._urls.insert(0, url)
+
     def _request(
         self, url: str, method: str, path: str, document: Any
     ) -> Result[Reply, Unanswered]:
--- /dev/null
+++ b/packages/loomyardctl/src/loomyardctl/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one a module."""
--- /dev/null
+++ b/packages/loomyardctl/src/loomyardctl/commands/apply.py
@@ -0,0 +1,68 @@
+"""Create and replace objects."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loomyardctl.commands.waiting import add_wait
+from loomyardctl.exit_codes import ExitCode
+from loomyardctl.failures import report_failure
+from loomyardctl.manifest_files import read_files, report_faults
+from loomyardctl.plan import make_plan
+from loomyardctl.publishing import STALE, publish, report_outcome
+
+if TYPE_CHECKING:
+    import argparse
+
+    from loomyard.manifests import Manifest
+    from loomyardctl.context import Context
+    from loomyardctl.plan import Plan
+
+NAME = "apply"
+HELP = "create and replace objects, all or none"
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the arguments."""
+    parser.add_argument("files", nargs="+", help="manifest files, folders, or - for standard input")
+    parser.add_argument(
+        "--retry",
+        type=int,
+        default=0,
+        metavar="TIMES",
+        help="when another operator was faster, compare and send again this many times;"
+        " manifests that name a version are never sent again (default: 0)",
+    )
+    add_wait(parser)
+
+
+def run(context: Context) -> ExitCode:
+    """Apply manifests as one change; nothing is sent where any of them has a fault."""
+    read = read_files(context.arguments.files)
+    if read.is_err():
+        report_faults(read.unwrap_err())
+        return ExitCode.USAGE
+    manifests = read.unwrap()
+    for tries_left in range(context.arguments.retry, -1, -1):
+        planned = make_plan(context.client, manifests)
+        if planned.is_err():
+            return report_failure(planned.unwrap_err())
+        plan = planned.unwrap()
+        if not plan.puts:
+            print(f"nothing to change: {len(plan.unchanged)} objects are as they should be")
+            return ExitCode.OK
+        published = publish(context, puts=_puts(plan), deletions=[])
+        if published.is_err():
+            return report_failure(published.unwrap_err())
+        outcome = published.unwrap()
+        if outcome["verdict"] != STALE or not tries_left or _names_versions(manifests):
+            break
+    return report_outcome(context, outcome)
+
+
+def _puts(plan: Plan) -> list[dict[str, object]]:
+    return [{"object": put.after, "based_on": put.based_on} for put in plan.puts]
+
+
+def _names_versions(manifests: list[Manifest]) -> bool:
+    return any(manifest.version is not None for manifest in manifests)
--- a/packages/loomyardctl/src/loomyardctl/context.py
+++ b/packages/loomyardctl/src/loomyardctl/context.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import argparse
 
 from attrs import frozen
 
-if TYPE_CHECKING:
-    import argparse
-
-    from loomyardctl.client import OperatorsClient
-    from loomyardctl.output import OutputFormat
+from loomyardctl.client import OperatorsClient
+from loomyardctl.output import OutputFormat
 
 
 @frozen(kw_only=True)
--- a/packages/loomyardctl/src/loomyardctl/manifest_files.py
+++ b/packages/loomyardctl/src/loomyardctl/manifest_files.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from loomyard.errors import FieldFault
 from loomyard.manifests import read_versioned
@@ -30,8 +30,11 @@
         except (OSError, UnicodeDecodeError) as error:
             detail = f"cannot be read: {error}"
             faults.append(FieldFault(source=path, object="-", field="-", detail=detail))
-    read = read_versioned(sources)
-    return Err(faults + read.err()) if read.is_err() else Err(faults) if faults else read
+    match read_versioned(sources):
+        case Err(found):
+            return Err(faults + found)
+        case Ok(manifests):
+            return Err(faults) if faults else Ok(manifests)
 
 
 def report_faults(faults: Iterable[FieldFault]) -> None:
--- /dev/null
+++ b/tests/test_loomyardctl/test_commands.py
@@ -0,0 +1,139 @@
+"""Tests of the commands against routers in this process."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+import yaml
+
+from loomyard_router.requests.journal import Step
+from loomyard_standins.fleet import OPERATOR_KEY, start_fleet
+from loomyardctl.__main__ import run
+
+ACCOUNT = "kind: ClientAccount\nmetadata: {name: kiosk, labels: {tier: gold}}\nweight: %s\n"
+NOWHERE = "http://127.0.0.1:1"
+
+
+class CommandsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = start_fleet(routers=1, engines=1)
+        self.addCleanup(self.fleet.stop)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.router = f"http://127.0.0.1:{self.fleet.routers[0].operators.port}"
+
+    def call(self, *words: str, key: str = OPERATOR_KEY, router: str = "") -> tuple[int, str, str]:
+        environment = {"LOOMYARDCTL_KEY": key, "LOOMYARDCTL_ROUTER": router or self.router}
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = run(words, environment)
+        return int(code), out.getvalue(), err.getvalue()
+
+    def write(self, text: str, name: str = "a.yaml") -> str:
+        path = self.folder / name
+        path.write_text(text)
+        return str(path)
+
+    def test_apply_says_where_the_version_is_in_force(self) -> None:
+        code, out, _ = self.call("apply", self.write(ACCOUNT % 3), "-o", "json")
+        outcome = json.loads(out)
+        self.assertEqual((code, outcome["verdict"]), (0, "accepted"))
+        self.assertEqual(outcome["in_force"], ["router-0"])
+        self.assertEqual(self.fleet.routers[0].parts.follower.state.version, outcome["offset"])
+        code, out, _ = self.call("apply", self.write(ACCOUNT % 3))
+        self.assertEqual((code, out), (0, "nothing to change: 1 objects are as they should be\n"))
+
+    def test_one_bad_manifest_keeps_all_from_being_applied(self) -> None:
+        bad = self.write(ACCOUNT % 3 + "---\nkind: Route\nmetadata: {name: R}\nservice: x\n")
+        appends = self.fleet.log.log.appends
+        code, _, err = self.call("apply", bad)
+        self.assertEqual(code, 2)
+        self.assertIn(f"{bad}: Route/R: metadata.name: not a name", err)
+        self.assertEqual(self.fleet.log.log.appends, appends)
+
+    def test_a_manifest_that_names_an_old_version_loses_the_race(self) -> None:
+        _, manifest, _ = self.call("get", "clientaccounts", "kiosk", "-o", "yaml")
+        old = yaml.safe_load(manifest)
+        self.assertEqual(self.call("apply", self.write(ACCOUNT % 4))[0], 0)
+        mine = self.write(yaml.safe_dump(old | {"weight": 9.0}), "mine.yaml")
+        code, _, err = self.call("apply", mine, "--retry", "3")
+        self.assertEqual(code, 1)
+        self.assertIn("rejected as stale", err)
+        self.assertIn("ClientAccount/kiosk: based on version 0, now version 1", err)
+
+    def test_a_broken_reference_is_rejected(self) -> None:
+        text = "kind: Route\nmetadata: {name: r}\nservice: nowhere\n"
+        code, _, err = self.call("apply", self.write(text))
+        self.assertEqual(code, 1)
+        self.assertIn("Route/r: there is no Service/nowhere", err)
+
+    def test_delete(self) -> None:
+        self.assertEqual(self.call("delete", "route/records")[0], 0)
+        self.assertEqual(self.call("get", "Route", "records")[0], 1)
+        self.assertEqual(self.call("delete", "route/records")[0], 1)
+        code, _, err = self.call("delete", "service/assistant")
+        self.assertEqual(code, 1)
+        self.assertIn("Service/assistant: Route/assistant still names it", err)
+
+    def test_diff_shows_and_changes_nothing(self) -> None:
+        code, out, _ = self.call("diff", self.write(ACCOUNT % 5))
+        self.assertEqual(code, 0)
+        self.assertIn("+weight: 5.0", out)
+        self.assertIn("replace ClientAccount/kiosk", out)
+        self.assertEqual(self.fleet.routers[0].parts.follower.state.version, 0)
+
+    def test_status_and_get(self) -> None:
+        code, out, _ = self.call("status", "--check")
+        self.assertEqual(code, 0)
+        self.assertRegex(out, r"router-0 +dc-1 +ready +0 +\d+ +- +reachable +1 ")
+        code, out, _ = self.call("get", "targets")
+        self.assertEqual(code, 0)
+        self.assertIn("Target  engine-0", out)
+
+    def test_explain(self) -> None:
+        journal = self.fleet.routers[0].parts.journal
+        journal.record("req-1", Step.QUEUED, "behind 3 of account kiosk")
+        code, out, _ = self.call("explain", "req-1")
+        self.assertEqual(code, 0)
+        self.assertRegex(out, r"router-0 +queued +behind 3 of account kiosk")
+        self.assertEqual(self.call("explain", "req-2")[0], 1)
+
+    def test_drain(self) -> None:
+        self.assertEqual(self.call("drain", "target", "engine-0")[0], 0)
+        self.assertFalse(self.fleet.routers[0].parts.targets.may_send("engine-0"))
+        asked: list[bool] = []
+        self.fleet.routers[0].on_stop_request(lambda: asked.append(True))
+        self.assertEqual(self.call("drain", "router", "router-0")[0], 0)
+        self.assertEqual(asked, [True])
+        self.assertEqual(self.call("drain", "router", "router-9")[0], 1)
+
+    def test_a_lost_answer_is_settled_by_reading(self) -> None:
+        self.fleet.log.log.lose_answers = 1
+        appends = self.fleet.log.log.appends
+        code, out, _ = self.call("apply", self.write(ACCOUNT % 6))
+        self.assertEqual((code, out.splitlines()[0]), (0, "accepted as version 1"))
+        self.assertEqual(self.fleet.log.log.appends, appends + 1)
+
+    def test_exit_codes_of_what_cannot_be_reached(self) -> None:
+        manifest = self.write(ACCOUNT % 7)
+        self.assertEqual(self.call("apply", manifest, router=NOWHERE)[0], 3)
+        self.assertEqual(self.call("apply", manifest, router=f"{NOWHERE},{self.router}")[0], 0)
+        self.fleet.log.log.down = True
+        self.assertEqual(self.call("apply", self.write(ACCOUNT % 8))[0], 3)
+
+    def test_a_wrong_key_is_refused(self) -> None:
+        for key in ("wrong", ""):
+            code, _, err = self.call("apply", self.write(ACCOUNT % 9), key=key)
+            self.assertEqual(code, 1)
+            self.assertIn("[6006]", err)
+        self.assertEqual(self.fleet.log.log.appends, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
