--- a/packages/loomyard-router/src/loomyard_router/__main__.py
+++ b/packages/loomyard-router/src/loomyard_router/__main__.py
@@ -39,7 +39,7 @@
     application.on_stop_request(stopping.set)
     application.start()
     stopping.wait()
-    application.stop()
+    application.drain()
     return 0
 
 
--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -6,12 +6,14 @@
 import secrets
 from typing import TYPE_CHECKING
 
-from gevent.pywsgi import WSGIServer
+from gevent.event import Event as GeventEvent
 
 from loomyard.clock import SystemClock
 from loomyard.events import Event, emit
 from loomyard.platform.http_log import connect_log
 from loomyard_router.callers.app import CallersApp
+from loomyard_router.callers.handler import CallerServer
+from loomyard_router.callers.in_flight import InFlight
 from loomyard_router.claims.no_claims import NoClaims
 from loomyard_router.configuration.distribution import make_distribution
 from loomyard_router.configuration.follower import ConfigFollower
@@ -42,15 +44,30 @@
     """One router."""
 
     def __init__(
-        self, settings: Settings, platform: Platform, parts: Parts, callers: CallersApp
+        self,
+        settings: Settings,
+        platform: Platform,
+        parts: Parts,
+        callers: CallersApp,
+        *,
+        serving: Serving,
     ) -> None:
         self.parts = parts
         self._settings = settings
+        self._clock = platform.clock
+        self._serving = serving
+        self._in_flight = InFlight(platform.clock)
+        self._drained: GeventEvent | None = None
         host, _, port = settings.listen.rpartition(":")
-        self._server = WSGIServer((host, int(port)), callers, log=None, error_log=logger)
-        self.stopping = False
+        self._server = CallerServer(
+            (host, int(port)), callers, log=None, error_log=logger, in_flight=self._in_flight
+        )
         self.operators = make_operators_interface(
-            settings, platform, parts, stopping=lambda: self.stopping, begin_stop=self.request_stop
+            settings,
+            platform,
+            parts,
+            stopping=lambda: serving.stopping,
+            begin_stop=self.request_stop,
         )
         self._stop_listeners: list[Callable[[], None]] = []
 
@@ -81,6 +98,24 @@
         self.operators.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, port=self.port)
 
+    def drain(self) -> None:
+        """Stop as planned: refuse new and waiting work, let what runs end, then stop.
+
+        A second call waits for the first.
+        """
+        if self._drained is not None:
+            self._drained.wait()
+            return
+        self._drained = GeventEvent()
+        emit(logger, Event.ROUTER_STOPPING, in_flight=len(self._in_flight))
+        deadline = self._clock.now() + self._settings.drain_seconds
+        self._serving.stop()
+        self.parts.members.leave()
+        self._in_flight.wait_idle(deadline)
+        emit(logger, Event.ROUTER_STOPPED, in_flight=len(self._in_flight))
+        self.stop()
+        self._drained.set()
+
     def stop(self) -> None:
         """Stop at once."""
         self.operators.stop()
@@ -129,11 +164,14 @@
         clock=clock,
         follower=parts.follower,
         policy=parts.policy,
+        targets=parts.targets,
+        claims=parts.claims,
         engine=platform.engine,
         estimates=CostEstimates(),
+        journal=parts.journal,
     )
     callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
-    return Application(settings, platform, parts, callers)
+    return Application(settings, platform, parts, callers, serving=serving)
 
 
 def _make_policy(settings: Settings, platform: Platform) -> SharePolicy:
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -39,6 +39,7 @@
     operator_keys: tuple[str, ...] = ()
     operator_certificate: str = ""
     operator_private_key: str = ""
+    drain_seconds: float = 60.0
 
 
 def parse_settings(
@@ -76,6 +77,7 @@
     add("policy", "local", "share policy", choices=POLICIES)
     add("position", 0, "position of this router for the local policy", type=int)
     add("routers", 1, "number of routers for the local policy", type=int)
+    add("drain-seconds", 60.0, "longest wait of a planned stop for what runs", type=float)
     add("log-format", "text", "text or json", choices=("text", "json"))
     add("log-retention", 86_400.0, "seconds the log service keeps a record", type=float)
     add("operator-listen", "", "address for operators; none turns their interface off")
