Ask the other routers over their links

Cause: the links and the gossip of members are there, so status, explanations, drains and peers' configuration work between processes; the version in force is announced by gossip, and a router that hears of a newer one than its own asks a peer.

--- a/packages/loomyard-router/src/loomyard_router/configuration/messages.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/messages.py
@@ -6,10 +6,12 @@
 
 from loomyard.configuration import EMPTY_VERSION, SnapshotPart
 from loomyard.platform.log_service import LogBatch
+from loomyard_router.peers.message_types import peer_message
 
 ANY_SNAPSHOT = b""
 
 
+@peer_message("ConfigRecordsRequest")
 @frozen(kw_only=True)
 class RecordsRequest:
     """Ask for the records from an offset on; answered by ``RecordsAnswer``."""
@@ -17,6 +19,7 @@
     offset: int
 
 
+@peer_message("ConfigRecords")
 @frozen(kw_only=True)
 class RecordsAnswer:
     """Records as the log has them; ``caught_up`` says whether the sender was up to date."""
@@ -25,6 +28,7 @@
     caught_up: bool
 
 
+@peer_message("ConfigPartRequest")
 @frozen(kw_only=True)
 class PartRequest:
     """Ask for a part of a packed state; answered by ``PartAnswer``.
@@ -36,6 +40,7 @@
     index: int = 0
 
 
+@peer_message("ConfigPart")
 @frozen(kw_only=True)
 class PartAnswer:
     """A part, or none where the named state is no longer kept."""
@@ -43,11 +48,13 @@
     part: SnapshotPart | None = None
 
 
+@peer_message("StatusRequest")
 @frozen(kw_only=True)
 class StatusRequest:
     """Ask how a router is; answered by ``RouterStatus``."""
 
 
+@peer_message("Status")
 @frozen(kw_only=True)
 class RouterStatus:
     """How a router is; versions are log offsets, ``digest`` is of the configuration."""
--- a/packages/loomyard-router/src/loomyard_router/configuration/peer_configuration.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/peer_configuration.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from loomyard.clock import Clock
     from loomyard.configuration import ConfigState, SnapshotPart
+    from loomyard.routing import Routing
     from loomyard_router.configuration.follower import ConfigFollower
     from loomyard_router.members.membership import Member, Membership
     from loomyard_router.peers.links import PeerLinks
@@ -38,6 +39,9 @@
 POLL_SECONDS = 0.5
 LOG_SILENCE = 2.5  # longer than a read waits for records
 PEERS_ASKED = 3
+VERSION_TOPIC = "configuration"
+VERSION_KEY = "version"
+ANNOUNCED_SECONDS = 60.0
 
 
 class PeerConfiguration:
@@ -64,11 +68,14 @@
         self._packed: tuple[SnapshotPart, ...] = ()
         self._packing = RLock()
         self._task: gevent.Greenlet | None = None
+        self._heard_version = EMPTY_VERSION
         peers.handle(RecordsRequest, self._give_records)
         peers.handle(PartRequest, self._give_part)
 
     def start(self) -> None:
-        """Start to ask peers while the log service does not answer."""
+        """Start to ask peers while the log service does not answer or they know more."""
+        self._members.subscribe_topic(VERSION_TOPIC, self._hear)
+        self._follower.subscribe(self._announce)
         self._task = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -91,10 +98,17 @@
 
     def _run(self) -> None:
         while True:
-            if self._log_is_silent():
+            if self._log_is_silent() or self._heard_version > self._follower.state.version:
                 self.poll()
             self._clock.sleep(POLL_SECONDS)
 
+    def _hear(self, _: str, version: int) -> None:
+        self._heard_version = max(self._heard_version, version)
+
+    def _announce(self, routing: Routing) -> None:
+        until = self._clock.now() + ANNOUNCED_SECONDS
+        self._members.announce(VERSION_TOPIC, VERSION_KEY, routing.version, until=until)
+
     def _log_is_silent(self) -> bool:
         read_at = self._follower.read_at
         return read_at is None or self._clock.now() - read_at > LOG_SILENCE
--- a/packages/loomyard-router/src/loomyard_router/operators/messages.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/messages.py
@@ -4,9 +4,11 @@
 
 from attrs import field, frozen
 
+from loomyard_router.peers.message_types import peer_message
 from loomyard_router.requests.journal import JournalEntry
 
 
+@peer_message("ExplainRequest")
 @frozen(kw_only=True)
 class ExplainRequest:
     """Ask for the journal of a request; answered by ``Explanation``."""
@@ -14,6 +16,7 @@
     request_id: str
 
 
+@peer_message("Explanation")
 @frozen(kw_only=True)
 class Explanation:
     """What a router remembers of a request."""
@@ -22,6 +25,7 @@
     entries: list[JournalEntry] = field(factory=list)
 
 
+@peer_message("DrainRequest")
 @frozen(kw_only=True)
 class DrainRequest:
     """Ask a router for a planned stop; answered by ``DrainAnswer``."""
@@ -29,6 +33,7 @@
     incarnation: int
 
 
+@peer_message("DrainAnswer")
 @frozen(kw_only=True)
 class DrainAnswer:
     """Whether the planned stop began."""
