--- a/packages/loomyard-router/src/loomyard_router/operators/app.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/app.py
@@ -140,15 +140,18 @@
 
 
 def _read(environ: Environ, kind: type[T]) -> Result[T, Fault]:
-    length = int(environ.get("CONTENT_LENGTH") or 0)
-    if length > MAX_BODY:
+    length = environ.get("CONTENT_LENGTH") or "0"
+    if not length.isdecimal():
+        return Err(_fault(ResultCode.MALFORMED_REQUEST, "the content length is not a number"))
+    if int(length) > MAX_BODY:
         return Err(_fault(ResultCode.BODY_TOO_LARGE, f"the body is longer than {MAX_BODY} bytes"))
     try:
-        return Ok(CODEC.structure(json.loads(environ["wsgi.input"].read(length)), kind))
+        return Ok(CODEC.structure(json.loads(environ["wsgi.input"].read(int(length))), kind))
     except BaseValidationError as error:
         return Err(_fault(ResultCode.INVALID_MANIFEST, "; ".join(transform_error(error))))
-    except (ValueError, TypeError, RecursionError) as error:
-        return Err(_fault(ResultCode.MALFORMED_REQUEST, f"not a change: {error}"))
+    except Exception as error:  # json and hooks raise many types on hostile bytes
+        detail = f"not a change: {type(error).__name__}: {error}"
+        return Err(_fault(ResultCode.MALFORMED_REQUEST, detail))
 
 
 def _fault(code: ResultCode, detail: str) -> Fault:
--- a/tests/test_loomyard/test_configuration.py
+++ b/tests/test_loomyard/test_configuration.py
@@ -4,9 +4,33 @@
 
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from loomyard.codec import decode, encode
-from loomyard.configuration import Change, ConfigState, Deletion, Put, Verdict, fold
-from loomyard.objects import ClientAccount, Metadata, ObjectRef
+from loomyard.configuration import (
+    ABSENT,
+    MAX_CHANGE_BYTES,
+    Change,
+    ConfigState,
+    Deletion,
+    Put,
+    Verdict,
+    fold,
+    fold_record,
+    make_state,
+)
+from loomyard.objects import (
+    ClientAccount,
+    ConfigObject,
+    Metadata,
+    ObjectRef,
+    Route,
+    Service,
+    Target,
+    ref_of,
+)
+from loomyard.routing import Routing
 
 REF = ObjectRef("ClientAccount", "kiosk")
 
@@ -51,5 +75,136 @@
         self.assertEqual(decode(encode(change), Change).unwrap(), change)
 
 
+DIGEST = "ab" * 32
+SERVICE = Service(metadata=Metadata(name="assistant"))
+ROUTE = Route(metadata=Metadata(name="all"), service="assistant")
+TARGET = Target(metadata=Metadata(name="t"), url="http://t", services=["assistant"])
+
+
+def change(*objects: ConfigObject, deletions: tuple[Deletion, ...] = ()) -> Change:
+    puts = [Put(object=item) for item in objects]
+    return Change(change_id="c", puts=puts, deletions=list(deletions))
+
+
+def account(name: str, *digests: str) -> ClientAccount:
+    return ClientAccount(metadata=Metadata(name=name), key_digests=list(digests))
+
+
+class ValidationTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.state, verdict = fold(ConfigState(), 0, change(SERVICE, ROUTE, TARGET))
+        self.assertIs(verdict, Verdict.ACCEPTED)
+        self.state, _ = fold(self.state, 1, change(account("kiosk", DIGEST)))
+
+    def assert_invalid(self, record: Change, detail: str) -> None:
+        folded = fold_record(self.state, 2, encode(record))
+        self.assertIs(folded.decision.verdict, Verdict.INVALID)
+        self.assertIn(detail, folded.decision.detail)
+        self.assertEqual((folded.state.version, folded.state.applied), (1, 2))
+
+    def test_routes_and_targets_name_services_that_exist(self) -> None:
+        route = Route(metadata=Metadata(name="r"), service="none")
+        self.assert_invalid(change(route), "Route/r: there is no Service/none")
+        target = Target(metadata=Metadata(name="u"), url="http://u", services=["none"])
+        self.assert_invalid(change(target), "Target/u: there is no Service/none")
+
+    def test_a_service_in_use_stays(self) -> None:
+        service, route, target = (
+            Deletion(ref=ref_of(item), based_on=0) for item in (SERVICE, ROUTE, TARGET)
+        )
+        self.assert_invalid(change(deletions=(service, route)), "Target/t still names it")
+        _, verdict = fold(self.state, 2, change(deletions=(service, route, target)))
+        self.assertIs(verdict, Verdict.ACCEPTED)
+
+    def test_a_key_belongs_to_one_account(self) -> None:
+        self.assert_invalid(change(account("labels", DIGEST)), "shares a key digest")
+        both = (account("a", "cd" * 32), account("b", "cd" * 32))
+        self.assert_invalid(change(*both), "ClientAccount/b: shares a key digest")
+
+    def test_a_key_moves_with_its_former_owner_in_one_change(self) -> None:
+        puts = [Put(object=account("kiosk"), based_on=1), Put(object=account("labels", DIGEST))]
+        state, verdict = fold(self.state, 2, Change(change_id="m", puts=puts))
+        self.assertIs(verdict, Verdict.ACCEPTED)
+        self.assertEqual(state.key_owners, {DIGEST: ObjectRef("ClientAccount", "labels")})
+
+    def test_form(self) -> None:
+        self.assert_invalid(change(account("a"), account("a")), "ClientAccount/a: named twice")
+        self.assert_invalid(change(), "names no object")
+        absent = Deletion(ref=REF, based_on=ABSENT)
+        self.assert_invalid(change(deletions=(absent,)), "names no version")
+
+    def test_bytes_that_are_no_change_are_passed_over(self) -> None:
+        for payload in (b"", b"\xff", encode(REF), b"\0" * (MAX_CHANGE_BYTES + 1)):
+            folded = fold_record(self.state, 2, payload)
+            self.assertIs(folded.decision.verdict, Verdict.INVALID)
+            self.assertEqual((folded.state.version, folded.state.applied), (1, 2))
+
+
+NAMES = st.sampled_from(["a", "b", "c"])
+OBJECTS = st.one_of(
+    st.builds(
+        lambda name, weight, keys: ClientAccount(
+            metadata=Metadata(name=name), weight=weight, key_digests=[k * 64 for k in keys]
+        ),
+        NAMES,
+        st.sampled_from([1.0, 2.0]),
+        st.lists(st.sampled_from("0123"), max_size=2, unique=True),
+    ),
+    st.builds(lambda name: Service(metadata=Metadata(name=name)), NAMES),
+    st.builds(
+        lambda name, service, priority: Route(
+            metadata=Metadata(name=name), service=service, priority=priority
+        ),
+        NAMES,
+        NAMES,
+        st.sampled_from([0, 1]),
+    ),
+    st.builds(
+        lambda name, service: Target(
+            metadata=Metadata(name=name), url="http://t", services=[service]
+        ),
+        NAMES,
+        NAMES,
+    ),
+)
+STEPS = st.lists(st.tuples(OBJECTS, st.booleans()), max_size=30)
+
+
+class DerivedStateTest(unittest.TestCase):
+    """What is kept up change by change equals what is made anew."""
+
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(STEPS)
+    def test_digest_key_owners_and_routing(self, steps: list[tuple[ConfigObject, bool]]) -> None:
+        state, routing = ConfigState(), Routing(ConfigState())
+        for offset, (item, delete) in enumerate(steps):
+            ref = ref_of(item)
+            found = state.get(ref)
+            base = ABSENT if found is None else found.version
+            record = (
+                change(deletions=(Deletion(ref=ref, based_on=base),))
+                if delete
+                else Change(change_id="c", puts=[Put(object=item, based_on=base)])
+            )
+            state, verdict = fold(state, offset, record)
+            if verdict is Verdict.ACCEPTED:
+                before, accounts = routing, dict(routing.accounts)
+                routing = Routing(state, before, [ref])
+                self.assertEqual(before.accounts, accounts)
+        anew = make_state(state.objects.values(), version=state.version, applied=state.applied)
+        self.assertEqual(anew, state)
+        self.assertEqual(anew.key_owners, state.key_owners)
+        whole = Routing(anew)
+        self.assertEqual(routing.accounts, whole.accounts)
+        for name in "abc":
+            for kept in whole.accounts.values():
+                self.assertEqual(routing.find_route(kept, name), whole.find_route(kept, name))
+                found, expected = routing.resolve(kept, name), whole.resolve(kept, name)
+                self.assertEqual(found.is_ok(), expected.is_ok())
+                if found.is_ok():
+                    names = [{t.metadata.name for t in r.unwrap()} for r in (found, expected)]
+                    self.assertEqual(*names)
+
+
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/test_loomyard_router/test_config_distribution.py
@@ -0,0 +1,266 @@
+"""Tests of the ways a configuration comes to a router."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from loomyard.codec import encode
+from loomyard.configuration import (
+    CONFIG_STREAM,
+    Change,
+    ConfigState,
+    Put,
+    SnapshotPart,
+    Verdict,
+    fold_record,
+    pack,
+)
+from loomyard.events import Event
+from loomyard.objects import ClientAccount, Metadata, ObjectRef
+from loomyard.platform.log_service import LogRecord
+from loomyard_router.configuration.log_snapshots import LogSnapshots
+from loomyard_standins.config_fleet import RETENTION, ConfigFleet
+
+
+class DistributionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = ConfigFleet()
+
+    def test_a_late_snapshot_of_a_paused_writer_reverts_nothing(self) -> None:
+        fleet, router = self.fleet, self.fleet.start("a")
+        fleet.grow(3)
+        router.follower.poll()
+        late = pack(router.state, part_bytes=32)
+        fleet.append_parts(late[:1])
+        fleet.grow(4)
+        router.follower.poll()
+        fleet.append_parts(pack(router.state))
+        fleet.grow(1)
+        fleet.append_parts(late[1:])
+        router.follower.poll()
+        self.assertEqual(router.state, fleet.fold_all())
+        empty = fleet.start("b")
+        fleet.log.trim(CONFIG_STREAM, 5)
+        self.assertEqual(LogSnapshots(fleet.log).find(0).applied, 6)
+        empty.follower.poll()
+        self.assertEqual(empty.state.applied, 6)
+        empty.follower.poll()
+        self.assertEqual(empty.state, fleet.fold_all())
+
+    def test_a_snapshot_older_than_the_trimmed_start_is_not_used(self) -> None:
+        fleet, router = self.fleet, self.fleet.start("a")
+        fleet.grow(3)
+        router.follower.poll()
+        fleet.append_parts(pack(router.state))
+        fleet.grow(5)
+        fleet.log.trim(CONFIG_STREAM, 4)
+        fleet.network.leave("a")
+        empty = fleet.start("b")
+        with mock.patch("loomyard_router.configuration.follower.emit") as emit:
+            empty.follower.poll()
+        self.assertIs(emit.call_args.args[1], Event.STARTING_POINT_MISSING)
+        self.assertEqual(empty.state, ConfigState())
+        self.assertFalse(empty.follower.ready)
+
+    def test_records_trimmed_unread_come_from_a_peer(self) -> None:
+        fleet, behind, ahead = self.fleet, self.fleet.start("a"), self.fleet.start("b")
+        fleet.grow(2)
+        behind.follower.poll()
+        fleet.grow(4)
+        ahead.follower.poll()
+        fleet.log.trim(CONFIG_STREAM, 5)
+        fleet.grow(1)
+        behind.follower.poll()
+        behind.follower.poll()
+        self.assertEqual(behind.state, fleet.fold_all())
+
+    def test_an_empty_router_starts_from_peers_while_the_log_is_down(self) -> None:
+        fleet, router = self.fleet, self.fleet.start("a")
+        fleet.grow(4)
+        router.follower.poll()
+        fleet.log.down = True
+        for records in (True, False):
+            with self.subTest(records=records):
+                if not records:
+                    router.follower.replica.tail.restart(router.state.applied + 1)
+                empty = fleet.start("b")
+                self.assertFalse(empty.follower.poll())
+                self.assertFalse(empty.follower.ready)
+                self.assertTrue(empty.peers.poll())
+                self.assertEqual(empty.state, fleet.fold_all())
+                self.assertTrue(empty.follower.ready)
+
+    def test_a_router_cut_off_from_the_log_learns_from_peers(self) -> None:
+        fleet, cut, other = self.fleet, self.fleet.start("a"), self.fleet.start("b")
+        fleet.grow(2)
+        cut.follower.poll()
+        fleet.grow(2)
+        other.follower.poll()
+        self.assertTrue(cut.peers.poll())
+        self.assertEqual(cut.state, fleet.fold_all())
+        self.assertIs(cut.follower.verdict("c3"), Verdict.ACCEPTED)
+
+    def test_records_that_come_twice_change_nothing(self) -> None:
+        fleet, router = self.fleet, self.fleet.start("a")
+        fleet.grow(3)
+        router.follower.poll()
+        before = router.state
+        router.follower.replica.take(fleet.log.read(CONFIG_STREAM, 0).unwrap().records)
+        self.assertIs(router.state, before)
+
+    def test_the_state_of_a_stale_peer_is_not_adopted(self) -> None:
+        fleet, router, stale = self.fleet, self.fleet.start("a"), self.fleet.start("b")
+        fleet.grow(2)
+        stale.follower.poll()
+        stale.follower.replica.tail.restart(stale.state.applied + 1)
+        fleet.grow(3)
+        router.follower.poll()
+        self.assertFalse(router.peers.poll())
+        self.assertFalse(router.follower.replica.start_from(stale.state))
+        self.assertEqual(router.state, fleet.fold_all())
+
+    def test_a_log_that_lost_its_end_reverts_nothing(self) -> None:
+        fleet, router = self.fleet, self.fleet.start("a")
+        fleet.grow(4)
+        router.follower.poll()
+        before = router.state
+        fleet.log.trim(CONFIG_STREAM, 4)
+        fleet.log._first[CONFIG_STREAM] = 0
+        fleet.log.append(CONFIG_STREAM, fleet.written[0])
+        with mock.patch("loomyard_router.configuration.follower.emit") as emit:
+            router.follower.poll()
+        self.assertIs(emit.call_args.args[1], Event.LOG_REGRESSED)
+        self.assertIs(router.state, before)
+
+    def test_the_chosen_router_keeps_a_snapshot_young(self) -> None:
+        fleet = self.fleet
+        routers = [fleet.start(name) for name in "abc"]
+        fleet.grow(3)
+
+        def check() -> list[bool]:
+            for router in routers:
+                router.follower.poll()
+            return [router.writer.check() for router in routers]
+
+        written = check()
+        self.assertEqual(sum(written), 1)
+        self.assertEqual(check(), [False] * 3)
+        fleet.clock.advance(RETENTION / 4)
+        self.assertEqual(check(), written)
+        self.assertEqual(LogSnapshots(fleet.log).find(0), fleet.fold_all().advance(3))
+
+    def test_a_router_that_differs_is_told_of(self) -> None:
+        fleet, right, wrong = self.fleet, self.fleet.start("a"), self.fleet.start("b")
+        fleet.grow(1)
+        right.follower.poll()
+        other = Put(object=ClientAccount(metadata=Metadata(name="other")))
+        record = LogRecord(0, encode(Change(change_id="x", puts=[other])))
+        wrong.follower.replica.take([record])
+        self.assertTrue(right.writer.check())
+        events = []
+        with mock.patch("loomyard_router.configuration.replica.emit") as emit:
+            for router in (right, wrong):
+                router.follower.poll()
+                events.append([call.args[1] for call in emit.call_args_list])
+        self.assertEqual(events, [[], [Event.CONFIGURATION_DIVERGED]])
+
+
+NAMES = "abc"
+
+
+class World:
+    """Three routers, the faults that may befall them, and what must hold after each step."""
+
+    def __init__(self) -> None:
+        self.fleet = ConfigFleet()
+        self.routers = {name: self.fleet.start(name) for name in NAMES}
+        self.seen = dict.fromkeys(NAMES, (-1, -1))
+        self.paused: list[tuple[SnapshotPart, ...]] = []
+
+    def change(self, _: str, number: int) -> None:
+        kiosk = self.fleet.fold_all().get(ObjectRef("ClientAccount", "kiosk"))
+        base = -1 if kiosk is None else kiosk.version
+        if not self.fleet.log.down:
+            weight = float(1 + len(self.fleet.written))
+            self.fleet.append(weight, base - 1 if number == 0 else base)
+
+    def read(self, name: str, _: int) -> None:
+        self.routers[name].follower.poll()
+
+    def ask(self, name: str, _: int) -> None:
+        self.routers[name].peers.poll()
+
+    def restart(self, name: str, _: int) -> None:
+        self.routers[name] = self.fleet.start(name)
+        self.seen[name] = (-1, -1)
+
+    def forget_tail(self, name: str, _: int) -> None:
+        router = self.routers[name]
+        router.follower.replica.tail.restart(router.state.applied + 1)
+
+    def give_state(self, name: str, number: int) -> None:
+        """Let a state arrive late, as the answer of a slow peer may."""
+        self.routers[name].follower.replica.start_from(self.routers[NAMES[number]].state)
+
+    def pack(self, name: str, number: int) -> None:
+        """Let a writer begin a snapshot and pause, or write it whole."""
+        if self.routers[name].state.version >= 0 and not self.fleet.log.down:
+            parts = pack(self.routers[name].state, part_bytes=48)
+            self.fleet.append_parts(parts if number else parts[:1])
+            self.paused += [] if number else [parts[1:]]
+
+    def wake(self, _: str, number: int) -> None:
+        if self.paused and not self.fleet.log.down:
+            self.fleet.append_parts(self.paused.pop(0)[: None if number else -1])
+
+    def trim(self, _: str, number: int) -> None:
+        self.fleet.log.trim(CONFIG_STREAM, len(self.fleet.written) - number)
+
+    def stop_log(self, _: str, number: int) -> None:
+        self.fleet.log.down = number == 0
+
+    def cut(self, name: str, number: int) -> None:
+        if number == 0:
+            self.fleet.network.cut({name}, set(NAMES) - {name})
+        else:
+            self.fleet.network.heal()
+
+    def check(self) -> None:
+        for name, router in self.routers.items():
+            version, applied = router.state.version, router.state.applied
+            seen = self.seen[name]
+            assert version >= seen[0], f"{name}: version {seen[0]} became {version}"
+            assert applied >= seen[1], f"{name}: applied {seen[1]} became {applied}"
+            self.seen[name] = (version, applied)
+            expected = ConfigState()
+            for offset, payload in enumerate(self.fleet.written[: applied + 1]):
+                expected = fold_record(expected, offset, payload).state
+            assert router.state == expected, f"{name}: {router.state} is not {expected}"
+
+
+STEPS = st.sampled_from(
+    [World.change, World.read, World.ask] * 4
+    + [World.restart, World.pack, World.trim, World.stop_log] * 2
+    + [World.forget_tail, World.give_state, World.wake, World.cut]
+)
+SEQUENCES = st.lists(
+    st.tuples(STEPS, st.sampled_from(NAMES), st.integers(0, 2)), min_size=30, max_size=60
+)
+
+
+class DrawnSequencesTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(SEQUENCES)
+    def test_no_version_goes_down_and_all_routers_fold_alike(self, steps: list) -> None:
+        world = World()
+        for step, name, number in steps:
+            step(world, name, number)
+            world.check()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_loomyard_router/test_operators.py
@@ -0,0 +1,179 @@
+"""Tests of the operators' interface over several routers."""
+
+from __future__ import annotations
+
+import io
+import json
+import unittest
+from typing import Any
+
+import gevent
+from result import Err
+
+from loomyard.errors import Executed, Fault, ResultCode
+from loomyard_router.callers.keys import digest_key
+from loomyard_router.operators.app import OperatorsApp
+from loomyard_router.operators.changes import ChangePublisher
+from loomyard_router.operators.explanations import Explanations
+from loomyard_router.operators.fleet_status import FleetStatus
+from loomyard_router.operators.keys import OperatorKeys
+from loomyard_router.operators.router_drains import RouterDrains
+from loomyard_router.requests.journal import Journal, Step
+from loomyard_standins.config_fleet import ConfigFleet, ConfigRouter
+
+KEY = "key-operator"
+HANG_SECONDS = 5.0
+
+
+class Operated:
+    """A router with an operators' interface that is called without sockets."""
+
+    def __init__(self, fleet: ConfigFleet, router: ConfigRouter) -> None:
+        self.router = router
+        self.journal = Journal(fleet.clock)
+        self.stops = 0
+        clock, follower = fleet.clock, router.follower
+        among = {"members": router.members, "peers": router.links}
+        status = FleetStatus(clock=clock, follower=follower, stopping=lambda: False, **among)
+        self.app = OperatorsApp(
+            keys=OperatorKeys([digest_key(KEY)]),
+            follower=follower,
+            changes=ChangePublisher(clock=clock, log=fleet.log, follower=follower, status=status),
+            status=status,
+            explanations=Explanations(clock=clock, journal=self.journal, **among),
+            drains=RouterDrains(clock=clock, begin_stop=self.stop, **among),
+        )
+
+    def stop(self) -> None:
+        self.stops += 1
+
+    def call(self, method: str, path: str, document: Any = None, key: str = KEY) -> tuple[int, Any]:
+        body = b"" if document is None else json.dumps(document).encode()
+        return self.send(method, path, body, key)
+
+    def send(self, method: str, path: str, body: bytes, key: str = KEY) -> tuple[int, Any]:
+        path, _, query = path.partition("?")
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": f"/operators/v1/{path}",
+            "QUERY_STRING": query,
+            "CONTENT_LENGTH": str(len(body)),
+            "HTTP_AUTHORIZATION": f"Bearer {key}",
+            "wsgi.input": io.BytesIO(body),
+        }
+        statuses: list[str] = []
+        with gevent.Timeout(HANG_SECONDS):  # the clock of a fault that waits never moves
+            answer = b"".join(self.app(environ, lambda status, _: statuses.append(status)))
+        return int(statuses[0].split()[0]), json.loads(answer)
+
+
+def put(weight: float, based_on: int = -1) -> dict[str, Any]:
+    account = {"kind": "ClientAccount", "metadata": {"name": "kiosk"}, "weight": weight}
+    return {"puts": [{"object": account, "based_on": based_on}], "wait_seconds": 0}
+
+
+class OperatorsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = ConfigFleet()
+        self.routers = [Operated(self.fleet, self.fleet.start(name)) for name in "abc"]
+        self.followed = [operated.router.follower for operated in self.routers]
+
+    def publish(self, operated: Operated, document: dict[str, Any]) -> tuple[int, Any]:
+        """Post a change while the routers follow the log."""
+        task = gevent.spawn(operated.call, "POST", "changes", document)
+        while not task.ready():
+            gevent.sleep(0)
+            for follower in self.followed:
+                follower.poll()
+        return task.get()
+
+    def test_of_racing_operators_one_wins_everywhere(self) -> None:
+        tasks = [
+            gevent.spawn(operated.call, "POST", "changes", put(weight))
+            for operated, weight in zip(self.routers, (1.0, 2.0, 3.0), strict=True)
+        ]
+        gevent.sleep(0)
+        for follower in self.followed:
+            follower.poll()
+        answers = [task.get() for task in tasks]
+        self.assertEqual([status for status, _ in answers], [200, 409, 409])
+        self.assertEqual({f.state.digest for f in self.followed}, {self.followed[0].state.digest})
+        self.assertIn("based on absence, now version 0", answers[1][1]["detail"])
+
+    def test_a_router_that_lags_is_named(self) -> None:
+        self.followed.pop()
+        status, outcome = self.publish(self.routers[0], put(1.0))
+        self.assertEqual((status, outcome["in_force"]), (200, ["a", "b"]))
+        laggard = {"name": "c", "detail": "has applied offset -1, cannot reach the log service"}
+        self.assertEqual(outcome["lagging"], [laggard])
+        self.fleet.network.cut({"a"}, {"b"})
+        _, report = self.routers[0].call("GET", "status")
+        self.assertEqual(
+            [(r["name"], r["version"]) for r in report["routers"]], [("a", 0), ("c", -1)]
+        )
+        self.assertEqual([laggard["name"] for laggard in report["silent"]], ["b"])
+
+    def test_a_change_whose_fate_is_unknown_is_said_so_and_found_later(self) -> None:
+        class Losing:
+            def append(self, stream: str, payload: bytes) -> Any:
+                lost.append(payload)
+                return Err(
+                    Fault(code=ResultCode.LOG_ANSWER_LOST, detail="", executed=Executed.UNKNOWN)
+                )
+
+        lost: list[bytes] = []
+        changes = self.routers[0].app._changes
+        changes._log = Losing()
+        document = put(1.0) | {"change_id": "mine"}
+        task = gevent.spawn(self.routers[0].call, "POST", "changes", document)
+        gevent.sleep(0)
+        self.fleet.clock.advance(5.0)
+        self.followed[0].replica._moved.set()
+        self.assertEqual((task.get()[0], task.get()[1]["code"]), (504, 5004))
+        self.assertEqual(len(lost), 1)
+        self.fleet.append_record(lost[0])
+        self.followed[1].poll()
+        status, outcome = self.routers[1].call("GET", "changes/mine")
+        self.assertEqual((status, outcome["verdict"], outcome["offset"]), (200, "accepted", 0))
+
+    def test_a_settled_change_is_not_appended_again(self) -> None:
+        document = put(1.0) | {"change_id": "mine"}
+        for _ in range(2):
+            status, outcome = self.publish(self.routers[0], document)
+            self.assertEqual((status, outcome["verdict"], outcome["offset"]), (200, "accepted", 0))
+        self.assertEqual(self.fleet.log.appends, 1)
+
+    def test_what_is_wrong_in_form_never_reaches_the_log(self) -> None:
+        big = put(1.0)
+        big["puts"][0]["object"]["metadata"]["labels"] = {"x": "y" * 600_000}
+        bodies = [json.dumps(big).encode(), b"", b"[]", b"{", b'{"puts": [{}]}', b'{"puts": []}']
+        for body in [*bodies, json.dumps(put(-1.0)).encode(), b"[" * 100_000]:
+            with self.subTest(body=body[:40]):
+                status, problem = self.routers[0].send("POST", "changes", body)
+                self.assertIn(status, (400, 422))
+                self.assertIn(problem["code"], (1001, 5001, 5003))
+        self.assertEqual(self.fleet.log.appends, 0)
+
+    def test_strangers_are_refused(self) -> None:
+        for key in ("wrong", "", KEY + "x", digest_key(KEY)):
+            for method, path in (
+                ("GET", "objects"),
+                ("POST", "changes"),
+                ("POST", "routers/a/drain"),
+            ):
+                status, problem = self.routers[0].call(method, path, put(1.0), key=key)
+                self.assertEqual((status, problem["code"]), (401, ResultCode.OPERATOR_REFUSED))
+        self.assertEqual((self.fleet.log.appends, self.routers[0].stops), (0, 0))
+
+    def test_another_router_explains_and_drains(self) -> None:
+        self.routers[2].journal.record("req-1", Step.QUEUED, "behind 3")
+        status, found = self.routers[0].call("GET", "requests/req-1")
+        self.assertEqual((status, [item["router"] for item in found]), (200, ["c"]))
+        self.assertEqual(found[0]["entries"][0]["detail"], "behind 3")
+        self.assertEqual(self.routers[0].call("GET", "requests/req-2")[0], 404)
+        self.assertEqual(self.routers[0].call("POST", "routers/b/drain")[0], 200)
+        self.assertEqual([operated.stops for operated in self.routers], [0, 1, 0])
+
+
+if __name__ == "__main__":
+    unittest.main()
