--- a/tests/test_loomyard_router/test_operators.py
+++ b/tests/test_loomyard_router/test_operators.py
@@ -17,6 +17,7 @@
 from loomyard_router.operators.explanations import Explanations
 from loomyard_router.operators.fleet_status import FleetStatus
 from loomyard_router.operators.keys import OperatorKeys
+from loomyard_router.operators.messages import DrainRequest
 from loomyard_router.operators.router_drains import RouterDrains
 from loomyard_router.requests.journal import Journal, Step
 from loomyard_standins.config_fleet import ConfigFleet, ConfigRouter
@@ -173,6 +174,9 @@
         self.assertEqual(self.routers[0].call("GET", "requests/req-2")[0], 404)
         self.assertEqual(self.routers[0].call("POST", "routers/b/drain")[0], 200)
         self.assertEqual([operated.stops for operated in self.routers], [0, 1, 0])
+        late = DrainRequest(incarnation=2)  # meant for another start of the router
+        self.assertFalse(self.routers[0].router.links.request("b", late, 1.0).unwrap().accepted)
+        self.assertEqual(self.routers[1].stops, 1)
 
 
 if __name__ == "__main__":
