--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -14,7 +14,7 @@
 from loomyard_router.callers.app import CallersApp
 from loomyard_router.callers.handler import CallerServer
 from loomyard_router.callers.in_flight import InFlight
-from loomyard_router.claims.no_claims import NoClaims
+from loomyard_router.claims.log_claims import make_log_claims
 from loomyard_router.configuration.distribution import make_distribution
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.fleet_parts import make_fleet_parts
@@ -24,15 +24,20 @@
 from loomyard_router.requests.journal import Journal
 from loomyard_router.requests.serving import Serving
 from loomyard_router.shares.fifo import make_fifo_policy
+from loomyard_router.shares.fleet import make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
-from loomyard_router.targets.directory import make_configured_targets
 from loomyard_router.targets.http_engine import make_http_engine
+from loomyard_router.targets.known_targets import make_known_targets
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from loomyard.clock import Clock
+    from loomyard_router.members.membership import Membership
+    from loomyard_router.peers.links import PeerLinks
     from loomyard_router.settings import Settings
     from loomyard_router.shares.policy import SharePolicy
+    from loomyard_router.targets.directory import TargetDirectory
 
 logger = logging.getLogger(__name__)
 
@@ -144,6 +149,9 @@
     clock = platform.clock
     fleet = make_fleet_parts(settings, platform)
     follower = ConfigFollower(platform.log, clock)
+    targets = make_known_targets(
+        clock, platform.engine, fleet.members, fleet.peers, vm_list=platform.vm_list
+    )
     parts = Parts(
         members=fleet.members,
         peers=fleet.peers,
@@ -153,9 +161,15 @@
         distribution=make_distribution(
             platform, follower, fleet.members, fleet.peers, retention=settings.log_retention
         ),
-        targets=make_configured_targets(),
-        policy=_make_policy(settings, platform),
-        claims=NoClaims(),
+        targets=targets,
+        policy=_make_policy(settings, clock, fleet.members, fleet.peers, targets),
+        claims=make_log_claims(
+            log=platform.log,
+            clock=clock,
+            members=fleet.members,
+            peers=fleet.peers,
+            window=settings.claim_window,
+        ),
         journal=Journal(clock),
     )
     serving = Serving(
@@ -172,7 +186,15 @@
     return Application(settings, platform, parts, callers, serving=serving)
 
 
-def _make_policy(settings: Settings, platform: Platform) -> SharePolicy:
+def _make_policy(
+    settings: Settings,
+    clock: Clock,
+    members: Membership,
+    peers: PeerLinks,
+    directory: TargetDirectory,
+) -> SharePolicy:
     if settings.policy == "fifo":
-        return make_fifo_policy(platform.clock)
-    return make_local_policy(platform.clock, position=settings.position, routers=settings.routers)
+        return make_fifo_policy(clock)
+    if settings.policy == "local":
+        return make_local_policy(clock, position=settings.position, routers=settings.routers)
+    return make_fleet_policy(clock, members=members, peers=peers, directory=directory)
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -18,6 +18,8 @@
 ENVIRONMENT_PREFIX = "LOOMYARD_"
 FLEET_SECRET_VARIABLE = ENVIRONMENT_PREFIX + "FLEET_SECRET"
 MAX_SECRETS = 2
+MIN_CLAIM_WINDOW = 300.0
+RETENTION_MARGIN = 300.0
 POLICIES = ("fleet", "local", "fifo")
 
 _ADDRESS = re.compile(r"\S+:\d+\Z")
@@ -36,7 +38,6 @@
     position: int = 0
     routers: int = 1
     log_format: str = "text"
-    log_retention: float = 86_400.0
     operator_listen: str = ""
     operator_keys: tuple[str, ...] = ()
     operator_certificate: str = ""
@@ -50,6 +51,8 @@
     peer_authority: str = ""
     vm_list: str = ""
     probe_period: float = 0.5
+    claim_window: float = 3600.0
+    log_retention: float = 86400.0
 
 
 def parse_settings(
@@ -92,7 +95,6 @@
     add("routers", 1, "number of routers for the local policy", type=int)
     add("drain-seconds", 60.0, "longest wait of a planned stop for what runs", type=float)
     add("log-format", "text", "text or json", choices=("text", "json"))
-    add("log-retention", 86_400.0, "seconds the log service keeps a record", type=float)
     add("operator-listen", "", "address for operators; none turns their interface off")
     add("operator-keys", "", "SHA-256 digests of operator keys, by commas", type=_split)
     add("operator-certificate", "", "file of the operator listener's TLS certificate chain")
@@ -111,6 +113,8 @@
     add("peer-authority", "", "PEM authority that signs the routers' certificates")
     add("vm-list", "", "address of the VM list")
     add("probe-period", 0.5, "seconds between probes of other routers", type=float)
+    add("claim-window", 3600.0, "seconds for which an idempotency key is remembered", type=float)
+    add("log-retention", 86400.0, "seconds for which the log service keeps records", type=float)
     return parser
 
 
@@ -136,7 +140,7 @@
         faults.append(_fault("operator_keys", "not SHA-256 digests in lower-case hexadecimal"))
     if bool(settings.operator_certificate) != bool(settings.operator_private_key):
         faults.append(_fault("operator_certificate", "give certificate and private key, or none"))
-    return faults + _check_peers(settings)
+    return faults + _check_peers(settings) + _check_window(settings)
 
 
 def _check_peers(settings: Settings) -> list[FieldFault]:
@@ -164,6 +168,16 @@
     return tuple(part.strip() for part in text.split(",") if part.strip())
 
 
+def _check_window(settings: Settings) -> list[FieldFault]:
+    """Check that what a trimmed log forgot is past the window of all that it still holds."""
+    if settings.claim_window < MIN_CLAIM_WINDOW:
+        return [_fault("claim_window", f"shorter than {MIN_CLAIM_WINDOW:.0f} s")]
+    if 2 * settings.claim_window + RETENTION_MARGIN > settings.log_retention:
+        detail = f"twice the window and {RETENTION_MARGIN:.0f} s exceed log_retention"
+        return [_fault("claim_window", detail)]
+    return []
+
+
 def _fault(name: str, detail: str) -> FieldFault:
     return FieldFault(
         source="settings",
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/targets/slot_book.py
@@ -0,0 +1,104 @@
+"""The slot estimates of all targets, shared between the routers that need them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from loomyard import rendezvous
+from loomyard_router.targets.slot_estimate import SlotEstimate
+from loomyard_router.targets.slots_notice import SlotsNotice
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard.clock import Clock
+    from loomyard.objects import Target
+    from loomyard.platform.engine import LoadReport
+    from loomyard_router.members.membership import Member, Membership
+    from loomyard_router.peers.links import PeerLinks
+
+# Up to this many routers all hear of each estimate; in larger fleets the first few by rendezvous
+# hash of each service do, who keep its slots.
+SMALL_FLEET = 16
+KEEPERS = 3
+REPEAT_SECONDS = 30.0
+
+
+@define(eq=False)
+class _Entry:
+    estimate: SlotEstimate
+    sequence: int = 0
+    told_at: float = float("-inf")
+
+
+class SlotBook:
+    """Estimate what this router polls; adopt what other routers found."""
+
+    def __init__(
+        self, clock: Clock, members: Membership, peers: PeerLinks, changed: Callable[[], None]
+    ) -> None:
+        self._clock = clock
+        self._members = members
+        self._peers = peers
+        self._changed = changed
+        self._targets: dict[str, Target] = {}
+        self._entries: dict[str, _Entry] = {}
+        peers.handle(SlotsNotice, self._hear)
+
+    def set_targets(self, targets: dict[str, Target]) -> None:
+        """Take the targets over; a new number of configured slots starts an estimate anew."""
+        self._targets = targets
+        for name in self._entries.keys() - targets:
+            del self._entries[name]
+        for name, entry in self._entries.items():
+            if entry.estimate.start != targets[name].slots:
+                entry.estimate = SlotEstimate(targets[name].slots)
+
+    def slots(self, target: Target) -> int:
+        """Return the estimate for a target."""
+        entry = self._entries.get(target.metadata.name)
+        return target.slots if entry is None else entry.estimate.slots
+
+    def observe(self, name: str, report: LoadReport) -> None:
+        """Take in a load report of a target that this router polls."""
+        entry = self._entry(name)
+        now = self._clock.now()
+        changed = entry.estimate.observe(report, now)
+        if changed:
+            entry.sequence += 1
+        learned = entry.estimate.slots != entry.estimate.start
+        # Repeats reach keepers that are new and make up for lost messages.
+        if changed or (learned and now - entry.told_at >= REPEAT_SECONDS):
+            entry.told_at = now
+            self._tell(name, entry)
+        if changed:
+            self._changed()
+
+    def _tell(self, name: str, entry: _Entry) -> None:
+        notice = SlotsNotice(target=name, sequence=entry.sequence, slots=entry.estimate.slots)
+        for router in self._audience(name):
+            self._peers.send(router, notice)
+
+    def _audience(self, name: str) -> set[str]:
+        names = [member.name for member in self._members.live()]
+        if len(names) > SMALL_FLEET:
+            services = self._targets[name].services
+            names = [n for s in services for n in rendezvous.rank(s, names)[:KEEPERS]]
+        return set(names) - {self._members.own.name}
+
+    def _hear(self, _: Member, notice: SlotsNotice) -> None:
+        if notice.target not in self._targets:
+            return
+        entry = self._entry(notice.target)
+        if notice.sequence <= entry.sequence:
+            return
+        entry.sequence = notice.sequence
+        entry.estimate.adopt(notice.slots)
+        self._changed()
+
+    def _entry(self, name: str) -> _Entry:
+        if name not in self._entries:
+            self._entries[name] = _Entry(SlotEstimate(self._targets[name].slots))
+        return self._entries[name]
--- a/packages/loomyard-standins/src/loomyard_standins/scripted_target.py
+++ b/packages/loomyard-standins/src/loomyard_standins/scripted_target.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import frozen
+from gevent.pool import Pool
 from gevent.server import StreamServer
 
 if TYPE_CHECKING:
@@ -31,15 +32,19 @@
     def attempt(self) -> str:
         return self.headers.get("loomyard-attempt", "")
 
+    @property
+    def is_cancel(self) -> bool:
+        return self.line.endswith("/cancel")
+
 
 class ScriptedTarget:
-    """Call a script for each request; the connection goes on while it returns true."""
+    """Call a script for each request but cancels; the connection goes on while it returns true."""
 
     def __init__(self, script: Script) -> None:
         self.script = script
         self.calls: list[ReceivedCall] = []
         self._connections = 0
-        self._server = StreamServer(("127.0.0.1", 0), self._handle)
+        self._server = StreamServer(("127.0.0.1", 0), self._handle, spawn=Pool())
 
     @property
     def url(self) -> str:
@@ -48,7 +53,7 @@
     @property
     def work(self) -> list[ReceivedCall]:
         """Return the calls that ask for work, not those that steer."""
-        return [call for call in self.calls if not call.line.endswith("/cancel")]
+        return [call for call in self.calls if not call.is_cancel]
 
     def start(self) -> None:
         """Start to serve."""
@@ -56,7 +61,7 @@
 
     def stop(self) -> None:
         """Stop to serve."""
-        self._server.stop()
+        self._server.stop(timeout=0)
 
     def _handle(self, sock: socket, _: object) -> None:
         number = self._connections
@@ -68,7 +73,9 @@
                 if call is None:
                     return
                 self.calls.append(call)
-                if not self.script(call, sock):
+                if call.is_cancel:
+                    sock.sendall(answer_bytes(call, b"{}"))
+                elif not self.script(call, sock):
                     return
         except OSError:
             pass
--- a/packages/loomyard/src/loomyard/configuration/validation.py
+++ b/packages/loomyard/src/loomyard/configuration/validation.py
@@ -89,7 +89,7 @@
 def _services_of(item: ConfigObject) -> list[str]:
     if isinstance(item, Route):
         return [item.service]
-    return item.services if isinstance(item, Target) else []
+    return [*item.services, *item.loadable] if isinstance(item, Target) else []
 
 
 def _first(faults: Iterator[str]) -> Iterator[str]:
--- a/packages/loomyard/src/loomyard/routing.py
+++ b/packages/loomyard/src/loomyard/routing.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 from result import Err, Ok, Result
 
+from loomyard.configuration.state import EMPTY_VERSION
 from loomyard.errors import Fault, ResultCode
 from loomyard.objects import ClientAccount, ConfigObject, ObjectRef, Route, Service, Target
 from loomyard.selectors import Selector, parse_selector
@@ -56,6 +57,11 @@
     def version(self) -> int:
         return self._state.version
 
+    def target_version(self, name: str) -> int:
+        """Return the log offset of the change that wrote a target; ``-1`` where there is none."""
+        found = self._state.get(ObjectRef(Target.__name__, name))
+        return EMPTY_VERSION if found is None else found.version
+
     def find_account(self, digest: str) -> ClientAccount | None:
         """Return the account with a key of this digest."""
         owner = self._state.key_owners.get(digest)
@@ -67,7 +73,7 @@
         return None if found is None else found.route
 
     def resolve(self, account: ClientAccount, service: str) -> Result[tuple[Target, ...], Fault]:
-        """Return the targets for an account's call.
+        """Return the targets for an account's call, also those that may only load the service.
 
         Errors: ``UNKNOWN_SERVICE``, ``NO_ROUTE``, ``NO_TARGET``.
         """
@@ -102,7 +108,7 @@
             self._route_targets[name] = tuple(
                 target
                 for target in self.targets.values()
-                if parsed.route.service in target.services
+                if parsed.route.service in (*target.services, *target.loadable)
                 and parsed.targets.matches(target.metadata.labels)
             )
         return self._route_targets[name]
