--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -15,8 +15,10 @@
 from loomyard_router.callers.handler import CallerServer
 from loomyard_router.callers.in_flight import InFlight
 from loomyard_router.claims.log_claims import make_log_claims
+from loomyard_router.configuration.distribution import make_distribution
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.fleet_parts import make_fleet_parts
+from loomyard_router.operators.interface import make_operators_interface
 from loomyard_router.parts import Parts, Platform
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
@@ -28,6 +30,8 @@
 from loomyard_router.targets.known_targets import make_known_targets
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from loomyard.clock import Clock
     from loomyard_router.members.membership import Membership
     from loomyard_router.peers.links import PeerLinks
@@ -44,28 +48,45 @@
     def __init__(
         self,
         settings: Settings,
+        platform: Platform,
         parts: Parts,
         callers: CallersApp,
         *,
-        clock: Clock,
         serving: Serving,
     ) -> None:
         self.parts = parts
         self.callers = callers
         self._settings = settings
-        self._clock = clock
+        self._clock = platform.clock
         self._serving = serving
-        self._in_flight = InFlight(clock)
+        self._in_flight = InFlight(platform.clock)
         self._drained: GeventEvent | None = None
         host, _, port = settings.listen.rpartition(":")
         self._server = CallerServer(
             (host, int(port)), callers, log=None, error_log=logger, in_flight=self._in_flight
         )
+        self.operators = make_operators_interface(
+            settings,
+            platform,
+            parts,
+            stopping=lambda: serving.stopping,
+            begin_stop=self.request_stop,
+        )
+        self._stop_listeners: list[Callable[[], None]] = []
 
     @property
     def port(self) -> int:
         return self._server.server_port
 
+    def on_stop_request(self, listener: Callable[[], None]) -> None:
+        """Call back when an operator asks for a planned stop."""
+        self._stop_listeners.append(listener)
+
+    def request_stop(self) -> None:
+        """Ask for a planned stop, as a signal to the process does."""
+        for listener in self._stop_listeners:
+            listener()
+
     def start(self) -> None:
         """Start to follow the configuration and to serve callers."""
         parts = self.parts
@@ -77,7 +98,9 @@
             parts.vm_watch.start()
         parts.claims.start()
         parts.policy.start()
+        parts.distribution.start()
         self._server.start()
+        self.operators.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, port=self.port)
 
     def drain(self) -> None:
@@ -100,8 +123,10 @@
 
     def stop(self) -> None:
         """Stop at once."""
+        self.operators.stop()
         self._server.stop()
         parts = self.parts
+        parts.distribution.stop()
         parts.policy.stop()
         parts.claims.stop()
         if parts.vm_watch is not None:
@@ -123,6 +148,7 @@
     platform = platform or make_platform(settings)
     clock = platform.clock
     fleet = make_fleet_parts(settings, platform)
+    follower = ConfigFollower(platform.log, clock)
     targets = make_known_targets(
         clock, platform.engine, fleet.members, fleet.peers, vm_list=platform.vm_list
     )
@@ -131,7 +157,10 @@
         peers=fleet.peers,
         traffic=fleet.traffic,
         vm_watch=fleet.vm_watch,
-        follower=ConfigFollower(platform.log, clock),
+        follower=follower,
+        distribution=make_distribution(
+            platform, follower, fleet.members, fleet.peers, retention=settings.log_retention
+        ),
         targets=targets,
         policy=_make_policy(settings, clock, fleet.members, fleet.peers, targets),
         claims=make_log_claims(
@@ -154,7 +183,7 @@
         journal=parts.journal,
     )
     callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
-    return Application(settings, parts, callers, clock=clock, serving=serving)
+    return Application(settings, platform, parts, callers, serving=serving)
 
 
 def _make_policy(
--- a/packages/loomyard-router/src/loomyard_router/callers/app.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/app.py
@@ -37,6 +37,7 @@
 
 logger = logging.getLogger(__name__)
 
+NOT_READY_RETRY_AFTER = 1.0
 MODEL_PATHS = ("/v1/completions", "/v1/chat/completions")
 OPENAI_PREFIX = "/v1/"
 HEALTH_PATH = "/healthz"
@@ -57,6 +58,12 @@
     ]
 )
 
+_NOT_READY = Fault(
+    code=ResultCode.NOT_READY,
+    detail="this router has no configuration yet",
+    retry_after=NOT_READY_RETRY_AFTER,
+)
+
 
 class CallersApp:
     """Serve /v1 and /services."""
@@ -68,13 +75,15 @@
 
     @property
     def ready(self) -> bool:
-        return self._follower.state.version >= 0 and not self._serving.stopping
+        return self._follower.ready and not self._serving.stopping
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         path = environ["PATH_INFO"]
         if path in (HEALTH_PATH, READY_PATH):
             return self._report(path, start_response)
         exchange = _Exchange(environ, start_response)
+        if not self._follower.ready:
+            return exchange.refuse(_NOT_READY)
         account = authenticate(self._follower.routing, environ.get("HTTP_AUTHORIZATION", ""))
         if account is None:
             detail = "unknown or missing bearer key"
--- a/packages/loomyard-standins/src/loomyard_standins/fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/fleet.py
@@ -34,6 +34,7 @@
 ENGINE_SLOTS = 8
 ENGINE_STEP_SECONDS = 0.006
 DATA_CENTRES = ("dc-1", "dc-2")
+OPERATOR_KEY = "key-operator"
 FLEET_SECRET = "stand-in fleet"
 
 
@@ -97,6 +98,8 @@
             policy=policy,
             position=position,
             routers=routers,
+            operator_listen="127.0.0.1:0",
+            operator_keys=(digest_key(OPERATOR_KEY),),
             peer_listen="127.0.0.1:0",
             peers=tuple(router.parts.members.own.address for router in fleet.routers[:1]),
             fleet_secret=(FLEET_SECRET,),
