Align levels when the sides of a partition meet, and report less

Each side of a partition counts on without the other, so their levels differ by what the partition lasted; paying that back made a gap of 26k to 31k after the heal. A router that joins an allocator with another floor now brings only its distances from its floor. A new allocator that believes itself alone granted all slots at once: it now needs a majority of the fleet to grant before a lease has passed. Reports counted requests that this router admitted to its own slots as news; only grants count now.

--- a/packages/loomyard-router/src/loomyard_router/shares/allocator.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/allocator.py
@@ -8,7 +8,7 @@
 from loomyard_router.shares.demands import Demands
 from loomyard_router.shares.granting import grant_demands
 from loomyard_router.shares.levels import FleetLevels
-from loomyard_router.shares.messages import ShareReply, ShareReset
+from loomyard_router.shares.messages import UNKNOWN_LEVEL, ShareReply, ShareReset
 from loomyard_router.shares.reporting_router import IDLE_LEASE, LEASE, ReportingRouter
 
 if TYPE_CHECKING:
@@ -120,10 +120,16 @@
     def _take_accounts(
         self, router: ReportingRouter, report: ShareReport, now: float, first: bool
     ) -> None:
+        tolerance = CREDIT_MARGINS * self._margin
+        shift = self._levels.align(report.floor, tolerance) if first else None
         for account, update in report.accounts.items():
-            self._levels.report(router.source, account, update.service, update.known_level)
+            known = update.known_level
+            if shift is None or known == UNKNOWN_LEVEL:
+                self._levels.report(router.source, account, update.service, known)
+            else:
+                self._levels.join(router.source, account, update.service, known + shift, now)
             before = router.accounts.get(account)
-            lift = not first or update.known_level < 0
+            lift = not first or update.known_level == UNKNOWN_LEVEL
             self._note_presence(account, before, update, now, lift)
             self._dirty = True
             if update.waiting or update.running:
@@ -201,7 +207,9 @@
         """Tell whether slots that nobody here reported are surely free."""
         if now >= self._granting_from():
             return True
-        return all(member.name in self._routers for member in self._live())
+        live = self._live()
+        majority = 2 * len(live) > self._fleet_size()
+        return majority and all(member.name in self._routers for member in live)
 
     def _granting_from(self) -> float:
         began_at = math.inf if self._began_at is None else self._began_at
--- a/packages/loomyard-router/src/loomyard_router/shares/fleet.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/fleet.py
@@ -236,7 +236,6 @@
         self._held.take(target)
         self._in_flight[service] += 1
         self._overdue.note(waiting, now)
-        self._reporter.note_admitted(short_id(account), short_id(service))
         admission = Admission(
             waiting=waiting, target=waiting.targets_by_id[target], admitted_at=now
         )
--- a/packages/loomyard-router/src/loomyard_router/shares/floor_level.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/floor_level.py
@@ -12,11 +12,13 @@
     def __init__(self) -> None:
         self.value = 0.0
         self.rate = 0.0
+        self.known = False
         self._measured_from: tuple[float, float] | None = None
 
     def note(self, value: float, now: float) -> None:
         """Take in the floor at a moment."""
         self.value = value
+        self.known = True
         if self._measured_from is None:
             self._measured_from = now, value
         since, before = self._measured_from
--- a/packages/loomyard-router/src/loomyard_router/shares/levels.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/levels.py
@@ -47,6 +47,31 @@
         else:
             self._levels[account] = self.level(account) + service
 
+    def align(self, floor: int, tolerance: float) -> float | None:
+        """Return how far the levels of a joining router are from those here.
+
+        ``None`` where they are the same but for staleness. After a partition they are not: each
+        side counted on without the other, and only distances from the floor compare.
+        """
+        if floor == UNKNOWN_LEVEL:
+            return None
+        if not self.floor.known:
+            self.floor.value, self.floor.known = floor, True
+            return None
+        shift = self.floor.value - floor
+        return shift if abs(shift) > tolerance else None
+
+    def join(
+        self, source: tuple[str, int], account: bytes, service: int, level: float, now: float
+    ) -> None:
+        """Take in an account of a router from the other side of a partition.
+
+        An account that was backlogged on this side too keeps its level here.
+        """
+        self._reported[source][account] = service
+        if not self._waiting[account] and self._absent(self._waited_at, account, now):
+            self._levels[account] = level
+
     def begin_waiting(self, account: bytes, now: float, *, credit: float, lift: bool) -> None:
         """Take in that an account waits at one more router."""
         if lift and not self._waiting[account] and self._absent(self._waited_at, account, now):
--- a/packages/loomyard-router/src/loomyard_router/shares/messages.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/messages.py
@@ -47,13 +47,15 @@
 class ShareReport:
     """Tell the allocator what changed since its acknowledged ``baseline``.
 
-    ``acknowledged`` is the last reply of the session that the router applied.
+    ``acknowledged`` is the last reply of the session that the router applied, ``floor`` the floor
+    as it was told, by whichever allocator.
     """
 
     session: int
     sequence: int
     acknowledged: int
     baseline: int
+    floor: int
     accounts: dict[bytes, AccountReport] = field(factory=dict)
     slots: dict[bytes, SlotReport] = field(factory=dict)
 
--- a/packages/loomyard-router/src/loomyard_router/shares/overdue.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/overdue.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from loomyard_router.shares.waiting import WaitingRequest
 
-OVERDUE_AFTER = 10.0
+OVERDUE_AFTER = 30.0
 
 
 class Overdue:
--- a/packages/loomyard-router/src/loomyard_router/shares/reporter.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporter.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from loomyard_router.shares.messages import AccountReport, ShareReport, Waiting
+from loomyard_router.shares.messages import UNKNOWN_LEVEL, AccountReport, ShareReport, Waiting
 from loomyard_router.shares.share_session import ShareSession
 from loomyard_router.shares.short_ids import short_id
 from loomyard_router.shares.told_levels import ToldLevels
@@ -62,6 +62,7 @@
         self._unanswered = 0
         self._lease = 0.0
         self._asked: Counter[tuple[bytes, bytes]] = Counter()
+        self._granted = 0
         self.urgent = False
         self.told = ToldLevels()
 
@@ -71,15 +72,10 @@
 
     def note_waiting(self, account: bytes, service: bytes, count: int) -> None:
         """Report at once where many more requests wait than the allocator knows."""
-        known = self._asked[account, service]
+        known = max(0, self._asked[account, service] - self._granted)
         if known < MOST_WAITING_REPORTED and count >= max(1, 2 * known):
             self.urgent = True
 
-    def note_admitted(self, account: bytes, service: bytes) -> None:
-        """Take in that one request less waits."""
-        if self._asked[account, service] > 0:
-            self._asked[account, service] -= 1
-
     def poll(self, now: float) -> None:
         """Send a report where one is due."""
         allocator = self._find_allocator(self._members)
@@ -116,6 +112,7 @@
         self.told.accept(reply, now)
         self._levels.tell(reply.offsets)
         for target, limit in reply.limits.items():
+            self._granted += max(0, limit - self._held.limit(target))
             self._held.set_limit(target, limit)
         return True
 
@@ -145,9 +142,13 @@
 
     def _report(self, now: float) -> None:
         report = self._session.make_report(
-            self._accounts(now), self._held.report(self._session.slots), now
+            self._accounts(now),
+            self._held.report(self._session.slots),
+            floor=self._floor(now),
+            now=now,
         )
         self._note_asked(report)
+        self._granted = 0
         self.urgent = False
         self._sent_at = now
         self._unanswered += 1
@@ -155,6 +156,9 @@
             self._members.suspect(self._allocator)
         self._pacer.spend(self._send(self._allocator, report))
 
+    def _floor(self, now: float) -> int:
+        return round(self.told.floor(now)) if self.told.known else UNKNOWN_LEVEL
+
     def _note_asked(self, report: ShareReport) -> None:
         for account, entry in report.accounts.items():
             for service, waiting in entry.waiting.items():
--- a/packages/loomyard-router/src/loomyard_router/shares/share_session.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/share_session.py
@@ -56,6 +56,8 @@
         self,
         accounts: Mapping[bytes, AccountReport],
         slots: Mapping[bytes, SlotReport],
+        *,
+        floor: int,
         now: float,
     ) -> ShareReport:
         """Make the report of all that changed since what the allocator acknowledged."""
@@ -73,6 +75,7 @@
             sequence=number,
             acknowledged=self.acknowledged,
             baseline=self._baseline,
+            floor=0 if self.opened else floor,
             accounts=self.accounts.since(self._baseline),
             slots=self.slots.since(self._baseline),
         )
--- a/packages/loomyard-router/src/loomyard_router/shares/told_levels.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/told_levels.py
@@ -16,6 +16,7 @@
 
     def __init__(self) -> None:
         self.margin = 0
+        self.known = False
         self._floor = 0
         self._rate = 0
         self._told_at = 0.0
@@ -38,6 +39,7 @@
 
     def accept(self, reply: ShareReply, now: float) -> None:
         """Take over a reply."""
+        self.known = True
         self._told_at = now
         self._floor = reply.floor
         self._rate = reply.floor_rate
