--- a/packages/loomyard-router/src/loomyard_router/shares/allocator.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/allocator.py
@@ -42,6 +42,7 @@
         capacity: Capacity,
         live: Callable[[], tuple[Member, ...]],
         fleet_size: Callable[[], int],
+        joined_at: float,
         send: Callable[[str, ShareReply | ShareReset], int],
         pacer: Pacer,
     ) -> None:
@@ -49,6 +50,7 @@
         self._capacity = capacity
         self._live = live
         self._fleet_size = fleet_size
+        self._joined_at = joined_at
         self._send = send
         self._pacer = pacer
         self._routers: dict[str, ReportingRouter] = {}
@@ -207,6 +209,8 @@
         """Tell whether slots that nobody here reported are surely free."""
         if now >= self._granting_from():
             return True
+        if now < self._joined_at:
+            return False
         live = self._live()
         majority = 2 * len(live) > self._fleet_size()
         return majority and all(member.name in self._routers for member in live)
--- a/packages/loomyard-router/src/loomyard_router/shares/messages.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/messages.py
@@ -4,7 +4,7 @@
 
 from attrs import field, frozen
 
-from loomyard.codec import CODEC
+from loomyard_router.peers.message_types import peer_message
 
 UNKNOWN_LEVEL = -1
 
@@ -43,6 +43,7 @@
     excess: int
 
 
+@peer_message("sr")
 @frozen
 class ShareReport:
     """Tell the allocator what changed since its acknowledged ``baseline``.
@@ -60,6 +61,7 @@
     slots: dict[bytes, SlotReport] = field(factory=dict)
 
 
+@peer_message("sa")
 @frozen
 class ShareReply:
     """Tell a router what changed since its acknowledged reply.
@@ -82,18 +84,9 @@
     limits: dict[bytes, int] = field(factory=dict)
 
 
+@peer_message("sx")
 @frozen
 class ShareReset:
     """Ask a router to begin a new session, since this one is not known here."""
 
     session: int
-
-
-def _send_as_tuples() -> None:
-    # Field names would double the size of these messages.
-    for kind in (ShareReset, Waiting, AccountReport, SlotReport, ShareReport, ShareReply):
-        CODEC.register_unstructure_hook(kind, CODEC.unstructure_attrs_astuple)
-        CODEC.register_structure_hook(kind, CODEC.structure_attrs_fromtuple)
-
-
-_send_as_tuples()
--- a/packages/loomyard-standins/src/loomyard_standins/share_driver.py
+++ b/packages/loomyard-standins/src/loomyard_standins/share_driver.py
@@ -139,7 +139,6 @@
                 members=members,
                 peers=self.network.join(member),
                 directory=directory,
-                fleet_size=lambda: self.count,
             )
             self.agenda.every(POLL_INTERVAL, lambda: self._poll(position, generation, fleet))
         directory.reconfigure(self.routing)
