--- a/packages/loomyard-standins/src/loomyard_standins/demo.py
+++ b/packages/loomyard-standins/src/loomyard_standins/demo.py
@@ -24,7 +24,7 @@
 )
 
 SECONDS = 10.0
-CALLERS_PER_ACCOUNT = 12
+CALLERS_PER_ACCOUNT = 24
 RECEIPT_ACCOUNT = "kiosk"
 SERVE_SECONDS = 365 * 24 * 3600
 
