--- a/packages/loomyard-standins/src/loomyard_standins/virtual_time.py
+++ b/packages/loomyard-standins/src/loomyard_standins/virtual_time.py
@@ -8,8 +8,8 @@
 
 from result import Err, Result
 
-from loomyard.codec import decode, encode
 from loomyard.errors import Fault, ResultCode
+from loomyard_router.peers.compact_codec import pack, unpack
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -78,7 +78,7 @@
 
     def deliver(self, sender: Member, to: str, message: Any) -> bool:
         """Send a message on its way."""
-        data = encode(message)
+        data = pack(message)
         self.messages[sender.name] = self.messages.get(sender.name, 0) + 1
         self.bytes[sender.name] = self.bytes.get(sender.name, 0) + len(data)
         copies = 2 if self._random.random() < self.doubled else 1
@@ -92,7 +92,7 @@
         links = self.links.get(to)
         if links is None or frozenset((sender.name, to)) in self.cuts:
             return
-        links.receive(sender, decode(data, kind).unwrap())
+        links.receive(sender, unpack(data, kind).unwrap())
 
 
 class VirtualPeers:
@@ -129,6 +129,7 @@
     def __init__(self, own: Member) -> None:
         self._own = own
         self._view: tuple[Member, ...] = (own,)
+        self._remembered = {own.name: own}
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -139,7 +140,7 @@
         return self._view
 
     def find(self, name: str) -> Member | None:
-        return next((member for member in self._view if member.name == name), None)
+        return self._remembered.get(name)
 
     def suspect(self, name: str) -> None:
         pass
@@ -150,9 +151,19 @@
     def set_view(self, members: list[Member]) -> None:
         """Replace the view."""
         self._view = tuple(sorted(members, key=lambda member: member.name))
+        self._remembered |= {member.name: member for member in members}
         for listener in self._listeners:
             listener()
 
+    def subscribe_pause(self, paused: Callable[[float], None]) -> None:
+        pass
+
+    def announce(self, topic: str, key: str, value: int, *, until: float) -> None:
+        pass
+
+    def subscribe_topic(self, topic: str, heard: Callable[[str, int], None]) -> None:
+        pass
+
     def leave(self) -> None:
         pass
 
