--- a/packages/loomyard-router/src/loomyard_router/orders/order_keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/orders/order_keeper.py
@@ -58,7 +58,7 @@
         self._all: list[Target] = []
         self._ordered: list[Target] = []
         self._lease = OrderLeaseKeeper(clock, log, members.own)
-        self._planner = OrderPlanner(clock, self._is_served_elsewhere)
+        self._planner = OrderPlanner(clock, targets.may_send)
         self._sender = OrderSender(clock, engine, weights, self._lease)
         self._task: gevent.Greenlet | None = None
 
@@ -94,7 +94,9 @@
             self._planner.plan(waiting, [])
             return
         views = self._observe(waiting)
-        self._planner.plan(waiting, views)
+        read = {view.target.metadata.name for view in views}
+        unread = [t.metadata.name for t in self._all if t.metadata.name not in read]
+        self._planner.plan(waiting, views, unread)
         for view in views:
             name = view.target.metadata.name
             service = self._planner.desired.get(name)
@@ -118,13 +120,6 @@
         services = {s for target in self._ordered for s in (*target.services, *target.loadable)}
         return {service: self._backlog.waiting(service) for service in services}
 
-    def _is_served_elsewhere(self, name: str, service: str) -> bool:
-        others = [t.metadata.name for t in self._all if t.metadata.name != name]
-        return any(
-            self._targets.may_send(other, service) and other not in self._planner.desired
-            for other in others
-        )
-
     def _observe(self, waiting: dict[str, int]) -> list[TargetView]:
         """Read the targets under change back first, then those that might help."""
         wanted = {service for service, count in waiting.items() if count > 0}
--- a/packages/loomyard-router/src/loomyard_router/orders/order_planner.py
+++ b/packages/loomyard-router/src/loomyard_router/orders/order_planner.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Collection, Iterable, Mapping
 
     from loomyard.clock import Clock
     from loomyard_router.orders.target_view import TargetView
@@ -21,12 +21,12 @@
 class OrderPlanner:
     """Desire a service for each target that is to change; at most one new one at a time.
 
-    ``served_elsewhere`` tells whether another target than the named one serves a service now.
+    ``serves`` tells of a target that was not read whether it serves a service now.
     """
 
-    def __init__(self, clock: Clock, served_elsewhere: Callable[[str, str], bool]) -> None:
+    def __init__(self, clock: Clock, serves: Callable[[str, str], bool]) -> None:
         self._clock = clock
-        self._served_elsewhere = served_elsewhere
+        self._serves = serves
         self._backlog_since: dict[str, float] = {}
         self._idle_since: dict[str, float] = {}
         self._changed_at: dict[str, float] = {}
@@ -42,11 +42,20 @@
 
     def finish(self, name: str) -> None:
         """Take in that a target is as desired, or that the desire is given up."""
-        self.desired.pop(name, None)
-        self._changed_at[name] = self._clock.now()
-
-    def plan(self, waiting: Mapping[str, int], views: Iterable[TargetView]) -> None:
-        """Take in what waits and how targets stand; perhaps desire one more change."""
+        now = self._clock.now()
+        service = self.desired.pop(name, None)
+        self._changed_at[name] = now
+        if service in self._backlog_since:
+            # The change must show its effect before the next one.
+            self._backlog_since[service] = now
+
+    def plan(
+        self, waiting: Mapping[str, int], views: Iterable[TargetView], unread: Collection[str] = ()
+    ) -> None:
+        """Take in what waits and how targets stand; perhaps desire one more change.
+
+        ``unread`` names the targets of which there is no view.
+        """
         known = {view.target.metadata.name: view for view in views}
         self._note_backlog(waiting)
         self._note_idle(known)
@@ -55,7 +64,7 @@
         for service in sorted(self._ripe(), key=lambda s: (-waiting[s], s)):
             if service in self.desired.values():
                 continue
-            target = self._find_target(service, known)
+            target = self._find_target(service, known, unread)
             if target is not None:
                 self.desired[target] = service
                 self._desired_since[target] = self._clock.now()
@@ -73,14 +82,16 @@
 
     def _note_idle(self, views: Mapping[str, TargetView]) -> None:
         now = self._clock.now()
-        idle = {name for name, view in views.items() if view.idle}
-        self._idle_since = {name: self._idle_since.get(name, now) for name in idle}
+        idle = [name for name, view in views.items() if view.idle]
+        self._idle_since = {name: self._idle_since.get(name, now) for name in sorted(idle)}
 
     def _ripe(self) -> list[str]:
         latest = self._clock.now() - BACKLOG_SECONDS
         return [service for service, since in self._backlog_since.items() if since <= latest]
 
-    def _find_target(self, service: str, views: Mapping[str, TargetView]) -> str | None:
+    def _find_target(
+        self, service: str, views: Mapping[str, TargetView], unread: Collection[str]
+    ) -> str | None:
         now = self._clock.now()
         for name, idle_since in sorted(self._idle_since.items(), key=lambda item: item[1]):
             view = views[name]
@@ -92,15 +103,24 @@
                 and idle_since <= now - IDLE_SECONDS
                 and service in (*view.target.loadable, *view.target.services)
                 and service not in view.loaded
-                and not self._is_needed(view)
+                and not self._is_needed(view, views, unread)
             ):
                 return name
         return None
 
-    def _is_needed(self, view: TargetView) -> bool:
+    def _is_needed(
+        self, view: TargetView, views: Mapping[str, TargetView], unread: Collection[str]
+    ) -> bool:
         """Tell whether a change would take a service from those that wait for it, or its last."""
-        name = view.target.metadata.name
-        return any(
-            service in self._backlog_since or not self._served_elsewhere(name, service)
-            for service in view.loaded
-        )
+        others = [
+            other
+            for name, other in views.items()
+            if other is not view and other.usable and name not in self.desired
+        ]
+        for service in view.loaded:
+            elsewhere = any(service in other.loaded for other in others) or any(
+                self._serves(name, service) for name in unread
+            )
+            if service in self._backlog_since or not elsewhere:
+                return True
+        return False
--- a/packages/loomyard-standins/src/loomyard_standins/memory_engines.py
+++ b/packages/loomyard-standins/src/loomyard_standins/memory_engines.py
@@ -20,12 +20,13 @@
 
 @define(eq=False)
 class MemoryEngine:
-    """One engine; ``reachable`` and ``lose_answers`` (of orders to come) are its faults."""
+    """One engine; its faults: ``stuck`` never ends an order, ``lose_answers`` counts orders."""
 
     report: LoadReport
     orders: OrderBook
     cache: PrefixCache = field(factory=PrefixCache)
     reachable: bool = True
+    stuck: bool = False
     lose_answers: int = 0
     polls: int = 0
 
@@ -71,6 +72,8 @@
         engine = self.engines[url]
         if not engine.reachable:
             return Err(_unreachable(url))
+        if engine.stuck:
+            return Ok(None)
         if not engine.orders.take(order):
             return Err(Fault(code=ResultCode.ORDER_FENCED, detail="old fencing number"))
         if engine.lose_answers:
