Wire targets and orders into the router

The directory gossips through membership, sends slot estimates over peer links and hears the VM list from the watch that membership reads anyway (its own reading is gone).

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -17,6 +17,7 @@
 from loomyard_router.claims.log_claims import make_log_claims
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.fleet_parts import make_fleet_parts
+from loomyard_router.orders.order_keeper import make_order_keeper
 from loomyard_router.parts import Parts, Platform
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
@@ -73,6 +74,9 @@
             parts.vm_watch.start()
         parts.claims.start()
         parts.policy.start()
+        if parts.orders is not None:
+            parts.follower.subscribe(parts.orders.reconfigure)
+            parts.orders.start()
         self._server.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, port=self.port)
 
@@ -98,6 +102,8 @@
         """Stop at once."""
         self._server.stop()
         parts = self.parts
+        if parts.orders is not None:
+            parts.orders.stop()
         parts.policy.stop()
         parts.claims.stop()
         if parts.vm_watch is not None:
@@ -119,15 +125,16 @@
     platform = platform or make_platform(settings)
     clock = platform.clock
     fleet = make_fleet_parts(settings, platform)
+    targets = make_known_targets(clock, platform.engine, fleet.members, fleet.peers)
+    if fleet.vm_watch is not None:
+        fleet.vm_watch.subscribe(targets.take_vms)
     parts = Parts(
         members=fleet.members,
         peers=fleet.peers,
         traffic=fleet.traffic,
         vm_watch=fleet.vm_watch,
         follower=ConfigFollower(platform.log, clock),
-        targets=make_known_targets(
-            clock, platform.engine, fleet.members, fleet.peers, vm_list=platform.vm_list
-        ),
+        targets=targets,
         policy=_make_policy(settings, platform),
         claims=make_log_claims(
             log=platform.log,
@@ -148,6 +155,15 @@
         estimates=CostEstimates(),
         journal=parts.journal,
     )
+    parts.orders = make_order_keeper(
+        clock=clock,
+        log=platform.log,
+        engine=platform.engine,
+        members=parts.members,
+        targets=parts.targets,
+        weights=platform.weight_store,
+        backlog=serving.backlog,
+    )
     callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
     return Application(settings, parts, callers, clock=clock, serving=serving)
 
--- a/packages/loomyard-router/src/loomyard_router/orders/order_keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/orders/order_keeper.py
@@ -11,7 +11,6 @@
 from loomyard import rendezvous
 from loomyard.events import Event, emit
 from loomyard.objects import Target, TargetState
-from loomyard_router.orders.lease_record import ORDERS_STREAM
 from loomyard_router.orders.order_lease_keeper import OrderLeaseKeeper
 from loomyard_router.orders.order_planner import OrderPlanner
 from loomyard_router.orders.order_sender import OrderSender
@@ -31,7 +30,8 @@
 logger = logging.getLogger(__name__)
 
 STEP_SECONDS = 1.0
-CANDIDATES = 3
+# The allocator of slots keeps the orders too: it sees what waits in the whole fleet.
+KEEPER_KEY = "allocator"
 # Bounds what the keeper reads of targets in one step.
 MAX_OBSERVED = 16
 
@@ -114,7 +114,7 @@
 
     def _is_candidate(self) -> bool:
         names = [member.name for member in self._members.live()]
-        return self._members.own.name in rendezvous.rank(ORDERS_STREAM, names)[:CANDIDATES]
+        return self._members.own.name == rendezvous.choose(KEEPER_KEY, names)
 
     def _waiting(self) -> dict[str, int]:
         services = {s for target in self._ordered for s in (*target.services, *target.loadable)}
--- a/packages/loomyard-router/src/loomyard_router/parts.py
+++ b/packages/loomyard-router/src/loomyard_router/parts.py
@@ -13,6 +13,7 @@
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.members.membership import Membership
 from loomyard_router.members.vm_watch import VmWatch
+from loomyard_router.orders.order_keeper import OrderKeeper
 from loomyard_router.peers.links import PeerLinks
 from loomyard_router.peers.traffic import TrafficCounters
 from loomyard_router.requests.journal import Journal
@@ -44,3 +45,4 @@
     journal: Journal
     traffic: TrafficCounters = field(factory=TrafficCounters)
     vm_watch: VmWatch | None = None
+    orders: OrderKeeper | None = None
--- a/packages/loomyard-router/src/loomyard_router/requests/serving.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/serving.py
@@ -23,6 +23,7 @@
     from loomyard.platform.engine import Engine
     from loomyard_router.claims.keeper import ClaimKeeper
     from loomyard_router.configuration.follower import ConfigFollower
+    from loomyard_router.orders.backlog import BacklogView
     from loomyard_router.requests.answer import Answer
     from loomyard_router.requests.attempt import Attempt
     from loomyard_router.requests.estimates import CostEstimates
@@ -69,6 +70,10 @@
     def stopping(self) -> bool:
         return self._queue.stopping
 
+    @property
+    def backlog(self) -> BacklogView:
+        return self._queue.backlog
+
     def stop(self) -> None:
         """Take no new work and refuse what waits; what runs goes on."""
         self._queue.stop()
--- a/packages/loomyard-router/src/loomyard_router/requests/slot_queue.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/slot_queue.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from loomyard.errors import Fault, ResultCode
+from loomyard_router.orders.local_backlog import LocalBacklog
 from loomyard_router.shares.waiting import WaitingRequest
 
 if TYPE_CHECKING:
@@ -44,11 +45,16 @@
         self._estimates = estimates
         self._waiting: set[WaitingRequest] = set()
         self._stopping = False
+        self._backlog = LocalBacklog(clock)
 
     @property
     def stopping(self) -> bool:
         return self._stopping
 
+    @property
+    def backlog(self) -> LocalBacklog:
+        return self._backlog
+
     def stop(self) -> None:
         """Refuse all that waits and all that comes."""
         self._stopping = True
@@ -75,16 +81,14 @@
         return self._await(request, waiting)
 
     def _candidates(self, request: Request, avoided: set[str]) -> Result[tuple[Target, ...], Fault]:
-        routing = self._follower.routing
-        resolved = routing.resolve(request.account, request.service.metadata.name)
+        service = request.service.metadata.name
+        resolved = self._follower.routing.resolve(request.account, service)
         if resolved.is_err():
             return resolved
-        usable = [
-            t
-            for t in resolved.unwrap()
-            if self._targets.may_send(t.metadata.name, request.service.metadata.name)
-        ]
+        may_send = self._targets.may_send
+        usable = [t for t in resolved.unwrap() if may_send(t.metadata.name, service)]
         if not usable:
+            self._backlog.refuse(service)
             fault = Fault(
                 code=ResultCode.NO_TARGET,
                 detail="no target of the route takes new work now",
@@ -110,7 +114,9 @@
         def leave() -> None:
             self._give_up(waiting, gone_fault())
 
+        service = waiting.service.metadata.name
         self._waiting.add(waiting)
+        self._backlog.enter(service)
         request.presence.subscribe(leave)
         try:
             with Timeout(max(0.0, waiting.deadline - self._clock.now()), False):
@@ -122,6 +128,7 @@
             raise
         finally:
             self._waiting.discard(waiting)
+            self._backlog.leave(service)
             request.presence.unsubscribe(leave)
         return Err(
             Fault(
--- a/packages/loomyard-router/src/loomyard_router/targets/gossip.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/gossip.py
@@ -16,13 +16,3 @@
 
     def subscribe_topic(self, topic: str, heard: Callable[[str, int], None]) -> None:
         """Call back with key and value of each item learned from others."""
-
-
-class NoGossip:
-    """Reach nobody."""
-
-    def announce(self, topic: str, key: str, value: int, *, until: float) -> None:
-        pass
-
-    def subscribe_topic(self, topic: str, heard: Callable[[str, int], None]) -> None:
-        pass
--- a/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
@@ -12,25 +12,25 @@
 from loomyard.events import Event, emit
 from loomyard.objects import ServiceType, Target, TargetState
 from loomyard_router.targets.cache_follower import CacheFollower
-from loomyard_router.targets.gossip import Gossip, NoGossip
 from loomyard_router.targets.health import TargetHealth
 from loomyard_router.targets.leaving_ledger import LeavingLedger
 from loomyard_router.targets.leaving_record import LeavingRecord, leaving_record
+from loomyard_router.targets.leaving_vms import LeavingVms
 from loomyard_router.targets.load_poller import LoadPoller
 from loomyard_router.targets.loaded_book import LoadedBook
 from loomyard_router.targets.prefix_index import PrefixIndex
 from loomyard_router.targets.slot_book import SlotBook
-from loomyard_router.targets.vm_watcher import VmWatcher
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from loomyard.clock import Clock
     from loomyard.platform.engine import Engine, LoadReport
-    from loomyard.platform.vm_list import VmList
+    from loomyard.platform.vm_list import Vm
     from loomyard.routing import Routing
     from loomyard_router.members.membership import Membership
     from loomyard_router.peers.links import PeerLinks
+    from loomyard_router.targets.gossip import Gossip
 
 logger = logging.getLogger(__name__)
 
@@ -56,7 +56,6 @@
         members: Membership,
         peers: PeerLinks,
         gossip: Gossip,
-        vm_list: VmList | None,
     ) -> None:
         self._clock = clock
         self._gossip = gossip
@@ -78,9 +77,7 @@
         self._leaving_vms = LeavingLedger(
             clock, hold=VM_HOLD, expiry=None, changed=self._vm_changed
         )
-        self._vms = None
-        if vm_list is not None:
-            self._vms = VmWatcher(clock, vm_list, members, self._leaving_vms)
+        self._vms = LeavingVms(self._leaving_vms)
         gossip.subscribe_topic(TARGET_TOPIC, _hearing(self._leaving))
         gossip.subscribe_topic(VM_TOPIC, _hearing(self._leaving_vms))
 
@@ -115,6 +112,10 @@
             emit(logger, Event.TARGET_EJECTED, target=name)
             self._refresh()
 
+    def take_vms(self, listed: list[Vm]) -> None:
+        """Take in a reading of the VM list."""
+        self._vms.take(listed, self._vm_names())
+
     def reconfigure(self, routing: Routing) -> None:
         self._targets = dict(routing.targets)
         self._versions = {name: routing.target_version(name) for name in self._targets}
@@ -148,8 +149,6 @@
     def tick(self) -> None:
         """Start what is due."""
         self._leaving.expire()
-        if self._vms is not None:
-            self._vms.run_due(self._vm_names())
         self._loads.run_due()
         for name in self._health.probes_due():
             if name in self._polled:
@@ -238,10 +237,9 @@
     peers: PeerLinks,
     *,
     gossip: Gossip | None = None,
-    vm_list: VmList | None = None,
 ) -> KnownTargets:
-    """Make the target directory of a router."""
-    return KnownTargets(clock, engine, members, peers, gossip or NoGossip(), vm_list)
+    """Make the target directory of a router; membership gossips where nothing else does."""
+    return KnownTargets(clock, engine, members, peers, gossip or members)
 
 
 def _hearing(ledger: LeavingLedger) -> Callable[[str, int], None]:
--- a/packages/loomyard-router/src/loomyard_router/targets/slot_book.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/slot_book.py
@@ -19,11 +19,12 @@
     from loomyard_router.members.membership import Member, Membership
     from loomyard_router.peers.links import PeerLinks
 
-# Up to this many routers all hear of each estimate; in larger fleets the first few by rendezvous
-# hash of each service do, who keep its slots.
+# Up to this many routers all hear of each estimate; in larger fleets the allocator of slots does,
+# and those who would succeed it.
 SMALL_FLEET = 16
-KEEPERS = 3
-REPEAT_SECONDS = 30.0
+ALLOCATORS = 3
+ALLOCATOR_KEY = "allocator"
+REPEAT_SECONDS = 60.0
 
 
 @define(eq=False)
@@ -78,14 +79,13 @@
 
     def _tell(self, name: str, entry: _Entry) -> None:
         notice = SlotsNotice(target=name, sequence=entry.sequence, slots=entry.estimate.slots)
-        for router in self._audience(name):
+        for router in self._audience():
             self._peers.send(router, notice)
 
-    def _audience(self, name: str) -> set[str]:
+    def _audience(self) -> set[str]:
         names = [member.name for member in self._members.live()]
         if len(names) > SMALL_FLEET:
-            services = self._targets[name].services
-            names = [n for s in services for n in rendezvous.rank(s, names)[:KEEPERS]]
+            names = rendezvous.rank(ALLOCATOR_KEY, names)[:ALLOCATORS]
         return set(names) - {self._members.own.name}
 
     def _hear(self, _: Member, notice: SlotsNotice) -> None:
--- a/packages/loomyard-router/src/loomyard_router/targets/slots_notice.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/slots_notice.py
@@ -4,7 +4,10 @@
 
 from attrs import frozen
 
+from loomyard_router.peers.message_types import peer_message
 
+
+@peer_message("slots")
 @frozen(kw_only=True)
 class SlotsNotice:
     """A slot estimate; of one target the greater ``sequence`` is the newer."""
--- a/tests/test_loomyard_router/test_targets/test_known_targets.py
+++ b/tests/test_loomyard_router/test_targets/test_known_targets.py
@@ -59,7 +59,6 @@
             SoleMembership(own),
             self.network.join(own),
             gossip=self.gossip.join(),
-            vm_list=self.vm_list,
         )
 
     def publish(self, *objects: object) -> None:
@@ -75,6 +74,7 @@
     def pass_time(self, seconds: float) -> None:
         for _ in range(int(seconds / 0.5)):
             self.clock.advance(0.5)
+            self.routers[0].take_vms(self.vm_list.read().unwrap())
             for router in self.routers:
                 router.tick()
             gevent.sleep(0)
