--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -23,14 +23,18 @@
 from loomyard_router.requests.journal import Journal
 from loomyard_router.requests.serving import Serving
 from loomyard_router.shares.fifo import make_fifo_policy
+from loomyard_router.shares.fleet import make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
 from loomyard_router.targets.http_engine import make_http_engine
 from loomyard_router.targets.known_targets import make_known_targets
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
+    from loomyard_router.members.membership import Membership
+    from loomyard_router.peers.links import PeerLinks
     from loomyard_router.settings import Settings
     from loomyard_router.shares.policy import SharePolicy
+    from loomyard_router.targets.directory import TargetDirectory
 
 logger = logging.getLogger(__name__)
 
@@ -135,7 +139,7 @@
         vm_watch=fleet.vm_watch,
         follower=ConfigFollower(platform.log, clock),
         targets=targets,
-        policy=_make_policy(settings, platform),
+        policy=_make_policy(settings, clock, fleet.members, fleet.peers, targets),
         claims=make_log_claims(
             log=platform.log,
             clock=clock,
@@ -168,7 +172,15 @@
     return Application(settings, parts, callers, clock=clock, serving=serving)
 
 
-def _make_policy(settings: Settings, platform: Platform) -> SharePolicy:
+def _make_policy(
+    settings: Settings,
+    clock: Clock,
+    members: Membership,
+    peers: PeerLinks,
+    directory: TargetDirectory,
+) -> SharePolicy:
     if settings.policy == "fifo":
-        return make_fifo_policy(platform.clock)
-    return make_local_policy(platform.clock, position=settings.position, routers=settings.routers)
+        return make_fifo_policy(clock)
+    if settings.policy == "local":
+        return make_local_policy(clock, position=settings.position, routers=settings.routers)
+    return make_fleet_policy(clock, members=members, peers=peers, directory=directory)
