Let the fleet policy use prefixes, loaded services and its view of backlog

The fleet policy took the target with most free leased slots, granted slots of targets for services they only may load, and nobody could ask it what waits. Among free slots of its lease a router now prefers a target that holds the prefix (a leased slot costs balance nothing whichever is used); capacity counts the services loaded now; the keeper of orders is the allocator and hears what waits in the whole fleet.

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -17,13 +17,14 @@
 from loomyard_router.claims.log_claims import make_log_claims
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.fleet_parts import make_fleet_parts
+from loomyard_router.orders.joint_backlog import JointBacklog
 from loomyard_router.orders.order_keeper import make_order_keeper
 from loomyard_router.parts import Parts, Platform
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
 from loomyard_router.requests.serving import Serving
 from loomyard_router.shares.fifo import make_fifo_policy
-from loomyard_router.shares.fleet import make_fleet_policy
+from loomyard_router.shares.fleet import FleetPolicy, make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
 from loomyard_router.targets.http_engine import make_http_engine
 from loomyard_router.targets.known_targets import make_known_targets
@@ -31,6 +32,7 @@
 if TYPE_CHECKING:
     from loomyard.clock import Clock
     from loomyard_router.members.membership import Membership
+    from loomyard_router.orders.backlog import BacklogView
     from loomyard_router.peers.links import PeerLinks
     from loomyard_router.settings import Settings
     from loomyard_router.shares.policy import SharePolicy
@@ -166,7 +168,7 @@
         members=parts.members,
         targets=parts.targets,
         weights=platform.weight_store,
-        backlog=serving.backlog,
+        backlog=_join_backlogs(serving, parts.policy),
     )
     callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
     return Application(settings, parts, callers, clock=clock, serving=serving)
@@ -184,3 +186,9 @@
     if settings.policy == "local":
         return make_local_policy(clock, position=settings.position, routers=settings.routers)
     return make_fleet_policy(clock, members=members, peers=peers, directory=directory)
+
+
+def _join_backlogs(serving: Serving, policy: SharePolicy) -> BacklogView:
+    if isinstance(policy, FleetPolicy):
+        return JointBacklog((serving.backlog, policy))
+    return serving.backlog
--- a/packages/loomyard-router/src/loomyard_router/orders/order_keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/orders/order_keeper.py
@@ -8,7 +8,6 @@
 import gevent
 from result import Ok
 
-from loomyard import rendezvous
 from loomyard.events import Event, emit
 from loomyard.objects import Target, TargetState
 from loomyard_router.orders.order_lease_keeper import OrderLeaseKeeper
@@ -16,6 +15,7 @@
 from loomyard_router.orders.order_sender import OrderSender
 from loomyard_router.orders.paced_weights import PacedWeights
 from loomyard_router.orders.target_view import TargetView
+from loomyard_router.shares.parents import find_allocator
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -30,8 +30,6 @@
 logger = logging.getLogger(__name__)
 
 STEP_SECONDS = 1.0
-# The allocator of slots keeps the orders too: it sees what waits in the whole fleet.
-KEEPER_KEY = "allocator"
 # Bounds what the keeper reads of targets in one step.
 MAX_OBSERVED = 16
 
@@ -113,8 +111,8 @@
             self._clock.sleep(STEP_SECONDS)
 
     def _is_candidate(self) -> bool:
-        names = [member.name for member in self._members.live()]
-        return self._members.own.name == rendezvous.choose(KEEPER_KEY, names)
+        # The allocator of slots keeps the orders too: it sees what waits in the whole fleet.
+        return self._members.own.name == find_allocator(self._members)
 
     def _waiting(self) -> dict[str, int]:
         services = {s for target in self._ordered for s in (*target.services, *target.loadable)}
--- a/packages/loomyard-router/src/loomyard_router/shares/allocator.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/allocator.py
@@ -66,6 +66,11 @@
         """Return the routers heard from, by name."""
         return self._routers
 
+    def waiting(self, service: bytes) -> int:
+        """Return how many requests of a service wait, as reported."""
+        demands = Demands(self._routers.values(), self._levels).by_service
+        return sum(demand.count for demand in demands.get(service, ()))
+
     def handle_report(self, member: Member, report: ShareReport) -> None:
         """Take in a report; late and doubled ones change nothing."""
         now = self._clock.now()
--- a/packages/loomyard-router/src/loomyard_router/shares/capacity.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/capacity.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from loomyard_router.shares.short_ids import short_id
+from loomyard_router.targets.choosing import Candidate
 
 if TYPE_CHECKING:
     from loomyard.objects import ClientAccount, Target
@@ -46,16 +47,31 @@
         return found is not None and self._directory.may_send(found.metadata.name)
 
     def services(self, target: bytes) -> list[bytes]:
-        """Return the services of a target."""
+        """Return the services of a target, as loaded now where that can change."""
         found = self._targets.get(target)
-        return [short_id(name) for name in found.services] if found else []
+        if found is None:
+            return []
+        names = [short_id(name) for name in (*found.services, *found.loadable)]
+        return [service for service in names if self._has_loaded(target, service)]
 
     def targets(self, account: bytes, service: bytes) -> tuple[bytes, ...]:
         """Return the targets that an account may use for a service."""
         key = account, service
         if key not in self._allowed:
             self._allowed[key] = self._resolve(account, service)
-        return self._allowed[key]
+        return tuple(t for t in self._allowed[key] if self._has_loaded(t, service))
+
+    def candidate(self, target: bytes, free: int) -> Candidate:
+        """Return a target of which some slots are free, for the choice among targets."""
+        found = self._targets[target]
+        return Candidate(target=found, free=free, slots=self._directory.slots(found))
+
+    def _has_loaded(self, target: bytes, service: bytes) -> bool:
+        found = self._targets[target]
+        if not found.loadable:
+            return True
+        name = self._services.get(service, "")
+        return bool(name) and self._directory.may_send(found.metadata.name, name)
 
     def _resolve(self, account: bytes, service: bytes) -> tuple[bytes, ...]:
         found = self._accounts.get(account)
--- a/packages/loomyard-router/src/loomyard_router/shares/demands.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/demands.py
@@ -24,6 +24,7 @@
     service: bytes
     level: float
     estimate: int
+    count: int
     unmet: int
     overdue: bool
 
@@ -49,6 +50,7 @@
                             service,
                             level,
                             waiting.estimate,
+                            waiting.count,
                             router.unmet(account, service),
                             waiting.overdue,
                         )
--- a/packages/loomyard-router/src/loomyard_router/shares/fleet.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/fleet.py
@@ -23,6 +23,7 @@
 from loomyard_router.shares.reporter import Reporter
 from loomyard_router.shares.request_queues import RequestQueues
 from loomyard_router.shares.short_ids import short_id
+from loomyard_router.targets.choosing import choose as choose_target
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,6 +48,7 @@
 MESSAGES_PER_SECOND = 16.0
 BYTES_PER_SECOND = 1700.0
 MESSAGE_BURST = 8.0
+NO_MARGIN = 1.0
 
 
 class FleetPolicy:
@@ -68,6 +70,7 @@
         self._levels = AccountLevels()
         self._held = HeldSlots()
         self._overdue = Overdue()
+        self._directory = directory
         self._capacity = Capacity(directory)
         self._in_flight: Counter[str] = Counter()
         self._exchanging = False
@@ -145,6 +148,10 @@
         self._admit()
         self._exchange()
 
+    def waiting(self, service: str) -> int:
+        """Return how many requests of a service wait in the fleet, as far as reported here."""
+        return self._allocator.waiting(short_id(service))
+
     def _run(self) -> None:
         while True:
             self._clock.sleep(POLL_INTERVAL)
@@ -219,7 +226,14 @@
         return target in waiting.targets_by_id and self._capacity.usable(target)
 
     def _choose_target(self, waiting: WaitingRequest, free: dict[bytes, int]) -> bytes:
-        return max((t for t in free if self._usable(t, waiting)), key=lambda t: free[t])
+        usable = {t: free[t] for t in free if self._usable(t, waiting)}
+        if not waiting.prefix:
+            return max(usable, key=usable.__getitem__)
+        # Free slots of one lease cost the balance nothing, whichever is used.
+        candidates = [self._capacity.candidate(t, slots) for t, slots in usable.items()]
+        chosen = choose_target(candidates, waiting.prefix, self._directory, margin=NO_MARGIN)
+        assert chosen is not None
+        return short_id(chosen.metadata.name)
 
     def _keeps(self, waiting: WaitingRequest, now: float) -> bool:
         told = self._reporter.told
--- a/packages/loomyard-router/src/loomyard_router/targets/slot_book.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/slot_book.py
@@ -7,6 +7,7 @@
 from attrs import define
 
 from loomyard import rendezvous
+from loomyard_router.shares.parents import ALLOCATOR_KEY
 from loomyard_router.targets.slot_estimate import SlotEstimate
 from loomyard_router.targets.slots_notice import SlotsNotice
 
@@ -23,7 +24,6 @@
 # and those who would succeed it.
 SMALL_FLEET = 16
 ALLOCATORS = 3
-ALLOCATOR_KEY = "allocator"
 REPEAT_SECONDS = 60.0
 
 
