Measure the share policies side by side in make bench-fairness

Each policy runs as a fleet of its own at the same time: a driver with the callers, a process with all targets, the router processes; `single` is one router process that all callers land on.

--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/batch_engine.py
@@ -0,0 +1,122 @@
+"""A model engine for load: one task steps the whole batch."""
+
+from __future__ import annotations
+
+import json
+from collections import OrderedDict, deque
+from typing import TYPE_CHECKING
+
+from gevent.server import StreamServer
+
+from loomyard_standins.benches.batch_stream import BatchStream
+from loomyard_standins.benches.busy_meter import BusyMeter
+from loomyard_standins.benches.http_request import (
+    HttpRequest,
+    RequestReader,
+    answer_json,
+    send_at_once,
+)
+
+if TYPE_CHECKING:
+    from gevent import socket
+
+STREAM_HEAD = (
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+    "Loomyard-Attempt: {attempt}\r\n\r\n"
+)
+NOT_FOUND = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+CHARACTERS_PER_TOKEN = 4
+KEPT_ATTEMPTS = 1024
+MAX_WAITING = 4096
+
+
+class BatchEngine:
+    """An engine with a bounded batch that takes requests in order of arrival."""
+
+    def __init__(self, *, host: str, model: str, slots: int, step_seconds: float) -> None:
+        self.meter = BusyMeter()
+        self._model = model
+        self._slots = slots
+        self._step_seconds = step_seconds
+        self._running: list[BatchStream] = []
+        self._waiting: deque[BatchStream] = deque(maxlen=MAX_WAITING)
+        self._attempts: OrderedDict[str, BatchStream] = OrderedDict()
+        self._server = StreamServer((host, 0), self._serve)
+
+    @property
+    def url(self) -> str:
+        return f"http://{self._server.server_host}:{self._server.server_port}"
+
+    def start(self) -> None:
+        """Start to listen; the owner calls ``step``."""
+        self._server.start()
+
+    def step(self) -> None:
+        """Fill the batch from those that wait and make one token of each."""
+        while self._waiting and len(self._running) < self._slots:
+            self._running.append(self._waiting.popleft())
+            self.meter.add(1)
+        ended = [stream for stream in self._running if stream.step()]
+        for stream in ended:
+            self._running.remove(stream)
+            self.meter.add(-1)
+            stream.close()
+
+    def _serve(self, connection: socket.socket, _: object) -> None:
+        send_at_once(connection)
+        reader = RequestReader(connection)
+        while (request := reader.read()) is not None:
+            if not self._answer(connection, request):
+                return
+
+    def _answer(self, connection: socket.socket, request: HttpRequest) -> bool:
+        path, _, _ = request.path.partition("?")
+        if path.endswith("/completions"):
+            return self._complete(connection, request)
+        if path.endswith("/cancel"):
+            if stream := self._attempts.get(path.split("/")[2]):
+                stream.cancelled = True
+            answer_json(connection, b"{}")
+        elif path == "/load":
+            answer_json(connection, json.dumps(self._load()).encode())
+        elif path == "/cache-events":
+            answer_json(connection, b"[]")
+        else:
+            connection.sendall(NOT_FOUND)
+        return True
+
+    def _complete(self, connection: socket.socket, request: HttpRequest) -> bool:
+        asked = json.loads(request.body)
+        stream = BatchStream(
+            request.headers.get("loomyard-attempt", ""),
+            max(1, len(asked["prompt"]) // CHARACTERS_PER_TOKEN),
+            int(asked["max_tokens"]),
+            bool(asked.get("stream")),
+            connection,
+        )
+        self._remember(stream)
+        if stream.streamed:
+            connection.sendall(STREAM_HEAD.format(attempt=stream.attempt).encode())
+        connection.settimeout(0.0)
+        self._waiting.append(stream)
+        stream.ended.wait()
+        if stream.broken:
+            return False
+        connection.settimeout(None)
+        stream.flush()
+        if not stream.streamed:
+            answer_json(connection, b'{"choices":[],"usage":%s}' % stream.usage(), stream.attempt)
+        return True
+
+    def _remember(self, stream: BatchStream) -> None:
+        self._attempts[stream.attempt] = stream
+        while len(self._attempts) > KEPT_ATTEMPTS:
+            self._attempts.popitem(last=False)
+
+    def _load(self) -> dict[str, object]:
+        return {
+            "running": len(self._running),
+            "waiting": len(self._waiting),
+            "step_seconds": self._step_seconds,
+            "models": [self._model],
+        }
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/bench_fleet.py
@@ -0,0 +1,168 @@
+"""The processes of one run: targets, routers, and a log service in the driver's own."""
+
+from __future__ import annotations
+
+import json
+import secrets
+import time
+from typing import TYPE_CHECKING
+
+import gevent
+from geventhttpclient import HTTPClient
+
+from loomyard.codec import encode
+from loomyard.configuration import Change, Put
+from loomyard.objects import (
+    ClientAccount,
+    ConfigObject,
+    Metadata,
+    Route,
+    Service,
+    ServiceType,
+    Target,
+)
+from loomyard_router.callers.keys import digest_key
+from loomyard_router.configuration.follower import CONFIG_STREAM
+from loomyard_standins.benches.child import Child
+from loomyard_standins.benches.driver import (
+    COMPLETION_WEIGHT,
+    PROMPT_WEIGHT,
+    SECOND_WEIGHT,
+    key_of,
+)
+from loomyard_standins.benches.places import data_centre_of
+from loomyard_standins.benches.router_status import RouterStatus
+from loomyard_standins.log_service import LogServer, MemoryLog
+
+if TYPE_CHECKING:
+    from loomyard_standins.benches.workload import Workload
+
+SINGLE = "single"
+READY_SECONDS = 20.0
+POLL_SECONDS = 0.05
+DEFAULT_UNITS = 200.0
+
+
+class BenchFleet:
+    """Start, ask and end the processes of one run."""
+
+    def __init__(self, workload: Workload, *, policy: str, routers: int) -> None:
+        self.workload = workload
+        self.log = LogServer(MemoryLog())
+        self.routers: list[Child] = []
+        self.ports: list[int] = []
+        self._policy = policy
+        self._count = routers
+        self._status_ports: list[int] = []
+        self._engines: Child | None = None
+        self._urls: list[str] = []
+
+    def start(self) -> None:
+        """Start all processes and wait until the configuration is in force everywhere."""
+        self.log.start()
+        self._engines = Child("engine_process", json.dumps(self._target_plan()))
+        self.routers = [self._start_router(position) for position in range(self._count)]
+        self._urls = self._engines.read()["urls"]
+        for router in self.routers:
+            ready = router.read()
+            self.ports.append(ready["port"])
+            self._status_ports.append(ready["status_port"])
+        self._publish()
+
+    def stop(self) -> None:
+        """End all processes."""
+        for child in [*self.routers, self._engines]:
+            if child is not None:
+                child.kill()
+        self.log.stop()
+
+    def status(self, position: int) -> RouterStatus:
+        """Ask a router process what it did."""
+        client = HTTPClient("127.0.0.1", self._status_ports[position], network_timeout=5.0)
+        try:
+            return RouterStatus(**json.loads(client.get("/").read()))
+        finally:
+            client.close()
+
+    def router_cpu_seconds(self) -> list[float]:
+        """Return the processor time of each router."""
+        return [router.cpu_seconds() for router in self.routers]
+
+    def engine_cpu_seconds(self) -> float:
+        """Return the processor time of the process with the targets."""
+        return self._engines.cpu_seconds() if self._engines else 0.0
+
+    def end_engines(self) -> dict:
+        """End the targets and return their report."""
+        assert self._engines is not None
+        return self._engines.ask(b"end\n")
+
+    def _start_router(self, position: int) -> Child:
+        policy = "local" if self._policy == SINGLE else self._policy
+        return Child(
+            "router_process",
+            f"--name=router-{position}",
+            f"--data-centre={data_centre_of(position)}",
+            "--listen=127.0.0.1:0",
+            f"--log-service={self.log.address}",
+            f"--policy={policy}",
+            f"--position={position}",
+            f"--routers={self._count}",
+        )
+
+    def _target_plan(self) -> dict:
+        targets = [
+            {"service": plan.name, "type": plan.type.value, "slots": plan.slots}
+            for plan in self.workload.services
+            for _ in range(plan.targets)
+        ]
+        return {"step_seconds": self.workload.step_seconds, "targets": targets}
+
+    def _publish(self) -> None:
+        change = Change(
+            change_id=secrets.token_hex(8), puts=[Put(object=o) for o in self._objects()]
+        )
+        version = self.log.log.append(CONFIG_STREAM, encode(change)).unwrap()
+        until = time.monotonic() + READY_SECONDS
+        while any(self.status(n).version < version for n in range(self._count)):
+            if time.monotonic() > until:
+                raise TimeoutError("a router does not adopt the configuration")
+            gevent.sleep(POLL_SECONDS)
+
+    def _objects(self) -> list[ConfigObject]:
+        objects: list[ConfigObject] = [
+            ClientAccount(
+                metadata=Metadata(name=plan.name),
+                key_digests=[digest_key(key_of(plan.name))],
+                weight=plan.weight,
+                queue_limit=plan.queue_limit,
+            )
+            for plan in self.workload.accounts
+        ]
+        position = 0
+        for plan in self.workload.services:
+            objects.append(_service(plan.name, plan.type))
+            objects.append(Route(metadata=Metadata(name=plan.name), service=plan.name))
+            for number in range(plan.targets):
+                objects.append(
+                    Target(
+                        metadata=Metadata(name=f"{plan.name}-{number}"),
+                        url=self._urls[position],
+                        services=[plan.name],
+                        slots=plan.slots,
+                        data_centre=data_centre_of(position),
+                    )
+                )
+                position += 1
+        return objects
+
+
+def _service(name: str, kind: ServiceType) -> Service:
+    return Service(
+        metadata=Metadata(name=name),
+        type=kind,
+        prompt_weight=PROMPT_WEIGHT,
+        completion_weight=COMPLETION_WEIGHT,
+        second_weight=SECOND_WEIGHT,
+        default_cost=DEFAULT_UNITS,
+    )
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/caller.py
@@ -0,0 +1,124 @@
+"""A caller with one kept connection that counts events and reads no further."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from attrs import frozen
+from gevent import socket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+BLOCK = 65536
+TIMEOUT = 120.0
+HEAD_END = b"\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+EVENT_END = b"\n\n"
+HTTP_OK = 200
+
+
+@frozen
+class Reply:
+    """Status of an answer and ``Retry-After`` in seconds; ``whole`` unless it was cut off."""
+
+    status: int
+    whole: bool
+    retry_after: float = 1.0
+    body: bytes = b""
+
+
+class Caller:
+    """Send requests of one account to one router."""
+
+    def __init__(self, port: int, key: str) -> None:
+        self._port = port
+        self._key = key
+        self._socket: socket.socket | None = None
+
+    def call(self, path: str, body: bytes, hint: float | None, on_tokens: Callable) -> Reply:
+        """Send and read an answer; ``on_tokens`` gets the number of tokens as they come.
+
+        Raises OSError where the router is gone.
+        """
+        cost = f"Loomyard-Cost-Hint: {hint:.3f}\r\n" if hint is not None else ""
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer {self._key}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n{cost}\r\n"
+        )
+        try:
+            connection = self._connect()
+            connection.sendall(head.encode() + body)
+            reply = _read_reply(connection, on_tokens)
+        except OSError:
+            self.close()
+            raise
+        except gevent.GreenletExit:
+            self.close()
+            raise
+        if not reply.whole:
+            self.close()
+        return reply
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def _connect(self) -> socket.socket:
+        if self._socket is None:
+            self._socket = socket.create_connection(("127.0.0.1", self._port), TIMEOUT)
+            self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return self._socket
+
+
+def _read_reply(connection: socket.socket, on_tokens: Callable) -> Reply:
+    data = b""
+    while HEAD_END not in data:
+        block = connection.recv(BLOCK)
+        if not block:
+            raise ConnectionResetError("the router closed the connection")
+        data += block
+    head, _, rest = data.partition(HEAD_END)
+    status = int(head[9:12])
+    lower = head.lower()
+    if b"chunked" in lower:
+        stream = b"event-stream" in lower
+        whole = _read_chunks(connection, rest, on_tokens if stream else None)
+        return Reply(status, whole)
+    length = int(_header(lower, b"content-length") or 0)
+    while len(rest) < length:
+        block = connection.recv(BLOCK)
+        if not block:
+            return Reply(status, False)
+        rest += block
+    retry_after = float(_header(lower, b"retry-after") or 1.0)
+    closes = b"connection: close" in lower
+    return Reply(status, not closes, retry_after, rest)
+
+
+def _read_chunks(connection: socket.socket, data: bytes, on_tokens: Callable | None) -> bool:
+    last = tail = b""
+    while True:
+        if on_tokens is not None and data:
+            # The end of an event may be cut in two by the blocks.
+            text = last + data if last else data
+            tokens = text.count(EVENT_END) - text.count(b'"usage":') - text.count(b"[DONE]")
+            on_tokens(tokens)
+            last = b"\n" if text.endswith(b"\n") and not text.endswith(EVENT_END) else b""
+        tail = (tail + data)[-len(LAST_CHUNK) :]
+        if tail == LAST_CHUNK:
+            return True
+        data = connection.recv(BLOCK)
+        if not data:
+            return False
+
+
+def _header(head: bytes, name: bytes) -> bytes | None:
+    for line in head.split(b"\r\n"):
+        key, _, value = line.partition(b":")
+        if key.strip() == name:
+            return value.strip()
+    return None
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/child.py
@@ -0,0 +1,85 @@
+"""Child processes of a bench, ended by their id on every path."""
+
+from __future__ import annotations
+
+import atexit
+import json
+import os
+import signal
+import sys
+from typing import Any
+
+import gevent
+from gevent import subprocess
+from gevent.fileobject import FileObject
+
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+READY_SECONDS = 20.0
+EXIT_ORPHANED = 3
+
+
+class Child:
+    """A module run as a process; its first line of output is a JSON object, ``ready``."""
+
+    def __init__(self, module: str, *arguments: str) -> None:
+        command = [sys.executable, "-m", f"loomyard_standins.benches.{module}", *arguments]
+        self._process = subprocess.Popen(
+            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, start_new_session=True
+        )
+        self._module = module
+        atexit.register(self.kill)
+
+    @property
+    def pid(self) -> int:
+        return self._process.pid
+
+    def read(self, seconds: float = READY_SECONDS) -> dict[str, Any]:
+        """Return the next line of output, a JSON object."""
+        with gevent.Timeout(seconds, TimeoutError(f"{self._module} says nothing")):
+            line = self._process.stdout.readline()
+        if not line:
+            raise RuntimeError(f"{self._module} ended before it was ready")
+        return json.loads(line)
+
+    def ask(self, line: bytes, seconds: float = READY_SECONDS) -> dict[str, Any]:
+        """Write a line to standard input and return the answer."""
+        self.write(line)
+        return self.read(seconds)
+
+    def write(self, line: bytes) -> None:
+        """Write a line to standard input."""
+        self._process.stdin.write(line)
+        self._process.stdin.flush()
+
+    def cpu_seconds(self) -> float:
+        """Return the processor time used so far; 0 where the process is gone."""
+        try:
+            with open(f"/proc/{self.pid}/stat") as file:
+                fields = file.read().rpartition(")")[2].split()
+        except OSError:
+            return 0.0
+        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+    def kill(self) -> None:
+        """End the process at once."""
+        atexit.unregister(self.kill)
+        if self._process.poll() is None:
+            self._process.send_signal(signal.SIGKILL)
+        self._process.wait()
+
+
+def announce(**fields: Any) -> None:
+    """Tell the parent a JSON object."""
+    print(json.dumps(fields), flush=True)
+
+
+def end_with_parent() -> None:
+    """End this process when its standard input closes, as it does when the parent ends."""
+    gevent.spawn(_await_end_of_input)
+
+
+def _await_end_of_input() -> None:
+    source = FileObject(sys.stdin.fileno(), "rb", close=False)
+    while source.read(1):
+        pass
+    os._exit(EXIT_ORPHANED)
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/counting_log.py
@@ -0,0 +1,28 @@
+"""A log client that counts its appends."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from loomyard.errors import Fault
+    from loomyard.platform.log_service import LogBatch, LogService
+
+
+class CountingLog:
+    """Count what one router appends."""
+
+    def __init__(self, log: LogService) -> None:
+        self.appends = 0
+        self._log = log
+
+    def append(self, stream: str, payload: bytes) -> Result[int, Fault]:
+        self.appends += 1
+        return self._log.append(stream, payload)
+
+    def read(
+        self, stream: str, offset: int, *, limit: int = 1000, wait: float = 0.0
+    ) -> Result[LogBatch, Fault]:
+        return self._log.read(stream, offset, limit=limit, wait=wait)
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/driver.py
@@ -0,0 +1,229 @@
+"""The load driver: callers of all accounts of one run."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.lock import Semaphore
+from gevent.pool import Pool
+
+from loomyard.objects import ServiceType
+from loomyard_standins.benches.account_plan import Pattern
+from loomyard_standins.benches.caller import HTTP_OK, Caller
+from loomyard_standins.benches.draws import Draws
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard_standins.benches.account_plan import AccountPlan
+    from loomyard_standins.benches.timeline import Timeline
+    from loomyard_standins.benches.trace import Trace
+    from loomyard_standins.benches.workload import Workload
+
+PROMPT_WEIGHT = 1.0
+COMPLETION_WEIGHT = 2.0
+SECOND_WEIGHT = 1000.0
+CHARACTERS_PER_TOKEN = 4
+MAX_OPEN_CALLS = 400
+MAX_RETRY_SECONDS = 1.0
+RECONNECT_SECONDS = 0.05
+BURST_EVERY = 2.0
+RETURNING_ON = 2.0
+RETURNING_OFF = 1.0
+HEARTBEAT_SECONDS = 0.01
+
+
+def key_of(account: str) -> str:
+    """Return the bearer key of an account."""
+    return f"key-{account}"
+
+
+class Driver:
+    """Run the callers until the timeline ends."""
+
+    def __init__(
+        self, workload: Workload, timeline: Timeline, trace: Trace, ports: list[int], seed: int
+    ) -> None:
+        self.refused = 0
+        self.failed = 0
+        self.lateness: list[float] = []
+        self._timeline = timeline
+        self._trace = trace
+        self._ports = ports
+        self._services = {plan.name: n for n, plan in enumerate(workload.services)}
+        self._types = {plan.name: plan.type for plan in workload.services}
+        self._accounts = workload.accounts
+        self._seed = seed
+        self._tasks = Pool()
+
+    def run(self) -> None:
+        """Send until the end, then break all callers off."""
+        gevent.spawn(self._measure_lateness)
+        for number, plan in enumerate(self._accounts):
+            start = _STARTS[plan.pattern]
+            start(self, _Account(number, plan, Draws(plan, self._seed)))
+        gevent.sleep(max(0.0, self._left()))
+        self._tasks.kill()
+
+    def _left(self) -> float:
+        return self._trace.started + self._timeline.end - time.monotonic()
+
+    def _elapsed(self) -> float:
+        return time.monotonic() - self._trace.started
+
+    def _start_backlog(self, account: _Account) -> None:
+        for service in account.plan.services:
+            for number in range(account.plan.callers):
+                self._tasks.spawn(self._call_forever, account, service, number, _always)
+
+    def _start_returning(self, account: _Account) -> None:
+        for number in range(account.plan.callers):
+            self._tasks.spawn(
+                self._call_forever, account, account.plan.services[0], number, self._await_return
+            )
+
+    def _start_poisson(self, account: _Account) -> None:
+        self._tasks.spawn(self._send_open, account, 0.0)
+
+    def _start_flood(self, account: _Account) -> None:
+        self._tasks.spawn(self._send_open, account, self._timeline.flood_from)
+
+    def _start_bursts(self, account: _Account) -> None:
+        self._tasks.spawn(self._send_bursts, account)
+
+    def _call_forever(
+        self, account: _Account, service: str, number: int, await_turn: Callable[[], None]
+    ) -> None:
+        router = account.plan.routers[number % len(account.plan.routers)]
+        caller = self._connect(account, router)
+        while True:
+            await_turn()
+            gevent.sleep(self._call(account, service, caller))
+
+    def _await_return(self) -> None:
+        phase = self._elapsed() % (RETURNING_ON + RETURNING_OFF)
+        if phase > RETURNING_ON:
+            gevent.sleep(RETURNING_ON + RETURNING_OFF - phase)
+
+    def _send_open(self, account: _Account, start: float) -> None:
+        gevent.sleep(start)
+        idle: list[Caller] = []
+        open_calls = Semaphore(MAX_OPEN_CALLS)
+        due = time.monotonic()
+        while True:
+            due += account.draws.gap(account.plan.rate)
+            gevent.sleep(max(0.0, due - time.monotonic()))
+            open_calls.acquire()
+            self._tasks.spawn(self._call_once, account, idle).rawlink(
+                lambda _: open_calls.release()
+            )
+
+    def _call_once(self, account: _Account, idle: list[Caller]) -> None:
+        if idle:
+            caller = idle.pop()
+        else:
+            routers = account.plan.routers
+            caller = self._connect(account, routers[account.draws.choice(len(routers))])
+        self._call(account, account.plan.services[0], caller)
+        idle.append(caller)
+
+    def _send_bursts(self, account: _Account) -> None:
+        routers = account.plan.routers
+        callers = [
+            self._connect(account, routers[number % len(routers)])
+            for number in range(account.plan.callers)
+        ]
+        while True:
+            service = account.plan.services[0]
+            tasks = [self._tasks.spawn(self._call, account, service, c) for c in callers]
+            gevent.sleep(BURST_EVERY)
+            gevent.joinall(tasks)
+
+    def _connect(self, account: _Account, router: int) -> Caller:
+        # One router sees all callers under the policy ``single``.
+        return Caller(self._ports[router % len(self._ports)], key_of(account.plan.name))
+
+    def _call(self, account: _Account, service: str, caller: Caller) -> float:
+        """Send one request; return the seconds to wait before the next."""
+        wait = self._trace.send(account.number, self._services[service])
+        try:
+            if self._types[service] is ServiceType.PLAIN:
+                status, retry_after = self._call_plain(account, service, caller, wait)
+            else:
+                status, retry_after = self._call_model(account, service, caller, wait)
+        except OSError:
+            self.failed += 1
+            self._trace.refuse(wait)
+            return RECONNECT_SECONDS
+        if status == HTTP_OK:
+            return 0.0
+        self.refused += 1
+        self._trace.refuse(wait)
+        return min(MAX_RETRY_SECONDS, retry_after) * account.draws.fraction()
+
+    def _call_model(self, account: _Account, service: str, caller: Caller, wait) -> tuple:
+        tokens, prompt = account.draws.tokens(), account.draws.prompt_tokens()
+        cost = PROMPT_WEIGHT * prompt + COMPLETION_WEIGHT * tokens
+        asked = {
+            "model": service,
+            "prompt": account.plan.name[:CHARACTERS_PER_TOKEN].ljust(
+                CHARACTERS_PER_TOKEN * prompt, "x"
+            ),
+            "max_tokens": tokens,
+            "stream": True,
+            "stream_options": {"include_usage": True},
+        }
+        trace = self._trace
+
+        def on_tokens(count: int) -> None:
+            trace.events += count
+            units = COMPLETION_WEIGHT * count
+            if count and wait.served is None:
+                units += PROMPT_WEIGHT * prompt
+            trace.add(wait, units)
+
+        body = json.dumps(asked).encode()
+        reply = caller.call("/v1/completions", body, account.draws.hint_of(cost), on_tokens)
+        return reply.status, reply.retry_after
+
+    def _call_plain(self, account: _Account, service: str, caller: Caller, wait) -> tuple:
+        seconds = account.draws.seconds()
+        body = json.dumps({"seconds": seconds}).encode()
+        hint = account.draws.hint_of(SECOND_WEIGHT * seconds)
+        reply = caller.call(f"/services/{service}/work", body, hint, _ignore)
+        if reply.status == HTTP_OK:
+            self._trace.add_spread(wait, SECOND_WEIGHT * seconds, seconds)
+        return reply.status, reply.retry_after
+
+    def _measure_lateness(self) -> None:
+        while True:
+            due = time.monotonic() + HEARTBEAT_SECONDS
+            gevent.sleep(HEARTBEAT_SECONDS)
+            self.lateness.append(time.monotonic() - due)
+
+
+class _Account:
+    def __init__(self, number: int, plan: AccountPlan, draws: Draws) -> None:
+        self.number = number
+        self.plan = plan
+        self.draws = draws
+
+
+def _always() -> None:
+    pass
+
+
+def _ignore(_: int) -> None:
+    pass
+
+
+_STARTS: dict[Pattern, Callable[[Driver, _Account], None]] = {
+    Pattern.BACKLOG: Driver._start_backlog,
+    Pattern.RETURNING: Driver._start_returning,
+    Pattern.POISSON: Driver._start_poisson,
+    Pattern.FLOOD: Driver._start_flood,
+    Pattern.BURSTS: Driver._start_bursts,
+}
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/http_request.py
@@ -0,0 +1,66 @@
+"""Requests as the stand-in targets of the benches read them from a socket."""
+
+from __future__ import annotations
+
+from attrs import frozen
+from gevent import socket
+
+BLOCK = 65536
+HEAD_END = b"\r\n\r\n"
+
+
+@frozen
+class HttpRequest:
+    """Method, path and query, headers with lower-case names, and body."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class RequestReader:
+    """Read requests from a kept connection."""
+
+    def __init__(self, connection: socket.socket) -> None:
+        self._connection = connection
+        self._buffer = b""
+
+    def read(self) -> HttpRequest | None:
+        """Return the next request; none where the connection ended."""
+        while HEAD_END not in self._buffer:
+            if not self._fill():
+                return None
+        head, _, self._buffer = self._buffer.partition(HEAD_END)
+        first, *lines = head.decode("latin-1").split("\r\n")
+        method, path, _ = first.split(" ", 2)
+        pairs = (line.partition(":") for line in lines)
+        headers = {name.lower(): value.strip() for name, _, value in pairs}
+        length = int(headers.get("content-length", 0))
+        while len(self._buffer) < length:
+            if not self._fill():
+                return None
+        body, self._buffer = self._buffer[:length], self._buffer[length:]
+        return HttpRequest(method, path, headers, body)
+
+    def _fill(self) -> bool:
+        try:
+            data = self._connection.recv(BLOCK)
+        except OSError:
+            return False
+        self._buffer += data
+        return bool(data)
+
+
+def send_at_once(connection: socket.socket) -> None:
+    """Send small writes without waiting for the acknowledgement of the one before."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def answer_json(connection: socket.socket, body: bytes, attempt: str = "") -> None:
+    """Send a whole answer."""
+    head = (
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\nLoomyard-Attempt: {attempt}\r\n\r\n"
+    )
+    connection.sendall(head.encode() + body)
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/router_process.py
@@ -0,0 +1,68 @@
+"""A router process of a bench: the product's application with delays between data centres."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import logging  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from typing import TYPE_CHECKING, Any  # noqa: E402
+
+import gevent  # noqa: E402
+from gevent.pywsgi import WSGIServer  # noqa: E402
+
+from loomyard_router.application import Application, make_application, make_platform  # noqa: E402
+from loomyard_router.settings import parse_settings  # noqa: E402
+from loomyard_standins.benches.child import announce, end_with_parent  # noqa: E402
+from loomyard_standins.benches.counting_log import CountingLog  # noqa: E402
+from loomyard_standins.benches.delayed_engine import DelayedEngine  # noqa: E402
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+FOREVER = 3600.0
+
+
+def main() -> int:
+    """Serve until the parent ends."""
+    logging.basicConfig(level=logging.ERROR)
+    settings = parse_settings(sys.argv[1:], os.environ).unwrap()
+    platform = make_platform(settings)
+    log = CountingLog(platform.log)
+    platform.log = log
+    platform.engine = DelayedEngine(platform.engine, settings.data_centre)
+    application = make_application(settings, platform)
+    status = WSGIServer(("127.0.0.1", 0), _Status(application, log), log=None)
+    status.start()
+    application.start()
+    end_with_parent()
+    announce(port=application.port, status_port=status.server_port)
+    gevent.sleep(FOREVER)
+    return 0
+
+
+class _Status:
+    """What the bench reads of a router: its configuration and what it sent for control."""
+
+    def __init__(self, application: Application, log: CountingLog) -> None:
+        self._application = application
+        self._log = log
+
+    def __call__(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
+        parts = self._application.parts
+        status = {
+            "version": parts.follower.state.version,
+            "cpu_seconds": time.process_time(),
+            "log_appends": self._log.appends,
+        }
+        start_response("200 OK", [("Content-Type", "application/json")])
+        return [json.dumps(status).encode()]
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/utilisation.py
@@ -0,0 +1,39 @@
+"""The share of slots busy while something waits for them."""
+
+from __future__ import annotations
+
+import numpy as np
+from attrs import frozen
+
+from loomyard_standins.benches.trace import BUCKET_SECONDS
+
+
+@frozen(kw_only=True)
+class ServiceLoad:
+    """Busy slot-seconds of a service at each bucket edge, from all its targets, and its slots."""
+
+    slots: int
+    busy: np.ndarray
+
+
+def busy_at_edges(changes: list[tuple[float, int]], started: float, buckets: int) -> np.ndarray:
+    """Integrate the number of busy slots up to each bucket edge."""
+    times = np.array([at for at, _ in changes])
+    counts = np.array([count for _, count in changes], dtype=float)
+    edges = started + np.arange(buckets + 1) * BUCKET_SECONDS
+    times = np.append(times, max(edges[-1], times[-1]))
+    integral = np.concatenate([[0.0], np.cumsum(counts * np.diff(times))])
+    return np.interp(edges, times, integral)
+
+
+def utilisation(loads: list[ServiceLoad], backlog: np.ndarray, window: np.ndarray) -> float:
+    """Return busy slot-seconds over slots while a service has work that waits.
+
+    Shapes: ``backlog`` account, service, bucket; ``window`` bucket.
+    """
+    busy = offered = 0.0
+    for number, load in enumerate(loads):
+        waiting = backlog[:, number].any(axis=0) & window
+        busy += np.diff(load.busy)[waiting].sum()
+        offered += load.slots * BUCKET_SECONDS * waiting.sum()
+    return float(busy / offered) if offered else 1.0
