Send the end of an answer at once; split local slots over all routers

Cause of the first: the WSGI server writes the last chunk of an answer apart, and Nagle's algorithm held it back until the caller's delayed acknowledgement. A kept connection measured through one router process on loopback: a plain call of 0 ms took 44 ms, of 30 ms 76 to 80 ms, of 60 ms 104 ms; tokens of a stream of 5 came in one lump after 44 to 88 ms.

Cause of the second: where a target has fewer slots than there are routers, the rest of the split always went to the first routers, so that of 8 routers before targets of 4 slots four had nothing. The rest now goes round over all targets; the parts still sum up to the slots.

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -4,6 +4,7 @@
 
 import logging
 import secrets
+import socket
 from typing import TYPE_CHECKING
 
 from gevent.pywsgi import WSGIServer
@@ -57,6 +58,7 @@
         parts.claims.start()
         parts.policy.start()
         self._server.start()
+        _send_at_once(self._server)
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, port=self.port)
 
     def stop(self) -> None:
@@ -69,6 +71,12 @@
             part.stop()
 
 
+def _send_at_once(server: WSGIServer) -> None:
+    # The WSGI server writes the end of an answer apart; held back by Nagle's algorithm until the
+    # caller's delayed acknowledgement, it came 40 ms late. Accepted sockets inherit the option.
+    server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
 def make_platform(settings: Settings) -> Platform:
     """Connect to the outside systems that the settings name."""
     clock = SystemClock()
--- a/packages/loomyard-router/src/loomyard_router/shares/local.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/local.py
@@ -31,6 +31,7 @@
         self._queues: defaultdict[str, AccountQueues] = defaultdict(AccountQueues)
         self._running: Counter[str] = Counter()
         self._counters = ServiceCounters()
+        self._slots_before: dict[str, int] = {}
 
     def submit(self, waiting: WaitingRequest) -> Result[None, Fault]:
         service = waiting.service.metadata.name
@@ -67,6 +68,7 @@
             self._admit(service)
 
     def reconfigure(self, routing: Routing) -> None:
+        self._slots_before = _sum_before(routing)
         for service in list(self._queues):
             self._admit(service)
 
@@ -96,10 +98,21 @@
 
     def _free(self, target: Target) -> int:
         share, rest = divmod(target.slots, self._routers)
-        extra = 1 if self._position < rest else 0
+        # The rest goes round over all targets, so that no router is left with nothing.
+        first = self._slots_before.get(target.metadata.name, 0)
+        extra = 1 if (self._position - first) % self._routers < rest else 0
         return share + extra - self._running[target.metadata.name]
 
 
+def _sum_before(routing: Routing) -> dict[str, int]:
+    before: dict[str, int] = {}
+    total = 0
+    for name, target in sorted(routing.targets.items()):
+        before[name] = total
+        total += target.slots
+    return before
+
+
 def make_local_policy(clock: Clock, *, position: int = 0, routers: int = 1) -> LocalPolicy:
     """Make the ``local`` policy of the router at a position among a number of routers."""
     return LocalPolicy(clock, position=position, routers=routers)
--- a/tests/test_loomyard_router/test_whole_path.py
+++ b/tests/test_loomyard_router/test_whole_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import unittest
 
 import openai
@@ -39,6 +40,10 @@
         text = "".join(chunk.choices[0].text for chunk in chunks if chunk.choices)
         self.assertEqual(text, "t0 t1 t2 t3 ")
 
+    def test_the_end_of_an_answer_is_not_held_back(self) -> None:
+        server = self.fleet.routers[0]._server.socket
+        self.assertTrue(server.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+
     def test_unknown_key(self) -> None:
         with self.assertRaises(openai.AuthenticationError) as caught:
             self.client("wrong").models.list()
