--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -15,8 +15,10 @@
 from loomyard_router.callers.handler import CallerServer
 from loomyard_router.callers.in_flight import InFlight
 from loomyard_router.claims.log_claims import make_log_claims
+from loomyard_router.configuration.distribution import make_distribution
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.fleet_parts import make_fleet_parts
+from loomyard_router.operators.interface import make_operators_interface
 from loomyard_router.orders.joint_backlog import JointBacklog
 from loomyard_router.orders.order_keeper import make_order_keeper
 from loomyard_router.parts import Parts, Platform
@@ -30,6 +32,8 @@
 from loomyard_router.targets.known_targets import make_known_targets
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from loomyard.clock import Clock
     from loomyard_router.members.membership import Membership
     from loomyard_router.orders.backlog import BacklogView
@@ -47,28 +51,45 @@
     def __init__(
         self,
         settings: Settings,
+        platform: Platform,
         parts: Parts,
         callers: CallersApp,
         *,
-        clock: Clock,
         serving: Serving,
     ) -> None:
         self.parts = parts
         self.callers = callers
         self._settings = settings
-        self._clock = clock
+        self._clock = platform.clock
         self._serving = serving
-        self._in_flight = InFlight(clock)
+        self._in_flight = InFlight(platform.clock)
         self._drained: GeventEvent | None = None
         host, _, port = settings.listen.rpartition(":")
         self._server = CallerServer(
             (host, int(port)), callers, log=None, error_log=logger, in_flight=self._in_flight
         )
+        self.operators = make_operators_interface(
+            settings,
+            platform,
+            parts,
+            stopping=lambda: serving.stopping,
+            begin_stop=self.request_stop,
+        )
+        self._stop_listeners: list[Callable[[], None]] = []
 
     @property
     def port(self) -> int:
         return self._server.server_port
 
+    def on_stop_request(self, listener: Callable[[], None]) -> None:
+        """Call back when an operator asks for a planned stop."""
+        self._stop_listeners.append(listener)
+
+    def request_stop(self) -> None:
+        """Ask for a planned stop, as a signal to the process does."""
+        for listener in self._stop_listeners:
+            listener()
+
     def start(self) -> None:
         """Start to follow the configuration and to serve callers."""
         parts = self.parts
@@ -80,10 +101,12 @@
             parts.vm_watch.start()
         parts.claims.start()
         parts.policy.start()
+        parts.distribution.start()
         if parts.orders is not None:
             parts.follower.subscribe(parts.orders.reconfigure)
             parts.orders.start()
         self._server.start()
+        self.operators.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, port=self.port)
 
     def drain(self) -> None:
@@ -106,8 +129,10 @@
 
     def stop(self) -> None:
         """Stop at once."""
+        self.operators.stop()
         self._server.stop()
         parts = self.parts
+        parts.distribution.stop()
         if parts.orders is not None:
             parts.orders.stop()
         parts.policy.stop()
@@ -131,6 +156,7 @@
     platform = platform or make_platform(settings)
     clock = platform.clock
     fleet = make_fleet_parts(settings, platform)
+    follower = ConfigFollower(platform.log, clock)
     targets = make_known_targets(clock, platform.engine, fleet.members, fleet.peers)
     if fleet.vm_watch is not None:
         fleet.vm_watch.subscribe(targets.take_vms)
@@ -139,7 +165,10 @@
         peers=fleet.peers,
         traffic=fleet.traffic,
         vm_watch=fleet.vm_watch,
-        follower=ConfigFollower(platform.log, clock),
+        follower=follower,
+        distribution=make_distribution(
+            platform, follower, fleet.members, fleet.peers, retention=settings.log_retention
+        ),
         targets=targets,
         policy=_make_policy(settings, clock, fleet.members, fleet.peers, targets),
         claims=make_log_claims(
@@ -171,7 +200,7 @@
         backlog=_join_backlogs(serving, parts.policy),
     )
     callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
-    return Application(settings, parts, callers, clock=clock, serving=serving)
+    return Application(settings, platform, parts, callers, serving=serving)
 
 
 def _make_policy(
--- a/packages/loomyard-standins/src/loomyard_standins/fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/fleet.py
@@ -30,9 +30,11 @@
 from loomyard_standins.vm_list import MemoryVmList, VmListServer
 
 ACCOUNTS = {"kiosk": 1.0, "genealogy": 1.0, "labels": 1.0, "handover": 2.0}
+RECEIPT_ACCOUNT = "receipts"
 ENGINE_SLOTS = 8
 ENGINE_STEP_SECONDS = 0.006
 DATA_CENTRES = ("dc-1", "dc-2")
+OPERATOR_KEY = "key-operator"
 FLEET_SECRET = "stand-in fleet"
 
 
@@ -96,6 +98,8 @@
             policy=policy,
             position=position,
             routers=routers,
+            operator_listen="127.0.0.1:0",
+            operator_keys=(digest_key(OPERATOR_KEY),),
             peer_listen="127.0.0.1:0",
             peers=tuple(router.parts.members.own.address for router in fleet.routers[:1]),
             fleet_secret=(FLEET_SECRET,),
@@ -123,7 +127,7 @@
             key_digests=[digest_key(sample_key(name))],
             weight=weight,
         )
-        for name, weight in ACCOUNTS.items()
+        for name, weight in [*ACCOUNTS.items(), (RECEIPT_ACCOUNT, 1.0)]
     ]
     receipts = Operation(path="/receipts", method="POST", idempotent=False)
     objects += [
--- a/packages/loomyard-standins/src/loomyard_standins/share_driver.py
+++ b/packages/loomyard-standins/src/loomyard_standins/share_driver.py
@@ -89,7 +89,7 @@
         routers: int = 8,
         engines: dict[str, tuple[int, int]],
         seed: int = 1,
-        settle: float = 10.0,
+        settle: float = 20.0,
     ) -> None:
         self.agenda = Agenda()
         self.policy = policy
@@ -139,7 +139,6 @@
                 members=members,
                 peers=self.network.join(member),
                 directory=directory,
-                fleet_size=lambda: self.count,
             )
             self.agenda.every(POLL_INTERVAL, lambda: self._poll(position, generation, fleet))
         directory.reconfigure(self.routing)
--- a/tests/test_loomyard_router/test_targets/test_known_targets.py
+++ b/tests/test_loomyard_router/test_targets/test_known_targets.py
@@ -211,7 +211,8 @@
 
 class LoadedTest(TargetsCase):
     def test_what_is_loaded_now_counts(self) -> None:
-        self.publish(target("a", vm="vm-a", loadable=["tagger"]))
+        tagger = Service(metadata=Metadata(name="tagger"))
+        self.publish(tagger, target("a", vm="vm-a", loadable=["tagger"]))
         router = self.routers[0]
         self.assertTrue(router.may_send("a", "assistant"))
         self.assertFalse(router.may_send("a", "tagger"))
