--- a/packages/loomyard-router/src/loomyard_router/orders/order_sender.py
+++ b/packages/loomyard-router/src/loomyard_router/orders/order_sender.py
@@ -66,10 +66,13 @@
         progress = self._progress.setdefault(name, _Progress())
         if self._clock.now() < progress.next_at:
             return False
+        # The share of the weight store comes first, so that no target stands empty for want of it.
+        if service not in view.loaded and not self._may_load(service, progress):
+            return False
         surplus = sorted(view.loaded - {service})
         if surplus:
             self._send(view.target, OrderAction.UNLOAD, surplus[0], progress)
-        elif self._may_load(service, progress):
+        else:
             self._send(view.target, OrderAction.LOAD, service, progress)
         return False
 
@@ -82,10 +85,7 @@
                     return False
                 case Ok(at):
                     progress.load_at = at
-        if self._clock.now() < progress.load_at:
-            return False
-        progress.load_at = None
-        return True
+        return self._clock.now() >= progress.load_at
 
     def _send(self, target: Target, action: OrderAction, subject: str, progress: _Progress) -> None:
         name = target.metadata.name
@@ -107,4 +107,5 @@
                 if fault.code is ResultCode.ORDER_FENCED:
                     self._lease.drop()
         if action is OrderAction.LOAD and executed is not Executed.NO:
+            progress.load_at = None
             progress.next_at = self._clock.now() + LOAD_SECONDS
--- a/tests/test_loomyard_router/test_orders/test_order_keeper.py
+++ b/tests/test_loomyard_router/test_orders/test_order_keeper.py
@@ -169,8 +169,16 @@
         self.engine("a").orders.models = []
         self.engine("a").stuck = True
         self.backlog["tagger"] = 5
+        reserve, reserved = self.weights.reserve, []
+
+        def count(model: str):
+            reserved.append(model)
+            return reserve(model)
+
+        self.weights.reserve = count
         self.run_for(BACKLOG_SECONDS + CHANGE_SECONDS + 30)
         loads = [at for at, url, order in self.saw if url.endswith("a")]
+        self.assertGreaterEqual(len(reserved), len(loads))
         self.assertGreaterEqual(loads[1] - loads[0], LOAD_SECONDS)
         self.assertIn(["tagger"], self.loaded().values())
 
@@ -181,7 +189,9 @@
         self.backlog.update(tagger=5, drafts=4)
         self.run_for(120)
         loads = [at for at, _, order in self.saw if order.action == "load"]
+        unloads = [at for at, _, order in self.saw if order.action == "unload"]
         self.assertGreaterEqual(len(loads), 2)
+        self.assertLess(max(b - a for a, b in zip(unloads, loads, strict=True)), 5.0)
         self.assertGreaterEqual(loads[1] - loads[0], 40.0)
 
 
