--- /dev/null
+++ b/tests/test_loomyard_router/test_targets/test_leaving_spread.py
@@ -0,0 +1,72 @@
+"""Tests that "leaving" reaches every router within two seconds, over lossy datagrams."""
+
+from __future__ import annotations
+
+import unittest
+
+from loomyard.configuration import Change, ConfigState, Put, fold
+from loomyard.objects import Metadata, Service, Target
+from loomyard.platform.vm_list import Vm, VmState
+from loomyard.routing import Routing
+from loomyard_router.peers.no_peers import NoPeers
+from loomyard_router.targets.known_targets import KnownTargets, make_known_targets
+from loomyard_standins.memory_engines import MemoryEngines
+from test_loomyard_router.test_members.test_swim import TIMES, Fleet
+
+SPREAD_SECONDS = 2.0
+LOSS = 0.2
+
+
+def target(name: str) -> Target:
+    return Target(
+        metadata=Metadata(name=name), url=f"http://{name}", services=["model"], vm=f"vm-{name}"
+    )
+
+
+class LeavingSpreadTest(unittest.TestCase):
+    def start(self, count: int) -> tuple[Fleet, dict[str, KnownTargets]]:
+        objects = [Service(metadata=Metadata(name="model")), target("a"), target("b")]
+        change = Change(change_id="c", puts=[Put(object=item) for item in objects])
+        routing = Routing(fold(ConfigState(), 0, change)[0])
+        fleet = Fleet(count)
+        engines = MemoryEngines()
+        routers = {}
+        for name, members in fleet.members.items():
+            routers[name] = make_known_targets(fleet.clock, engines, members, NoPeers())
+            routers[name].reconfigure(routing)
+        fleet.network.loss = LOSS
+        return fleet, routers
+
+    def seconds_until_known(
+        self, fleet: Fleet, routers: dict[str, KnownTargets], name: str
+    ) -> float:
+        since = fleet.clock.now()
+        while any(router.may_send(name) for router in routers.values()):
+            self.assertLess(fleet.clock.now() - since, 10 * SPREAD_SECONDS)
+            fleet.run(TIMES.tick)
+        return fleet.clock.now() - since
+
+    def test_within_two_seconds_of_the_first_knowledge(self) -> None:
+        for count in (3, 9, 24):
+            with self.subTest(routers=count):
+                fleet, routers = self.start(count)
+                routers["r1"].report_leaving("a")
+                self.assertLessEqual(self.seconds_until_known(fleet, routers, "a"), SPREAD_SECONDS)
+                routers["r2"].take_vms([Vm(name="vm-b", data_centre="", state=VmState.LEAVING)])
+                self.assertLessEqual(self.seconds_until_known(fleet, routers, "b"), SPREAD_SECONDS)
+
+    def test_a_router_that_starts_later_learns_it(self) -> None:
+        fleet, routers = self.start(5)
+        routers["r1"].report_leaving("a")
+        fleet.run(SPREAD_SECONDS)
+        members = fleet.start("late")
+        fleet.run(SPREAD_SECONDS)
+        late = make_known_targets(fleet.clock, MemoryEngines(), members, NoPeers())
+        objects = [Service(metadata=Metadata(name="model")), target("a"), target("b")]
+        change = Change(change_id="c", puts=[Put(object=item) for item in objects])
+        late.reconfigure(Routing(fold(ConfigState(), 0, change)[0]))
+        self.assertEqual([late.may_send("a"), late.may_send("b")], [False, True])
+
+
+if __name__ == "__main__":
+    unittest.main()
