--- a/packages/loomyard-router/src/loomyard_router/callers/handler.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/handler.py
@@ -8,10 +8,11 @@
 from typing import TYPE_CHECKING, Any
 
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIHandler
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
+from loomyard.util.tcp import NoDelayServer
 from loomyard_router.callers.presence_watch import PresenceWatch
 from loomyard_router.callers.problems import problem_document
 from loomyard_router.requests.presence import CallerPresence
@@ -67,6 +68,19 @@
                 self.wsgi_input.content_length = 0
                 self.wsgi_input.chunked_input = False
 
+    def _sendall(self, data: bytes) -> None:
+        sent = self.socket.send(data)
+        if sent < len(data):
+            super()._sendall(data[sent:])
+        self.response_length += sent
+
+    def _write(self, data: bytes) -> None:
+        if not data:
+            return
+        if self.response_use_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._sendall(data)
+
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
         self.close_connection = True
         if isinstance(v, OSError):
@@ -87,7 +101,7 @@
         return str(status.value), head.encode() + body
 
 
-class CallerServer(WSGIServer):
+class CallerServer(NoDelayServer):
     """The listener for callers."""
 
     handler_class = CallerHandler
--- a/packages/loomyard-router/src/loomyard_router/shares/fleet.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/fleet.py
@@ -25,6 +25,7 @@
 from loomyard_router.shares.reporter import Reporter
 from loomyard_router.shares.request_queues import RequestQueues
 from loomyard_router.shares.short_ids import short_id
+from loomyard_router.targets.choosing import choose as choose_target
 
 if TYPE_CHECKING:
     from gevent import Greenlet
@@ -49,6 +50,7 @@
 MESSAGE_BURST = 8.0
 # A router that began less than this ago may not know yet that there are others.
 JOINING = 1.5
+NO_MARGIN = 1.0
 
 
 class FleetPolicy:
@@ -70,6 +72,7 @@
         self._levels = AccountLevels()
         self._held = HeldSlots()
         self._overdue = Overdue()
+        self._directory = directory
         self._capacity = Capacity(directory)
         self._in_flight: Counter[str] = Counter()
         self._exchanging = False
@@ -162,6 +165,10 @@
         self._capacity.refresh()
         self._allocator.touch()
 
+    def waiting(self, service: str) -> int:
+        """Return how many requests of a service wait in the fleet, as far as reported here."""
+        return self._allocator.waiting(short_id(service))
+
     def _run(self) -> None:
         while True:
             self._clock.sleep(POLL_INTERVAL)
@@ -195,7 +202,7 @@
             return
         free = self._held.free(now)
         while free and (waiting := self._neediest(free, now)) is not None:
-            target = self._capacity.choose(waiting, free, self._held)
+            target = self._choose_target(waiting, free)
             free[target] -= 1
             if not free[target]:
                 del free[target]
@@ -236,6 +243,16 @@
         service = waiting.service.metadata.name
         return target in waiting.targets_by_id and self._capacity.usable(target, service)
 
+    def _choose_target(self, waiting: WaitingRequest, free: dict[bytes, int]) -> bytes:
+        usable = {t: free[t] for t in free if self._usable(t, waiting)}
+        if not waiting.prefix:
+            return max(usable, key=usable.__getitem__)
+        # Free slots of one lease cost the balance nothing, whichever is used.
+        candidates = [self._capacity.candidate(t, slots) for t, slots in usable.items()]
+        chosen = choose_target(candidates, waiting.prefix, self._directory, margin=NO_MARGIN)
+        assert chosen is not None
+        return short_id(chosen.metadata.name)
+
     def _keeps(self, waiting: WaitingRequest, now: float) -> bool:
         told = self._reporter.told
         lowest = told.lowest(short_id(waiting.service.metadata.name), now)
