--- a/packages/loomyard-router/src/loomyard_router/shares/capacity.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/capacity.py
@@ -41,10 +41,6 @@
             if usable(target.metadata.name)
         }
 
-    def refresh(self) -> None:
-        """Take in that the directory changed."""
-        self._allowed.clear()
-
     def usable(self, target: bytes, service: str) -> bool:
         """Tell whether a target may get new work of a service."""
         found = self._targets.get(target)
@@ -83,5 +79,4 @@
         if self._routing is None or found is None or name is None:
             return ()
         targets = self._routing.resolve(found, name).unwrap_or(())
-        names = [target.metadata.name for target in targets]
-        return tuple(short_id(n) for n in names if self._directory.may_send(n, name))
+        return tuple(short_id(target.metadata.name) for target in targets)
--- a/packages/loomyard-router/src/loomyard_router/shares/fleet.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/fleet.py
@@ -101,7 +101,7 @@
         peers.handle(ShareReply, self._handle_reply)
         peers.handle(ShareReset, self._handle_reset)
         members.subscribe(self._allocator.take_members)
-        directory.subscribe(self._take_directory)
+        directory.subscribe(self._allocator.touch)
 
     @property
     def held(self) -> HeldSlots:
@@ -161,10 +161,6 @@
         self._admit()
         self._exchange()
 
-    def _take_directory(self) -> None:
-        self._capacity.refresh()
-        self._allocator.touch()
-
     def waiting(self, service: str) -> int:
         """Return how many requests of a service wait in the fleet, as far as reported here."""
         return self._allocator.waiting(short_id(service))
