--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -3,51 +3,90 @@
 from __future__ import annotations
 
 import logging
-import secrets
-import socket
 from typing import TYPE_CHECKING
 
-from gevent.pywsgi import WSGIServer
+from gevent.event import Event as GeventEvent
 
 from loomyard.clock import SystemClock
 from loomyard.events import Event, emit
 from loomyard.platform.http_log import connect_log
+from loomyard.platform.http_vm_list import connect_vm_list
 from loomyard_router.callers.app import CallersApp
-from loomyard_router.claims.no_claims import NoClaims
+from loomyard_router.callers.handler import CallerServer
+from loomyard_router.callers.in_flight import InFlight
+from loomyard_router.claims.log_claims import make_log_claims
+from loomyard_router.configuration.distribution import make_distribution
 from loomyard_router.configuration.follower import ConfigFollower
-from loomyard_router.members.membership import Member, SoleMembership
+from loomyard_router.fleet_parts import make_fleet_parts
+from loomyard_router.operators.interface import make_operators_interface
 from loomyard_router.parts import Parts, Platform
-from loomyard_router.peers.no_peers import NoPeers
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
 from loomyard_router.requests.serving import Serving
 from loomyard_router.shares.fifo import make_fifo_policy
+from loomyard_router.shares.fleet import make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
-from loomyard_router.targets.directory import make_configured_targets
 from loomyard_router.targets.http_engine import make_http_engine
+from loomyard_router.targets.known_targets import make_known_targets
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard.clock import Clock
+    from loomyard_router.members.membership import Membership
+    from loomyard_router.peers.links import PeerLinks
     from loomyard_router.settings import Settings
     from loomyard_router.shares.policy import SharePolicy
+    from loomyard_router.targets.directory import TargetDirectory
 
 logger = logging.getLogger(__name__)
 
-INCARNATION_BITS = 48
-
 
 class Application:
     """One router."""
 
-    def __init__(self, settings: Settings, parts: Parts, callers: CallersApp) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        platform: Platform,
+        parts: Parts,
+        callers: CallersApp,
+        *,
+        serving: Serving,
+    ) -> None:
         self.parts = parts
+        self.callers = callers
         self._settings = settings
+        self._clock = platform.clock
+        self._serving = serving
+        self._in_flight = InFlight(platform.clock)
+        self._drained: GeventEvent | None = None
         host, _, port = settings.listen.rpartition(":")
-        self._server = WSGIServer((host, int(port)), callers, log=None, error_log=logger)
+        self._server = CallerServer(
+            (host, int(port)), callers, log=None, error_log=logger, in_flight=self._in_flight
+        )
+        self.operators = make_operators_interface(
+            settings,
+            platform,
+            parts,
+            stopping=lambda: serving.stopping,
+            begin_stop=self.request_stop,
+        )
+        self._stop_listeners: list[Callable[[], None]] = []
 
     @property
     def port(self) -> int:
         return self._server.server_port
 
+    def on_stop_request(self, listener: Callable[[], None]) -> None:
+        """Call back when an operator asks for a planned stop."""
+        self._stop_listeners.append(listener)
+
+    def request_stop(self) -> None:
+        """Ask for a planned stop, as a signal to the process does."""
+        for listener in self._stop_listeners:
+            listener()
+
     def start(self) -> None:
         """Start to follow the configuration and to serve callers."""
         parts = self.parts
@@ -55,66 +94,107 @@
         parts.follower.subscribe(parts.policy.reconfigure)
         for part in (parts.peers, parts.members, parts.follower, parts.targets):
             part.start()
+        if parts.vm_watch is not None:
+            parts.vm_watch.start()
         parts.claims.start()
         parts.policy.start()
+        parts.distribution.start()
         self._server.start()
-        _send_at_once(self._server)
+        self.operators.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, port=self.port)
 
+    def drain(self) -> None:
+        """Stop as planned: refuse new and waiting work, let what runs end, then stop.
+
+        A second call waits for the first.
+        """
+        if self._drained is not None:
+            self._drained.wait()
+            return
+        self._drained = GeventEvent()
+        emit(logger, Event.ROUTER_STOPPING, in_flight=len(self._in_flight))
+        deadline = self._clock.now() + self._settings.drain_seconds
+        self._serving.stop()
+        self.parts.members.leave()
+        self._in_flight.wait_idle(deadline)
+        emit(logger, Event.ROUTER_STOPPED, in_flight=len(self._in_flight))
+        self.stop()
+        self._drained.set()
+
     def stop(self) -> None:
         """Stop at once."""
+        self.operators.stop()
         self._server.stop()
         parts = self.parts
+        parts.distribution.stop()
         parts.policy.stop()
         parts.claims.stop()
+        if parts.vm_watch is not None:
+            parts.vm_watch.stop()
         for part in (parts.targets, parts.follower, parts.members, parts.peers):
             part.stop()
 
 
-def _send_at_once(server: WSGIServer) -> None:
-    # The WSGI server writes the end of an answer apart; held back by Nagle's algorithm until the
-    # caller's delayed acknowledgement, it came 40 ms late. Accepted sockets inherit the option.
-    server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-
-
 def make_platform(settings: Settings) -> Platform:
     """Connect to the outside systems that the settings name."""
     clock = SystemClock()
     log = connect_log(settings.log_service)
-    return Platform(clock=clock, log=log, engine=make_http_engine(clock))
+    vm_list = connect_vm_list(settings.vm_list) if settings.vm_list else None
+    return Platform(clock=clock, log=log, engine=make_http_engine(clock), vm_list=vm_list)
 
 
 def make_application(settings: Settings, platform: Platform | None = None) -> Application:
     """Wire a router from its settings."""
     platform = platform or make_platform(settings)
     clock = platform.clock
-    own = Member(
-        name=settings.name,
-        incarnation=secrets.randbits(INCARNATION_BITS),
-        address="",
-        data_centre=settings.data_centre,
+    fleet = make_fleet_parts(settings, platform)
+    follower = ConfigFollower(platform.log, clock)
+    targets = make_known_targets(
+        clock, platform.engine, fleet.members, fleet.peers, vm_list=platform.vm_list
     )
     parts = Parts(
-        members=SoleMembership(own),
-        peers=NoPeers(),
-        follower=ConfigFollower(platform.log, clock),
-        targets=make_configured_targets(),
-        policy=_make_policy(settings, platform),
-        claims=NoClaims(),
+        members=fleet.members,
+        peers=fleet.peers,
+        traffic=fleet.traffic,
+        vm_watch=fleet.vm_watch,
+        follower=follower,
+        distribution=make_distribution(
+            platform, follower, fleet.members, fleet.peers, retention=settings.log_retention
+        ),
+        targets=targets,
+        policy=_make_policy(settings, clock, fleet.members, fleet.peers, targets),
+        claims=make_log_claims(
+            log=platform.log,
+            clock=clock,
+            members=fleet.members,
+            peers=fleet.peers,
+            window=settings.claim_window,
+        ),
         journal=Journal(clock),
     )
     serving = Serving(
         clock=clock,
         follower=parts.follower,
         policy=parts.policy,
+        targets=parts.targets,
+        claims=parts.claims,
         engine=platform.engine,
         estimates=CostEstimates(),
+        journal=parts.journal,
     )
     callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
-    return Application(settings, parts, callers)
+    return Application(settings, platform, parts, callers, serving=serving)
 
 
-def _make_policy(settings: Settings, platform: Platform) -> SharePolicy:
+def _make_policy(
+    settings: Settings,
+    clock: Clock,
+    members: Membership,
+    peers: PeerLinks,
+    directory: TargetDirectory,
+) -> SharePolicy:
     if settings.policy == "fifo":
-        return make_fifo_policy(platform.clock)
-    return make_local_policy(platform.clock, position=settings.position, routers=settings.routers)
+        return make_fifo_policy(clock)
+    if settings.policy == "local":
+        return make_local_policy(clock, position=settings.position, routers=settings.routers)
+    return make_fleet_policy(clock, members=members, peers=peers, directory=directory)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/targets/slots_notice.py
@@ -0,0 +1,14 @@
+"""What the router that polls a target found, as it goes between routers."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+
+@frozen(kw_only=True)
+class SlotsNotice:
+    """A slot estimate; of one target the greater ``sequence`` is the newer."""
+
+    target: str
+    sequence: int
+    slots: int
--- a/packages/loomyard-standins/src/loomyard_standins/benches/fairness.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/fairness.py
@@ -15,7 +15,7 @@
 from loomyard_standins.benches.child import Child  # noqa: E402
 from loomyard_standins.benches.workload import USERS  # noqa: E402
 
-POLICIES = ("single", "local", "fifo")
+POLICIES = ("single", "fleet", "local", "fifo")
 SLACK_SECONDS = 30.0
 
 
--- a/packages/loomyard-standins/src/loomyard_standins/benches/router_status.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/router_status.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
-from attrs import frozen
+from attrs import field, frozen
 
 
 @frozen(kw_only=True)
 class RouterStatus:
-    """Configuration version in force, and counts since the start of the process."""
+    """Configuration version in force, live members, and counts since the process started.
+
+    ``kinds`` gives messages and bytes sent by message type.
+    """
 
     version: int
-    cpu_seconds: float
+    live: int
     log_appends: int
-    control_bytes: int = 0
-    control_messages: int = 0
-    slots_moved: int = 0
+    control_bytes: int
+    control_messages: int
+    slots_moved: int
+    kinds: dict[str, tuple[int, int]] = field(factory=dict)
--- a/packages/loomyard/src/loomyard/errors.py
+++ b/packages/loomyard/src/loomyard/errors.py
@@ -58,6 +58,7 @@
     ANSWER_INVALID = 3006, "the answer is not one to this request"
     STREAM_GONE = 3007, "the target no longer has the stream"
     ORDER_FENCED = 3008, "the engine refused an order with an old fencing number"
+    TARGET_FAILED = 3009, "the engine answered with an error of its own"
 
     KEY_REUSED = 4001, "the idempotency key was used for another request"
     KEY_EXPIRED = 4002, "the idempotency key is older than the window"
@@ -81,6 +82,8 @@
     OPERATOR_REFUSED = 6006, "the operator key is not valid"
     MESSAGE_INVALID = 6007, "the message cannot be read"
     WEIGHT_STORE_LIMITED = 6008, "the weight store allows no load yet"
+    PEER_FAILED = 6011, "a peer could not answer a message"
+    VM_LIST_UNAVAILABLE = 6010, "the VM list did not answer"
 
     INVALID_SETTING = 7001, "a setting is not valid"
 
--- a/packages/loomyard/src/loomyard/platform/http_log.py
+++ b/packages/loomyard/src/loomyard/platform/http_log.py
@@ -4,19 +4,21 @@
 
 from typing import TYPE_CHECKING
 
-from geventhttpclient import HTTPClient
 from result import Err, Ok, Result
 
 from loomyard.codec import decode
 from loomyard.errors import Executed, Fault, ResultCode
 from loomyard.platform.log_service import LogBatch
+from loomyard.util.tcp import make_http_client
 
 if TYPE_CHECKING:
+    from geventhttpclient import HTTPClient
+
     from loomyard.platform.log_service import LogService
 
 CONNECT_TIMEOUT = 1.0
 ANSWER_TIMEOUT = 5.0
-CONCURRENCY = 16
+CONCURRENCY = 64
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 
@@ -25,18 +27,14 @@
     """Streams of a log service that answers over HTTP."""
 
     def __init__(self, host: str, port: int) -> None:
-        self._client = HTTPClient(
-            host,
-            port,
-            concurrency=CONCURRENCY,
-            connection_timeout=CONNECT_TIMEOUT,
-            network_timeout=ANSWER_TIMEOUT,
-        )
+        # Reads that wait for news must not keep appends from a connection.
+        self._appends = _make_client(host, port)
+        self._reads = _make_client(host, port)
 
     def append(self, stream: str, payload: bytes) -> Result[int, Fault]:
         """Append a record and return its offset."""
         try:
-            response = self._client.post(f"/streams/{stream}/records", body=payload)
+            response = self._appends.post(f"/streams/{stream}/records", body=payload)
             body = bytes(response.read())
         except ConnectionRefusedError as error:
             return Err(_unavailable(str(error)))
@@ -54,7 +52,7 @@
         """Read from an offset on; wait up to some seconds while there is nothing new."""
         query = f"from={offset}&limit={limit}&wait={wait:.3f}"
         try:
-            response = self._client.get(f"/streams/{stream}/records?{query}")
+            response = self._reads.get(f"/streams/{stream}/records?{query}")
             body = bytes(response.read())
         except Exception as error:
             return Err(_unavailable(str(error)))
@@ -69,6 +67,16 @@
     return HttpLogService(host, int(port))
 
 
+def _make_client(host: str, port: int) -> HTTPClient:
+    return make_http_client(
+        host,
+        port,
+        concurrency=CONCURRENCY,
+        connection_timeout=CONNECT_TIMEOUT,
+        network_timeout=ANSWER_TIMEOUT,
+    )
+
+
 def _unavailable(detail: str) -> Fault:
     return Fault(code=ResultCode.LOG_UNAVAILABLE, detail=detail)
 
