--- a/packages/loomyard-standins/src/loomyard_standins/benches/policy_run.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/policy_run.py
@@ -38,14 +38,14 @@
             seconds=timeline.end,
         )
         driver = Driver(workload, timeline, trace, fleet.ports, options.seed)
-        before = _cpu(fleet)
+        before, began = _cpu(fleet), [fleet.status(position) for position in range(routers)]
         driver.run()
         used = _cpu(fleet) - before
         statuses = [fleet.status(position) for position in range(routers)]
         report = fleet.end_engines()
     finally:
         fleet.stop()
-    figures = make_figures(workload, timeline, trace, driver, report, statuses, used)
+    figures = make_figures(workload, timeline, trace, driver, report, (began, statuses), used)
     if options.trace:
         np.savez_compressed(options.trace, service=trace.service)
     announce(**figures)
