--- a/packages/loomyard-router/src/loomyard_router/members/beliefs.py
+++ b/packages/loomyard-router/src/loomyard_router/members/beliefs.py
@@ -38,6 +38,7 @@
         self._news = news
         self._clock = clock
         self._period = period
+        self._pending: set[str] = set()
         self._joining_until = clock.now() + JOIN_SECONDS
         self.take(_first_update(own))
 
@@ -45,6 +46,13 @@
     def own(self) -> MemberUpdate:
         return self.table.records[self._name].update
 
+    @property
+    def doubting(self) -> bool:
+        """Tell whether a suspicion is open."""
+        return any(
+            self.table.records[name].update.liveness is Liveness.SUSPECT for name in self._pending
+        )
+
     def others(self) -> list[MemberRecord]:
         """Return the records of the other routers that are not dead."""
         return [record for record in self.table.live() if record.update.name != self._name]
@@ -67,6 +75,10 @@
             record.suspected_until = now + self._suspicion_seconds()
         elif update.liveness is Liveness.DEAD:
             record.forget_at = now + DEAD_KEPT
+        if update.liveness is Liveness.ALIVE:
+            self._pending.discard(update.name)
+        else:
+            self._pending.add(update.name)
         return True
 
     def suspect(self, record: MemberRecord) -> bool:
@@ -88,16 +100,18 @@
     def bury(self, listed: Iterable[str]) -> None:
         """Declare dead who did not refute in time; forget the dead that no VM list names."""
         now = self._clock.now()
-        for name, record in list(self.table.records.items()):
+        for name in list(self._pending):
+            record = self.table.records[name]
             if record.suspected_until <= now:
                 self.take(evolve(record.update, liveness=Liveness.DEAD))
             elif record.forget_at <= now and name not in listed:
                 self.table.forget(name)
+                self._pending.discard(name)
 
     def postpone(self, seconds: float) -> None:
         """Give the suspected more time, since this router could not hear them."""
-        for record in self.table.records.values():
-            record.suspected_until += seconds
+        for name in self._pending:
+            self.table.records[name].suspected_until += seconds
 
     def _hear_of_self(self, update: MemberUpdate) -> None:
         own = self.own
--- a/packages/loomyard-router/src/loomyard_router/members/pause.py
+++ b/packages/loomyard-router/src/loomyard_router/members/pause.py
@@ -7,16 +7,16 @@
 
 @define(eq=False, kw_only=True)
 class PauseWatch:
-    """Compare a timer of ``interval`` seconds with the clock; beyond ``bound`` is a pause."""
+    """Compare when a timer woke with when it was due; beyond ``bound`` seconds is a pause.
 
-    interval: float
+    Less than ``slack`` seconds are no lateness.
+    """
+
+    slack: float
     bound: float
-    ticked_at: float
+    due: float
 
     def tick(self, now: float) -> tuple[float, bool]:
         """Return by how many seconds this tick is late, and whether that is a pause."""
-        late = now - self.ticked_at - self.interval
-        self.ticked_at = now
-        if late <= self.interval:
-            return 0.0, False
-        return late, late > self.bound
+        late = now - self.due
+        return (late, late > self.bound) if late > self.slack else (0.0, False)
--- a/packages/loomyard-router/src/loomyard_router/members/prober.py
+++ b/packages/loomyard-router/src/loomyard_router/members/prober.py
@@ -51,6 +51,11 @@
         self._round: list[str] = []
         self._periods = 0
 
+    @property
+    def busy(self) -> bool:
+        """Tell whether answers are awaited."""
+        return bool(self._probes)
+
     def begin_period(self) -> None:
         """Probe the next router; now and then look where nobody is believed alive."""
         self._periods += 1
--- a/packages/loomyard-router/src/loomyard_router/members/probes.py
+++ b/packages/loomyard-router/src/loomyard_router/members/probes.py
@@ -30,6 +30,9 @@
     _probes: dict[int, Probe] = field(factory=dict)
     _nonce: int = 0
 
+    def __len__(self) -> int:
+        return len(self._probes)
+
     def add(self, probe: Probe) -> int:
         """Keep a probe and return its nonce."""
         self._nonce += 1
--- a/packages/loomyard-router/src/loomyard_router/members/swim.py
+++ b/packages/loomyard-router/src/loomyard_router/members/swim.py
@@ -101,9 +101,7 @@
         )
         now = clock.now()
         self._next_period = now
-        self._pause = PauseWatch(
-            interval=self._times.tick, bound=self._times.pause_bound, ticked_at=now
-        )
+        self._pause = PauseWatch(slack=self._times.tick, bound=self._times.pause_bound, due=now)
         self._changed = Listeners()
         self._paused = Listeners()
         self._seen: tuple[Member, ...] = ()
@@ -178,6 +176,7 @@
             self._prober.begin_period()
         self._topics.expire()
         self._refresh()
+        self._pause.due = now + self._seconds_to_tick(now)
 
     def receive(self, data: bytes) -> None:
         """Take a datagram in."""
@@ -202,7 +201,13 @@
     def _run(self) -> None:
         while True:
             self.tick()
-            self._clock.sleep(self._times.tick)
+            self._clock.sleep(self._pause.due - self._clock.now())
+
+    def _seconds_to_tick(self, now: float) -> float:
+        """Return a tick while a verdict is open, and else the time to the next period."""
+        if self._prober.busy or self._beliefs.doubting:
+            return self._times.tick
+        return max(self._next_period - now, 0.0)
 
     def _note_silence(self, now: float) -> None:
         """Take in that this process was slow or stood still, and so could hear nobody."""
--- a/packages/loomyard-router/src/loomyard_router/members/topics.py
+++ b/packages/loomyard-router/src/loomyard_router/members/topics.py
@@ -36,15 +36,17 @@
 
     clock: Clock
     _held: dict[tuple[str, str], _Held] = field(factory=dict)
+    _digest: int | None = None
     _listeners: dict[str, list[Callable[[str, int], None]]] = field(factory=dict)
 
     @property
     def digest(self) -> int:
         """Return a sum over the items, equal where they agree."""
-        total = 0
-        for (topic, key), held in self._held.items():
-            total ^= zlib.crc32(cbor2.dumps([topic, key, held.value]))
-        return total
+        if self._digest is None:
+            self._digest = 0
+            for (topic, key), held in self._held.items():
+                self._digest ^= zlib.crc32(cbor2.dumps([topic, key, held.value]))
+        return self._digest
 
     def subscribe(self, topic: str, heard: Callable[[str, int], None]) -> None:
         """Call back with the items of a topic, known ones first."""
@@ -83,6 +85,7 @@
         now = self.clock.now()
         for name in [name for name, held in self._held.items() if held.until <= now]:
             del self._held[name]
+            self._digest = None
 
     def _hold(self, topic: str, key: str, value: int, until: float) -> bool:
         held = self._held.get((topic, key))
@@ -93,4 +96,5 @@
             return False
         until = min(until, self.clock.now() + MAX_LIFE)
         self._held[topic, key] = _Held(value, until)
+        self._digest = None
         return True
--- a/packages/loomyard-router/src/loomyard_router/peers/fleet_secret.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/fleet_secret.py
@@ -39,11 +39,8 @@
 
 def digest(key: bytes, *parts: bytes) -> bytes:
     """Return an HMAC over parts, each with its length so that none can shift into another."""
-    mac = hmac.new(key, digestmod=DIGEST)
-    for part in parts:
-        mac.update(len(part).to_bytes(4, "big"))
-        mac.update(part)
-    return mac.digest()
+    sized = [piece for part in parts for piece in (len(part).to_bytes(4, "big"), part)]
+    return hmac.digest(key, b"".join(sized), DIGEST)
 
 
 def tag(key: bytes, *parts: bytes) -> bytes:
--- a/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
@@ -174,6 +174,7 @@
             f"{scheme}://{member.address}/",
             ssl=self._tls.client if self._tls else None,
             create_connection=OpenedConnection,
+            legacy=True,  # a plain connection, which outlives this function
             compression=None,
             ping_interval=None,
             proxy=None,
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/members/__init__.py
@@ -0,0 +1,1 @@
+"""Measure membership and links between router processes."""
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/members/node.py
@@ -0,0 +1,114 @@
+"""A process with the membership and links of one router, steered by lines on its input."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import logging  # noqa: E402
+import sys  # noqa: E402
+from typing import Any  # noqa: E402
+
+import attrs  # noqa: E402
+import gevent  # noqa: E402
+from attrs import frozen  # noqa: E402
+from gevent.fileobject import FileObject  # noqa: E402
+
+from loomyard.clock import SystemClock  # noqa: E402
+from loomyard_router.fleet_parts import FleetParts, make_fleet_parts  # noqa: E402
+from loomyard_router.parts import Platform  # noqa: E402
+from loomyard_router.peers.message_types import peer_message  # noqa: E402
+from loomyard_router.settings import Settings  # noqa: E402
+from loomyard_standins.benches.slopes.usage import cpu_seconds, resident_bytes  # noqa: E402
+from loomyard_standins.log_service import MemoryLog  # noqa: E402
+
+SECRET = "bench"
+REQUEST_SECONDS = 10.0
+
+
+@peer_message("bench-counter")
+@frozen(kw_only=True)
+class Counter:
+    """A small message, like a counter of one account."""
+
+    account: str
+    served: float
+    waiting: int
+
+
+class Node:
+    """One router's part; each command prints one line of JSON."""
+
+    def __init__(self, name: str, seed: str) -> None:
+        self.clock = SystemClock()
+        self.received = 0
+        settings = Settings(
+            name=name,
+            data_centre="dc-1",
+            peer_listen="127.0.0.1:0",
+            peers=(seed,) if seed else (),
+            fleet_secret=(SECRET,),
+        )
+        platform = Platform(clock=self.clock, log=MemoryLog(), engine=None)  # type: ignore[arg-type]
+        self.parts: FleetParts = make_fleet_parts(settings, platform)
+        self.parts.peers.handle(Counter, self._receive)
+        self.parts.peers.start()
+        self.parts.members.start()
+        self.changes: list[tuple[float, str, str]] = []
+        self.parts.members.subscribe(self._note)
+
+    def sample(self) -> dict[str, Any]:
+        """Return counters, processor seconds and memory."""
+        return {
+            "kinds": {k: attrs.asdict(v) for k, v in self.parts.traffic.kinds.items()},
+            "resident": resident_bytes(),
+            "live": len(self.parts.members.live()),
+            "received": self.received,
+            "changes": self.changes,
+            "address": self.parts.members.own.address,
+            # Last, since reading the resident memory collects garbage.
+            "cpu": cpu_seconds(),
+        }
+
+    def flood(self, to: str, turns: str, pace: str, batch: str) -> dict[str, Any]:
+        """Send a batch of messages each turn, ``pace`` seconds apart; return processor seconds."""
+        before = cpu_seconds()
+        for _ in range(int(turns)):
+            for number in range(int(batch)):
+                message = Counter(account=f"a-{number}", served=1.5, waiting=number)
+                self.parts.peers.send(to, message)
+            gevent.sleep(float(pace))
+        return {"cpu": cpu_seconds() - before}
+
+    def ask(self, to: str) -> dict[str, Any]:
+        """Open a link by a request."""
+        message = Counter(account="a", served=1.0, waiting=1)
+        outcome = self.parts.peers.request(to, message, self.clock.now() + REQUEST_SECONDS)
+        return {"answered": outcome.is_ok()}
+
+    def _receive(self, sender: object, message: Counter) -> None:
+        self.received += 1
+
+    def _note(self) -> None:
+        members = self.parts.members
+        names = {name for _, name, _ in self.changes} | {m.name for m in members.live()}
+        now = self.clock.now()
+        for name in names:
+            member = members.find(name)
+            if member is not None:
+                self.changes.append((now, name, member.state.value))
+
+
+def main() -> None:
+    """Serve commands until the input ends."""
+    logging.disable(logging.CRITICAL)
+    node = Node(sys.argv[1], sys.argv[2] if len(sys.argv) > 2 else "")
+    for line in FileObject(sys.stdin, "r"):
+        command, *arguments = line.split()
+        print(json.dumps(getattr(node, command)(*arguments)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
