Make allocations cost the same part of a core at any size of fleet

Cause: make bench-slopes (new probe shares_routers: routers with the accounts, targets and requests that each has in two years) showed the allocator's processor time growing with the square of the routers: every report and every request of its own router led to an allocation over everything that waits, and the least level elsewhere was searched for each router and service. Ruled out: encoding and granting (profile: 80 % in the search and in building the demands twice). Conclusion: beyond 150 items allocations leave a pause that grows with their size.

--- a/packages/loomyard-router/src/loomyard_router/shares/allocator.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/allocator.py
@@ -30,6 +30,10 @@
 # Account levels that moved by less than this part of the margin are not told.
 TOLD_PART = 0.125
 CREDIT_MARGINS = 4.0
+# Beyond some size an allocation leaves a pause that grows with what it looked at, so that a larger
+# fleet makes allocations rarer and not a larger part of a core.
+UNPACED_SIZE = 150
+GAP_PER_ITEM = 0.0003
 
 
 class Allocator:
@@ -64,6 +68,7 @@
         self._margin = 0
         self._began_at: float | None = None
         self._dirty = False
+        self._allocate_at = float("-inf")
 
     @property
     def levels(self) -> FleetLevels:
@@ -106,7 +111,7 @@
         """Grant what can be granted and send the replies that are due."""
         now = self._clock.now()
         self._expire(now)
-        if self._dirty:
+        if self._dirty and now >= self._allocate_at:
             self._allocate(now)
         for router in sorted(self._routers.values(), key=lambda r: (not r.urgent, r.replied_at)):
             if router.urgent or (router.reply_due and now >= router.replied_at + REPLY_GAP):
@@ -156,6 +161,8 @@
     def _allocate(self, now: float) -> None:
         self._dirty = False
         demands = Demands(self._routers.values(), self._levels)
+        size = demands.count + len(self._routers) + self._capacity.target_count
+        self._allocate_at = now + max(0, size - UNPACED_SIZE) * GAP_PER_ITEM
         if demands.floor is None:
             self._levels.floor.rest()
         else:
@@ -168,7 +175,7 @@
             self._spread(demands, free)
         else:
             self._dirty = True
-        self._tell_lowest(Demands(self._routers.values(), self._levels))
+        self._tell_lowest(demands)
 
     def _free_slots(self, now: float) -> dict[bytes, int]:
         """Return the free slots of each target; negative where too many are out."""
--- a/packages/loomyard-router/src/loomyard_router/shares/capacity.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/capacity.py
@@ -24,6 +24,10 @@
         self._accounts: dict[bytes, ClientAccount] = {}
         self._allowed: dict[tuple[bytes, bytes], tuple[bytes, ...]] = {}
 
+    @property
+    def target_count(self) -> int:
+        return len(self._targets)
+
     def reconfigure(self, routing: Routing) -> None:
         """Take over a configuration."""
         self._routing = routing
--- a/packages/loomyard-router/src/loomyard_router/shares/demands.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/demands.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from attrs import frozen
+from attrs import define, frozen
 
 from loomyard_router.shares.reporting_router import ReportingRouter
 
@@ -29,6 +29,23 @@
     overdue: bool
 
 
+@define
+class _Lowest:
+    """The least level that waits for a service, where, and the least at other routers."""
+
+    level: float
+    router: str
+    elsewhere: float | None = None
+
+    def note(self, level: float, router: str) -> None:
+        if level < self.level:
+            if router != self.router:
+                self.elsewhere = self.level
+            self.level, self.router = level, router
+        elif router != self.router and (self.elsewhere is None or level < self.elsewhere):
+            self.elsewhere = level
+
+
 class Demands:
     """All demands at one moment."""
 
@@ -36,13 +53,20 @@
         self.by_service: defaultdict[bytes, list[Demand]] = defaultdict(list)
         self.floor: float | None = None
         self.margin = 0
-        estimates = []
+        self.count = 0
+        self._lowest: dict[bytes, _Lowest] = {}
+        estimates = 0
         for router in routers:
+            unmet = router.count_pending()
             for account, report in router.accounts.items():
+                if not report.waiting:
+                    continue
+                level = levels.level(account)
+                self.floor = level if self.floor is None else min(self.floor, level)
                 for service, waiting in report.waiting.items():
-                    level = levels.level(account)
-                    self.floor = level if self.floor is None else min(self.floor, level)
-                    estimates.append(waiting.estimate)
+                    self.count += 1
+                    estimates += waiting.estimate
+                    self._note_lowest(service, level, router.name)
                     self.by_service[service].append(
                         Demand(
                             router,
@@ -51,14 +75,23 @@
                             level,
                             waiting.estimate,
                             waiting.count,
-                            router.unmet(account, service),
+                            waiting.count - unmet[account, service],
                             waiting.overdue,
                         )
                     )
-        if estimates:
-            self.margin = round(sum(estimates) / len(estimates))
+        if self.count:
+            self.margin = round(estimates / self.count)
+
+    def _note_lowest(self, service: bytes, level: float, router: str) -> None:
+        lowest = self._lowest.get(service)
+        if lowest is None:
+            self._lowest[service] = _Lowest(level, router)
+        else:
+            lowest.note(level, router)
 
     def lowest_elsewhere(self, service: bytes, name: str) -> float | None:
         """Return the least level that waits for a service at other routers."""
-        found = self.by_service.get(service, ())
-        return min((d.level for d in found if d.router.name != name), default=None)
+        lowest = self._lowest.get(service)
+        if lowest is None:
+            return None
+        return lowest.elsewhere if lowest.router == name else lowest.level
--- a/packages/loomyard-router/src/loomyard_router/shares/parents.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/parents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from loomyard.rendezvous import choose
@@ -12,8 +13,15 @@
 # The fleet's accounts and targets have one allocator; more would each take a part of the accounts.
 ALLOCATORS = 1
 ALLOCATOR_KEY = "allocator"
+# The choice is asked for at each report and changes with the members only.
+VIEWS_KEPT = 8
 
 
 def find_allocator(members: Membership) -> str:
     """Return the name of the allocator: the same on every router with the same view."""
-    return choose(ALLOCATOR_KEY, [member.name for member in members.live()])
+    return _choose(tuple(member.name for member in members.live()))
+
+
+@lru_cache(maxsize=VIEWS_KEPT)
+def _choose(names: tuple[str, ...]) -> str:
+    return choose(ALLOCATOR_KEY, names)
--- a/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 from zlib import crc32
 
@@ -141,11 +142,9 @@
         self.reply_due = True
         self.urgent |= urgent
 
-    def unmet(self, account: bytes, service: bytes) -> int:
-        """Return how many waiting requests were not granted a slot yet."""
-        waiting = self.accounts[account].waiting[service].count
-        granted = sum(1 for g in self.pending if g.account == account and g.service == service)
-        return waiting - granted
+    def count_pending(self) -> Counter[tuple[bytes, bytes]]:
+        """Count the slots granted to accounts and services and not acknowledged yet."""
+        return Counter((grant.account, grant.service) for grant in self.pending)
 
     def _committed(self) -> int:
         return sum(lease.committed for lease in self.leases.values())
--- a/packages/loomyard-standins/src/loomyard_standins/benches/slopes/probes.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/slopes/probes.py
@@ -5,10 +5,12 @@
 from typing import TYPE_CHECKING
 
 from loomyard_standins.benches.slopes.configuration_probe import ConfigurationProbe
+from loomyard_standins.benches.slopes.shares_probe import SharesProbe
 
 if TYPE_CHECKING:
     from loomyard_standins.benches.slopes.probe import Probe
 
 PROBES: dict[str, Probe] = {
+    "shares_routers": SharesProbe(),
     "configuration_accounts": ConfigurationProbe(),
 }
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/slopes/shares_probe.py
@@ -0,0 +1,75 @@
+"""The fleet policy with ever more routers, at the load of each router in two years."""
+
+from __future__ import annotations
+
+import random
+
+from loomyard_standins.benches.slopes.call_timer import CallTimer
+from loomyard_standins.benches.slopes.sample import Sample
+from loomyard_standins.benches.slopes.usage import resident_bytes
+from loomyard_standins.share_driver import Load, ShareDriver
+
+ROUTERS = 360
+ACCOUNTS = 3_100
+TARGETS = 600
+SLOTS = 8
+SERVICES = 8
+MEAN_TOKENS = 283.0
+ROUTERS_PER_ACCOUNT = 3
+OUTSTANDING = 6
+WARM_SECONDS = 3.0
+TIMED_SECONDS = 3.0
+
+
+class SharesProbe:
+    """Processor time and traffic of the allocator and of one other router."""
+
+    sizes = (20, 45, 90, 180)
+
+    def measure(self, size: int) -> Sample:
+        before = resident_bytes()
+        driver = _make_driver(size)
+        allocator = driver.find_allocator()
+        other = (allocator + 1) % size
+        allocating, routing = CallTimer(), CallTimer()
+        policy = driver.policies[allocator]
+        allocating.wrap(policy.allocator, "handle_report")
+        allocating.wrap(policy.allocator, "poll")
+        reporter = driver.policies[other]._reporter
+        routing.wrap(reporter, "poll")
+        routing.wrap(reporter, "accept")
+        driver.run(WARM_SECONDS)
+        allocating.seconds = routing.seconds = 0.0
+        names = f"router-{allocator}", f"router-{other}"
+        sent = [(driver.network.messages[n], driver.network.bytes[n]) for n in names]
+        driver.agenda.run(WARM_SECONDS + TIMED_SECONDS)
+        quantities = {
+            "allocator_cores": allocating.seconds / TIMED_SECONDS,
+            "router_cores": routing.seconds / TIMED_SECONDS,
+            "driver_rss_bytes": resident_bytes() - before,
+        }
+        kinds = ("allocator", "router")
+        for kind, name, (messages, size_bytes) in zip(kinds, names, sent, strict=True):
+            sent_now = driver.network.messages[name] - messages
+            bytes_now = driver.network.bytes[name] - size_bytes
+            quantities[f"{kind}_messages_per_second"] = sent_now / TIMED_SECONDS
+            quantities[f"{kind}_bytes_per_second"] = bytes_now / TIMED_SECONDS
+        return Sample(size=size, quantities=quantities)
+
+
+def _make_driver(size: int) -> ShareDriver:
+    chance = random.Random(size)
+    accounts = round(ACCOUNTS * size / ROUTERS)
+    loads = [
+        Load(
+            account=f"account-{number}",
+            service=f"service-{number % SERVICES}",
+            mean=MEAN_TOKENS,
+            outstanding=OUTSTANDING,
+            routers=tuple(chance.sample(range(size), ROUTERS_PER_ACCOUNT)),
+        )
+        for number in range(accounts)
+    ]
+    targets = max(1, round(TARGETS * size / ROUTERS / SERVICES))
+    engines = {f"service-{number}": (targets, SLOTS) for number in range(SERVICES)}
+    return ShareDriver("fleet", loads, routers=size, engines=engines, settle=1e9)
