Let lease terms and report gaps grow with the fleet; suspect by time

Cause: 5 replies a second at the budget cannot renew the leases of 90 routers every 2.4 s, so most slots would lapse to the floor; and in make demo the allocator was pinged 12 times a second, as four reports without a reply counted as silence although replies leave 0.8 s between them.

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -214,7 +214,13 @@
         return make_fifo_policy(clock)
     if settings.policy == "local":
         return make_local_policy(clock, position=settings.position, routers=settings.routers)
-    return make_fleet_policy(clock, members=members, peers=peers, directory=directory)
+    return make_fleet_policy(
+        clock,
+        members=members,
+        peers=peers,
+        directory=directory,
+        byte_rate=settings.share_bytes,
+    )
 
 
 def _join_backlogs(serving: Serving, policy: SharePolicy) -> BacklogView:
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -18,6 +18,7 @@
 ENVIRONMENT_PREFIX = "LOOMYARD_"
 FLEET_SECRET_VARIABLE = ENVIRONMENT_PREFIX + "FLEET_SECRET"
 MAX_SECRETS = 2
+MIN_SHARE_BYTES = 200.0
 MIN_CLAIM_WINDOW = 300.0
 RETENTION_MARGIN = 300.0
 POLICIES = ("fleet", "local", "fifo")
@@ -51,6 +52,7 @@
     peer_authority: str = ""
     vm_list: str = ""
     probe_period: float = 0.5
+    share_bytes: float = 1700.0
     claim_window: float = 3600.0
     log_retention: float = 86400.0
 
@@ -113,6 +115,7 @@
     add("peer-authority", "", "PEM authority that signs the routers' certificates")
     add("vm-list", "", "address of the VM list")
     add("probe-period", 0.5, "seconds between probes of other routers", type=float)
+    add("share-bytes", 1700.0, "bytes a second for reports and replies of shares", type=float)
     add("claim-window", 3600.0, "seconds for which an idempotency key is remembered", type=float)
     add("log-retention", 86400.0, "seconds for which the log service keeps records", type=float)
     return parser
@@ -140,6 +143,8 @@
         faults.append(_fault("operator_keys", "not SHA-256 digests in lower-case hexadecimal"))
     if bool(settings.operator_certificate) != bool(settings.operator_private_key):
         faults.append(_fault("operator_certificate", "give certificate and private key, or none"))
+    if settings.share_bytes < MIN_SHARE_BYTES:
+        faults.append(_fault("share_bytes", f"below {MIN_SHARE_BYTES:.0f}"))
     return faults + _check_peers(settings) + _check_window(settings)
 
 
--- a/packages/loomyard-router/src/loomyard_router/shares/allocator.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/allocator.py
@@ -8,9 +8,10 @@
 from loomyard_router.shares.account_intake import AccountIntake
 from loomyard_router.shares.demands import Demands
 from loomyard_router.shares.granting import grant_demands
+from loomyard_router.shares.lease_terms import lease_term
 from loomyard_router.shares.levels import FleetLevels
 from loomyard_router.shares.messages import ShareReply, ShareReset
-from loomyard_router.shares.reporting_router import IDLE_LEASE, LEASE, ReportingRouter
+from loomyard_router.shares.reporting_router import ReportingRouter
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -204,7 +205,10 @@
 
     def _granting_from(self) -> float:
         began_at = math.inf if self._began_at is None else self._began_at
-        return began_at + IDLE_LEASE * (1 + CLOCK_DRIFT)
+        return began_at + self._lease(idle=True) * (1 + CLOCK_DRIFT)
+
+    def _lease(self, *, idle: bool) -> float:
+        return lease_term(self._fleet_size(), self._pacer.byte_rate, idle=idle)
 
     def _recall(self, free: dict[bytes, int]) -> None:
         for target, slots in free.items():
@@ -251,7 +255,7 @@
                 router.offsets.set(account, offset, router.next_reply)
         idle = not any(r.accounts for r in self._routers.values())
         reply = router.make_reply(
-            lease=IDLE_LEASE if idle else LEASE,
+            lease=self._lease(idle=idle),
             floor=self._levels.floor,
             margin=self._margin,
         )
--- a/packages/loomyard-router/src/loomyard_router/shares/fleet.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/fleet.py
@@ -47,6 +47,7 @@
 KEEP_MARGINS = 4.0
 MESSAGES_PER_SECOND = 16.0
 BYTES_PER_SECOND = 1700.0
+BYTES_PER_MESSAGE = 200.0
 MESSAGE_BURST = 8.0
 # A router that began less than this ago may not know yet that there are others.
 JOINING = 1.5
@@ -64,6 +65,7 @@
         peers: PeerLinks,
         directory: TargetDirectory,
         joining: float,
+        byte_rate: float,
     ) -> None:
         self._clock = clock
         self._members = members
@@ -77,7 +79,8 @@
         self._in_flight: Counter[str] = Counter()
         self._exchanging = False
         self._task: Greenlet | None = None
-        pacer = Pacer(messages=MESSAGES_PER_SECOND, size=BYTES_PER_SECOND, burst=MESSAGE_BURST)
+        messages = max(MESSAGES_PER_SECOND, byte_rate / BYTES_PER_MESSAGE)
+        pacer = Pacer(messages=messages, size=byte_rate, burst=MESSAGE_BURST)
         self._reporter = Reporter(
             members=members,
             find_allocator=find_allocator,
@@ -320,7 +323,15 @@
     members: Membership,
     peers: PeerLinks,
     directory: TargetDirectory,
+    byte_rate: float = BYTES_PER_SECOND,
 ) -> FleetPolicy:
-    """Make the ``fleet`` policy."""
+    """Make the ``fleet`` policy; ``byte_rate`` bounds what it sends, in bytes a second."""
     joining = 0.0 if isinstance(members, SoleMembership) else JOINING
-    return FleetPolicy(clock, members=members, peers=peers, directory=directory, joining=joining)
+    return FleetPolicy(
+        clock,
+        members=members,
+        peers=peers,
+        directory=directory,
+        joining=joining,
+        byte_rate=byte_rate,
+    )
--- a/packages/loomyard-router/src/loomyard_router/shares/pacing.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/pacing.py
@@ -14,6 +14,11 @@
         self._bytes = size
         self._filled_at = 0.0
 
+    @property
+    def byte_rate(self) -> float:
+        """Return the budget in bytes a second."""
+        return self._byte_rate
+
     def allows(self, now: float) -> bool:
         """Tell whether a message may go."""
         self._fill(now)
--- a/packages/loomyard-router/src/loomyard_router/shares/reporter.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporter.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from loomyard_router.shares.lease_terms import report_gap, urgent_gap
 from loomyard_router.shares.messages import UNKNOWN_LEVEL, AccountReport, ShareReport, Waiting
 from loomyard_router.shares.share_session import ShareSession
 from loomyard_router.shares.short_ids import short_id
@@ -21,11 +22,11 @@
     from loomyard_router.shares.pacing import Pacer
     from loomyard_router.shares.request_queues import RequestQueues
 
-# Reports that are not urgent leave at least this much time between them.
-REPORT_GAP = 0.8
 # An unanswered first report is repeated after this time.
 OPENING_GAP = 0.25
-UNANSWERED_BEFORE_SUSPICION = 4
+# Without an answer for this long, or for this part of the lease, the allocator may be gone.
+SUSPICION_TIMEOUT = 1.0
+SUSPICION_PART = 0.75
 RENEWALS_PER_LEASE = 3
 MOST_WAITING_REPORTED = 32
 # Service that moved by less than this part of the margin is not reported.
@@ -59,7 +60,7 @@
         self._session = ShareSession(1)
         self._allocator = ""
         self._sent_at = float("-inf")
-        self._unanswered = 0
+        self._unanswered_since: float | None = None
         self._lease = 0.0
         self._asked: Counter[tuple[bytes, bytes]] = Counter()
         self._granted = 0
@@ -95,7 +96,7 @@
         self._session = ShareSession(self._session.number + 1)
         self._asked.clear()
         self._sent_at = float("-inf")
-        self._unanswered = 0
+        self._unanswered_since = None
 
     def is_session(self, number: int) -> bool:
         """Tell whether a session is the current one."""
@@ -106,7 +107,7 @@
         deadline = self._session.accept(reply)
         if deadline is None:
             return False
-        self._unanswered = 0
+        self._unanswered_since = None
         self._lease = reply.lease_ms / 1000
         self._held.lease_until = max(self._held.lease_until, deadline)
         self.told.accept(reply, now)
@@ -124,9 +125,11 @@
         since = now - self._sent_at
         if not self._session.opened:
             return since >= OPENING_GAP
-        if self.urgent or since >= self._lease / RENEWALS_PER_LEASE:
+        if self.urgent and since >= urgent_gap(self._lease):
             return True
-        return since >= REPORT_GAP and self._changed(now)
+        if since >= self._lease / RENEWALS_PER_LEASE:
+            return True
+        return since >= report_gap(self._lease) and self._changed(now)
 
     def _changed(self, now: float) -> bool:
         """Tell whether something changed that is worth a report of its own."""
@@ -151,8 +154,9 @@
         self._granted = 0
         self.urgent = False
         self._sent_at = now
-        self._unanswered += 1
-        if self._unanswered >= UNANSWERED_BEFORE_SUSPICION:
+        if self._unanswered_since is None:
+            self._unanswered_since = now
+        elif now - self._unanswered_since >= max(SUSPICION_TIMEOUT, SUSPICION_PART * self._lease):
             self._members.suspect(self._allocator)
         self._pacer.spend(self._send(self._allocator, report))
 
--- a/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
@@ -10,6 +10,7 @@
 
 from loomyard_router.members.membership import Member
 from loomyard_router.shares.changed_values import ChangedValues
+from loomyard_router.shares.lease_terms import IDLE_LEASE
 from loomyard_router.shares.messages import AccountReport, ShareReply
 from loomyard_router.shares.slot_lease import SlotLease
 
@@ -17,10 +18,6 @@
     from loomyard_router.shares.floor_level import FloorLevel
     from loomyard_router.shares.messages import ShareReport
 
-LEASE = 2.4
-# The lease while nothing waits or runs anywhere, so that renewals are few.
-IDLE_LEASE = 6.0
-
 
 @define
 class PendingGrant:
--- a/packages/loomyard-standins/src/loomyard_standins/benches/slopes/shares_probe.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/slopes/shares_probe.py
@@ -17,6 +17,7 @@
 MEAN_TOKENS = 283.0
 ROUTERS_PER_ACCOUNT = 3
 OUTSTANDING = 6
+BYTE_RATE = 7000.0
 WARM_SECONDS = 3.0
 TIMED_SECONDS = 3.0
 
@@ -72,4 +73,6 @@
     ]
     targets = max(1, round(TARGETS * size / ROUTERS / SERVICES))
     engines = {f"service-{number}": (targets, SLOTS) for number in range(SERVICES)}
-    return ShareDriver("fleet", loads, routers=size, engines=engines, settle=1e9)
+    return ShareDriver(
+        "fleet", loads, routers=size, engines=engines, settle=1e9, byte_rate=BYTE_RATE
+    )
--- a/packages/loomyard-standins/src/loomyard_standins/share_driver.py
+++ b/packages/loomyard-standins/src/loomyard_standins/share_driver.py
@@ -26,7 +26,12 @@
 from loomyard_router.members.membership import Member
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.shares.fifo import make_fifo_policy
-from loomyard_router.shares.fleet import POLL_INTERVAL, FleetPolicy, make_fleet_policy
+from loomyard_router.shares.fleet import (
+    BYTES_PER_SECOND,
+    POLL_INTERVAL,
+    FleetPolicy,
+    make_fleet_policy,
+)
 from loomyard_router.shares.local import make_local_policy
 from loomyard_router.shares.parents import find_allocator
 from loomyard_router.shares.waiting import WaitingRequest
@@ -99,9 +104,11 @@
         engines: dict[str, tuple[int, int]],
         seed: int = 1,
         settle: float = 20.0,
+        byte_rate: float = BYTES_PER_SECOND,
     ) -> None:
         self.agenda = Agenda()
         self.policy = policy
+        self.byte_rate = byte_rate
         self.loads = loads
         self.random = random.Random(seed)
         self.network = VirtualNetwork(self.agenda, delay=LINK_DELAY, seed=seed)
@@ -149,6 +156,7 @@
                 members=members,
                 peers=self.network.join(member),
                 directory=directory,
+                byte_rate=self.byte_rate,
             )
             self.agenda.every(POLL_INTERVAL, lambda: self._poll(position, generation, fleet))
         directory.reconfigure(self.routing)
--- a/tests/test_loomyard_router/test_shares/test_fleet.py
+++ b/tests/test_loomyard_router/test_shares/test_fleet.py
@@ -7,7 +7,7 @@
 
 from loomyard.objects import TargetState
 from loomyard_router.shares.fleet import FleetPolicy
-from loomyard_router.shares.reporting_router import IDLE_LEASE, LEASE
+from loomyard_router.shares.lease_terms import IDLE_LEASE, LEASE
 from loomyard_router.shares.short_ids import short_id
 from loomyard_standins.share_driver import Load, ShareDriver
 
--- a/tests/test_loomyard_router/test_shares/test_slots.py
+++ b/tests/test_loomyard_router/test_shares/test_slots.py
@@ -7,8 +7,9 @@
 from loomyard_router.members.membership import Member
 from loomyard_router.shares.floor_level import FloorLevel
 from loomyard_router.shares.held_slots import HeldSlots
+from loomyard_router.shares.lease_terms import IDLE_LEASE, LEASE
 from loomyard_router.shares.messages import ShareReport, SlotReport
-from loomyard_router.shares.reporting_router import IDLE_LEASE, LEASE, ReportingRouter
+from loomyard_router.shares.reporting_router import ReportingRouter
 
 TARGET = b"target"
 MEMBER = Member(name="router-0", incarnation=1, address="", data_centre="")
