Let a caller resume its stream at any router

Cause: a caller whose connection or router dies mid-answer lost the rest. The work of a caller that went is cancelled only after a grace, and not when another router says it goes on.

--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -4,6 +4,7 @@
 
 import argparse
 import os
+import re
 from typing import TYPE_CHECKING
 
 from attrs import field, frozen
@@ -17,10 +18,14 @@
 ENVIRONMENT_PREFIX = "LOOMYARD_"
 FLEET_SECRET_VARIABLE = ENVIRONMENT_PREFIX + "FLEET_SECRET"
 MAX_SECRETS = 2
+MIN_SHARE_BYTES = 200.0
 MIN_CLAIM_WINDOW = 300.0
 RETENTION_MARGIN = 300.0
 POLICIES = ("fleet", "local", "fifo")
 
+_ADDRESS = re.compile(r"\S+:\d+\Z")
+_DIGEST = re.compile(r"[0-9a-f]{64}\Z")
+
 
 @frozen(kw_only=True)
 class Settings:
@@ -30,11 +35,16 @@
     data_centre: str = ""
     listen: str = "127.0.0.1:8080"
     log_service: str = ""
-    policy: str = "local"
+    policy: str = "fleet"
     position: int = 0
     routers: int = 1
     log_format: str = "text"
+    operator_listen: str = ""
+    operator_keys: tuple[str, ...] = ()
+    operator_certificate: str = ""
+    operator_private_key: str = ""
     drain_seconds: float = 60.0
+    resume_seconds: float = 5.0
     peer_listen: str = ""
     peers: tuple[str, ...] = ()
     fleet_secret: tuple[str, ...] = field(default=(), repr=False)
@@ -43,6 +53,7 @@
     peer_authority: str = ""
     vm_list: str = ""
     probe_period: float = 0.5
+    share_bytes: float = 1700.0
     claim_window: float = 3600.0
     log_retention: float = 86400.0
 
@@ -82,11 +93,16 @@
     add("data-centre", "", "data centre of this router")
     add("listen", "127.0.0.1:8080", "address for callers")
     add("log-service", "", "address of the log service")
-    add("policy", "local", "share policy", choices=POLICIES)
+    add("policy", "fleet", "share policy", choices=POLICIES)
     add("position", 0, "position of this router for the local policy", type=int)
     add("routers", 1, "number of routers for the local policy", type=int)
     add("drain-seconds", 60.0, "longest wait of a planned stop for what runs", type=float)
+    add("resume-seconds", 5.0, "time a caller that went has to resume a stream", type=float)
     add("log-format", "text", "text or json", choices=("text", "json"))
+    add("operator-listen", "", "address for operators; none turns their interface off")
+    add("operator-keys", "", "SHA-256 digests of operator keys, by commas", type=_split)
+    add("operator-certificate", "", "file of the operator listener's TLS certificate chain")
+    add("operator-private-key", "", "file of the operator listener's TLS private key")
     add("peer-listen", "", "TCP and UDP address for other routers; none: a fleet of one")
     add("peers", "", "addresses of some other routers, with commas", type=_split)
     parser.add_argument(
@@ -101,6 +117,7 @@
     add("peer-authority", "", "PEM authority that signs the routers' certificates")
     add("vm-list", "", "address of the VM list")
     add("probe-period", 0.5, "seconds between probes of other routers", type=float)
+    add("share-bytes", 1700.0, "bytes a second for reports and replies of shares", type=float)
     add("claim-window", 3600.0, "seconds for which an idempotency key is remembered", type=float)
     add("log-retention", 86400.0, "seconds for which the log service keeps records", type=float)
     return parser
@@ -113,6 +130,23 @@
         host, _, port = value.rpartition(":")
         if not host or not port.isdigit():
             faults.append(_fault(name, f"not host:port: {value!r}"))
+    return faults + _check_operators(settings)
+
+
+def _check_operators(settings: Settings) -> list[FieldFault]:
+    faults = []
+    if settings.log_retention <= 0:
+        faults.append(_fault("log_retention", "not above 0"))
+    if settings.operator_listen and not _ADDRESS.match(settings.operator_listen):
+        faults.append(_fault("operator_listen", f"not host:port: {settings.operator_listen!r}"))
+    if settings.operator_listen and not settings.operator_keys:
+        faults.append(_fault("operator_keys", "a listener for operators needs at least one"))
+    if not all(_DIGEST.match(digest) for digest in settings.operator_keys):
+        faults.append(_fault("operator_keys", "not SHA-256 digests in lower-case hexadecimal"))
+    if bool(settings.operator_certificate) != bool(settings.operator_private_key):
+        faults.append(_fault("operator_certificate", "give certificate and private key, or none"))
+    if settings.share_bytes < MIN_SHARE_BYTES:
+        faults.append(_fault("share_bytes", f"below {MIN_SHARE_BYTES:.0f}"))
     return faults + _check_peers(settings) + _check_window(settings)
 
 
--- a/packages/loomyard-router/src/loomyard_router/shares/parents.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/parents.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from loomyard.rendezvous import choose
-from loomyard_router.members.membership import MemberState
 
 if TYPE_CHECKING:
     from loomyard_router.members.membership import Membership
@@ -13,11 +13,15 @@
 # The fleet's accounts and targets have one allocator; more would each take a part of the accounts.
 ALLOCATORS = 1
 ALLOCATOR_KEY = "allocator"
+# The choice is asked for at each report and changes with the members only.
+VIEWS_KEPT = 8
 
 
 def find_allocator(members: Membership) -> str:
     """Return the name of the allocator: the same on every router with the same view."""
-    live = members.live()
-    staying = [member.name for member in live if member.state is not MemberState.LEAVING]
-    names = staying or [member.name for member in live]
-    return choose(ALLOCATOR_KEY, names) if names else members.own.name
+    return _choose(tuple(member.name for member in members.live()))
+
+
+@lru_cache(maxsize=VIEWS_KEPT)
+def _choose(names: tuple[str, ...]) -> str:
+    return choose(ALLOCATOR_KEY, names)
--- a/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 from zlib import crc32
 
@@ -9,6 +10,7 @@
 
 from loomyard_router.members.membership import Member
 from loomyard_router.shares.changed_values import ChangedValues
+from loomyard_router.shares.lease_terms import IDLE_LEASE
 from loomyard_router.shares.messages import AccountReport, ShareReply
 from loomyard_router.shares.slot_lease import SlotLease
 
@@ -16,10 +18,6 @@
     from loomyard_router.shares.floor_level import FloorLevel
     from loomyard_router.shares.messages import ShareReport
 
-LEASE = 2.4
-# The lease while nothing waits or runs anywhere, so that renewals are few.
-IDLE_LEASE = 6.0
-
 
 @define
 class PendingGrant:
@@ -141,11 +139,9 @@
         self.reply_due = True
         self.urgent |= urgent
 
-    def unmet(self, account: bytes, service: bytes) -> int:
-        """Return how many waiting requests were not granted a slot yet."""
-        waiting = self.accounts[account].waiting[service].count
-        granted = sum(1 for g in self.pending if g.account == account and g.service == service)
-        return waiting - granted
+    def count_pending(self) -> Counter[tuple[bytes, bytes]]:
+        """Count the slots granted to accounts and services and not acknowledged yet."""
+        return Counter((grant.account, grant.service) for grant in self.pending)
 
     def _committed(self) -> int:
         return sum(lease.committed for lease in self.leases.values())
--- a/packages/loomyard-router/src/loomyard_router/targets/http_connections.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/http_connections.py
@@ -8,6 +8,8 @@
 from gevent.socket import IPPROTO_TCP, TCP_NODELAY
 from geventhttpclient.connectionpool import ConnectionPool, SSLConnectionPool
 
+from loomyard.util.tcp import send_at_once
+
 if TYPE_CHECKING:
     from gevent.socket import socket
 
@@ -70,7 +72,7 @@
 def _make_pool(scheme: str, host: str, port: int, kept: bool) -> ConnectionPool:
     plain, secure = (KeptPool, KeptSslPool) if kept else (FreshPool, FreshSslPool)
     kind = secure if scheme == "https" else plain
-    return kind(
+    pool = kind(
         host,
         port,
         host,
@@ -79,3 +81,5 @@
         connection_timeout=CONNECT_TIMEOUT,
         network_timeout=ANSWER_TIMEOUT,
     )
+    send_at_once(pool)
+    return pool
--- a/tests/test_loomyard_router/test_requests/test_serving.py
+++ b/tests/test_loomyard_router/test_requests/test_serving.py
@@ -17,11 +17,15 @@
 from loomyard.objects import ClientAccount, Metadata, Route, Service, ServiceType, Target
 from loomyard_router.claims.keeper import Claim, ClaimKey, RecordedOutcome
 from loomyard_router.configuration.follower import CONFIG_STREAM, ConfigFollower
+from loomyard_router.peers.no_peers import NoPeers
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
 from loomyard_router.requests.request import Request
+from loomyard_router.requests.resume_holds import ResumeHolds
+from loomyard_router.requests.resuming import Resuming
 from loomyard_router.requests.retries import Retries
 from loomyard_router.requests.serving import Serving
+from loomyard_router.requests.stream_token import StreamTokens
 from loomyard_router.shares.local import make_local_policy
 from loomyard_router.targets.directory import make_configured_targets
 from loomyard_router.targets.http_engine import make_http_engine
@@ -90,13 +94,22 @@
         follower.poll()
         self.account = follower.routing.accounts["kiosk"]
         self.services = follower.routing.services
+        engine = make_http_engine(self.clock)
+        resuming = Resuming(
+            clock=self.clock,
+            follower=follower,
+            engine=engine,
+            tokens=StreamTokens(("secret",)),
+            holds=ResumeHolds(self.clock, NoPeers(), "router-0", seconds=5.0),
+        )
         return Serving(
+            resuming=resuming,
             clock=self.clock,
             follower=follower,
             policy=self.policy,
             targets=self.targets,
             claims=self.claims,
-            engine=make_http_engine(self.clock),
+            engine=engine,
             estimates=CostEstimates(),
             journal=Journal(self.clock),
             retries=Retries(self.clock, spread=AtOnce()),
