--- a/packages/loomyard-router/src/loomyard_router/callers/app.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/app.py
@@ -47,6 +47,7 @@
 LAST_EVENT_HEADER = "HTTP_LAST_EVENT_ID"
 HEALTH_PATH = "/healthz"
 READY_PATH = "/readyz"
+CLOSING_CODES = (ResultCode.MALFORMED_REQUEST, ResultCode.BODY_TOO_LARGE, ResultCode.STOPPING)
 DROPPED_HEADERS = frozenset(
     [
         "connection",
@@ -187,7 +188,7 @@
             fault, self.request_id, openai=self._openai, idempotent=self.idempotent
         )
         headers = [("Content-Type", kind), *problem_headers(fault, self.request_id)]
-        if fault.code in (ResultCode.BODY_TOO_LARGE, ResultCode.STOPPING):
+        if fault.code in CLOSING_CODES:
             headers.append(("Connection", "close"))
         self._start_response(_status_line(status_of(fault.code)), headers)
         return [body]
--- a/packages/loomyard-router/src/loomyard_router/callers/handler.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/handler.py
@@ -4,9 +4,11 @@
 
 import logging
 import secrets
+from contextlib import suppress
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
+from gevent import Timeout
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler
 
@@ -27,6 +29,10 @@
 TARGET_KEY = "REQUEST_URI"
 CONNECTION_TIMEOUT = 60.0
 MAX_LENGTH_DIGITS = 18
+MAX_DISCARDED = 1 << 24
+MAX_DISCARD_SECONDS = 1.0
+DISCARD_TIMEOUT = 0.1
+READ_SIZE = 65536
 
 
 class CallerHandler(WSGIHandler):
@@ -65,8 +71,7 @@
             watch.stop()
             if self.close_connection or self.environ[PRESENCE_KEY].gone:
                 self.close_connection = True
-                self.wsgi_input.content_length = 0
-                self.wsgi_input.chunked_input = False
+                self._forget_body()
 
     def _sendall(self, data: bytes) -> None:
         sent = self.socket.send(data)
@@ -96,6 +101,7 @@
         super().handle_error(t, v, tb)
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        self._discard_input()
         detail = str(ex) or type(ex).__name__
         fault = Fault(code=ResultCode.MALFORMED_REQUEST, detail=f"not an HTTP request: {detail}")
         emit(logger, Event.REQUEST_REFUSED, code=int(fault.code), detail=detail)
@@ -107,6 +113,22 @@
         )
         return str(status.value), head.encode() + body
 
+    def _forget_body(self) -> None:
+        body = self.wsgi_input
+        whole = body.position >= (body.content_length or 0) and not body.chunked_input
+        if not whole and not self.environ[PRESENCE_KEY].gone:
+            self._discard_input()
+        body.content_length = 0
+        body.chunked_input = False
+
+    def _discard_input(self) -> None:
+        """Read what the caller still sends, as a reset would destroy the answer on its way."""
+        self.socket.settimeout(DISCARD_TIMEOUT)
+        left = MAX_DISCARDED
+        with suppress(OSError), Timeout(MAX_DISCARD_SECONDS, False):
+            while left > 0 and (data := self.socket.recv(READ_SIZE)):
+                left -= len(data)
+
 
 class CallerServer(NoDelayServer):
     """The listener for callers."""
--- a/packages/loomyard-standins/src/loomyard_standins/engine.py
+++ b/packages/loomyard-standins/src/loomyard_standins/engine.py
@@ -162,6 +162,10 @@
                 stream.made += 1
                 _push(stream, self._chunk(stream, chat, f"t{number} "))
             self.running -= 1
+        if stream.cancelled:
+            stream.finished = True
+            stream.grown.set()
+            return
         usage = self._usage(stream)
         chunk = {"id": stream.attempt_id, "object": "chunk", "created": 0, "model": self.model}
         _push(stream, json.dumps(chunk | {"choices": [], "usage": usage}))
