--- a/packages/loomyard-router/src/loomyard_router/shares/allocator.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/allocator.py
@@ -34,6 +34,7 @@
 # Beyond some size an allocation leaves a pause that grows with what it looked at, so that a larger
 # fleet makes allocations rarer and not a larger part of a core.
 UNPACED_SIZE = 150
+UNPACED_ROUTERS = 30
 GAP_PER_ITEM = 0.0003
 
 
@@ -70,6 +71,7 @@
         self._began_at: float | None = None
         self._dirty = False
         self._allocate_at = float("-inf")
+        self._poll_at = float("-inf")
 
     @property
     def levels(self) -> FleetLevels:
@@ -111,8 +113,11 @@
     def poll(self) -> None:
         """Grant what can be granted and send the replies that are due."""
         now = self._clock.now()
+        if now < self._poll_at:
+            return
+        self._poll_at = now + max(0, len(self._routers) - UNPACED_ROUTERS) * GAP_PER_ITEM
         self._expire(now)
-        if self._dirty and now >= self._allocate_at:
+        if self._dirty and self._routers and now >= self._allocate_at:
             self._allocate(now)
         for router in sorted(self._routers.values(), key=lambda r: (not r.urgent, r.replied_at)):
             if router.urgent or (router.reply_due and now >= router.replied_at + REPLY_GAP):
--- a/packages/loomyard-router/src/loomyard_router/shares/reporter.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporter.py
@@ -59,6 +59,7 @@
         self._overdue = overdue
         self._session = ShareSession(1)
         self._allocator = ""
+        self._members_changed = True
         self._sent_at = float("-inf")
         self._unanswered_since: float | None = None
         self._lease = 0.0
@@ -66,6 +67,7 @@
         self._granted = 0
         self.urgent = False
         self.told = ToldLevels()
+        members.subscribe(self._note_members)
 
     def may_send(self, now: float) -> bool:
         """Tell whether a report may go now."""
@@ -79,10 +81,8 @@
 
     def poll(self, now: float) -> None:
         """Send a report where one is due."""
-        allocator = self._find_allocator(self._members)
-        if allocator != self._allocator:
-            self._allocator = allocator
-            self.begin_session()
+        if self._members_changed:
+            self._choose_allocator()
         if self._lease and not self._held.valid(now):
             self._held.lapse()
             self.told.clear()
@@ -121,6 +121,16 @@
     def _reports_to_itself(self) -> bool:
         return self._allocator == self._members.own.name
 
+    def _note_members(self) -> None:
+        self._members_changed = True
+
+    def _choose_allocator(self) -> None:
+        self._members_changed = False
+        allocator = self._find_allocator(self._members)
+        if allocator != self._allocator:
+            self._allocator = allocator
+            self.begin_session()
+
     def _due(self, now: float) -> bool:
         since = now - self._sent_at
         if not self._session.opened:
--- a/packages/loomyard-standins/src/loomyard_standins/benches/slopes/shares_probe.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/slopes/shares_probe.py
@@ -18,8 +18,9 @@
 ROUTERS_PER_ACCOUNT = 3
 OUTSTANDING = 6
 BYTE_RATE = 7000.0
-WARM_SECONDS = 3.0
-TIMED_SECONDS = 3.0
+WARM_SECONDS = 10.0
+TIMED_SECONDS = 10.0
+SAMPLE_INTERVAL = 0.25
 
 
 class SharesProbe:
@@ -42,12 +43,16 @@
         driver.run(WARM_SECONDS)
         allocating.seconds = routing.seconds = 0.0
         names = f"router-{allocator}", f"router-{other}"
+        served = dict(driver.served)
+        use = _UseMeter(driver)
         sent = [(driver.network.messages[n], driver.network.bytes[n]) for n in names]
         driver.agenda.run(WARM_SECONDS + TIMED_SECONDS)
         quantities = {
             "allocator_cores": allocating.seconds / TIMED_SECONDS,
             "router_cores": routing.seconds / TIMED_SECONDS,
             "driver_rss_bytes": resident_bytes() - before,
+            "utilisation_percent": use.percent,
+            "service_spread_tokens": _spread(driver, served),
         }
         kinds = ("allocator", "router")
         for kind, name, (messages, size_bytes) in zip(kinds, names, sent, strict=True):
@@ -58,6 +63,30 @@
         return Sample(size=size, quantities=quantities)
 
 
+class _UseMeter:
+    """Sample the busy part of all slots."""
+
+    def __init__(self, driver: ShareDriver) -> None:
+        self._driver = driver
+        self._samples: list[float] = []
+        driver.agenda.every(SAMPLE_INTERVAL, self._sample)
+
+    @property
+    def percent(self) -> float:
+        return 100 * sum(self._samples) / len(self._samples)
+
+    def _sample(self) -> None:
+        engines = self._driver.engines.values()
+        busy = sum(engine.running for engine in engines)
+        self._samples.append(busy / sum(engine.slots for engine in engines))
+
+
+def _spread(driver: ShareDriver, before: dict[str, float]) -> float:
+    """Return the largest difference of service between two accounts, all of them backlogged."""
+    gained = [driver.served[name] - before.get(name, 0) for name in driver.routing.accounts]
+    return max(gained) - min(gained)
+
+
 def _make_driver(size: int) -> ShareDriver:
     chance = random.Random(size)
     accounts = round(ACCOUNTS * size / ROUTERS)
