Let the end of a claim wait for a claim to go with; refuse at once behind a slow append

Cause: a Finished record alone started the 50 ms spacing, so that the next claim waited for it. It now lingers up to END_LINGER for a claim. Behind an append that takes over 1 s a host is not ready, so that claims are refused at once, not after 2 s.

Found on the way: the follower read without waiting whenever the host was not ready, so a slow append made it spin on the log service (a test run hung at 100 % of a core). It now asks only whether its reading is fresh; tested with an append that never answers.

--- a/packages/loomyard-router/src/loomyard_router/claims/partition.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/partition.py
@@ -20,7 +20,7 @@
 from loomyard_router.claims.partition_state import PartitionState
 from loomyard_router.claims.records import Abandoned, Begun, ClaimBatch, Finished
 from loomyard_router.claims.verdict import Verdict
-from loomyard_router.claims.waiting import wait_result
+from loomyard_router.claims.waiting import wait_any, wait_result
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -35,6 +35,10 @@
 FRESH_SECONDS = 5.0
 # Starts of appends of one partition lie at least this far apart.
 APPEND_SPACING = 0.05
+# The end of a claim waits this long for a claim to go with, which is what callers wait for.
+END_LINGER = 0.1
+# A host whose append is on its way for longer takes no claims until there is an answer.
+SLOW_APPEND = 1.0
 SPACING_JITTER = 0.2
 RECORDS_PER_APPEND = 256
 MAX_KEYS = 200_000
@@ -66,14 +70,20 @@
         self._entries: dict[tuple[type, bytes], _Entry] = {}
         self._pending: list[_Entry] = []
         self._wake = Event()
+        self._urgent = Event()
+        self._append_started: float | None = None
         self._tasks: list[gevent.Greenlet] = []
 
     @property
     def ready(self) -> bool:
         """Whether the stream was read to its end a short while ago and answers."""
-        if self._read_at is None or not self._reachable:
-            return False
-        return self._clock.now() - self._read_at <= FRESH_SECONDS
+        started = self._append_started
+        slow = started is not None and self._clock.now() - started > SLOW_APPEND
+        return self._reachable and self._fresh and not slow
+
+    @property
+    def _fresh(self) -> bool:
+        return self._read_at is not None and self._clock.now() - self._read_at <= FRESH_SECONDS
 
     @property
     def full(self) -> bool:
@@ -113,6 +123,8 @@
             entry = self._entries[identity] = _Entry(record)
             self._pending.append(entry)
             self._wake.set()
+            if isinstance(record, Begun):
+                self._urgent.set()
         entry.waiters += 1
         return entry
 
@@ -124,7 +136,7 @@
     def _follow(self) -> None:
         failures = 0
         while True:
-            if self._read(READ_WAIT if self.ready else 0.0):
+            if self._read(READ_WAIT if self._fresh else 0.0):
                 failures = 0
                 continue
             self._clock.sleep(backoff_seconds(failures))
@@ -179,11 +191,15 @@
         failures = 0
         while True:
             self._wake.wait()
+            wait_any([self._urgent], self._clock.now() + END_LINGER, self._clock)
             started = self._clock.now()
             entries = self._next_entries()
             if not entries:
                 continue
-            match self._log.append(self._stream, encode(_batch_of(entries))):
+            self._append_started = started
+            appended = self._log.append(self._stream, encode(_batch_of(entries)))
+            self._append_started = None
+            match appended:
                 case Ok(_):
                     failures = 0
                     self._pause(started)
@@ -204,6 +220,7 @@
         self._pending = wanted[RECORDS_PER_APPEND:]
         if not self._pending:
             self._wake.clear()
+            self._urgent.clear()
         return wanted[:RECORDS_PER_APPEND]
 
     def _fail_begins(self, entries: list[_Entry], *, certain: bool) -> None:
--- a/packages/loomyard-router/src/loomyard_router/claims/waiting.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/waiting.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING, Any
 
 import gevent
 
@@ -11,14 +11,19 @@
 
     from loomyard.clock import Clock
 
-T = TypeVar("T")
-
 
 def wait_result(result: AsyncResult, deadline: float, clock: Clock) -> object | None:
     """Return the result, or ``None`` at the deadline."""
-    left = deadline - clock.now()
-    if not result.ready() and left > 0:
-        timer = gevent.spawn(clock.sleep, left)
-        gevent.wait([result, timer], count=1)
-        timer.kill(block=False)
+    if not result.ready():
+        wait_any([result], deadline, clock)
     return result.value if result.ready() else None
+
+
+def wait_any(waited: list[Any], deadline: float, clock: Clock) -> None:
+    """Wait until one of some events or results is there, or the deadline."""
+    left = deadline - clock.now()
+    if left <= 0:
+        return
+    timer = gevent.spawn(clock.sleep, left)
+    gevent.wait([*waited, timer], count=1)
+    timer.kill(block=False)
--- a/tests/test_loomyard_router/test_claims.py
+++ b/tests/test_loomyard_router/test_claims.py
@@ -5,6 +5,7 @@
 import unittest
 
 import gevent
+from gevent.event import AsyncResult
 
 from loomyard.errors import Executed, ResultCode
 from loomyard_router.claims.keeper import RecordedOutcome
@@ -150,6 +151,21 @@
         self.fleet.pass_time(2.0)
         self.assertEqual(self.serve(keeper).unwrap(), FIRST)
 
+    def test_slow_append_refuses_at_once_and_reads_do_not_spin(self) -> None:
+        (keeper,) = self.fleet.start("a")
+        claim = keeper.claim(key(), TIMEOUT).unwrap()
+        self.log.append = lambda stream, payload: AsyncResult().get()
+        task = gevent.spawn(keeper.begin, claim, TIMEOUT)
+        reads = []
+        read = self.log.read
+        self.log.read = lambda *a, **o: reads.append(a) or read(*a, **o)
+        settle()
+        self.fleet.pass_time(3.0)
+        self.assertEqual(task.value.unwrap_err().code, ResultCode.CLAIM_UNAVAILABLE)
+        refused = keeper.claim(key(), self.clock.now() + TIMEOUT).unwrap_err()
+        self.assertEqual(refused.code, ResultCode.CLAIM_UNAVAILABLE)
+        self.assertLess(len(reads), 100)
+
     def test_router_that_has_not_read_to_the_end_refuses(self) -> None:
         self.log.down = True
         (keeper,) = self.fleet.start("a")
