--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -15,21 +15,28 @@
 from loomyard_router.callers.handler import CallerServer
 from loomyard_router.callers.in_flight import InFlight
 from loomyard_router.claims.log_claims import make_log_claims
+from loomyard_router.configuration.distribution import make_distribution
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.fleet_parts import make_fleet_parts
+from loomyard_router.operators.interface import make_operators_interface
+from loomyard_router.orders.joint_backlog import JointBacklog
+from loomyard_router.orders.order_keeper import make_order_keeper
 from loomyard_router.parts import Parts, Platform
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
 from loomyard_router.requests.serving import Serving
 from loomyard_router.shares.fifo import make_fifo_policy
-from loomyard_router.shares.fleet import make_fleet_policy
+from loomyard_router.shares.fleet import FleetPolicy, make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
 from loomyard_router.targets.http_engine import make_http_engine
 from loomyard_router.targets.known_targets import make_known_targets
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from loomyard.clock import Clock
     from loomyard_router.members.membership import Membership
+    from loomyard_router.orders.backlog import BacklogView
     from loomyard_router.peers.links import PeerLinks
     from loomyard_router.settings import Settings
     from loomyard_router.shares.policy import SharePolicy
@@ -44,28 +51,45 @@
     def __init__(
         self,
         settings: Settings,
+        platform: Platform,
         parts: Parts,
         callers: CallersApp,
         *,
-        clock: Clock,
         serving: Serving,
     ) -> None:
         self.parts = parts
         self.callers = callers
         self._settings = settings
-        self._clock = clock
+        self._clock = platform.clock
         self._serving = serving
-        self._in_flight = InFlight(clock)
+        self._in_flight = InFlight(platform.clock)
         self._drained: GeventEvent | None = None
         host, _, port = settings.listen.rpartition(":")
         self._server = CallerServer(
             (host, int(port)), callers, log=None, error_log=logger, in_flight=self._in_flight
         )
+        self.operators = make_operators_interface(
+            settings,
+            platform,
+            parts,
+            stopping=lambda: serving.stopping,
+            begin_stop=self.request_stop,
+        )
+        self._stop_listeners: list[Callable[[], None]] = []
 
     @property
     def port(self) -> int:
         return self._server.server_port
 
+    def on_stop_request(self, listener: Callable[[], None]) -> None:
+        """Call back when an operator asks for a planned stop."""
+        self._stop_listeners.append(listener)
+
+    def request_stop(self) -> None:
+        """Ask for a planned stop, as a signal to the process does."""
+        for listener in self._stop_listeners:
+            listener()
+
     def start(self) -> None:
         """Start to follow the configuration and to serve callers."""
         parts = self.parts
@@ -77,7 +101,12 @@
             parts.vm_watch.start()
         parts.claims.start()
         parts.policy.start()
+        parts.distribution.start()
+        if parts.orders is not None:
+            parts.follower.subscribe(parts.orders.reconfigure)
+            parts.orders.start()
         self._server.start()
+        self.operators.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, port=self.port)
 
     def drain(self) -> None:
@@ -100,8 +129,12 @@
 
     def stop(self) -> None:
         """Stop at once."""
+        self.operators.stop()
         self._server.stop()
         parts = self.parts
+        parts.distribution.stop()
+        if parts.orders is not None:
+            parts.orders.stop()
         parts.policy.stop()
         parts.claims.stop()
         if parts.vm_watch is not None:
@@ -123,15 +156,19 @@
     platform = platform or make_platform(settings)
     clock = platform.clock
     fleet = make_fleet_parts(settings, platform)
-    targets = make_known_targets(
-        clock, platform.engine, fleet.members, fleet.peers, vm_list=platform.vm_list
-    )
+    follower = ConfigFollower(platform.log, clock)
+    targets = make_known_targets(clock, platform.engine, fleet.members, fleet.peers)
+    if fleet.vm_watch is not None:
+        fleet.vm_watch.subscribe(targets.take_vms)
     parts = Parts(
         members=fleet.members,
         peers=fleet.peers,
         traffic=fleet.traffic,
         vm_watch=fleet.vm_watch,
-        follower=ConfigFollower(platform.log, clock),
+        follower=follower,
+        distribution=make_distribution(
+            platform, follower, fleet.members, fleet.peers, retention=settings.log_retention
+        ),
         targets=targets,
         policy=_make_policy(settings, clock, fleet.members, fleet.peers, targets),
         claims=make_log_claims(
@@ -153,8 +190,17 @@
         estimates=CostEstimates(),
         journal=parts.journal,
     )
+    parts.orders = make_order_keeper(
+        clock=clock,
+        log=platform.log,
+        engine=platform.engine,
+        members=parts.members,
+        targets=parts.targets,
+        weights=platform.weight_store,
+        backlog=_join_backlogs(serving, parts.policy),
+    )
     callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
-    return Application(settings, parts, callers, clock=clock, serving=serving)
+    return Application(settings, platform, parts, callers, serving=serving)
 
 
 def _make_policy(
@@ -169,3 +215,9 @@
     if settings.policy == "local":
         return make_local_policy(clock, position=settings.position, routers=settings.routers)
     return make_fleet_policy(clock, members=members, peers=peers, directory=directory)
+
+
+def _join_backlogs(serving: Serving, policy: SharePolicy) -> BacklogView:
+    if isinstance(policy, FleetPolicy):
+        return JointBacklog((serving.backlog, policy))
+    return serving.backlog
--- a/tests/test_loomyard_router/test_targets/test_known_targets.py
+++ b/tests/test_loomyard_router/test_targets/test_known_targets.py
@@ -59,7 +59,6 @@
             SoleMembership(own),
             self.network.join(own),
             gossip=self.gossip.join(),
-            vm_list=self.vm_list,
         )
 
     def publish(self, *objects: object) -> None:
@@ -75,6 +74,7 @@
     def pass_time(self, seconds: float) -> None:
         for _ in range(int(seconds / 0.5)):
             self.clock.advance(0.5)
+            self.routers[0].take_vms(self.vm_list.read().unwrap())
             for router in self.routers:
                 router.tick()
             gevent.sleep(0)
@@ -211,7 +211,8 @@
 
 class LoadedTest(TargetsCase):
     def test_what_is_loaded_now_counts(self) -> None:
-        self.publish(target("a", vm="vm-a", loadable=["tagger"]))
+        tagger = Service(metadata=Metadata(name="tagger"))
+        self.publish(tagger, target("a", vm="vm-a", loadable=["tagger"]))
         router = self.routers[0]
         self.assertTrue(router.may_send("a", "assistant"))
         self.assertFalse(router.may_send("a", "tagger"))
