Attach a request that lost the race for its key; say so where an answer was not kept

Cause: a request that queued while another with its key began got 409 in place of the outcome, and a repeat of an answer without kept body got an empty 200, which is no whole answer. Now the loser gives its slot back and waits for the outcome within its deadline; a repeat without kept body gets BODY_NOT_KEPT (4006), executed yes. The race test fails with 409 without the loop.

--- a/packages/loomyard-router/src/loomyard_router/requests/claimed_run.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/claimed_run.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from loomyard.errors import ResultCode
 from loomyard_router.claims.keeper import RecordedOutcome
 from loomyard_router.claims.keys import claim_key_of
 
@@ -22,6 +23,12 @@
         self._keeper = keeper
         self._claim = claim
         self._begun = False
+        self._lost = False
+
+    @property
+    def lost(self) -> bool:
+        """Whether another request with the key was first."""
+        return self._lost
 
     def begin(self, deadline: float) -> Result[None, Fault]:
         """Record, once, that the request is about to be sent."""
@@ -29,6 +36,7 @@
             return Ok(None)
         begun = self._keeper.begin(self._claim, deadline)
         self._begun = begun.is_ok()
+        self._lost = begun.is_err() and begun.unwrap_err().code is ResultCode.KEY_IN_PROGRESS
         return begun
 
     def finish(self, outcome: RecordedOutcome | None) -> None:
--- a/packages/loomyard-router/src/loomyard_router/requests/serving.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/serving.py
@@ -16,7 +16,12 @@
 from loomyard_router.requests.sender import Sender
 from loomyard_router.requests.slot_queue import SlotQueue, deadline_fault, stopping_fault
 from loomyard_router.requests.stream_answers import StreamAnswer
-from loomyard_router.requests.whole_answers import hold_whole, pass_whole, replay
+from loomyard_router.requests.whole_answers import (
+    hold_whole,
+    not_kept_fault,
+    pass_whole,
+    replay,
+)
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -88,15 +93,23 @@
             return self._refuse(request, stopping_fault())
         if self._clock.now() >= request.deadline:
             return self._refuse(request, deadline_fault())
-        match claim_run(self._claims, request):
-            case Err(fault):
-                return self._refuse(request, fault)
-            case Ok(RecordedOutcome() as outcome):
-                self._journal.record(request.request_id, Step.ANSWERED, "the recorded outcome")
-                return Ok(replay(outcome))
-            case Ok(ClaimedRun() as run):
-                return self._run(request, run)
-        raise AssertionError("a claim is a run, an outcome or a fault")
+        while True:
+            match claim_run(self._claims, request):
+                case Err(fault):
+                    return self._refuse(request, fault)
+                case Ok(RecordedOutcome() as outcome):
+                    return self._replay(request, outcome)
+                case Ok(ClaimedRun() as run):
+                    answer = self._run(request, run)
+                    if not run.lost:
+                        return answer
+                    # Another request with the key was first: wait for what it comes to.
+
+    def _replay(self, request: Request, outcome: RecordedOutcome) -> Result[Answer, Fault]:
+        if outcome.body is None:
+            return self._refuse(request, not_kept_fault(outcome))
+        self._journal.record(request.request_id, Step.ANSWERED, "the recorded outcome")
+        return Ok(replay(outcome))
 
     def _run(self, request: Request, run: ClaimedRun) -> Result[Answer, Fault]:
         certain = True
@@ -110,6 +123,8 @@
                         return Ok(answer)
                     case Err(failed):
                         pass
+                if run.lost:
+                    return Err(failed.fault)
                 certain = certain and failed.fault.executed is Executed.NO
                 final = self._retries.refuse(request, failed, number)
                 if final is not None:
--- a/packages/loomyard-router/src/loomyard_router/requests/whole_answers.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/whole_answers.py
@@ -74,6 +74,15 @@
     return Answer(status=outcome.status, headers=headers, body=[outcome.body or b""])
 
 
+def not_kept_fault(outcome: RecordedOutcome) -> Fault:
+    """Return the fault of a repeat whose recorded outcome has no body."""
+    return Fault(
+        code=ResultCode.BODY_NOT_KEPT,
+        detail=f"it ran and was answered with status {outcome.status}; the body was not kept",
+        executed=Executed.YES,
+    )
+
+
 def _collect(answer: TargetAnswer) -> Result[tuple[bytes, bool], Fault]:
     blocks: list[bytes] = []
     size = 0
--- a/packages/loomyard/src/loomyard/errors.py
+++ b/packages/loomyard/src/loomyard/errors.py
@@ -65,6 +65,7 @@
     OUTCOME_UNKNOWN = 4003, "it is not known whether the request ran"
     KEY_IN_PROGRESS = 4004, "a request with this idempotency key is running"
     CLAIM_UNAVAILABLE = 4005, "the log service cannot order the claim now"
+    BODY_NOT_KEPT = 4006, "the request ran; its answer was too large to keep for a repeat"
 
     INVALID_MANIFEST = 5001, "an object or field is not valid"
     STALE_VERSION = 5002, "the change is based on an older version"
--- a/tests/test_loomyard_router/test_whole_path.py
+++ b/tests/test_loomyard_router/test_whole_path.py
@@ -6,6 +6,7 @@
 import socket
 import unittest
 
+import gevent
 import openai
 from geventhttpclient import HTTPClient
 
@@ -70,6 +71,29 @@
         ran = [call for call in self.fleet.plain.ran if call[1] == "/receipts"]
         self.assertEqual(len(ran), 1)
 
+    def post_receipt(self, router, key: str, body: bytes = b"swap"):
+        headers = {"Authorization": f"Bearer {sample_key('kiosk')}", "Idempotency-Key": key}
+        client = HTTPClient("127.0.0.1", router.port)
+        response = client.post("/services/records/receipts", body, headers)
+        return response.status_code, json.loads(response.read())
+
+    def test_receipts_that_race_under_one_key_run_once_and_get_one_answer(self) -> None:
+        before = len(self.fleet.plain.ran)
+        tasks = [
+            gevent.spawn(self.post_receipt, router, "race") for router in self.fleet.routers * 3
+        ]
+        gevent.joinall(tasks, raise_error=True)
+        self.assertEqual({task.value[0] for task in tasks}, {200})
+        self.assertEqual(len({task.value[1]["number"] for task in tasks}), 1)
+        self.assertEqual(len(self.fleet.plain.ran) - before, 1)
+
+    def test_repeat_whose_answer_was_too_large_to_keep_is_told_so(self) -> None:
+        body = b"x" * 20_000
+        status, _ = self.post_receipt(self.fleet.routers[0], "large", body)
+        again, problem = self.post_receipt(self.fleet.routers[1], "large", body)
+        self.assertEqual((status, again), (200, 409))
+        self.assertEqual((problem["code"], problem["executed"]), (4006, "yes"))
+
     def test_unknown_service_is_a_problem_document(self) -> None:
         client = HTTPClient("127.0.0.1", self.fleet.routers[1].port)
         headers = {"Authorization": f"Bearer {sample_key('labels')}"}
