--- a/packages/loomyard-router/src/loomyard_router/claims/hosting.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/hosting.py
@@ -136,7 +136,8 @@
         partition = self._ready(partition_of(begun.key))
         if partition is None:
             return BeginAnswer(detail="the host has not read the partition to its end")
-        if abs(begun.begun_at - self._clock.wall()) > CLOCK_MARGIN:
+        # Written so that a time that is no number is refused as well.
+        if not abs(begun.begun_at - self._clock.wall()) <= CLOCK_MARGIN:
             return BeginAnswer(detail="the wall clocks of claimant and host differ")
         state = partition.find(begun.key)
         if state is not None and state.claim_id != begun.claim_id:
--- a/packages/loomyard-router/src/loomyard_router/claims/partition.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/partition.py
@@ -11,7 +11,6 @@
 from gevent.event import AsyncResult, Event
 from result import Err, Ok
 
-from loomyard.codec import decode, encode
 from loomyard.errors import ResultCode
 from loomyard.events import Event as LogEvent
 from loomyard.events import emit
@@ -21,6 +20,7 @@
 from loomyard_router.claims.records import Abandoned, Begun, ClaimBatch, Finished
 from loomyard_router.claims.verdict import Verdict
 from loomyard_router.claims.waiting import wait_any, wait_result
+from loomyard_router.peers.compact_codec import pack, unpack
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -170,7 +170,7 @@
             self._note_reachable(True)
 
     def _apply(self, payload: bytes) -> None:
-        match decode(payload, ClaimBatch):
+        match unpack(payload, ClaimBatch):
             case Ok(batch):
                 verdicts = self._state.apply(batch)
                 for begun, verdict in zip(batch.begun, verdicts, strict=True):
@@ -197,7 +197,7 @@
             if not entries:
                 continue
             self._append_started = started
-            appended = self._log.append(self._stream, encode(_batch_of(entries)))
+            appended = self._log.append(self._stream, pack(_batch_of(entries)))
             self._append_started = None
             match appended:
                 case Ok(_):
--- a/packages/loomyard-router/src/loomyard_router/claims/partition_state.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/partition_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from itertools import islice
+from sys import intern
 from typing import TYPE_CHECKING
 
 from loomyard_router.claims.key_state import KeyState, Phase
@@ -65,7 +66,7 @@
             self._keys[begun.key] = KeyState(
                 claim_id=begun.claim_id,
                 fingerprint=begun.fingerprint,
-                owner=begun.owner,
+                owner=intern(begun.owner),
                 incarnation=begun.incarnation,
                 answer_by=begun.answer_by,
                 keep_until=begun.keep_until,
--- a/tests/test_loomyard_router/test_claims.py
+++ b/tests/test_loomyard_router/test_claims.py
@@ -5,10 +5,12 @@
 import unittest
 
 import gevent
+from attrs import evolve
 from gevent.event import AsyncResult
 
 from loomyard.errors import Executed, ResultCode
 from loomyard_router.claims.keeper import RecordedOutcome
+from loomyard_router.claims.messages import BeginClaim
 from test_loomyard_router.claims_fleet import TIMEOUT, WINDOW, ClaimsFleet, key, settle
 
 FIRST = RecordedOutcome(status=200, content_type="text/plain", body=b"1")
@@ -192,6 +194,19 @@
             self.assertEqual(self.code(keeper, wanted), ResultCode.KEY_EXPIRED)
         self.assertEqual(self.fleet.sends["k"], 0)
 
+    def test_host_refuses_a_claimant_whose_wall_clock_differs(self) -> None:
+        (keeper,) = self.fleet.start("a")
+        wall = self.clock.wall()
+        for wrong in (wall + 31, wall - 31, float("nan")):
+            begun = evolve(self.record(keeper), begun_at=wrong)
+            answer = keeper._hosting.answer(BeginClaim(begun=begun), TIMEOUT)
+            self.assertIsNone(answer.verdict)
+        self.assertEqual(self.log.appends, 0)
+
+    def record(self, keeper):
+        claim = keeper.claim(key(), TIMEOUT).unwrap()
+        return keeper._make_begun(claim, TIMEOUT)
+
     def test_kept_body_is_bounded(self) -> None:
         (keeper,) = self.fleet.start("a")
         large = RecordedOutcome(status=201, content_type="text/plain", body=b"x" * 17_000)
