Report claims whose outcome nobody can record any more

Cause: a claim whose router died after begin was unknown to its repeats only; operators heard nothing of it.

--- a/packages/loomyard-router/src/loomyard_router/claims/hosting.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/hosting.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+import gevent
 from result import Ok
 
 from loomyard.rendezvous import rank
@@ -18,6 +19,7 @@
     Settled,
 )
 from loomyard_router.claims.partition import ClaimPartition
+from loomyard_router.claims.unknown_watch import CLOCK_MARGIN, UnknownWatch
 from loomyard_router.claims.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -25,6 +27,7 @@
 
     from loomyard.clock import Clock
     from loomyard.platform.log_service import LogService
+    from loomyard_router.claims.key_state import KeyState
     from loomyard_router.members.membership import Member, Membership
     from loomyard_router.peers.links import PeerLinks
 
@@ -32,8 +35,7 @@
 HOSTS = 2
 # A router that drops to this rank stops to follow; between the two it stays as it is.
 DROP_RANK = 3
-# How far the wall clocks of routers and callers may lie apart.
-CLOCK_MARGIN = 30.0
+SWEEP_SECONDS = 5.0
 HOST_SECONDS = 1.5
 
 Message = LookUp | BeginClaim | SettleClaims
@@ -54,6 +56,8 @@
         self._peers = peers
         self._hosts: list[list[str]] = []
         self._partitions: dict[int, ClaimPartition] = {}
+        self._watch = UnknownWatch(members)
+        self._sweeping: gevent.Greenlet | None = None
 
     def start(self) -> None:
         """Start to host and to answer."""
@@ -61,13 +65,27 @@
             self._peers.handle(kind, self._answer_peer)
         self._members.subscribe(self._assign)
         self._assign()
+        self._sweeping = gevent.spawn(self._sweep)
 
     def stop(self) -> None:
         """Stop to host."""
+        if self._sweeping is not None:
+            self._sweeping.kill()
         for partition in self._partitions.values():
             partition.stop()
         self._partitions.clear()
 
+    def unknown(self) -> list[KeyState]:
+        """Return the claims without outcome of the partitions that this router hosts first."""
+        own = self._members.own.name
+        claims = [
+            claim
+            for number, partition in self._partitions.items()
+            if self._hosts[number][:1] == [own]
+            for claim in partition.unsettled()
+        ]
+        return self._watch.sweep(claims, self._clock.wall())
+
     def ask(self, key: bytes, message: Message, deadline: float) -> Iterator[Any]:
         """Yield the answers of the hosts in their order; a host that does not answer is left."""
         return self.ask_partition(partition_of(key), message, deadline)
@@ -98,6 +116,11 @@
     def _answer_peer(self, sender: Member, message: Any) -> Any:
         return self.answer(message, self._clock.now() + HOST_SECONDS)
 
+    def _sweep(self) -> None:
+        while True:
+            self._clock.sleep(SWEEP_SECONDS)
+            self.unknown()
+
     def _assign(self) -> None:
         names = [member.name for member in self._members.live()]
         own = self._members.own.name
--- a/packages/loomyard-router/src/loomyard_router/claims/log_claims.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/log_claims.py
@@ -2,23 +2,21 @@
 
 from __future__ import annotations
 
-import logging
 import secrets
 from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
 
 from loomyard.errors import Executed, Fault, ResultCode
-from loomyard.events import Event, emit
-from loomyard_router.claims.hosting import CLOCK_MARGIN, ClaimHosting
+from loomyard_router.claims.hosting import ClaimHosting
 from loomyard_router.claims.keeper import Claim, RecordedOutcome
 from loomyard_router.claims.key_state import Phase
 from loomyard_router.claims.keys import digest_of
 from loomyard_router.claims.messages import BeginAnswer, BeginClaim, KeyView, LookUp
 from loomyard_router.claims.records import Abandoned, Begun, Finished
 from loomyard_router.claims.settling import Settling
+from loomyard_router.claims.unknown_watch import CLOCK_MARGIN, is_unknown
 from loomyard_router.claims.verdict import Verdict
-from loomyard_router.members.membership import MemberState
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -27,8 +25,6 @@
     from loomyard_router.members.membership import Membership
     from loomyard_router.peers.links import PeerLinks
 
-logger = logging.getLogger(__name__)
-
 CLAIM_ID_BYTES = 12
 MAX_KEPT_BODY = 16 * 1024
 # A router that answers later than this is taken as not answering.
@@ -75,7 +71,7 @@
                     return Ok(Claim(key=key, claim_id=claim_id, offset=-1))
                 case Phase.FINISHED if view.outcome is not None:
                     return Ok(view.outcome)
-            if view.phase is Phase.UNKNOWN or self._is_lost(view):
+            if self._is_lost(view):
                 return Err(_unknown())
             self._clock.sleep(max(0.0, min(poll, deadline - self._clock.now())))
             if self._clock.now() >= deadline:
@@ -102,9 +98,7 @@
         begun = self._begun.pop(claim.claim_id, None)
         if begun is None:
             return
-        if outcome is None:
-            emit(logger, Event.CLAIM_OUTCOME_UNKNOWN, claim=claim.claim_id)
-        elif outcome.body is not None and len(outcome.body) > MAX_KEPT_BODY:
+        if outcome is not None and len(outcome.body or b"") > MAX_KEPT_BODY:
             outcome = RecordedOutcome(
                 status=outcome.status, content_type=outcome.content_type, body=None
             )
@@ -143,13 +137,7 @@
         return None
 
     def _is_lost(self, view: KeyView) -> bool:
-        """Tell whether nobody is left who could still record the outcome."""
-        if self._clock.wall() > view.answer_by + CLOCK_MARGIN:
-            return True
-        owner = self._members.find(view.owner)
-        if owner is None:
-            return False
-        return owner.state is MemberState.DEAD or owner.incarnation != view.incarnation
+        return is_unknown(view, self._members, self._clock.wall())
 
     def _make_begun(self, claim: Claim, deadline: float) -> Begun:
         wall = self._clock.wall()
--- a/packages/loomyard-router/src/loomyard_router/claims/partition.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/partition.py
@@ -93,6 +93,10 @@
         """Return the state of a key."""
         return self._state.find(key, self._clock.wall())
 
+    def unsettled(self) -> list[tuple[bytes, KeyState]]:
+        """Return the keys that were begun and have no outcome."""
+        return self._state.unsettled()
+
     def start(self) -> None:
         """Start to follow and to append."""
         self._tasks = [gevent.spawn(self._follow), gevent.spawn(self._write)]
--- a/packages/loomyard-router/src/loomyard_router/claims/partition_state.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/partition_state.py
@@ -28,6 +28,7 @@
     def __init__(self) -> None:
         self._time = 0.0
         self._keys: dict[bytes, KeyState] = {}
+        self._unsettled: set[bytes] = set()
         self._void: dict[bytes, float] = {}
 
     @property
@@ -44,6 +45,10 @@
             return None
         return state
 
+    def unsettled(self) -> list[tuple[bytes, KeyState]]:
+        """Return the keys that were begun and have no outcome."""
+        return [(key, self._keys[key]) for key in self._unsettled]
+
     def apply(self, batch: ClaimBatch) -> list[Verdict]:
         """Fold a batch; return the verdicts on its ``begun``."""
         for abandoned in batch.abandoned:
@@ -63,6 +68,7 @@
         if verdict is Verdict.GRANTED:
             # A key that was forgotten moves to the end, as new keys do.
             self._keys.pop(begun.key, None)
+            self._unsettled.add(begun.key)
             self._keys[begun.key] = KeyState(
                 claim_id=begun.claim_id,
                 fingerprint=begun.fingerprint,
@@ -93,6 +99,7 @@
             return
         if owner.phase is Phase.BEGUN:
             del self._keys[abandoned.key]
+            self._unsettled.discard(abandoned.key)
 
     def _finish(self, finished: Finished) -> None:
         state = self._keys.get(finished.key)
@@ -101,6 +108,7 @@
         if finished.outcome is not None and state.outcome is None:
             state.phase = Phase.FINISHED
             state.outcome = finished.outcome
+            self._unsettled.discard(finished.key)
         elif state.phase is Phase.BEGUN:
             state.phase = Phase.UNKNOWN
 
@@ -109,6 +117,7 @@
             if self._keys[key].keep_until >= self._time:
                 break
             del self._keys[key]
+            self._unsettled.discard(key)
         for claim_id in list(islice(self._void, FORGET_PER_BATCH)):
             if self._void[claim_id] >= self._time:
                 break
--- a/tests/test_loomyard_router/claims_fleet.py
+++ b/tests/test_loomyard_router/claims_fleet.py
@@ -103,6 +103,8 @@
         """Start a router again, empty."""
         keeper = self.join(name, make)
         keeper.start()
+        for other in self.keepers.values():
+            other._hosting._assign()
         settle()
         return keeper
 
--- a/tests/test_loomyard_router/test_claims.py
+++ b/tests/test_loomyard_router/test_claims.py
@@ -73,6 +73,8 @@
         )
         self.assertEqual(self.code(self.fleet.restart("a")), ResultCode.OUTCOME_UNKNOWN)
         self.assertEqual(self.fleet.sends["k"], 0)
+        seen = [s for k in self.fleet.keepers.values() for s in k._hosting.unknown()]
+        self.assertEqual([(s.owner, s.incarnation) for s in seen], [("a", 1)])
 
     def test_repeat_attaches_to_the_running_one_until_its_deadline(self) -> None:
         first, second = self.fleet.start("a", "b")
