--- a/packages/loomyard-router/src/loomyard_router/claims/keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/keeper.py
@@ -28,11 +28,10 @@
 
 @frozen(kw_only=True)
 class Claim:
-    """A claim that this router won; ``offset`` is its place in the log."""
+    """A claim on a key of which nothing was known; ``begin`` decides whether it wins."""
 
     key: ClaimKey
     claim_id: str
-    offset: int
 
 
 @frozen(kw_only=True)
@@ -52,14 +51,18 @@
     """
 
     def claim(self, key: ClaimKey, deadline: float) -> Result[Claim | RecordedOutcome, Fault]:
-        """Claim a key, or return the outcome recorded for it.
+        """Claim a key, or return the outcome recorded for it; wait for one that is running.
 
         Errors: ``KEY_REUSED``, ``KEY_EXPIRED``, ``OUTCOME_UNKNOWN``, ``KEY_IN_PROGRESS``,
         ``CLAIM_UNAVAILABLE``.
         """
 
     def begin(self, claim: Claim, deadline: float) -> Result[None, Fault]:
-        """Record that the request is about to be sent; on an error it must not be sent."""
+        """Record that the request is about to be sent; on an error it must not be sent.
+
+        Errors: ``KEY_IN_PROGRESS`` (another was first: claim again to wait for its outcome),
+        ``KEY_EXPIRED``, ``CLAIM_UNAVAILABLE``, ``DEADLINE_PASSED``.
+        """
 
     def finish(self, claim: Claim, outcome: RecordedOutcome | None) -> None:
         """Record the outcome; ``None`` where it is unknown."""
--- a/packages/loomyard-router/src/loomyard_router/claims/log_claims.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/log_claims.py
@@ -68,7 +68,7 @@
             match view.phase:
                 case Phase.FREE:
                     claim_id = secrets.token_hex(CLAIM_ID_BYTES)
-                    return Ok(Claim(key=key, claim_id=claim_id, offset=-1))
+                    return Ok(Claim(key=key, claim_id=claim_id))
                 case Phase.FINISHED if view.outcome is not None:
                     return Ok(view.outcome)
             if self._is_lost(view):
--- a/tests/test_loomyard_router/test_claims.py
+++ b/tests/test_loomyard_router/test_claims.py
@@ -128,6 +128,14 @@
         self.fleet.pass_time()
         self.assertEqual(self.serve(second).unwrap(), FIRST)
 
+    def test_planned_stop_records_what_has_ended(self) -> None:
+        first, second = self.fleet.start("a", "b")
+        claim = self.begun(first)
+        first.finish(claim, self.fleet.send(claim))
+        self.fleet.run(first.stop)
+        self.fleet.kill("a")
+        self.assertEqual(self.serve(second).unwrap(), FIRST)
+
     def test_lost_answer_of_each_append(self) -> None:
         keepers = self.fleet.start("a", "b")
         for lost in range(1, 4):
--- a/tests/test_loomyard_router/test_requests/test_serving.py
+++ b/tests/test_loomyard_router/test_requests/test_serving.py
@@ -53,7 +53,7 @@
 
     def claim(self, key: ClaimKey, deadline: float) -> Ok[Claim]:
         self.steps.append("claim")
-        return Ok(Claim(key=key, claim_id="c", offset=0))
+        return Ok(Claim(key=key, claim_id="c"))
 
     def begin(self, claim: Claim, deadline: float) -> Ok[None]:
         self.steps.append("begin")
