--- a/packages/loomyard-router/src/loomyard_router/configuration/follower.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import logging
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,7 @@
 GAP_RETRY_SECONDS = 2.0
 LONG_LOG_RECORDS = 1000
 SETTLE_WAIT = 0.5
+FROZEN_OBJECTS = 1000
 
 
 class ConfigFollower:
@@ -108,6 +110,10 @@
 
     def note_caught_up(self) -> None:
         """Take in that the state was as new as a reader of the log had it."""
+        if not self._caught_up and len(self.state.objects) >= FROZEN_OBJECTS:
+            # Full collections would go through every object of the configuration each time and
+            # hold up the relays meanwhile; the objects form no cycles.
+            gc.freeze()
         self._caught_up = True
 
     def start(self) -> None:
@@ -156,7 +162,7 @@
             return
         self.replica.take(batch.records)
         if self.state.applied + 1 >= batch.end:
-            self._caught_up = True
+            self.note_caught_up()
 
     def _starts_late(self, batch: LogBatch) -> bool:
         """Tell whether a snapshot may save an empty router the reading of a long log."""
--- a/packages/loomyard-router/src/loomyard_router/configuration/replica.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/replica.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
+import gevent
 from gevent.event import Event as GeventEvent
 from gevent.lock import RLock
 
@@ -33,6 +34,7 @@
 logger = logging.getLogger(__name__)
 
 REMEMBERED_CHANGES = 10_000
+LARGE_RECORD_BYTES = 16 * 1024
 REMEMBERED_DIGESTS = 1000
 
 
@@ -88,6 +90,8 @@
                 self.tail.add(record)
                 self._note(record.offset, folded)
                 changed |= _changed_refs(folded)
+                if len(record.payload) >= LARGE_RECORD_BYTES:
+                    gevent.sleep(0)  # others run while a long log is folded
             if state is not self._state:
                 self._adopt(state, Routing(state, self._routing, changed) if changed else None)
 
--- a/packages/loomyard/src/loomyard/configuration/packing.py
+++ b/packages/loomyard/src/loomyard/configuration/packing.py
@@ -16,7 +16,7 @@
 from loomyard.configuration.digest import format_digest
 from loomyard.configuration.snapshot import PART_BYTES, SnapshotPart
 from loomyard.configuration.state import ConfigState, VersionedObject, make_state
-from loomyard.objects import ConfigObject, ObjectRef
+from loomyard.objects import ConfigObject
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -74,9 +74,9 @@
 
 
 def _batches(state: ConfigState) -> Iterator[list[VersionedObject]]:
-    refs: list[ObjectRef] = sorted(state.objects, key=lambda ref: (ref.kind, ref.name))
-    for start in range(0, max(1, len(refs)), BATCH_OBJECTS):
-        yield [state.objects[ref] for ref in refs[start : start + BATCH_OBJECTS]]
+    items = list(state.objects.values())
+    for start in range(0, max(1, len(items)), BATCH_OBJECTS):
+        yield items[start : start + BATCH_OBJECTS]
 
 
 def _plain(item: ConfigObject) -> object:
--- a/packages/loomyard/src/loomyard/routing.py
+++ b/packages/loomyard/src/loomyard/routing.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import frozen
+from immutables import Map
 from result import Err, Ok, Result
 
 from loomyard.configuration.state import EMPTY_VERSION
@@ -15,6 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from immutables._protocols import MapMutation
+
     from loomyard.configuration import ConfigState
 
 CACHED_ROUTES = 20_000
@@ -30,25 +33,28 @@
 class Routing:
     """Look-ups over one configuration, made once for it.
 
-    ``predecessor`` and ``changed`` let a change cost little where the configuration is large:
-    the indices of kinds that did not change are taken over.
+    ``predecessor`` and ``changed`` let a change cost little where the configuration is large: the
+    indices share what did not change. ``changed`` is ``None`` where anything may have changed.
     """
 
     def __init__(
         self,
         state: ConfigState,
         predecessor: Routing | None = None,
-        changed: Iterable[ObjectRef] = (),
+        changed: Iterable[ObjectRef] | None = None,
     ) -> None:
         self._state = state
-        self.accounts: dict[str, ClientAccount] = {}
-        self.services: dict[str, Service] = {}
-        self.targets: dict[str, Target] = {}
-        self._parsed: dict[str, _ParsedRoute] = {}
-        if predecessor is None:
-            self._take_over(state.objects)
+        self.accounts: Map[str, ClientAccount] = Map()
+        self.services: Map[str, Service] = Map()
+        self.targets: Map[str, Target] = Map()
+        self._parsed: Map[str, _ParsedRoute] = Map()
+        self.changed: frozenset[ObjectRef] | None = None
+        if predecessor is None or changed is None:
+            self._update(state.objects)
         else:
-            self._inherit(predecessor, frozenset(changed))
+            self.changed = frozenset(changed)
+            self._inherit(predecessor)
+            self._update(self.changed)
         self._routes = self._order_routes()
         self._account_routes: dict[tuple[str, str], _ParsedRoute | None] = {}
         self._route_targets: dict[str, tuple[Target, ...]] = {}
@@ -107,25 +113,32 @@
         if name not in self._route_targets:
             self._route_targets[name] = tuple(
                 target
-                for target in self.targets.values()
+                for _, target in sorted(self.targets.items())
                 if parsed.route.service in (*target.services, *target.loadable)
                 and parsed.targets.matches(target.metadata.labels)
             )
         return self._route_targets[name]
 
-    def _inherit(self, predecessor: Routing, changed: frozenset[ObjectRef]) -> None:
-        kinds = {ref.kind for ref in changed}
-        for kind, name in _INDICES.items():
-            index = getattr(predecessor, name)
-            setattr(self, name, dict(index) if kind in kinds else index)
-        for ref in changed:
-            getattr(self, _INDICES[ref.kind]).pop(ref.name, None)
-        self._take_over(ref for ref in changed if ref in self._state.objects)
+    def _inherit(self, predecessor: Routing) -> None:
+        for name in _INDICES.values():
+            setattr(self, name, getattr(predecessor, name))
 
-    def _take_over(self, refs: Iterable[ObjectRef]) -> None:
+    def _update(self, refs: Iterable[ObjectRef]) -> None:
+        by_index: dict[str, list[ObjectRef]] = {}
         for ref in refs:
-            item = self._state.objects[ref].object
-            getattr(self, _INDICES[ref.kind])[ref.name] = _indexed(item)
+            by_index.setdefault(_INDICES[ref.kind], []).append(ref)
+        for name, changed in by_index.items():
+            mutation = getattr(self, name).mutate()
+            for ref in changed:
+                self._update_one(mutation, ref)
+            setattr(self, name, mutation.finish())
+
+    def _update_one(self, mutation: MapMutation, ref: ObjectRef) -> None:
+        versioned = self._state.objects.get(ref)
+        if versioned is None:
+            mutation.pop(ref.name, None)
+        else:
+            mutation[ref.name] = _indexed(versioned.object)
 
     def _order_routes(self) -> dict[str, list[_ParsedRoute]]:
         ordered = sorted(
--- a/tests/test_loomyard/test_configuration.py
+++ b/tests/test_loomyard/test_configuration.py
@@ -62,7 +62,7 @@
         good = Change(change_id="d2", deletions=[Deletion(ref=REF, based_on=0)])
         state, verdict = fold(state, 2, good)
         self.assertIs(verdict, Verdict.ACCEPTED)
-        self.assertEqual(state.objects, {})
+        self.assertEqual(dict(state.objects), {})
 
     def test_a_repeated_offset_changes_nothing(self) -> None:
         state, _ = fold(ConfigState(), 3, put(1.0))
@@ -125,7 +125,7 @@
         puts = [Put(object=account("kiosk"), based_on=1), Put(object=account("labels", DIGEST))]
         state, verdict = fold(self.state, 2, Change(change_id="m", puts=puts))
         self.assertIs(verdict, Verdict.ACCEPTED)
-        self.assertEqual(state.key_owners, {DIGEST: ObjectRef("ClientAccount", "labels")})
+        self.assertEqual(dict(state.key_owners), {DIGEST: ObjectRef("ClientAccount", "labels")})
 
     def test_form(self) -> None:
         self.assert_invalid(change(account("a"), account("a")), "ClientAccount/a: named twice")
@@ -190,7 +190,7 @@
             if verdict is Verdict.ACCEPTED:
                 before, accounts = routing, dict(routing.accounts)
                 routing = Routing(state, before, [ref])
-                self.assertEqual(before.accounts, accounts)
+                self.assertEqual(dict(before.accounts), accounts)
         anew = make_state(state.objects.values(), version=state.version, applied=state.applied)
         self.assertEqual(anew, state)
         self.assertEqual(anew.key_owners, state.key_owners)
