--- a/packages/loomyard-router/src/loomyard_router/orders/order_keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/orders/order_keeper.py
@@ -8,15 +8,14 @@
 import gevent
 from result import Ok
 
-from loomyard import rendezvous
 from loomyard.events import Event, emit
 from loomyard.objects import Target, TargetState
-from loomyard_router.orders.lease_record import ORDERS_STREAM
 from loomyard_router.orders.order_lease_keeper import OrderLeaseKeeper
 from loomyard_router.orders.order_planner import OrderPlanner
 from loomyard_router.orders.order_sender import OrderSender
 from loomyard_router.orders.paced_weights import PacedWeights
 from loomyard_router.orders.target_view import TargetView
+from loomyard_router.shares.parents import find_allocator
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -31,7 +30,6 @@
 logger = logging.getLogger(__name__)
 
 STEP_SECONDS = 1.0
-CANDIDATES = 3
 # Bounds what the keeper reads of targets in one step.
 MAX_OBSERVED = 16
 
@@ -58,7 +56,7 @@
         self._all: list[Target] = []
         self._ordered: list[Target] = []
         self._lease = OrderLeaseKeeper(clock, log, members.own)
-        self._planner = OrderPlanner(clock, self._is_served_elsewhere)
+        self._planner = OrderPlanner(clock, targets.may_send)
         self._sender = OrderSender(clock, engine, weights, self._lease)
         self._task: gevent.Greenlet | None = None
 
@@ -94,7 +92,9 @@
             self._planner.plan(waiting, [])
             return
         views = self._observe(waiting)
-        self._planner.plan(waiting, views)
+        read = {view.target.metadata.name for view in views}
+        unread = [t.metadata.name for t in self._all if t.metadata.name not in read]
+        self._planner.plan(waiting, views, unread)
         for view in views:
             name = view.target.metadata.name
             service = self._planner.desired.get(name)
@@ -111,20 +111,13 @@
             self._clock.sleep(STEP_SECONDS)
 
     def _is_candidate(self) -> bool:
-        names = [member.name for member in self._members.live()]
-        return self._members.own.name in rendezvous.rank(ORDERS_STREAM, names)[:CANDIDATES]
+        # The allocator of slots keeps the orders too: it sees what waits in the whole fleet.
+        return self._members.own.name == find_allocator(self._members)
 
     def _waiting(self) -> dict[str, int]:
         services = {s for target in self._ordered for s in (*target.services, *target.loadable)}
         return {service: self._backlog.waiting(service) for service in services}
 
-    def _is_served_elsewhere(self, name: str, service: str) -> bool:
-        others = [t.metadata.name for t in self._all if t.metadata.name != name]
-        return any(
-            self._targets.may_send(other, service) and other not in self._planner.desired
-            for other in others
-        )
-
     def _observe(self, waiting: dict[str, int]) -> list[TargetView]:
         """Read the targets under change back first, then those that might help."""
         wanted = {service for service, count in waiting.items() if count > 0}
--- a/packages/loomyard-router/src/loomyard_router/shares/messages.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/messages.py
@@ -4,7 +4,7 @@
 
 from attrs import field, frozen
 
-from loomyard.codec import CODEC
+from loomyard_router.peers.message_types import peer_message
 
 UNKNOWN_LEVEL = -1
 
@@ -34,6 +34,11 @@
     running: bool
     waiting: dict[bytes, Waiting]
 
+    @property
+    def active(self) -> bool:
+        """Tell whether anything waits or runs."""
+        return self.running or bool(self.waiting)
+
 
 @frozen
 class SlotReport:
@@ -43,21 +48,25 @@
     excess: int
 
 
+@peer_message("sr")
 @frozen
 class ShareReport:
     """Tell the allocator what changed since its acknowledged ``baseline``.
 
-    ``acknowledged`` is the last reply of the session that the router applied.
+    ``acknowledged`` is the last reply of the session that the router applied, ``floor`` the floor
+    as it was told, by whichever allocator.
     """
 
     session: int
     sequence: int
     acknowledged: int
     baseline: int
+    floor: int
     accounts: dict[bytes, AccountReport] = field(factory=dict)
     slots: dict[bytes, SlotReport] = field(factory=dict)
 
 
+@peer_message("sa")
 @frozen
 class ShareReply:
     """Tell a router what changed since its acknowledged reply.
@@ -80,18 +89,9 @@
     limits: dict[bytes, int] = field(factory=dict)
 
 
+@peer_message("sx")
 @frozen
 class ShareReset:
     """Ask a router to begin a new session, since this one is not known here."""
 
     session: int
-
-
-def _send_as_tuples() -> None:
-    # Field names would double the size of these messages.
-    for kind in (ShareReset, Waiting, AccountReport, SlotReport, ShareReport, ShareReply):
-        CODEC.register_unstructure_hook(kind, CODEC.unstructure_attrs_astuple)
-        CODEC.register_structure_hook(kind, CODEC.structure_attrs_fromtuple)
-
-
-_send_as_tuples()
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/peer_network.py
@@ -0,0 +1,67 @@
+"""The network between router processes: delays between data centres, and partitions."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from result import Err, Result
+
+from loomyard.errors import Fault, ResultCode
+from loomyard_standins.benches.places import ONE_WAY_SECONDS
+
+if TYPE_CHECKING:
+    from loomyard_router.members.membership import Membership
+    from loomyard_router.parts import Parts
+
+
+class PeerNetwork:
+    """Stand between a router and its peers; what is cut vanishes without a word."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._members: Membership = parts.members
+        self._cut_names: set[str] = set()
+        self._cut_addresses: set[str] = set()
+        self._wrap_links(parts.peers)
+        if hasattr(parts.members, "_datagrams"):
+            self._wrap_datagrams(parts.members._datagrams)
+
+    def cut(self, names: set[str]) -> None:
+        """Drop all that goes to some routers from now on; the empty set heals."""
+        self._cut_names = names
+        found = [self._members.find(name) for name in names]
+        self._cut_addresses = {member.address for member in found if member is not None}
+
+    def _wrap_links(self, peers: Any) -> None:
+        send, request = peers.send, peers.request
+
+        def delayed_send(to: str, message: Any) -> bool:
+            if to in self._cut_names:
+                return True
+            if self._is_near(to):
+                return send(to, message)
+            gevent.spawn_later(ONE_WAY_SECONDS, send, to, message)
+            return True
+
+        def delayed_request(to: str, message: Any, deadline: float) -> Result[Any, Fault]:
+            if to in self._cut_names:
+                gevent.sleep(ONE_WAY_SECONDS)
+                return Err(Fault(code=ResultCode.PEER_UNREACHABLE, detail=f"{to} is cut off"))
+            if not self._is_near(to):
+                gevent.sleep(2 * ONE_WAY_SECONDS)
+            return request(to, message, deadline)
+
+        peers.send, peers.request = delayed_send, delayed_request
+
+    def _wrap_datagrams(self, datagrams: Any) -> None:
+        send = datagrams.send
+
+        def delayed_send(address: str, data: bytes) -> None:
+            if address not in self._cut_addresses:
+                gevent.spawn_later(ONE_WAY_SECONDS, send, address, data)
+
+        datagrams.send = delayed_send
+
+    def _is_near(self, name: str) -> bool:
+        member = self._members.find(name)
+        return member is not None and member.data_centre == self._members.own.data_centre
