--- a/packages/loomyard-router/src/loomyard_router/shares/allocator.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/allocator.py
@@ -8,9 +8,10 @@
 from loomyard_router.shares.account_intake import AccountIntake
 from loomyard_router.shares.demands import Demands
 from loomyard_router.shares.granting import grant_demands
+from loomyard_router.shares.lease_terms import lease_term
 from loomyard_router.shares.levels import FleetLevels
 from loomyard_router.shares.messages import ShareReply, ShareReset
-from loomyard_router.shares.reporting_router import IDLE_LEASE, LEASE, ReportingRouter
+from loomyard_router.shares.reporting_router import ReportingRouter
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,6 +31,10 @@
 # Account levels that moved by less than this part of the margin are not told.
 TOLD_PART = 0.125
 CREDIT_MARGINS = 4.0
+# Beyond some size an allocation leaves a pause that grows with what it looked at, so that a larger
+# fleet makes allocations rarer and not a larger part of a core.
+UNPACED_SIZE = 150
+GAP_PER_ITEM = 0.0003
 
 
 class Allocator:
@@ -64,6 +69,7 @@
         self._margin = 0
         self._began_at: float | None = None
         self._dirty = False
+        self._allocate_at = float("-inf")
 
     @property
     def levels(self) -> FleetLevels:
@@ -106,7 +112,7 @@
         """Grant what can be granted and send the replies that are due."""
         now = self._clock.now()
         self._expire(now)
-        if self._dirty:
+        if self._dirty and now >= self._allocate_at:
             self._allocate(now)
         for router in sorted(self._routers.values(), key=lambda r: (not r.urgent, r.replied_at)):
             if router.urgent or (router.reply_due and now >= router.replied_at + REPLY_GAP):
@@ -156,6 +162,8 @@
     def _allocate(self, now: float) -> None:
         self._dirty = False
         demands = Demands(self._routers.values(), self._levels)
+        size = demands.count + len(self._routers) + self._capacity.target_count
+        self._allocate_at = now + max(0, size - UNPACED_SIZE) * GAP_PER_ITEM
         if demands.floor is None:
             self._levels.floor.rest()
         else:
@@ -168,7 +176,7 @@
             self._spread(demands, free)
         else:
             self._dirty = True
-        self._tell_lowest(Demands(self._routers.values(), self._levels))
+        self._tell_lowest(demands)
 
     def _free_slots(self, now: float) -> dict[bytes, int]:
         """Return the free slots of each target; negative where too many are out."""
@@ -197,7 +205,10 @@
 
     def _granting_from(self) -> float:
         began_at = math.inf if self._began_at is None else self._began_at
-        return began_at + IDLE_LEASE * (1 + CLOCK_DRIFT)
+        return began_at + self._lease(idle=True) * (1 + CLOCK_DRIFT)
+
+    def _lease(self, *, idle: bool) -> float:
+        return lease_term(self._fleet_size(), self._pacer.byte_rate, idle=idle)
 
     def _recall(self, free: dict[bytes, int]) -> None:
         for target, slots in free.items():
@@ -244,7 +255,7 @@
                 router.offsets.set(account, offset, router.next_reply)
         idle = not any(r.accounts for r in self._routers.values())
         reply = router.make_reply(
-            lease=IDLE_LEASE if idle else LEASE,
+            lease=self._lease(idle=idle),
             floor=self._levels.floor,
             margin=self._margin,
         )
