--- a/packages/loomyard-standins/src/loomyard_standins/benches/slopes/configuration_probe.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/slopes/configuration_probe.py
@@ -6,7 +6,7 @@
 
 from loomyard.codec import encode
 from loomyard.configuration import Change, ConfigState, Put, fold
-from loomyard.objects import ClientAccount, Metadata
+from loomyard.objects import ClientAccount, Metadata, ref_of
 from loomyard.routing import Routing
 from loomyard_standins.benches.slopes.sample import Sample
 from loomyard_standins.benches.slopes.usage import cpu_seconds, resident_bytes
@@ -36,7 +36,7 @@
             account = evolve(_account(number), weight=2.0)
             change = Change(change_id=f"t{number}", puts=[Put(object=account, based_on=0)])
             state, _ = fold(state, offset + number, change)
-            routing = Routing(state)
+            routing = Routing(state, routing, [ref_of(account)])
         cpu = (cpu_seconds() - started) / CHANGES_TIMED
         assert len(routing.accounts) == size
         record = encode(Change(change_id="r", puts=[Put(object=_account(0))]))
