Restore a configuration that the log service forgot

Ruled out: folding changes onto an empty state after a gap, which would let a router that lost its start revert what others have.

--- a/packages/loomyard-router/src/loomyard_router/configuration/follower.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/follower.py
@@ -73,6 +73,11 @@
         """Return when the log service answered last, on the monotonic clock."""
         return self._read_at
 
+    @property
+    def gap(self) -> bool:
+        """Tell whether records are gone and nothing to start from was found."""
+        return self._gap
+
     @property
     def behind(self) -> int:
         """Return how many records are known to be missing."""
--- a/packages/loomyard-router/src/loomyard_router/configuration/snapshot_writer.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/snapshot_writer.py
@@ -9,12 +9,7 @@
 from result import Err, Ok
 
 from loomyard.codec import encode
-from loomyard.configuration import (
-    CONFIG_STREAM,
-    EMPTY_VERSION,
-    SnapshotNotice,
-    format_digest,
-)
+from loomyard.configuration import CONFIG_STREAM, EMPTY_VERSION, make_notice
 from loomyard.events import Event, emit
 from loomyard.rendezvous import choose
 
@@ -95,13 +90,8 @@
                 return False
             case Ok(count):
                 emit(logger, Event.SNAPSHOT_WRITTEN, as_of=state.applied, parts=count)
-        notice = SnapshotNotice(
-            snapshot_of=state.applied,
-            version=state.version,
-            digest=format_digest(state.digest),
-            writer=self._members.own.name,
-            written_at=self._clock.wall(),
-        )
+        name, wall = self._members.own.name, self._clock.wall()
+        notice = make_notice(state, writer=name, written_at=wall)
         return self._log.append(CONFIG_STREAM, encode(notice)).is_ok()
 
     def _run(self) -> None:
--- a/packages/loomyard-router/src/loomyard_router/operators/app.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/app.py
@@ -22,7 +22,13 @@
     problem_headers,
     status_of,
 )
-from loomyard_router.operators.documents import ChangeRequest, FleetReport, ObjectEntry, ObjectList
+from loomyard_router.operators.documents import (
+    ChangeRequest,
+    FleetReport,
+    ObjectEntry,
+    ObjectList,
+    RestoreRequest,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -33,6 +39,7 @@
     from loomyard_router.operators.explanations import Explanations
     from loomyard_router.operators.fleet_status import FleetStatus
     from loomyard_router.operators.keys import OperatorKeys
+    from loomyard_router.operators.restores import Restores
     from loomyard_router.operators.router_drains import RouterDrains
 
     Environ = dict[str, Any]
@@ -44,6 +51,7 @@
 
 PREFIX = "/operators/v1/"
 MAX_BODY = 2 * 1024 * 1024
+MAX_RESTORE_BODY = 64 * 1024 * 1024
 AUTHOR_HEADER = "HTTP_LOOMYARD_AUTHOR"
 
 _VERDICT_STATUS = {
@@ -53,7 +61,7 @@
 
 
 class OperatorsApp:
-    """Serve /operators/v1: ``objects``, ``changes``, ``status``, ``requests`` and drains."""
+    """Serve /operators/v1."""
 
     def __init__(
         self,
@@ -64,6 +72,7 @@
         status: FleetStatus,
         explanations: Explanations,
         drains: RouterDrains,
+        restores: Restores,
     ) -> None:
         self._keys = keys
         self._follower = follower
@@ -71,6 +80,7 @@
         self._status = status
         self._explanations = explanations
         self._drains = drains
+        self._restores = restores
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         request_id = f"op-{secrets.token_hex(8)}"
@@ -96,6 +106,10 @@
                 return _plain(Ok(self._list(parse_qs(environ.get("QUERY_STRING", "")))))
             case ("POST", "changes"):
                 return _read(environ, ChangeRequest).and_then(self._change)
+            case ("POST", "restore"):
+                return _read(environ, RestoreRequest, most=MAX_RESTORE_BODY).and_then(
+                    lambda request: _plain(self._restores.restore(request.objects))
+                )
             case ("GET", "changes", change_id):
                 return self._changes.find(change_id).map(_change_answer)
             case ("GET", "status"):
@@ -139,12 +153,12 @@
     return _VERDICT_STATUS.get(outcome.verdict, HTTPStatus.UNPROCESSABLE_ENTITY), outcome
 
 
-def _read(environ: Environ, kind: type[T]) -> Result[T, Fault]:
+def _read(environ: Environ, kind: type[T], *, most: int = MAX_BODY) -> Result[T, Fault]:
     length = environ.get("CONTENT_LENGTH") or "0"
     if not length.isdecimal():
         return Err(_fault(ResultCode.MALFORMED_REQUEST, "the content length is not a number"))
-    if int(length) > MAX_BODY:
-        return Err(_fault(ResultCode.BODY_TOO_LARGE, f"the body is longer than {MAX_BODY} bytes"))
+    if int(length) > most:
+        return Err(_fault(ResultCode.BODY_TOO_LARGE, f"the body is longer than {most} bytes"))
     try:
         return Ok(CODEC.structure(json.loads(environ["wsgi.input"].read(int(length))), kind))
     except BaseValidationError as error:
--- a/packages/loomyard-router/src/loomyard_router/operators/documents.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/documents.py
@@ -20,6 +20,13 @@
     wait_seconds: float = 5.0
 
 
+@frozen(kw_only=True)
+class RestoreRequest:
+    """Ask for a new start from all objects."""
+
+    objects: list[ConfigObject]
+
+
 @frozen(kw_only=True)
 class Laggard:
     """A router on which a change is not known to be in force."""
--- a/packages/loomyard-router/src/loomyard_router/operators/interface.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/interface.py
@@ -7,11 +7,13 @@
 
 from gevent.pywsgi import WSGIServer
 
+from loomyard_router.configuration.log_snapshots import LogSnapshots
 from loomyard_router.operators.app import OperatorsApp
 from loomyard_router.operators.changes import ChangePublisher
 from loomyard_router.operators.explanations import Explanations
 from loomyard_router.operators.fleet_status import FleetStatus
 from loomyard_router.operators.keys import OperatorKeys
+from loomyard_router.operators.restores import Restores
 from loomyard_router.operators.router_drains import RouterDrains
 
 if TYPE_CHECKING:
@@ -63,6 +65,13 @@
         changes=ChangePublisher(clock=clock, log=platform.log, follower=follower, status=status),
         status=status,
         explanations=Explanations(clock=clock, journal=parts.journal, members=members, peers=peers),
+        restores=Restores(
+            clock=clock,
+            log=platform.log,
+            follower=follower,
+            snapshots=LogSnapshots(platform.log),
+            status=status,
+        ),
         drains=RouterDrains(clock=clock, members=members, peers=peers, begin_stop=begin_stop),
     )
     return OperatorsInterface(_make_server(settings, app))
--- a/packages/loomyard/src/loomyard/configuration/__init__.py
+++ b/packages/loomyard/src/loomyard/configuration/__init__.py
@@ -7,7 +7,7 @@
 from loomyard.configuration.decision import Decision
 from loomyard.configuration.digest import format_digest
 from loomyard.configuration.fold import decide, fold
-from loomyard.configuration.packing import pack, unpack
+from loomyard.configuration.packing import make_notice, pack, unpack
 from loomyard.configuration.records import (
     CONFIG_STREAM,
     MAX_CHANGE_BYTES,
@@ -45,6 +45,7 @@
     "fold",
     "fold_record",
     "format_digest",
+    "make_notice",
     "make_state",
     "pack",
     "unpack",
--- a/packages/loomyard/src/loomyard/configuration/packing.py
+++ b/packages/loomyard/src/loomyard/configuration/packing.py
@@ -14,7 +14,7 @@
 
 from loomyard.codec import CODEC
 from loomyard.configuration.digest import format_digest
-from loomyard.configuration.snapshot import PART_BYTES, SnapshotPart
+from loomyard.configuration.snapshot import PART_BYTES, SnapshotNotice, SnapshotPart
 from loomyard.configuration.state import ConfigState, VersionedObject, make_state
 from loomyard.objects import ConfigObject
 
@@ -46,6 +46,17 @@
     )
 
 
+def make_notice(state: ConfigState, *, writer: str, written_at: float) -> SnapshotNotice:
+    """Make the notice that the parts of a state were appended."""
+    return SnapshotNotice(
+        snapshot_of=state.applied,
+        version=state.version,
+        digest=format_digest(state.digest),
+        writer=writer,
+        written_at=written_at,
+    )
+
+
 def unpack(parts: Sequence[SnapshotPart]) -> Result[ConfigState, str]:
     """Return the state of the parts of one snapshot, given in order."""
     head = parts[0]
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -22,6 +22,7 @@
     STARTING_POINT_MISSING = (206, logging.ERROR, "records are missing and no snapshot has them")
     LOG_REGRESSED = (207, logging.ERROR, "the log ends before what was read; the state is kept")
     SNAPSHOT_FAILED = (208, logging.WARNING, "a configuration snapshot could not be appended")
+    CONFIGURATION_RESTORED = (210, logging.WARNING, "an operator restored the configuration")
     OPERATOR_REFUSED = (220, logging.WARNING, "an operator's request had no valid key")
     OPERATOR_CHANGE = (221, logging.INFO, "an operator's change was settled")
     OPERATOR_DRAIN = (222, logging.INFO, "an operator drains a router or a target")
--- a/packages/loomyardctl/src/loomyardctl/arguments.py
+++ b/packages/loomyardctl/src/loomyardctl/arguments.py
@@ -5,7 +5,7 @@
 import argparse
 from typing import TYPE_CHECKING
 
-from loomyardctl.commands import apply, delete, diff, drain, explain, get, status, validate
+from loomyardctl.commands import apply, delete, diff, drain, explain, get, restore, status, validate
 from loomyardctl.output import OutputFormat
 
 if TYPE_CHECKING:
@@ -22,6 +22,7 @@
     status,
     explain,
     drain,
+    restore,
 )
 DEFAULT_ROUTER = "http://127.0.0.1:8081"
 EPILOG = """\
--- a/tests/test_loomyard_router/test_operators.py
+++ b/tests/test_loomyard_router/test_operators.py
@@ -10,14 +10,17 @@
 import gevent
 from result import Err
 
+from loomyard.configuration import CONFIG_STREAM
 from loomyard.errors import Executed, Fault, ResultCode
 from loomyard_router.callers.keys import digest_key
+from loomyard_router.configuration.log_snapshots import LogSnapshots
 from loomyard_router.operators.app import OperatorsApp
 from loomyard_router.operators.changes import ChangePublisher
 from loomyard_router.operators.explanations import Explanations
 from loomyard_router.operators.fleet_status import FleetStatus
 from loomyard_router.operators.keys import OperatorKeys
 from loomyard_router.operators.messages import DrainRequest
+from loomyard_router.operators.restores import Restores
 from loomyard_router.operators.router_drains import RouterDrains
 from loomyard_router.requests.journal import Journal, Step
 from loomyard_standins.config_fleet import ConfigFleet, ConfigRouter
@@ -42,6 +45,13 @@
             changes=ChangePublisher(clock=clock, log=fleet.log, follower=follower, status=status),
             status=status,
             explanations=Explanations(clock=clock, journal=self.journal, **among),
+            restores=Restores(
+                clock=clock,
+                log=fleet.log,
+                follower=follower,
+                snapshots=LogSnapshots(fleet.log),
+                status=status,
+            ),
             drains=RouterDrains(clock=clock, begin_stop=self.stop, **among),
         )
 
@@ -80,14 +90,21 @@
         self.followed = [operated.router.follower for operated in self.routers]
 
     def publish(self, operated: Operated, document: dict[str, Any]) -> tuple[int, Any]:
-        """Post a change while the routers follow the log."""
-        task = gevent.spawn(operated.call, "POST", "changes", document)
+        return self.post(operated, "changes", document)
+
+    def post(self, operated: Operated, path: str, document: dict[str, Any]) -> tuple[int, Any]:
+        """Post while the routers follow the log."""
+        task = gevent.spawn(operated.call, "POST", path, document)
         while not task.ready():
             gevent.sleep(0)
-            for follower in self.followed:
-                follower.poll()
+            self.poll()
+            self.fleet.clock.advance(0.1)
         return task.get()
 
+    def poll(self) -> None:
+        for follower in self.followed:
+            follower.poll()
+
     def test_of_racing_operators_one_wins_everywhere(self) -> None:
         tasks = [
             gevent.spawn(operated.call, "POST", "changes", put(weight))
@@ -166,6 +183,34 @@
                 self.assertEqual((status, problem["code"]), (401, ResultCode.OPERATOR_REFUSED))
         self.assertEqual((self.fleet.log.appends, self.routers[0].stops), (0, 0))
 
+    def test_a_forgotten_configuration_is_restored(self) -> None:
+        account = put(2.0)["puts"][0]["object"]
+        self.fleet.grow(4)
+        self.fleet.log.trim(CONFIG_STREAM, 2)
+        self.poll()
+        status, outcome = self.post(self.routers[0], "restore", {"objects": [account]})
+        self.assertEqual((status, outcome["in_force"]), (200, ["a", "b", "c"]))
+        self.assertEqual({f.state.digest for f in self.followed}, {self.followed[0].state.digest})
+        status, outcome = self.publish(self.routers[1], put(3.0, based_on=3))
+        self.assertEqual((status, outcome["in_force"]), (200, ["a", "b", "c"]))
+
+    def test_nothing_is_restored_over_a_configuration(self) -> None:
+        objects = {"objects": [put(2.0)["puts"][0]["object"]]}
+        route = {"kind": "Route", "metadata": {"name": "r"}, "service": "none"}
+        self.poll()
+        status, problem = self.routers[0].call("POST", "restore", objects)
+        self.assertEqual((status, problem["code"]), (422, 5003))
+        self.fleet.grow(4)
+        self.fleet.log.trim(CONFIG_STREAM, 2)
+        self.poll()
+        status, problem = self.routers[0].call("POST", "restore", {"objects": [route]})
+        self.assertEqual((status, problem["detail"]), (422, "Route/r: there is no Service/none"))
+        self.followed[1].replica.start_from(self.fleet.fold_all())
+        status, problem = self.routers[0].call("POST", "restore", objects)
+        self.assertEqual(status, 422)
+        self.assertIn("b has a configuration", problem["detail"])
+        self.assertEqual(self.fleet.log.appends, 4)
+
     def test_another_router_explains_and_drains(self) -> None:
         self.routers[2].journal.record("req-1", Step.QUEUED, "behind 3")
         status, found = self.routers[0].call("GET", "requests/req-1")
--- a/tests/test_loomyardctl/test_commands.py
+++ b/tests/test_loomyardctl/test_commands.py
@@ -113,6 +113,11 @@
         self.assertEqual(asked, [True])
         self.assertEqual(self.call("drain", "router", "router-9")[0], 1)
 
+    def test_restore_is_refused_while_the_log_has_the_configuration(self) -> None:
+        code, _, err = self.call("restore", self.write(ACCOUNT % 3))
+        self.assertEqual(code, 1)
+        self.assertIn("the log service has the records", err)
+
     def test_a_lost_answer_is_settled_by_reading(self) -> None:
         self.fleet.log.log.lose_answers = 1
         appends = self.fleet.log.log.appends
