--- a/packages/loomyard-router/src/loomyard_router/configuration/messages.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/messages.py
@@ -51,7 +51,9 @@
 @peer_message("StatusRequest")
 @frozen(kw_only=True)
 class StatusRequest:
-    """Ask how a router is; answered by ``RouterStatus``."""
+    """Ask how a router is, and whom it takes for alive; answered by ``RouterStatus``."""
+
+    members: bool = False
 
 
 @peer_message("Status")
--- a/packages/loomyard-router/src/loomyard_router/operators/app.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/app.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import secrets
+from collections.abc import Iterator
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import parse_qs
@@ -25,15 +26,13 @@
 from loomyard_router.operators.documents import (
     ChangeRequest,
     FleetReport,
-    ObjectEntry,
-    ObjectList,
     RestoreRequest,
 )
+from loomyard_router.operators.object_listing import list_objects
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from loomyard.objects import ObjectRef
     from loomyard_router.configuration.follower import ConfigFollower
     from loomyard_router.operators.changes import ChangePublisher
     from loomyard_router.operators.explanations import Explanations
@@ -86,14 +85,15 @@
         request_id = f"op-{secrets.token_hex(8)}"
         match self._handle(environ):
             case Ok((status, document)):
-                body = json.dumps(DOCUMENT_CODEC.unstructure(document)).encode()
+                body = _encode(document)
                 headers = [("Content-Type", JSON_TYPE), ("Loomyard-Request-Id", request_id)]
             case Err(fault):
                 status = status_of(fault.code)
-                content_type, body = problem_document(fault, request_id, openai=False)
+                content_type, problem = problem_document(fault, request_id, openai=False)
+                body = [problem]
                 headers = [("Content-Type", content_type), *problem_headers(fault, request_id)]
         start_response(f"{status.value} {status.phrase}", headers)
-        return [body]
+        return body
 
     def _handle(self, environ: Environ) -> Result[tuple[HTTPStatus, object], Fault]:
         if not self._keys.accepts(environ.get("HTTP_AUTHORIZATION", "")):
@@ -103,7 +103,9 @@
         words = path.removeprefix(PREFIX).split("/") if path.startswith(PREFIX) else []
         match (environ["REQUEST_METHOD"], *words):
             case ("GET", "objects"):
-                return _plain(Ok(self._list(parse_qs(environ.get("QUERY_STRING", "")))))
+                query = parse_qs(environ.get("QUERY_STRING", ""))
+                kinds, refs = query.get("kind", []), query.get("ref", [])
+                return _plain(Ok(list_objects(self._follower.state, kinds, refs)))
             case ("POST", "changes"):
                 return _read(environ, ChangeRequest).and_then(self._change)
             case ("POST", "restore"):
@@ -130,19 +132,11 @@
         routers, silent = self._status.collect()
         return FleetReport(answered_by=self._status.own().name, routers=routers, silent=silent)
 
-    def _list(self, query: dict[str, list[str]]) -> ObjectList:
-        state = self._follower.state
-        kinds, refs = query.get("kind", []), set(query.get("ref", []))
 
-        def is_asked(ref: ObjectRef) -> bool:
-            return (not kinds or ref.kind in kinds) and (not refs or str(ref) in refs)
-
-        found = sorted(ref for ref in state.objects if is_asked(ref))
-        entries = [
-            ObjectEntry(object=state.objects[ref].object, version=state.objects[ref].version)
-            for ref in found
-        ]
-        return ObjectList(version=state.version, applied=state.applied, objects=entries)
+def _encode(document: object) -> Iterable[bytes]:
+    if isinstance(document, Iterator):
+        return document
+    return [json.dumps(DOCUMENT_CODEC.unstructure(document)).encode()]
 
 
 def _plain(result: Result[Any, Fault]) -> Result[tuple[HTTPStatus, object], Fault]:
--- a/packages/loomyard-router/src/loomyard_router/operators/documents.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/documents.py
@@ -55,7 +55,7 @@
     version: int = ABSENT
 
 
-@frozen(kw_only=True)
+@frozen
 class ObjectList:
     """Objects of one configuration version."""
 
--- a/packages/loomyard-router/src/loomyard_router/operators/fleet_status.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/fleet_status.py
@@ -22,6 +22,7 @@
 CONCURRENCY = 32
 REQUEST_SECONDS = 1.0
 REPEAT_SECONDS = 0.1
+_BRIEF = StatusRequest()
 
 
 @frozen
@@ -49,10 +50,10 @@
         self._members = members
         self._peers = peers
         self._stopping = stopping
-        peers.handle(StatusRequest, lambda _, __: self.own())
+        peers.handle(StatusRequest, lambda _, request: self.own(members=request.members))
 
-    def own(self) -> RouterStatus:
-        """Return how this router is."""
+    def own(self, *, members: bool = True) -> RouterStatus:
+        """Return how this router is, with the names of the members if asked."""
         follower, member = self._follower, self._members.own
         state = follower.state
         return RouterStatus(
@@ -66,13 +67,13 @@
             stopping=self._stopping(),
             log_reachable=follower.log_reachable,
             behind=follower.behind,
-            members=[other.name for other in self._members.live()],
+            members=[other.name for other in self._members.live()] if members else [],
         )
 
     def collect(self) -> tuple[list[RouterStatus], list[Laggard]]:
         """Return how each router is, and who did not answer."""
         names = [member.name for member in self._members.live()]
-        found = dict(zip(names, Pool(CONCURRENCY).map(self._ask, names), strict=True))
+        found = dict(zip(names, Pool(CONCURRENCY).map(self._ask_all, names), strict=True))
         known = [status for status in found.values() if status is not None]
         silent = [n for n, status in found.items() if status is None]
         return known, [Laggard(name=name, detail="does not answer") for name in silent]
@@ -94,11 +95,14 @@
                 return Spread(sorted(in_force & names), lagging)
             self._clock.sleep(REPEAT_SECONDS)
 
-    def _ask(self, name: str) -> RouterStatus | None:
+    def _ask_all(self, name: str) -> RouterStatus | None:
+        return self._ask(name, StatusRequest(members=True))
+
+    def _ask(self, name: str, request: StatusRequest = _BRIEF) -> RouterStatus | None:
         if name == self._members.own.name:
-            return self.own()
+            return self.own(members=request.members)
         deadline = self._clock.now() + REQUEST_SECONDS
-        answer = self._peers.request(name, StatusRequest(), deadline).unwrap_or(None)
+        answer = self._peers.request(name, request, deadline).unwrap_or(None)
         return answer if isinstance(answer, RouterStatus) else None
 
 
--- a/packages/loomyardctl/src/loomyardctl/commands/get.py
+++ b/packages/loomyardctl/src/loomyardctl/commands/get.py
@@ -10,6 +10,7 @@
 from loomyardctl.exit_codes import ExitCode
 from loomyardctl.failures import report_failure
 from loomyardctl.output import OutputFormat, print_document, print_table
+from loomyardctl.plan import entry_ref
 
 if TYPE_CHECKING:
     import argparse
@@ -36,7 +37,7 @@
     reply = answered.unwrap()
     if not reply.ok:
         return report_failure(reply)
-    entries = reply.document["objects"]
+    entries = sorted(reply.document["objects"], key=entry_ref)
     if name and not entries:
         print(f"there is no {kind}/{name}", file=sys.stderr)
         return ExitCode.FAILED
@@ -46,7 +47,7 @@
 
 def _print(context: Context, document: Any, entries: list[dict[str, Any]]) -> None:
     if context.output is OutputFormat.JSON:
-        print_document(document, context.output)
+        print_document(document | {"objects": entries}, context.output)
     elif context.output is OutputFormat.YAML:
         manifests = [{"version": entry["version"], **entry["object"]} for entry in entries]
         print_document(manifests, context.output)
