--- a/packages/loomyard-router/src/loomyard_router/operators/app.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/app.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import secrets
+from collections.abc import Iterator
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import parse_qs
@@ -22,17 +23,22 @@
     problem_headers,
     status_of,
 )
-from loomyard_router.operators.documents import ChangeRequest, FleetReport, ObjectEntry, ObjectList
+from loomyard_router.operators.documents import (
+    ChangeRequest,
+    FleetReport,
+    RestoreRequest,
+)
+from loomyard_router.operators.object_listing import list_objects
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from loomyard.objects import ObjectRef
     from loomyard_router.configuration.follower import ConfigFollower
     from loomyard_router.operators.changes import ChangePublisher
     from loomyard_router.operators.explanations import Explanations
     from loomyard_router.operators.fleet_status import FleetStatus
     from loomyard_router.operators.keys import OperatorKeys
+    from loomyard_router.operators.restores import Restores
     from loomyard_router.operators.router_drains import RouterDrains
 
     Environ = dict[str, Any]
@@ -44,6 +50,7 @@
 
 PREFIX = "/operators/v1/"
 MAX_BODY = 2 * 1024 * 1024
+MAX_RESTORE_BODY = 64 * 1024 * 1024
 AUTHOR_HEADER = "HTTP_LOOMYARD_AUTHOR"
 
 _VERDICT_STATUS = {
@@ -53,7 +60,7 @@
 
 
 class OperatorsApp:
-    """Serve /operators/v1: ``objects``, ``changes``, ``status``, ``requests`` and drains."""
+    """Serve /operators/v1."""
 
     def __init__(
         self,
@@ -64,6 +71,7 @@
         status: FleetStatus,
         explanations: Explanations,
         drains: RouterDrains,
+        restores: Restores,
     ) -> None:
         self._keys = keys
         self._follower = follower
@@ -71,19 +79,21 @@
         self._status = status
         self._explanations = explanations
         self._drains = drains
+        self._restores = restores
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         request_id = f"op-{secrets.token_hex(8)}"
         match self._handle(environ):
             case Ok((status, document)):
-                body = json.dumps(DOCUMENT_CODEC.unstructure(document)).encode()
+                body = _encode(document)
                 headers = [("Content-Type", JSON_TYPE), ("Loomyard-Request-Id", request_id)]
             case Err(fault):
                 status = status_of(fault.code)
-                content_type, body = problem_document(fault, request_id, openai=False)
+                content_type, problem = problem_document(fault, request_id, openai=False)
+                body = [problem]
                 headers = [("Content-Type", content_type), *problem_headers(fault, request_id)]
         start_response(f"{status.value} {status.phrase}", headers)
-        return [body]
+        return body
 
     def _handle(self, environ: Environ) -> Result[tuple[HTTPStatus, object], Fault]:
         if not self._keys.accepts(environ.get("HTTP_AUTHORIZATION", "")):
@@ -93,9 +103,15 @@
         words = path.removeprefix(PREFIX).split("/") if path.startswith(PREFIX) else []
         match (environ["REQUEST_METHOD"], *words):
             case ("GET", "objects"):
-                return _plain(Ok(self._list(parse_qs(environ.get("QUERY_STRING", "")))))
+                query = parse_qs(environ.get("QUERY_STRING", ""))
+                kinds, refs = query.get("kind", []), query.get("ref", [])
+                return _plain(Ok(list_objects(self._follower.state, kinds, refs)))
             case ("POST", "changes"):
                 return _read(environ, ChangeRequest).and_then(self._change)
+            case ("POST", "restore"):
+                return _read(environ, RestoreRequest, most=MAX_RESTORE_BODY).and_then(
+                    lambda request: _plain(self._restores.restore(request.objects))
+                )
             case ("GET", "changes", change_id):
                 return self._changes.find(change_id).map(_change_answer)
             case ("GET", "status"):
@@ -116,19 +132,11 @@
         routers, silent = self._status.collect()
         return FleetReport(answered_by=self._status.own().name, routers=routers, silent=silent)
 
-    def _list(self, query: dict[str, list[str]]) -> ObjectList:
-        state = self._follower.state
-        kinds, refs = query.get("kind", []), set(query.get("ref", []))
-
-        def is_asked(ref: ObjectRef) -> bool:
-            return (not kinds or ref.kind in kinds) and (not refs or str(ref) in refs)
 
-        found = sorted(ref for ref in state.objects if is_asked(ref))
-        entries = [
-            ObjectEntry(object=state.objects[ref].object, version=state.objects[ref].version)
-            for ref in found
-        ]
-        return ObjectList(version=state.version, applied=state.applied, objects=entries)
+def _encode(document: object) -> Iterable[bytes]:
+    if isinstance(document, Iterator):
+        return document
+    return [json.dumps(DOCUMENT_CODEC.unstructure(document)).encode()]
 
 
 def _plain(result: Result[Any, Fault]) -> Result[tuple[HTTPStatus, object], Fault]:
@@ -139,12 +147,12 @@
     return _VERDICT_STATUS.get(outcome.verdict, HTTPStatus.UNPROCESSABLE_ENTITY), outcome
 
 
-def _read(environ: Environ, kind: type[T]) -> Result[T, Fault]:
+def _read(environ: Environ, kind: type[T], *, most: int = MAX_BODY) -> Result[T, Fault]:
     length = environ.get("CONTENT_LENGTH") or "0"
     if not length.isdecimal():
         return Err(_fault(ResultCode.MALFORMED_REQUEST, "the content length is not a number"))
-    if int(length) > MAX_BODY:
-        return Err(_fault(ResultCode.BODY_TOO_LARGE, f"the body is longer than {MAX_BODY} bytes"))
+    if int(length) > most:
+        return Err(_fault(ResultCode.BODY_TOO_LARGE, f"the body is longer than {most} bytes"))
     try:
         return Ok(CODEC.structure(json.loads(environ["wsgi.input"].read(int(length))), kind))
     except BaseValidationError as error:
