Kill, restart, cut and heal routers in make bench-fairness, with the log down

After calm and flood the same run kills a router, restarts it empty, cuts two routers off and heals the cut, 5 s each, with the log service down from the kill on; `single` goes on untouched as the yardstick. Each event has its figures over the whole and from 2 s after it began. The smallest account sends 20 requests of 8 tokens a second, so that its p99 stands on some 150 to 265 requests.

--- a/packages/loomyard-standins/src/loomyard_standins/benches/caller.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/caller.py
@@ -32,9 +32,10 @@
 class Caller:
     """Send requests of one account to one router."""
 
-    def __init__(self, port: int, key: str) -> None:
-        self._port = port
+    def __init__(self, find_port: Callable[[], int], key: str) -> None:
+        self._find_port = find_port
         self._key = key
+        self._port = 0
         self._socket: socket.socket | None = None
 
     def call(self, path: str, body: bytes, hint: float | None, on_tokens: Callable) -> Reply:
@@ -68,8 +69,12 @@
             self._socket = None
 
     def _connect(self) -> socket.socket:
+        port = self._find_port()
+        if port != self._port:
+            self.close()
+            self._port = port
         if self._socket is None:
-            self._socket = socket.create_connection(("127.0.0.1", self._port), TIMEOUT)
+            self._socket = socket.create_connection(("127.0.0.1", port), TIMEOUT)
             self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return self._socket
 
--- a/packages/loomyard-standins/src/loomyard_standins/benches/control_figures.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/control_figures.py
@@ -5,14 +5,14 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
+    from loomyard_standins.benches.reading import Reading
     from loomyard_standins.benches.router_status import RouterStatus
 
 
-def control_figures(
-    before: list[RouterStatus], after: list[RouterStatus], seconds: float
-) -> dict[str, Any]:
+def control_figures(before: Reading, after: Reading) -> dict[str, Any]:
     """Work out what each router sent between two readings, a second."""
-    pairs = list(zip(before, after, strict=True))
+    seconds = after.at - before.at
+    pairs = list(zip(before.statuses, after.statuses, strict=True))
     bytes_sent = [(b.control_bytes - a.control_bytes) / seconds for a, b in pairs]
     messages = [(b.control_messages - a.control_messages) / seconds for a, b in pairs]
     moved = sum(b.slots_moved - a.slots_moved for a, b in pairs)
--- a/packages/loomyard-standins/src/loomyard_standins/benches/draws.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/draws.py
@@ -36,7 +36,7 @@
 
     def prompt_tokens(self) -> int:
         """Return the tokens of a prompt."""
-        return max(1, round(self._heavy_tailed(MEAN_PROMPT_TOKENS)))
+        return max(1, round(self._heavy_tailed(min(MEAN_PROMPT_TOKENS, self._plan.mean_cost))))
 
     def hint_of(self, cost: float) -> float | None:
         """Return a hint that is off by up to a factor either way, or none."""
--- a/packages/loomyard-standins/src/loomyard_standins/benches/driver.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/driver.py
@@ -14,11 +14,13 @@
 from loomyard_standins.benches.account_plan import Pattern
 from loomyard_standins.benches.caller import HTTP_OK, Caller
 from loomyard_standins.benches.draws import Draws
+from loomyard_standins.benches.timeline import Phase
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from loomyard_standins.benches.account_plan import AccountPlan
+    from loomyard_standins.benches.landing import Landing
     from loomyard_standins.benches.timeline import Timeline
     from loomyard_standins.benches.trace import Trace
     from loomyard_standins.benches.workload import Workload
@@ -45,14 +47,15 @@
     """Run the callers until the timeline ends."""
 
     def __init__(
-        self, workload: Workload, timeline: Timeline, trace: Trace, ports: list[int], seed: int
+        self, workload: Workload, timeline: Timeline, trace: Trace, landing: Landing, seed: int
     ) -> None:
         self.refused = 0
         self.failed = 0
+        self.cut_off = 0
         self.lateness: list[float] = []
         self._timeline = timeline
         self._trace = trace
-        self._ports = ports
+        self._landing = landing
         self._services = {plan.name: n for n, plan in enumerate(workload.services)}
         self._types = {plan.name: plan.type for plan in workload.services}
         self._accounts = workload.accounts
@@ -86,10 +89,11 @@
             )
 
     def _start_poisson(self, account: _Account) -> None:
-        self._tasks.spawn(self._send_open, account, 0.0)
+        self._tasks.spawn(self._send_open, account, 0.0, self._timeline.end)
 
     def _start_flood(self, account: _Account) -> None:
-        self._tasks.spawn(self._send_open, account, self._timeline.flood_from)
+        start, stop = (f(Phase.FLOOD) for f in (self._timeline.start_of, self._timeline.end_of))
+        self._tasks.spawn(self._send_open, account, start, stop)
 
     def _start_bursts(self, account: _Account) -> None:
         self._tasks.spawn(self._send_bursts, account)
@@ -108,12 +112,12 @@
         if phase > RETURNING_ON:
             gevent.sleep(RETURNING_ON + RETURNING_OFF - phase)
 
-    def _send_open(self, account: _Account, start: float) -> None:
+    def _send_open(self, account: _Account, start: float, stop: float) -> None:
         gevent.sleep(start)
         idle: list[Caller] = []
         open_calls = Semaphore(MAX_OPEN_CALLS)
         due = time.monotonic()
-        while True:
+        while self._elapsed() < stop:
             due += account.draws.gap(account.plan.rate)
             gevent.sleep(max(0.0, due - time.monotonic()))
             open_calls.acquire()
@@ -143,8 +147,7 @@
             gevent.joinall(tasks)
 
     def _connect(self, account: _Account, router: int) -> Caller:
-        # One router sees all callers under the policy ``single``.
-        return Caller(self._ports[router % len(self._ports)], key_of(account.plan.name))
+        return Caller(lambda: self._landing.port(router), key_of(account.plan.name))
 
     def _call(self, account: _Account, service: str, caller: Caller) -> float:
         """Send one request; return the seconds to wait before the next."""
@@ -187,6 +190,7 @@
 
         body = json.dumps(asked).encode()
         reply = caller.call("/v1/completions", body, account.draws.hint_of(cost), on_tokens)
+        self.cut_off += not reply.whole
         return reply.status, reply.retry_after
 
     def _call_plain(self, account: _Account, service: str, caller: Caller, wait) -> tuple:
--- a/packages/loomyard-standins/src/loomyard_standins/benches/fairness.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/fairness.py
@@ -13,6 +13,7 @@
 import time  # noqa: E402
 
 from loomyard_standins.benches.child import Child  # noqa: E402
+from loomyard_standins.benches.timeline import EVENTS  # noqa: E402
 from loomyard_standins.benches.workload import USERS  # noqa: E402
 
 POLICIES = ("single", "fleet", "local", "fifo")
@@ -22,7 +23,9 @@
 def main() -> int:
     """Run the policies at the same time and print one JSON object."""
     options = _parse()
-    arguments = [f"--{name}={getattr(options, name)}" for name in ("user", "seed", "calm", "flood")]
+    arguments = [
+        f"--{name}={getattr(options, name)}" for name in ("user", "seed", "calm", "flood", "event")
+    ]
     runs: dict[str, Child] = {}
     started = time.monotonic()
     try:
@@ -33,7 +36,7 @@
         idle = _idle_ticks()
         for run in runs.values():
             run.write(b"go\n")
-        seconds = options.calm + options.flood + SLACK_SECONDS
+        seconds = options.calm + options.flood + len(EVENTS) * options.event + SLACK_SECONDS
         figures = {policy: run.read(seconds) for policy, run in runs.items()}
     finally:
         for run in runs.values():
@@ -60,8 +63,9 @@
     parser.add_argument("--policies", default=",".join(POLICIES))
     parser.add_argument("--user", choices=USERS, default=USERS[0])
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--calm", type=float, default=24.0)
-    parser.add_argument("--flood", type=float, default=12.0)
+    parser.add_argument("--calm", type=float, default=12.0)
+    parser.add_argument("--flood", type=float, default=8.0)
+    parser.add_argument("--event", type=float, default=5.0, help="seconds of each event; 0: none")
     return parser.parse_args()
 
 
--- a/packages/loomyard-standins/src/loomyard_standins/benches/policy_run.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/policy_run.py
@@ -8,24 +8,29 @@
 
 import argparse  # noqa: E402
 import sys  # noqa: E402
-import time  # noqa: E402
 
+import gevent  # noqa: E402
 import numpy as np  # noqa: E402
 
 from loomyard_standins.benches.bench_fleet import SINGLE, BenchFleet  # noqa: E402
 from loomyard_standins.benches.child import announce  # noqa: E402
 from loomyard_standins.benches.driver import Driver  # noqa: E402
+from loomyard_standins.benches.events import Events  # noqa: E402
 from loomyard_standins.benches.figures import make_figures  # noqa: E402
-from loomyard_standins.benches.timeline import Timeline  # noqa: E402
+from loomyard_standins.benches.landing import Landing  # noqa: E402
+from loomyard_standins.benches.reading import read_counters  # noqa: E402
+from loomyard_standins.benches.timeline import Phase, Timeline  # noqa: E402
 from loomyard_standins.benches.trace import Trace  # noqa: E402
 from loomyard_standins.benches.workload import ROUTERS, USERS, make_workload  # noqa: E402
 
+BEFORE_EVENTS = 0.3
+
 
 def main() -> int:
     """Run and print one JSON object."""
     options = _parse()
     workload = make_workload(options.user)
-    timeline = Timeline(calm=options.calm, flood=options.flood)
+    timeline = Timeline(calm=options.calm, flood=options.flood, event=options.event)
     routers = 1 if options.policy == SINGLE else options.routers
     fleet = BenchFleet(workload, policy=options.policy, routers=routers)
     try:
@@ -37,26 +42,27 @@
             services=len(workload.services),
             seconds=timeline.end,
         )
-        driver = Driver(workload, timeline, trace, fleet.ports, options.seed)
-        before, began = _cpu(fleet), [fleet.status(position) for position in range(routers)]
+        landing = Landing(fleet.ports)
+        driver = Driver(workload, timeline, trace, landing, options.seed)
+        landing = Landing(fleet.ports)
+        driver = Driver(workload, timeline, trace, landing, options.seed)
+        before = read_counters(fleet)
+        read_at = timeline.end_of(Phase.FLOOD) - BEFORE_EVENTS
+        loaded = gevent.spawn_later(read_at, read_counters, fleet)
+        if timeline.event and routers > 1:
+            gevent.spawn_later(0.0, Events(fleet, landing, timeline).run, trace.started)
         driver.run()
-        used = _cpu(fleet) - before
-        statuses = [fleet.status(position) for position in range(routers)]
+        after = loaded.get(timeout=1.0)
         report = fleet.end_engines()
     finally:
         fleet.stop()
-    figures = make_figures(workload, timeline, trace, driver, report, (began, statuses), used)
+    figures = make_figures(workload, timeline, trace, driver, report, (before, after))
     if options.trace:
         np.savez_compressed(options.trace, service=trace.service)
     announce(**figures)
     return 0
 
 
-def _cpu(fleet: BenchFleet) -> np.ndarray:
-    """Return processor seconds of the driver, the targets and each router."""
-    return np.array([time.process_time(), fleet.engine_cpu_seconds(), *fleet.router_cpu_seconds()])
-
-
 def _parse() -> argparse.Namespace:
     parser = argparse.ArgumentParser()
     parser.add_argument("--policy", required=True)
@@ -65,6 +71,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--calm", type=float, default=20.0)
     parser.add_argument("--flood", type=float, default=10.0)
+    parser.add_argument("--event", type=float, default=0.0)
     parser.add_argument("--trace", default="", help="file for the service over time")
     return parser.parse_args()
 
--- a/packages/loomyard-standins/src/loomyard_standins/benches/timeline.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/timeline.py
@@ -2,38 +2,62 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 import numpy as np
 from attrs import frozen
 
 from loomyard_standins.benches.trace import BUCKET_SECONDS
 
 WARM_UP_SECONDS = 2.0
+SETTLING_SECONDS = 2.0
+
+
+class Phase(Enum):
+    """A part of a run; from ``KILLED`` on the log service is down."""
+
+    CALM = "calm"
+    FLOOD = "flood"
+    KILLED = "router_killed"
+    RESTARTED = "router_restarted_empty"
+    CUT = "partition"
+    HEALED = "partition_healed"
+
+
+EVENTS = (Phase.KILLED, Phase.RESTARTED, Phase.CUT, Phase.HEALED)
 
 
 @frozen(kw_only=True)
 class Timeline:
-    """Warm-up, calm, flood, in this order."""
+    """The seconds of each part: calm, flood, and each event where events are asked for."""
 
     calm: float
     flood: float
+    event: float = 0.0
 
     @property
-    def flood_from(self) -> float:
-        return WARM_UP_SECONDS + self.calm
+    def phases(self) -> tuple[Phase, ...]:
+        """Return the parts of this run, in order."""
+        return (Phase.CALM, Phase.FLOOD, *(EVENTS if self.event else ()))
 
     @property
     def end(self) -> float:
-        return self.flood_from + self.flood
+        return self.start_of(self.phases[-1]) + self._length(self.phases[-1])
+
+    def start_of(self, phase: Phase) -> float:
+        """Return when a part begins."""
+        before = self.phases[: self.phases.index(phase)]
+        return WARM_UP_SECONDS + sum(self._length(earlier) for earlier in before)
+
+    def end_of(self, phase: Phase) -> float:
+        """Return when a part ends."""
+        return self.start_of(phase) + self._length(phase)
 
     def window(self, start: float, stop: float) -> np.ndarray:
         """Return for each bucket whether it lies between two times."""
         at = np.arange(round(self.end / BUCKET_SECONDS)) * BUCKET_SECONDS
         return (at >= start) & (at < stop)
 
-    @property
-    def calm_window(self) -> np.ndarray:
-        return self.window(WARM_UP_SECONDS, self.flood_from)
-
-    @property
-    def flood_window(self) -> np.ndarray:
-        return self.window(self.flood_from, self.end)
+    def _length(self, phase: Phase) -> float:
+        lengths = {Phase.CALM: self.calm, Phase.FLOOD: self.flood}
+        return lengths.get(phase, self.event)
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/window_figures.py
@@ -0,0 +1,101 @@
+"""The figures of one window of a run: gaps in units over weight, times in ms, percent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import numpy as np
+
+from loomyard_standins.benches.gap import Gap, contender_gap, fleet_gap
+from loomyard_standins.benches.trace import BUCKET_SECONDS
+from loomyard_standins.benches.utilisation import ServiceLoad, busy_at_edges, utilisation
+
+if TYPE_CHECKING:
+    from loomyard_standins.benches.trace import Trace
+    from loomyard_standins.benches.workload import Workload
+
+
+class WindowFigures:
+    """What callers saw and targets reported, ready to be cut into windows of buckets."""
+
+    def __init__(self, workload: Workload, trace: Trace, report: dict) -> None:
+        self._workload = workload
+        self._trace = trace
+        self._backlog = trace.backlog()
+        self._loads = _loads(workload, trace, report)
+        self._weights = np.array([plan.weight for plan in workload.accounts])
+        on_one = [len(plan.services) == 1 for plan in workload.accounts]
+        self._backlog_on_one = self._backlog & np.array(on_one)[:, None, None]
+
+    def short_of(self, window: np.ndarray) -> dict[str, Any]:
+        """Return gaps and utilisation of a window."""
+        service, backlog, weights = self._trace.service, self._backlog, self._weights
+        one = contender_gap(service, self._backlog_on_one, weights, window)
+        return {
+            "gap_one_service": self._describe(one),
+            "gap_contenders": self._describe(contender_gap(service, backlog, weights, window)),
+            "gap_fleet": self._describe(fleet_gap(service, backlog, weights, window)),
+            "utilisation_percent": round_figure(100 * utilisation(self._loads, backlog, window)),
+        }
+
+    def all_of(self, window: np.ndarray) -> dict[str, Any]:
+        """Return all figures of a window."""
+        seconds = float(window.sum() * BUCKET_SECONDS)
+        queue = self._queue_times(window)
+        p50, p99 = (np.percentile(queue, [50, 99]) * 1000).tolist() if queue.size else (0.0, 0.0)
+        return self.short_of(window) | {
+            "utilisation_by_service": self._utilisation_by_service(window),
+            "smallest_p50_ms": round_figure(p50),
+            "smallest_p99_ms": round_figure(p99),
+            "smallest_requests": int(queue.size),
+            "units_per_s": round(float(self._trace.service[:, :, window].sum() / seconds)),
+            "units_per_s_over_weight": {
+                plan.name: round(
+                    float(self._trace.service[n][:, window].sum() / plan.weight / seconds)
+                )
+                for n, plan in enumerate(self._workload.accounts)
+            },
+        }
+
+    def _describe(self, gap: Gap) -> dict[str, Any]:
+        names = [self._workload.accounts[number].name for number in gap.accounts]
+        return {"units": round(gap.units), "accounts": names}
+
+    def _utilisation_by_service(self, window: np.ndarray) -> dict[str, float]:
+        return {
+            plan.name: round_figure(
+                100 * utilisation([self._loads[n]], self._backlog[:, n : n + 1], window)
+            )
+            for n, plan in enumerate(self._workload.services)
+        }
+
+    def _queue_times(self, window: np.ndarray) -> np.ndarray:
+        """Return the seconds to the first service of the smallest account, sent in a window."""
+        names = [plan.name for plan in self._workload.accounts]
+        smallest = names.index(self._workload.smallest)
+        trace = self._trace
+        end = trace.started + trace.buckets * BUCKET_SECONDS
+        times = []
+        for wait in trace.waits:
+            bucket = int((wait.sent - trace.started) / BUCKET_SECONDS)
+            if wait.account != smallest or wait.refused or bucket >= trace.buckets:
+                continue
+            if window[bucket]:
+                times.append((wait.served or end) - wait.sent)
+        return np.array(times)
+
+
+def round_figure(value: float) -> float:
+    """Round to four digits."""
+    return float(f"{value:.4g}")
+
+
+def _loads(workload: Workload, trace: Trace, report: dict) -> list[ServiceLoad]:
+    changes = iter(report["changes"])
+    loads = []
+    for plan in workload.services:
+        busy = sum(
+            busy_at_edges(next(changes), trace.started, trace.buckets) for _ in range(plan.targets)
+        )
+        loads.append(ServiceLoad(slots=plan.slots * plan.targets, busy=np.asarray(busy)))
+    return loads
--- a/packages/loomyard-standins/src/loomyard_standins/benches/workload.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/workload.py
@@ -93,8 +93,8 @@
             pattern=Pattern.POISSON,
             services=(first,),
             routers=(0,),
-            mean_cost=12,
-            rate=12.0,
+            mean_cost=8,
+            rate=20.0,
         ),
         AccountPlan(
             name="flood",
