--- a/packages/loomyard-router/src/loomyard_router/shares/fleet.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/fleet.py
@@ -25,6 +25,7 @@
 from loomyard_router.shares.reporter import Reporter
 from loomyard_router.shares.request_queues import RequestQueues
 from loomyard_router.shares.short_ids import short_id
+from loomyard_router.targets.choosing import choose as choose_target
 
 if TYPE_CHECKING:
     from gevent import Greenlet
@@ -49,6 +50,7 @@
 MESSAGE_BURST = 8.0
 # A router that began less than this ago may not know yet that there are others.
 JOINING = 1.5
+NO_MARGIN = 1.0
 
 
 class FleetPolicy:
@@ -70,6 +72,7 @@
         self._levels = AccountLevels()
         self._held = HeldSlots()
         self._overdue = Overdue()
+        self._directory = directory
         self._capacity = Capacity(directory)
         self._in_flight: Counter[str] = Counter()
         self._exchanging = False
@@ -97,9 +100,19 @@
         peers.handle(ShareReport, self._handle_report)
         peers.handle(ShareReply, self._handle_reply)
         peers.handle(ShareReset, self._handle_reset)
-        members.subscribe(self._allocator.touch)
+        members.subscribe(self._allocator.take_members)
         directory.subscribe(self._allocator.touch)
 
+    @property
+    def held(self) -> HeldSlots:
+        """Return the slots that this router holds."""
+        return self._held
+
+    @property
+    def allocator(self) -> Allocator:
+        """Return the allocator, idle while another router is chosen."""
+        return self._allocator
+
     def submit(self, waiting: WaitingRequest) -> Result[None, Fault]:
         pushed = self._queues.push(waiting)
         if pushed.is_ok():
@@ -148,6 +161,10 @@
         self._admit()
         self._exchange()
 
+    def waiting(self, service: str) -> int:
+        """Return how many requests of a service wait in the fleet, as far as reported here."""
+        return self._allocator.waiting(short_id(service))
+
     def _run(self) -> None:
         while True:
             self._clock.sleep(POLL_INTERVAL)
@@ -199,7 +216,7 @@
                 continue
             name = min(queues.accounts, key=lambda a: self._levels.level(short_id(a)))
             waiting = queues.head(name)
-            usable = [t for t in waiting.targets_by_id if self._capacity.usable(t)]
+            usable = [t for t in waiting.targets_by_id if self._usable(t, waiting)]
             if usable:
                 own = self._members.own.name
                 names = {waiting.targets_by_id[t].metadata.name: t for t in usable}
@@ -219,10 +236,18 @@
         return best
 
     def _usable(self, target: bytes, waiting: WaitingRequest) -> bool:
-        return target in waiting.targets_by_id and self._capacity.usable(target)
+        service = waiting.service.metadata.name
+        return target in waiting.targets_by_id and self._capacity.usable(target, service)
 
     def _choose_target(self, waiting: WaitingRequest, free: dict[bytes, int]) -> bytes:
-        return max((t for t in free if self._usable(t, waiting)), key=lambda t: free[t])
+        usable = {t: free[t] for t in free if self._usable(t, waiting)}
+        if not waiting.prefix:
+            return max(usable, key=usable.__getitem__)
+        # Free slots of one lease cost the balance nothing, whichever is used.
+        candidates = [self._capacity.candidate(t, slots) for t, slots in usable.items()]
+        chosen = choose_target(candidates, waiting.prefix, self._directory, margin=NO_MARGIN)
+        assert chosen is not None
+        return short_id(chosen.metadata.name)
 
     def _keeps(self, waiting: WaitingRequest, now: float) -> bool:
         told = self._reporter.told
