--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/control.py
@@ -0,0 +1,100 @@
+"""``make bench-control``: control traffic under load, at idle, by accounts and by routers."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import json  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from typing import Any  # noqa: E402
+
+from attrs import frozen  # noqa: E402
+
+from loomyard_standins.benches.child import Child  # noqa: E402
+from loomyard_standins.benches.machine import idle_core_seconds  # noqa: E402
+
+SLACK_SECONDS = 30.0
+KEPT = ("control", "cpu_percent", "events_per_s", "requests_per_s")
+
+
+@frozen(kw_only=True)
+class Point:
+    """A load; ``accounts_per_router`` of none is the load of Cambiavolt."""
+
+    name: str
+    routers: int = 8
+    accounts_per_router: int = 0
+    idle: bool = False
+
+    @property
+    def arguments(self) -> list[str]:
+        """Return the flags of the run."""
+        flags = [f"--routers={self.routers}", f"--accounts-per-router={self.accounts_per_router}"]
+        return [*flags, "--idle"] if self.idle else flags
+
+
+# In two batches, so that the processes of one leave part of the machine idle.
+BATCHES = (
+    (
+        Point(name="full load"),
+        Point(name="idle", idle=True),
+        Point(name="2 routers, 4 accounts each", routers=2, accounts_per_router=4),
+        Point(name="2 routers, 8 accounts each", routers=2, accounts_per_router=8),
+        Point(name="4 routers, 4 accounts each", routers=4, accounts_per_router=4),
+    ),
+    (
+        Point(name="8 routers, 2 accounts each", accounts_per_router=2),
+        Point(name="8 routers, 4 accounts each", accounts_per_router=4),
+        Point(name="8 routers, 8 accounts each", accounts_per_router=8),
+    ),
+)
+
+
+def main() -> int:
+    """Run the batches one after the other and print one JSON object."""
+    parser = argparse.ArgumentParser(description="Measure control traffic of the fleet policy.")
+    parser.add_argument("--seconds", type=float, default=10.0, help="seconds of each batch")
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    started, idle = time.monotonic(), idle_core_seconds()
+    points: dict[str, Any] = {}
+    for batch in BATCHES:
+        points |= _run(batch, options)
+    seconds = time.monotonic() - started
+    result = {
+        "seed": options.seed,
+        "seconds": round(seconds, 1),
+        "idle_cores_mean": round((idle_core_seconds() - idle) / seconds, 1),
+        "points": points,
+    }
+    print(json.dumps(result))
+    return 0
+
+
+def _run(batch: tuple[Point, ...], options: argparse.Namespace) -> dict[str, Any]:
+    common = ["--policy=fleet", f"--seed={options.seed}", f"--calm={options.seconds}", "--flood=0"]
+    runs: dict[str, Child] = {}
+    try:
+        for point in batch:
+            runs[point.name] = Child("policy_run", *common, *point.arguments)
+        for run in runs.values():
+            run.read()
+        for run in runs.values():
+            run.write(b"go\n")
+        figures = {name: run.read(options.seconds + SLACK_SECONDS) for name, run in runs.items()}
+    finally:
+        for run in runs.values():
+            run.kill()
+    return {
+        name: {key: found[key] for key in KEPT}
+        | {"utilisation_percent": found["calm"]["utilisation_percent"]}
+        for name, found in figures.items()
+    }
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/loomyard-standins/src/loomyard_standins/benches/driver.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/driver.py
@@ -62,10 +62,10 @@
         self._seed = seed
         self._tasks = Pool()
 
-    def run(self) -> None:
-        """Send until the end, then break all callers off."""
+    def run(self, *, idle: bool = False) -> None:
+        """Send until the end, then break all callers off; when idle, send nothing."""
         gevent.spawn(self._measure_lateness)
-        for number, plan in enumerate(self._accounts):
+        for number, plan in enumerate(self._accounts if not idle else ()):
             start = _STARTS[plan.pattern]
             start(self, _Account(number, plan, Draws(plan, self._seed)))
         gevent.sleep(max(0.0, self._left()))
--- a/packages/loomyard-standins/src/loomyard_standins/benches/fairness.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/fairness.py
@@ -13,6 +13,7 @@
 import time  # noqa: E402
 
 from loomyard_standins.benches.child import Child  # noqa: E402
+from loomyard_standins.benches.machine import idle_core_seconds  # noqa: E402
 from loomyard_standins.benches.timeline import EVENTS  # noqa: E402
 from loomyard_standins.benches.workload import USERS  # noqa: E402
 
@@ -33,31 +34,27 @@
             runs[policy] = Child("policy_run", f"--policy={policy}", *arguments)
         for run in runs.values():
             run.read()
-        idle = _idle_ticks()
+        idle, began = idle_core_seconds(), time.monotonic()
         for run in runs.values():
             run.write(b"go\n")
         seconds = options.calm + options.flood + len(EVENTS) * options.event + SLACK_SECONDS
         figures = {policy: run.read(seconds) for policy, run in runs.items()}
+        idle_cores = (idle_core_seconds() - idle) / (time.monotonic() - began)
     finally:
         for run in runs.values():
             run.kill()
-    machine = {"idle_cores": _idle_ticks() - idle}
     result = {
         "user": options.user,
         "seed": options.seed,
         "seconds": round(time.monotonic() - started, 1),
-        "machine": machine,
+        "cores": os.cpu_count(),
+        "idle_cores_mean": round(idle_cores, 1),
         "policies": figures,
     }
     print(json.dumps(result))
     return 0
 
 
-def _idle_ticks() -> float:
-    with open("/proc/stat") as file:
-        return int(file.readline().split()[4]) / os.sysconf("SC_CLK_TCK")
-
-
 def _parse() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description="Measure gap and utilisation per policy.")
     parser.add_argument("--policies", default=",".join(POLICIES))
--- a/packages/loomyard-standins/src/loomyard_standins/benches/policy_run.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/policy_run.py
@@ -14,14 +14,15 @@
 
 from loomyard_standins.benches.bench_fleet import SINGLE, BenchFleet  # noqa: E402
 from loomyard_standins.benches.child import announce  # noqa: E402
+from loomyard_standins.benches.control_workload import make_control_workload  # noqa: E402
 from loomyard_standins.benches.driver import Driver  # noqa: E402
 from loomyard_standins.benches.events import Events  # noqa: E402
 from loomyard_standins.benches.figures import make_figures  # noqa: E402
 from loomyard_standins.benches.landing import Landing  # noqa: E402
 from loomyard_standins.benches.reading import read_counters  # noqa: E402
-from loomyard_standins.benches.timeline import Phase, Timeline  # noqa: E402
+from loomyard_standins.benches.timeline import WARM_UP_SECONDS, Phase, Timeline  # noqa: E402
 from loomyard_standins.benches.trace import Trace  # noqa: E402
-from loomyard_standins.benches.workload import ROUTERS, USERS, make_workload  # noqa: E402
+from loomyard_standins.benches.workload import ROUTERS, USERS, Workload, make_workload  # noqa: E402
 
 BEFORE_EVENTS = 0.3
 
@@ -29,7 +30,7 @@
 def main() -> int:
     """Run and print one JSON object."""
     options = _parse()
-    workload = make_workload(options.user)
+    workload = _make_workload(options)
     timeline = Timeline(calm=options.calm, flood=options.flood, event=options.event)
     routers = 1 if options.policy == SINGLE else options.routers
     fleet = BenchFleet(workload, policy=options.policy, routers=routers)
@@ -46,13 +47,13 @@
         driver = Driver(workload, timeline, trace, landing, options.seed)
         landing = Landing(fleet.ports)
         driver = Driver(workload, timeline, trace, landing, options.seed)
-        before = read_counters(fleet)
+        warm = gevent.spawn_later(WARM_UP_SECONDS, read_counters, fleet)
         read_at = timeline.end_of(Phase.FLOOD) - BEFORE_EVENTS
         loaded = gevent.spawn_later(read_at, read_counters, fleet)
         if timeline.event and routers > 1:
             gevent.spawn_later(0.0, Events(fleet, landing, timeline).run, trace.started)
-        driver.run()
-        after = loaded.get(timeout=1.0)
+        driver.run(idle=options.idle)
+        before, after = warm.get(timeout=1.0), loaded.get(timeout=1.0)
         report = fleet.end_engines()
     finally:
         fleet.stop()
@@ -63,6 +64,14 @@
     return 0
 
 
+def _make_workload(options: argparse.Namespace) -> Workload:
+    if options.accounts_per_router:
+        return make_control_workload(
+            routers=options.routers, accounts_per_router=options.accounts_per_router
+        )
+    return make_workload(options.user)
+
+
 def _parse() -> argparse.Namespace:
     parser = argparse.ArgumentParser()
     parser.add_argument("--policy", required=True)
@@ -71,6 +80,8 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--calm", type=float, default=20.0)
     parser.add_argument("--flood", type=float, default=10.0)
+    parser.add_argument("--accounts-per-router", type=int, default=0, help="0: those of the user")
+    parser.add_argument("--idle", action="store_true", help="send nothing")
     parser.add_argument("--event", type=float, default=0.0)
     parser.add_argument("--trace", default="", help="file for the service over time")
     return parser.parse_args()
--- a/packages/loomyard-standins/src/loomyard_standins/benches/window_figures.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/window_figures.py
@@ -40,7 +40,7 @@
 
     def all_of(self, window: np.ndarray) -> dict[str, Any]:
         """Return all figures of a window."""
-        seconds = float(window.sum() * BUCKET_SECONDS)
+        seconds = max(1, window.sum()) * BUCKET_SECONDS
         queue = self._queue_times(window)
         p50, p99 = (np.percentile(queue, [50, 99]) * 1000).tolist() if queue.size else (0.0, 0.0)
         return self.short_of(window) | {
