--- a/packages/loomyard-standins/src/loomyard_standins/benches/fairness.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/fairness.py
@@ -10,12 +10,15 @@
 import json  # noqa: E402
 import os  # noqa: E402
 import sys  # noqa: E402
+import tempfile  # noqa: E402
 import time  # noqa: E402
+from pathlib import Path  # noqa: E402
 
 from loomyard_standins.benches.child import Child  # noqa: E402
 from loomyard_standins.benches.machine import idle_core_seconds  # noqa: E402
-from loomyard_standins.benches.timeline import EVENTS  # noqa: E402
-from loomyard_standins.benches.workload import USERS  # noqa: E402
+from loomyard_standins.benches.plots import plot_service  # noqa: E402
+from loomyard_standins.benches.timeline import EVENTS, Timeline  # noqa: E402
+from loomyard_standins.benches.workload import USERS, make_workload  # noqa: E402
 
 POLICIES = ("single", "fleet", "local", "fifo")
 SLACK_SECONDS = 30.0
@@ -28,10 +31,12 @@
         f"--{name}={getattr(options, name)}" for name in ("user", "seed", "calm", "flood", "event")
     ]
     runs: dict[str, Child] = {}
+    traces = {policy: _trace_file(policy) for policy in options.policies.split(",")}
     started = time.monotonic()
     try:
-        for policy in options.policies.split(","):
-            runs[policy] = Child("policy_run", f"--policy={policy}", *arguments)
+        for policy, trace in traces.items():
+            flags = [f"--policy={policy}", *([f"--trace={trace}"] if options.plot else [])]
+            runs[policy] = Child("policy_run", *flags, *arguments)
         for run in runs.values():
             run.read()
         idle, began = idle_core_seconds(), time.monotonic()
@@ -43,6 +48,11 @@
     finally:
         for run in runs.values():
             run.kill()
+    if options.plot:
+        timeline = Timeline(calm=options.calm, flood=options.flood, event=options.event)
+        plot_service(make_workload(options.user), timeline, traces, Path(options.plot))
+        for trace in traces.values():
+            trace.unlink()
     result = {
         "user": options.user,
         "seed": options.seed,
@@ -55,6 +65,10 @@
     return 0
 
 
+def _trace_file(policy: str) -> Path:
+    return Path(tempfile.gettempdir()) / f"loomyard-bench-{os.getpid()}-{policy}.npz"
+
+
 def _parse() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description="Measure gap and utilisation per policy.")
     parser.add_argument("--policies", default=",".join(POLICIES))
@@ -62,6 +76,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--calm", type=float, default=12.0)
     parser.add_argument("--flood", type=float, default=8.0)
+    parser.add_argument("--plot", default="", help="picture file of service over time")
     parser.add_argument("--event", type=float, default=5.0, help="seconds of each event; 0: none")
     return parser.parse_args()
 
