--- a/packages/loomyard-standins/src/loomyard_standins/benches/events.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/events.py
@@ -16,6 +16,7 @@
 
 KILLED_ROUTER = 5
 CUT_ROUTERS = (0, 4)
+POLL_SECONDS = 0.1
 
 
 class Events:
@@ -25,6 +26,7 @@
         self._fleet = fleet
         self._landing = landing
         self._timeline = timeline
+        self.configured_after: float | None = None
 
     def run(self, started: float) -> None:
         """Wait for each event and let it happen."""
@@ -44,8 +46,16 @@
         self._landing.set_down(KILLED_ROUTER, down=True)
 
     def _restart(self) -> None:
+        started = time.monotonic()
         self._fleet.restart_router(KILLED_ROUTER)
         self._landing.set_down(KILLED_ROUTER, down=False)
+        gevent.spawn(self._await_configuration, started)
+
+    def _await_configuration(self, started: float) -> None:
+        wanted = self._fleet.status(0).version
+        while self._fleet.status(KILLED_ROUTER).version < wanted:
+            gevent.sleep(POLL_SECONDS)
+        self.configured_after = time.monotonic() - started
 
     def _cut(self) -> None:
         count = len(self._fleet.routers)
--- a/packages/loomyard-standins/src/loomyard_standins/benches/policy_run.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/policy_run.py
@@ -13,7 +13,7 @@
 import numpy as np  # noqa: E402
 
 from loomyard_standins.benches.bench_fleet import SINGLE, BenchFleet  # noqa: E402
-from loomyard_standins.benches.child import announce  # noqa: E402
+from loomyard_standins.benches.child import announce, end_with_parent  # noqa: E402
 from loomyard_standins.benches.control_workload import make_control_workload  # noqa: E402
 from loomyard_standins.benches.driver import Driver  # noqa: E402
 from loomyard_standins.benches.events import Events  # noqa: E402
@@ -37,7 +37,8 @@
     try:
         fleet.start()
         announce(ready=True)
-        sys.stdin.readline()
+        sys.stdin.buffer.raw.readline()
+        end_with_parent()
         trace = Trace(
             accounts=len(workload.accounts),
             services=len(workload.services),
@@ -50,14 +51,17 @@
         warm = gevent.spawn_later(WARM_UP_SECONDS, read_counters, fleet)
         read_at = timeline.end_of(Phase.FLOOD) - BEFORE_EVENTS
         loaded = gevent.spawn_later(read_at, read_counters, fleet)
+        events = Events(fleet, landing, timeline)
         if timeline.event and routers > 1:
-            gevent.spawn_later(0.0, Events(fleet, landing, timeline).run, trace.started)
+            gevent.spawn(events.run, trace.started)
         driver.run(idle=options.idle)
         before, after = warm.get(timeout=1.0), loaded.get(timeout=1.0)
         report = fleet.end_engines()
     finally:
         fleet.stop()
     figures = make_figures(workload, timeline, trace, driver, report, (before, after))
+    if timeline.event:
+        figures["restarted_configured_after_s"] = events.configured_after
     if options.trace:
         np.savez_compressed(options.trace, service=trace.service)
     announce(**figures)
