Measure requests in bounded memory; log by number; TLS for callers

Cause: nothing showed queue time, time to the first token, between tokens and in total; logs were lines without their event numbers; callers had no TLS; a setting that is no number ended in the parser's own error, one at a time. A wait on the kernel alone would have hung on bytes that TLS had decrypted already.

--- a/packages/loomyard-router/src/loomyard_router/__main__.py
+++ b/packages/loomyard-router/src/loomyard_router/__main__.py
@@ -7,7 +7,6 @@
 monkey.patch_all()
 
 # Everything below must see the patched standard library.
-import logging  # noqa: E402
 import os  # noqa: E402
 import signal  # noqa: E402
 import sys  # noqa: E402
@@ -16,6 +15,7 @@
 from gevent.event import Event as GeventEvent  # noqa: E402
 from result import Err, Ok  # noqa: E402
 
+from loomyard.logs import configure_logs  # noqa: E402
 from loomyard_router.application import make_application  # noqa: E402
 from loomyard_router.settings import parse_settings  # noqa: E402
 
@@ -31,7 +31,7 @@
             return EXIT_SETTINGS
         case Ok(settings):
             pass
-    logging.basicConfig(level=logging.INFO)
+    configure_logs(settings.log_format)
     application = make_application(settings)
     stopping = GeventEvent()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -18,6 +18,9 @@
 from loomyard_router.configuration.distribution import make_distribution
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.fleet_parts import make_fleet_parts
+from loomyard_router.metrics.exposition import MetersCollector
+from loomyard_router.metrics.meters import Meters
+from loomyard_router.metrics.server import MetricsServer
 from loomyard_router.operators.interface import make_operators_interface
 from loomyard_router.orders.joint_backlog import JointBacklog
 from loomyard_router.orders.order_keeper import make_order_keeper
@@ -59,6 +62,7 @@
         callers: CallersApp,
         *,
         serving: Serving,
+        meters: Meters,
     ) -> None:
         self.parts = parts
         self.callers = callers
@@ -69,8 +73,15 @@
         self._drained: GeventEvent | None = None
         host, _, port = settings.listen.rpartition(":")
         self._server = CallerServer(
-            (host, int(port)), callers, log=None, error_log=logger, in_flight=self._in_flight
+            (host, int(port)),
+            callers,
+            log=None,
+            error_log=logger,
+            in_flight=self._in_flight,
+            **_tls_options(settings),
         )
+        collector = MetersCollector(meters, parts.traffic, lambda: len(self._in_flight))
+        self.metrics = MetricsServer(settings.metrics_listen, lambda: callers.ready, collector)
         self.operators = make_operators_interface(
             settings,
             platform,
@@ -110,6 +121,7 @@
             parts.orders.start()
         self._server.start()
         self.operators.start()
+        self.metrics.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, port=self.port)
 
     def drain(self) -> None:
@@ -133,6 +145,7 @@
     def stop(self) -> None:
         """Stop at once."""
         self.operators.stop()
+        self.metrics.stop()
         self._server.stop()
         parts = self.parts
         parts.distribution.stop()
@@ -190,6 +203,7 @@
         tokens=StreamTokens(settings.fleet_secret),
         holds=ResumeHolds(clock, parts.peers, settings.name, seconds=settings.resume_seconds),
     )
+    meters = Meters(clock)
     serving = Serving(
         clock=clock,
         follower=parts.follower,
@@ -200,6 +214,7 @@
         estimates=CostEstimates(),
         journal=parts.journal,
         resuming=resuming,
+        meters=meters,
     )
     parts.orders = make_order_keeper(
         clock=clock,
@@ -210,8 +225,16 @@
         weights=platform.weight_store,
         backlog=_join_backlogs(serving, parts.policy),
     )
-    callers = CallersApp(clock=clock, follower=parts.follower, serving=serving, resuming=resuming)
-    return Application(settings, platform, parts, callers, serving=serving)
+    callers = CallersApp(
+        clock=clock, follower=follower, serving=serving, resuming=resuming, meters=meters
+    )
+    return Application(settings, platform, parts, callers, serving=serving, meters=meters)
+
+
+def _tls_options(settings: Settings) -> dict[str, str]:
+    if not settings.certificate:
+        return {}
+    return {"certfile": settings.certificate, "keyfile": settings.private_key}
 
 
 def _make_policy(
--- a/packages/loomyard-router/src/loomyard_router/callers/app.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/app.py
@@ -32,6 +32,7 @@
     from loomyard.objects import ClientAccount
     from loomyard_router.callers.fields import Environ
     from loomyard_router.configuration.follower import ConfigFollower
+    from loomyard_router.metrics.meters import Meters
     from loomyard_router.requests.request import Request
     from loomyard_router.requests.resuming import Resuming
     from loomyard_router.requests.serving import Serving
@@ -75,8 +76,15 @@
     """Serve /v1 and /services."""
 
     def __init__(
-        self, *, clock: Clock, follower: ConfigFollower, serving: Serving, resuming: Resuming
+        self,
+        *,
+        clock: Clock,
+        follower: ConfigFollower,
+        serving: Serving,
+        resuming: Resuming,
+        meters: Meters,
     ) -> None:
+        self._meters = meters
         self._resuming = resuming
         self._follower = follower
         self._serving = serving
@@ -90,7 +98,7 @@
         path = environ["PATH_INFO"]
         if path in (HEALTH_PATH, READY_PATH):
             return self._report(path, start_response)
-        exchange = _Exchange(environ, start_response)
+        exchange = _Exchange(environ, start_response, self._meters)
         if not self._follower.ready:
             return exchange.refuse(_NOT_READY)
         account = authenticate(self._follower.routing, environ.get("HTTP_AUTHORIZATION", ""))
@@ -150,7 +158,8 @@
 class _Exchange:
     """One request and the answer to it."""
 
-    def __init__(self, environ: Environ, start_response: StartResponse) -> None:
+    def __init__(self, environ: Environ, start_response: StartResponse, meters: Meters) -> None:
+        self._meters = meters
         self.request_id = f"req-{secrets.token_hex(8)}"
         self.idempotent = False
         self._openai = environ["PATH_INFO"].startswith(OPENAI_PREFIX)
@@ -160,6 +169,7 @@
         """Answer or refuse."""
         match outcome:
             case Ok(answer):
+                self._meters.count(None)
                 return self.answer(answer)
             case Err(fault):
                 return self.refuse(fault)
@@ -183,6 +193,7 @@
 
     def refuse(self, fault: Fault) -> Iterable[bytes]:
         """Give the final answer of a request that gets no other."""
+        self._meters.count(fault.code)
         emit(logger, Event.REQUEST_REFUSED, request=self.request_id, code=int(fault.code))
         kind, body = problem_document(
             fault, self.request_id, openai=self._openai, idempotent=self.idempotent
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of requests and their exposition."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
@@ -0,0 +1,90 @@
+"""Metrics in the exposition format of Prometheus."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from prometheus_client import CollectorRegistry
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.exposition import generate_latest
+from prometheus_client.registry import Collector
+
+from loomyard_router.metrics.key_histograms import UNITS_PER_SECOND
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from prometheus_client.metrics_core import Metric
+
+    from loomyard_router.metrics.meters import Meters
+    from loomyard_router.peers.traffic import TrafficCounters
+
+QUANTILES = (0.5, 0.95, 0.99)
+KEY_LABELS = ("account", "service", "phase")
+ANSWERED = "0"
+
+
+class MetersCollector(Collector):
+    """Turn the measurements into metric families."""
+
+    def __init__(
+        self, meters: Meters, traffic: TrafficCounters, in_flight: Callable[[], int]
+    ) -> None:
+        self._meters = meters
+        self._traffic = traffic
+        self._in_flight = in_flight
+
+    def collect(self) -> Iterator[Metric]:
+        yield from self._phases()
+        yield self._codes()
+        yield from self._control()
+        yield GaugeMetricFamily(
+            "loomyard_requests_in_flight", "requests in flight", value=self._in_flight()
+        )
+
+    def _phases(self) -> Iterator[Metric]:
+        quantiles = GaugeMetricFamily(
+            "loomyard_request_seconds",
+            "quantiles of a phase of requests, since the start",
+            labels=(*KEY_LABELS, "quantile"),
+        )
+        counts = CounterMetricFamily(
+            "loomyard_request_phases", "measurements of a phase of requests", labels=KEY_LABELS
+        )
+        sums = CounterMetricFamily(
+            "loomyard_request_phase_seconds", "summed time of a phase", labels=KEY_LABELS
+        )
+        for account, service, histograms in self._meters.items():
+            gevent.sleep(0)
+            for phase, histogram in histograms.phases.items():
+                key = (account, service, phase.value)
+                counts.add_metric(key, histogram.get_total_count())
+                sums.add_metric(key, histograms.sums[phase])
+                for quantile in QUANTILES:
+                    value = histogram.get_value_at_percentile(100.0 * quantile)
+                    quantiles.add_metric((*key, str(quantile)), value / UNITS_PER_SECOND)
+        yield from (quantiles, counts, sums)
+
+    def _codes(self) -> Metric:
+        family = CounterMetricFamily(
+            "loomyard_requests", "requests by result code, 0 where answered", labels=("code",)
+        )
+        for code, count in self._meters.codes.items():
+            family.add_metric((ANSWERED if code is None else str(int(code)),), count)
+        return family
+
+    def _control(self) -> Iterator[Metric]:
+        size = CounterMetricFamily(
+            "loomyard_control_bytes", "bytes between routers", labels=("direction",)
+        )
+        size.add_metric(("sent",), self._traffic.sent_bytes)
+        size.add_metric(("received",), self._traffic.received_bytes)
+        yield size
+
+
+def expose(collector: Collector) -> bytes:
+    """Return the text of all metrics."""
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(collector)
+    return generate_latest(registry)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/metrics/server.py
@@ -0,0 +1,62 @@
+"""The listener for probes and metrics."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from gevent.pool import Pool
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+from loomyard.util.tcp import NoDelayServer
+from loomyard_router.metrics.exposition import expose
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from prometheus_client.registry import Collector
+
+HEALTH_PATH = "/healthz"
+READY_PATH = "/readyz"
+METRICS_PATH = "/metrics"
+PLAIN_TYPE = "text/plain"
+
+
+class MetricsServer:
+    """Serve /healthz, /readyz and /metrics; without an address nothing."""
+
+    def __init__(self, address: str, ready: Callable[[], bool], collector: Collector) -> None:
+        self._ready = ready
+        self._collector = collector
+        self._server: NoDelayServer | None = None
+        if address:
+            host, _, port = address.rpartition(":")
+            self._server = NoDelayServer((host, int(port)), self._serve, log=None, spawn=Pool())
+
+    @property
+    def port(self) -> int:
+        return 0 if self._server is None else self._server.server_port
+
+    def start(self) -> None:
+        """Start to serve."""
+        if self._server is not None:
+            self._server.start()
+
+    def stop(self) -> None:
+        """Stop to serve."""
+        if self._server is not None:
+            self._server.stop(timeout=0)
+
+    def _serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
+        status, kind, body = self._answer(environ["PATH_INFO"])
+        start_response(f"{status.value} {status.phrase}", [("Content-Type", kind)])
+        return [body]
+
+    def _answer(self, path: str) -> tuple[HTTPStatus, str, bytes]:
+        if path == METRICS_PATH:
+            return HTTPStatus.OK, CONTENT_TYPE_LATEST, expose(self._collector)
+        if path == HEALTH_PATH or (path == READY_PATH and self._ready()):
+            return HTTPStatus.OK, PLAIN_TYPE, b"ok\n"
+        if path == READY_PATH:
+            return HTTPStatus.SERVICE_UNAVAILABLE, PLAIN_TYPE, b"not ready\n"
+        return HTTPStatus.NOT_FOUND, PLAIN_TYPE, b"not found\n"
--- a/packages/loomyard-router/src/loomyard_router/requests/serving.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/serving.py
@@ -10,6 +10,7 @@
 
 from loomyard.errors import Executed, Fault
 from loomyard_router.claims.keeper import RecordedOutcome
+from loomyard_router.metrics.phase import Phase
 from loomyard_router.requests.claimed_run import ClaimedRun, claim_run
 from loomyard_router.requests.journal import Step
 from loomyard_router.requests.retries import FailedAttempt, Retries
@@ -28,6 +29,7 @@
     from loomyard.platform.engine import Engine
     from loomyard_router.claims.keeper import ClaimKeeper
     from loomyard_router.configuration.follower import ConfigFollower
+    from loomyard_router.metrics.meters import Meters
     from loomyard_router.orders.backlog import BacklogView
     from loomyard_router.requests.answer import Answer
     from loomyard_router.requests.attempt import Attempt
@@ -54,6 +56,7 @@
         estimates: CostEstimates,
         journal: Journal,
         resuming: Resuming,
+        meters: Meters,
         retries: Retries | None = None,
     ) -> None:
         self._clock = clock
@@ -61,6 +64,7 @@
         self._engine = engine
         self._journal = journal
         self._resuming = resuming
+        self._meters = meters
         self._retries = retries or Retries(clock)
         self._queue = SlotQueue(
             clock=clock, follower=follower, policy=policy, targets=targets, estimates=estimates
@@ -143,7 +147,9 @@
     def _attempt(
         self, request: Request, run: ClaimedRun, number: int, avoided: set[str]
     ) -> Result[Answer, FailedAttempt]:
+        queued_at = self._clock.now()
         taken = self._queue.take(request, avoided)
+        self._record(request, Phase.QUEUE, queued_at)
         if taken.is_err():
             return Err(FailedAttempt(fault=taken.unwrap_err()))
         admission = taken.unwrap()
@@ -167,9 +173,11 @@
                     attempt=attempt,
                     run=run,
                     resuming=self._resuming,
+                    meters=self._meters,
                 )
                 return stream.begin().map(stream.answer)
             held = hold_whole(request, attempt)
+            self._record(request, Phase.TOTAL, request.arrived_at)
             return held.map(lambda whole: pass_whole(request, attempt, run, whole=whole))
         except BaseException:
             attempt.answer.close()
@@ -187,6 +195,10 @@
             fault = attrs.evolve(fault, executed=executed)
         return self._refuse(request, fault)
 
+    def _record(self, request: Request, phase: Phase, since: float) -> None:
+        account, service = request.account.metadata.name, request.service.metadata.name
+        self._meters.record(account, service, phase, self._clock.now() - since)
+
     def _refuse(self, request: Request, fault: Fault) -> Result[Answer, Fault]:
         self._journal.record(request.request_id, Step.REFUSED, f"{fault.detail} [{fault.code:d}]")
         return Err(fault)
--- a/packages/loomyard-router/src/loomyard_router/requests/stream_answers.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/stream_answers.py
@@ -12,6 +12,7 @@
 from loomyard.events import Event, emit
 from loomyard_router.callers.problems import error_event
 from loomyard_router.claims.keeper import RecordedOutcome
+from loomyard_router.metrics.phase import Phase
 from loomyard_router.relays.event_stream import EventStream
 from loomyard_router.relays.stream_relay import StreamRelay
 from loomyard_router.requests.answer import Answer
@@ -24,6 +25,7 @@
 
     from loomyard.clock import Clock
     from loomyard.platform.engine import Engine
+    from loomyard_router.metrics.meters import Meters
     from loomyard_router.requests.attempt import Attempt
     from loomyard_router.requests.claimed_run import ClaimedRun
     from loomyard_router.requests.request import Request
@@ -46,6 +48,7 @@
         attempt: Attempt,
         run: ClaimedRun,
         resuming: Resuming,
+        meters: Meters,
     ) -> None:
         self._clock = clock
         self._engine = engine
@@ -53,9 +56,11 @@
         self._attempt = attempt
         self._run = run
         self._resuming = resuming
+        self._meters = meters
         self._stream = EventStream(drop_usage=not request.usage_asked)
         self._relay = StreamRelay(attempt.answer, self._stream, self._resume)
         self._charged = 0
+        self._charged_at = 0.0
         self._failed = False
 
     def begin(self) -> Result[bytes, Fault]:
@@ -66,6 +71,9 @@
             self._close()
             if self._request.presence.gone:
                 return Err(gone_fault())
+            return begun
+        self._charged, self._charged_at = self._stream.events, self._clock.now()
+        self._record(Phase.FIRST_TOKEN, self._charged_at - self._request.arrived_at)
         return begun
 
     def answer(self, first: bytes) -> Answer:
@@ -95,6 +103,8 @@
                     if not self._request.presence.gone:
                         yield self._error(fault)
                     return
+        self._sample_gap()
+        self._record(Phase.TOTAL, self._clock.now() - self._request.arrived_at)
         self._settle()
         self._relay.finish()
 
@@ -105,9 +115,21 @@
     def _charge(self) -> None:
         events = self._stream.events
         if events - self._charged >= CHARGE_EVERY_EVENTS:
-            self._charged = events
+            self._sample_gap()
             self._attempt.settlement.charge(events)
 
+    def _sample_gap(self) -> None:
+        """Measure the mean time between the events since the last sample."""
+        events, now = self._stream.events, self._clock.now()
+        if events > self._charged:
+            gap = (now - self._charged_at) / (events - self._charged)
+            self._record(Phase.BETWEEN_TOKENS, gap)
+        self._charged, self._charged_at = events, now
+
+    def _record(self, phase: Phase, seconds: float) -> None:
+        account, service = self._request.account, self._request.service
+        self._meters.record(account.metadata.name, service.metadata.name, phase, seconds)
+
     def _error(self, fault: Fault) -> bytes:
         self._failed = True
         return error_event(fault, self._request.request_id, idempotent=self._request.idempotent)
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import argparse
+import math
 import os
 import re
+import ssl
 from typing import TYPE_CHECKING
 
-from attrs import field, frozen
+from attrs import asdict, field, frozen
 from result import Err, Ok, Result
 
 from loomyard.errors import FieldFault, ResultCode
@@ -45,6 +47,9 @@
     operator_private_key: str = ""
     drain_seconds: float = 60.0
     resume_seconds: float = 5.0
+    metrics_listen: str = ""
+    certificate: str = ""
+    private_key: str = ""
     peer_listen: str = ""
     peers: tuple[str, ...] = ()
     fleet_secret: tuple[str, ...] = field(default=(), repr=False)
@@ -96,8 +101,11 @@
     add("policy", "fleet", "share policy", choices=POLICIES)
     add("position", 0, "position of this router for the local policy", type=int)
     add("routers", 1, "number of routers for the local policy", type=int)
-    add("drain-seconds", 60.0, "longest wait of a planned stop for what runs", type=float)
-    add("resume-seconds", 5.0, "time a caller that went has to resume a stream", type=float)
+    add("drain-seconds", 60.0, "longest wait of a planned stop for what runs", type=_number)
+    add("resume-seconds", 5.0, "time a caller that went has to resume a stream", type=_number)
+    add("metrics-listen", "", "address of /metrics, /healthz and /readyz; none: no metrics")
+    add("certificate", "", "PEM certificate for TLS with callers")
+    add("private-key", "", "PEM key of the certificate")
     add("log-format", "text", "text or json", choices=("text", "json"))
     add("operator-listen", "", "address for operators; none turns their interface off")
     add("operator-keys", "", "SHA-256 digests of operator keys, by commas", type=_split)
@@ -116,10 +124,10 @@
     add("peer-key", "", "PEM key of the certificate")
     add("peer-authority", "", "PEM authority that signs the routers' certificates")
     add("vm-list", "", "address of the VM list")
-    add("probe-period", 0.5, "seconds between probes of other routers", type=float)
-    add("share-bytes", 1700.0, "bytes a second for reports and replies of shares", type=float)
-    add("claim-window", 3600.0, "seconds for which an idempotency key is remembered", type=float)
-    add("log-retention", 86400.0, "seconds for which the log service keeps records", type=float)
+    add("probe-period", 0.5, "seconds between probes of other routers", type=_number)
+    add("share-bytes", 1700.0, "bytes a second for reports and replies of shares", type=_number)
+    add("claim-window", 3600.0, "seconds for which an idempotency key is remembered", type=_number)
+    add("log-retention", 86400.0, "seconds for which the log service keeps records", type=_number)
     return parser
 
 
@@ -130,7 +138,42 @@
         host, _, port = value.rpartition(":")
         if not host or not port.isdigit():
             faults.append(_fault(name, f"not host:port: {value!r}"))
-    return faults + _check_operators(settings)
+    return faults + _check_callers(settings) + _check_operators(settings)
+
+
+def _check_callers(settings: Settings) -> list[FieldFault]:
+    faults = []
+    for name, value in asdict(settings).items():
+        if isinstance(value, float) and not math.isfinite(value):
+            faults.append(_fault(name, "not a number"))
+    if settings.drain_seconds <= 0:
+        faults.append(_fault("drain_seconds", "not above 0"))
+    if settings.resume_seconds < 0:
+        faults.append(_fault("resume_seconds", "below 0"))
+    if settings.metrics_listen and not _ADDRESS.match(settings.metrics_listen):
+        faults.append(_fault("metrics_listen", f"not host:port: {settings.metrics_listen!r}"))
+    if bool(settings.certificate) != bool(settings.private_key):
+        faults.append(_fault("certificate", "give certificate and private key, or none"))
+    elif settings.certificate:
+        faults += _check_certificate(settings)
+    return faults
+
+
+def _check_certificate(settings: Settings) -> list[FieldFault]:
+    try:
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.load_cert_chain(settings.certificate, settings.private_key)
+    except (OSError, ValueError) as error:
+        return [_fault("certificate", f"can't be used: {error}")]
+    return []
+
+
+def _number(text: str) -> float:
+    """Read a number; what is none is reported with the other faults."""
+    try:
+        return float(text)
+    except ValueError:
+        return math.nan
 
 
 def _check_operators(settings: Settings) -> list[FieldFault]:
--- a/packages/loomyard-router/src/loomyard_router/targets/http_answer.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/http_answer.py
@@ -29,6 +29,8 @@
         self._seen_reads = 0
         self._stall: Any = None
         self._readable: Any = None
+        # Over TLS, bytes may wait in the library where the kernel has none.
+        self._decrypted: Any = None
         super().__init__(sock, pool, **options)  # type: ignore[arg-type]
 
     def watch(self, stall_seconds: float) -> None:
@@ -36,6 +38,7 @@
         if self._sock is None:
             return
         self._sock.settimeout(None)
+        self._decrypted = getattr(self._sock, "pending", None)
         loop = get_hub().loop
         self._readable = loop.io(self._sock.fileno(), READABLE)
         self._stall = loop.timer(stall_seconds, stall_seconds)
@@ -48,7 +51,8 @@
             sock = self._sock
             if sock is None:
                 raise HTTPConnectionClosed("connection closed")
-            get_hub().wait(self._readable)
+            if not (self._decrypted and self._decrypted()):
+                get_hub().wait(self._readable)
             self._reads += 1
             self.feed(sock.recv(BLOCK_SIZE))
         block = bytes(buffer)
--- a/tests/test_loomyard_router/test_requests/test_serving.py
+++ b/tests/test_loomyard_router/test_requests/test_serving.py
@@ -17,6 +17,7 @@
 from loomyard.objects import ClientAccount, Metadata, Route, Service, ServiceType, Target
 from loomyard_router.claims.keeper import Claim, ClaimKey, RecordedOutcome
 from loomyard_router.configuration.follower import CONFIG_STREAM, ConfigFollower
+from loomyard_router.metrics.meters import Meters
 from loomyard_router.peers.no_peers import NoPeers
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
@@ -104,6 +105,7 @@
         )
         return Serving(
             resuming=resuming,
+            meters=Meters(self.clock),
             clock=self.clock,
             follower=follower,
             policy=self.policy,
