--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
@@ -292,7 +292,12 @@
         if router.points.dead:
             saw.ending, saw.ended = Ending.CUT, self.clock.now()
             return saw
-        app = self._wrap_app(router.application.callers)
+        inner = self._wrap_app(router.application.callers)
+
+        def app(environ: dict[str, Any], start_response: Any) -> Any:
+            router.points.reach("request.received")
+            return inner(environ, start_response)
+
         router.calls.append(gevent.spawn(perform, app, environ, saw, self.clock))
         self.turn()
         return saw
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""What is under way in a fake fleet when a fault comes."""
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/change.py
@@ -0,0 +1,36 @@
+"""A change of the configuration while requests run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loomyard_standins.faults.injection import OTHER, VICTIM
+from loomyard_standins.faults.step import Step
+
+if TYPE_CHECKING:
+    from loomyard_standins.faults.fake_fleet import FakeFleet
+    from loomyard_standins.faults.scenarios.trigger import Trigger
+
+AFTER_SECONDS = 3.5
+
+
+def run_change(fleet: FakeFleet, step: Step, trigger: Trigger) -> None:
+    """Publish a change and let the fault come at a step."""
+    fleet.publish_generation()
+    fleet.run(0.2)
+    fleet.watch_models()
+    points = fleet.routers[VICTIM].points
+    match step:
+        case Step.CHANGE_PROPOSED:
+            trigger()
+        case Step.CHANGE_APPENDED:
+            points.arm("log.answered loomyard.configuration", trigger)
+    fleet.publish_generation()
+    fleet.turn()
+    if step is Step.CHANGE_IN_FORCE:
+        trigger()
+    for router in (VICTIM, OTHER):
+        fleet.call_model(f"kiosk/change-{router}", router)
+        fleet.call_plain(f"labels/change-{router}", router)
+    fleet.run(AFTER_SECONDS)
+    fleet.watch_models()
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/request.py
@@ -0,0 +1,88 @@
+"""A request at one router, by kind."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from loomyard_standins.faults.injection import OTHER, VICTIM
+from loomyard_standins.faults.step import Step
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard_standins.faults.fake_fleet import FakeFleet
+    from loomyard_standins.faults.scenarios.trigger import Trigger
+    from loomyard_standins.faults.sightings import CallerSaw
+
+KEY = "8e03978e-40d5-43e8-bc93-6894a57f9324"
+FILLERS = 8
+AFTER_SECONDS = 1.5
+
+
+class RequestKind(Enum):
+    """What a caller asks for."""
+
+    STREAM = "stream"
+    WHOLE = "whole"
+    LOOKUP = "idempotent call"
+    RECEIPT = "non-idempotent call"
+    KEYED_RECEIPT = "non-idempotent call with a key"
+
+
+def request_kinds(step: Step) -> list[RequestKind]:
+    """Return the kinds of request that pass a step."""
+    return [RequestKind.KEYED_RECEIPT] if step is Step.REQUEST_CLAIMED else list(RequestKind)
+
+
+def run_request(fleet: FakeFleet, step: Step, kind: RequestKind, trigger: Trigger) -> None:
+    """Make a request, let the fault come at a step, and repeat a keyed one elsewhere."""
+    if step is Step.REQUEST_QUEUED:
+        _fill(fleet)
+    _arm(fleet, step, trigger)
+    _call(fleet, kind, VICTIM)
+    if step is Step.REQUEST_QUEUED:
+        trigger()
+        fleet.turn()
+        for target in fleet.targets.values():
+            target.release()
+    fleet.run(AFTER_SECONDS)
+    if kind is RequestKind.KEYED_RECEIPT:
+        _call(fleet, kind, OTHER)
+        fleet.run(AFTER_SECONDS)
+
+
+def _arm(fleet: FakeFleet, step: Step, trigger: Trigger) -> None:
+    points = fleet.routers[VICTIM].points
+    match step:
+        case Step.REQUEST_RECEIVED:
+            points.arm("request.received", trigger)
+        case Step.REQUEST_CLAIMED:
+            points.arm("log.appended loomyard.claims", trigger)
+        case Step.REQUEST_SENT:
+            for target in fleet.targets.values():
+                target.on_run = trigger
+        case Step.REQUEST_ANSWERING:
+            points.arm("engine.read", trigger)
+        case Step.REQUEST_ENDED:
+            points.arm("engine.ended", trigger)
+
+
+def _fill(fleet: FakeFleet) -> None:
+    for target in fleet.targets.values():
+        target.hold()
+    for number in range(FILLERS):
+        fleet.call_model(f"genealogy/filler-{number}", VICTIM)
+        fleet.call_plain(f"genealogy/filler-plain-{number}", VICTIM, idempotent=True)
+
+
+def _call(fleet: FakeFleet, kind: RequestKind, router: str) -> CallerSaw:
+    marker = f"kiosk/{kind.name.lower()}"
+    calls: dict[RequestKind, Callable[[], CallerSaw]] = {
+        RequestKind.STREAM: lambda: fleet.call_model(marker, router),
+        RequestKind.WHOLE: lambda: fleet.call_model(marker, router, stream=False),
+        RequestKind.LOOKUP: lambda: fleet.call_plain(marker, router, idempotent=True),
+        RequestKind.RECEIPT: lambda: fleet.call_plain(marker, router),
+        RequestKind.KEYED_RECEIPT: lambda: fleet.call_plain(marker, router, key=KEY),
+    }
+    return calls[kind]()
