--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_answer.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_answer.py
@@ -25,10 +25,12 @@
         status: int = 200,
         broken: bool = False,
         after_end: Callable[[], None] = lambda: None,
+        headers: list[tuple[str, str]] | None = None,
     ) -> None:
         self.status = status
         self.attempt_id = attempt_id
         self.headers = [("Content-Type", content_type), ("Loomyard-Attempt", attempt_id)]
+        self.headers += headers or []
         self.closed = False
         self._chunks = list(chunks)
         self._before_read = before_read
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
@@ -7,6 +7,7 @@
 from collections import deque
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
+from unittest.mock import patch
 
 import gevent
 from result import Ok
@@ -23,6 +24,7 @@
     ServiceType,
     Target,
 )
+from loomyard_router import application as application_module
 from loomyard_router.application import make_application
 from loomyard_router.callers.keys import digest_key
 from loomyard_router.configuration.follower import CONFIG_STREAM
@@ -30,6 +32,7 @@
 from loomyard_router.settings import Settings
 from loomyard_standins.fake_clock import FakeClock
 from loomyard_standins.faults.answer_fault import AnswerFault
+from loomyard_standins.faults.checkers import IN_FORCE_SECONDS
 from loomyard_standins.faults.fake_call import (
     HTTP_OK,
     MODEL,
@@ -41,6 +44,7 @@
     make_plain_call,
     perform,
 )
+from loomyard_standins.faults.fake_caller_server import FakeCallerServer
 from loomyard_standins.faults.fake_engine import FakeEngine
 from loomyard_standins.faults.fake_router import FakeRouter
 from loomyard_standins.faults.fake_target import FakeTarget
@@ -119,7 +123,7 @@
         engine = self._wrap_engine(FakeEngine(list(self.targets.values())))
         platform = Platform(
             clock=PointedClock(self.clock, points),
-            log=PointedLog(self.log, points),
+            log=PointedLog(self.log, self.clock, points),
             engine=PointedEngine(engine, points),
             vm_list=PointedVmList(self.vm_list, points),
             weight_store=self.weight_store,
@@ -133,7 +137,9 @@
             routers=self._count,
         )
         self._starts += 1
-        router = FakeRouter(name, make_application(settings, platform), points)
+        with patch.object(application_module, "CallerServer", FakeCallerServer):
+            application = make_application(settings, platform)
+        router = FakeRouter(name, application, points)
         self.routers[name] = router
         router.application.start()
         return router
@@ -141,6 +147,7 @@
     def kill(self, name: str) -> None:
         """End a router at once; its callers see their connections break."""
         router = self.routers[name]
+        self._forget_reachable(name)
         router.points.kill()
         self.network.leave(name)
         with suppress(RouterKilled):
@@ -152,8 +159,21 @@
         self.kill(name)
         self.start(name)
 
+    def pause(self, name: str) -> None:
+        """Freeze a router."""
+        self._forget_reachable(name)
+        self.routers[name].points.pause()
+
+    def drain(self, name: str) -> None:
+        """Begin the planned stop of a router."""
+        router = self.routers[name]
+        self.sightings.stopped.setdefault(name, self.clock.now())
+        gevent.spawn(router.application.drain)
+        self.turn()
+
     def cut(self, name: str) -> None:
         """Cut a router from the log service and from the other routers."""
+        self._forget_reachable(name)
         self.routers[name].points.log_cut = True
         self.network.cut({name}, set(self.routers) - {name})
 
@@ -162,10 +182,8 @@
         self.faults.clear()
         self.network.heal()
         self.log.down = False
-        self.log.delay = 0.0
         for router in self.routers.values():
-            router.points.log_cut = False
-            router.points.wake()
+            router.points.mend()
         for target in self.targets.values():
             target.release()
             if not target.up:
@@ -263,7 +281,7 @@
         environ = make_environ(WATCHER, MODELS_PATH, b"", method="GET")
         now = self.clock.now()
         saw = CallerSaw(marker="", account=WATCHER, router=name, expected="", started=now)
-        perform(self.routers[name].application.callers, environ, saw, self.clock)
+        perform(self.routers[name].server.call, environ, saw, self.clock)
         if saw.ending is not Ending.WHOLE or saw.status != HTTP_OK:
             return
         models = frozenset(model["id"] for model in json.loads(saw.body)["data"])
@@ -283,6 +301,12 @@
             self.kill(name)
         self.turn()
 
+    def _forget_reachable(self, name: str) -> None:
+        # A router counts as reachable only if it is so for the whole time allowed.
+        for generation, (accepted, reachable) in self.sightings.generations.items():
+            if self.clock.now() <= accepted + IN_FORCE_SECONDS:
+                self.sightings.generations[generation] = (accepted, reachable - {name})
+
     def _make_target(self, name: str, **options: bool) -> FakeTarget:
         return FakeTarget(name, self.clock, self.sightings, self.faults, **options)
 
@@ -292,14 +316,13 @@
         if router.points.dead:
             saw.ending, saw.ended = Ending.CUT, self.clock.now()
             return saw
-        inner = self._wrap_app(router.application.callers)
+        inner = self._wrap_app(router.server.call)
 
         def app(environ: dict[str, Any], start_response: Any) -> Any:
             router.points.reach("request.received")
             return inner(environ, start_response)
 
         router.calls.append(gevent.spawn(perform, app, environ, saw, self.clock))
-        self.turn()
         return saw
 
     def _objects(self) -> list[ConfigObject]:
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_target.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_target.py
@@ -258,6 +258,7 @@
             content_type=JSON_TYPE,
             before_read=self._released.wait,
             status=503,
+            headers=[("Loomyard-Leaving", "1")],
         )
 
     def _takes(self, fault: AnswerFault) -> bool:
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fault_points.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fault_points.py
@@ -18,6 +18,7 @@
 
 class FaultPoints:
     """The process of one router: running, paused or dead; cut from the log service or not.
+    ``log_delay`` is in seconds of the clock for each call of the log service.
 
     ``reach`` stands before each effect on the outside. An action that is armed at a point runs
     once, when the point is reached; then the task waits while the process is paused.
@@ -26,6 +27,7 @@
     def __init__(self) -> None:
         self.dead = False
         self.log_cut = False
+        self.log_delay = 0.0
         self.reached: Counter[str] = Counter()
         self._running = Event()
         self._running.set()
@@ -62,6 +64,13 @@
         """Let the process go on."""
         self._running.set()
 
+    def mend(self) -> None:
+        """Wake, reach the log service again and disarm all points."""
+        self.log_cut = False
+        self.log_delay = 0.0
+        self._armed.clear()
+        self.wake()
+
     def kill(self) -> None:
         """Refuse all further effects of the process."""
         self.dead = True
--- a/packages/loomyard-standins/src/loomyard_standins/faults/injection.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/injection.py
@@ -14,7 +14,7 @@
 
 VICTIM = "router-0"
 OTHER = "router-1"
-SLOW_SECONDS = 0.02
+SLOW_SECONDS = 0.6
 FLOOD_REQUESTS = 300
 FLOOD_ACCOUNT = "labels"
 
@@ -33,7 +33,7 @@
 
 
 def _pause(fleet: FakeFleet) -> None:
-    fleet.routers[VICTIM].points.pause()
+    fleet.pause(VICTIM)
 
 
 def _partition(fleet: FakeFleet) -> None:
@@ -52,7 +52,8 @@
 
 
 def _log_slow(fleet: FakeFleet) -> None:
-    fleet.log.delay = SLOW_SECONDS
+    for router in fleet.routers.values():
+        router.points.log_delay = SLOW_SECONDS
 
 
 def _log_answer_lost(fleet: FakeFleet) -> None:
--- a/packages/loomyard-standins/src/loomyard_standins/faults/matrix.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/matrix.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-from loomyard_standins.faults.checkers import check
+from loomyard_standins.faults.checkers import Violation, check
 from loomyard_standins.faults.fake_fleet import FakeFleet
 from loomyard_standins.faults.fault_kind import FaultKind
 from loomyard_standins.faults.injection import inject
@@ -19,7 +19,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from loomyard_standins.faults.checkers import Violation
 
 SETTLING_SECONDS = 3.5
 LAST_SECONDS = 1.5
--- a/packages/loomyard-standins/src/loomyard_standins/faults/pointed_platform.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/pointed_platform.py
@@ -20,6 +20,12 @@
     from loomyard_router.peers.links import PeerLinks
     from loomyard_standins.faults.fault_points import FaultPoints
 
+MAX_READS_AT_ONCE = 500
+
+
+class BusyLoopError(Exception):
+    """A router reads the log over and over without waiting."""
+
 
 class PointedClock:
     """A clock that a paused process can't read."""
@@ -42,16 +48,20 @@
 
 
 class PointedLog:
-    """A log service that a router can be cut from."""
+    """A log service that a router can be cut from and that answers slowly when told."""
 
-    def __init__(self, log: LogService, points: FaultPoints) -> None:
+    def __init__(self, log: LogService, clock: Clock, points: FaultPoints) -> None:
         self._log = log
+        self._clock = clock
         self._points = points
+        self._read_at = -1.0
+        self._reads = 0
 
     def append(self, stream: str, payload: bytes) -> Result[int, Fault]:
         self._points.reach(f"log.append {stream}")
         if self._points.log_cut:
             return Err(_cut())
+        self._wait()
         result = self._log.append(stream, payload)
         self._points.reach(f"log.appended {stream}")
         return Err(_cut()) if self._points.log_cut else result
@@ -60,12 +70,25 @@
         self, stream: str, offset: int, *, limit: int = 1000, wait: float = 0.0
     ) -> Result[LogBatch, Fault]:
         self._points.reach(f"log.read {stream}")
+        self._check_busy()
         if self._points.log_cut:
             return Err(_cut())
         result = self._log.read(stream, offset, limit=limit, wait=wait)
+        self._wait()
         self._points.reach(f"log.answered {stream}")
         return Err(_cut()) if self._points.log_cut else result
 
+    def _check_busy(self) -> None:
+        if self._clock.now() != self._read_at:
+            self._read_at, self._reads = self._clock.now(), 0
+        self._reads += 1
+        if self._reads > MAX_READS_AT_ONCE:
+            raise BusyLoopError(f"{self._reads} reads at one time")
+
+    def _wait(self) -> None:
+        if self._points.log_delay:
+            self._clock.sleep(self._points.log_delay)
+
 
 class PointedAnswer:
     """An answer that a router reads."""
