--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import secrets
 from typing import TYPE_CHECKING
 
 from gevent.event import Event as GeventEvent
@@ -11,31 +10,33 @@
 from loomyard.clock import SystemClock
 from loomyard.events import Event, emit
 from loomyard.platform.http_log import connect_log
+from loomyard.platform.http_vm_list import connect_vm_list
 from loomyard_router.callers.app import CallersApp
 from loomyard_router.callers.handler import CallerServer
 from loomyard_router.callers.in_flight import InFlight
-from loomyard_router.claims.no_claims import NoClaims
+from loomyard_router.claims.log_claims import make_log_claims
 from loomyard_router.configuration.follower import ConfigFollower
-from loomyard_router.members.membership import Member, SoleMembership
+from loomyard_router.fleet_parts import make_fleet_parts
 from loomyard_router.parts import Parts, Platform
-from loomyard_router.peers.no_peers import NoPeers
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
 from loomyard_router.requests.serving import Serving
 from loomyard_router.shares.fifo import make_fifo_policy
+from loomyard_router.shares.fleet import make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
-from loomyard_router.targets.directory import make_configured_targets
 from loomyard_router.targets.http_engine import make_http_engine
+from loomyard_router.targets.known_targets import make_known_targets
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
+    from loomyard_router.members.membership import Membership
+    from loomyard_router.peers.links import PeerLinks
     from loomyard_router.settings import Settings
     from loomyard_router.shares.policy import SharePolicy
+    from loomyard_router.targets.directory import TargetDirectory
 
 logger = logging.getLogger(__name__)
 
-INCARNATION_BITS = 48
-
 
 class Application:
     """One router."""
@@ -72,6 +73,8 @@
         parts.follower.subscribe(parts.policy.reconfigure)
         for part in (parts.peers, parts.members, parts.follower, parts.targets):
             part.start()
+        if parts.vm_watch is not None:
+            parts.vm_watch.start()
         parts.claims.start()
         parts.policy.start()
         self._server.start()
@@ -101,6 +104,8 @@
         parts = self.parts
         parts.policy.stop()
         parts.claims.stop()
+        if parts.vm_watch is not None:
+            parts.vm_watch.stop()
         for part in (parts.targets, parts.follower, parts.members, parts.peers):
             part.stop()
 
@@ -109,26 +114,33 @@
     """Connect to the outside systems that the settings name."""
     clock = SystemClock()
     log = connect_log(settings.log_service)
-    return Platform(clock=clock, log=log, engine=make_http_engine(clock))
+    vm_list = connect_vm_list(settings.vm_list) if settings.vm_list else None
+    return Platform(clock=clock, log=log, engine=make_http_engine(clock), vm_list=vm_list)
 
 
 def make_application(settings: Settings, platform: Platform | None = None) -> Application:
     """Wire a router from its settings."""
     platform = platform or make_platform(settings)
     clock = platform.clock
-    own = Member(
-        name=settings.name,
-        incarnation=secrets.randbits(INCARNATION_BITS),
-        address="",
-        data_centre=settings.data_centre,
+    fleet = make_fleet_parts(settings, platform)
+    targets = make_known_targets(
+        clock, platform.engine, fleet.members, fleet.peers, vm_list=platform.vm_list
     )
     parts = Parts(
-        members=SoleMembership(own),
-        peers=NoPeers(),
+        members=fleet.members,
+        peers=fleet.peers,
+        traffic=fleet.traffic,
+        vm_watch=fleet.vm_watch,
         follower=ConfigFollower(platform.log, clock),
-        targets=make_configured_targets(),
-        policy=_make_policy(settings, platform),
-        claims=NoClaims(),
+        targets=targets,
+        policy=_make_policy(settings, clock, fleet.members, fleet.peers, targets),
+        claims=make_log_claims(
+            log=platform.log,
+            clock=clock,
+            members=fleet.members,
+            peers=fleet.peers,
+            window=settings.claim_window,
+        ),
         journal=Journal(clock),
     )
     serving = Serving(
@@ -145,7 +157,15 @@
     return Application(settings, parts, callers, clock=clock, serving=serving)
 
 
-def _make_policy(settings: Settings, platform: Platform) -> SharePolicy:
+def _make_policy(
+    settings: Settings,
+    clock: Clock,
+    members: Membership,
+    peers: PeerLinks,
+    directory: TargetDirectory,
+) -> SharePolicy:
     if settings.policy == "fifo":
-        return make_fifo_policy(platform.clock)
-    return make_local_policy(platform.clock, position=settings.position, routers=settings.routers)
+        return make_fifo_policy(clock)
+    if settings.policy == "local":
+        return make_local_policy(clock, position=settings.position, routers=settings.routers)
+    return make_fleet_policy(clock, members=members, peers=peers, directory=directory)
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -18,10 +18,37 @@
     SNAPSHOT_WRITTEN = (203, logging.INFO, "a configuration snapshot was appended")
     LOG_UNAVAILABLE = (300, logging.WARNING, "the log service did not answer")
     LOG_RECOVERED = (301, logging.INFO, "the log service answers again")
+    MEMBER_CHANGED = (310, logging.INFO, "a router joined, left or changed its state")
+    MEMBER_SUSPECTED = (311, logging.INFO, "a router did not answer probes")
+    MEMBER_REFUTED = (312, logging.WARNING, "others doubted that this router is alive")
+    MEMBER_NAME_TAKEN = (313, logging.ERROR, "a newer router has the name of this one")
+    ROUTER_PAUSED = (314, logging.WARNING, "this process stood still for some time")
+    DATAGRAM_REFUSED = (320, logging.WARNING, "a datagram was refused")
+    PEER_REFUSED = (321, logging.WARNING, "a link or a frame of a peer was refused")
+    PEER_UNREACHABLE = (322, logging.INFO, "a link to a peer could not be opened")
+    PEER_MESSAGE_INVALID = (323, logging.ERROR, "a message of a peer could not be read")
+    PEER_MESSAGE_TOO_LARGE = (324, logging.ERROR, "a message was too large to be sent")
+    VM_LIST_UNAVAILABLE = (330, logging.WARNING, "the VM list did not answer")
+    VM_LIST_RECOVERED = (331, logging.INFO, "the VM list answers again")
     REQUEST_REFUSED = (400, logging.INFO, "a request was refused before it ran")
     ATTEMPT_FAILED = (401, logging.WARNING, "an attempt at a target failed")
     CALLER_GONE = (402, logging.INFO, "the caller left; the work was cancelled")
     STREAM_RESUMED = (403, logging.INFO, "a broken stream is resumed at its engine")
+    CLAIM_OUTCOME_UNKNOWN = (
+        550,
+        logging.WARNING,
+        "a request was sent once; its outcome is unknown",
+    )
+    CLAIMS_TRIMMED = (551, logging.WARNING, "a claim stream was trimmed past what was read")
+    CLAIM_END_DROPPED = (552, logging.ERROR, "the end of a claim was not recorded")
+    TARGET_EJECTED = (600, logging.WARNING, "attempts at a target fail; it gets no new work")
+    TARGET_LEAVING = (601, logging.INFO, "a target or its VM is leaving; it gets no new work")
+    TARGET_RETURNED = (602, logging.INFO, "a target or its VM that was leaving has returned")
+    ORDER_LEASE_TAKEN = (610, logging.INFO, "this router holds the lease on orders to engines")
+    ORDER_LEASE_LOST = (611, logging.INFO, "another router took the lease on orders to engines")
+    ORDER_SENT = (612, logging.INFO, "an engine took an order")
+    ORDER_FAILED = (613, logging.WARNING, "an order was refused or its answer was lost")
+    ORDER_CONFIRMED = (614, logging.INFO, "a target reports the state that was ordered")
     HANDLER_FAILED = (900, logging.ERROR, "a task ended with an unexpected error")
 
     @property
