Add planned stops and slot leases to the fault matrix

Cause: requests and changes alone leave out what two routers do with slots and what a stop owes to callers. A fake network joins three routers with the real membership and the real fleet policy, so that a cut, a pause or a death of a router is seen by the others as in a fleet.

--- a/packages/loomyard-standins/src/loomyard_standins/faults/checkers.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/checkers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from enum import Enum
 from itertools import combinations
 from typing import TYPE_CHECKING
@@ -21,6 +21,8 @@
 IN_FORCE_SECONDS = 3.0
 WAIT_BOUND_SECONDS = 30.0
 GAP_BOUND_TOKENS = 400.0
+LEASE_SECONDS = 3.0
+FLOOR_REQUESTS = 1
 HTTP_OK = 200
 
 
@@ -39,6 +41,7 @@
     ENDS = "every request ends for its caller"
     RECOVERS = "after the faults are mended every live router serves"
     AGREED = "all routers end with the same configuration"
+    LAPSED = "a router that slept past its lease starts no more than the floor when it wakes"
     FENCED = "no order with an old fencing number takes effect"
 
 
@@ -101,9 +104,12 @@
 
 
 def check_planned_stop(sightings: Sightings) -> Iterator[str]:
-    """Check that a router that stopped as planned cut nothing off."""
+    """Check that a router that stopped as planned cut nothing off that its target answered."""
+    broken = {run.marker for run in sightings.runs if run.broken}
     for saw in sightings.callers:
-        if saw.router in sightings.stopped and saw.ending is Ending.CUT:
+        if saw.marker in broken or saw.started > sightings.stopped.get(saw.router, -1.0):
+            continue
+        if saw.ending is Ending.CUT:
             yield f"{saw.marker}: cut off by the planned stop of {saw.router}"
 
 
@@ -153,6 +159,22 @@
                 break
 
 
+def check_lapsed(sightings: Sightings) -> Iterator[str]:
+    """Check that a holder that wakes after its lease sends one request a service at most."""
+    routers = {saw.marker: saw.router for saw in sightings.callers}
+    for woken in sightings.woken:
+        if woken.slept <= LEASE_SECONDS:
+            continue
+        started = Counter(
+            run.target.partition("-")[0]
+            for run in sightings.runs
+            if run.at == woken.at and routers.get(run.marker) == woken.router
+        )
+        for service, count in started.items():
+            if count > FLOOR_REQUESTS:
+                yield f"{woken.router}: started {count} at {service} after {woken.slept:.1f} s"
+
+
 def check_fenced(sightings: Sightings) -> Iterator[str]:
     """Check that no order takes effect after one with a higher fencing number."""
     highest: dict[str, int] = {}
@@ -199,6 +221,7 @@
     Invariant.ENDS: check_ends,
     Invariant.RECOVERS: check_recovers,
     Invariant.AGREED: check_agreed,
+    Invariant.LAPSED: check_lapsed,
     Invariant.FENCED: check_fenced,
 }
 
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_call.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_call.py
@@ -8,7 +8,7 @@
 
 from gevent import GreenletExit
 
-from loomyard_standins.faults.fake_target import expected_text, plain_body
+from loomyard_standins.faults.fake_target import MODEL, expected_text, plain_body
 from loomyard_standins.faults.sightings import CallerSaw, Ending
 
 if TYPE_CHECKING:
@@ -16,7 +16,6 @@
 
     from loomyard.clock import Clock
 
-MODEL = "assistant"
 PLAIN = "records"
 MODEL_PATH = "/v1/completions"
 MODELS_PATH = "/v1/models"
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
@@ -1,4 +1,4 @@
-"""Two or three routers in one process, with fakes at every interface."""
+"""Three routers in one process, with fakes at every interface."""
 
 from __future__ import annotations
 
@@ -46,6 +46,7 @@
 )
 from loomyard_standins.faults.fake_caller_server import FakeCallerServer
 from loomyard_standins.faults.fake_engine import FakeEngine
+from loomyard_standins.faults.fake_peer_network import FakePeerNetwork, peer_address
 from loomyard_standins.faults.fake_router import FakeRouter
 from loomyard_standins.faults.fake_target import FakeTarget
 from loomyard_standins.faults.fault_points import FaultPoints, RouterKilled
@@ -55,9 +56,8 @@
     PointedLog,
     PointedVmList,
 )
-from loomyard_standins.faults.sightings import CallerSaw, Ending, ModelsSeen, Sightings
+from loomyard_standins.faults.sightings import CallerSaw, Ending, ModelsSeen, Sightings, Woken
 from loomyard_standins.log_service import MemoryLog
-from loomyard_standins.memory_network import MemoryNetwork
 from loomyard_standins.vm_list import MemoryVmList
 from loomyard_standins.weight_store import LimitedWeightStore
 
@@ -69,9 +69,11 @@
     App = Callable[..., Any]
 
 ACCOUNTS = ("kiosk", "genealogy", "labels")
-STEP_SECONDS = 0.05
-TURNS = 12
+STEP_SECONDS = 0.1
+TURNS = 10
 LOAD_INTERVAL = 1.0
+MILLISECOND = 0.001
+JOIN_SECONDS = 1.5
 GENERATION_PREFIX = "generation-"
 WATCHER = "kiosk"
 OPEN_FAULTS = frozenset([AnswerFault.GONE_DURING, AnswerFault.GONE_AFTER, AnswerFault.DOUBLED])
@@ -87,8 +89,8 @@
     def __init__(
         self,
         *,
-        routers: int = 2,
-        policy: str = "local",
+        routers: int = 3,
+        policy: str = "fleet",
         wrap_engine: Callable[[Engine], Engine] = lambda engine: engine,
         wrap_app: Callable[[App], App] = lambda app: app,
         checks_fencing: bool = True,
@@ -98,7 +100,7 @@
         self.faults: deque[AnswerFault] = deque()
         self.log = MemoryLog()
         self.vm_list = MemoryVmList()
-        self.network = MemoryNetwork()
+        self.network = FakePeerNetwork()
         self.weight_store = LimitedWeightStore(self.clock, interval=LOAD_INTERVAL)
         self.engines = [
             self._make_target(f"engine-{n}", checks_fencing=checks_fencing) for n in range(2)
@@ -112,17 +114,20 @@
         self._policy = policy
         self._count = routers
         self._starts = 0
+        self._paused_at: dict[str, float] = {}
         self.publish(self._objects())
         for position in range(routers):
             self.start(f"router-{position}")
-        self.turn()
+        self.run(JOIN_SECONDS)
 
     def start(self, name: str) -> FakeRouter:
         """Start a router, empty; a start of the same name replaces it."""
         points = FaultPoints()
         engine = self._wrap_engine(FakeEngine(list(self.targets.values())))
+        self._starts += 1
+        clock = PointedClock(self.clock, points, self._starts * MILLISECOND)
         platform = Platform(
-            clock=PointedClock(self.clock, points),
+            clock=clock,
             log=PointedLog(self.log, self.clock, points),
             engine=PointedEngine(engine, points),
             vm_list=PointedVmList(self.vm_list, points),
@@ -135,9 +140,12 @@
             policy=self._policy,
             position=int(name.rpartition("-")[2]),
             routers=self._count,
+            peer_listen=peer_address(name),
+            peers=tuple(peer_address(f"router-{n}") for n in range(self._count)),
+            fleet_secret=("fake",),
         )
-        self._starts += 1
-        with patch.object(application_module, "CallerServer", FakeCallerServer):
+        connected = self.network.connect(name, clock, points)
+        with connected, patch.object(application_module, "CallerServer", FakeCallerServer):
             application = make_application(settings, platform)
         router = FakeRouter(name, application, points)
         self.routers[name] = router
@@ -148,6 +156,7 @@
         """End a router at once; its callers see their connections break."""
         router = self.routers[name]
         self._forget_reachable(name)
+        self.sightings.stopped.pop(name, None)
         router.points.kill()
         self.network.leave(name)
         with suppress(RouterKilled):
@@ -163,26 +172,36 @@
         """Freeze a router."""
         self._forget_reachable(name)
         self.routers[name].points.pause()
+        self._paused_at[name] = self.clock.now()
+
+    def wake(self, name: str) -> None:
+        """Let a frozen router go on."""
+        router = self.routers[name]
+        if router.points.paused:
+            slept = self.clock.now() - self._paused_at[name]
+            self.sightings.woken.append(Woken(router=name, at=self.clock.now(), slept=slept))
+        router.points.wake()
 
     def drain(self, name: str) -> None:
         """Begin the planned stop of a router."""
         router = self.routers[name]
         self.sightings.stopped.setdefault(name, self.clock.now())
-        gevent.spawn(router.application.drain)
+        gevent.spawn(self._drain, router)
         self.turn()
 
     def cut(self, name: str) -> None:
         """Cut a router from the log service and from the other routers."""
         self._forget_reachable(name)
         self.routers[name].points.log_cut = True
-        self.network.cut({name}, set(self.routers) - {name})
+        self.network.links.cut({name}, set(self.routers) - {name})
 
     def heal(self) -> None:
         """Mend every lasting fault that is not a death."""
         self.faults.clear()
-        self.network.heal()
+        self.network.links.heal()
         self.log.down = False
-        for router in self.routers.values():
+        for name, router in self.routers.items():
+            self.wake(name)
             router.points.mend()
         for target in self.targets.values():
             target.release()
@@ -301,6 +320,11 @@
             self.kill(name)
         self.turn()
 
+    def _drain(self, router: FakeRouter) -> None:
+        router.application.drain()
+        router.points.kill()
+        self.network.leave(router.name)
+
     def _forget_reachable(self, name: str) -> None:
         # A router counts as reachable only if it is so for the whole time allowed.
         for generation, (accepted, reachable) in self.sightings.generations.items():
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_target.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_target.py
@@ -21,6 +21,7 @@
     from loomyard.clock import Clock
     from loomyard_standins.faults.sightings import Sightings
 
+MODEL = "assistant"
 DEFAULT_TOKENS = 6
 LATE_SECONDS = 1.0
 STEP_SECONDS = 0.003
@@ -60,7 +61,7 @@
         self.leaving = False
         self.faults = faults
         self.on_run: Callable[[Run], None] = lambda run: None
-        self.models: set[str] = set()
+        self.models = set() if plain else {MODEL}
         self.highest_fencing = -1
         self._clock = clock
         self._sightings = sightings
@@ -99,7 +100,7 @@
             if fault is AnswerFault.GONE_AFTER:
                 answer.call_at_end(self._die)
                 continue
-            answer.break_off()
+            self._break_off(answer)
             if fault is AnswerFault.DOUBLED:
                 self._replays.add(answer.attempt_id)
         if answers and fault is AnswerFault.GONE_DURING:
@@ -118,6 +119,7 @@
         if fault is AnswerFault.LATE:
             self._clock.sleep(LATE_SECONDS)
         if fault in (AnswerFault.GONE_BEFORE, AnswerFault.LOST):
+            run.broken = True
             self.up = fault is AnswerFault.LOST
             return Err(_fault(ResultCode.ANSWER_LOST, "no answer came", Executed.UNKNOWN))
         return Ok(self._answer(run, fault))
@@ -214,12 +216,14 @@
         chunks = run.chunks
         half = chunks[: len(chunks) // 2] if len(chunks) > 1 else [chunks[0][: len(chunks[0]) // 2]]
         if fault is AnswerFault.GARBAGE:
+            run.broken = True
             return self._make(run, [b"\x00\xff garbage"])
         if fault is AnswerFault.CROSSED:
             other = Run(target=self.name, attempt_id="other.1", marker="other", at=run.at)
             marked = [chunk.replace(run.marker.encode(), b"other") for chunk in chunks]
             return self._make(other, marked)
         if fault is AnswerFault.HALF_ENDED:
+            run.broken = True
             return self._make(run, half)
         if fault not in BROKEN:
             gone = fault is AnswerFault.GONE_AFTER
@@ -229,6 +233,7 @@
         if fault is AnswerFault.HALF_FORGOTTEN:
             del self._kept[run.attempt_id]
         gone = fault is AnswerFault.GONE_DURING
+        run.broken = True
         return self._make(run, half, broken=True, after_end=self._die if gone else None)
 
     def _make(
@@ -267,11 +272,16 @@
             return True
         return False
 
+    def _break_off(self, answer: FakeAnswer) -> None:
+        answer.break_off()
+        if answer.attempt_id in self._kept:
+            self._kept[answer.attempt_id].broken = True
+
     def _die(self) -> None:
         self.up = False
         for answer in self._answers:
             if answer.open:
-                answer.break_off()
+                self._break_off(answer)
 
 
 def expected_text(marker: str, tokens: int) -> str:
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fault_points.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fault_points.py
@@ -38,15 +38,15 @@
         return not self._running.is_set()
 
     def arm(self, point: str, action: Callable[[], None]) -> None:
-        """Run an action when a point is reached next."""
+        """Run an action when a point whose name starts so is reached next."""
         self._armed[point] = action
 
     def reach(self, point: str) -> None:
         """Pass a point, or wait there, or end there."""
         self.pass_on()
         self.reached[point] += 1
-        if action := self._armed.pop(point, None):
-            action()
+        for prefix in [armed for armed in self._armed if point.startswith(armed)]:
+            self._armed.pop(prefix)()
         self.pass_on()
 
     def pass_on(self) -> None:
--- a/packages/loomyard-standins/src/loomyard_standins/faults/matrix.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/matrix.py
@@ -11,7 +11,9 @@
 from loomyard_standins.faults.fault_kind import FaultKind
 from loomyard_standins.faults.injection import inject
 from loomyard_standins.faults.scenarios.change import run_change
+from loomyard_standins.faults.scenarios.lease import run_lease
 from loomyard_standins.faults.scenarios.request import request_kinds, run_request
+from loomyard_standins.faults.scenarios.stop import run_stop
 from loomyard_standins.faults.scenarios.trigger import Trigger
 from loomyard_standins.faults.step import Operation, Step
 from loomyard_standins.faults.unreachable import Unreachable, why_unreachable
@@ -19,7 +21,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-
 SETTLING_SECONDS = 3.5
 LAST_SECONDS = 1.5
 
@@ -45,6 +46,11 @@
     violations: list[Violation]
 
 
+_SCENARIOS: dict[Operation, Callable[[FakeFleet, Step, Trigger], None]] = {
+    Operation.CHANGE: run_change,
+    Operation.LEASE: run_lease,
+    Operation.STOP: run_stop,
+}
 CELLS = [Cell(fault, step) for fault in FaultKind for step in Step]
 
 
@@ -55,7 +61,8 @@
             _run(cell, kind.value, lambda f, t, kind=kind: run_request(f, cell.step, kind, t))
             for kind in request_kinds(cell.step)
         ]
-    return [_run(cell, "change", lambda f, t: run_change(f, cell.step, t))]
+    scenario = _SCENARIOS[cell.step.operation]
+    return [_run(cell, cell.step.operation.value, lambda f, t: scenario(f, cell.step, t))]
 
 
 def finish(fleet: FakeFleet) -> list[Violation]:
--- a/packages/loomyard-standins/src/loomyard_standins/faults/pointed_platform.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/pointed_platform.py
@@ -5,9 +5,11 @@
 from typing import TYPE_CHECKING, Any
 
 import gevent
-from result import Err, Result
+from result import Err, Ok, Result
 
 from loomyard.errors import Fault, ResultCode
+from loomyard_router.peers.message_types import register_message
+from loomyard_router.peers.traffic import TrafficCounters
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,7 +18,7 @@
     from loomyard.platform.engine import Engine, EngineOrder, TargetAnswer, TargetCall
     from loomyard.platform.log_service import LogBatch, LogService
     from loomyard.platform.vm_list import Vm, VmList
-    from loomyard_router.members.membership import Member
+    from loomyard_router.members.membership import Member, Membership
     from loomyard_router.peers.links import PeerLinks
     from loomyard_standins.faults.fault_points import FaultPoints
 
@@ -28,18 +30,23 @@
 
 
 class PointedClock:
-    """A clock that a paused process can't read."""
+    """A clock that a paused process can't read.
 
-    def __init__(self, clock: Clock, points: FaultPoints) -> None:
+    ``started_after`` shifts the wall clock by some seconds, so that no two starts see one time.
+    """
+
+    def __init__(self, clock: Clock, points: FaultPoints, started_after: float) -> None:
         self._clock = clock
         self._points = points
+        self._started_after = started_after
 
     def now(self) -> float:
         self._points.pass_on()
         return self._clock.now()
 
     def wall(self) -> float:
-        return self._clock.wall()
+        self._points.pass_on()
+        return self._clock.wall() + self._started_after
 
     def sleep(self, seconds: float) -> None:
         self._points.pass_on()
@@ -162,8 +169,12 @@
 class PointedPeers:
     """The other routers as a router reaches them; a request ends at its deadline."""
 
-    def __init__(self, peers: PeerLinks, clock: Clock, points: FaultPoints) -> None:
+    def __init__(
+        self, peers: PeerLinks, members: Membership, clock: Clock, points: FaultPoints
+    ) -> None:
+        self.traffic = TrafficCounters()
         self._peers = peers
+        self._members = members
         self._clock = clock
         self._points = points
 
@@ -178,9 +189,10 @@
         gevent.wait([asked, timer], count=1)
         timer.kill(block=False)
         self._points.pass_on()
-        if asked.successful() and isinstance(asked.value, Result):
+        if asked.successful() and isinstance(asked.value, Ok | Err):
             return asked.value
         asked.kill(block=False)
+        self._members.suspect(to)
         return Err(Fault(code=ResultCode.PEER_UNREACHABLE, detail=f"no answer from {to}"))
 
     def handle(self, kind: type, handler: Callable[[Member, Any], Any]) -> None:
@@ -188,6 +200,7 @@
             self._points.reach(f"peer.receive {kind.__name__}")
             return handler(sender, message)
 
+        register_message(kind)
         self._peers.handle(kind, gated)
 
     def start(self) -> None:
--- a/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/request.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/request.py
@@ -58,7 +58,8 @@
         case Step.REQUEST_RECEIVED:
             points.arm("request.received", trigger)
         case Step.REQUEST_CLAIMED:
-            points.arm("log.appended loomyard.claims", trigger)
+            for router in fleet.routers.values():
+                router.points.arm("log.appended loomyard.claims", trigger)
         case Step.REQUEST_SENT:
             for target in fleet.targets.values():
                 target.on_run = trigger
--- a/packages/loomyard-standins/src/loomyard_standins/faults/sightings.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/sightings.py
@@ -4,7 +4,7 @@
 
 from enum import Enum
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 
 @define(kw_only=True, eq=False)
@@ -23,6 +23,7 @@
     chunks: list[bytes] = field(factory=list)
     cancelled: bool = False
     refused: bool = False
+    broken: bool = False
 
 
 @define(kw_only=True, eq=False)
@@ -78,6 +79,15 @@
     final: bool = False
 
 
+@frozen(kw_only=True)
+class Woken:
+    """A router that went on after a pause of some seconds."""
+
+    router: str
+    at: float
+    slept: float
+
+
 @define(eq=False)
 class Sightings:
     """Everything that was seen.
@@ -95,4 +105,5 @@
     leaving: dict[str, float] = field(factory=dict)
     stopped: dict[str, float] = field(factory=dict)
     generations: dict[int, tuple[float, frozenset[str]]] = field(factory=dict)
+    woken: list[Woken] = field(factory=list)
     weights: dict[str, float] = field(factory=dict)
--- a/packages/loomyard-standins/src/loomyard_standins/faults/step.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/step.py
@@ -10,6 +10,7 @@
 
     REQUEST = "request"
     CHANGE = "configuration change"
+    LEASE = "slot lease"
     STOP = "planned stop"
 
 
@@ -25,6 +26,14 @@
     CHANGE_PROPOSED = (Operation.CHANGE, "proposed")
     CHANGE_APPENDED = (Operation.CHANGE, "appended")
     CHANGE_IN_FORCE = (Operation.CHANGE, "in force")
+    LEASE_ASKED = (Operation.LEASE, "asked")
+    LEASE_DECIDED = (Operation.LEASE, "decided")
+    LEASE_GRANTED = (Operation.LEASE, "granted")
+    LEASE_HELD = (Operation.LEASE, "held")
+    LEASE_RETURNED = (Operation.LEASE, "returned")
+    STOP_BEGUN = (Operation.STOP, "begun")
+    STOP_DRAINING = (Operation.STOP, "draining")
+    STOP_ENDING = (Operation.STOP, "ending")
 
     @property
     def operation(self) -> Operation:
--- a/packages/loomyard-standins/src/loomyard_standins/memory_network.py
+++ b/packages/loomyard-standins/src/loomyard_standins/memory_network.py
@@ -47,9 +47,13 @@
         """Mend all cuts."""
         self._cuts.clear()
 
+    def is_cut(self, left: str, right: str) -> bool:
+        """Tell whether the links between two routers are cut."""
+        return frozenset((left, right)) in self._cuts
+
     def find(self, sender: str, to: str) -> MemoryPeers | None:
         """Return the links of a router that can be reached."""
-        if frozenset((sender, to)) in self._cuts or sender not in self._links:
+        if self.is_cut(sender, to) or sender not in self._links:
             return None
         return self._links.get(to)
 
--- a/tests/test_loomyard_standins/test_checkers.py
+++ b/tests/test_loomyard_standins/test_checkers.py
@@ -23,6 +23,10 @@
     def assert_violated(self, invariant: Invariant, sightings: Sightings) -> None:
         self.assertEqual({found.invariant for found in check(sightings)}, {invariant})
 
+    def assert_fleet_violates(self, invariant: Invariant, fleet: FakeFleet) -> None:
+        fleet.turn()
+        self.assert_violated(invariant, fleet.sightings)
+
     def test_every_invariant_has_a_checker(self) -> None:
         self.assertEqual(set(CHECKERS), set(Invariant))
 
@@ -42,40 +46,41 @@
             with self.subTest(bug=bug.__name__):
                 fleet = self.fleet(wrap_app=bug)
                 fleet.call_model("kiosk/1", "router-0")
-                self.assert_violated(Invariant.WHOLE_ANSWER, fleet.sightings)
+                self.assert_fleet_violates(Invariant.WHOLE_ANSWER, fleet)
         for bug in (bugs.CrossesAnswers, bugs.CutsWholeAnswers):
             with self.subTest(bug=bug.__name__, stream=False):
                 fleet = self.fleet(wrap_app=bug)
                 fleet.call_model("kiosk/1", "router-0", stream=False)
-                self.assert_violated(Invariant.WHOLE_ANSWER, fleet.sightings)
+                self.assert_fleet_violates(Invariant.WHOLE_ANSWER, fleet)
 
     def test_not_executed(self) -> None:
         fleet = self.fleet(wrap_engine=bugs.DeniesExecution)
         fleet.faults.extend([AnswerFault.LOST] * 9)
         fleet.call_plain("kiosk/1", "router-0", idempotent=True)
         fleet.run(RETRY_SECONDS)
-        self.assert_violated(Invariant.NOT_EXECUTED, fleet.sightings)
+        self.assert_fleet_violates(Invariant.NOT_EXECUTED, fleet)
 
     def test_at_most_once(self) -> None:
         fleet = self.fleet(wrap_engine=bugs.SendsTwice)
         fleet.call_plain("kiosk/1", "router-0")
-        self.assert_violated(Invariant.AT_MOST_ONCE, fleet.sightings)
+        self.assert_fleet_violates(Invariant.AT_MOST_ONCE, fleet)
 
     def test_leaving(self) -> None:
         fleet = self.fleet()
         fleet.sightings.leaving = dict.fromkeys(fleet.targets, fleet.clock.now())
         fleet.run(2.1)
         fleet.call_model("kiosk/1", "router-0")
-        self.assert_violated(Invariant.LEAVING, fleet.sightings)
+        self.assert_fleet_violates(Invariant.LEAVING, fleet)
 
     def test_planned_stop(self) -> None:
         fleet = self.fleet()
         fleet.engines[0].hold()
         fleet.engines[1].hold()
         fleet.call_model("kiosk/1", "router-0")
-        fleet.sightings.stopped["router-0"] = fleet.clock.now()
+        fleet.turn()
         fleet.kill("router-0")
-        self.assert_violated(Invariant.PLANNED_STOP, fleet.sightings)
+        fleet.sightings.stopped["router-0"] = fleet.clock.now()
+        self.assert_fleet_violates(Invariant.PLANNED_STOP, fleet)
 
     def test_never_reverts(self) -> None:
         fleet = self.fleet()
@@ -86,7 +91,7 @@
         routers = fleet.routers
         routers["router-0"], routers["router-1"] = routers["router-1"], routers["router-0"]
         fleet.watch_router("router-0")
-        self.assert_violated(Invariant.NEVER_REVERTS, fleet.sightings)
+        self.assert_fleet_violates(Invariant.NEVER_REVERTS, fleet)
 
     def test_in_force(self) -> None:
         fleet = self.fleet()
@@ -95,10 +100,10 @@
         fleet.sightings.generations[1] = (fleet.clock.now(), frozenset(fleet.routers))
         fleet.run(3.1)
         fleet.watch_models()
-        self.assert_violated(Invariant.IN_FORCE, fleet.sightings)
+        self.assert_fleet_violates(Invariant.IN_FORCE, fleet)
 
     def test_no_starvation(self) -> None:
-        fleet = self.fleet()
+        fleet = self.fleet(policy="local")
         for engine in fleet.engines:
             engine.hold()
         for number in range(5):
@@ -109,7 +114,7 @@
         for engine in fleet.engines:
             engine.release()
         fleet.turn()
-        self.assert_violated(Invariant.NO_STARVATION, fleet.sightings)
+        self.assert_fleet_violates(Invariant.NO_STARVATION, fleet)
 
     def test_bounded_gap(self) -> None:
         def saw(marker: str) -> CallerSaw:
@@ -134,7 +139,7 @@
         for engine in fleet.engines:
             engine.hold()
         fleet.call_model("kiosk/1", "router-0")
-        self.assert_violated(Invariant.ENDS, fleet.sightings)
+        self.assert_fleet_violates(Invariant.ENDS, fleet)
 
     def test_recovers(self) -> None:
         fleet = self.fleet()
@@ -143,7 +148,7 @@
             engine.up = False
         fleet.probe()
         fleet.run(RETRY_SECONDS)
-        self.assert_violated(Invariant.RECOVERS, fleet.sightings)
+        self.assert_fleet_violates(Invariant.RECOVERS, fleet)
 
     def test_agreed(self) -> None:
         fleet = self.fleet()
@@ -151,7 +156,16 @@
         fleet.publish_race()
         fleet.run(0.1)
         fleet.watch_models(final=True)
-        self.assert_violated(Invariant.AGREED, fleet.sightings)
+        self.assert_fleet_violates(Invariant.AGREED, fleet)
+
+    def test_lapsed(self) -> None:
+        fleet = self.fleet(policy="fifo")
+        for number in range(4):
+            fleet.call_model(f"kiosk/{number}", "router-0")
+        fleet.pause("router-0")
+        fleet.run(3.5)
+        fleet.wake("router-0")
+        self.assert_fleet_violates(Invariant.LAPSED, fleet)
 
     def test_fenced(self) -> None:
         for checks in (True, False):
@@ -162,7 +176,7 @@
             if checks:
                 self.assertEqual(check(fleet.sightings), [])
             else:
-                self.assert_violated(Invariant.FENCED, fleet.sightings)
+                self.assert_fleet_violates(Invariant.FENCED, fleet)
 
 
 if __name__ == "__main__":
