End a planned stop while the members change

Cause: the matrix cell (router killed, planned stop begun) left the stop unfinished: to stop a claim partition waits, a member that dies meanwhile changes the dictionary that the stop iterates, and the RuntimeError left the other parts running and a second drain waiting for ever. Before: drain raised; after: no partition is assigned once the stop began, and the stop ends.

Faults now strike the router that reached a step, so that a lease's holder and its allocator, or a claim's caller and its writer, are struck in turn.

--- a/packages/loomyard-router/src/loomyard_router/claims/hosting.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/hosting.py
@@ -54,6 +54,7 @@
         self._peers = peers
         self._hosts: list[list[str]] = []
         self._partitions: dict[int, ClaimPartition] = {}
+        self._stopped = False
 
     def start(self) -> None:
         """Start to host and to answer."""
@@ -64,9 +65,11 @@
 
     def stop(self) -> None:
         """Stop to host."""
-        for partition in self._partitions.values():
+        # To stop a partition waits; members that change meanwhile must assign none anew.
+        self._stopped = True
+        while self._partitions:
+            _, partition = self._partitions.popitem()
             partition.stop()
-        self._partitions.clear()
 
     def ask(self, key: bytes, message: Message, deadline: float) -> Iterator[Any]:
         """Yield the answers of the hosts in their order; a host that does not answer is left."""
@@ -99,6 +102,8 @@
         return self.answer(message, self._clock.now() + HOST_SECONDS)
 
     def _assign(self) -> None:
+        if self._stopped:
+            return
         names = [member.name for member in self._members.live()]
         own = self._members.own.name
         ranked = [rank(stream_of(number), names) for number in range(PARTITIONS)]
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
@@ -156,7 +156,10 @@
         """End a router at once; its callers see their connections break."""
         router = self.routers[name]
         self._forget_reachable(name)
-        self.sightings.stopped.pop(name, None)
+        if name not in self.sightings.exited:
+            self.sightings.stopped.pop(name, None)
+        for saw in self.sightings.callers:
+            saw.router_died |= saw.router == name and saw.ended is None
         router.points.kill()
         self.network.leave(name)
         with suppress(RouterKilled):
@@ -185,6 +188,8 @@
     def drain(self, name: str) -> None:
         """Begin the planned stop of a router."""
         router = self.routers[name]
+        if router.points.dead:
+            return
         self.sightings.stopped.setdefault(name, self.clock.now())
         gevent.spawn(self._drain, router)
         self.turn()
@@ -322,6 +327,7 @@
 
     def _drain(self, router: FakeRouter) -> None:
         router.application.drain()
+        self.sightings.exited.add(router.name)
         router.points.kill()
         self.network.leave(router.name)
 
--- a/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/stop.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/stop.py
@@ -25,17 +25,17 @@
     fleet.call_plain("labels/stop", VICTIM, key=KEY)
     fleet.run(0.5)
     if step is Step.STOP_BEGUN:
-        trigger()
+        trigger.fire(VICTIM)
     fleet.drain(VICTIM)
     fleet.call_model("kiosk/late", VICTIM)
     fleet.run(0.3)
     if step is Step.STOP_DRAINING:
-        trigger()
+        trigger.fire(VICTIM)
     fleet.run(0.3)
     for target in fleet.targets.values():
         target.release()
     if step is Step.STOP_ENDING:
         fleet.turn(2)
-        trigger()
+        trigger.fire(VICTIM)
     fleet.call_plain("labels/stop", OTHER, key=KEY)
     fleet.run(1.5)
--- a/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/trigger.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/trigger.py
@@ -7,15 +7,27 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from loomyard_standins.faults.fake_fleet import FakeFleet
+
 
 class Trigger:
-    """Call an action at most once."""
+    """Call an action with the router it strikes, at most once."""
 
-    def __init__(self, action: Callable[[], None]) -> None:
+    def __init__(self, action: Callable[[str], None]) -> None:
         self.fired = False
         self._action = action
 
-    def __call__(self, *_: object) -> None:
+    def fire(self, victim: str) -> None:
+        """Let the fault come, if it did not come yet."""
         if not self.fired:
             self.fired = True
-            self._action()
+            self._action(victim)
+
+    def arm(self, fleet: FakeFleet, point: str, router: str, victim: str = "") -> None:
+        """Let the fault come when a router reaches a point; the router itself is the victim."""
+        fleet.routers[router].points.arm(point, lambda: self.fire(victim or router))
+
+    def arm_all(self, fleet: FakeFleet, point: str, victim: str = "") -> None:
+        """Let the fault come when the first of all routers reaches a point."""
+        for router in fleet.routers:
+            self.arm(fleet, point, router, victim)
