--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -19,12 +19,14 @@
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.fleet_parts import make_fleet_parts
 from loomyard_router.operators.interface import make_operators_interface
+from loomyard_router.orders.joint_backlog import JointBacklog
+from loomyard_router.orders.order_keeper import make_order_keeper
 from loomyard_router.parts import Parts, Platform
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
 from loomyard_router.requests.serving import Serving
 from loomyard_router.shares.fifo import make_fifo_policy
-from loomyard_router.shares.fleet import make_fleet_policy
+from loomyard_router.shares.fleet import FleetPolicy, make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
 from loomyard_router.targets.http_engine import make_http_engine
 from loomyard_router.targets.known_targets import make_known_targets
@@ -34,6 +36,7 @@
 
     from loomyard.clock import Clock
     from loomyard_router.members.membership import Membership
+    from loomyard_router.orders.backlog import BacklogView
     from loomyard_router.peers.links import PeerLinks
     from loomyard_router.settings import Settings
     from loomyard_router.shares.policy import SharePolicy
@@ -99,6 +102,9 @@
         parts.claims.start()
         parts.policy.start()
         parts.distribution.start()
+        if parts.orders is not None:
+            parts.follower.subscribe(parts.orders.reconfigure)
+            parts.orders.start()
         self._server.start()
         self.operators.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, port=self.port)
@@ -127,6 +133,8 @@
         self._server.stop()
         parts = self.parts
         parts.distribution.stop()
+        if parts.orders is not None:
+            parts.orders.stop()
         parts.policy.stop()
         parts.claims.stop()
         if parts.vm_watch is not None:
@@ -149,9 +157,9 @@
     clock = platform.clock
     fleet = make_fleet_parts(settings, platform)
     follower = ConfigFollower(platform.log, clock)
-    targets = make_known_targets(
-        clock, platform.engine, fleet.members, fleet.peers, vm_list=platform.vm_list
-    )
+    targets = make_known_targets(clock, platform.engine, fleet.members, fleet.peers)
+    if fleet.vm_watch is not None:
+        fleet.vm_watch.subscribe(targets.take_vms)
     parts = Parts(
         members=fleet.members,
         peers=fleet.peers,
@@ -182,6 +190,15 @@
         estimates=CostEstimates(),
         journal=parts.journal,
     )
+    parts.orders = make_order_keeper(
+        clock=clock,
+        log=platform.log,
+        engine=platform.engine,
+        members=parts.members,
+        targets=parts.targets,
+        weights=platform.weight_store,
+        backlog=_join_backlogs(serving, parts.policy),
+    )
     callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
     return Application(settings, platform, parts, callers, serving=serving)
 
@@ -198,3 +215,9 @@
     if settings.policy == "local":
         return make_local_policy(clock, position=settings.position, routers=settings.routers)
     return make_fleet_policy(clock, members=members, peers=peers, directory=directory)
+
+
+def _join_backlogs(serving: Serving, policy: SharePolicy) -> BacklogView:
+    if isinstance(policy, FleetPolicy):
+        return JointBacklog((serving.backlog, policy))
+    return serving.backlog
--- a/packages/loomyard-router/src/loomyard_router/shares/fleet.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/fleet.py
@@ -8,13 +8,15 @@
 
 import gevent
 
-from loomyard.codec import encode
 from loomyard.events import Event, emit
 from loomyard.rendezvous import choose
+from loomyard_router.members.membership import SoleMembership
+from loomyard_router.peers.compact_codec import pack
 from loomyard_router.shares.account_levels import AccountLevels
 from loomyard_router.shares.admission import Admission
 from loomyard_router.shares.allocator import Allocator
 from loomyard_router.shares.capacity import Capacity
+from loomyard_router.shares.fleet_size import FleetSize
 from loomyard_router.shares.held_slots import HeldSlots
 from loomyard_router.shares.messages import ShareReply, ShareReport, ShareReset
 from loomyard_router.shares.overdue import Overdue
@@ -23,10 +25,9 @@
 from loomyard_router.shares.reporter import Reporter
 from loomyard_router.shares.request_queues import RequestQueues
 from loomyard_router.shares.short_ids import short_id
+from loomyard_router.targets.choosing import choose as choose_target
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from gevent import Greenlet
     from result import Result
 
@@ -47,6 +48,9 @@
 MESSAGES_PER_SECOND = 16.0
 BYTES_PER_SECOND = 1700.0
 MESSAGE_BURST = 8.0
+# A router that began less than this ago may not know yet that there are others.
+JOINING = 1.5
+NO_MARGIN = 1.0
 
 
 class FleetPolicy:
@@ -59,7 +63,7 @@
         members: Membership,
         peers: PeerLinks,
         directory: TargetDirectory,
-        fleet_size: Callable[[], int],
+        joining: float,
     ) -> None:
         self._clock = clock
         self._members = members
@@ -68,6 +72,7 @@
         self._levels = AccountLevels()
         self._held = HeldSlots()
         self._overdue = Overdue()
+        self._directory = directory
         self._capacity = Capacity(directory)
         self._in_flight: Counter[str] = Counter()
         self._exchanging = False
@@ -87,7 +92,8 @@
             clock,
             capacity=self._capacity,
             live=members.live,
-            fleet_size=fleet_size,
+            fleet_size=FleetSize(members).count,
+            joined_at=clock.now() + joining,
             send=self._send_reply,
             pacer=pacer,
         )
@@ -145,6 +151,10 @@
         self._admit()
         self._exchange()
 
+    def waiting(self, service: str) -> int:
+        """Return how many requests of a service wait in the fleet, as far as reported here."""
+        return self._allocator.waiting(short_id(service))
+
     def _run(self) -> None:
         while True:
             self._clock.sleep(POLL_INTERVAL)
@@ -219,7 +229,14 @@
         return target in waiting.targets_by_id and self._capacity.usable(target)
 
     def _choose_target(self, waiting: WaitingRequest, free: dict[bytes, int]) -> bytes:
-        return max((t for t in free if self._usable(t, waiting)), key=lambda t: free[t])
+        usable = {t: free[t] for t in free if self._usable(t, waiting)}
+        if not waiting.prefix:
+            return max(usable, key=usable.__getitem__)
+        # Free slots of one lease cost the balance nothing, whichever is used.
+        candidates = [self._capacity.candidate(t, slots) for t, slots in usable.items()]
+        chosen = choose_target(candidates, waiting.prefix, self._directory, margin=NO_MARGIN)
+        assert chosen is not None
+        return short_id(chosen.metadata.name)
 
     def _keeps(self, waiting: WaitingRequest, now: float) -> bool:
         told = self._reporter.told
@@ -236,7 +253,6 @@
         self._held.take(target)
         self._in_flight[service] += 1
         self._overdue.note(waiting, now)
-        self._reporter.note_admitted(short_id(account), short_id(service))
         admission = Admission(
             waiting=waiting, target=waiting.targets_by_id[target], admitted_at=now
         )
@@ -284,7 +300,7 @@
 
     def _send(self, to: str, message: ShareReport | ShareReply | ShareReset) -> int:
         self._peers.send(to, message)
-        return len(encode(message))
+        return len(pack(message))
 
 
 def make_fleet_policy(
@@ -293,13 +309,7 @@
     members: Membership,
     peers: PeerLinks,
     directory: TargetDirectory,
-    fleet_size: Callable[[], int] | None = None,
 ) -> FleetPolicy:
     """Make the ``fleet`` policy."""
-    return FleetPolicy(
-        clock,
-        members=members,
-        peers=peers,
-        directory=directory,
-        fleet_size=fleet_size or (lambda: len(members.live())),
-    )
+    joining = 0.0 if isinstance(members, SoleMembership) else JOINING
+    return FleetPolicy(clock, members=members, peers=peers, directory=directory, joining=joining)
