--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_call.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_call.py
@@ -32,10 +32,16 @@
 
 
 def make_model_call(
-    marker: str, router: str, now: float, *, tokens: int = 6, stream: bool = True
+    marker: str,
+    router: str,
+    now: float,
+    *,
+    tokens: int = 6,
+    stream: bool = True,
+    model: str = MODEL,
 ) -> tuple[CallerSaw, dict[str, Any]]:
     """Make a call of the model service and its WSGI environ."""
-    body = {"model": MODEL, "prompt": marker, "max_tokens": tokens, "stream": stream}
+    body = {"model": model, "prompt": marker, "max_tokens": tokens, "stream": stream}
     saw = CallerSaw(
         marker=marker,
         account=marker.partition("/")[0],
--- a/packages/loomyard-standins/src/loomyard_standins/faults/pointed_platform.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/pointed_platform.py
@@ -146,7 +146,7 @@
         return self._engine.cancel(url, attempt_id)
 
     def load(self, url: str) -> Result:
-        self._points.pass_on()
+        self._points.reach("engine.load")
         return self._engine.load(url)
 
     def cache_events(self, url: str, after: int) -> Result:
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/order.py
@@ -0,0 +1,61 @@
+"""Orders to an engine whose service nobody serves, while calls for it come."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loomyard_standins.faults.step import Step
+
+if TYPE_CHECKING:
+    from loomyard_standins.faults.fake_fleet import FakeFleet
+    from loomyard_standins.faults.scenarios.trigger import Trigger
+
+ROUNDS = 12
+RECOVERY_ROUNDS = 12
+ROUND_SECONDS = 0.6
+DECIDED_ROUND = 3
+
+
+def checks_fencing(step: Step) -> bool:
+    """Tell whether the engines check orders at a step.
+
+    Between the last look at the lease and the send a process may be paused; only an engine that
+    checks can refuse what is sent then.
+    """
+    return step is Step.ORDER_SENT
+
+
+def run_order(fleet: FakeFleet, step: Step, trigger: Trigger) -> None:
+    """Call for a service that an engine has to load, and let the fault come at a step."""
+    fleet.hasten_orders()
+    match step:
+        case Step.ORDER_LEASED:
+            trigger.arm_all(fleet, "log.appended loomyard.orders")
+        case Step.ORDER_SENT:
+            trigger.arm_all(fleet, "engine.order")
+        case Step.ORDER_TAKEN:
+            trigger.arm_all(fleet, "engine.ordered")
+    for number in range(ROUNDS):
+        if step is Step.ORDER_DECIDED and number == DECIDED_ROUND:
+            trigger.arm(fleet, "engine.load", _find_keeper(fleet))
+        _call(fleet, f"order-{number}")
+    fleet.heal()
+    for number in range(RECOVERY_ROUNDS):
+        _call(fleet, f"recovery-{number}")
+    if any(engine.leaving for engine in fleet.engines):
+        # The other engine is the last of its service and must keep it.
+        return
+    for name, router in fleet.routers.items():
+        if not router.points.dead:
+            fleet.call_model(f"kiosk/loaded-{name}", name, model=fleet.LOADABLE).probe = True
+
+
+def _call(fleet: FakeFleet, name: str) -> None:
+    for router in fleet.routers:
+        fleet.call_model(f"kiosk/{name}-{router}", router, model=fleet.LOADABLE)
+    fleet.run(ROUND_SECONDS)
+
+
+def _find_keeper(fleet: FakeFleet) -> str:
+    point = "log.appended loomyard.orders"
+    return max(fleet.routers, key=lambda name: fleet.routers[name].points.reached[point])
--- a/packages/loomyard-standins/src/loomyard_standins/faults/step.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/step.py
@@ -11,6 +11,7 @@
     REQUEST = "request"
     CHANGE = "configuration change"
     LEASE = "slot lease"
+    ORDER = "order"
     STOP = "planned stop"
 
 
@@ -31,6 +32,10 @@
     LEASE_GRANTED = (Operation.LEASE, "granted")
     LEASE_HELD = (Operation.LEASE, "held")
     LEASE_RETURNED = (Operation.LEASE, "returned")
+    ORDER_LEASED = (Operation.ORDER, "leased")
+    ORDER_DECIDED = (Operation.ORDER, "decided")
+    ORDER_SENT = (Operation.ORDER, "sent")
+    ORDER_TAKEN = (Operation.ORDER, "taken")
     STOP_BEGUN = (Operation.STOP, "begun")
     STOP_DRAINING = (Operation.STOP, "draining")
     STOP_ENDING = (Operation.STOP, "ending")
--- a/packages/loomyard-standins/src/loomyard_standins/faults/unreachable.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/unreachable.py
@@ -13,6 +13,7 @@
 
     ANSWER_BEGUN = "the answer has begun"
     ANSWER_ENDED = "the answer has ended"
+    NO_CONTENT = "the answer to an order carries nothing that could cross or double"
     NO_ORDER = "no order is under way, and nothing else asks the weight store"
 
 
@@ -26,6 +27,9 @@
     ]
 )
 _DURING_ANSWER = frozenset([FaultKind.TARGET_GONE_DURING, FaultKind.ANSWER_DOUBLED])
+_OF_CONTENT = frozenset(
+    [FaultKind.ANSWER_DOUBLED, FaultKind.ANSWER_CROSSED, FaultKind.TARGET_GONE_DURING]
+)
 
 
 def why_unreachable(fault: FaultKind, step: Step) -> Unreachable | None:
@@ -36,4 +40,6 @@
         return Unreachable.ANSWER_ENDED
     if fault is FaultKind.WEIGHT_STORE_LIMITED and step.operation is Operation.REQUEST:
         return Unreachable.NO_ORDER
+    if fault in _OF_CONTENT and step.operation is Operation.ORDER:
+        return Unreachable.NO_CONTENT
     return None
