--- a/packages/loomyard-router/src/loomyard_router/shares/capacity.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/capacity.py
@@ -41,10 +41,10 @@
             if usable(target.metadata.name)
         }
 
-    def usable(self, target: bytes) -> bool:
-        """Tell whether a target may get new work."""
+    def usable(self, target: bytes, service: str) -> bool:
+        """Tell whether a target may get new work of a service."""
         found = self._targets.get(target)
-        return found is not None and self._directory.may_send(found.metadata.name)
+        return found is not None and self._directory.may_send(found.metadata.name, service)
 
     def services(self, target: bytes) -> list[bytes]:
         """Return the services of a target, as loaded now where that can change."""
--- a/packages/loomyard-router/src/loomyard_router/shares/fleet.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/fleet.py
@@ -100,9 +100,19 @@
         peers.handle(ShareReport, self._handle_report)
         peers.handle(ShareReply, self._handle_reply)
         peers.handle(ShareReset, self._handle_reset)
-        members.subscribe(self._allocator.touch)
+        members.subscribe(self._allocator.take_members)
         directory.subscribe(self._allocator.touch)
 
+    @property
+    def held(self) -> HeldSlots:
+        """Return the slots that this router holds."""
+        return self._held
+
+    @property
+    def allocator(self) -> Allocator:
+        """Return the allocator, idle while another router is chosen."""
+        return self._allocator
+
     def submit(self, waiting: WaitingRequest) -> Result[None, Fault]:
         pushed = self._queues.push(waiting)
         if pushed.is_ok():
@@ -206,7 +216,7 @@
                 continue
             name = min(queues.accounts, key=lambda a: self._levels.level(short_id(a)))
             waiting = queues.head(name)
-            usable = [t for t in waiting.targets_by_id if self._capacity.usable(t)]
+            usable = [t for t in waiting.targets_by_id if self._usable(t, waiting)]
             if usable:
                 own = self._members.own.name
                 names = {waiting.targets_by_id[t].metadata.name: t for t in usable}
@@ -226,7 +236,8 @@
         return best
 
     def _usable(self, target: bytes, waiting: WaitingRequest) -> bool:
-        return target in waiting.targets_by_id and self._capacity.usable(target)
+        service = waiting.service.metadata.name
+        return target in waiting.targets_by_id and self._capacity.usable(target, service)
 
     def _choose_target(self, waiting: WaitingRequest, free: dict[bytes, int]) -> bytes:
         usable = {t: free[t] for t in free if self._usable(t, waiting)}
--- a/packages/loomyard-standins/src/loomyard_standins/benches/bench_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/bench_fleet.py
@@ -21,6 +21,7 @@
     ServiceType,
     Target,
 )
+from loomyard.platform.vm_list import Vm
 from loomyard_router.callers.keys import digest_key
 from loomyard_router.configuration.follower import CONFIG_STREAM
 from loomyard_standins.benches.child import Child
@@ -33,56 +34,82 @@
 from loomyard_standins.benches.places import data_centre_of
 from loomyard_standins.benches.router_status import RouterStatus
 from loomyard_standins.log_service import LogServer, MemoryLog
+from loomyard_standins.vm_list import MemoryVmList, VmListServer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard_standins.benches.workload import Workload
 
 if TYPE_CHECKING:
     from loomyard_standins.benches.workload import Workload
 
 SINGLE = "single"
+FLEET = "fleet"
+ASK_SECONDS = 5.0
 READY_SECONDS = 20.0
 POLL_SECONDS = 0.05
 DEFAULT_UNITS = 200.0
 
 
+def router_name(position: int) -> str:
+    """Return the name of the router at a position."""
+    return f"router-{position}"
+
+
 class BenchFleet:
     """Start, ask and end the processes of one run."""
 
     def __init__(self, workload: Workload, *, policy: str, routers: int) -> None:
         self.workload = workload
         self.log = LogServer(MemoryLog())
+        self.vms = VmListServer(MemoryVmList())
         self.routers: list[Child] = []
         self.ports: list[int] = []
         self._policy = policy
         self._count = routers
         self._status_ports: list[int] = []
         self._engines: Child | None = None
+        self._seed = ""
         self._urls: list[str] = []
 
     def start(self) -> None:
         """Start all processes and wait until the configuration is in force everywhere."""
         self.log.start()
+        self.vms.start()
         self._engines = Child("engine_process", json.dumps(self._target_plan()))
-        self.routers = [self._start_router(position) for position in range(self._count)]
+        seeds = self._count if self._policy != FLEET else 1
+        self._add_routers(range(seeds))
+        self._add_routers(range(seeds, self._count))
         self._urls = self._engines.read()["urls"]
-        for router in self.routers:
-            ready = router.read()
-            self.ports.append(ready["port"])
-            self._status_ports.append(ready["status_port"])
         self._publish()
+        self._await(lambda status: self._policy != FLEET or status.live == self._count)
 
     def stop(self) -> None:
         """End all processes."""
         for child in [*self.routers, self._engines]:
             if child is not None:
                 child.kill()
+        self.vms.stop()
         self.log.stop()
 
+    def cut(self, position: int, names: list[str]) -> None:
+        """Cut a router off from some others; none heals."""
+        self._ask(position, f"/cut?names={','.join(names)}")
+
+    def kill_router(self, position: int) -> None:
+        """Kill a router process; its port stays in ``ports``."""
+        self.routers[position].kill()
+
+    def restart_router(self, position: int) -> None:
+        """Start a killed router anew, under its name and with nothing in memory."""
+        child = self._start_router(position)
+        self.routers[position] = child
+        self._take_ready(position, child.read())
+
     def status(self, position: int) -> RouterStatus:
         """Ask a router process what it did."""
-        client = HTTPClient("127.0.0.1", self._status_ports[position], network_timeout=5.0)
-        try:
-            return RouterStatus(**json.loads(client.get("/").read()))
-        finally:
-            client.close()
+        return RouterStatus(**json.loads(self._ask(position, "/")))
 
     def router_cpu_seconds(self) -> list[float]:
         """Return the processor time of each router."""
@@ -97,17 +124,55 @@
         assert self._engines is not None
         return self._engines.ask(b"end\n")
 
+    def _ask(self, position: int, path: str) -> bytes:
+        port = self._status_ports[position]
+        client = HTTPClient("127.0.0.1", port, network_timeout=ASK_SECONDS)
+        try:
+            return bytes(client.get(path).read())
+        finally:
+            client.close()
+
+    def _add_routers(self, positions: range) -> None:
+        children = [self._start_router(position) for position in positions]
+        self.routers += children
+        for position, child in zip(positions, children, strict=True):
+            self.ports.append(0)
+            self._status_ports.append(0)
+            self._take_ready(position, child.read())
+
+    def _take_ready(self, position: int, ready: dict) -> None:
+        self.ports[position] = ready["port"]
+        self._status_ports[position] = ready["status_port"]
+        if not ready["peer_address"]:
+            return
+        self._seed = self._seed or ready["peer_address"]
+        name = router_name(position)
+        vms = [vm for vm in self.vms.vm_list.vms if vm.name != name]
+        centre = data_centre_of(position)
+        self.vms.vm_list.vms = [
+            *vms,
+            Vm(name=name, data_centre=centre, address=ready["peer_address"]),
+        ]
+        self.vms.vm_list.publish()
+
     def _start_router(self, position: int) -> Child:
         policy = "local" if self._policy == SINGLE else self._policy
+        peering = [
+            "--peer-listen=127.0.0.1:0",
+            f"--peers={self._seed}",
+            "--fleet-secret=bench",
+            f"--vm-list={self.vms.address}",
+        ]
         return Child(
             "router_process",
-            f"--name=router-{position}",
+            f"--name={router_name(position)}",
             f"--data-centre={data_centre_of(position)}",
             "--listen=127.0.0.1:0",
             f"--log-service={self.log.address}",
             f"--policy={policy}",
             f"--position={position}",
             f"--routers={self._count}",
+            *(peering if self._policy == FLEET else []),
         )
 
     def _target_plan(self) -> dict:
@@ -123,10 +188,13 @@
             change_id=secrets.token_hex(8), puts=[Put(object=o) for o in self._objects()]
         )
         version = self.log.log.append(CONFIG_STREAM, encode(change)).unwrap()
+        self._await(lambda status: status.version >= version)
+
+    def _await(self, ready: Callable[[RouterStatus], bool]) -> None:
         until = time.monotonic() + READY_SECONDS
-        while any(self.status(n).version < version for n in range(self._count)):
+        while not all(ready(self.status(position)) for position in range(self._count)):
             if time.monotonic() > until:
-                raise TimeoutError("a router does not adopt the configuration")
+                raise TimeoutError("the routers do not get ready")
             gevent.sleep(POLL_SECONDS)
 
     def _objects(self) -> list[ConfigObject]:
--- a/packages/loomyard-standins/src/loomyard_standins/benches/figures.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/figures.py
@@ -6,6 +6,7 @@
 
 import numpy as np
 
+from loomyard_standins.benches.control_figures import control_figures
 from loomyard_standins.benches.gap import Gap, contender_gap, fleet_gap
 from loomyard_standins.benches.trace import BUCKET_SECONDS
 from loomyard_standins.benches.utilisation import ServiceLoad, busy_at_edges, utilisation
@@ -24,7 +25,7 @@
     trace: Trace,
     driver: Driver,
     report: dict,
-    statuses: list[RouterStatus],
+    statuses: tuple[list[RouterStatus], list[RouterStatus]],
     used: np.ndarray,
 ) -> dict[str, Any]:
     """Work the figures out: gaps in units over weight, times in ms, shares in percent."""
@@ -42,7 +43,7 @@
         "requests_per_s": _round(len(trace.waits) / seconds),
         "refused": driver.refused,
         "failed": driver.failed,
-        "log_appends_per_s": _round(sum(s.log_appends for s in statuses) / seconds),
+        "control": control_figures(*statuses, seconds),
         "cpu_percent": {
             "driver": round(float(cpu[0])),
             "targets": round(float(cpu[1])),
