Let waiting requests go to the targets of now

Cause: a request was pinned to the targets that could be sent to when it began to wait. Found by the matrix cells of orders (target gone after its answer: a caller still open at the end) and by the retry after a death, which is pinned to the other target. Ruled out: slots that the allocator lost (the limits agreed with the leases on all three routers).

Before: both tests of test_queued_requests.py fail, the caller is still open. After: the queue takes over what the target directory tells, keeps each request's place, and refuses what has no target left as not executed. One look-up for each account and service that waits.

--- a/packages/loomyard-router/src/loomyard_router/requests/slot_queue.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/slot_queue.py
@@ -4,11 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from attrs import frozen
 from gevent import Timeout
 from result import Err, Ok, Result
 
 from loomyard.errors import Fault, ResultCode
 from loomyard_router.orders.local_backlog import LocalBacklog
+from loomyard_router.requests.request import Request
 from loomyard_router.shares.waiting import WaitingRequest
 
 if TYPE_CHECKING:
@@ -16,7 +18,6 @@
     from loomyard.objects import Target
     from loomyard_router.configuration.follower import ConfigFollower
     from loomyard_router.requests.estimates import CostEstimates
-    from loomyard_router.requests.request import Request
     from loomyard_router.shares.admission import Admission
     from loomyard_router.shares.policy import SharePolicy
     from loomyard_router.targets.directory import TargetDirectory
@@ -26,6 +27,14 @@
 NO_TARGET_RETRY_AFTER = 2.0
 
 
+@frozen(eq=False)
+class _Need:
+    """A request that waits and the targets that failed it, which others go before."""
+
+    request: Request
+    avoided: set[str]
+
+
 class SlotQueue:
     """Queue requests with the share policy until each has a slot or its final answer."""
 
@@ -43,9 +52,10 @@
         self._policy = policy
         self._targets = targets
         self._estimates = estimates
-        self._waiting: set[WaitingRequest] = set()
+        self._waiting: dict[WaitingRequest, _Need] = {}
         self._stopping = False
         self._backlog = LocalBacklog(clock)
+        targets.subscribe(self._retarget)
 
     @property
     def stopping(self) -> bool:
@@ -78,7 +88,7 @@
         submitted = self._policy.submit(waiting)
         if submitted.is_err():
             return Err(submitted.unwrap_err())
-        return self._await(request, waiting)
+        return self._await(_Need(request, avoided), waiting)
 
     def _candidates(self, request: Request, avoided: set[str]) -> Result[tuple[Target, ...], Fault]:
         service = request.service.metadata.name
@@ -110,14 +120,33 @@
             prefix=request.prefix,
         )
 
-    def _await(self, request: Request, waiting: WaitingRequest) -> Result[Admission, Fault]:
+    def _retarget(self) -> None:
+        """Let what waits go to the targets of now; refuse it where there is none."""
+        shared: dict[tuple[str, str], Result[tuple[Target, ...], Fault]] = {}
+        for waiting, need in list(self._waiting.items()):
+            if waiting.admitted.ready():
+                continue
+            key = waiting.account.metadata.name, waiting.service.metadata.name
+            found = None if need.avoided else shared.get(key)
+            if found is None:
+                found = self._candidates(need.request, need.avoided)
+            if not need.avoided:
+                shared[key] = found
+            match found:
+                case Ok(targets):
+                    if targets != waiting.targets:
+                        waiting.retarget(targets)
+                case Err(fault):
+                    self._give_up(waiting, fault)
+
+    def _await(self, need: _Need, waiting: WaitingRequest) -> Result[Admission, Fault]:
         def leave() -> None:
             self._give_up(waiting, gone_fault())
 
         service = waiting.service.metadata.name
-        self._waiting.add(waiting)
+        self._waiting[waiting] = need
         self._backlog.enter(service)
-        request.presence.subscribe(leave)
+        need.request.presence.subscribe(leave)
         try:
             with Timeout(max(0.0, waiting.deadline - self._clock.now()), False):
                 return _read(waiting)
@@ -127,9 +156,9 @@
             self._policy.withdraw(waiting)
             raise
         finally:
-            self._waiting.discard(waiting)
+            self._waiting.pop(waiting, None)
             self._backlog.leave(service)
-            request.presence.unsubscribe(leave)
+            need.request.presence.unsubscribe(leave)
         return Err(
             Fault(
                 code=ResultCode.QUEUE_TIMEOUT,
--- a/packages/loomyard-router/src/loomyard_router/shares/waiting.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/waiting.py
@@ -31,4 +31,12 @@
 
     @targets_by_id.default
     def _index_targets(self) -> dict[bytes, Target]:
+        return self._index()
+
+    def retarget(self, targets: tuple[Target, ...]) -> None:
+        """Let the request be admitted to other targets; it keeps its place."""
+        self.targets = targets
+        self.targets_by_id = self._index()
+
+    def _index(self) -> dict[bytes, Target]:
         return {short_id(target.metadata.name): target for target in self.targets}
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
@@ -25,6 +25,7 @@
     Service,
     ServiceType,
     Target,
+    ref_of,
 )
 from loomyard_router import application as application_module
 from loomyard_router.application import make_application
@@ -71,7 +72,7 @@
 from loomyard_standins.weight_store import LimitedWeightStore
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
     from types import ModuleType
 
     from loomyard.platform.engine import Engine
@@ -100,7 +101,7 @@
     """Routers with fakes at their interfaces and one clock that tests move.
 
     ``wrap_engine`` may put a planted bug between each router and its targets, ``wrap_app``
-    between each router and its callers.
+    between each router and its callers. Targets that are ``spare`` are not configured yet.
     """
 
     LOADABLE = "translator"
@@ -113,6 +114,7 @@
         wrap_engine: Callable[[Engine], Engine] = lambda engine: engine,
         wrap_app: Callable[[App], App] = lambda app: app,
         checks_fencing: bool = True,
+        spare: Collection[str] = (),
     ) -> None:
         self.clock = FakeClock()
         random.seed(SEED)
@@ -137,7 +139,7 @@
         self._count = routers
         self._starts = 0
         self._paused_at: dict[str, float] = {}
-        self.publish(self._objects())
+        self.publish(self._objects(spare))
         for position in range(routers):
             self.start(f"router-{position}")
         self.run(JOIN_SECONDS)
@@ -299,11 +301,32 @@
         )
         return self._call(saw, environ)
 
+    def target_object(self, target: FakeTarget) -> Target:
+        """Return the object that configures a target."""
+        return Target(
+            metadata=Metadata(
+                name=target.name, labels={"kind": "plain" if target.plain else "engine"}
+            ),
+            url=target.url,
+            services=[PLAIN if target.plain else MODEL],
+            loadable=[] if target.plain else [self.LOADABLE],
+            slots=2,
+            vm=target.name,
+            checks_fencing=target.checks_fencing,
+        )
+
     def publish(self, objects: list[ConfigObject]) -> bool:
         """Append a change of new objects; false where the log service refuses."""
         change = Change(change_id=secrets.token_hex(8), puts=[Put(object=o) for o in objects])
         return isinstance(self.log.append(CONFIG_STREAM, encode(change)), Ok)
 
+    def replace(self, item: ConfigObject) -> bool:
+        """Append a change of an object that is configured."""
+        follower = next(iter(self.routers.values())).application.parts.follower
+        based_on = follower.state.get(ref_of(item)).version
+        change = Change(change_id=secrets.token_hex(8), puts=[Put(object=item, based_on=based_on)])
+        return isinstance(self.log.append(CONFIG_STREAM, encode(change)), Ok)
+
     def publish_generation(self) -> None:
         """Publish a service whose presence callers can see."""
         self.generation += 1
@@ -401,7 +424,7 @@
         router.calls.append(gevent.spawn(perform, app, environ, saw, self.clock))
         return saw
 
-    def _objects(self) -> list[ConfigObject]:
+    def _objects(self, spare: Collection[str]) -> list[ConfigObject]:
         receipts = Operation(path="/receipts", method="POST", idempotent=False)
         accounts = [
             ClientAccount(metadata=Metadata(name=name), key_digests=[digest_key(fake_key(name))])
@@ -412,22 +435,9 @@
             Service(metadata=Metadata(name=self.LOADABLE), default_cost=10.0),
             Service(metadata=Metadata(name=PLAIN), type=ServiceType.PLAIN, operations=[receipts]),
         ]
-        targets = [self._target_object(target) for target in self.targets.values()]
+        targets = [self.target_object(t) for t in self.targets.values() if t.name not in spare]
         routes = [
             Route(metadata=Metadata(name=name), service=name)
             for name in (MODEL, PLAIN, self.LOADABLE)
         ]
         return [*accounts, *services, *targets, *routes]
-
-    def _target_object(self, target: FakeTarget) -> Target:
-        return Target(
-            metadata=Metadata(
-                name=target.name, labels={"kind": "plain" if target.plain else "engine"}
-            ),
-            url=target.url,
-            services=[PLAIN if target.plain else MODEL],
-            loadable=[] if target.plain else [self.LOADABLE],
-            slots=2,
-            vm=target.name,
-            checks_fencing=target.checks_fencing,
-        )
--- /dev/null
+++ b/tests/test_loomyard_router/test_queued_requests.py
@@ -0,0 +1,46 @@
+"""Tests of requests that wait while their targets change."""
+
+from __future__ import annotations
+
+import unittest
+
+from attrs import evolve
+
+from loomyard.objects import TargetState
+from loomyard_standins.faults.fake_fleet import FakeFleet
+from loomyard_standins.faults.sightings import CallerSaw, Ending
+
+FILLERS = 12
+
+
+class QueuedRequestsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = FakeFleet(spare=["engine-1"])
+        self.addCleanup(self.fleet.close)
+        self.fleet.engines[0].hold()
+        for number in range(FILLERS):
+            self.fleet.call_model(f"labels/filler-{number}", "router-0")
+        self.fleet.run(1.0)
+
+    def queue(self) -> CallerSaw:
+        saw = self.fleet.call_model("kiosk/queued", "router-0")
+        self.fleet.run(1.0)
+        self.assertIs(saw.ending, Ending.OPEN)
+        return saw
+
+    def test_a_target_that_comes_takes_what_waits(self) -> None:
+        saw = self.queue()
+        self.fleet.publish([self.fleet.target_object(self.fleet.engines[1])])
+        self.fleet.run(3.0)
+        self.assertEqual((saw.ending, saw.status), (Ending.WHOLE, 200))
+
+    def test_what_waits_is_refused_when_no_target_is_left(self) -> None:
+        saw = self.queue()
+        leaving = self.fleet.target_object(self.fleet.engines[0])
+        self.fleet.replace(evolve(leaving, state=TargetState.LEAVING))
+        self.fleet.run(3.0)
+        self.assertEqual((saw.ending, saw.executed), (Ending.WHOLE, "no"))
+
+
+if __name__ == "__main__":
+    unittest.main()
