--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 
 tables: setup
 	$(BIN)/python -m loomyard_standins.tables docs
+	$(BIN)/python -m loomyard_standins.faults.table
 
 bench-%: setup
 	$(BIN)/python -m loomyard_standins.benches.$*
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fault_kind.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fault_kind.py
@@ -6,7 +6,7 @@
 
 
 class FaultKind(Enum):
-    """What fails."""
+    """What fails; faults of routers strike one router of several."""
 
     ROUTER_KILLED = "router killed"
     ROUTER_PAUSED = "router paused"
@@ -27,3 +27,7 @@
     OPERATORS_RACING = "operators racing"
     FLOOD = "flood"
     WEIGHT_STORE_LIMITED = "weight store limited"
+
+    @property
+    def strikes_router(self) -> bool:
+        return self.name.startswith("ROUTER_")
