Soak the fleet in drawn sequences of faults

Cause: faults come together and twice; the matrix has one at a time. make soak draws sequences of 2 to 5 faults or planned stops at drawn points of drawn routers, with requests of all kinds and keys repeated at other routers, in 4 processes.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/loomyard packages/loomyard-router packages/loomyardctl packages/loomyard-standins
 SOURCES := packages tests
 
-.PHONY: setup demo serve test lint format tables clean
+.PHONY: setup demo serve test soak lint format tables clean
 setup: $(VENV)/.ready
 
 $(VENV)/.ready: constraints.txt $(PACKAGES:%=%/pyproject.toml)
@@ -36,6 +36,9 @@
 	$(BIN)/python -m loomyard_standins.tables docs
 	$(BIN)/python -m loomyard_standins.faults.table
 
+soak: setup
+	$(BIN)/python -m loomyard_standins.soak $(if $(SEED),--seed $(SEED))
+
 bench-%: setup
 	$(BIN)/python -m loomyard_standins.benches.$*
 
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_call.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_call.py
@@ -64,6 +64,7 @@
         expected=plain_body(marker),
         started=now,
         idempotent=idempotent,
+        key=key,
     )
     path = LOOKUPS_PATH if idempotent else RECEIPTS_PATH
     environ = make_environ(saw.account, path, marker.encode())
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
@@ -30,7 +30,9 @@
 from loomyard_router import application as application_module
 from loomyard_router.application import make_application
 from loomyard_router.callers.keys import digest_key
+from loomyard_router.configuration import snapshot_writer
 from loomyard_router.configuration.follower import CONFIG_STREAM
+from loomyard_router.configuration.log_snapshots import SNAPSHOT_STREAM
 from loomyard_router.orders import (
     order_keeper,
     order_lease_keeper,
@@ -85,15 +87,19 @@
 LOAD_INTERVAL = 1.0
 MILLISECOND = 0.001
 SEED = 1
+RETENTION = 86400.0
+HASTENED_RETENTION = 8.0
 JOIN_SECONDS = 1.5
 GENERATION_PREFIX = "generation-"
 WATCHER = "kiosk"
 HASTENED: dict[ModuleType, dict[str, float]] = {
+    snapshot_writer: {"CHECK_SECONDS": 1.0},
     order_keeper: {"STEP_SECONDS": 0.2},
     order_lease_keeper: {"TERM": 2.0, "RENEW_AFTER": 0.6, "MARGIN": 0.4, "TAKEOVER_AFTER": 2.5},
     order_planner: {"BACKLOG_SECONDS": 1.0, "IDLE_SECONDS": 1.0, "DWELL_SECONDS": 2.0},
     order_sender: {"ORDER_SECONDS": 0.6, "LOAD_SECONDS": 2.0, "RETRY_SECONDS": 0.4},
 }
+YOUNG_STREAMS = ("loomyard.claims", SNAPSHOT_STREAM)
 OPEN_FAULTS = frozenset([AnswerFault.GONE_DURING, AnswerFault.GONE_AFTER, AnswerFault.DOUBLED])
 
 
@@ -102,6 +108,7 @@
 
     ``wrap_engine`` may put a planted bug between each router and its targets, ``wrap_app``
     between each router and its callers. Targets that are ``spare`` are not configured yet.
+    ``hastened`` shortens the times of orders and snapshots in proportion.
     """
 
     LOADABLE = "translator"
@@ -115,6 +122,7 @@
         wrap_app: Callable[[App], App] = lambda app: app,
         checks_fencing: bool = True,
         spare: Collection[str] = (),
+        hastened: bool = False,
     ) -> None:
         self.clock = FakeClock()
         random.seed(SEED)
@@ -136,6 +144,9 @@
         self._wrap_engine = wrap_engine
         self._wrap_app = wrap_app
         self._policy = policy
+        self._retention = HASTENED_RETENTION if hastened else RETENTION
+        if hastened:
+            self.hasten()
         self._count = routers
         self._starts = 0
         self._paused_at: dict[str, float] = {}
@@ -167,6 +178,7 @@
             peer_listen=peer_address(name),
             peers=tuple(peer_address(f"router-{n}") for n in range(self._count)),
             fleet_secret=("fake",),
+            log_retention=self._retention,
         )
         connected = self.network.connect(name, clock, points)
         seeded = patch.object(random, "Random", SeededRandom)
@@ -225,8 +237,8 @@
         self.routers[name].points.log_cut = True
         self.network.links.cut({name}, set(self.routers) - {name})
 
-    def hasten_orders(self) -> None:
-        """Shorten the times of orders in proportion, until the fleet is closed."""
+    def hasten(self) -> None:
+        """Shorten the times of orders and snapshots in proportion, until the fleet is closed."""
         for module, times in HASTENED.items():
             self._patches.enter_context(patch.multiple(module, **times))
 
@@ -252,8 +264,17 @@
         self.faults.append(fault)
 
     def trim_log(self) -> None:
-        """Forget all records that are old."""
+        """Forget all records but those younger than the retention that routers rely on.
+
+        Hastened, that leaves claims, whose window is shorter, and snapshots, and a configuration
+        that no snapshot holds yet.
+        """
+        hastened = self._retention == HASTENED_RETENTION
         for stream in self.log.streams:
+            if hastened and stream.startswith(YOUNG_STREAMS):
+                continue
+            if hastened and stream == CONFIG_STREAM and SNAPSHOT_STREAM not in self.log.streams:
+                continue
             self.log.trim(stream, self.log.end(stream))
 
     def turn(self, turns: int = TURNS) -> None:
@@ -400,6 +421,17 @@
         router.points.kill()
         self.network.leave(router.name)
 
+    @property
+    def live(self) -> list[str]:
+        """Return the routers that are neither dead nor stopping."""
+        stopping = self.sightings.stopped
+        return [n for n, r in self.routers.items() if not r.points.dead and n not in stopping]
+
+    def forget_late_generations(self) -> None:
+        """Expect no more that what was accepted just now is in force in time."""
+        for name in self.routers:
+            self._forget_reachable(name)
+
     def _forget_reachable(self, name: str) -> None:
         # A router counts as reachable only if it is so for the whole time allowed.
         for generation, (accepted, reachable) in self.sightings.generations.items():
--- a/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/order.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/order.py
@@ -27,7 +27,7 @@
 
 def run_order(fleet: FakeFleet, step: Step, trigger: Trigger) -> None:
     """Call for a service that an engine has to load, and let the fault come at a step."""
-    fleet.hasten_orders()
+    fleet.hasten()
     match step:
         case Step.ORDER_LEASED:
             trigger.arm_all(fleet, "log.appended loomyard.orders")
--- a/packages/loomyard-standins/src/loomyard_standins/faults/sightings.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/sightings.py
@@ -67,6 +67,8 @@
     code: int = 0
     probe: bool = False
     router_died: bool = False
+    key: str | None = None
+    repeat: bool = False
 
 
 @define(kw_only=True, eq=False)
