--- a/packages/loomyard-standins/src/loomyard_standins/faults/fault_points.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fault_points.py
@@ -18,6 +18,7 @@
 
 class FaultPoints:
     """The process of one router: running, paused or dead; cut from the log service or not.
+    ``log_delay`` is in seconds of the clock for each call of the log service.
 
     ``reach`` stands before each effect on the outside. An action that is armed at a point runs
     once, when the point is reached; then the task waits while the process is paused.
@@ -26,6 +27,7 @@
     def __init__(self) -> None:
         self.dead = False
         self.log_cut = False
+        self.log_delay = 0.0
         self.reached: Counter[str] = Counter()
         self._running = Event()
         self._running.set()
@@ -36,15 +38,15 @@
         return not self._running.is_set()
 
     def arm(self, point: str, action: Callable[[], None]) -> None:
-        """Run an action when a point is reached next."""
+        """Run an action when a point whose name starts so is reached next."""
         self._armed[point] = action
 
     def reach(self, point: str) -> None:
         """Pass a point, or wait there, or end there."""
         self.pass_on()
         self.reached[point] += 1
-        if action := self._armed.pop(point, None):
-            action()
+        for prefix in [armed for armed in self._armed if point.startswith(armed)]:
+            self._armed.pop(prefix)()
         self.pass_on()
 
     def pass_on(self) -> None:
@@ -62,6 +64,13 @@
         """Let the process go on."""
         self._running.set()
 
+    def mend(self) -> None:
+        """Wake, reach the log service again and disarm all points."""
+        self.log_cut = False
+        self.log_delay = 0.0
+        self._armed.clear()
+        self.wake()
+
     def kill(self) -> None:
         """Refuse all further effects of the process."""
         self.dead = True
--- a/packages/loomyard-standins/src/loomyard_standins/faults/pointed_platform.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/pointed_platform.py
@@ -5,9 +5,11 @@
 from typing import TYPE_CHECKING, Any
 
 import gevent
-from result import Err, Result
+from result import Err, Ok, Result
 
 from loomyard.errors import Fault, ResultCode
+from loomyard_router.peers.message_types import register_message
+from loomyard_router.peers.traffic import TrafficCounters
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,24 +18,35 @@
     from loomyard.platform.engine import Engine, EngineOrder, TargetAnswer, TargetCall
     from loomyard.platform.log_service import LogBatch, LogService
     from loomyard.platform.vm_list import Vm, VmList
-    from loomyard_router.members.membership import Member
+    from loomyard_router.members.membership import Member, Membership
     from loomyard_router.peers.links import PeerLinks
     from loomyard_standins.faults.fault_points import FaultPoints
 
+MAX_READS_AT_ONCE = 500
+
+
+class BusyLoopError(Exception):
+    """A router reads the log over and over without waiting."""
+
 
 class PointedClock:
-    """A clock that a paused process can't read."""
+    """A clock that a paused process can't read.
 
-    def __init__(self, clock: Clock, points: FaultPoints) -> None:
+    ``started_after`` shifts the wall clock by some seconds, so that no two starts see one time.
+    """
+
+    def __init__(self, clock: Clock, points: FaultPoints, started_after: float) -> None:
         self._clock = clock
         self._points = points
+        self._started_after = started_after
 
     def now(self) -> float:
         self._points.pass_on()
         return self._clock.now()
 
     def wall(self) -> float:
-        return self._clock.wall()
+        self._points.pass_on()
+        return self._clock.wall() + self._started_after
 
     def sleep(self, seconds: float) -> None:
         self._points.pass_on()
@@ -42,16 +55,20 @@
 
 
 class PointedLog:
-    """A log service that a router can be cut from."""
+    """A log service that a router can be cut from and that answers slowly when told."""
 
-    def __init__(self, log: LogService, points: FaultPoints) -> None:
+    def __init__(self, log: LogService, clock: Clock, points: FaultPoints) -> None:
         self._log = log
+        self._clock = clock
         self._points = points
+        self._read_at = -1.0
+        self._reads = 0
 
     def append(self, stream: str, payload: bytes) -> Result[int, Fault]:
         self._points.reach(f"log.append {stream}")
         if self._points.log_cut:
             return Err(_cut())
+        self._wait()
         result = self._log.append(stream, payload)
         self._points.reach(f"log.appended {stream}")
         return Err(_cut()) if self._points.log_cut else result
@@ -60,12 +77,25 @@
         self, stream: str, offset: int, *, limit: int = 1000, wait: float = 0.0
     ) -> Result[LogBatch, Fault]:
         self._points.reach(f"log.read {stream}")
+        self._check_busy()
         if self._points.log_cut:
             return Err(_cut())
         result = self._log.read(stream, offset, limit=limit, wait=wait)
+        self._wait()
         self._points.reach(f"log.answered {stream}")
         return Err(_cut()) if self._points.log_cut else result
 
+    def _check_busy(self) -> None:
+        if self._clock.now() != self._read_at:
+            self._read_at, self._reads = self._clock.now(), 0
+        self._reads += 1
+        if self._reads > MAX_READS_AT_ONCE:
+            raise BusyLoopError(f"{self._reads} reads at one time")
+
+    def _wait(self) -> None:
+        if self._points.log_delay:
+            self._clock.sleep(self._points.log_delay)
+
 
 class PointedAnswer:
     """An answer that a router reads."""
@@ -116,7 +146,7 @@
         return self._engine.cancel(url, attempt_id)
 
     def load(self, url: str) -> Result:
-        self._points.pass_on()
+        self._points.reach("engine.load")
         return self._engine.load(url)
 
     def cache_events(self, url: str, after: int) -> Result:
@@ -139,8 +169,12 @@
 class PointedPeers:
     """The other routers as a router reaches them; a request ends at its deadline."""
 
-    def __init__(self, peers: PeerLinks, clock: Clock, points: FaultPoints) -> None:
+    def __init__(
+        self, peers: PeerLinks, members: Membership, clock: Clock, points: FaultPoints
+    ) -> None:
+        self.traffic = TrafficCounters()
         self._peers = peers
+        self._members = members
         self._clock = clock
         self._points = points
 
@@ -155,9 +189,10 @@
         gevent.wait([asked, timer], count=1)
         timer.kill(block=False)
         self._points.pass_on()
-        if asked.successful() and isinstance(asked.value, Result):
+        if asked.successful() and isinstance(asked.value, Ok | Err):
             return asked.value
         asked.kill(block=False)
+        self._members.suspect(to)
         return Err(Fault(code=ResultCode.PEER_UNREACHABLE, detail=f"no answer from {to}"))
 
     def handle(self, kind: type, handler: Callable[[Member, Any], Any]) -> None:
@@ -165,6 +200,7 @@
             self._points.reach(f"peer.receive {kind.__name__}")
             return handler(sender, message)
 
+        register_message(kind)
         self._peers.handle(kind, gated)
 
     def start(self) -> None:
