--- a/packages/loomyard-router/src/loomyard_router/claims/hosting.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/hosting.py
@@ -58,6 +58,7 @@
         self._partitions: dict[int, ClaimPartition] = {}
         self._watch = UnknownWatch(members)
         self._sweeping: gevent.Greenlet | None = None
+        self._stopped = False
 
     def start(self) -> None:
         """Start to host and to answer."""
@@ -71,9 +72,11 @@
         """Stop to host."""
         if self._sweeping is not None:
             self._sweeping.kill()
-        for partition in self._partitions.values():
+        # To stop a partition waits; members that change meanwhile must assign none anew.
+        self._stopped = True
+        while self._partitions:
+            _, partition = self._partitions.popitem()
             partition.stop()
-        self._partitions.clear()
 
     def unknown(self) -> list[KeyState]:
         """Return the claims without outcome of the partitions that this router hosts first."""
@@ -122,6 +125,8 @@
             self.unknown()
 
     def _assign(self) -> None:
+        if self._stopped:
+            return
         names = [member.name for member in self._members.live()]
         own = self._members.own.name
         ranked = [rank(stream_of(number), names) for number in range(PARTITIONS)]
--- a/packages/loomyard-standins/src/loomyard_standins/faults/checkers.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/checkers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from enum import Enum
 from itertools import combinations
 from typing import TYPE_CHECKING
@@ -21,6 +21,8 @@
 IN_FORCE_SECONDS = 3.0
 WAIT_BOUND_SECONDS = 30.0
 GAP_BOUND_TOKENS = 400.0
+LEASE_SECONDS = 3.0
+FLOOR_REQUESTS = 1
 HTTP_OK = 200
 
 
@@ -39,6 +41,8 @@
     ENDS = "every request ends for its caller"
     RECOVERS = "after the faults are mended every live router serves"
     AGREED = "all routers end with the same configuration"
+    STOP_ENDS = "a planned stop ends"
+    LAPSED = "a router that slept past its lease starts no more than the floor when it wakes"
     FENCED = "no order with an old fencing number takes effect"
 
 
@@ -101,12 +105,25 @@
 
 
 def check_planned_stop(sightings: Sightings) -> Iterator[str]:
-    """Check that a router that stopped as planned cut nothing off."""
+    """Check that a router that stopped as planned cut nothing off that its target answered."""
+    broken = {run.marker for run in sightings.runs if run.broken}
     for saw in sightings.callers:
-        if saw.router in sightings.stopped and saw.ending is Ending.CUT:
+        if (
+            saw.marker in broken
+            or saw.router_died
+            or saw.started > sightings.stopped.get(saw.router, -1.0)
+        ):
+            continue
+        if saw.ending is Ending.CUT:
             yield f"{saw.marker}: cut off by the planned stop of {saw.router}"
 
 
+def check_stop_ends(sightings: Sightings) -> Iterator[str]:
+    """Check that routers that were to stop have gone."""
+    for router in sightings.stopped.keys() - sightings.exited:
+        yield f"{router}: still there"
+
+
 def check_never_reverts(sightings: Sightings) -> Iterator[str]:
     """Check that no router lets callers see an older configuration than before."""
     newest: dict[str, int] = {}
@@ -153,6 +170,22 @@
                 break
 
 
+def check_lapsed(sightings: Sightings) -> Iterator[str]:
+    """Check that a holder that wakes after its lease sends one request a service at most."""
+    routers = {saw.marker: saw.router for saw in sightings.callers}
+    for woken in sightings.woken:
+        if woken.slept <= LEASE_SECONDS:
+            continue
+        started = Counter(
+            run.target.partition("-")[0]
+            for run in sightings.runs
+            if run.at == woken.at and routers.get(run.marker) == woken.router
+        )
+        for service, count in started.items():
+            if count > FLOOR_REQUESTS:
+                yield f"{woken.router}: started {count} at {service} after {woken.slept:.1f} s"
+
+
 def check_fenced(sightings: Sightings) -> Iterator[str]:
     """Check that no order takes effect after one with a higher fencing number."""
     highest: dict[str, int] = {}
@@ -199,6 +232,8 @@
     Invariant.ENDS: check_ends,
     Invariant.RECOVERS: check_recovers,
     Invariant.AGREED: check_agreed,
+    Invariant.STOP_ENDS: check_stop_ends,
+    Invariant.LAPSED: check_lapsed,
     Invariant.FENCED: check_fenced,
 }
 
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_target.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_target.py
@@ -21,11 +21,13 @@
     from loomyard.clock import Clock
     from loomyard_standins.faults.sightings import Sightings
 
+MODEL = "assistant"
 DEFAULT_TOKENS = 6
 LATE_SECONDS = 1.0
 STEP_SECONDS = 0.003
 EVENT_STREAM = "text/event-stream"
 JSON_TYPE = "application/json"
+NO_ANSWER = frozenset([AnswerFault.GONE_BEFORE, AnswerFault.LOST, AnswerFault.LATE])
 BROKEN = frozenset(
     [
         AnswerFault.GONE_DURING,
@@ -57,10 +59,11 @@
         self.plain = plain
         self.checks_fencing = checks_fencing
         self.up = True
+        self.died_at = 0.0
         self.leaving = False
         self.faults = faults
         self.on_run: Callable[[Run], None] = lambda run: None
-        self.models: set[str] = set()
+        self.models = set() if plain else {MODEL}
         self.highest_fencing = -1
         self._clock = clock
         self._sightings = sightings
@@ -91,6 +94,7 @@
         """Start again, empty."""
         self.up = True
         self._kept.clear()
+        self.models = set() if self.plain else {MODEL}
 
     def fail_open(self, fault: AnswerFault) -> bool:
         """Fail the answers that are on their way; false where there is none."""
@@ -99,7 +103,7 @@
             if fault is AnswerFault.GONE_AFTER:
                 answer.call_at_end(self._die)
                 continue
-            answer.break_off()
+            self._break_off(answer)
             if fault is AnswerFault.DOUBLED:
                 self._replays.add(answer.attempt_id)
         if answers and fault is AnswerFault.GONE_DURING:
@@ -110,15 +114,19 @@
         """Run a call."""
         if not self.up or self._takes(AnswerFault.REFUSED):
             return Err(_fault(ResultCode.TARGET_UNREACHABLE, "refused", Executed.NO))
+        if not self.plain and json.loads(call.body)["model"] not in self.models:
+            return Ok(self._refuse(call, 404, "Loomyard-Not-Run"))
         run = self._run(call)
         if run.refused:
-            return Ok(self._refuse(call))
+            return Ok(self._refuse(call, 503, "Loomyard-Leaving"))
         self.on_run(run)
         fault = self.faults.popleft() if self.faults else None
         if fault is AnswerFault.LATE:
             self._clock.sleep(LATE_SECONDS)
         if fault in (AnswerFault.GONE_BEFORE, AnswerFault.LOST):
-            self.up = fault is AnswerFault.LOST
+            run.broken = True
+            if fault is AnswerFault.GONE_BEFORE:
+                self._die()
             return Err(_fault(ResultCode.ANSWER_LOST, "no answer came", Executed.UNKNOWN))
         return Ok(self._answer(run, fault))
 
@@ -176,10 +184,17 @@
         if fenced:
             return Err(_fault(ResultCode.ORDER_FENCED, "old fencing number", Executed.NO))
         self.highest_fencing = max(self.highest_fencing, order.fencing)
+        lost = self.faults.popleft() if self.faults and self.faults[0] in NO_ANSWER else None
         if order.action.startswith("unload"):
             self.models.discard(order.subject)
         else:
             self.models.add(order.subject)
+        if lost is AnswerFault.LATE:
+            self._clock.sleep(LATE_SECONDS)
+        elif lost is not None:
+            if lost is AnswerFault.GONE_BEFORE:
+                self._die()
+            return Err(_fault(ResultCode.ANSWER_LOST, "no answer came", Executed.UNKNOWN))
         return Ok(None)
 
     def _run(self, call: TargetCall) -> Run:
@@ -214,12 +229,14 @@
         chunks = run.chunks
         half = chunks[: len(chunks) // 2] if len(chunks) > 1 else [chunks[0][: len(chunks[0]) // 2]]
         if fault is AnswerFault.GARBAGE:
+            run.broken = True
             return self._make(run, [b"\x00\xff garbage"])
         if fault is AnswerFault.CROSSED:
             other = Run(target=self.name, attempt_id="other.1", marker="other", at=run.at)
             marked = [chunk.replace(run.marker.encode(), b"other") for chunk in chunks]
             return self._make(other, marked)
         if fault is AnswerFault.HALF_ENDED:
+            run.broken = True
             return self._make(run, half)
         if fault not in BROKEN:
             gone = fault is AnswerFault.GONE_AFTER
@@ -229,6 +246,7 @@
         if fault is AnswerFault.HALF_FORGOTTEN:
             del self._kept[run.attempt_id]
         gone = fault is AnswerFault.GONE_DURING
+        run.broken = True
         return self._make(run, half, broken=True, after_end=self._die if gone else None)
 
     def _make(
@@ -251,13 +269,14 @@
         self._answers = [*(a for a in self._answers if a.open), answer]
         return answer
 
-    def _refuse(self, call: TargetCall) -> FakeAnswer:
+    def _refuse(self, call: TargetCall, status: int, header: str) -> FakeAnswer:
         return FakeAnswer(
             attempt_id=call.attempt_id,
-            chunks=[b'{"error": "leaving"}'],
+            chunks=[b'{"error": "refused"}'],
             content_type=JSON_TYPE,
             before_read=self._released.wait,
-            status=503,
+            status=status,
+            headers=[(header, "1")],
         )
 
     def _takes(self, fault: AnswerFault) -> bool:
@@ -266,11 +285,17 @@
             return True
         return False
 
+    def _break_off(self, answer: FakeAnswer) -> None:
+        answer.break_off()
+        if answer.attempt_id in self._kept:
+            self._kept[answer.attempt_id].broken = True
+
     def _die(self) -> None:
         self.up = False
+        self.died_at = self._clock.now()
         for answer in self._answers:
             if answer.open:
-                answer.break_off()
+                self._break_off(answer)
 
 
 def expected_text(marker: str, tokens: int) -> str:
