Give each wait for a slow reader the whole timeout; pass event streams of plain services

Cause: the rest of a block had one timeout in all, so that a reader of under 1 kB/s was cut off though it read; an event stream of a plain service was held until it ended. A caller that hangs up while its answer is made is now tested over HTTP.

--- a/packages/loomyard-router/src/loomyard_router/callers/handler.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/handler.py
@@ -74,10 +74,12 @@
                 self._forget_body()
 
     def _sendall(self, data: bytes) -> None:
+        size = len(data)
         sent = self.socket.send(data)
-        if sent < len(data):
-            super()._sendall(data[sent:])
-        self.response_length += sent
+        # Each wait has the whole timeout, so that a slow reader is not taken for a stuck one.
+        while sent < size:
+            sent += self.socket.send(memoryview(data)[sent:])
+        self.response_length += size
 
     def _write(self, data: bytes) -> None:
         if data:
--- a/packages/loomyard-router/src/loomyard_router/requests/whole_answers.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/whole_answers.py
@@ -13,6 +13,7 @@
 from loomyard_router.claims.keeper import RecordedOutcome
 from loomyard_router.relays.usage import find_usage
 from loomyard_router.requests.answer import Answer
+from loomyard_router.requests.answer_check import EVENT_STREAM_TYPE
 from loomyard_router.requests.body import Body
 
 if TYPE_CHECKING:
@@ -35,8 +36,12 @@
 def hold_whole(request: Request, attempt: Attempt) -> Result[bool, Fault]:
     """Read an answer up to a bound and check it; true where all of it was read.
 
+    An event stream of a plain service is not held.
+
     Errors: ``ANSWER_INCOMPLETE``, ``ANSWER_INVALID``; the attempt is settled then.
     """
+    if _type(attempt.answer.headers).startswith(EVENT_STREAM_TYPE):
+        return Ok(False)
     match _collect(attempt.answer):
         case Ok((body, whole)):
             attempt.first = body
--- a/tests/test_loomyard_router/test_drain.py
+++ b/tests/test_loomyard_router/test_drain.py
@@ -62,6 +62,21 @@
         self.assertEqual(whole.count(b"\n\n"), 60_000)
         self.assertTrue(whole.endswith(b"[DONE]\n\n"))
 
+    def test_the_work_of_a_caller_that_hangs_up_is_cancelled(self) -> None:
+        engine = self.fleet.engines[0]
+        engine.step_seconds = 0.005
+        body = json.dumps({"model": "assistant", "prompt": "x", "max_tokens": 100_000}).encode()
+        head = f"POST /v1/completions HTTP/1.1\r\nAuthorization: {HEADERS['Authorization']}\r\n"
+        sock = create_connection(("127.0.0.1", self.router.port))
+        sock.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        while not engine.streams:
+            gevent.sleep(0.001)
+        sock.close()
+        stream = next(iter(engine.streams.values()))
+        while not (stream.cancelled and len(self.router._in_flight) == 0):
+            gevent.sleep(0.001)
+        self.assertLess(stream.made, stream.tokens)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_loomyard_router/test_requests/test_serving.py
+++ b/tests/test_loomyard_router/test_requests/test_serving.py
@@ -27,6 +27,7 @@
 from loomyard_router.requests.retries import Retries
 from loomyard_router.requests.serving import Serving
 from loomyard_router.requests.stream_token import StreamTokens
+from loomyard_router.requests.whole_answers import HELD_BYTES, AnswerBrokenError
 from loomyard_router.shares.local import make_local_policy
 from loomyard_router.targets.directory import make_configured_targets
 from loomyard_router.targets.http_engine import make_http_engine
@@ -201,6 +202,20 @@
         self.script(hang_up, *[refuse(NOT_RUN)] * 9)
         self.assertIs(self.serve().unwrap_err().executed, Executed.UNKNOWN)
 
+    def test_a_long_answer_passes_and_one_that_breaks_off_ends_the_connection(self) -> None:
+        long = b"x" * (HELD_BYTES + 10)
+        self.script(lambda call, sock: sock.sendall(answer_bytes(call, long)))
+        answer = self.serve(idempotent=False, key="k").unwrap()
+        self.assertEqual(b"".join(answer.body), long)
+        answer.body.close()
+        self.assertIsNone(self.claims.steps[-1].body)
+        self.script(lambda call, sock: sock.sendall(answer_bytes(call, long)[:-1]))
+        answer = self.serve(idempotent=True).unwrap()
+        with self.assertRaises(AnswerBrokenError):
+            list(answer.body)
+        answer.body.close()
+        self.assert_slots_free()
+
     def test_a_target_that_is_not_there_is_passed_over(self) -> None:
         self.engines[0].stop()
         for _ in range(3):
