--- a/packages/loomyard-router/src/loomyard_router/parts.py
+++ b/packages/loomyard-router/src/loomyard_router/parts.py
@@ -10,9 +10,11 @@
 from loomyard.platform.vm_list import VmList
 from loomyard.platform.weight_store import WeightStore
 from loomyard_router.claims.keeper import ClaimKeeper
+from loomyard_router.configuration.distribution import ConfigDistribution
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.members.membership import Membership
 from loomyard_router.members.vm_watch import VmWatch
+from loomyard_router.orders.order_keeper import OrderKeeper
 from loomyard_router.peers.links import PeerLinks
 from loomyard_router.peers.traffic import TrafficCounters
 from loomyard_router.requests.journal import Journal
@@ -38,9 +40,11 @@
     members: Membership
     peers: PeerLinks
     follower: ConfigFollower
+    distribution: ConfigDistribution
     targets: TargetDirectory
     policy: SharePolicy
     claims: ClaimKeeper
     journal: Journal
     traffic: TrafficCounters = field(factory=TrafficCounters)
     vm_watch: VmWatch | None = None
+    orders: OrderKeeper | None = None
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -4,6 +4,7 @@
 
 import argparse
 import os
+import re
 from typing import TYPE_CHECKING
 
 from attrs import field, frozen
@@ -21,6 +22,9 @@
 RETENTION_MARGIN = 300.0
 POLICIES = ("fleet", "local", "fifo")
 
+_ADDRESS = re.compile(r"\S+:\d+\Z")
+_DIGEST = re.compile(r"[0-9a-f]{64}\Z")
+
 
 @frozen(kw_only=True)
 class Settings:
@@ -30,10 +34,14 @@
     data_centre: str = ""
     listen: str = "127.0.0.1:8080"
     log_service: str = ""
-    policy: str = "local"
+    policy: str = "fleet"
     position: int = 0
     routers: int = 1
     log_format: str = "text"
+    operator_listen: str = ""
+    operator_keys: tuple[str, ...] = ()
+    operator_certificate: str = ""
+    operator_private_key: str = ""
     drain_seconds: float = 60.0
     peer_listen: str = ""
     peers: tuple[str, ...] = ()
@@ -82,11 +90,15 @@
     add("data-centre", "", "data centre of this router")
     add("listen", "127.0.0.1:8080", "address for callers")
     add("log-service", "", "address of the log service")
-    add("policy", "local", "share policy", choices=POLICIES)
+    add("policy", "fleet", "share policy", choices=POLICIES)
     add("position", 0, "position of this router for the local policy", type=int)
     add("routers", 1, "number of routers for the local policy", type=int)
     add("drain-seconds", 60.0, "longest wait of a planned stop for what runs", type=float)
     add("log-format", "text", "text or json", choices=("text", "json"))
+    add("operator-listen", "", "address for operators; none turns their interface off")
+    add("operator-keys", "", "SHA-256 digests of operator keys, by commas", type=_split)
+    add("operator-certificate", "", "file of the operator listener's TLS certificate chain")
+    add("operator-private-key", "", "file of the operator listener's TLS private key")
     add("peer-listen", "", "TCP and UDP address for other routers; none: a fleet of one")
     add("peers", "", "addresses of some other routers, with commas", type=_split)
     parser.add_argument(
@@ -113,6 +125,21 @@
         host, _, port = value.rpartition(":")
         if not host or not port.isdigit():
             faults.append(_fault(name, f"not host:port: {value!r}"))
+    return faults + _check_operators(settings)
+
+
+def _check_operators(settings: Settings) -> list[FieldFault]:
+    faults = []
+    if settings.log_retention <= 0:
+        faults.append(_fault("log_retention", "not above 0"))
+    if settings.operator_listen and not _ADDRESS.match(settings.operator_listen):
+        faults.append(_fault("operator_listen", f"not host:port: {settings.operator_listen!r}"))
+    if settings.operator_listen and not settings.operator_keys:
+        faults.append(_fault("operator_keys", "a listener for operators needs at least one"))
+    if not all(_DIGEST.match(digest) for digest in settings.operator_keys):
+        faults.append(_fault("operator_keys", "not SHA-256 digests in lower-case hexadecimal"))
+    if bool(settings.operator_certificate) != bool(settings.operator_private_key):
+        faults.append(_fault("operator_certificate", "give certificate and private key, or none"))
     return faults + _check_peers(settings) + _check_window(settings)
 
 
--- a/packages/loomyard-standins/src/loomyard_standins/demo.py
+++ b/packages/loomyard-standins/src/loomyard_standins/demo.py
@@ -18,14 +18,14 @@
 from loomyard_standins.fleet import (  # noqa: E402
     ACCOUNTS,
     ENGINE_SLOTS,
+    RECEIPT_ACCOUNT,
     StandinFleet,
     sample_key,
     start_fleet,
 )
 
 SECONDS = 10.0
-CALLERS_PER_ACCOUNT = 12
-RECEIPT_ACCOUNT = "kiosk"
+CALLERS_PER_ACCOUNT = 24
 SERVE_SECONDS = 365 * 24 * 3600
 
 
@@ -48,7 +48,7 @@
 
 def _serve(fleet: StandinFleet) -> None:
     print("routers:", *fleet.urls)
-    for account in ACCOUNTS:
+    for account in [*ACCOUNTS, RECEIPT_ACCOUNT]:
         print(f"key of {account}: {sample_key(account)}")
     print(
         f"curl -sN {fleet.urls[0]}/v1/chat/completions"
--- a/packages/loomyard-standins/src/loomyard_standins/share_driver.py
+++ b/packages/loomyard-standins/src/loomyard_standins/share_driver.py
@@ -9,18 +9,28 @@
 from math import exp, log
 from typing import TYPE_CHECKING, Any
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from loomyard.configuration import ConfigState, VersionedObject
-from loomyard.objects import ClientAccount, ConfigObject, Metadata, Route, Service, Target, ref_of
+from loomyard.objects import (
+    ClientAccount,
+    ConfigObject,
+    Metadata,
+    Route,
+    Service,
+    Target,
+    TargetState,
+    ref_of,
+)
 from loomyard.routing import Routing
 from loomyard_router.members.membership import Member
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.shares.fifo import make_fifo_policy
 from loomyard_router.shares.fleet import POLL_INTERVAL, FleetPolicy, make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
+from loomyard_router.shares.parents import find_allocator
 from loomyard_router.shares.waiting import WaitingRequest
-from loomyard_router.targets.directory import make_configured_targets
+from loomyard_router.targets.directory import ConfiguredTargets, make_configured_targets
 from loomyard_standins.virtual_time import Agenda, VirtualMembers, VirtualNetwork
 
 if TYPE_CHECKING:
@@ -88,7 +98,7 @@
         routers: int = 8,
         engines: dict[str, tuple[int, int]],
         seed: int = 1,
-        settle: float = 10.0,
+        settle: float = 20.0,
     ) -> None:
         self.agenda = Agenda()
         self.policy = policy
@@ -100,6 +110,7 @@
         self.count = 1 if policy == "single" else routers
         self.members: dict[int, VirtualMembers] = {}
         self.policies: dict[int, SharePolicy] = {}
+        self.directories: dict[int, ConfiguredTargets] = {}
         self.estimates: dict[int, CostEstimates] = {}
         self.open: dict[tuple[int, str], Callable[[], None]] = {}
         self.served: Counter[str] = Counter()
@@ -138,12 +149,12 @@
                 members=members,
                 peers=self.network.join(member),
                 directory=directory,
-                fleet_size=lambda: self.count,
             )
             self.agenda.every(POLL_INTERVAL, lambda: self._poll(position, generation, fleet))
         directory.reconfigure(self.routing)
         policy.reconfigure(self.routing)
         self.members[position] = members
+        self.directories[position] = directory
         self.policies[position] = policy
         self.estimates[position] = CostEstimates()
 
@@ -157,6 +168,51 @@
             self.open.pop(key)()
         self.agenda.after(DETECTION_DELAY, self.agree)
 
+    def restart_router(self, position: int) -> None:
+        """Start a killed router empty; the others notice after a while."""
+        self.start_router(position)
+        self.agenda.after(DETECTION_DELAY, self.agree)
+
+    def change_target(self, name: str, state: TargetState, *, slots: int | None = None) -> None:
+        """Publish another state or number of slots of a target."""
+        target = self.routing.targets[name]
+        self.routing.targets[name] = evolve(target, state=state, slots=slots or target.slots)
+        for position, policy in self.policies.items():
+            self.directories[position].reconfigure(self.routing)
+            policy.reconfigure(self.routing)
+
+    def find_allocator(self) -> int:
+        """Return the position of the allocator while all routers live."""
+        return int(find_allocator(self.members[0]).rpartition("-")[2])
+
+    def cut(self, side: set[int]) -> None:
+        """Cut a side off; each side comes to believe the other dead."""
+        names = {f"router-{position}" for position in side}
+        self.network.cuts = {
+            frozenset((name, other))
+            for name in names
+            for other in self.network.links
+            if other not in names
+        }
+        self.agenda.after(DETECTION_DELAY, lambda: self._split(side))
+
+    def heal(self) -> None:
+        """Mend the cut."""
+        self.network.cuts = set()
+        self.agenda.after(DETECTION_DELAY, self.agree)
+
+    def resettle(self, seconds: float = 2.0) -> None:
+        """Leave the next seconds out of the figures."""
+        self.settle = self.agenda.now() + seconds
+        self._extremes = {}
+
+    def _split(self, side: set[int]) -> None:
+        for position, members in self.members.items():
+            near = [
+                other.own for p, other in self.members.items() if (p in side) == (position in side)
+            ]
+            members.set_view(near)
+
     def agree(self) -> None:
         """Let all routers know of all."""
         view = [members.own for members in self.members.values()]
