--- a/packages/loomyard-router/src/loomyard_router/members/membership.py
+++ b/packages/loomyard-router/src/loomyard_router/members/membership.py
@@ -51,7 +51,7 @@
         """Report that a router did not answer."""
 
     def subscribe(self, changed: Callable[[], None]) -> None:
-        """Call back after each change of the live routers."""
+        """Call back after each change of the live routers; the call must not wait."""
 
     def subscribe_pause(self, paused: Callable[[float], None]) -> None:
         """Call back with the seconds of a pause of this process, once it is noticed."""
--- a/packages/loomyard-router/src/loomyard_router/peers/links.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/links.py
@@ -16,9 +16,10 @@
 
 
 class PeerLinks(Protocol):
-    """Send typed messages (attrs classes registered by ``handle``) to other routers.
+    """Send typed messages (attrs classes named by ``peer_message``) to other routers.
 
-    Messages may be lost, doubled or late; the sender is authenticated.
+    Messages may be lost, doubled or late; the sender is authenticated. One of more than about
+    1 MB is not sent.
     """
 
     def send(self, to: str, message: Any) -> bool:
@@ -27,11 +28,14 @@
     def request(self, to: str, message: Any, deadline: float) -> Result[Any, Fault]:
         """Send and return the answer.
 
-        Error: ``PEER_UNREACHABLE``.
+        Errors: ``PEER_UNREACHABLE`` (the peer may have got it), ``PEER_FAILED``.
         """
 
     def handle(self, kind: type[M], handler: Callable[[Member, M], Any]) -> None:
-        """Register the handler of a message type; what it returns is the answer."""
+        """Register the handler of a message type; what it returns is the answer.
+
+        The handler of a message that is no request must not wait: it holds back its link.
+        """
 
     def start(self) -> None:
         """Start the tasks."""
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -18,6 +18,7 @@
 ENVIRONMENT_PREFIX = "LOOMYARD_"
 FLEET_SECRET_VARIABLE = ENVIRONMENT_PREFIX + "FLEET_SECRET"
 MAX_SECRETS = 2
+MAX_NAME = 63  # so that news of several routers fits into a datagram
 MIN_CLAIM_WINDOW = 300.0
 RETENTION_MARGIN = 300.0
 POLICIES = ("fleet", "local", "fifo")
@@ -156,9 +157,18 @@
         faults.append(_fault("fleet_secret", "needed with peer_listen"))
     if len(settings.fleet_secret) > MAX_SECRETS:
         faults.append(_fault("fleet_secret", f"more than {MAX_SECRETS}"))
-    certificates = (settings.peer_certificate, settings.peer_key, settings.peer_authority)
-    if any(certificates) and not all(certificates):
+    for name in ("name", "data_centre"):
+        if len(getattr(settings, name)) > MAX_NAME:
+            faults.append(_fault(name, f"longer than {MAX_NAME} characters"))
+    if not settings.name:
+        faults.append(_fault("name", "empty"))
+    files = ("peer_certificate", "peer_key", "peer_authority")
+    given = [name for name in files if getattr(settings, name)]
+    if given and len(given) < len(files):
         faults.append(_fault("peer_certificate", "certificate, key and authority go together"))
+    for name in given:
+        if not os.path.isfile(getattr(settings, name)):
+            faults.append(_fault(name, f"no such file: {getattr(settings, name)!r}"))
     if settings.probe_period <= 0:
         faults.append(_fault("probe_period", "not above 0"))
     return faults
--- a/tests/test_loomyard_router/test_peers/test_websocket_links.py
+++ b/tests/test_loomyard_router/test_peers/test_websocket_links.py
@@ -5,7 +5,6 @@
 import datetime
 import ipaddress
 import tempfile
-import time
 import unittest
 from pathlib import Path
 
@@ -27,7 +26,8 @@
 from loomyard_router.peers.sockets import bind_peer_sockets
 from loomyard_router.peers.tls import make_peer_tls
 from loomyard_router.peers.traffic import TrafficCounters
-from loomyard_router.peers.websocket_links import WebSocketLinks
+from loomyard_router.peers.websocket_links import IDLE_AFTER, WebSocketLinks
+from loomyard_standins.fake_clock import FakeClock
 
 PATIENCE = 5.0
 
@@ -67,18 +67,21 @@
 class Router:
     """Links of one router and what they received."""
 
-    def __init__(self, known: dict[str, Member], name: str, *, secret="s", tls=None, start=1):
+    def __init__(
+        self, known: dict[str, Member], name: str, *, secret="s", tls=None, start=1, clock=None
+    ):
         self.sockets = bind_peer_sockets("127.0.0.1:0")
         own = Member(name=name, incarnation=start, address=self.sockets.address, data_centre="dc-1")
         known[name] = own
         self.members = FakeMembers(own, known)
+        self.clock = clock or SystemClock()
         self.traffic = TrafficCounters()
         self.got: list[tuple[str, int, Question]] = []
         self.links = WebSocketLinks(
             members=self.members,
             secret=make_fleet_secret([secret]),
             listener=self.sockets.stream,
-            clock=SystemClock(),
+            clock=self.clock,
             traffic=self.traffic,
             tls=tls,
         )
@@ -90,7 +93,7 @@
         self.sockets.close()
 
     def ask(self, to: str, number: int, text: str = ""):
-        deadline = time.monotonic() + PATIENCE
+        deadline = self.clock.now() + PATIENCE
         return self.links.request(to, Question(number=number, text=text), deadline)
 
     def _receive(self, sender: Member, question: Question) -> Answer | None:
@@ -215,6 +218,20 @@
         self.wait(lambda: a.links.send("b", Question(number=1)))
         self.assertEqual(a.ask("b", 1).unwrap(), Answer(number=2))
 
+    def test_an_idle_link_is_closed_and_opened_again(self) -> None:
+        clock = FakeClock()
+        a, _b = self.router("a", clock=clock), self.router("b", clock=clock)
+        a.ask("b", 1).unwrap()
+        for _ in range(30):
+            gevent.sleep(0)
+            clock.advance(1.0)
+        self.assertEqual(len(a.links._all()), 1)
+        while a.links._all():
+            clock.advance(1.0)
+            gevent.sleep(0)
+        self.assertGreater(clock.now(), IDLE_AFTER)
+        self.assertEqual(a.ask("b", 1).unwrap(), Answer(number=2))
+
     def test_tls_demands_a_certificate_of_the_fleet(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             ours = make_tls(Path(folder), "ours")
