Let a router that lags behind fetch the table; sum tables up by hashes

The test of this found a fault: tables were compared by an exclusive or of CRCs, and CRCs of similar names cancel each other out - with r0 to r59 the sum was 0, so joiners took their empty table for a full one. Entries are hashed by blake2b instead.

make bench-slopes has a probe of membership (8 to 360 routers).

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -99,6 +99,8 @@
             part.start()
         if parts.vm_watch is not None:
             parts.vm_watch.start()
+        if parts.table_sync is not None:
+            parts.table_sync.start()
         parts.claims.start()
         parts.policy.start()
         parts.distribution.start()
@@ -139,6 +141,8 @@
         parts.claims.stop()
         if parts.vm_watch is not None:
             parts.vm_watch.stop()
+        if parts.table_sync is not None:
+            parts.table_sync.stop()
         for part in (parts.targets, parts.follower, parts.members, parts.peers):
             part.stop()
 
@@ -165,6 +169,7 @@
         peers=fleet.peers,
         traffic=fleet.traffic,
         vm_watch=fleet.vm_watch,
+        table_sync=fleet.table_sync,
         follower=follower,
         distribution=make_distribution(
             platform, follower, fleet.members, fleet.peers, retention=settings.log_retention
--- a/packages/loomyard-router/src/loomyard_router/fleet_parts.py
+++ b/packages/loomyard-router/src/loomyard_router/fleet_parts.py
@@ -10,6 +10,7 @@
 from loomyard_router.members.datagrams import UdpDatagrams
 from loomyard_router.members.membership import Member, Membership, SoleMembership
 from loomyard_router.members.swim import SwimMembership, SwimTimes
+from loomyard_router.members.table_sync import TableSync
 from loomyard_router.members.vm_watch import VmWatch
 from loomyard_router.peers.fleet_secret import make_fleet_secret
 from loomyard_router.peers.links import PeerLinks
@@ -34,6 +35,7 @@
     peers: PeerLinks
     traffic: TrafficCounters
     vm_watch: VmWatch | None = None
+    table_sync: TableSync | None = None
 
 
 def make_fleet_parts(settings: Settings, platform: Platform) -> FleetParts:
@@ -72,7 +74,13 @@
     )
     if vm_watch is not None:
         vm_watch.subscribe(members.take_vms)
-    return FleetParts(members=members, peers=peers, traffic=traffic, vm_watch=vm_watch)
+    return FleetParts(
+        members=members,
+        peers=peers,
+        traffic=traffic,
+        vm_watch=vm_watch,
+        table_sync=TableSync(members, peers, clock),
+    )
 
 
 def _own_member(settings: Settings, incarnation: int, address: str) -> Member:
--- a/packages/loomyard-router/src/loomyard_router/members/beliefs.py
+++ b/packages/loomyard-router/src/loomyard_router/members/beliefs.py
@@ -62,13 +62,14 @@
         if update.name == self._name:
             self._hear_of_self(update)
         else:
-            self.take(update)
+            # What a router hears as it joins is new to few others.
+            self.take(update, fresh=self._clock.now() >= self._joining_until)
 
-    def take(self, update: MemberUpdate) -> bool:
-        """Take an update over and pass it on; false where it is not new."""
+    def take(self, update: MemberUpdate, *, fresh: bool = True) -> bool:
+        """Take an update over and pass it on, often where it is fresh; false if not new."""
         if not self.table.apply(update):
             return False
-        self._news.add(update.name)
+        self._news.add(update.name, fresh=fresh)
         record = self.table.records[update.name]
         now = self._clock.now()
         if update.liveness is Liveness.SUSPECT:
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/members/digests.py
@@ -0,0 +1,25 @@
+"""A number that sums up a set, in any order."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Any
+
+import cbor2
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+DIGEST_BYTES = 4
+
+
+def set_digest(entries: Iterable[list[Any]]) -> int:
+    """Return the exclusive or of the hashes of entries.
+
+    A checksum would not do: those of similar names cancel each other out.
+    """
+    total = 0
+    for entry in entries:
+        hashed = blake2b(cbor2.dumps(entry), digest_size=DIGEST_BYTES).digest()
+        total ^= int.from_bytes(hashed, "big")
+    return total
--- a/packages/loomyard-router/src/loomyard_router/members/news.py
+++ b/packages/loomyard-router/src/loomyard_router/members/news.py
@@ -33,9 +33,9 @@
     _sent: dict[Subject, int] = field(factory=dict)
     _cursor: int = 0
 
-    def add(self, subject: Subject) -> None:
-        """Take in that something changed."""
-        self._sent[subject] = 0
+    def add(self, subject: Subject, *, fresh: bool = True) -> None:
+        """Take in that something changed; what is not fresh goes out a few times only."""
+        self._sent[subject] = 0 if fresh else max(0, self._limit() - REPEATS)
 
     def take(
         self, *, first: list[MemberUpdate], everything: bool
@@ -84,5 +84,8 @@
         if subject not in self._sent:
             return
         self._sent[subject] += 1
-        if self._sent[subject] >= REPEATS * math.ceil(math.log2(len(self.table.records) + 1)):
+        if self._sent[subject] >= self._limit():
             del self._sent[subject]
+
+    def _limit(self) -> int:
+        return REPEATS * math.ceil(math.log2(len(self.table.records) + 1))
--- a/packages/loomyard-router/src/loomyard_router/members/swim.py
+++ b/packages/loomyard-router/src/loomyard_router/members/swim.py
@@ -17,11 +17,12 @@
 from attrs import frozen
 
 from loomyard.events import Event, emit
+from loomyard_router.members.agreement import Agreement
 from loomyard_router.members.beliefs import Beliefs
 from loomyard_router.members.exchange import Exchange
 from loomyard_router.members.listeners import Listeners
 from loomyard_router.members.membership import Member, MemberState
-from loomyard_router.members.messages import Datagram, DatagramKind, Liveness
+from loomyard_router.members.messages import Datagram, DatagramKind, Liveness, MemberUpdate
 from loomyard_router.members.pause import PauseWatch
 from loomyard_router.members.prober import Prober
 from loomyard_router.members.seeds import Seeds
@@ -102,6 +103,7 @@
         now = clock.now()
         self._next_period = now
         self._pause = PauseWatch(slack=self._times.tick, bound=self._times.pause_bound, due=now)
+        self._agreement = Agreement()
         self._changed = Listeners()
         self._paused = Listeners()
         self._seen: tuple[Member, ...] = ()
@@ -165,6 +167,21 @@
             self.leave()
         self._refresh()
 
+    def lagging_behind(self) -> str:
+        """Return a router with which this one has disagreed for too long, if there is one."""
+        return self._agreement.overdue(self._clock.now())
+
+    def table(self) -> list[MemberUpdate]:
+        """Return all that is believed."""
+        return [record.update for record in self._table.records.values()]
+
+    def take_table(self, updates: list[MemberUpdate]) -> None:
+        """Take over what another router believes of all."""
+        for update in updates:
+            self._beliefs.hear(update)
+        self._agreement.reset()
+        self._refresh()
+
     def tick(self) -> None:
         """Do what is due; called a few times in a period."""
         now = self._clock.now()
@@ -189,6 +206,8 @@
         for item in datagram.items:
             if self._topics.hear(item):
                 self._exchange.news.add((item.topic, item.key))
+        agreed = datagram.digest == self._exchange.digest
+        self._agreement.note(datagram.sender, agreed=agreed, now=self._clock.now())
         sender = self._table.find(datagram.sender)
         if sender is not None:
             self._answer(datagram, sender)
--- a/packages/loomyard-router/src/loomyard_router/members/table.py
+++ b/packages/loomyard-router/src/loomyard_router/members/table.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import zlib
 from typing import TYPE_CHECKING
 
-import cbor2
 from attrs import define, field
 
+from loomyard_router.members.digests import set_digest
 from loomyard_router.members.membership import Member, MemberState
 from loomyard_router.members.messages import Liveness, MemberUpdate
 
@@ -43,11 +42,8 @@
     def digest(self) -> int:
         """Return a sum over what is believed of live routers, equal where tables agree."""
         if self._digest is None:
-            self._digest = 0
-            for record in self.live():
-                update = record.update
-                data = [update.name, *update.version, update.leaving]
-                self._digest ^= zlib.crc32(cbor2.dumps(data))
+            updates = [record.update for record in self.live()]
+            self._digest = set_digest([u.name, *u.version, u.leaving] for u in updates)
         return self._digest
 
     def live(self) -> Iterable[MemberRecord]:
--- a/packages/loomyard-router/src/loomyard_router/members/topics.py
+++ b/packages/loomyard-router/src/loomyard_router/members/topics.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-import cbor2
 from attrs import define, field
 
 from loomyard.clock import Clock
+from loomyard_router.members.digests import set_digest
 from loomyard_router.members.messages import Item
 
 if TYPE_CHECKING:
@@ -43,9 +42,9 @@
     def digest(self) -> int:
         """Return a sum over the items, equal where they agree."""
         if self._digest is None:
-            self._digest = 0
-            for (topic, key), held in self._held.items():
-                self._digest ^= zlib.crc32(cbor2.dumps([topic, key, held.value]))
+            self._digest = set_digest(
+                [topic, key, held.value] for (topic, key), held in self._held.items()
+            )
         return self._digest
 
     def subscribe(self, topic: str, heard: Callable[[str, int], None]) -> None:
--- a/packages/loomyard-router/src/loomyard_router/parts.py
+++ b/packages/loomyard-router/src/loomyard_router/parts.py
@@ -13,6 +13,7 @@
 from loomyard_router.configuration.distribution import ConfigDistribution
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.members.membership import Membership
+from loomyard_router.members.table_sync import TableSync
 from loomyard_router.members.vm_watch import VmWatch
 from loomyard_router.orders.order_keeper import OrderKeeper
 from loomyard_router.peers.links import PeerLinks
@@ -47,4 +48,5 @@
     journal: Journal
     traffic: TrafficCounters = field(factory=TrafficCounters)
     vm_watch: VmWatch | None = None
+    table_sync: TableSync | None = None
     orders: OrderKeeper | None = None
--- a/packages/loomyard-standins/src/loomyard_standins/benches/slopes/probes.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/slopes/probes.py
@@ -5,10 +5,12 @@
 from typing import TYPE_CHECKING
 
 from loomyard_standins.benches.slopes.configuration_probe import ConfigurationProbe
+from loomyard_standins.benches.slopes.membership_probe import MembershipProbe
 
 if TYPE_CHECKING:
     from loomyard_standins.benches.slopes.probe import Probe
 
 PROBES: dict[str, Probe] = {
     "configuration_accounts": ConfigurationProbe(),
+    "membership_routers": MembershipProbe(),
 }
--- a/tests/test_loomyard_router/test_members/test_swim.py
+++ b/tests/test_loomyard_router/test_members/test_swim.py
@@ -8,10 +8,12 @@
 from loomyard_router.members.datagram_seal import DatagramSeal
 from loomyard_router.members.membership import Member, MemberState
 from loomyard_router.members.swim import SwimMembership, SwimTimes
+from loomyard_router.members.table_sync import TableSync
 from loomyard_router.peers.fleet_secret import make_fleet_secret
 from loomyard_router.peers.traffic import TrafficCounters
 from loomyard_standins.fake_clock import FakeClock
 from loomyard_standins.memory_datagrams import DatagramNetwork
+from loomyard_standins.memory_network import MemoryNetwork
 
 TIMES = SwimTimes()
 SECRET = "secret"
@@ -218,6 +220,26 @@
         fleet.run(SPREAD_WITHIN)
         self.assertEqual(heard, [7])
 
+    def test_a_joiner_of_a_large_fleet_fetches_the_table(self) -> None:
+        fleet = Fleet(2)
+        network = MemoryNetwork()
+        syncs = {}
+        for number in range(2, 60):
+            fleet.start(f"r{number}")
+        for name, member in fleet.members.items():
+            syncs[name] = TableSync(member, network.join(member.own), fleet.clock)
+        while len(fleet.live()) > 1:
+            fleet.run(TIMES.period)
+            for sync in syncs.values():
+                sync.sync()
+        fleet.run(60.0)
+        joiner = fleet.start("r99")
+        sync = TableSync(joiner, network.join(joiner.own), fleet.clock)
+        for _ in range(6):
+            fleet.run(TIMES.period)
+            sync.sync()
+        self.assertEqual(len(joiner.live()), 61)
+
     def test_answers_that_waited_for_a_slow_router_count(self) -> None:
         fleet = Fleet(3)
         states = set()
