--- a/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
@@ -20,6 +20,7 @@
 from loomyard_router.targets.loaded_book import LoadedBook
 from loomyard_router.targets.prefix_index import PrefixIndex
 from loomyard_router.targets.slot_book import SlotBook
+from loomyard_router.targets.spread import Spread
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -42,7 +43,6 @@
 VM_HOLD = 60.0
 TARGET_TOPIC = "targets.leaving"
 VM_TOPIC = "targets.vms"
-LEAVING_ITEM_SECONDS = 600.0
 UNREACHED = frozenset([ResultCode.TARGET_UNREACHABLE, ResultCode.ANSWER_LOST])
 
 
@@ -58,7 +58,7 @@
         gossip: Gossip,
     ) -> None:
         self._clock = clock
-        self._gossip = gossip
+        self._spread = Spread(clock, members, peers, gossip)
         self._targets: dict[str, Target] = {}
         self._versions: dict[str, int] = {}
         self._polled: set[str] = set()
@@ -78,8 +78,8 @@
             clock, hold=VM_HOLD, expiry=None, changed=self._vm_changed
         )
         self._vms = LeavingVms(self._leaving_vms)
-        gossip.subscribe_topic(TARGET_TOPIC, _hearing(self._leaving))
-        gossip.subscribe_topic(VM_TOPIC, _hearing(self._leaving_vms))
+        self._spread.subscribe(TARGET_TOPIC, _hearing(self._leaving))
+        self._spread.subscribe(VM_TOPIC, _hearing(self._leaving_vms))
 
     def may_send(self, name: str, service: str = "") -> bool:
         if name not in self._sendable:
@@ -203,9 +203,7 @@
         event = Event.TARGET_LEAVING if record.leaving else Event.TARGET_RETURNED
         emit(logger, event, name=name, topic=topic, sequence=record.sequence, own=own)
         self._refresh()
-        if own:
-            until = self._clock.now() + LEAVING_ITEM_SECONDS
-            self._gossip.announce(topic, name, record.to_number(), until=until)
+        self._spread.announce(topic, name, record.to_number())
 
     def _refresh(self) -> None:
         usable = {name for name in self._targets if self._is_usable(name)}
--- a/tests/test_loomyard_router/test_targets/test_leaving_spread.py
+++ b/tests/test_loomyard_router/test_targets/test_leaving_spread.py
@@ -4,17 +4,22 @@
 
 import unittest
 
+import gevent
+
 from loomyard.configuration import Change, ConfigState, Put, fold
 from loomyard.objects import Metadata, Service, Target
 from loomyard.platform.vm_list import Vm, VmState
 from loomyard.routing import Routing
 from loomyard_router.peers.no_peers import NoPeers
 from loomyard_router.targets.known_targets import KnownTargets, make_known_targets
+from loomyard_router.targets.spread import NEIGHBOURS
 from loomyard_standins.memory_engines import MemoryEngines
+from loomyard_standins.memory_network import MemoryNetwork
 from test_loomyard_router.test_members.test_swim import TIMES, Fleet
 
 SPREAD_SECONDS = 2.0
 LOSS = 0.2
+HOPS = 8
 
 
 def target(name: str) -> Target:
@@ -24,15 +29,18 @@
 
 
 class LeavingSpreadTest(unittest.TestCase):
-    def start(self, count: int) -> tuple[Fleet, dict[str, KnownTargets]]:
+    def start(self, count: int, *, linked: bool = True) -> tuple[Fleet, dict[str, KnownTargets]]:
         objects = [Service(metadata=Metadata(name="model")), target("a"), target("b")]
         change = Change(change_id="c", puts=[Put(object=item) for item in objects])
         routing = Routing(fold(ConfigState(), 0, change)[0])
         fleet = Fleet(count)
         engines = MemoryEngines()
         routers = {}
+        network = self.network = MemoryNetwork(seed=3)
+        network.loss = LOSS
         for name, members in fleet.members.items():
-            routers[name] = make_known_targets(fleet.clock, engines, members, NoPeers())
+            peers = network.join(members.own) if linked else NoPeers()
+            routers[name] = make_known_targets(fleet.clock, engines, members, peers)
             routers[name].reconfigure(routing)
         fleet.network.loss = LOSS
         return fleet, routers
@@ -43,11 +51,13 @@
         since = fleet.clock.now()
         while any(router.may_send(name) for router in routers.values()):
             self.assertLess(fleet.clock.now() - since, 10 * SPREAD_SECONDS)
+            for _ in range(HOPS):
+                gevent.sleep(0)
             fleet.run(TIMES.tick)
         return fleet.clock.now() - since
 
     def test_within_two_seconds_of_the_first_knowledge(self) -> None:
-        for count in (3, 9, 24):
+        for count in (3, 9, 60):
             with self.subTest(routers=count):
                 fleet, routers = self.start(count)
                 routers["r1"].report_leaving("a")
@@ -55,6 +65,20 @@
                 routers["r2"].take_vms([Vm(name="vm-b", data_centre="", state=VmState.LEAVING)])
                 self.assertLessEqual(self.seconds_until_known(fleet, routers, "b"), SPREAD_SECONDS)
 
+    def test_gossip_alone_does_for_a_small_fleet(self) -> None:
+        fleet, routers = self.start(9, linked=False)
+        routers["r1"].report_leaving("a")
+        self.assertLessEqual(self.seconds_until_known(fleet, routers, "a"), SPREAD_SECONDS)
+
+    def test_links_alone_reach_nearly_all_and_each_passes_on_once(self) -> None:
+        fleet, routers = self.start(60)
+        routers["r1"].report_leaving("a")
+        for _ in range(HOPS):
+            gevent.sleep(0)
+        known = sum(not router.may_send("a") for router in routers.values())
+        self.assertGreater(known, 50)
+        self.assertEqual(self.network.sent_messages, NEIGHBOURS * known)
+
     def test_a_router_that_starts_later_learns_it(self) -> None:
         fleet, routers = self.start(5)
         routers["r1"].report_leaving("a")
