Let only the router that polls a target give up that it is leaving

Routers that don't poll a target see no evidence of it, so after 60 s each concluded that it had returned and told all, the one that polls it included: new work for up to a second, once a minute, and a hold that doubled for nothing. Found by a test of a target that leaves for long; the test fails without the check.

--- a/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
@@ -148,7 +148,7 @@
 
     def tick(self) -> None:
         """Start what is due."""
-        self._leaving.expire()
+        self._leaving.expire(self._would_have_heard)
         self._loads.run_due()
         for name in self._health.probes_due():
             if name in self._polled:
@@ -220,6 +220,10 @@
             return False
         return not target.vm or not self._leaving_vms.is_leaving(target.vm)
 
+    def _would_have_heard(self, name: str) -> bool:
+        """Tell whether this router polls a target, or nobody does."""
+        return name not in self._polled or self._loads.is_mine(name)
+
     def _vm_names(self) -> set[str]:
         return {target.vm for target in self._targets.values() if target.vm}
 
--- a/packages/loomyard-router/src/loomyard_router/targets/leaving_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/leaving_ledger.py
@@ -93,14 +93,18 @@
         if entry.record.version < version:
             entry.record = LeavingRecord(version, 0, leaving=False)
 
-    def expire(self) -> None:
-        """Give up beliefs for which there has been no evidence for long."""
+    def expire(self, may_expire: Callable[[str], bool]) -> None:
+        """Give up beliefs for which there has been no evidence for long.
+
+        ``may_expire`` tells of what this router would have seen evidence.
+        """
         if self._expiry is None:
             return
         now = self._clock.now()
         for name, entry in list(self._entries.items()):
             held = self._expiry * entry.hold_factor
-            if entry.record.leaving and now - entry.last_leaving_at >= held:
+            stale = entry.record.leaving and now - entry.last_leaving_at >= held
+            if stale and may_expire(name):
                 self._conclude(name, entry, entry.record.version, leaving=False)
 
     def retain(self, names: set[str], version: int) -> None:
--- a/tests/test_loomyard_router/test_targets/test_polling.py
+++ b/tests/test_loomyard_router/test_targets/test_polling.py
@@ -15,6 +15,7 @@
 from loomyard_router.targets.known_targets import make_known_targets
 from loomyard_standins.fake_clock import FakeClock
 from loomyard_standins.memory_engines import MemoryEngines
+from loomyard_standins.memory_gossip import MemoryGossip
 from loomyard_standins.memory_network import MemoryNetwork
 
 NAMES = ("r0", "r1", "r2")
@@ -49,9 +50,14 @@
     def setUp(self) -> None:
         self.clock, self.engines, network = FakeClock(), MemoryEngines(), MemoryNetwork()
         self.members = {name: SharedMembers(name) for name in NAMES}
+        gossip = MemoryGossip()
         self.routers = {
             name: make_known_targets(
-                self.clock, self.engines, self.members[name], network.join(member(name))
+                self.clock,
+                self.engines,
+                self.members[name],
+                network.join(member(name)),
+                gossip=gossip.join(),
             )
             for name in NAMES
         }
@@ -99,6 +105,19 @@
         grown = [count - before[name] for name, count in self.polls().items() if name != "p"]
         self.assertGreater(min(grown), 4)
 
+    def test_a_target_that_leaves_for_long_gets_no_work_meanwhile(self) -> None:
+        engine = self.engines.engines["http://t0"]
+        engine.report = evolve(engine.report, leaving=True)
+        self.run_for(3)
+        seen = []
+        for router in self.routers.values():
+            router.subscribe(lambda router=router: seen.append(router.may_send("t0")))
+        self.run_for(200)
+        self.assertNotIn(True, seen)
+        engine.report = evolve(engine.report, leaving=False)
+        self.run_for(15)
+        self.assertTrue(all(router.may_send("t0") for router in self.routers.values()))
+
     def test_estimates_reach_the_others(self) -> None:
         for name in TARGETS:
             engine = self.engines.engines[f"http://{name}"]
