--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -11,6 +11,7 @@
 from loomyard.events import Event, emit
 from loomyard.platform.http_log import connect_log
 from loomyard.platform.http_vm_list import connect_vm_list
+from loomyard.platform.http_weight_store import connect_weight_store
 from loomyard_router.callers.app import CallersApp
 from loomyard_router.callers.handler import CallerServer
 from loomyard_router.callers.in_flight import InFlight
@@ -148,7 +149,14 @@
     clock = SystemClock()
     log = connect_log(settings.log_service)
     vm_list = connect_vm_list(settings.vm_list) if settings.vm_list else None
-    return Platform(clock=clock, log=log, engine=make_http_engine(clock), vm_list=vm_list)
+    store = settings.weight_store
+    return Platform(
+        clock=clock,
+        log=log,
+        engine=make_http_engine(clock),
+        vm_list=vm_list,
+        weight_store=connect_weight_store(store, clock) if store else None,
+    )
 
 
 def make_application(settings: Settings, platform: Platform | None = None) -> Application:
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -50,6 +50,7 @@
     peer_key: str = ""
     peer_authority: str = ""
     vm_list: str = ""
+    weight_store: str = ""
     probe_period: float = 0.5
     claim_window: float = 3600.0
     log_retention: float = 86400.0
@@ -112,6 +113,7 @@
     add("peer-key", "", "PEM key of the certificate")
     add("peer-authority", "", "PEM authority that signs the routers' certificates")
     add("vm-list", "", "address of the VM list")
+    add("weight-store", "", "address of the weight store; without it loads are 10 s apart")
     add("probe-period", 0.5, "seconds between probes of other routers", type=float)
     add("claim-window", 3600.0, "seconds for which an idempotency key is remembered", type=float)
     add("log-retention", 86400.0, "seconds for which the log service keeps records", type=float)
@@ -146,7 +148,7 @@
 def _check_peers(settings: Settings) -> list[FieldFault]:
     faults = []
     addresses = [("peers", peer) for peer in settings.peers]
-    for name in ("peer_listen", "vm_list"):
+    for name in ("peer_listen", "vm_list", "weight_store"):
         addresses += [(name, getattr(settings, name))] if getattr(settings, name) else []
     for name, value in addresses:
         host, _, port = value.rpartition(":")
