Tell the keeper of orders what other routers refuse

A service that no target has loaded queues nowhere: requests are refused, and only refusals at the keeper's own router counted as backlog.

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -22,6 +22,7 @@
 from loomyard_router.operators.interface import make_operators_interface
 from loomyard_router.orders.joint_backlog import JointBacklog
 from loomyard_router.orders.order_keeper import make_order_keeper
+from loomyard_router.orders.wanted_services import WantedServices
 from loomyard_router.parts import Parts, Platform
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
@@ -198,6 +199,7 @@
         estimates=CostEstimates(),
         journal=parts.journal,
     )
+    WantedServices(clock, parts.members, parts.peers, serving.backlog)
     parts.orders = make_order_keeper(
         clock=clock,
         log=platform.log,
--- a/packages/loomyard-router/src/loomyard_router/orders/local_backlog.py
+++ b/packages/loomyard-router/src/loomyard_router/orders/local_backlog.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from loomyard.clock import Clock
 
 # A refusal for want of a target counts as one that waits for some seconds, since nothing can
@@ -20,6 +22,7 @@
         self._clock = clock
         self._waiting: Counter[str] = Counter()
         self._refused_until: dict[str, float] = {}
+        self._listeners: list[Callable[[str], None]] = []
 
     def waiting(self, service: str) -> int:
         """Return how many requests of a service wait, or were refused for want of a target."""
@@ -34,6 +37,16 @@
         """Count a request that no longer waits."""
         self._waiting[service] -= 1
 
+    def subscribe(self, refused: Callable[[str], None]) -> None:
+        """Call back with the service of each refusal of this router."""
+        self._listeners.append(refused)
+
     def refuse(self, service: str) -> None:
-        """Take in that no target takes work of a service now."""
+        """Take in that this router refused a request since no target takes its service now."""
+        self.hear_refusal(service)
+        for listener in self._listeners:
+            listener(service)
+
+    def hear_refusal(self, service: str) -> None:
+        """Take in that some router refused a request of a service."""
         self._refused_until[service] = self._clock.now() + REFUSAL_SECONDS
--- a/packages/loomyard-router/src/loomyard_router/requests/serving.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/serving.py
@@ -23,7 +23,7 @@
     from loomyard.platform.engine import Engine
     from loomyard_router.claims.keeper import ClaimKeeper
     from loomyard_router.configuration.follower import ConfigFollower
-    from loomyard_router.orders.backlog import BacklogView
+    from loomyard_router.orders.local_backlog import LocalBacklog
     from loomyard_router.requests.answer import Answer
     from loomyard_router.requests.attempt import Attempt
     from loomyard_router.requests.estimates import CostEstimates
@@ -71,7 +71,7 @@
         return self._queue.stopping
 
     @property
-    def backlog(self) -> BacklogView:
+    def backlog(self) -> LocalBacklog:
         return self._queue.backlog
 
     def stop(self) -> None:
--- /dev/null
+++ b/tests/test_loomyard_router/test_orders/test_wanted_services.py
@@ -0,0 +1,49 @@
+"""Tests that the keeper of orders hears what other routers refuse."""
+
+from __future__ import annotations
+
+import unittest
+
+import gevent
+
+from loomyard_router.members.membership import Member, SoleMembership
+from loomyard_router.orders.local_backlog import REFUSAL_SECONDS, LocalBacklog
+from loomyard_router.orders.wanted_services import REPEAT_SECONDS, WantedServices
+from loomyard_router.shares.parents import find_allocator
+from loomyard_standins.fake_clock import FakeClock
+from loomyard_standins.memory_network import MemoryNetwork
+
+NAMES = ("r0", "r1", "r2")
+
+
+def member(name: str) -> Member:
+    return Member(name=name, incarnation=1, address="", data_centre="")
+
+
+class ThreeMembers(SoleMembership):
+    def live(self) -> tuple[Member, ...]:
+        return tuple(member(name) for name in NAMES)
+
+
+class WantedServicesTest(unittest.TestCase):
+    def test_a_lasting_want_has_no_gap_and_costs_few_messages(self) -> None:
+        clock, network = FakeClock(), MemoryNetwork()
+        backlogs = {name: LocalBacklog(clock) for name in NAMES}
+        for name, backlog in backlogs.items():
+            members = ThreeMembers(member(name))
+            WantedServices(clock, members, network.join(member(name)), backlog)
+        keeper = find_allocator(members)
+        other = next(name for name in NAMES if name != keeper)
+        for tenth in range(200):
+            backlogs[other].refuse("tagger")
+            gevent.sleep(0)
+            gevent.sleep(0)
+            self.assertEqual(backlogs[keeper].waiting("tagger"), 1, tenth)
+            clock.advance(0.1)
+        self.assertLessEqual(network.sent_messages, 20 / REPEAT_SECONDS + 1)
+        clock.advance(REFUSAL_SECONDS)
+        self.assertEqual(backlogs[keeper].waiting("tagger"), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
