Show operators how targets stand and why

Nobody could see why a target got no new work, what the slot estimate was or what it had loaded. loomyardctl targets and GET /operators/v1/targets tell it as the router asked sees it. Engines without cache events are no longer asked for them every 2 s but once a minute.

--- a/packages/loomyard-router/src/loomyard_router/operators/app.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/app.py
@@ -22,7 +22,13 @@
     problem_headers,
     status_of,
 )
-from loomyard_router.operators.documents import ChangeRequest, FleetReport, ObjectEntry, ObjectList
+from loomyard_router.operators.documents import (
+    ChangeRequest,
+    FleetReport,
+    ObjectEntry,
+    ObjectList,
+    TargetReport,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -34,6 +40,7 @@
     from loomyard_router.operators.fleet_status import FleetStatus
     from loomyard_router.operators.keys import OperatorKeys
     from loomyard_router.operators.router_drains import RouterDrains
+    from loomyard_router.targets.directory import TargetDirectory
 
     Environ = dict[str, Any]
     StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -53,7 +60,7 @@
 
 
 class OperatorsApp:
-    """Serve /operators/v1: ``objects``, ``changes``, ``status``, ``requests`` and drains."""
+    """Serve /operators/v1: objects, changes, status, targets, requests and drains."""
 
     def __init__(
         self,
@@ -64,6 +71,7 @@
         status: FleetStatus,
         explanations: Explanations,
         drains: RouterDrains,
+        targets: TargetDirectory,
     ) -> None:
         self._keys = keys
         self._follower = follower
@@ -71,6 +79,7 @@
         self._status = status
         self._explanations = explanations
         self._drains = drains
+        self._targets = targets
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         request_id = f"op-{secrets.token_hex(8)}"
@@ -100,6 +109,8 @@
                 return self._changes.find(change_id).map(_change_answer)
             case ("GET", "status"):
                 return _plain(Ok(self._report()))
+            case ("GET", "targets"):
+                return _plain(Ok(self._report_targets()))
             case ("GET", "requests", request_id):
                 return _plain(self._explanations.explain(request_id))
             case ("POST", "targets", name, "drain"):
@@ -116,6 +127,10 @@
         routers, silent = self._status.collect()
         return FleetReport(answered_by=self._status.own().name, routers=routers, silent=silent)
 
+    def _report_targets(self) -> TargetReport:
+        name = self._status.own().name
+        return TargetReport(answered_by=name, targets=self._targets.statuses())
+
     def _list(self, query: dict[str, list[str]]) -> ObjectList:
         state = self._follower.state
         kinds, refs = query.get("kind", []), set(query.get("ref", []))
--- a/packages/loomyard-router/src/loomyard_router/operators/documents.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/documents.py
@@ -7,6 +7,7 @@
 from loomyard.configuration import ABSENT, Deletion, Put
 from loomyard.objects import ConfigObject
 from loomyard_router.configuration.messages import RouterStatus
+from loomyard_router.targets.target_status import TargetStatus
 
 
 @frozen(kw_only=True)
@@ -72,3 +73,11 @@
     answered_by: str
     routers: list[RouterStatus] = field(factory=list)
     silent: list[Laggard] = field(factory=list)
+
+
+@frozen(kw_only=True)
+class TargetReport:
+    """How the targets stand in the eyes of the router asked."""
+
+    answered_by: str
+    targets: list[TargetStatus] = field(factory=list)
--- a/packages/loomyard-router/src/loomyard_router/operators/interface.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/interface.py
@@ -64,6 +64,7 @@
         status=status,
         explanations=Explanations(clock=clock, journal=parts.journal, members=members, peers=peers),
         drains=RouterDrains(clock=clock, members=members, peers=peers, begin_stop=begin_stop),
+        targets=parts.targets,
     )
     return OperatorsInterface(_make_server(settings, app))
 
--- a/packages/loomyard-router/src/loomyard_router/orders/order_planner.py
+++ b/packages/loomyard-router/src/loomyard_router/orders/order_planner.py
@@ -38,12 +38,14 @@
         self._backlog_since.clear()
         self._idle_since.clear()
         self._changed_at.clear()
+        self._desired_since.clear()
         self.desired.clear()
 
     def finish(self, name: str) -> None:
         """Take in that a target is as desired, or that the desire is given up."""
         now = self._clock.now()
         service = self.desired.pop(name, None)
+        self._desired_since.pop(name, None)
         self._changed_at[name] = now
         if service in self._backlog_since:
             # The change must show its effect before the next one.
--- a/packages/loomyard-router/src/loomyard_router/targets/cache_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/cache_follower.py
@@ -17,6 +17,8 @@
 POLL_SECONDS = 2.0
 # Bounds what a router hears of caches, however many targets there are.
 FOLLOWED_TARGETS = 8
+# An engine that has no events is not asked again for so long.
+SILENT_SECONDS = 60.0
 
 
 class CacheFollower:
@@ -27,6 +29,7 @@
         self._engine = engine
         self._index = index
         self._sends: Counter[str] = Counter()
+        self._silent_until: dict[str, float] = {}
         self._due = clock.now()
         self._task: gevent.Greenlet | None = None
 
@@ -40,9 +43,13 @@
         if now < self._due or (self._task is not None and not self._task.dead):
             return
         self._due = now + POLL_SECONDS
-        followed = [name for name, _ in self._sends.most_common(FOLLOWED_TARGETS)]
-        self._sends = Counter({n: c // 2 for n, c in self._sends.items() if c > 1 and n in targets})
-        self._task = gevent.spawn(self._pull, [targets[n] for n in followed if n in targets])
+        asked = Counter({n: c for n, c in self._sends.items() if n in targets})
+        self._sends = Counter({name: count // 2 for name, count in asked.items() if count > 1})
+        self._silent_until = {n: at for n, at in self._silent_until.items() if at > now}
+        for name in self._silent_until:
+            del asked[name]
+        followed = [targets[name] for name, _ in asked.most_common(FOLLOWED_TARGETS)]
+        self._task = gevent.spawn(self._pull, followed)
 
     def stop(self) -> None:
         """End the pull."""
@@ -57,4 +64,4 @@
                     self._index.take_events(name, events)
                 case _:
                     # Engines without events answer with an error; own sends must do there.
-                    del self._sends[name]
+                    self._silent_until[name] = self._clock.now() + SILENT_SECONDS
--- a/packages/loomyard-router/src/loomyard_router/targets/directory.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/directory.py
@@ -11,6 +11,7 @@
 
     from loomyard.objects import Target
     from loomyard.routing import Routing
+    from loomyard_router.targets.target_status import TargetStatus
 
 
 class TargetDirectory(Protocol):
@@ -34,6 +35,9 @@
     def report_attempt(self, name: str, *, answered: bool) -> None:
         """Take in whether a target answered an attempt."""
 
+    def statuses(self) -> list[TargetStatus]:
+        """Return how each target stands here, by name."""
+
     def reconfigure(self, routing: Routing) -> None:
         """Take over a configuration."""
 
@@ -75,6 +79,9 @@
     def report_attempt(self, name: str, *, answered: bool) -> None:
         pass
 
+    def statuses(self) -> list[TargetStatus]:
+        return []
+
     def reconfigure(self, routing: Routing) -> None:
         self._targets = dict(routing.targets)
         for listener in self._listeners:
--- a/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
@@ -21,6 +21,7 @@
 from loomyard_router.targets.prefix_index import PrefixIndex
 from loomyard_router.targets.slot_book import SlotBook
 from loomyard_router.targets.spread import Spread
+from loomyard_router.targets.target_status import TargetStanding, TargetStatus
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -112,6 +113,10 @@
             emit(logger, Event.TARGET_EJECTED, target=name)
             self._refresh()
 
+    def statuses(self) -> list[TargetStatus]:
+        """Return how each target stands here, by name."""
+        return [self._status(name) for name in sorted(self._targets)]
+
     def take_vms(self, listed: list[Vm]) -> None:
         """Take in a reading of the VM list."""
         self._vms.take(listed, self._vm_names())
@@ -224,6 +229,29 @@
         """Tell whether this router polls a target, or nobody does."""
         return name not in self._polled or self._loads.is_mine(name)
 
+    def _status(self, name: str) -> TargetStatus:
+        target = self._targets[name]
+        return TargetStatus(
+            name=name,
+            standing=self._standing(target),
+            slots=self.slots(target),
+            configured_slots=target.slots,
+            loaded=list(self._loaded.services(target)),
+        )
+
+    def _standing(self, target: Target) -> TargetStanding:
+        name = target.metadata.name
+        if target.state is not TargetState.ACTIVE:
+            return TargetStanding.LEAVING_CONFIGURED
+        if self._leaving.is_leaving(name):
+            return TargetStanding.LEAVING_TOLD
+        if not self._is_usable(name):
+            return TargetStanding.LEAVING_VM
+        if name not in self._sendable:
+            return TargetStanding.EJECTED
+        half_open = self._health.is_half_open(name)
+        return TargetStanding.PROBING if half_open else TargetStanding.SERVING
+
     def _vm_names(self) -> set[str]:
         return {target.vm for target in self._targets.values() if target.vm}
 
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/targets/target_status.py
@@ -0,0 +1,29 @@
+"""How a target stands in the eyes of one router, for operators."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from attrs import field, frozen
+
+
+class TargetStanding(Enum):
+    """Whether a target gets new work, and the first reason why not."""
+
+    SERVING = "serving"
+    LEAVING_CONFIGURED = "leaving by configuration"
+    LEAVING_TOLD = "leaving by its own word"
+    LEAVING_VM = "leaving by the VM list"
+    EJECTED = "ejected after failed attempts"
+    PROBING = "half-open after failed attempts"
+
+
+@frozen(kw_only=True)
+class TargetStatus:
+    """``slots`` is the estimate, ``loaded`` the services loaded now."""
+
+    name: str
+    standing: TargetStanding
+    slots: int
+    configured_slots: int
+    loaded: list[str] = field(factory=list)
--- a/packages/loomyardctl/src/loomyardctl/arguments.py
+++ b/packages/loomyardctl/src/loomyardctl/arguments.py
@@ -5,7 +5,7 @@
 import argparse
 from typing import TYPE_CHECKING
 
-from loomyardctl.commands import apply, delete, diff, drain, explain, get, status, validate
+from loomyardctl.commands import apply, delete, diff, drain, explain, get, status, targets, validate
 from loomyardctl.output import OutputFormat
 
 if TYPE_CHECKING:
@@ -20,6 +20,7 @@
     delete,
     diff,
     status,
+    targets,
     explain,
     drain,
 )
--- a/tests/test_loomyard_router/test_operators.py
+++ b/tests/test_loomyard_router/test_operators.py
@@ -20,6 +20,7 @@
 from loomyard_router.operators.messages import DrainRequest
 from loomyard_router.operators.router_drains import RouterDrains
 from loomyard_router.requests.journal import Journal, Step
+from loomyard_router.targets.directory import make_configured_targets
 from loomyard_standins.config_fleet import ConfigFleet, ConfigRouter
 
 KEY = "key-operator"
@@ -43,6 +44,7 @@
             status=status,
             explanations=Explanations(clock=clock, journal=self.journal, **among),
             drains=RouterDrains(clock=clock, begin_stop=self.stop, **among),
+            targets=make_configured_targets(),
         )
 
     def stop(self) -> None:
--- a/tests/test_loomyardctl/test_commands.py
+++ b/tests/test_loomyardctl/test_commands.py
@@ -96,6 +96,15 @@
         self.assertEqual(code, 0)
         self.assertIn("Target  engine-0", out)
 
+    def test_targets_tell_why_not(self) -> None:
+        code, out, _ = self.call("targets")
+        self.assertEqual(code, 0)
+        self.assertRegex(out, r"engine-0 +serving +8 +8 +assistant")
+        self.fleet.routers[0].parts.targets.report_leaving("engine-0")
+        _, out, _ = self.call("targets", "-o", "json")
+        standings = {t["name"]: t["standing"] for t in json.loads(out)["targets"]}
+        self.assertEqual(standings["engine-0"], "leaving by its own word")
+
     def test_explain(self) -> None:
         journal = self.fleet.routers[0].parts.journal
         journal.record("req-1", Step.QUEUED, "behind 3 of account kiosk")
