--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -26,7 +26,10 @@
 from loomyard_router.parts import Parts, Platform
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
+from loomyard_router.requests.resume_holds import ResumeHolds
+from loomyard_router.requests.resuming import Resuming
 from loomyard_router.requests.serving import Serving
+from loomyard_router.requests.stream_token import StreamTokens
 from loomyard_router.shares.fifo import make_fifo_policy
 from loomyard_router.shares.fleet import FleetPolicy, make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
@@ -189,6 +192,13 @@
         ),
         journal=Journal(clock),
     )
+    resuming = Resuming(
+        clock=clock,
+        follower=follower,
+        engine=platform.engine,
+        tokens=StreamTokens(settings.fleet_secret),
+        holds=ResumeHolds(clock, parts.peers, settings.name, seconds=settings.resume_seconds),
+    )
     serving = Serving(
         clock=clock,
         follower=parts.follower,
@@ -198,6 +208,7 @@
         engine=platform.engine,
         estimates=CostEstimates(),
         journal=parts.journal,
+        resuming=resuming,
     )
     WantedServices(clock, parts.members, parts.peers, serving.backlog)
     parts.orders = make_order_keeper(
@@ -209,7 +220,7 @@
         weights=platform.weight_store,
         backlog=_join_backlogs(serving, parts.policy),
     )
-    callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
+    callers = CallersApp(clock=clock, follower=parts.follower, serving=serving, resuming=resuming)
     return Application(settings, platform, parts, callers, serving=serving)
 
 
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -22,6 +22,7 @@
     STARTING_POINT_MISSING = (206, logging.ERROR, "records are missing and no snapshot has them")
     LOG_REGRESSED = (207, logging.ERROR, "the log ends before what was read; the state is kept")
     SNAPSHOT_FAILED = (208, logging.WARNING, "a configuration snapshot could not be appended")
+    CONFIGURATION_RESTORED = (210, logging.WARNING, "an operator restored the configuration")
     OPERATOR_REFUSED = (220, logging.WARNING, "an operator's request had no valid key")
     OPERATOR_CHANGE = (221, logging.INFO, "an operator's change was settled")
     OPERATOR_DRAIN = (222, logging.INFO, "an operator drains a router or a target")
@@ -41,8 +42,9 @@
     VM_LIST_RECOVERED = (331, logging.INFO, "the VM list answers again")
     REQUEST_REFUSED = (400, logging.INFO, "a request was refused before it ran")
     ATTEMPT_FAILED = (401, logging.WARNING, "an attempt at a target failed")
-    CALLER_GONE = (402, logging.INFO, "the caller left; the work was cancelled")
+    CALLER_GONE = (402, logging.INFO, "the caller left; its work is cancelled unless it resumes")
     STREAM_RESUMED = (403, logging.INFO, "a broken stream is resumed at its engine")
+    CALLER_RESUMED = (404, logging.INFO, "a caller goes on with a stream")
     CLAIM_OUTCOME_UNKNOWN = (
         550,
         logging.WARNING,
--- a/packages/loomyardctl/src/loomyardctl/arguments.py
+++ b/packages/loomyardctl/src/loomyardctl/arguments.py
@@ -5,7 +5,18 @@
 import argparse
 from typing import TYPE_CHECKING
 
-from loomyardctl.commands import apply, delete, diff, drain, explain, get, status, targets, validate
+from loomyardctl.commands import (
+    apply,
+    delete,
+    diff,
+    drain,
+    explain,
+    get,
+    restore,
+    status,
+    targets,
+    validate,
+)
 from loomyardctl.output import OutputFormat
 
 if TYPE_CHECKING:
@@ -23,6 +34,7 @@
     targets,
     explain,
     drain,
+    restore,
 )
 DEFAULT_ROUTER = "http://127.0.0.1:8081"
 EPILOG = """\
