--- a/packages/loomyard-router/src/loomyard_router/operators/interface.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/interface.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import logging
 from typing import TYPE_CHECKING
 
-from gevent.pywsgi import WSGIServer
-
 from loomyard_router.configuration.log_snapshots import LogSnapshots
 from loomyard_router.operators.app import OperatorsApp
 from loomyard_router.operators.changes import ChangePublisher
@@ -15,6 +12,7 @@
 from loomyard_router.operators.keys import OperatorKeys
 from loomyard_router.operators.restores import Restores
 from loomyard_router.operators.router_drains import RouterDrains
+from loomyard_router.operators.server import OperatorServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,13 +20,11 @@
     from loomyard_router.parts import Parts, Platform
     from loomyard_router.settings import Settings
 
-logger = logging.getLogger(__name__)
-
 
 class OperatorsInterface:
     """Answer operators on a listener of their own; without an address only peers are answered."""
 
-    def __init__(self, server: WSGIServer | None) -> None:
+    def __init__(self, server: OperatorServer | None) -> None:
         self._server = server
 
     @property
@@ -77,11 +73,11 @@
     return OperatorsInterface(_make_server(settings, app))
 
 
-def _make_server(settings: Settings, app: OperatorsApp) -> WSGIServer | None:
+def _make_server(settings: Settings, app: OperatorsApp) -> OperatorServer | None:
     if not settings.operator_listen:
         return None
     host, _, port = settings.operator_listen.rpartition(":")
     tls = {}
     if settings.operator_certificate:
         tls = {"certfile": settings.operator_certificate, "keyfile": settings.operator_private_key}
-    return WSGIServer((host, int(port)), app, log=None, error_log=logger, **tls)
+    return OperatorServer((host, int(port)), app, **tls)
