--- a/tests/test_loomyard_router/test_claims.py
+++ b/tests/test_loomyard_router/test_claims.py
@@ -5,9 +5,12 @@
 import unittest
 
 import gevent
+from attrs import evolve
+from gevent.event import AsyncResult
 
 from loomyard.errors import Executed, ResultCode
 from loomyard_router.claims.keeper import RecordedOutcome
+from loomyard_router.claims.messages import BeginClaim
 from test_loomyard_router.claims_fleet import TIMEOUT, WINDOW, ClaimsFleet, key, settle
 
 FIRST = RecordedOutcome(status=200, content_type="text/plain", body=b"1")
@@ -70,6 +73,8 @@
         )
         self.assertEqual(self.code(self.fleet.restart("a")), ResultCode.OUTCOME_UNKNOWN)
         self.assertEqual(self.fleet.sends["k"], 0)
+        seen = [s for k in self.fleet.keepers.values() for s in k._hosting.unknown()]
+        self.assertEqual([(s.owner, s.incarnation) for s in seen], [("a", 1)])
 
     def test_repeat_attaches_to_the_running_one_until_its_deadline(self) -> None:
         first, second = self.fleet.start("a", "b")
@@ -123,6 +128,14 @@
         self.fleet.pass_time()
         self.assertEqual(self.serve(second).unwrap(), FIRST)
 
+    def test_planned_stop_records_what_has_ended(self) -> None:
+        first, second = self.fleet.start("a", "b")
+        claim = self.begun(first)
+        first.finish(claim, self.fleet.send(claim))
+        self.fleet.run(first.stop)
+        self.fleet.kill("a")
+        self.assertEqual(self.serve(second).unwrap(), FIRST)
+
     def test_lost_answer_of_each_append(self) -> None:
         keepers = self.fleet.start("a", "b")
         for lost in range(1, 4):
@@ -150,6 +163,21 @@
         self.fleet.pass_time(2.0)
         self.assertEqual(self.serve(keeper).unwrap(), FIRST)
 
+    def test_slow_append_refuses_at_once_and_reads_do_not_spin(self) -> None:
+        (keeper,) = self.fleet.start("a")
+        claim = keeper.claim(key(), TIMEOUT).unwrap()
+        self.log.append = lambda stream, payload: AsyncResult().get()
+        task = gevent.spawn(keeper.begin, claim, TIMEOUT)
+        reads = []
+        read = self.log.read
+        self.log.read = lambda *a, **o: reads.append(a) or read(*a, **o)
+        settle()
+        self.fleet.pass_time(3.0)
+        self.assertEqual(task.value.unwrap_err().code, ResultCode.CLAIM_UNAVAILABLE)
+        refused = keeper.claim(key(), self.clock.now() + TIMEOUT).unwrap_err()
+        self.assertEqual(refused.code, ResultCode.CLAIM_UNAVAILABLE)
+        self.assertLess(len(reads), 100)
+
     def test_router_that_has_not_read_to_the_end_refuses(self) -> None:
         self.log.down = True
         (keeper,) = self.fleet.start("a")
@@ -176,6 +204,19 @@
             self.assertEqual(self.code(keeper, wanted), ResultCode.KEY_EXPIRED)
         self.assertEqual(self.fleet.sends["k"], 0)
 
+    def test_host_refuses_a_claimant_whose_wall_clock_differs(self) -> None:
+        (keeper,) = self.fleet.start("a")
+        wall = self.clock.wall()
+        for wrong in (wall + 31, wall - 31, float("nan")):
+            begun = evolve(self.record(keeper), begun_at=wrong)
+            answer = keeper._hosting.answer(BeginClaim(begun=begun), TIMEOUT)
+            self.assertIsNone(answer.verdict)
+        self.assertEqual(self.log.appends, 0)
+
+    def record(self, keeper):
+        claim = keeper.claim(key(), TIMEOUT).unwrap()
+        return keeper._make_begun(claim, TIMEOUT)
+
     def test_kept_body_is_bounded(self) -> None:
         (keeper,) = self.fleet.start("a")
         large = RecordedOutcome(status=201, content_type="text/plain", body=b"x" * 17_000)
