Keep the followers alive whatever a record, a step or a number holds

Cause: an exception in a step ended the task that follows the log, and the router would have kept its version for ever; a weight of infinity was accepted, and a lone surrogate in a change ended in a traceback. Found by drawing records and fields (400 draws): nothing raises in the fold.

--- a/packages/loomyard-router/src/loomyard_router/configuration/follower.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/follower.py
@@ -12,6 +12,7 @@
 from loomyard.configuration import CONFIG_STREAM, EMPTY_VERSION, Verdict
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
+from loomyard_router.configuration.repeating import repeat
 from loomyard_router.configuration.replica import ConfigReplica
 
 if TYPE_CHECKING:
@@ -123,7 +124,7 @@
 
     def start(self) -> None:
         """Start to follow."""
-        self._task = gevent.spawn(self._run)
+        self._task = gevent.spawn(repeat, self._clock, self._step)
 
     def stop(self) -> None:
         """Stop to follow."""
@@ -142,16 +143,14 @@
                 self._reachable = False
         return self._reachable
 
-    def _run(self) -> None:
-        while True:
-            reachable = self.poll(READ_WAIT)
-            if reachable != self._reported:
-                self._reported = reachable
-                emit(logger, Event.LOG_RECOVERED if reachable else Event.LOG_UNAVAILABLE)
-            if not reachable:
-                self._clock.sleep(RETRY_SECONDS)
-            elif self._gap:
-                self._clock.sleep(GAP_RETRY_SECONDS)
+    def _step(self) -> float:
+        reachable = self.poll(READ_WAIT)
+        if reachable != self._reported:
+            self._reported = reachable
+            emit(logger, Event.LOG_RECOVERED if reachable else Event.LOG_UNAVAILABLE)
+        if not reachable:
+            return RETRY_SECONDS
+        return GAP_RETRY_SECONDS if self._gap else 0.0
 
     def _take(self, batch: LogBatch) -> None:
         self._end = max(self._end, batch.end)
--- a/packages/loomyard-router/src/loomyard_router/configuration/peer_configuration.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/peer_configuration.py
@@ -24,6 +24,7 @@
     RecordsAnswer,
     RecordsRequest,
 )
+from loomyard_router.configuration.repeating import repeat
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -76,7 +77,7 @@
         """Start to ask peers while the log service does not answer or they know more."""
         self._members.subscribe_topic(VERSION_TOPIC, self._hear)
         self._follower.subscribe(self._announce)
-        self._task = gevent.spawn(self._run)
+        self._task = gevent.spawn(repeat, self._clock, self._step)
 
     def stop(self) -> None:
         """Stop to ask."""
@@ -96,11 +97,10 @@
                 return state
         return None
 
-    def _run(self) -> None:
-        while True:
-            if self._log_is_silent() or self._heard_version > self._follower.state.version:
-                self.poll()
-            self._clock.sleep(POLL_SECONDS)
+    def _step(self) -> float:
+        if self._log_is_silent() or self._heard_version > self._follower.state.version:
+            self.poll()
+        return POLL_SECONDS
 
     def _hear(self, _: str, version: int) -> None:
         self._heard_version = max(self._heard_version, version)
--- a/packages/loomyard-router/src/loomyard_router/configuration/snapshot_writer.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/snapshot_writer.py
@@ -12,6 +12,7 @@
 from loomyard.configuration import CONFIG_STREAM, EMPTY_VERSION, make_notice
 from loomyard.events import Event, emit
 from loomyard.rendezvous import choose
+from loomyard_router.configuration.repeating import repeat
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -56,7 +57,7 @@
 
     def start(self) -> None:
         """Start to check."""
-        self._task = gevent.spawn(self._run)
+        self._task = gevent.spawn(repeat, self._clock, self._step)
 
     def stop(self) -> None:
         """Stop to check."""
@@ -94,7 +95,6 @@
         notice = make_notice(state, writer=name, written_at=wall)
         return self._log.append(CONFIG_STREAM, encode(notice)).is_ok()
 
-    def _run(self) -> None:
-        while True:
-            self._clock.sleep(CHECK_SECONDS)
-            self.check()
+    def _step(self) -> float:
+        self.check()
+        return CHECK_SECONDS
--- a/packages/loomyard-router/src/loomyard_router/operators/changes.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/changes.py
@@ -96,7 +96,10 @@
         known = self._follower.replica.settled(change.change_id)
         if known is not None:
             return Ok(known)
-        payload = encode(change)
+        try:
+            payload = encode(change)
+        except UnicodeEncodeError as error:
+            return Err(Fault(code=ResultCode.CHANGE_REJECTED, detail=f"not text: {error}"))
         if fault := _form_fault(change, payload):
             return Err(fault)
         appended = self._log.append(CONFIG_STREAM, payload)
--- a/packages/loomyard/src/loomyard/objects/client_account.py
+++ b/packages/loomyard/src/loomyard/objects/client_account.py
@@ -8,6 +8,7 @@
 
 from loomyard.objects.metadata import Metadata
 
+MAX_WEIGHT = 1e6
 _DIGEST = re.compile(r"[0-9a-f]{64}\Z")
 
 
@@ -28,5 +29,5 @@
     key_digests: list[str] = field(
         factory=list, validator=validators.deep_iterable(member_validator=_check_digest)
     )
-    weight: float = field(default=1.0, validator=validators.gt(0))
+    weight: float = field(default=1.0, validator=[validators.gt(0), validators.le(MAX_WEIGHT)])
     queue_limit: int = field(default=256, validator=validators.ge(1))
--- a/packages/loomyard/src/loomyard/objects/service.py
+++ b/packages/loomyard/src/loomyard/objects/service.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Any
 
 from attrs import field, frozen, validators
 
 from loomyard.objects.metadata import Metadata
 from loomyard.objects.operation import Operation
 
+MAX_UNITS = 1e9
+_IN_UNITS: list[Any] = [validators.ge(0), validators.le(MAX_UNITS)]
+
 
 class ServiceType(Enum):
     """How a service is called and how its cost is counted."""
@@ -28,8 +32,10 @@
 
     metadata: Metadata
     type: ServiceType = ServiceType.MODEL
-    prompt_weight: float = field(default=1.0, validator=validators.ge(0))
-    completion_weight: float = field(default=2.0, validator=validators.ge(0))
-    second_weight: float = field(default=1000.0, validator=validators.ge(0))
-    default_cost: float = field(default=500.0, validator=validators.gt(0))
+    prompt_weight: float = field(default=1.0, validator=_IN_UNITS)
+    completion_weight: float = field(default=2.0, validator=_IN_UNITS)
+    second_weight: float = field(default=1000.0, validator=_IN_UNITS)
+    default_cost: float = field(
+        default=500.0, validator=[validators.gt(0), validators.le(MAX_UNITS)]
+    )
     operations: list[Operation] = field(factory=list)
--- a/tests/test_loomyard/test_configuration.py
+++ b/tests/test_loomyard/test_configuration.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+import cbor2
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -90,6 +91,10 @@
     return ClientAccount(metadata=Metadata(name=name), key_digests=list(digests))
 
 
+WORDS = ["change_id", "puts", "deletions", "object", "ref", "kind", "metadata", "name", "labels"]
+WORDS += ["weight", "services", "key_digests", "based_on", "snapshot_of", "version", "operations"]
+
+
 class ValidationTest(unittest.TestCase):
     def setUp(self) -> None:
         self.state, verdict = fold(ConfigState(), 0, change(SERVICE, ROUTE, TARGET))
@@ -140,6 +145,34 @@
             self.assertEqual((folded.state.version, folded.state.applied), (1, 2))
 
 
+PLAIN = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.sampled_from(WORDS) | st.text(max_size=4), inner, max_size=5),
+    max_leaves=12,
+)
+
+
+class HostileRecordTest(unittest.TestCase):
+    """A record that raised would stop the followers of all routers at the same offset."""
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.binary(max_size=60) | PLAIN.map(cbor2.dumps))
+    def test_no_bytes_stop_the_fold(self, payload: bytes) -> None:
+        folded = fold_record(ConfigState(), 0, payload)
+        self.assertEqual(folded.state.applied, 0)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.data())
+    def test_no_field_stops_the_fold(self, data: st.DataObject) -> None:
+        plain = cbor2.loads(encode(change(SERVICE, ROUTE, TARGET, account("kiosk", DIGEST))))
+        item = plain["puts"][data.draw(st.integers(0, 3))]["object"]
+        item[data.draw(st.sampled_from(sorted(item)) | st.sampled_from(WORDS))] = data.draw(PLAIN)
+        folded = fold_record(ConfigState(), 0, cbor2.dumps(plain))
+        self.assertEqual(folded.state.applied, 0)
+        Routing(folded.state)
+
+
 NAMES = st.sampled_from(["a", "b", "c"])
 OBJECTS = st.one_of(
     st.builds(
--- a/tests/test_loomyard/test_manifests.py
+++ b/tests/test_loomyard/test_manifests.py
@@ -38,6 +38,12 @@
         self.assertIsInstance(objects[0], ClientAccount)
         self.assertEqual(objects[0].metadata.labels, {"tier": "gold"})
 
+    def test_numbers_are_finite(self) -> None:
+        for number in (".inf", ".nan", "1e400"):
+            account = GOOD.replace("weight: 2", f"weight: {number}")
+            faults = read_manifests([("a.yaml", account)]).unwrap_err()
+            self.assertEqual([fault.field for fault in faults], ["weight"])
+
     def test_reports_every_fault_with_its_place(self) -> None:
         faults = read_manifests([("b.yaml", BAD), ("c.yaml", "{")]).unwrap_err()
         places = [(fault.source, fault.object, fault.field) for fault in faults]
--- a/tests/test_loomyard_router/test_config_distribution.py
+++ b/tests/test_loomyard_router/test_config_distribution.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest import mock
 
+import gevent
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -23,6 +24,7 @@
 from loomyard.objects import ClientAccount, Metadata, ObjectRef
 from loomyard.platform.log_service import LogRecord
 from loomyard_router.configuration.log_snapshots import LogSnapshots
+from loomyard_router.configuration.repeating import FAILURE_PAUSE
 from loomyard_standins.config_fleet import RETENTION, ConfigFleet
 
 
@@ -136,6 +138,18 @@
         self.assertIs(emit.call_args.args[1], Event.LOG_REGRESSED)
         self.assertIs(router.state, before)
 
+    def test_a_failed_step_does_not_end_the_following(self) -> None:
+        fleet, router = self.fleet, self.fleet.start("a")
+        fleet.grow(1)
+        router.follower.start()
+        self.addCleanup(router.follower.stop)
+        with mock.patch.object(fleet.log, "read", side_effect=RuntimeError):
+            gevent.sleep(0)
+        self.assertEqual(router.state.version, -1)
+        fleet.clock.advance(FAILURE_PAUSE)
+        gevent.sleep(0)
+        self.assertEqual(router.state.version, 0)
+
     def test_the_chosen_router_keeps_a_snapshot_young(self) -> None:
         fleet = self.fleet
         routers = [fleet.start(name) for name in "abc"]
--- a/tests/test_loomyard_router/test_operators.py
+++ b/tests/test_loomyard_router/test_operators.py
@@ -164,8 +164,11 @@
     def test_what_is_wrong_in_form_never_reaches_the_log(self) -> None:
         big = put(1.0)
         big["puts"][0]["object"]["metadata"]["labels"] = {"x": "y" * 600_000}
+        surrogate = json.dumps(put(1.0)).replace(
+            '"name": "kiosk"', '"name": "kiosk", "labels": {"x": "\\ud800"}'
+        )
         bodies = [json.dumps(big).encode(), b"", b"[]", b"{", b'{"puts": [{}]}', b'{"puts": []}']
-        for body in [*bodies, json.dumps(put(-1.0)).encode(), b"[" * 100_000]:
+        for body in [*bodies, surrogate.encode(), json.dumps(put(-1.0)).encode(), b"[" * 100_000]:
             with self.subTest(body=body[:40]):
                 status, problem = self.routers[0].send("POST", "changes", body)
                 self.assertIn(status, (400, 422))
