--- a/packages/loomyard-router/src/loomyard_router/callers/handler.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/handler.py
@@ -75,11 +75,18 @@
         self.response_length += sent
 
     def _write(self, data: bytes) -> None:
-        if not data:
-            return
-        if self.response_use_chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._sendall(data)
+        if data:
+            self._sendall(self._frame(data))
+
+    def _write_with_headers(self, data: bytes) -> None:
+        self.headers_sent = True
+        self.finalize_headers()
+        lines = [b"%b: %b\r\n" % header for header in self.response_headers]
+        head = b"HTTP/1.1 %b\r\n%b\r\n" % (self.status, b"".join(lines))
+        self._sendall(head + self._frame(data) if data else head)
+
+    def _frame(self, data: bytes) -> bytes:
+        return b"%x\r\n%b\r\n" % (len(data), data) if self.response_use_chunked else data
 
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
         self.close_connection = True
--- a/packages/loomyard-router/src/loomyard_router/requests/serving.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/serving.py
@@ -34,6 +34,7 @@
     from loomyard_router.requests.estimates import CostEstimates
     from loomyard_router.requests.journal import Journal
     from loomyard_router.requests.request import Request
+    from loomyard_router.requests.resuming import Resuming
     from loomyard_router.shares.policy import SharePolicy
     from loomyard_router.targets.directory import TargetDirectory
 
@@ -52,12 +53,14 @@
         engine: Engine,
         estimates: CostEstimates,
         journal: Journal,
+        resuming: Resuming,
         retries: Retries | None = None,
     ) -> None:
         self._clock = clock
         self._claims = claims
         self._engine = engine
         self._journal = journal
+        self._resuming = resuming
         self._retries = retries or Retries(clock)
         self._queue = SlotQueue(
             clock=clock, follower=follower, policy=policy, targets=targets, estimates=estimates
@@ -163,6 +166,7 @@
                     request=request,
                     attempt=attempt,
                     run=run,
+                    resuming=self._resuming,
                 )
                 return stream.begin().map(stream.answer)
             held = hold_whole(request, attempt)
--- a/packages/loomyard-router/src/loomyard_router/requests/stream_answers.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/stream_answers.py
@@ -27,6 +27,7 @@
     from loomyard_router.requests.attempt import Attempt
     from loomyard_router.requests.claimed_run import ClaimedRun
     from loomyard_router.requests.request import Request
+    from loomyard_router.requests.resuming import Resuming
 
 logger = logging.getLogger(__name__)
 
@@ -44,15 +45,18 @@
         request: Request,
         attempt: Attempt,
         run: ClaimedRun,
+        resuming: Resuming,
     ) -> None:
         self._clock = clock
         self._engine = engine
         self._request = request
         self._attempt = attempt
         self._run = run
+        self._resuming = resuming
         self._stream = EventStream(drop_usage=not request.usage_asked)
         self._relay = StreamRelay(attempt.answer, self._stream, self._resume)
         self._charged = 0
+        self._failed = False
 
     def begin(self) -> Result[bytes, Fault]:
         """Read the first events; the attempt is settled on an error."""
@@ -67,8 +71,12 @@
     def answer(self, first: bytes) -> Answer:
         """Return the answer that goes on from the first events."""
         headers = [("Content-Type", EVENT_STREAM_TYPE), ("Cache-Control", "no-store")]
-        body = Body(self._blocks(first), self._close)
-        return Answer(status=self._attempt.answer.status, headers=headers, body=body)
+        return Answer(
+            status=self._attempt.answer.status,
+            headers=headers,
+            body=Body(self._blocks(first), self._leave),
+            request_id=self._resuming.name_stream(self._request, self._attempt),
+        )
 
     def _blocks(self, first: bytes) -> Generator[bytes, None, None]:
         yield first
@@ -84,7 +92,8 @@
                     self._charge()
                     yield events
                 case Err(fault):
-                    yield self._error(fault)
+                    if not self._request.presence.gone:
+                        yield self._error(fault)
                     return
         self._settle()
         self._relay.finish()
@@ -100,6 +109,7 @@
             self._attempt.settlement.charge(events)
 
     def _error(self, fault: Fault) -> bytes:
+        self._failed = True
         return error_event(fault, self._request.request_id, idempotent=self._request.idempotent)
 
     def _resume(self, after: int) -> Result:
@@ -117,13 +127,29 @@
         else:
             self._run.finish(None)
 
+    def _leave(self) -> None:
+        """End the answer; where only the caller has gone, it may come back for the rest."""
+        if self._stream.done or self._failed:
+            self._close()
+            return
+        self._request.presence.unsubscribe(self._relay.close)
+        self._relay.close()
+        attempt_id = self._attempt.call.attempt_id
+        emit(logger, Event.CALLER_GONE, attempt=attempt_id)
+        self._resuming.holds.hold(attempt_id, self._end_hold)
+
+    def _end_hold(self, taken: bool) -> None:
+        self._settle()
+        if not taken:
+            self._cancel()
+
     def _close(self) -> None:
         self._request.presence.unsubscribe(self._relay.close)
         self._settle()
         self._relay.close()
-        if self._stream.done:
-            return
+        if not self._stream.done:
+            self._cancel()
+
+    def _cancel(self) -> None:
         call = self._attempt.call
         gevent.spawn(self._engine.cancel, call.url, call.attempt_id)
-        if self._request.presence.gone:
-            emit(logger, Event.CALLER_GONE, attempt=call.attempt_id)
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_call.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_call.py
@@ -8,7 +8,7 @@
 
 from gevent import GreenletExit
 
-from loomyard_standins.faults.fake_target import expected_text, plain_body
+from loomyard_standins.faults.fake_target import MODEL, expected_text, plain_body
 from loomyard_standins.faults.sightings import CallerSaw, Ending
 
 if TYPE_CHECKING:
@@ -16,7 +16,6 @@
 
     from loomyard.clock import Clock
 
-MODEL = "assistant"
 PLAIN = "records"
 MODEL_PATH = "/v1/completions"
 MODELS_PATH = "/v1/models"
@@ -33,10 +32,16 @@
 
 
 def make_model_call(
-    marker: str, router: str, now: float, *, tokens: int = 6, stream: bool = True
+    marker: str,
+    router: str,
+    now: float,
+    *,
+    tokens: int = 6,
+    stream: bool = True,
+    model: str = MODEL,
 ) -> tuple[CallerSaw, dict[str, Any]]:
     """Make a call of the model service and its WSGI environ."""
-    body = {"model": MODEL, "prompt": marker, "max_tokens": tokens, "stream": stream}
+    body = {"model": model, "prompt": marker, "max_tokens": tokens, "stream": stream}
     saw = CallerSaw(
         marker=marker,
         account=marker.partition("/")[0],
@@ -59,6 +64,7 @@
         expected=plain_body(marker),
         started=now,
         idempotent=idempotent,
+        key=key,
     )
     path = LOOKUPS_PATH if idempotent else RECEIPTS_PATH
     environ = make_environ(saw.account, path, marker.encode())
--- a/packages/loomyard-standins/src/loomyard_standins/faults/sightings.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/sightings.py
@@ -4,7 +4,7 @@
 
 from enum import Enum
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 
 @define(kw_only=True, eq=False)
@@ -23,6 +23,7 @@
     chunks: list[bytes] = field(factory=list)
     cancelled: bool = False
     refused: bool = False
+    broken: bool = False
 
 
 @define(kw_only=True, eq=False)
@@ -65,6 +66,9 @@
     executed: str = ""
     code: int = 0
     probe: bool = False
+    router_died: bool = False
+    key: str | None = None
+    repeat: bool = False
 
 
 @define(kw_only=True, eq=False)
@@ -78,14 +82,24 @@
     final: bool = False
 
 
+@frozen(kw_only=True)
+class Woken:
+    """A router that went on after a pause of some seconds."""
+
+    router: str
+    at: float
+    slept: float
+
+
 @define(eq=False)
 class Sightings:
     """Everything that was seen.
 
     A ``probe`` is a call after all faults are mended; ``final`` lists were read at the very end.
     ``leaving`` maps a target to the time from which the first router knew; ``stopped`` maps a
-    router to the time of its planned stop; ``generations`` maps a published generation to the
-    time of its acceptance and the routers that could reach the log for the whole time allowed.
+    router to the time of its planned stop, unless it died in between; ``generations`` maps a
+    published generation to the time of its acceptance and the routers that could reach the log
+    for the whole time allowed.
     """
 
     runs: list[Run] = field(factory=list)
@@ -93,6 +107,8 @@
     callers: list[CallerSaw] = field(factory=list)
     seen: list[ModelsSeen] = field(factory=list)
     leaving: dict[str, float] = field(factory=dict)
+    exited: set[str] = field(factory=set)
     stopped: dict[str, float] = field(factory=dict)
     generations: dict[int, tuple[float, frozenset[str]]] = field(factory=dict)
+    woken: list[Woken] = field(factory=list)
     weights: dict[str, float] = field(factory=dict)
