--- a/tests/test_loomyardctl/test_commands.py
+++ b/tests/test_loomyardctl/test_commands.py
@@ -8,12 +8,18 @@
 import tempfile
 import unittest
 from pathlib import Path
+from typing import TYPE_CHECKING, Any
+from unittest import mock
 
 import yaml
 
 from loomyard_router.requests.journal import Step
 from loomyard_standins.fleet import OPERATOR_KEY, start_fleet
 from loomyardctl.__main__ import run
+from loomyardctl.publishing import publish
+
+if TYPE_CHECKING:
+    from loomyardctl.context import Context
 
 ACCOUNT = "kind: ClientAccount\nmetadata: {name: kiosk, labels: {tier: gold}}\nweight: %s\n"
 NOWHERE = "http://127.0.0.1:1"
@@ -67,6 +73,26 @@
         self.assertIn("rejected as stale", err)
         self.assertIn("ClientAccount/kiosk: based on version 0, now version 1", err)
 
+    def test_a_faster_operator_is_overcome_only_where_asked(self) -> None:
+        mine, other = self.write(ACCOUNT % 4, "mine.yaml"), self.write(ACCOUNT % 5, "other.yaml")
+
+        def publish_late(context: Context, **change: Any) -> Any:
+            with mock.patch("loomyardctl.commands.apply.publish", publish):
+                self.call("apply", other)
+            return publish(context, **change)
+
+        patched = mock.patch("loomyardctl.commands.apply.publish", publish_late)
+        with patched:
+            self.assertEqual(self.call("apply", mine)[0], 1)
+        late = mock.Mock(side_effect=[publish_late, publish])
+        with mock.patch(
+            "loomyardctl.commands.apply.publish", lambda context, **c: late()(context, **c)
+        ):
+            self.write(ACCOUNT % 6, "other.yaml")
+            self.assertEqual(self.call("apply", mine, "--retry", "1")[0], 0)
+        account = self.fleet.routers[0].parts.follower.routing.accounts["kiosk"]
+        self.assertEqual((account.weight, late.call_count), (4.0, 2))
+
     def test_a_broken_reference_is_rejected(self) -> None:
         text = "kind: Route\nmetadata: {name: r}\nservice: nowhere\n"
         code, _, err = self.call("apply", self.write(text))
