Apply sets that are too large for one change in parts

Cause: a change takes 512 KiB, some 3,000 accounts; the first load of 31,000 had to be cut by hand. Services go first, each part takes effect on its own, a rejected one ends the command.

--- a/packages/loomyardctl/src/loomyardctl/commands/apply.py
+++ b/packages/loomyardctl/src/loomyardctl/commands/apply.py
@@ -2,21 +2,28 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from result import Err, Ok, Result
+
+from loomyard.objects import Service
 from loomyardctl.commands.waiting import add_wait
 from loomyardctl.exit_codes import ExitCode
 from loomyardctl.failures import report_failure
 from loomyardctl.manifest_files import read_files, report_faults
 from loomyardctl.plan import make_plan
-from loomyardctl.publishing import STALE, publish, report_outcome
+from loomyardctl.publishing import ACCEPTED, STALE, publish, report_outcome
 
 if TYPE_CHECKING:
     import argparse
+    from collections.abc import Iterator
 
     from loomyard.manifests import Manifest
     from loomyardctl.context import Context
-    from loomyardctl.plan import Plan
+    from loomyardctl.plan import Plan, PlannedPut
+    from loomyardctl.reply import Reply, Unanswered
+
+    Outcome = dict[str, Any]
 
 NAME = "apply"
 HELP = "create and replace objects, all or none"
@@ -33,11 +40,19 @@
         help="when another operator was faster, compare and send again this many times;"
         " manifests that name a version are never sent again (default: 0)",
     )
+    parser.add_argument(
+        "--parts",
+        type=int,
+        default=0,
+        metavar="OBJECTS",
+        help="send sets too large for one change in changes of this many objects, services"
+        " first; each takes effect on its own, and the first that is rejected ends the command",
+    )
     add_wait(parser)
 
 
 def run(context: Context) -> ExitCode:
-    """Apply manifests as one change; nothing is sent where any of them has a fault."""
+    """Apply manifests; nothing is sent where any of them has a fault."""
     read = read_files(context.arguments.files)
     if read.is_err():
         report_faults(read.unwrap_err())
@@ -51,7 +66,7 @@
         if not plan.puts:
             print(f"nothing to change: {len(plan.unchanged)} objects are as they should be")
             return ExitCode.OK
-        published = publish(context, puts=_puts(plan), deletions=[])
+        published = _publish(context, plan)
         if published.is_err():
             return report_failure(published.unwrap_err())
         outcome = published.unwrap()
@@ -60,8 +75,27 @@
     return report_outcome(context, outcome)
 
 
-def _puts(plan: Plan) -> list[dict[str, object]]:
-    return [{"object": put.after, "based_on": put.based_on} for put in plan.puts]
+def _publish(context: Context, plan: Plan) -> Result[Outcome, Reply | Unanswered]:
+    """Publish the parts in turn and return the outcome of the last one sent."""
+    outcome: Outcome = {}
+    for puts in _parts(plan, context.arguments.parts):
+        documents = [{"object": put.after, "based_on": put.based_on} for put in puts]
+        published = publish(context, puts=documents, deletions=[])
+        if published.is_err():
+            return Err(published.unwrap_err())
+        outcome = published.unwrap()
+        if outcome["verdict"] != ACCEPTED:
+            break
+    return Ok(outcome)
+
+
+def _parts(plan: Plan, size: int) -> Iterator[list[PlannedPut]]:
+    if size <= 0:
+        yield plan.puts
+        return
+    ordered = sorted(plan.puts, key=lambda put: put.ref.kind != Service.__name__)
+    for start in range(0, len(ordered), size):
+        yield ordered[start : start + size]
 
 
 def _names_versions(manifests: list[Manifest]) -> bool:
--- a/tests/test_loomyardctl/test_commands.py
+++ b/tests/test_loomyardctl/test_commands.py
@@ -93,6 +93,14 @@
         account = self.fleet.routers[0].parts.follower.routing.accounts["kiosk"]
         self.assertEqual((account.weight, late.call_count), (4.0, 2))
 
+    def test_a_large_set_goes_in_parts_with_services_first(self) -> None:
+        route = "kind: Route\nmetadata: {name: a}\nservice: new\n---\n"
+        service = "kind: Service\nmetadata: {name: new}\n"
+        appends = self.fleet.log.log.appends
+        code, out, _ = self.call("apply", self.write(route + service), "--parts", "1")
+        self.assertEqual((code, out.splitlines()[0]), (0, "accepted as version 2"))
+        self.assertEqual(self.fleet.log.log.appends, appends + 2)
+
     def test_a_broken_reference_is_rejected(self) -> None:
         text = "kind: Route\nmetadata: {name: r}\nservice: nowhere\n"
         code, _, err = self.call("apply", self.write(text))
