--- a/packages/loomyard-standins/src/loomyard_standins/faults/fault_points.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fault_points.py
@@ -46,7 +46,8 @@
         self.pass_on()
         self.reached[point] += 1
         for prefix in [armed for armed in self._armed if point.startswith(armed)]:
-            self._armed.pop(prefix)()
+            # In a task of its own, since the action may end this one.
+            gevent.spawn(self._armed.pop(prefix)).join()
         self.pass_on()
 
     def pass_on(self) -> None:
--- a/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/trigger.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/trigger.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import gevent
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -21,7 +23,8 @@
         """Let the fault come, if it did not come yet."""
         if not self.fired:
             self.fired = True
-            self._action(victim)
+            # In a task of its own, since the action may end the one that reached the step.
+            gevent.spawn(self._action, victim).join()
 
     def arm(self, fleet: FakeFleet, point: str, router: str, victim: str = "") -> None:
         """Let the fault come when a router reaches a point; the router itself is the victim."""
