Refuse numbers in place of bytes in messages; test claims without the log service

Cause: the codecs structured bytes by calling bytes(), so a CBOR number in a field of bytes allocated as many zero bytes. The first message of a link is read before its sender has proved anything: a stranger could have ended a router with some twenty bytes.

Claims: a whole-path test with the log service down (keyed refused with 4005 and not run, unkeyed run once, the same key runs after recovery), and a host that fell behind a trim.

--- a/packages/loomyard-router/src/loomyard_router/peers/compact_codec.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/compact_codec.py
@@ -10,7 +10,7 @@
 from cattrs.preconf.cbor2 import make_converter
 from result import Err, Ok, Result
 
-from loomyard.codec import CODEC
+from loomyard.codec import CODEC, structure_bytes
 from loomyard.objects import ConfigObject
 
 if TYPE_CHECKING:
@@ -48,6 +48,7 @@
     codec = make_converter()
     codec.register_unstructure_hook_factory(attrs.has, lambda kind: _unstructurer(codec, kind))
     codec.register_structure_hook_factory(attrs.has, lambda kind: _structurer(codec, kind))
+    codec.register_structure_hook(bytes, structure_bytes)
     # Configuration objects keep the one form that they have in the log.
     codec.register_unstructure_hook(
         ConfigObject, lambda item: CODEC.unstructure(item, unstructure_as=ConfigObject)
--- a/packages/loomyard/src/loomyard/codec.py
+++ b/packages/loomyard/src/loomyard/codec.py
@@ -23,9 +23,17 @@
     codec = make_converter(forbid_extra_keys=True, omit_if_default=omit_if_default)
     codec.register_unstructure_hook(ConfigObject, _unstructure_object(codec))
     codec.register_structure_hook(ConfigObject, _structure_object(codec))
+    codec.register_structure_hook(bytes, structure_bytes)
     return codec
 
 
+def structure_bytes(data: Any, _: Any) -> bytes:
+    """Take bytes only: ``bytes`` of a number would allocate as many."""
+    if not isinstance(data, bytes):
+        raise ValueError("not a byte string")
+    return data
+
+
 def encode(value: object) -> bytes:
     """Encode a typed value as CBOR."""
     return cbor2.dumps(CODEC.unstructure(value))
--- a/tests/test_loomyard_router/test_claims.py
+++ b/tests/test_loomyard_router/test_claims.py
@@ -196,6 +196,21 @@
         self.assertEqual(self.serve(self.fleet.restart("a")).unwrap(), FIRST)
         self.assertEqual(self.fleet.sends["k"], 1)
 
+    def test_host_that_fell_behind_a_trim_goes_on_from_what_is_kept(self) -> None:
+        first, second = self.fleet.start("a", "b")
+        self.serve(first, key("old"))
+        self.fleet.pass_time()
+        self.log.down = True
+        self.fleet.pass_time(2 * WINDOW + 400)
+        for stream in list(self.log._records):
+            self.log._first[stream] += 50  # others appended, and all of it was trimmed
+            self.log._records[stream].clear()
+        self.log.down = False
+        self.fleet.pass_time(2.0)
+        for keeper in (first, second):
+            self.assertTrue(self.serve(keeper, key("old")).is_ok())
+        self.assertEqual(self.fleet.sends["old"], 2)  # past the window it is a new key
+
     def test_key_with_a_time_is_refused_outside_the_window(self) -> None:
         (keeper,) = self.fleet.start("a")
         wall = self.clock.wall()
--- a/tests/test_loomyard_router/test_whole_path.py
+++ b/tests/test_loomyard_router/test_whole_path.py
@@ -94,6 +94,21 @@
         self.assertEqual((status, again), (200, 409))
         self.assertEqual((problem["code"], problem["executed"]), (4006, "yes"))
 
+    def test_without_the_log_service_only_requests_with_a_key_are_refused(self) -> None:
+        router, before = self.fleet.routers[0], len(self.fleet.plain.ran)
+        self.fleet.log.log.down = True
+        status, problem = self.post_receipt(router, "down")
+        self.assertEqual((status, problem["code"], problem["executed"]), (503, 4005, "no"))
+        self.assertEqual(len(self.fleet.plain.ran), before)
+        headers = {"Authorization": f"Bearer {sample_key('kiosk')}"}
+        client = HTTPClient("127.0.0.1", router.port)
+        unclaimed = client.post("/services/records/receipts", b"swap", headers)
+        self.assertEqual(unclaimed.status_code, 200)
+        self.fleet.log.log.down = False
+        while self.post_receipt(router, "down")[0] != 200:
+            gevent.sleep(0.01)
+        self.assertEqual(len(self.fleet.plain.ran), before + 2)
+
     def test_unknown_service_is_a_problem_document(self) -> None:
         client = HTTPClient("127.0.0.1", self.fleet.routers[1].port)
         headers = {"Authorization": f"Bearer {sample_key('labels')}"}
