Ask the second host while there is time; survive unexpected errors in a host's tasks

Cause: a first host that hangs took all the time for an answer, so that its partitions refused claims until the members noticed. Each host now gets its part of the time, and one that does not answer is reported to the members. The test fails with CLAIM_UNAVAILABLE without it. An unexpected error ended a partition's writer for good; it begins again after 0.5 s. A content type that is no ASCII could have been such an error; it is replaced and bounded.

The three planted bugs are still found.

--- a/packages/loomyard-router/src/loomyard_router/claims/hosting.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/hosting.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 import gevent
-from result import Ok
+from result import Err, Ok
 
 from loomyard.rendezvous import rank
 from loomyard_router.claims.key_state import Phase
@@ -96,17 +96,25 @@
         return self.ask_partition(partition_of(key), message, deadline)
 
     def ask_partition(self, partition: int, message: Message, deadline: float) -> Iterator[Any]:
-        """Yield the answers of the hosts of a partition."""
+        """Yield the answers of the hosts of a partition.
+
+        Each host gets its part of the time that is left, so that one that hangs leaves some.
+        """
         own = self._members.own.name
-        for host in self._hosts[partition]:
-            if self._clock.now() >= deadline:
+        hosts = self._hosts[partition]
+        for number, host in enumerate(hosts):
+            now = self._clock.now()
+            if now >= deadline:
                 return
+            until = now + (deadline - now) / (len(hosts) - number)
             if host == own:
-                yield self.answer(message, deadline)
+                yield self.answer(message, until)
                 continue
-            match self._peers.request(host, message, deadline):
+            match self._peers.request(host, message, until):
                 case Ok(answer):
                     yield answer
+                case Err(_):
+                    self._members.suspect(host)
 
     def answer(self, message: Message, deadline: float) -> KeyView | BeginAnswer | Settled:
         """Answer as a host."""
--- a/packages/loomyard-router/src/loomyard_router/claims/log_claims.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/log_claims.py
@@ -27,6 +27,7 @@
 
 CLAIM_ID_BYTES = 12
 MAX_KEPT_BODY = 16 * 1024
+MAX_KEPT_TYPE = 200
 # A router that answers later than this is taken as not answering.
 ASK_SECONDS = 1.0
 BEGIN_SECONDS = 2.0
@@ -102,10 +103,7 @@
         begun = self._begun.pop(claim.claim_id, None)
         if begun is None:
             return
-        if outcome is not None and len(outcome.body or b"") > MAX_KEPT_BODY:
-            outcome = RecordedOutcome(
-                status=outcome.status, content_type=outcome.content_type, body=None
-            )
+        outcome = None if outcome is None else _bounded(outcome)
         self._settling.add(Finished(claim_id=begun.claim_id, key=begun.key, outcome=outcome))
 
     def abandon(self, claim: Claim) -> None:
@@ -189,6 +187,13 @@
     return Abandoned(claim_id=begun.claim_id, key=begun.key, keep_until=begun.keep_until)
 
 
+def _bounded(outcome: RecordedOutcome) -> RecordedOutcome:
+    """Return what is kept of an outcome; a target's header may hold any text."""
+    body = outcome.body if len(outcome.body or b"") <= MAX_KEPT_BODY else None
+    content_type = outcome.content_type.encode("ascii", "replace").decode()[:MAX_KEPT_TYPE]
+    return RecordedOutcome(status=outcome.status, content_type=content_type, body=body)
+
+
 def _fault(code: ResultCode, detail: str) -> Fault:
     return Fault(code=code, detail=detail)
 
--- a/packages/loomyard-router/src/loomyard_router/claims/partition.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/partition.py
@@ -23,6 +23,8 @@
 from loomyard_router.peers.compact_codec import pack, unpack
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from loomyard.clock import Clock
     from loomyard.platform.log_service import LogBatch, LogService
     from loomyard_router.claims.key_state import KeyState
@@ -40,6 +42,7 @@
 # A host whose append is on its way for longer takes no claims until there is an answer.
 SLOW_APPEND = 1.0
 SPACING_JITTER = 0.2
+RESTART_SECONDS = 0.5
 RECORDS_PER_APPEND = 256
 MAX_KEYS = 200_000
 
@@ -99,7 +102,7 @@
 
     def start(self) -> None:
         """Start to follow and to append."""
-        self._tasks = [gevent.spawn(self._follow), gevent.spawn(self._write)]
+        self._tasks = [gevent.spawn(self._keep, task) for task in (self._follow, self._write)]
 
     def stop(self) -> None:
         """End the tasks."""
@@ -137,6 +140,16 @@
         if entry is not None:
             entry.seen.set(value)
 
+    def _keep(self, task: Callable[[], None]) -> None:
+        """Begin a task again where an unexpected error ended it; claims then time out."""
+        while True:
+            try:
+                task()
+            except Exception as error:
+                emit(logger, LogEvent.HANDLER_FAILED, stream=self._stream, error=repr(error))
+                self._append_started = None
+                self._clock.sleep(RESTART_SECONDS)
+
     def _follow(self) -> None:
         failures = 0
         while True:
--- a/packages/loomyard-standins/src/loomyard_standins/benches/claims.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/claims.py
@@ -85,6 +85,9 @@
     def find(self, name: str) -> Member | None:
         return next((member for member in self._live if member.name == name), None)
 
+    def suspect(self, name: str) -> None:
+        pass
+
     def subscribe(self, changed: Any) -> None:
         pass
 
--- a/tests/test_loomyard_router/claims_fleet.py
+++ b/tests/test_loomyard_router/claims_fleet.py
@@ -58,6 +58,9 @@
     def find(self, name):
         return self._members.get(name)
 
+    def suspect(self, name):
+        pass
+
     def subscribe(self, changed):
         pass
 
--- a/tests/test_loomyard_router/test_claims.py
+++ b/tests/test_loomyard_router/test_claims.py
@@ -7,9 +7,11 @@
 import gevent
 from attrs import evolve
 from gevent.event import AsyncResult
+from result import Err
 
-from loomyard.errors import Executed, ResultCode
+from loomyard.errors import Executed, Fault, ResultCode
 from loomyard_router.claims.keeper import RecordedOutcome
+from loomyard_router.claims.keys import digest_of, partition_of
 from loomyard_router.claims.messages import BeginClaim
 from test_loomyard_router.claims_fleet import TIMEOUT, WINDOW, ClaimsFleet, key, settle
 
@@ -147,6 +149,30 @@
                 self.assertTrue(self.serve(keepers[0], wanted).is_ok())
                 self.assertEqual(self.fleet.sends[wanted.key], 1)
 
+    def test_second_host_answers_where_the_first_hangs(self) -> None:
+        keepers = self.fleet.start("a", "b", "c")
+        first = keepers[0]._hosting._hosts[partition_of(digest_of(key()))][0]
+        asking = next(k for k in keepers if k._members.own.name != first)
+        answered = asking._hosting._peers.request
+
+        def request(to, message, deadline):
+            if to != first:
+                return answered(to, message, deadline)
+            self.clock.sleep(deadline - self.clock.now())
+            return Err(Fault(code=ResultCode.PEER_UNREACHABLE, detail=""))
+
+        asking._hosting._peers.request = request
+        self.assertEqual(self.serve(asking).unwrap(), FIRST)
+
+    def test_unexpected_error_of_the_log_client_is_survived(self) -> None:
+        (keeper,) = self.fleet.start("a")
+        append = self.log.append
+        self.log.append = lambda stream, payload: 1 / 0
+        self.assertEqual(self.code(keeper), ResultCode.CLAIM_UNAVAILABLE)
+        self.log.append = append
+        self.fleet.pass_time()
+        self.assertEqual(self.serve(keeper).unwrap(), FIRST)
+
     def test_log_down_refuses_at_once(self) -> None:
         (keeper,) = self.fleet.start("a")
         claim = keeper.claim(key(), TIMEOUT).unwrap()
@@ -234,8 +260,9 @@
 
     def test_kept_body_is_bounded(self) -> None:
         (keeper,) = self.fleet.start("a")
-        large = RecordedOutcome(status=201, content_type="text/plain", body=b"x" * 17_000)
+        large = RecordedOutcome(status=201, content_type="x\udc80" * 999, body=b"x" * 17_000)
         keeper.finish(self.begun(keeper), large)
         self.fleet.pass_time()
         outcome = self.serve(keeper).unwrap()
         self.assertEqual((outcome.status, outcome.body), (201, None))
+        self.assertEqual(outcome.content_type, "x?" * 100)
--- a/tests/test_loomyard_router/test_claims_interleavings.py
+++ b/tests/test_loomyard_router/test_claims_interleavings.py
@@ -4,6 +4,7 @@
 
 import unittest
 from collections import Counter
+from random import Random
 
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
@@ -14,9 +15,10 @@
 from loomyard_router.claims.verdict import Verdict
 from test_loomyard_router.claims_interleaving import WEIGHTS, Interleaving
 
-STEPS = 40
+STEPS = 80
+MAX_SEED = (1 << 64) - 1
 PROFILE = settings(
-    max_examples=100,
+    max_examples=200,
     derandomize=True,
     deadline=None,
     database=None,
@@ -30,19 +32,21 @@
         seen: Counter[str] = Counter()
 
         @PROFILE
-        @given(data=st.data(), timed=st.booleans())
-        def check(data, timed):
+        @given(seed=st.integers(0, MAX_SEED), timed=st.booleans())
+        def check(seed, timed):
+            # Uniform draws: those of hypothesis repeat themselves and send far less often.
+            draw = Random(seed)
             interleaving = Interleaving(timed, **({"make": make} if make else {}))
             try:
                 for _ in range(STEPS):
                     actions = interleaving.actions()
                     kinds = sorted({action[0] for action in actions})
                     weighted = [kind for kind in kinds for _ in range(WEIGHTS.get(kind, 1))]
-                    kind = data.draw(st.sampled_from(weighted))
-                    action = data.draw(st.sampled_from([a for a in actions if a[0] == kind]))
+                    kind = draw.choice(weighted)
+                    action = draw.choice([a for a in actions if a[0] == kind])
                     interleaving.apply(action)
                     seen[kind] += 1
-                    self.assertEqual(interleaving.violations(), [])
+                    self.assertEqual(interleaving.violations(), [], f"seed {seed}, timed {timed}")
                 seen["sends"] += sum(interleaving.fleet.sends.values())
                 seen["outcomes"] += len(interleaving.outcomes)
             finally:
@@ -53,7 +57,7 @@
 
     def test_at_most_one_send(self) -> None:
         seen = self.run_drawn()
-        self.assertGreater(seen["sends"], 20)
+        self.assertGreater(seen["sends"], 40)
         self.assertGreater(seen["outcomes"], 100)
 
     def test_checker_finds_a_send_before_the_verdict_is_read(self) -> None:
