--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -24,7 +24,10 @@
 from loomyard_router.parts import Parts, Platform
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
+from loomyard_router.requests.resume_holds import ResumeHolds
+from loomyard_router.requests.resuming import Resuming
 from loomyard_router.requests.serving import Serving
+from loomyard_router.requests.stream_token import StreamTokens
 from loomyard_router.shares.fifo import make_fifo_policy
 from loomyard_router.shares.fleet import FleetPolicy, make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
@@ -180,6 +183,13 @@
         ),
         journal=Journal(clock),
     )
+    resuming = Resuming(
+        clock=clock,
+        follower=follower,
+        engine=platform.engine,
+        tokens=StreamTokens(settings.fleet_secret),
+        holds=ResumeHolds(clock, parts.peers, settings.name, seconds=settings.resume_seconds),
+    )
     serving = Serving(
         clock=clock,
         follower=parts.follower,
@@ -189,6 +199,7 @@
         engine=platform.engine,
         estimates=CostEstimates(),
         journal=parts.journal,
+        resuming=resuming,
     )
     parts.orders = make_order_keeper(
         clock=clock,
@@ -199,7 +210,7 @@
         weights=platform.weight_store,
         backlog=_join_backlogs(serving, parts.policy),
     )
-    callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
+    callers = CallersApp(clock=clock, follower=parts.follower, serving=serving, resuming=resuming)
     return Application(settings, platform, parts, callers, serving=serving)
 
 
--- a/packages/loomyard-router/src/loomyard_router/callers/app.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/app.py
@@ -13,6 +13,7 @@
 from loomyard.errors import Executed, Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard.objects import ServiceType
+from loomyard_router.callers.handler import PRESENCE_KEY
 from loomyard_router.callers.keys import authenticate
 from loomyard_router.callers.problems import (
     JSON_TYPE,
@@ -22,6 +23,7 @@
 )
 from loomyard_router.callers.request_reader import SERVICES_PREFIX, RequestReader
 from loomyard_router.requests.answer import Answer
+from loomyard_router.requests.presence import CallerPresence
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -31,6 +33,7 @@
     from loomyard_router.callers.fields import Environ
     from loomyard_router.configuration.follower import ConfigFollower
     from loomyard_router.requests.request import Request
+    from loomyard_router.requests.resuming import Resuming
     from loomyard_router.requests.serving import Serving
 
     StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -40,6 +43,8 @@
 NOT_READY_RETRY_AFTER = 1.0
 MODEL_PATHS = ("/v1/completions", "/v1/chat/completions")
 OPENAI_PREFIX = "/v1/"
+STREAMS_PREFIX = "/v1/streams/"
+LAST_EVENT_HEADER = "HTTP_LAST_EVENT_ID"
 HEALTH_PATH = "/healthz"
 READY_PATH = "/readyz"
 DROPPED_HEADERS = frozenset(
@@ -68,7 +73,10 @@
 class CallersApp:
     """Serve /v1 and /services."""
 
-    def __init__(self, *, clock: Clock, follower: ConfigFollower, serving: Serving) -> None:
+    def __init__(
+        self, *, clock: Clock, follower: ConfigFollower, serving: Serving, resuming: Resuming
+    ) -> None:
+        self._resuming = resuming
         self._follower = follower
         self._serving = serving
         self._reader = RequestReader(clock, follower)
@@ -90,6 +98,8 @@
             return exchange.refuse(Fault(code=ResultCode.UNKNOWN_KEY, detail=detail))
         if path == "/v1/models":
             return exchange.answer(self._list_models(account))
+        if path.startswith(STREAMS_PREFIX):
+            return exchange.finish(self._resume(environ, account))
         match self._read(environ, exchange.request_id, account):
             case Err(fault):
                 return exchange.refuse(fault)
@@ -108,6 +118,17 @@
             return self._reader.read_plain_request(environ, request_id, account)
         return Err(Fault(code=ResultCode.UNKNOWN_PATH, detail=f"no such path: {path}"))
 
+    def _resume(self, environ: Environ, account: ClientAccount) -> Result[Answer, Fault]:
+        if environ["REQUEST_METHOD"] not in ("GET", "POST"):
+            return Err(Fault(code=ResultCode.METHOD_NOT_ALLOWED, detail="use GET or POST"))
+        return self._resuming.resume(
+            account,
+            environ["PATH_INFO"][len(STREAMS_PREFIX) :],
+            environ.get(LAST_EVENT_HEADER),
+            environ.get(PRESENCE_KEY) or CallerPresence(),
+            lambda: self._serving.stopping,
+        )
+
     def _report(self, path: str, start_response: StartResponse) -> Iterable[bytes]:
         good = path == HEALTH_PATH or self.ready
         status = HTTPStatus.OK if good else HTTPStatus.SERVICE_UNAVAILABLE
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -44,6 +44,7 @@
     operator_certificate: str = ""
     operator_private_key: str = ""
     drain_seconds: float = 60.0
+    resume_seconds: float = 5.0
     peer_listen: str = ""
     peers: tuple[str, ...] = ()
     fleet_secret: tuple[str, ...] = field(default=(), repr=False)
@@ -96,6 +97,7 @@
     add("position", 0, "position of this router for the local policy", type=int)
     add("routers", 1, "number of routers for the local policy", type=int)
     add("drain-seconds", 60.0, "longest wait of a planned stop for what runs", type=float)
+    add("resume-seconds", 5.0, "time a caller that went has to resume a stream", type=float)
     add("log-format", "text", "text or json", choices=("text", "json"))
     add("operator-listen", "", "address for operators; none turns their interface off")
     add("operator-keys", "", "SHA-256 digests of operator keys, by commas", type=_split)
