--- a/tests/test_loomyard_router/test_claims.py
+++ b/tests/test_loomyard_router/test_claims.py
@@ -7,9 +7,11 @@
 import gevent
 from attrs import evolve
 from gevent.event import AsyncResult
+from result import Err
 
-from loomyard.errors import Executed, ResultCode
+from loomyard.errors import Executed, Fault, ResultCode
 from loomyard_router.claims.keeper import RecordedOutcome
+from loomyard_router.claims.keys import digest_of, partition_of
 from loomyard_router.claims.messages import BeginClaim
 from test_loomyard_router.claims_fleet import TIMEOUT, WINDOW, ClaimsFleet, key, settle
 
@@ -147,6 +149,30 @@
                 self.assertTrue(self.serve(keepers[0], wanted).is_ok())
                 self.assertEqual(self.fleet.sends[wanted.key], 1)
 
+    def test_second_host_answers_where_the_first_hangs(self) -> None:
+        keepers = self.fleet.start("a", "b", "c")
+        first = keepers[0]._hosting._hosts[partition_of(digest_of(key()))][0]
+        asking = next(k for k in keepers if k._members.own.name != first)
+        answered = asking._hosting._peers.request
+
+        def request(to, message, deadline):
+            if to != first:
+                return answered(to, message, deadline)
+            self.clock.sleep(deadline - self.clock.now())
+            return Err(Fault(code=ResultCode.PEER_UNREACHABLE, detail=""))
+
+        asking._hosting._peers.request = request
+        self.assertEqual(self.serve(asking).unwrap(), FIRST)
+
+    def test_unexpected_error_of_the_log_client_is_survived(self) -> None:
+        (keeper,) = self.fleet.start("a")
+        append = self.log.append
+        self.log.append = lambda stream, payload: 1 / 0
+        self.assertEqual(self.code(keeper), ResultCode.CLAIM_UNAVAILABLE)
+        self.log.append = append
+        self.fleet.pass_time()
+        self.assertEqual(self.serve(keeper).unwrap(), FIRST)
+
     def test_log_down_refuses_at_once(self) -> None:
         (keeper,) = self.fleet.start("a")
         claim = keeper.claim(key(), TIMEOUT).unwrap()
@@ -196,6 +222,21 @@
         self.assertEqual(self.serve(self.fleet.restart("a")).unwrap(), FIRST)
         self.assertEqual(self.fleet.sends["k"], 1)
 
+    def test_host_that_fell_behind_a_trim_goes_on_from_what_is_kept(self) -> None:
+        first, second = self.fleet.start("a", "b")
+        self.serve(first, key("old"))
+        self.fleet.pass_time()
+        self.log.down = True
+        self.fleet.pass_time(2 * WINDOW + 400)
+        for stream in list(self.log._records):
+            self.log._first[stream] += 50  # others appended, and all of it was trimmed
+            self.log._records[stream].clear()
+        self.log.down = False
+        self.fleet.pass_time(2.0)
+        for keeper in (first, second):
+            self.assertTrue(self.serve(keeper, key("old")).is_ok())
+        self.assertEqual(self.fleet.sends["old"], 2)  # past the window it is a new key
+
     def test_key_with_a_time_is_refused_outside_the_window(self) -> None:
         (keeper,) = self.fleet.start("a")
         wall = self.clock.wall()
@@ -219,8 +260,9 @@
 
     def test_kept_body_is_bounded(self) -> None:
         (keeper,) = self.fleet.start("a")
-        large = RecordedOutcome(status=201, content_type="text/plain", body=b"x" * 17_000)
+        large = RecordedOutcome(status=201, content_type="x\udc80" * 999, body=b"x" * 17_000)
         keeper.finish(self.begun(keeper), large)
         self.fleet.pass_time()
         outcome = self.serve(keeper).unwrap()
         self.assertEqual((outcome.status, outcome.body), (201, None))
+        self.assertEqual(outcome.content_type, "x?" * 100)
