--- a/packages/loomyard-standins/src/loomyard_standins/benches/fairness.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/fairness.py
@@ -14,7 +14,9 @@
 import time  # noqa: E402
 from pathlib import Path  # noqa: E402
 
+from loomyard_standins.benches.bench_fleet import FLEET  # noqa: E402
 from loomyard_standins.benches.child import Child  # noqa: E402
+from loomyard_standins.benches.comparison import compare, make_table  # noqa: E402
 from loomyard_standins.benches.machine import idle_core_seconds  # noqa: E402
 from loomyard_standins.benches.plots import plot_service  # noqa: E402
 from loomyard_standins.benches.timeline import EVENTS, Timeline  # noqa: E402
@@ -22,6 +24,7 @@
 
 POLICIES = ("single", "fleet", "local", "fifo")
 SLACK_SECONDS = 30.0
+LEAST_IDLE_CORES = 1.0
 
 
 def main() -> int:
@@ -59,8 +62,12 @@
         "seconds": round(time.monotonic() - started, 1),
         "cores": os.cpu_count(),
         "idle_cores_mean": round(idle_cores, 1),
+        "saturated": idle_cores < LEAST_IDLE_CORES,
         "policies": figures,
     }
+    if FLEET in figures:
+        result["fleet_against"] = compare(figures, FLEET)
+    print(make_table(figures))
     print(json.dumps(result))
     return 0
 
--- a/tests/test_loomyard_standins/test_bench_run.py
+++ b/tests/test_loomyard_standins/test_bench_run.py
@@ -6,6 +6,7 @@
 
 import numpy as np
 
+from loomyard_standins.benches.comparison import compare, make_table
 from loomyard_standins.benches.control_figures import control_figures
 from loomyard_standins.benches.draws import HINT_FACTOR, LARGEST_OVER_MEAN, Draws
 from loomyard_standins.benches.landing import Landing
@@ -62,6 +63,19 @@
         self.assertEqual(figures["log_appends_per_s"], 11.0)
         self.assertEqual(figures["bytes_per_s_by_kind"], {"sr": 300})
 
+    def test_the_fleet_is_compared_within_one_run(self) -> None:
+        def window(gap: int, used: float) -> dict:
+            gaps = {"gap_one_service": {"units": gap, "accounts": ["a", "b"]}}
+            return {"calm": {**gaps, "utilisation_percent": used}}
+
+        figures = {"single": window(100, 80.0), "fleet": window(150, 60.0)}
+        self.assertEqual(
+            compare(figures, "fleet"),
+            {"calm": {"single": {"gap_ratio": 1.5, "utilisation_ratio": 0.75}}},
+        )
+        _, line = make_table(figures).splitlines()
+        self.assertEqual(line.split(), ["calm", "100", "80.0", "%", "150", "60.0", "%"])
+
     def test_draws_depend_on_seed_and_account_only(self) -> None:
         plan = make_workload(USERS[0]).accounts[0]
         first, second = Draws(plan, 1), Draws(plan, 1)
