--- a/packages/loomyard-router/src/loomyard_router/operators/interface.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/interface.py
@@ -73,6 +73,7 @@
             status=status,
         ),
         drains=RouterDrains(clock=clock, members=members, peers=peers, begin_stop=begin_stop),
+        targets=parts.targets,
     )
     return OperatorsInterface(_make_server(settings, app))
 
--- a/packages/loomyard-router/src/loomyard_router/requests/journal.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/journal.py
@@ -8,6 +8,8 @@
 
 from attrs import frozen
 
+from loomyard_router.requests.stream_token import SEPARATOR
+
 if TYPE_CHECKING:
     from loomyard.clock import Clock
 
@@ -56,5 +58,8 @@
             self._entries.popitem(last=False)
 
     def explain(self, request_id: str) -> tuple[JournalEntry, ...]:
-        """Return the steps of a request; none where it is not known."""
-        return tuple(self._entries.get(request_id, ()))
+        """Return the steps of a request; none where it is not known.
+
+        The id may carry the token of a stream.
+        """
+        return tuple(self._entries.get(request_id.partition(SEPARATOR)[0], ()))
--- a/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
@@ -20,6 +20,8 @@
 from loomyard_router.targets.loaded_book import LoadedBook
 from loomyard_router.targets.prefix_index import PrefixIndex
 from loomyard_router.targets.slot_book import SlotBook
+from loomyard_router.targets.spread import Spread
+from loomyard_router.targets.target_status import TargetStanding, TargetStatus
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -42,7 +44,6 @@
 VM_HOLD = 60.0
 TARGET_TOPIC = "targets.leaving"
 VM_TOPIC = "targets.vms"
-LEAVING_ITEM_SECONDS = 600.0
 UNREACHED = frozenset([ResultCode.TARGET_UNREACHABLE, ResultCode.ANSWER_LOST])
 
 
@@ -58,7 +59,7 @@
         gossip: Gossip,
     ) -> None:
         self._clock = clock
-        self._gossip = gossip
+        self._spread = Spread(clock, members, peers, gossip)
         self._targets: dict[str, Target] = {}
         self._versions: dict[str, int] = {}
         self._polled: set[str] = set()
@@ -78,8 +79,8 @@
             clock, hold=VM_HOLD, expiry=None, changed=self._vm_changed
         )
         self._vms = LeavingVms(self._leaving_vms)
-        gossip.subscribe_topic(TARGET_TOPIC, _hearing(self._leaving))
-        gossip.subscribe_topic(VM_TOPIC, _hearing(self._leaving_vms))
+        self._spread.subscribe(TARGET_TOPIC, _hearing(self._leaving))
+        self._spread.subscribe(VM_TOPIC, _hearing(self._leaving_vms))
 
     def may_send(self, name: str, service: str = "") -> bool:
         if name not in self._sendable:
@@ -112,6 +113,10 @@
             emit(logger, Event.TARGET_EJECTED, target=name)
             self._refresh()
 
+    def statuses(self) -> list[TargetStatus]:
+        """Return how each target stands here, by name."""
+        return [self._status(name) for name in sorted(self._targets)]
+
     def take_vms(self, listed: list[Vm]) -> None:
         """Take in a reading of the VM list."""
         self._vms.take(listed, self._vm_names())
@@ -148,7 +153,7 @@
 
     def tick(self) -> None:
         """Start what is due."""
-        self._leaving.expire()
+        self._leaving.expire(self._would_have_heard)
         self._loads.run_due()
         for name in self._health.probes_due():
             if name in self._polled:
@@ -203,9 +208,7 @@
         event = Event.TARGET_LEAVING if record.leaving else Event.TARGET_RETURNED
         emit(logger, event, name=name, topic=topic, sequence=record.sequence, own=own)
         self._refresh()
-        if own:
-            until = self._clock.now() + LEAVING_ITEM_SECONDS
-            self._gossip.announce(topic, name, record.to_number(), until=until)
+        self._spread.announce(topic, name, record.to_number())
 
     def _refresh(self) -> None:
         usable = {name for name in self._targets if self._is_usable(name)}
@@ -222,6 +225,33 @@
             return False
         return not target.vm or not self._leaving_vms.is_leaving(target.vm)
 
+    def _would_have_heard(self, name: str) -> bool:
+        """Tell whether this router polls a target, or nobody does."""
+        return name not in self._polled or self._loads.is_mine(name)
+
+    def _status(self, name: str) -> TargetStatus:
+        target = self._targets[name]
+        return TargetStatus(
+            name=name,
+            standing=self._standing(target),
+            slots=self.slots(target),
+            configured_slots=target.slots,
+            loaded=list(self._loaded.services(target)),
+        )
+
+    def _standing(self, target: Target) -> TargetStanding:
+        name = target.metadata.name
+        if target.state is not TargetState.ACTIVE:
+            return TargetStanding.LEAVING_CONFIGURED
+        if self._leaving.is_leaving(name):
+            return TargetStanding.LEAVING_TOLD
+        if not self._is_usable(name):
+            return TargetStanding.LEAVING_VM
+        if name not in self._sendable:
+            return TargetStanding.EJECTED
+        half_open = self._health.is_half_open(name)
+        return TargetStanding.PROBING if half_open else TargetStanding.SERVING
+
     def _vm_names(self) -> set[str]:
         return {target.vm for target in self._targets.values() if target.vm}
 
--- a/packages/loomyard-standins/src/loomyard_standins/faults/step.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/step.py
@@ -10,6 +10,8 @@
 
     REQUEST = "request"
     CHANGE = "configuration change"
+    LEASE = "slot lease"
+    ORDER = "order"
     STOP = "planned stop"
 
 
@@ -25,6 +27,18 @@
     CHANGE_PROPOSED = (Operation.CHANGE, "proposed")
     CHANGE_APPENDED = (Operation.CHANGE, "appended")
     CHANGE_IN_FORCE = (Operation.CHANGE, "in force")
+    LEASE_ASKED = (Operation.LEASE, "asked")
+    LEASE_DECIDED = (Operation.LEASE, "decided")
+    LEASE_GRANTED = (Operation.LEASE, "granted")
+    LEASE_HELD = (Operation.LEASE, "held")
+    LEASE_RETURNED = (Operation.LEASE, "returned")
+    ORDER_LEASED = (Operation.ORDER, "leased")
+    ORDER_DECIDED = (Operation.ORDER, "decided")
+    ORDER_SENT = (Operation.ORDER, "sent")
+    ORDER_TAKEN = (Operation.ORDER, "taken")
+    STOP_BEGUN = (Operation.STOP, "begun")
+    STOP_DRAINING = (Operation.STOP, "draining")
+    STOP_ENDING = (Operation.STOP, "ending")
 
     @property
     def operation(self) -> Operation:
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -42,8 +42,9 @@
     VM_LIST_RECOVERED = (331, logging.INFO, "the VM list answers again")
     REQUEST_REFUSED = (400, logging.INFO, "a request was refused before it ran")
     ATTEMPT_FAILED = (401, logging.WARNING, "an attempt at a target failed")
-    CALLER_GONE = (402, logging.INFO, "the caller left; the work was cancelled")
+    CALLER_GONE = (402, logging.INFO, "the caller left; its work is cancelled unless it resumes")
     STREAM_RESUMED = (403, logging.INFO, "a broken stream is resumed at its engine")
+    CALLER_RESUMED = (404, logging.INFO, "a caller goes on with a stream")
     CLAIM_OUTCOME_UNKNOWN = (
         550,
         logging.WARNING,
