Count tokens of whole events only in the benches' caller

A test that cuts an answer at every byte showed one token too many where the mark of the usage or the last event was cut in two by the blocks read: about one request in some thousands, two units each.

--- a/packages/loomyard-standins/src/loomyard_standins/benches/batch_engine.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/batch_engine.py
@@ -51,6 +51,10 @@
         """Start to listen; the owner calls ``step``."""
         self._server.start()
 
+    def stop(self) -> None:
+        """Stop to listen."""
+        self._server.stop()
+
     def step(self) -> None:
         """Fill the batch from those that wait and make one token of each."""
         while self._waiting and len(self._running) < self._slots:
--- a/packages/loomyard-standins/src/loomyard_standins/benches/caller.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/caller.py
@@ -16,6 +16,8 @@
 HEAD_END = b"\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 EVENT_END = b"\n\n"
+USAGE = b'"usage":'
+DONE = b"[DONE]"
 HTTP_OK = 200
 
 
@@ -51,7 +53,7 @@
         try:
             connection = self._connect()
             connection.sendall(head.encode() + body)
-            reply = _read_reply(connection, on_tokens)
+            reply = read_reply(connection, on_tokens)
         except OSError:
             self.close()
             raise
@@ -79,7 +81,8 @@
         return self._socket
 
 
-def _read_reply(connection: socket.socket, on_tokens: Callable) -> Reply:
+def read_reply(connection: socket.socket, on_tokens: Callable) -> Reply:
+    """Read one answer; ``on_tokens`` gets the number of tokens as they come."""
     data = b""
     while HEAD_END not in data:
         block = connection.recv(BLOCK)
@@ -105,14 +108,14 @@
 
 
 def _read_chunks(connection: socket.socket, data: bytes, on_tokens: Callable | None) -> bool:
-    last = tail = b""
+    rest = tail = b""
     while True:
         if on_tokens is not None and data:
-            # The end of an event may be cut in two by the blocks.
-            text = last + data if last else data
-            tokens = text.count(EVENT_END) - text.count(b'"usage":') - text.count(b"[DONE]")
-            on_tokens(tokens)
-            last = b"\n" if text.endswith(b"\n") and not text.endswith(EVENT_END) else b""
+            # Whole events only: an event, or its mark, may be cut in two by the blocks.
+            whole, end, rest = (rest + data).rpartition(EVENT_END)
+            if end:
+                whole += end
+                on_tokens(whole.count(EVENT_END) - whole.count(USAGE) - whole.count(DONE))
         tail = (tail + data)[-len(LAST_CHUNK) :]
         if tail == LAST_CHUNK:
             return True
