--- a/packages/loomyard-router/src/loomyard_router/shares/allocator.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/allocator.py
@@ -101,7 +101,6 @@
         if self._began_at is None:
             self._began_at = now
         router.hear(report, now)
-        router.reply_due = True
         router.urgent |= first
         if not first and router.take_slots(report):
             self._dirty = True
@@ -115,9 +114,10 @@
         if self._dirty:
             self._allocate(now)
         blocked = False
-        gap = max(REPLY_GAP, len(self._routers) / ROUTINE_REPLIES_PER_SECOND)
+        waiting = sum(router.reply_due for router in self._routers.values())
+        gap = max(REPLY_GAP, waiting / ROUTINE_REPLIES_PER_SECOND)
         for router in sorted(self._routers.values(), key=lambda r: (not r.urgent, r.replied_at)):
-            if router.urgent or (router.reply_due and now >= router.replied_at + gap):
+            if router.is_due(now, gap):
                 blocked = not self._pacer.allows(now)
                 if blocked:
                     break
@@ -232,6 +232,7 @@
     def _tell_lowest(self, demands: Demands, now: float) -> None:
         stretch = self._congestion.stretch
         for router in self._routers.values():
+            self._set_offsets(router)
             held = {s for t in router.leases for s in self._capacity.services(t)}
             for service in held | set(router.lowest):
                 lowest = demands.lowest_elsewhere(service, router.name) if service in held else None
@@ -243,12 +244,16 @@
     def _near(self, told: int, value: int) -> bool:
         return abs(told - value) < TOLD_PART * self._margin
 
-    def _reply(self, router: ReportingRouter, now: float) -> None:
+    def _set_offsets(self, router: ReportingRouter) -> None:
         for account in router.accounts:
             offset = self._levels.offset(router.source, account)
             told = router.offsets.get(account)
             if told is None or not self._near(told, offset):
                 router.offsets.set(account, offset, router.next_reply)
+                router.reply_due = True
+
+    def _reply(self, router: ReportingRouter, now: float) -> None:
+        self._set_offsets(router)
         router.carry_lowest(now)
         idle = not any(r.accounts for r in self._routers.values())
         reply = router.make_reply(
--- a/packages/loomyard-router/src/loomyard_router/shares/reporter.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporter.py
@@ -23,6 +23,9 @@
 
 # Reports that are not urgent leave at least this much time between them.
 REPORT_GAP = 0.4
+# Where service moved by more than this part of the margin, this gap is enough.
+MUCH_PART = 0.5
+LEAST_GAP = 0.15
 # An unanswered first report is repeated after this time.
 OPENING_GAP = 0.25
 UNANSWERED_BEFORE_SUSPICION = 4
@@ -126,17 +129,27 @@
             return since >= OPENING_GAP
         if self.urgent or since >= self._lease / RENEWALS_PER_LEASE:
             return True
-        return since >= REPORT_GAP and self._changed(now)
+        if since < LEAST_GAP:
+            return False
+        return self._changed(now, much=since < REPORT_GAP)
 
-    def _changed(self, now: float) -> bool:
-        """Tell whether something changed that is worth a report of its own."""
+    def _changed(self, now: float, *, much: bool) -> bool:
+        """Tell whether something changed, or changed so ``much``, that it is worth a report."""
         session = self._session
         for account, report in self._accounts(now).items():
             told = session.accounts.get(account)
-            if told is None or told.service != report.service or told.running != report.running:
+            if told is None:
+                return True
+            if abs(told.service - report.service) > MUCH_PART * self.told.margin:
+                return True
+            if much:
+                continue
+            if told.service != report.service or told.running != report.running:
                 return True
             if told.waiting.keys() != report.waiting.keys():
                 return True
+        if much:
+            return False
         slots = self._held.report(session.slots)
         return any(session.slots.get(target) != slot for target, slot in slots.items())
 
--- a/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
@@ -17,6 +17,8 @@
     from loomyard_router.shares.messages import ShareReport
 
 LEASE = 2.4
+# A report without news is answered after this time.
+RENEWAL = 0.7
 # Levels that moved by less than this part of the margin are not told.
 TOLD_PART = 0.125
 # The lease while nothing waits or runs anywhere, so that renewals are few.
@@ -43,6 +45,7 @@
     promised: dict[int, float] = field(factory=lambda: {0: IDLE_LEASE})
     reply_sequence: int = 0
     acknowledged: int = 0
+    unanswered: bool = False
     reply_due: bool = False
     urgent: bool = False
     replied_at: float = float("-inf")
@@ -90,6 +93,7 @@
         """Take in the numbers of a report."""
         self.sequence = report.sequence
         self.heard_at = now
+        self.unanswered = True
         self.acknowledged = max(self.acknowledged, report.acknowledged)
         # A reply that is superseded no longer binds.
         superseded = [number for number in self.promised if number < self.acknowledged]
@@ -100,7 +104,7 @@
         """Make the reply with all that the router may not know."""
         self.reply_sequence += 1
         self.promised[self.reply_sequence] = lease
-        self.reply_due = self.urgent = False
+        self.unanswered = self.reply_due = self.urgent = False
         limits = self.limits.since(self.acknowledged)
         for target in limits.keys() & self.leases.keys():
             self.leases[target].told_in = self.reply_sequence
@@ -138,6 +142,15 @@
                 self.lowest.set(service, carried, self.next_reply)
                 self.lowest_told_at[service] = now
 
+    def is_due(self, now: float, gap: float) -> bool:
+        """Tell whether to reply: for news after a gap, else only in time to renew the lease."""
+        since = now - self.replied_at
+        return self.urgent or (self.reply_due and since >= gap) or self.must_renew(now)
+
+    def must_renew(self, now: float) -> bool:
+        """Tell whether a reply is needed to renew the lease."""
+        return self.unanswered and now - self.replied_at >= RENEWAL
+
     def take_slots(self, report: ShareReport) -> bool:
         """Take over what a report says of slots; true where some came free."""
         self.pending = [grant for grant in self.pending if grant.reply > report.acknowledged]
