--- a/packages/loomyard-router/src/loomyard_router/shares/lease_terms.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/lease_terms.py
@@ -9,7 +9,7 @@
 REPLY_BYTES = 200
 REPLIES_PER_LEASE = 2.5
 # Reports that are not urgent leave at least this much time between them.
-REPORT_GAP = 0.8
+REPORT_GAP = 0.4
 REPORTS_PER_LEASE = 6
 URGENT_PART = 0.125
 
