--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -19,6 +19,7 @@
 FLEET_SECRET_VARIABLE = ENVIRONMENT_PREFIX + "FLEET_SECRET"
 MAX_SECRETS = 2
 MAX_NAME = 63  # so that news of several routers fits into a datagram
+MIN_SHARE_BYTES = 200.0
 MIN_CLAIM_WINDOW = 300.0
 RETENTION_MARGIN = 300.0
 POLICIES = ("fleet", "local", "fifo")
@@ -44,6 +45,7 @@
     operator_certificate: str = ""
     operator_private_key: str = ""
     drain_seconds: float = 60.0
+    resume_seconds: float = 5.0
     peer_listen: str = ""
     peers: tuple[str, ...] = ()
     fleet_secret: tuple[str, ...] = field(default=(), repr=False)
@@ -52,6 +54,7 @@
     peer_authority: str = ""
     vm_list: str = ""
     probe_period: float = 0.5
+    share_bytes: float = 1700.0
     claim_window: float = 3600.0
     log_retention: float = 86400.0
 
@@ -95,6 +98,7 @@
     add("position", 0, "position of this router for the local policy", type=int)
     add("routers", 1, "number of routers for the local policy", type=int)
     add("drain-seconds", 60.0, "longest wait of a planned stop for what runs", type=float)
+    add("resume-seconds", 5.0, "time a caller that went has to resume a stream", type=float)
     add("log-format", "text", "text or json", choices=("text", "json"))
     add("operator-listen", "", "address for operators; none turns their interface off")
     add("operator-keys", "", "SHA-256 digests of operator keys, by commas", type=_split)
@@ -114,6 +118,7 @@
     add("peer-authority", "", "PEM authority that signs the routers' certificates")
     add("vm-list", "", "address of the VM list")
     add("probe-period", 0.5, "seconds between probes of other routers", type=float)
+    add("share-bytes", 1700.0, "bytes a second for reports and replies of shares", type=float)
     add("claim-window", 3600.0, "seconds for which an idempotency key is remembered", type=float)
     add("log-retention", 86400.0, "seconds for which the log service keeps records", type=float)
     return parser
@@ -141,6 +146,8 @@
         faults.append(_fault("operator_keys", "not SHA-256 digests in lower-case hexadecimal"))
     if bool(settings.operator_certificate) != bool(settings.operator_private_key):
         faults.append(_fault("operator_certificate", "give certificate and private key, or none"))
+    if settings.share_bytes < MIN_SHARE_BYTES:
+        faults.append(_fault("share_bytes", f"below {MIN_SHARE_BYTES:.0f}"))
     return faults + _check_peers(settings) + _check_window(settings)
 
 
