--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -11,6 +11,7 @@
 from loomyard.events import Event, emit
 from loomyard.platform.http_log import connect_log
 from loomyard.platform.http_vm_list import connect_vm_list
+from loomyard.platform.http_weight_store import connect_weight_store
 from loomyard_router.callers.app import CallersApp
 from loomyard_router.callers.handler import CallerServer
 from loomyard_router.callers.in_flight import InFlight
@@ -21,6 +22,7 @@
 from loomyard_router.operators.interface import make_operators_interface
 from loomyard_router.orders.joint_backlog import JointBacklog
 from loomyard_router.orders.order_keeper import make_order_keeper
+from loomyard_router.orders.wanted_services import WantedServices
 from loomyard_router.parts import Parts, Platform
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
@@ -155,7 +157,14 @@
     clock = SystemClock()
     log = connect_log(settings.log_service)
     vm_list = connect_vm_list(settings.vm_list) if settings.vm_list else None
-    return Platform(clock=clock, log=log, engine=make_http_engine(clock), vm_list=vm_list)
+    store = settings.weight_store
+    return Platform(
+        clock=clock,
+        log=log,
+        engine=make_http_engine(clock),
+        vm_list=vm_list,
+        weight_store=connect_weight_store(store, clock) if store else None,
+    )
 
 
 def make_application(settings: Settings, platform: Platform | None = None) -> Application:
@@ -206,6 +215,7 @@
         journal=parts.journal,
         resuming=resuming,
     )
+    WantedServices(clock, parts.members, parts.peers, serving.backlog)
     parts.orders = make_order_keeper(
         clock=clock,
         log=platform.log,
--- a/packages/loomyard-router/src/loomyard_router/operators/app.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/app.py
@@ -27,6 +27,7 @@
     ChangeRequest,
     FleetReport,
     RestoreRequest,
+    TargetReport,
 )
 from loomyard_router.operators.object_listing import list_objects
 
@@ -40,6 +41,7 @@
     from loomyard_router.operators.keys import OperatorKeys
     from loomyard_router.operators.restores import Restores
     from loomyard_router.operators.router_drains import RouterDrains
+    from loomyard_router.targets.directory import TargetDirectory
 
     Environ = dict[str, Any]
     StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -72,6 +74,7 @@
         explanations: Explanations,
         drains: RouterDrains,
         restores: Restores,
+        targets: TargetDirectory,
     ) -> None:
         self._keys = keys
         self._follower = follower
@@ -80,6 +83,7 @@
         self._explanations = explanations
         self._drains = drains
         self._restores = restores
+        self._targets = targets
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         request_id = f"op-{secrets.token_hex(8)}"
@@ -116,6 +120,8 @@
                 return self._changes.find(change_id).map(_change_answer)
             case ("GET", "status"):
                 return _plain(Ok(self._report()))
+            case ("GET", "targets"):
+                return _plain(Ok(self._report_targets()))
             case ("GET", "requests", request_id):
                 return _plain(self._explanations.explain(request_id))
             case ("POST", "targets", name, "drain"):
@@ -132,6 +138,10 @@
         routers, silent = self._status.collect()
         return FleetReport(answered_by=self._status.own().name, routers=routers, silent=silent)
 
+    def _report_targets(self) -> TargetReport:
+        name = self._status.own().name
+        return TargetReport(answered_by=name, targets=self._targets.statuses())
+
 
 def _encode(document: object) -> Iterable[bytes]:
     if isinstance(document, Iterator):
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -18,8 +18,8 @@
 ENVIRONMENT_PREFIX = "LOOMYARD_"
 FLEET_SECRET_VARIABLE = ENVIRONMENT_PREFIX + "FLEET_SECRET"
 MAX_SECRETS = 2
-MAX_NAME = 63  # so that news of several routers fits into a datagram
 MIN_SHARE_BYTES = 200.0
+MAX_NAME = 63  # so that news of several routers fits into a datagram
 MIN_CLAIM_WINDOW = 300.0
 RETENTION_MARGIN = 300.0
 POLICIES = ("fleet", "local", "fifo")
@@ -53,6 +53,7 @@
     peer_key: str = ""
     peer_authority: str = ""
     vm_list: str = ""
+    weight_store: str = ""
     probe_period: float = 0.5
     share_bytes: float = 1700.0
     claim_window: float = 3600.0
@@ -117,6 +118,7 @@
     add("peer-key", "", "PEM key of the certificate")
     add("peer-authority", "", "PEM authority that signs the routers' certificates")
     add("vm-list", "", "address of the VM list")
+    add("weight-store", "", "address of the weight store; without it loads are 10 s apart")
     add("probe-period", 0.5, "seconds between probes of other routers", type=float)
     add("share-bytes", 1700.0, "bytes a second for reports and replies of shares", type=float)
     add("claim-window", 3600.0, "seconds for which an idempotency key is remembered", type=float)
@@ -154,7 +156,7 @@
 def _check_peers(settings: Settings) -> list[FieldFault]:
     faults = []
     addresses = [("peers", peer) for peer in settings.peers]
-    for name in ("peer_listen", "vm_list"):
+    for name in ("peer_listen", "vm_list", "weight_store"):
         addresses += [(name, getattr(settings, name))] if getattr(settings, name) else []
     for name, value in addresses:
         host, _, port = value.rpartition(":")
--- a/packages/loomyardctl/src/loomyardctl/arguments.py
+++ b/packages/loomyardctl/src/loomyardctl/arguments.py
@@ -5,7 +5,18 @@
 import argparse
 from typing import TYPE_CHECKING
 
-from loomyardctl.commands import apply, delete, diff, drain, explain, get, restore, status, validate
+from loomyardctl.commands import (
+    apply,
+    delete,
+    diff,
+    drain,
+    explain,
+    get,
+    restore,
+    status,
+    targets,
+    validate,
+)
 from loomyardctl.output import OutputFormat
 
 if TYPE_CHECKING:
@@ -20,6 +31,7 @@
     delete,
     diff,
     status,
+    targets,
     explain,
     drain,
     restore,
