Part the table of links and the waiting messages from websocket_links

Retry times of names that are no longer tried are now dropped too. A test covers messages that waited for a link in vain: they are counted as dropped.

--- a/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
@@ -21,7 +21,9 @@
 from loomyard_router.peers.frames import MAX_FRAME_BYTES
 from loomyard_router.peers.handshake import accept_link, open_link
 from loomyard_router.peers.link import PeerLink
+from loomyard_router.peers.link_table import LinkTable
 from loomyard_router.peers.message_types import name_of, register_message
+from loomyard_router.peers.pending import PendingMessages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,7 +42,6 @@
 RETRY_AFTER = 0.25
 IDLE_AFTER = 60.0
 SWEEP_INTERVAL = 5.0
-MAX_PENDING = 64
 MAX_HANDSHAKES = 64
 USER_TIMEOUT_MILLISECONDS = 3000
 M = TypeVar("M")
@@ -65,8 +66,8 @@
         self._clock = clock
         self._tls = tls
         self._handlers: dict[type, Callable[[Member, Any], Any]] = {}
-        self._links: dict[str, list[PeerLink]] = {}
-        self._pending: dict[str, list[Any]] = {}
+        self._links = LinkTable()
+        self._pending = PendingMessages(traffic)
         self._opening: dict[str, GeventEvent] = {}
         self._retry_at: dict[str, float] = {}
         self._handshakes = BoundedSemaphore(MAX_HANDSHAKES)
@@ -75,17 +76,17 @@
 
     def send(self, to: str, message: Any) -> bool:
         """Queue a message; where there is no link yet, it waits for one within a bound."""
-        link = self._find(to)
+        link = self._links.find(to)
         if link is not None:
             return link.send(message)
         if self._start_opening(to) is None:
             self.traffic.dropped(name_of(type(message)))
             return False
-        return self._hold_back(to, message)
+        return self._pending.add(to, message)
 
     def request(self, to: str, message: Any, deadline: float) -> Result[Any, Fault]:
         """Send and wait for the answer, opening a link where there is none."""
-        link = self._find(to) or self._await_link(to, deadline)
+        link = self._links.find(to) or self._await_link(to, deadline)
         if link is None:
             return Err(Fault(code=ResultCode.PEER_UNREACHABLE, detail=f"no link to {to}"))
         outcome = link.request(message, deadline)
@@ -108,32 +109,9 @@
         self._acceptor.stop()
         if self._sweeper is not None:
             self._sweeper.kill()
-        for link in self._all():
+        for link in self._links.all():
             link.close()
 
-    def _all(self) -> list[PeerLink]:
-        return [link for links in self._links.values() for link in links]
-
-    def _find(self, to: str) -> PeerLink | None:
-        """Return the link to send on; where both sides opened one, both choose the same."""
-        links = [link for link in self._links.get(to, ()) if not link.closed]
-        return min(links, key=lambda link: (-link.peer.incarnation, link.opener), default=None)
-
-    def _hold_back(self, to: str, message: Any) -> bool:
-        pending = self._pending.setdefault(to, [])
-        if len(pending) >= MAX_PENDING:
-            self.traffic.dropped(name_of(type(message)))
-            return False
-        pending.append(message)
-        return True
-
-    def _release(self, to: str, link: PeerLink | None) -> None:
-        for message in self._pending.pop(to, []):
-            if link is None:
-                self.traffic.dropped(name_of(type(message)))
-            else:
-                link.send(message)
-
     def _start_opening(self, to: str) -> GeventEvent | None:
         """Open a link in its own task; ``None`` where that can't be tried now."""
         if to in self._opening:
@@ -153,7 +131,7 @@
         if opened is None:
             return None
         opened.wait(max(0.0, deadline - self._clock.now()))
-        return self._find(to)
+        return self._links.find(to)
 
     def _open(self, member: Member, opened: GeventEvent) -> None:
         link = None
@@ -163,7 +141,7 @@
             self._note_failure(member, str(error) or type(error).__name__)
         finally:
             self._opening.pop(member.name, None)
-            self._release(member.name, link)
+            self._pending.release(member.name, link)
             opened.set()
         if link is not None:
             self._serve_link(link)
@@ -237,7 +215,7 @@
             deliver=self._deliver,
             opener=self._members.own.name if own else peer.name,
         )
-        self._links.setdefault(peer.name, []).append(link)
+        self._links.add(link)
         self._retry_at.pop(peer.name, None)
         return link
 
@@ -246,10 +224,7 @@
         try:
             link.run()
         finally:
-            links = self._links[name]
-            links.remove(link)
-            if not links:
-                del self._links[name]
+            self._links.remove(link)
         if not link.closed_here:
             # The end of a link is the first sign of a router that died.
             self._members.suspect(name)
@@ -263,7 +238,7 @@
         self._members.suspect(member.name)
 
     def _drop_dead(self) -> None:
-        for link in self._all():
+        for link in self._links.all():
             member = self._members.find(link.peer.name)
             if member is None:
                 continue
@@ -274,8 +249,10 @@
     def _sweep(self) -> None:
         while True:
             self._clock.sleep(SWEEP_INTERVAL)
-            idle_before = self._clock.now() - IDLE_AFTER
-            for link in self._all():
+            now = self._clock.now()
+            idle_before = now - IDLE_AFTER
+            self._retry_at = {name: at for name, at in self._retry_at.items() if at > now}
+            for link in self._links.all():
                 if link.idle and link.used_at < idle_before:
                     link.close()
 
--- a/tests/test_loomyard_router/test_peers/test_websocket_links.py
+++ b/tests/test_loomyard_router/test_peers/test_websocket_links.py
@@ -23,6 +23,7 @@
 from loomyard_router.peers import link as link_module
 from loomyard_router.peers.fleet_secret import make_fleet_secret
 from loomyard_router.peers.message_types import peer_message
+from loomyard_router.peers.pending import MAX_PENDING
 from loomyard_router.peers.sockets import bind_peer_sockets
 from loomyard_router.peers.tls import make_peer_tls
 from loomyard_router.peers.traffic import TrafficCounters
@@ -135,13 +136,13 @@
         self.assertEqual(
             b.traffic.kinds["test-question"].received_bytes, sent.sent_bytes, "both count alike"
         )
-        self.assertEqual(len(a.links._all()), 1)
+        self.assertEqual(len(a.links._links.all()), 1)
 
     def test_links_opened_at_once_by_both_settle_on_one(self) -> None:
         a, b = self.router("a"), self.router("b")
         asks = [gevent.spawn(a.ask, "b", 1), gevent.spawn(b.ask, "a", 1)]
         gevent.joinall(asks, raise_error=True)
-        chosen = (a.links._find("b"), b.links._find("a"))
+        chosen = (a.links._links.find("b"), b.links._links.find("a"))
         self.assertEqual({link.opener for link in chosen}, {"a"})
 
     def test_faulty_handlers_and_absent_peers_are_told(self) -> None:
@@ -179,7 +180,7 @@
         a.members.changed()
         new.ask("a", 1).unwrap()
         self.assertEqual([start for _, start, _ in a.got], [1, 2])
-        self.wait(lambda: not old.links._all())
+        self.wait(lambda: not old.links._links.all())
         self.assertTrue(old.ask("a", 1).is_err())
         self.assertEqual(a.ask("b", 1).unwrap(), Answer(number=2))
         self.assertEqual(len(new.got), 1)
@@ -191,6 +192,16 @@
         self.wait(lambda: a.members.suspected == ["b"])
         self.assertTrue(a.ask("b", 1).is_err())
 
+    def test_messages_that_waited_for_a_link_in_vain_are_counted(self) -> None:
+        a, b = self.router("a"), self.router("b")
+        b.stop()
+        sent = [a.links.send("b", Question(number=1)) for _ in range(MAX_PENDING + 6)]
+        self.assertEqual(sum(sent), MAX_PENDING)
+        self.wait(lambda: a.members.suspected == ["b"])
+        counts = a.traffic.kinds["test-question"]
+        self.wait(lambda: counts.dropped_messages == MAX_PENDING + 6)
+        self.assertFalse(a.links.send("b", Question(number=1)), "no second try at once")
+
     def test_links_to_the_dead_are_closed(self) -> None:
         a, b = self.router("a"), self.router("b")
         a.ask("b", 1).unwrap()
@@ -203,7 +214,7 @@
             state=MemberState.DEAD,
         )
         a.members.changed()
-        self.wait(lambda: not a.links._all())
+        self.wait(lambda: not a.links._links.all())
         self.assertFalse(a.links.send("b", Question(number=1)))
         self.assertEqual(a.members.suspected, [])
 
@@ -225,8 +236,8 @@
         for _ in range(30):
             gevent.sleep(0)
             clock.advance(1.0)
-        self.assertEqual(len(a.links._all()), 1)
-        while a.links._all():
+        self.assertEqual(len(a.links._links.all()), 1)
+        while a.links._links.all():
             clock.advance(1.0)
             gevent.sleep(0)
         self.assertGreater(clock.now(), IDLE_AFTER)
