--- a/packages/loomyard-router/src/loomyard_router/claims/log_claims.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/log_claims.py
@@ -27,6 +27,7 @@
 
 CLAIM_ID_BYTES = 12
 MAX_KEPT_BODY = 16 * 1024
+MAX_KEPT_TYPE = 200
 # A router that answers later than this is taken as not answering.
 ASK_SECONDS = 1.0
 BEGIN_SECONDS = 2.0
@@ -53,6 +54,10 @@
         self._settling = Settling(clock, hosting)
         self._begun: dict[str, Begun] = {}
 
+    @property
+    def ready(self) -> bool:
+        return self._hosting.ready
+
     def claim(self, key: ClaimKey, deadline: float) -> Result[Claim | RecordedOutcome, Fault]:
         """Return a claim where nothing is known of the key; wait for one that is running."""
         if (expired := self._check_time(key)) is not None:
@@ -98,10 +103,7 @@
         begun = self._begun.pop(claim.claim_id, None)
         if begun is None:
             return
-        if outcome is not None and len(outcome.body or b"") > MAX_KEPT_BODY:
-            outcome = RecordedOutcome(
-                status=outcome.status, content_type=outcome.content_type, body=None
-            )
+        outcome = None if outcome is None else _bounded(outcome)
         self._settling.add(Finished(claim_id=begun.claim_id, key=begun.key, outcome=outcome))
 
     def abandon(self, claim: Claim) -> None:
@@ -185,6 +187,13 @@
     return Abandoned(claim_id=begun.claim_id, key=begun.key, keep_until=begun.keep_until)
 
 
+def _bounded(outcome: RecordedOutcome) -> RecordedOutcome:
+    """Return what is kept of an outcome; a target's header may hold any text."""
+    body = outcome.body if len(outcome.body or b"") <= MAX_KEPT_BODY else None
+    content_type = outcome.content_type.encode("ascii", "replace").decode()[:MAX_KEPT_TYPE]
+    return RecordedOutcome(status=outcome.status, content_type=content_type, body=body)
+
+
 def _fault(code: ResultCode, detail: str) -> Fault:
     return Fault(code=code, detail=detail)
 
