--- a/packages/loomyard-router/src/loomyard_router/claims/hosting.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/hosting.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 import gevent
-from result import Ok
+from result import Err, Ok
 
 from loomyard.rendezvous import rank
 from loomyard_router.claims.key_state import Phase
@@ -58,6 +58,12 @@
         self._partitions: dict[int, ClaimPartition] = {}
         self._watch = UnknownWatch(members)
         self._sweeping: gevent.Greenlet | None = None
+        self._stopped = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether all partitions that this router hosts are read to their ends."""
+        return all(partition.ready for partition in self._partitions.values())
 
     def start(self) -> None:
         """Start to host and to answer."""
@@ -71,9 +77,11 @@
         """Stop to host."""
         if self._sweeping is not None:
             self._sweeping.kill()
-        for partition in self._partitions.values():
+        # To stop a partition waits; members that change meanwhile must assign none anew.
+        self._stopped = True
+        while self._partitions:
+            _, partition = self._partitions.popitem()
             partition.stop()
-        self._partitions.clear()
 
     def unknown(self) -> list[KeyState]:
         """Return the claims without outcome of the partitions that this router hosts first."""
@@ -91,17 +99,25 @@
         return self.ask_partition(partition_of(key), message, deadline)
 
     def ask_partition(self, partition: int, message: Message, deadline: float) -> Iterator[Any]:
-        """Yield the answers of the hosts of a partition."""
+        """Yield the answers of the hosts of a partition.
+
+        Each host gets its part of the time that is left, so that one that hangs leaves some.
+        """
         own = self._members.own.name
-        for host in self._hosts[partition]:
-            if self._clock.now() >= deadline:
+        hosts = self._hosts[partition]
+        for number, host in enumerate(hosts):
+            now = self._clock.now()
+            if now >= deadline:
                 return
+            until = now + (deadline - now) / (len(hosts) - number)
             if host == own:
-                yield self.answer(message, deadline)
+                yield self.answer(message, until)
                 continue
-            match self._peers.request(host, message, deadline):
+            match self._peers.request(host, message, until):
                 case Ok(answer):
                     yield answer
+                case Err(_):
+                    self._members.suspect(host)
 
     def answer(self, message: Message, deadline: float) -> KeyView | BeginAnswer | Settled:
         """Answer as a host."""
@@ -122,6 +138,8 @@
             self.unknown()
 
     def _assign(self) -> None:
+        if self._stopped:
+            return
         names = [member.name for member in self._members.live()]
         own = self._members.own.name
         ranked = [rank(stream_of(number), names) for number in range(PARTITIONS)]
