--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
@@ -43,7 +43,7 @@
 from loomyard_router.settings import Settings
 from loomyard_standins.fake_clock import FakeClock
 from loomyard_standins.faults.answer_fault import AnswerFault
-from loomyard_standins.faults.checkers import IN_FORCE_SECONDS
+from loomyard_standins.faults.checkers import IN_FORCE_SECONDS, LEAVING_SECONDS
 from loomyard_standins.faults.fake_call import (
     HTTP_OK,
     MODEL,
@@ -68,7 +68,14 @@
     PointedVmList,
 )
 from loomyard_standins.faults.seeded_random import SeededRandom
-from loomyard_standins.faults.sightings import CallerSaw, Ending, ModelsSeen, Sightings, Woken
+from loomyard_standins.faults.sightings import (
+    CallerSaw,
+    CutOff,
+    Ending,
+    ModelsSeen,
+    Sightings,
+    Woken,
+)
 from loomyard_standins.log_service import MemoryLog
 from loomyard_standins.vm_list import MemoryVmList
 from loomyard_standins.weight_store import LimitedWeightStore
@@ -150,6 +157,7 @@
             self.hasten()
         self._count = routers
         self._starts = 0
+        self._cut_at: dict[str, float] = {}
         self._paused_at: dict[str, float] = {}
         self.publish(self._objects(spare))
         for position in range(routers):
@@ -196,6 +204,7 @@
         self._forget_reachable(name)
         if name not in self.sightings.exited:
             self.sightings.stopped.pop(name, None)
+        self._forget_leaving(name)
         for saw in self.sightings.callers:
             saw.router_died |= saw.router == name and saw.ended is None
         router.points.kill()
@@ -236,6 +245,7 @@
         """Cut a router from the log service and from the other routers."""
         self._forget_reachable(name)
         self.routers[name].points.log_cut = True
+        self._cut_at.setdefault(name, self.clock.now())
         self.network.links.cut({name}, set(self.routers) - {name})
 
     def hasten(self) -> None:
@@ -247,6 +257,10 @@
         """Mend every lasting fault that is not a death."""
         self.faults.clear()
         self.network.links.heal()
+        for name, since in self._cut_at.items():
+            cut = CutOff(router=name, since=since, until=self.clock.now())
+            self.sightings.cut_off.append(cut)
+        self._cut_at.clear()
         self.log.down = False
         for name, router in self.routers.items():
             self.wake(name)
@@ -439,6 +453,15 @@
         stopping = self.sightings.stopped
         return [n for n, r in self.routers.items() if not r.points.dead and n not in stopping]
 
+    def _forget_leaving(self, name: str) -> None:
+        # What one router learned just before its death dies with it.
+        routers = {saw.marker: saw.router for saw in self.sightings.callers}
+        young = self.clock.now() - LEAVING_SECONDS
+        for target, known in list(self.sightings.leaving.items()):
+            refused = [r for r in self.sightings.runs if r.target == target and r.refused]
+            if known >= young and refused and routers.get(refused[0].marker) == name:
+                del self.sightings.leaving[target]
+
     def forget_late_generations(self) -> None:
         """Expect no more that what was accepted just now is in force in time."""
         for name in self.routers:
--- a/packages/loomyard-standins/src/loomyard_standins/faults/sightings.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/sightings.py
@@ -91,6 +91,15 @@
     slept: float
 
 
+@frozen(kw_only=True)
+class CutOff:
+    """A router that could reach neither the log service nor other routers for a while."""
+
+    router: str
+    since: float
+    until: float
+
+
 @define(eq=False)
 class Sightings:
     """Everything that was seen.
@@ -110,5 +119,6 @@
     exited: set[str] = field(factory=set)
     stopped: dict[str, float] = field(factory=dict)
     generations: dict[int, tuple[float, frozenset[str]]] = field(factory=dict)
+    cut_off: list[CutOff] = field(factory=list)
     woken: list[Woken] = field(factory=list)
     weights: dict[str, float] = field(factory=dict)
