--- a/packages/loomyard-router/src/loomyard_router/operators/app.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/app.py
@@ -10,13 +10,14 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import parse_qs
 
-from cattrs import BaseValidationError, transform_error
+from cattrs import BaseValidationError
 from result import Err, Ok, Result
 
 from loomyard.codec import CODEC, DOCUMENT_CODEC
 from loomyard.configuration import Verdict
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
+from loomyard.validation_errors import error_lines
 from loomyard_router.callers.problems import (
     JSON_TYPE,
     problem_document,
@@ -166,7 +167,7 @@
     try:
         return Ok(CODEC.structure(json.loads(environ["wsgi.input"].read(int(length))), kind))
     except BaseValidationError as error:
-        return Err(_fault(ResultCode.INVALID_MANIFEST, "; ".join(transform_error(error))))
+        return Err(_fault(ResultCode.INVALID_MANIFEST, "; ".join(error_lines(error))))
     except Exception as error:  # json and hooks raise many types on hostile bytes
         detail = f"not a change: {type(error).__name__}: {error}"
         return Err(_fault(ResultCode.MALFORMED_REQUEST, detail))
--- a/packages/loomyard-router/src/loomyard_router/peers/compact_codec.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/compact_codec.py
@@ -6,12 +6,13 @@
 
 import attrs
 import cbor2
-from cattrs import BaseValidationError, transform_error
+from cattrs import BaseValidationError
 from cattrs.preconf.cbor2 import make_converter
 from result import Err, Ok, Result
 
 from loomyard.codec import CODEC, structure_bytes
 from loomyard.objects import ConfigObject
+from loomyard.validation_errors import error_lines
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,7 +40,7 @@
     try:
         return Ok(COMPACT.structure(data, kind))
     except BaseValidationError as error:
-        return Err("; ".join(transform_error(error)))
+        return Err("; ".join(error_lines(error)))
     except Exception as error:  # hooks raise many types on hostile data
         return Err(f"{type(error).__name__}: {error}")
 
--- a/packages/loomyard/src/loomyard/codec.py
+++ b/packages/loomyard/src/loomyard/codec.py
@@ -5,11 +5,12 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import cbor2
-from cattrs import BaseValidationError, transform_error
+from cattrs import BaseValidationError
 from cattrs.preconf.cbor2 import make_converter
 from result import Err, Ok, Result
 
 from loomyard.objects import KINDS, ClientAccount, ConfigObject, Route, Service, Target
+from loomyard.validation_errors import error_lines
 
 if TYPE_CHECKING:
     from cattrs import Converter
@@ -44,7 +45,7 @@
     try:
         return Ok(CODEC.structure(cbor2.loads(data), kind))
     except BaseValidationError as error:
-        return Err("; ".join(transform_error(error)))
+        return Err("; ".join(error_lines(error)))
     except Exception as error:  # cbor2 and hooks raise many types on hostile bytes
         return Err(f"{type(error).__name__}: {error}")
 
--- a/packages/loomyard/src/loomyard/configuration/packing.py
+++ b/packages/loomyard/src/loomyard/configuration/packing.py
@@ -9,7 +9,7 @@
 
 import cbor2
 import gevent
-from cattrs import BaseValidationError, transform_error
+from cattrs import BaseValidationError
 from result import Err, Ok, Result
 
 from loomyard.codec import CODEC
@@ -17,6 +17,7 @@
 from loomyard.configuration.snapshot import PART_BYTES, SnapshotNotice, SnapshotPart
 from loomyard.configuration.state import ConfigState, VersionedObject, make_state
 from loomyard.objects import ConfigObject
+from loomyard.validation_errors import error_lines
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -66,7 +67,7 @@
     try:
         state = make_state(_decompress(data), version=head.version, applied=head.as_of)
     except BaseValidationError as error:
-        return Err("; ".join(transform_error(error)))
+        return Err("; ".join(error_lines(error)))
     except Exception as error:  # zlib, cbor2 and hooks raise many types on hostile bytes
         return Err(f"{type(error).__name__}: {error}")
     if format_digest(state.digest) != head.digest:
--- a/packages/loomyard/src/loomyard/manifests.py
+++ b/packages/loomyard/src/loomyard/manifests.py
@@ -6,12 +6,13 @@
 
 import attrs
 import yaml
-from cattrs import BaseValidationError, transform_error
+from cattrs import BaseValidationError
 from result import Err, Ok, Result
 
 from loomyard.codec import CODEC, KIND_FIELD
 from loomyard.errors import FieldFault
 from loomyard.objects import KINDS, ConfigObject, ObjectRef, ref_of
+from loomyard.validation_errors import error_lines
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -94,7 +95,7 @@
         with attrs.validators.disabled():
             item: ConfigObject = CODEC.structure(fields, kind)
     except BaseValidationError as error:
-        for line in transform_error(error, path="$"):
+        for line in error_lines(error, path="$"):
             detail, _, path = line.rpartition(" @ ")
             faults.append(_fault(source, name, path.removeprefix("$.") or "-", detail or line))
         return None
