--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -11,6 +11,7 @@
 from loomyard.events import Event, emit
 from loomyard.platform.http_log import connect_log
 from loomyard.platform.http_vm_list import connect_vm_list
+from loomyard.platform.http_weight_store import connect_weight_store
 from loomyard_router.callers.app import CallersApp
 from loomyard_router.callers.handler import CallerServer
 from loomyard_router.callers.in_flight import InFlight
@@ -18,13 +19,20 @@
 from loomyard_router.configuration.distribution import make_distribution
 from loomyard_router.configuration.follower import ConfigFollower
 from loomyard_router.fleet_parts import make_fleet_parts
+from loomyard_router.metrics.exposition import MetersCollector
+from loomyard_router.metrics.meters import Meters
+from loomyard_router.metrics.server import MetricsServer
 from loomyard_router.operators.interface import make_operators_interface
 from loomyard_router.orders.joint_backlog import JointBacklog
 from loomyard_router.orders.order_keeper import make_order_keeper
+from loomyard_router.orders.wanted_services import WantedServices
 from loomyard_router.parts import Parts, Platform
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
+from loomyard_router.requests.resume_holds import ResumeHolds
+from loomyard_router.requests.resuming import Resuming
 from loomyard_router.requests.serving import Serving
+from loomyard_router.requests.stream_token import StreamTokens
 from loomyard_router.shares.fifo import make_fifo_policy
 from loomyard_router.shares.fleet import FleetPolicy, make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
@@ -56,6 +64,7 @@
         callers: CallersApp,
         *,
         serving: Serving,
+        meters: Meters,
     ) -> None:
         self.parts = parts
         self.callers = callers
@@ -66,8 +75,15 @@
         self._drained: GeventEvent | None = None
         host, _, port = settings.listen.rpartition(":")
         self._server = CallerServer(
-            (host, int(port)), callers, log=None, error_log=logger, in_flight=self._in_flight
+            (host, int(port)),
+            callers,
+            log=None,
+            error_log=logger,
+            in_flight=self._in_flight,
+            **_tls_options(settings),
         )
+        collector = MetersCollector(meters, parts.traffic, lambda: len(self._in_flight))
+        self.metrics = MetricsServer(settings.metrics_listen, lambda: callers.ready, collector)
         self.operators = make_operators_interface(
             settings,
             platform,
@@ -99,6 +115,8 @@
             part.start()
         if parts.vm_watch is not None:
             parts.vm_watch.start()
+        if parts.table_sync is not None:
+            parts.table_sync.start()
         parts.claims.start()
         parts.policy.start()
         parts.distribution.start()
@@ -107,6 +125,7 @@
             parts.orders.start()
         self._server.start()
         self.operators.start()
+        self.metrics.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, port=self.port)
 
     def drain(self) -> None:
@@ -130,6 +149,7 @@
     def stop(self) -> None:
         """Stop at once."""
         self.operators.stop()
+        self.metrics.stop()
         self._server.stop()
         parts = self.parts
         parts.distribution.stop()
@@ -139,6 +159,8 @@
         parts.claims.stop()
         if parts.vm_watch is not None:
             parts.vm_watch.stop()
+        if parts.table_sync is not None:
+            parts.table_sync.stop()
         for part in (parts.targets, parts.follower, parts.members, parts.peers):
             part.stop()
 
@@ -148,7 +170,14 @@
     clock = SystemClock()
     log = connect_log(settings.log_service)
     vm_list = connect_vm_list(settings.vm_list) if settings.vm_list else None
-    return Platform(clock=clock, log=log, engine=make_http_engine(clock), vm_list=vm_list)
+    store = settings.weight_store
+    return Platform(
+        clock=clock,
+        log=log,
+        engine=make_http_engine(clock),
+        vm_list=vm_list,
+        weight_store=connect_weight_store(store, clock) if store else None,
+    )
 
 
 def make_application(settings: Settings, platform: Platform | None = None) -> Application:
@@ -165,6 +194,7 @@
         peers=fleet.peers,
         traffic=fleet.traffic,
         vm_watch=fleet.vm_watch,
+        table_sync=fleet.table_sync,
         follower=follower,
         distribution=make_distribution(
             platform, follower, fleet.members, fleet.peers, retention=settings.log_retention
@@ -180,6 +210,14 @@
         ),
         journal=Journal(clock),
     )
+    resuming = Resuming(
+        clock=clock,
+        follower=follower,
+        engine=platform.engine,
+        tokens=StreamTokens(settings.fleet_secret),
+        holds=ResumeHolds(clock, parts.peers, settings.name, seconds=settings.resume_seconds),
+    )
+    meters = Meters(clock)
     serving = Serving(
         clock=clock,
         follower=parts.follower,
@@ -189,7 +227,10 @@
         engine=platform.engine,
         estimates=CostEstimates(),
         journal=parts.journal,
+        resuming=resuming,
+        meters=meters,
     )
+    WantedServices(clock, parts.members, parts.peers, serving.backlog)
     parts.orders = make_order_keeper(
         clock=clock,
         log=platform.log,
@@ -199,8 +240,16 @@
         weights=platform.weight_store,
         backlog=_join_backlogs(serving, parts.policy),
     )
-    callers = CallersApp(clock=clock, follower=parts.follower, serving=serving)
-    return Application(settings, platform, parts, callers, serving=serving)
+    callers = CallersApp(
+        clock=clock, follower=follower, serving=serving, resuming=resuming, meters=meters
+    )
+    return Application(settings, platform, parts, callers, serving=serving, meters=meters)
+
+
+def _tls_options(settings: Settings) -> dict[str, str]:
+    if not settings.certificate:
+        return {}
+    return {"certfile": settings.certificate, "keyfile": settings.private_key}
 
 
 def _make_policy(
@@ -214,7 +263,13 @@
         return make_fifo_policy(clock)
     if settings.policy == "local":
         return make_local_policy(clock, position=settings.position, routers=settings.routers)
-    return make_fleet_policy(clock, members=members, peers=peers, directory=directory)
+    return make_fleet_policy(
+        clock,
+        members=members,
+        peers=peers,
+        directory=directory,
+        byte_rate=settings.share_bytes,
+    )
 
 
 def _join_backlogs(serving: Serving, policy: SharePolicy) -> BacklogView:
--- a/packages/loomyard-router/src/loomyard_router/callers/app.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/app.py
@@ -13,6 +13,7 @@
 from loomyard.errors import Executed, Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard.objects import ServiceType
+from loomyard_router.callers.handler import PRESENCE_KEY
 from loomyard_router.callers.keys import authenticate
 from loomyard_router.callers.problems import (
     JSON_TYPE,
@@ -22,6 +23,7 @@
 )
 from loomyard_router.callers.request_reader import SERVICES_PREFIX, RequestReader
 from loomyard_router.requests.answer import Answer
+from loomyard_router.requests.presence import CallerPresence
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -30,7 +32,9 @@
     from loomyard.objects import ClientAccount
     from loomyard_router.callers.fields import Environ
     from loomyard_router.configuration.follower import ConfigFollower
+    from loomyard_router.metrics.meters import Meters
     from loomyard_router.requests.request import Request
+    from loomyard_router.requests.resuming import Resuming
     from loomyard_router.requests.serving import Serving
 
     StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -40,8 +44,11 @@
 NOT_READY_RETRY_AFTER = 1.0
 MODEL_PATHS = ("/v1/completions", "/v1/chat/completions")
 OPENAI_PREFIX = "/v1/"
+STREAMS_PREFIX = "/v1/streams/"
+LAST_EVENT_HEADER = "HTTP_LAST_EVENT_ID"
 HEALTH_PATH = "/healthz"
 READY_PATH = "/readyz"
+CLOSING_CODES = (ResultCode.MALFORMED_REQUEST, ResultCode.BODY_TOO_LARGE, ResultCode.STOPPING)
 DROPPED_HEADERS = frozenset(
     [
         "connection",
@@ -68,7 +75,17 @@
 class CallersApp:
     """Serve /v1 and /services."""
 
-    def __init__(self, *, clock: Clock, follower: ConfigFollower, serving: Serving) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        follower: ConfigFollower,
+        serving: Serving,
+        resuming: Resuming,
+        meters: Meters,
+    ) -> None:
+        self._meters = meters
+        self._resuming = resuming
         self._follower = follower
         self._serving = serving
         self._reader = RequestReader(clock, follower)
@@ -81,7 +98,7 @@
         path = environ["PATH_INFO"]
         if path in (HEALTH_PATH, READY_PATH):
             return self._report(path, start_response)
-        exchange = _Exchange(environ, start_response)
+        exchange = _Exchange(environ, start_response, self._meters)
         if not self._follower.ready:
             return exchange.refuse(_NOT_READY)
         account = authenticate(self._follower.routing, environ.get("HTTP_AUTHORIZATION", ""))
@@ -90,6 +107,8 @@
             return exchange.refuse(Fault(code=ResultCode.UNKNOWN_KEY, detail=detail))
         if path == "/v1/models":
             return exchange.answer(self._list_models(account))
+        if path.startswith(STREAMS_PREFIX):
+            return exchange.finish(self._resume(environ, account))
         match self._read(environ, exchange.request_id, account):
             case Err(fault):
                 return exchange.refuse(fault)
@@ -108,6 +127,17 @@
             return self._reader.read_plain_request(environ, request_id, account)
         return Err(Fault(code=ResultCode.UNKNOWN_PATH, detail=f"no such path: {path}"))
 
+    def _resume(self, environ: Environ, account: ClientAccount) -> Result[Answer, Fault]:
+        if environ["REQUEST_METHOD"] not in ("GET", "POST"):
+            return Err(Fault(code=ResultCode.METHOD_NOT_ALLOWED, detail="use GET or POST"))
+        return self._resuming.resume(
+            account,
+            environ["PATH_INFO"][len(STREAMS_PREFIX) :],
+            environ.get(LAST_EVENT_HEADER),
+            environ.get(PRESENCE_KEY) or CallerPresence(),
+            lambda: self._serving.stopping,
+        )
+
     def _report(self, path: str, start_response: StartResponse) -> Iterable[bytes]:
         good = path == HEALTH_PATH or self.ready
         status = HTTPStatus.OK if good else HTTPStatus.SERVICE_UNAVAILABLE
@@ -128,7 +158,8 @@
 class _Exchange:
     """One request and the answer to it."""
 
-    def __init__(self, environ: Environ, start_response: StartResponse) -> None:
+    def __init__(self, environ: Environ, start_response: StartResponse, meters: Meters) -> None:
+        self._meters = meters
         self.request_id = f"req-{secrets.token_hex(8)}"
         self.idempotent = False
         self._openai = environ["PATH_INFO"].startswith(OPENAI_PREFIX)
@@ -138,6 +169,7 @@
         """Answer or refuse."""
         match outcome:
             case Ok(answer):
+                self._meters.count(None)
                 return self.answer(answer)
             case Err(fault):
                 return self.refuse(fault)
@@ -161,12 +193,13 @@
 
     def refuse(self, fault: Fault) -> Iterable[bytes]:
         """Give the final answer of a request that gets no other."""
+        self._meters.count(fault.code)
         emit(logger, Event.REQUEST_REFUSED, request=self.request_id, code=int(fault.code))
         kind, body = problem_document(
             fault, self.request_id, openai=self._openai, idempotent=self.idempotent
         )
         headers = [("Content-Type", kind), *problem_headers(fault, self.request_id)]
-        if fault.code in (ResultCode.BODY_TOO_LARGE, ResultCode.STOPPING):
+        if fault.code in CLOSING_CODES:
             headers.append(("Connection", "close"))
         self._start_response(_status_line(status_of(fault.code)), headers)
         return [body]
--- a/packages/loomyard-router/src/loomyard_router/claims/log_claims.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/log_claims.py
@@ -2,23 +2,21 @@
 
 from __future__ import annotations
 
-import logging
 import secrets
 from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
 
 from loomyard.errors import Executed, Fault, ResultCode
-from loomyard.events import Event, emit
-from loomyard_router.claims.hosting import CLOCK_MARGIN, ClaimHosting
+from loomyard_router.claims.hosting import ClaimHosting
 from loomyard_router.claims.keeper import Claim, RecordedOutcome
 from loomyard_router.claims.key_state import Phase
 from loomyard_router.claims.keys import digest_of
 from loomyard_router.claims.messages import BeginAnswer, BeginClaim, KeyView, LookUp
 from loomyard_router.claims.records import Abandoned, Begun, Finished
 from loomyard_router.claims.settling import Settling
+from loomyard_router.claims.unknown_watch import CLOCK_MARGIN, is_unknown
 from loomyard_router.claims.verdict import Verdict
-from loomyard_router.members.membership import MemberState
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -27,10 +25,9 @@
     from loomyard_router.members.membership import Membership
     from loomyard_router.peers.links import PeerLinks
 
-logger = logging.getLogger(__name__)
-
 CLAIM_ID_BYTES = 12
 MAX_KEPT_BODY = 16 * 1024
+MAX_KEPT_TYPE = 200
 # A router that answers later than this is taken as not answering.
 ASK_SECONDS = 1.0
 BEGIN_SECONDS = 2.0
@@ -57,6 +54,10 @@
         self._settling = Settling(clock, hosting)
         self._begun: dict[str, Begun] = {}
 
+    @property
+    def ready(self) -> bool:
+        return self._hosting.ready
+
     def claim(self, key: ClaimKey, deadline: float) -> Result[Claim | RecordedOutcome, Fault]:
         """Return a claim where nothing is known of the key; wait for one that is running."""
         if (expired := self._check_time(key)) is not None:
@@ -72,10 +73,10 @@
             match view.phase:
                 case Phase.FREE:
                     claim_id = secrets.token_hex(CLAIM_ID_BYTES)
-                    return Ok(Claim(key=key, claim_id=claim_id, offset=-1))
+                    return Ok(Claim(key=key, claim_id=claim_id))
                 case Phase.FINISHED if view.outcome is not None:
                     return Ok(view.outcome)
-            if view.phase is Phase.UNKNOWN or self._is_lost(view):
+            if self._is_lost(view):
                 return Err(_unknown())
             self._clock.sleep(max(0.0, min(poll, deadline - self._clock.now())))
             if self._clock.now() >= deadline:
@@ -102,12 +103,7 @@
         begun = self._begun.pop(claim.claim_id, None)
         if begun is None:
             return
-        if outcome is None:
-            emit(logger, Event.CLAIM_OUTCOME_UNKNOWN, claim=claim.claim_id)
-        elif outcome.body is not None and len(outcome.body) > MAX_KEPT_BODY:
-            outcome = RecordedOutcome(
-                status=outcome.status, content_type=outcome.content_type, body=None
-            )
+        outcome = None if outcome is None else _bounded(outcome)
         self._settling.add(Finished(claim_id=begun.claim_id, key=begun.key, outcome=outcome))
 
     def abandon(self, claim: Claim) -> None:
@@ -143,13 +139,7 @@
         return None
 
     def _is_lost(self, view: KeyView) -> bool:
-        """Tell whether nobody is left who could still record the outcome."""
-        if self._clock.wall() > view.answer_by + CLOCK_MARGIN:
-            return True
-        owner = self._members.find(view.owner)
-        if owner is None:
-            return False
-        return owner.state is MemberState.DEAD or owner.incarnation != view.incarnation
+        return is_unknown(view, self._members, self._clock.wall())
 
     def _make_begun(self, claim: Claim, deadline: float) -> Begun:
         wall = self._clock.wall()
@@ -197,6 +187,13 @@
     return Abandoned(claim_id=begun.claim_id, key=begun.key, keep_until=begun.keep_until)
 
 
+def _bounded(outcome: RecordedOutcome) -> RecordedOutcome:
+    """Return what is kept of an outcome; a target's header may hold any text."""
+    body = outcome.body if len(outcome.body or b"") <= MAX_KEPT_BODY else None
+    content_type = outcome.content_type.encode("ascii", "replace").decode()[:MAX_KEPT_TYPE]
+    return RecordedOutcome(status=outcome.status, content_type=content_type, body=body)
+
+
 def _fault(code: ResultCode, detail: str) -> Fault:
     return Fault(code=code, detail=detail)
 
--- a/packages/loomyard-router/src/loomyard_router/configuration/follower.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import logging
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,7 @@
 from loomyard.configuration import CONFIG_STREAM, EMPTY_VERSION, Verdict
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
+from loomyard_router.configuration.repeating import repeat
 from loomyard_router.configuration.replica import ConfigReplica
 
 if TYPE_CHECKING:
@@ -26,11 +28,12 @@
 logger = logging.getLogger(__name__)
 
 READ_WAIT = 2.0
-READ_RECORDS = 100
+READ_RECORDS = 50
 RETRY_SECONDS = 0.2
 GAP_RETRY_SECONDS = 2.0
 LONG_LOG_RECORDS = 1000
 SETTLE_WAIT = 0.5
+FROZEN_OBJECTS = 1000
 
 
 class ConfigFollower:
@@ -71,6 +74,11 @@
         """Return when the log service answered last, on the monotonic clock."""
         return self._read_at
 
+    @property
+    def gap(self) -> bool:
+        """Tell whether records are gone and nothing to start from was found."""
+        return self._gap
+
     @property
     def behind(self) -> int:
         """Return how many records are known to be missing."""
@@ -108,11 +116,15 @@
 
     def note_caught_up(self) -> None:
         """Take in that the state was as new as a reader of the log had it."""
+        if not self._caught_up and len(self.state.objects) >= FROZEN_OBJECTS:
+            # Full collections would go through every object of the configuration each time and
+            # hold up the relays meanwhile; the objects form no cycles.
+            gc.freeze()
         self._caught_up = True
 
     def start(self) -> None:
         """Start to follow."""
-        self._task = gevent.spawn(self._run)
+        self._task = gevent.spawn(repeat, self._clock, self._step)
 
     def stop(self) -> None:
         """Stop to follow."""
@@ -131,16 +143,14 @@
                 self._reachable = False
         return self._reachable
 
-    def _run(self) -> None:
-        while True:
-            reachable = self.poll(READ_WAIT)
-            if reachable != self._reported:
-                self._reported = reachable
-                emit(logger, Event.LOG_RECOVERED if reachable else Event.LOG_UNAVAILABLE)
-            if not reachable:
-                self._clock.sleep(RETRY_SECONDS)
-            elif self._gap:
-                self._clock.sleep(GAP_RETRY_SECONDS)
+    def _step(self) -> float:
+        reachable = self.poll(READ_WAIT)
+        if reachable != self._reported:
+            self._reported = reachable
+            emit(logger, Event.LOG_RECOVERED if reachable else Event.LOG_UNAVAILABLE)
+        if not reachable:
+            return RETRY_SECONDS
+        return GAP_RETRY_SECONDS if self._gap else 0.0
 
     def _take(self, batch: LogBatch) -> None:
         self._end = max(self._end, batch.end)
@@ -156,7 +166,7 @@
             return
         self.replica.take(batch.records)
         if self.state.applied + 1 >= batch.end:
-            self._caught_up = True
+            self.note_caught_up()
 
     def _starts_late(self, batch: LogBatch) -> bool:
         """Tell whether a snapshot may save an empty router the reading of a long log."""
--- a/packages/loomyard-router/src/loomyard_router/configuration/snapshot_writer.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/snapshot_writer.py
@@ -9,14 +9,10 @@
 from result import Err, Ok
 
 from loomyard.codec import encode
-from loomyard.configuration import (
-    CONFIG_STREAM,
-    EMPTY_VERSION,
-    SnapshotNotice,
-    format_digest,
-)
+from loomyard.configuration import CONFIG_STREAM, EMPTY_VERSION, make_notice
 from loomyard.events import Event, emit
 from loomyard.rendezvous import choose
+from loomyard_router.configuration.repeating import repeat
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -61,7 +57,7 @@
 
     def start(self) -> None:
         """Start to check."""
-        self._task = gevent.spawn(self._run)
+        self._task = gevent.spawn(repeat, self._clock, self._step)
 
     def stop(self) -> None:
         """Stop to check."""
@@ -95,16 +91,10 @@
                 return False
             case Ok(count):
                 emit(logger, Event.SNAPSHOT_WRITTEN, as_of=state.applied, parts=count)
-        notice = SnapshotNotice(
-            snapshot_of=state.applied,
-            version=state.version,
-            digest=format_digest(state.digest),
-            writer=self._members.own.name,
-            written_at=self._clock.wall(),
-        )
+        name, wall = self._members.own.name, self._clock.wall()
+        notice = make_notice(state, writer=name, written_at=wall)
         return self._log.append(CONFIG_STREAM, encode(notice)).is_ok()
 
-    def _run(self) -> None:
-        while True:
-            self._clock.sleep(CHECK_SECONDS)
-            self.check()
+    def _step(self) -> float:
+        self.check()
+        return CHECK_SECONDS
--- a/packages/loomyard-router/src/loomyard_router/operators/documents.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/documents.py
@@ -7,6 +7,7 @@
 from loomyard.configuration import ABSENT, Deletion, Put
 from loomyard.objects import ConfigObject
 from loomyard_router.configuration.messages import RouterStatus
+from loomyard_router.targets.target_status import TargetStatus
 
 
 @frozen(kw_only=True)
@@ -20,6 +21,13 @@
     wait_seconds: float = 5.0
 
 
+@frozen(kw_only=True)
+class RestoreRequest:
+    """Ask for a new start from all objects."""
+
+    objects: list[ConfigObject]
+
+
 @frozen(kw_only=True)
 class Laggard:
     """A router on which a change is not known to be in force."""
@@ -48,7 +56,7 @@
     version: int = ABSENT
 
 
-@frozen(kw_only=True)
+@frozen
 class ObjectList:
     """Objects of one configuration version."""
 
@@ -72,3 +80,11 @@
     answered_by: str
     routers: list[RouterStatus] = field(factory=list)
     silent: list[Laggard] = field(factory=list)
+
+
+@frozen(kw_only=True)
+class TargetReport:
+    """How the targets stand in the eyes of the router asked."""
+
+    answered_by: str
+    targets: list[TargetStatus] = field(factory=list)
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import argparse
+import math
 import os
 import re
+import ssl
 from typing import TYPE_CHECKING
 
-from attrs import field, frozen
+from attrs import asdict, field, frozen
 from result import Err, Ok, Result
 
 from loomyard.errors import FieldFault, ResultCode
@@ -18,6 +20,8 @@
 ENVIRONMENT_PREFIX = "LOOMYARD_"
 FLEET_SECRET_VARIABLE = ENVIRONMENT_PREFIX + "FLEET_SECRET"
 MAX_SECRETS = 2
+MIN_SHARE_BYTES = 200.0
+MAX_NAME = 63  # so that news of several routers fits into a datagram
 MIN_CLAIM_WINDOW = 300.0
 RETENTION_MARGIN = 300.0
 POLICIES = ("fleet", "local", "fifo")
@@ -43,6 +47,10 @@
     operator_certificate: str = ""
     operator_private_key: str = ""
     drain_seconds: float = 60.0
+    resume_seconds: float = 5.0
+    metrics_listen: str = ""
+    certificate: str = ""
+    private_key: str = ""
     peer_listen: str = ""
     peers: tuple[str, ...] = ()
     fleet_secret: tuple[str, ...] = field(default=(), repr=False)
@@ -50,7 +58,9 @@
     peer_key: str = ""
     peer_authority: str = ""
     vm_list: str = ""
+    weight_store: str = ""
     probe_period: float = 0.5
+    share_bytes: float = 1700.0
     claim_window: float = 3600.0
     log_retention: float = 86400.0
 
@@ -93,7 +103,11 @@
     add("policy", "fleet", "share policy", choices=POLICIES)
     add("position", 0, "position of this router for the local policy", type=int)
     add("routers", 1, "number of routers for the local policy", type=int)
-    add("drain-seconds", 60.0, "longest wait of a planned stop for what runs", type=float)
+    add("drain-seconds", 60.0, "longest wait of a planned stop for what runs", type=_number)
+    add("resume-seconds", 5.0, "time a caller that went has to resume a stream", type=_number)
+    add("metrics-listen", "", "address of /metrics, /healthz and /readyz; none: no metrics")
+    add("certificate", "", "PEM certificate for TLS with callers")
+    add("private-key", "", "PEM key of the certificate")
     add("log-format", "text", "text or json", choices=("text", "json"))
     add("operator-listen", "", "address for operators; none turns their interface off")
     add("operator-keys", "", "SHA-256 digests of operator keys, by commas", type=_split)
@@ -112,9 +126,11 @@
     add("peer-key", "", "PEM key of the certificate")
     add("peer-authority", "", "PEM authority that signs the routers' certificates")
     add("vm-list", "", "address of the VM list")
-    add("probe-period", 0.5, "seconds between probes of other routers", type=float)
-    add("claim-window", 3600.0, "seconds for which an idempotency key is remembered", type=float)
-    add("log-retention", 86400.0, "seconds for which the log service keeps records", type=float)
+    add("weight-store", "", "address of the weight store; without it loads are 10 s apart")
+    add("probe-period", 0.5, "seconds between probes of other routers", type=_number)
+    add("share-bytes", 1700.0, "bytes a second for reports and replies of shares", type=_number)
+    add("claim-window", 3600.0, "seconds for which an idempotency key is remembered", type=_number)
+    add("log-retention", 86400.0, "seconds for which the log service keeps records", type=_number)
     return parser
 
 
@@ -125,7 +141,42 @@
         host, _, port = value.rpartition(":")
         if not host or not port.isdigit():
             faults.append(_fault(name, f"not host:port: {value!r}"))
-    return faults + _check_operators(settings)
+    return faults + _check_callers(settings) + _check_operators(settings)
+
+
+def _check_callers(settings: Settings) -> list[FieldFault]:
+    faults = []
+    for name, value in asdict(settings).items():
+        if isinstance(value, float) and not math.isfinite(value):
+            faults.append(_fault(name, "not a number"))
+    if settings.drain_seconds <= 0:
+        faults.append(_fault("drain_seconds", "not above 0"))
+    if settings.resume_seconds < 0:
+        faults.append(_fault("resume_seconds", "below 0"))
+    if settings.metrics_listen and not _ADDRESS.match(settings.metrics_listen):
+        faults.append(_fault("metrics_listen", f"not host:port: {settings.metrics_listen!r}"))
+    if bool(settings.certificate) != bool(settings.private_key):
+        faults.append(_fault("certificate", "give certificate and private key, or none"))
+    elif settings.certificate:
+        faults += _check_certificate(settings)
+    return faults
+
+
+def _check_certificate(settings: Settings) -> list[FieldFault]:
+    try:
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.load_cert_chain(settings.certificate, settings.private_key)
+    except (OSError, ValueError) as error:
+        return [_fault("certificate", f"can't be used: {error}")]
+    return []
+
+
+def _number(text: str) -> float:
+    """Read a number; what is none is reported with the other faults."""
+    try:
+        return float(text)
+    except ValueError:
+        return math.nan
 
 
 def _check_operators(settings: Settings) -> list[FieldFault]:
@@ -140,13 +191,15 @@
         faults.append(_fault("operator_keys", "not SHA-256 digests in lower-case hexadecimal"))
     if bool(settings.operator_certificate) != bool(settings.operator_private_key):
         faults.append(_fault("operator_certificate", "give certificate and private key, or none"))
+    if settings.share_bytes < MIN_SHARE_BYTES:
+        faults.append(_fault("share_bytes", f"below {MIN_SHARE_BYTES:.0f}"))
     return faults + _check_peers(settings) + _check_window(settings)
 
 
 def _check_peers(settings: Settings) -> list[FieldFault]:
     faults = []
     addresses = [("peers", peer) for peer in settings.peers]
-    for name in ("peer_listen", "vm_list"):
+    for name in ("peer_listen", "vm_list", "weight_store"):
         addresses += [(name, getattr(settings, name))] if getattr(settings, name) else []
     for name, value in addresses:
         host, _, port = value.rpartition(":")
@@ -156,9 +209,18 @@
         faults.append(_fault("fleet_secret", "needed with peer_listen"))
     if len(settings.fleet_secret) > MAX_SECRETS:
         faults.append(_fault("fleet_secret", f"more than {MAX_SECRETS}"))
-    certificates = (settings.peer_certificate, settings.peer_key, settings.peer_authority)
-    if any(certificates) and not all(certificates):
+    for name in ("name", "data_centre"):
+        if len(getattr(settings, name)) > MAX_NAME:
+            faults.append(_fault(name, f"longer than {MAX_NAME} characters"))
+    if not settings.name:
+        faults.append(_fault("name", "empty"))
+    files = ("peer_certificate", "peer_key", "peer_authority")
+    given = [name for name in files if getattr(settings, name)]
+    if given and len(given) < len(files):
         faults.append(_fault("peer_certificate", "certificate, key and authority go together"))
+    for name in given:
+        if not os.path.isfile(getattr(settings, name)):
+            faults.append(_fault(name, f"no such file: {getattr(settings, name)!r}"))
     if settings.probe_period <= 0:
         faults.append(_fault("probe_period", "not above 0"))
     return faults
--- a/packages/loomyard-router/src/loomyard_router/shares/allocator.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/allocator.py
@@ -9,9 +9,10 @@
 from loomyard_router.shares.congestion import Congestion
 from loomyard_router.shares.demands import Demands
 from loomyard_router.shares.granting import grant_demands
+from loomyard_router.shares.lease_terms import lease_term
 from loomyard_router.shares.levels import FleetLevels
 from loomyard_router.shares.messages import ShareReply, ShareReset
-from loomyard_router.shares.reporting_router import IDLE_LEASE, LEASE, TOLD_PART, ReportingRouter
+from loomyard_router.shares.reporting_router import TOLD_PART, ReportingRouter
 from loomyard_router.shares.service_levels import (
     MARGIN_REQUESTS,
     MARGIN_SECONDS,
@@ -35,6 +36,11 @@
 LOST_WAIT = 1.5
 # Clocks of routers may differ in speed by this part.
 CLOCK_DRIFT = 0.01
+# Beyond some size an allocation leaves a pause that grows with what it looked at, so that a larger
+# fleet makes allocations rarer and not a larger part of a core.
+UNPACED_SIZE = 150
+UNPACED_ROUTERS = 30
+GAP_PER_ITEM = 0.0003
 
 
 class Allocator:
@@ -71,6 +77,8 @@
         self._margin = 0
         self._began_at: float | None = None
         self._dirty = False
+        self._allocate_at = float("-inf")
+        self._poll_at = float("-inf")
 
     @property
     def levels(self) -> FleetLevels:
@@ -110,8 +118,11 @@
     def poll(self) -> None:
         """Grant what can be granted and send the replies that are due."""
         now = self._clock.now()
+        if now < self._poll_at:
+            return
+        self._poll_at = now + max(0, len(self._routers) - UNPACED_ROUTERS) * GAP_PER_ITEM
         self._expire(now)
-        if self._dirty:
+        if self._dirty and self._routers and now >= self._allocate_at:
             self._allocate(now)
         blocked = False
         waiting = sum(router.reply_due for router in self._routers.values())
@@ -166,6 +177,8 @@
     def _allocate(self, now: float) -> None:
         self._dirty = False
         demands = Demands(self._routers.values(), self._levels)
+        size = demands.count + len(self._routers) + self._capacity.target_count
+        self._allocate_at = now + max(0, size - UNPACED_SIZE) * GAP_PER_ITEM
         if demands.floor is None:
             self._levels.floor.rest()
         else:
@@ -180,7 +193,7 @@
             self._spread(demands, free)
         else:
             self._dirty = True
-        self._tell_lowest(Demands(self._routers.values(), self._levels), now)
+        self._tell_lowest(demands, now)
 
     def _free_slots(self, now: float) -> dict[bytes, int]:
         """Return the free slots of each target; negative where too many are out."""
@@ -209,7 +222,10 @@
 
     def _granting_from(self) -> float:
         began_at = math.inf if self._began_at is None else self._began_at
-        return began_at + IDLE_LEASE * (1 + CLOCK_DRIFT)
+        return began_at + self._lease(idle=True) * (1 + CLOCK_DRIFT)
+
+    def _lease(self, *, idle: bool) -> float:
+        return lease_term(self._fleet_size(), self._pacer.byte_rate, idle=idle)
 
     def _recall(self, free: dict[bytes, int]) -> None:
         for target, slots in free.items():
@@ -257,7 +273,7 @@
         router.carry_lowest(now)
         idle = not any(r.accounts for r in self._routers.values())
         reply = router.make_reply(
-            lease=IDLE_LEASE if idle else LEASE,
+            lease=self._lease(idle=idle),
             floor=self._levels.floor,
             margin=self._margin,
         )
--- a/packages/loomyard-router/src/loomyard_router/shares/reporter.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporter.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from loomyard_router.shares.lease_terms import report_gap, urgent_gap
 from loomyard_router.shares.messages import UNKNOWN_LEVEL, AccountReport, ShareReport, Waiting
 from loomyard_router.shares.share_session import ShareSession
 from loomyard_router.shares.short_ids import short_id
@@ -21,14 +22,14 @@
     from loomyard_router.shares.pacing import Pacer
     from loomyard_router.shares.request_queues import RequestQueues
 
-# Reports that are not urgent leave at least this much time between them.
-REPORT_GAP = 0.4
-# Where service moved by more than this part of the margin, this gap is enough.
+# Where service moved by more than this part of the margin, the least gap is enough.
 MUCH_PART = 0.5
 LEAST_GAP = 0.15
 # An unanswered first report is repeated after this time.
 OPENING_GAP = 0.25
-UNANSWERED_BEFORE_SUSPICION = 4
+# Without an answer for this long, or for this part of the lease, the allocator may be gone.
+SUSPICION_TIMEOUT = 1.0
+SUSPICION_PART = 0.75
 RENEWALS_PER_LEASE = 3
 MOST_WAITING_REPORTED = 32
 # Service that moved by less than this part of the margin is not reported.
@@ -61,13 +62,15 @@
         self._overdue = overdue
         self._session = ShareSession(1)
         self._allocator = ""
+        self._members_changed = True
         self._sent_at = float("-inf")
-        self._unanswered = 0
+        self._unanswered_since: float | None = None
         self._lease = 0.0
         self._asked: Counter[tuple[bytes, bytes]] = Counter()
         self._granted = 0
         self.urgent = False
         self.told = ToldLevels()
+        members.subscribe(self._note_members)
 
     def may_send(self, now: float) -> bool:
         """Tell whether a report may go now."""
@@ -81,10 +84,8 @@
 
     def poll(self, now: float) -> None:
         """Send a report where one is due."""
-        allocator = self._find_allocator(self._members)
-        if allocator != self._allocator:
-            self._allocator = allocator
-            self.begin_session()
+        if self._members_changed:
+            self._choose_allocator()
         if self._lease and not self._held.valid(now):
             self._held.lapse()
             self.told.clear()
@@ -98,7 +99,7 @@
         self._session = ShareSession(self._session.number + 1)
         self._asked.clear()
         self._sent_at = float("-inf")
-        self._unanswered = 0
+        self._unanswered_since = None
 
     def is_session(self, number: int) -> bool:
         """Tell whether a session is the current one."""
@@ -109,7 +110,7 @@
         deadline = self._session.accept(reply)
         if deadline is None:
             return False
-        self._unanswered = 0
+        self._unanswered_since = None
         self._lease = reply.lease_ms / 1000
         self._held.lease_until = max(self._held.lease_until, deadline)
         self.told.accept(reply, now)
@@ -123,15 +124,27 @@
     def _reports_to_itself(self) -> bool:
         return self._allocator == self._members.own.name
 
+    def _note_members(self) -> None:
+        self._members_changed = True
+
+    def _choose_allocator(self) -> None:
+        self._members_changed = False
+        allocator = self._find_allocator(self._members)
+        if allocator != self._allocator:
+            self._allocator = allocator
+            self.begin_session()
+
     def _due(self, now: float) -> bool:
         since = now - self._sent_at
         if not self._session.opened:
             return since >= OPENING_GAP
-        if self.urgent or since >= self._lease / RENEWALS_PER_LEASE:
+        if self.urgent and since >= urgent_gap(self._lease):
+            return True
+        if since >= self._lease / RENEWALS_PER_LEASE:
             return True
-        if since < LEAST_GAP:
+        if since < max(LEAST_GAP, urgent_gap(self._lease)):
             return False
-        return self._changed(now, much=since < REPORT_GAP)
+        return self._changed(now, much=since < report_gap(self._lease))
 
     def _changed(self, now: float, *, much: bool) -> bool:
         """Tell whether something changed, or changed so ``much``, that it is worth a report."""
@@ -164,8 +177,9 @@
         self._granted = 0
         self.urgent = False
         self._sent_at = now
-        self._unanswered += 1
-        if self._unanswered >= UNANSWERED_BEFORE_SUSPICION:
+        if self._unanswered_since is None:
+            self._unanswered_since = now
+        elif now - self._unanswered_since >= max(SUSPICION_TIMEOUT, SUSPICION_PART * self._lease):
             self._members.suspect(self._allocator)
         self._pacer.spend(self._send(self._allocator, report))
 
--- a/packages/loomyardctl/src/loomyardctl/arguments.py
+++ b/packages/loomyardctl/src/loomyardctl/arguments.py
@@ -5,7 +5,18 @@
 import argparse
 from typing import TYPE_CHECKING
 
-from loomyardctl.commands import apply, delete, diff, drain, explain, get, status, validate
+from loomyardctl.commands import (
+    apply,
+    delete,
+    diff,
+    drain,
+    explain,
+    get,
+    restore,
+    status,
+    targets,
+    validate,
+)
 from loomyardctl.output import OutputFormat
 
 if TYPE_CHECKING:
@@ -20,8 +31,10 @@
     delete,
     diff,
     status,
+    targets,
     explain,
     drain,
+    restore,
 )
 DEFAULT_ROUTER = "http://127.0.0.1:8081"
 EPILOG = """\
--- a/tests/test_loomyard_router/claims_fleet.py
+++ b/tests/test_loomyard_router/claims_fleet.py
@@ -58,6 +58,9 @@
     def find(self, name):
         return self._members.get(name)
 
+    def suspect(self, name):
+        pass
+
     def subscribe(self, changed):
         pass
 
@@ -103,6 +106,8 @@
         """Start a router again, empty."""
         keeper = self.join(name, make)
         keeper.start()
+        for other in self.keepers.values():
+            other._hosting._assign()
         settle()
         return keeper
 
--- a/tests/test_loomyard_router/test_claims.py
+++ b/tests/test_loomyard_router/test_claims.py
@@ -5,9 +5,14 @@
 import unittest
 
 import gevent
+from attrs import evolve
+from gevent.event import AsyncResult
+from result import Err
 
-from loomyard.errors import Executed, ResultCode
+from loomyard.errors import Executed, Fault, ResultCode
 from loomyard_router.claims.keeper import RecordedOutcome
+from loomyard_router.claims.keys import digest_of, partition_of
+from loomyard_router.claims.messages import BeginClaim
 from test_loomyard_router.claims_fleet import TIMEOUT, WINDOW, ClaimsFleet, key, settle
 
 FIRST = RecordedOutcome(status=200, content_type="text/plain", body=b"1")
@@ -70,6 +75,8 @@
         )
         self.assertEqual(self.code(self.fleet.restart("a")), ResultCode.OUTCOME_UNKNOWN)
         self.assertEqual(self.fleet.sends["k"], 0)
+        seen = [s for k in self.fleet.keepers.values() for s in k._hosting.unknown()]
+        self.assertEqual([(s.owner, s.incarnation) for s in seen], [("a", 1)])
 
     def test_repeat_attaches_to_the_running_one_until_its_deadline(self) -> None:
         first, second = self.fleet.start("a", "b")
@@ -123,6 +130,14 @@
         self.fleet.pass_time()
         self.assertEqual(self.serve(second).unwrap(), FIRST)
 
+    def test_planned_stop_records_what_has_ended(self) -> None:
+        first, second = self.fleet.start("a", "b")
+        claim = self.begun(first)
+        first.finish(claim, self.fleet.send(claim))
+        self.fleet.run(first.stop)
+        self.fleet.kill("a")
+        self.assertEqual(self.serve(second).unwrap(), FIRST)
+
     def test_lost_answer_of_each_append(self) -> None:
         keepers = self.fleet.start("a", "b")
         for lost in range(1, 4):
@@ -134,6 +149,30 @@
                 self.assertTrue(self.serve(keepers[0], wanted).is_ok())
                 self.assertEqual(self.fleet.sends[wanted.key], 1)
 
+    def test_second_host_answers_where_the_first_hangs(self) -> None:
+        keepers = self.fleet.start("a", "b", "c")
+        first = keepers[0]._hosting._hosts[partition_of(digest_of(key()))][0]
+        asking = next(k for k in keepers if k._members.own.name != first)
+        answered = asking._hosting._peers.request
+
+        def request(to, message, deadline):
+            if to != first:
+                return answered(to, message, deadline)
+            self.clock.sleep(deadline - self.clock.now())
+            return Err(Fault(code=ResultCode.PEER_UNREACHABLE, detail=""))
+
+        asking._hosting._peers.request = request
+        self.assertEqual(self.serve(asking).unwrap(), FIRST)
+
+    def test_unexpected_error_of_the_log_client_is_survived(self) -> None:
+        (keeper,) = self.fleet.start("a")
+        append = self.log.append
+        self.log.append = lambda stream, payload: 1 / 0
+        self.assertEqual(self.code(keeper), ResultCode.CLAIM_UNAVAILABLE)
+        self.log.append = append
+        self.fleet.pass_time()
+        self.assertEqual(self.serve(keeper).unwrap(), FIRST)
+
     def test_log_down_refuses_at_once(self) -> None:
         (keeper,) = self.fleet.start("a")
         claim = keeper.claim(key(), TIMEOUT).unwrap()
@@ -150,6 +189,21 @@
         self.fleet.pass_time(2.0)
         self.assertEqual(self.serve(keeper).unwrap(), FIRST)
 
+    def test_slow_append_refuses_at_once_and_reads_do_not_spin(self) -> None:
+        (keeper,) = self.fleet.start("a")
+        claim = keeper.claim(key(), TIMEOUT).unwrap()
+        self.log.append = lambda stream, payload: AsyncResult().get()
+        task = gevent.spawn(keeper.begin, claim, TIMEOUT)
+        reads = []
+        read = self.log.read
+        self.log.read = lambda *a, **o: reads.append(a) or read(*a, **o)
+        settle()
+        self.fleet.pass_time(3.0)
+        self.assertEqual(task.value.unwrap_err().code, ResultCode.CLAIM_UNAVAILABLE)
+        refused = keeper.claim(key(), self.clock.now() + TIMEOUT).unwrap_err()
+        self.assertEqual(refused.code, ResultCode.CLAIM_UNAVAILABLE)
+        self.assertLess(len(reads), 100)
+
     def test_router_that_has_not_read_to_the_end_refuses(self) -> None:
         self.log.down = True
         (keeper,) = self.fleet.start("a")
@@ -168,6 +222,21 @@
         self.assertEqual(self.serve(self.fleet.restart("a")).unwrap(), FIRST)
         self.assertEqual(self.fleet.sends["k"], 1)
 
+    def test_host_that_fell_behind_a_trim_goes_on_from_what_is_kept(self) -> None:
+        first, second = self.fleet.start("a", "b")
+        self.serve(first, key("old"))
+        self.fleet.pass_time()
+        self.log.down = True
+        self.fleet.pass_time(2 * WINDOW + 400)
+        for stream in list(self.log._records):
+            self.log._first[stream] += 50  # others appended, and all of it was trimmed
+            self.log._records[stream].clear()
+        self.log.down = False
+        self.fleet.pass_time(2.0)
+        for keeper in (first, second):
+            self.assertTrue(self.serve(keeper, key("old")).is_ok())
+        self.assertEqual(self.fleet.sends["old"], 2)  # past the window it is a new key
+
     def test_key_with_a_time_is_refused_outside_the_window(self) -> None:
         (keeper,) = self.fleet.start("a")
         wall = self.clock.wall()
@@ -176,10 +245,24 @@
             self.assertEqual(self.code(keeper, wanted), ResultCode.KEY_EXPIRED)
         self.assertEqual(self.fleet.sends["k"], 0)
 
+    def test_host_refuses_a_claimant_whose_wall_clock_differs(self) -> None:
+        (keeper,) = self.fleet.start("a")
+        wall = self.clock.wall()
+        for wrong in (wall + 31, wall - 31, float("nan")):
+            begun = evolve(self.record(keeper), begun_at=wrong)
+            answer = keeper._hosting.answer(BeginClaim(begun=begun), TIMEOUT)
+            self.assertIsNone(answer.verdict)
+        self.assertEqual(self.log.appends, 0)
+
+    def record(self, keeper):
+        claim = keeper.claim(key(), TIMEOUT).unwrap()
+        return keeper._make_begun(claim, TIMEOUT)
+
     def test_kept_body_is_bounded(self) -> None:
         (keeper,) = self.fleet.start("a")
-        large = RecordedOutcome(status=201, content_type="text/plain", body=b"x" * 17_000)
+        large = RecordedOutcome(status=201, content_type="x\udc80" * 999, body=b"x" * 17_000)
         keeper.finish(self.begun(keeper), large)
         self.fleet.pass_time()
         outcome = self.serve(keeper).unwrap()
         self.assertEqual((outcome.status, outcome.body), (201, None))
+        self.assertEqual(outcome.content_type, "x?" * 100)
