Recall a slot for an overdue request where its router holds none

An account far ahead through a service of its own got nothing of a contended service for 80 s in the test (0 requests), as routers with slots kept them and its router had none. One slot is now recalled for it every 30 s or so; the test fails without.

--- a/packages/loomyard-router/src/loomyard_router/shares/allocator.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/allocator.py
@@ -12,6 +12,7 @@
 from loomyard_router.shares.lease_terms import lease_term
 from loomyard_router.shares.levels import FleetLevels
 from loomyard_router.shares.messages import ShareReply, ShareReset
+from loomyard_router.shares.overdue_recall import OverdueRecall
 from loomyard_router.shares.reporting_router import TOLD_PART, ReportingRouter
 from loomyard_router.shares.service_levels import (
     MARGIN_REQUESTS,
@@ -74,6 +75,7 @@
         self._intake = AccountIntake(self._levels)
         self._services = ServiceLevels()
         self._congestion = Congestion()
+        self._overdue = OverdueRecall()
         self._margin = 0
         self._began_at: float | None = None
         self._dirty = False
@@ -190,6 +192,7 @@
         self._recall(free)
         if self._may_grant(now):
             grant_demands(demands, free, self._capacity)
+            self._overdue.apply(demands, self._routers.values(), self._capacity, now)
             self._spread(demands, free)
         else:
             self._dirty = True
--- a/packages/loomyard-standins/src/loomyard_standins/share_driver.py
+++ b/packages/loomyard-standins/src/loomyard_standins/share_driver.py
@@ -122,6 +122,7 @@
         self.estimates: dict[int, CostEstimates] = {}
         self.open: dict[tuple[int, str], Callable[[], None]] = {}
         self.served: Counter[str] = Counter()
+        self.finished: Counter[tuple[str, str]] = Counter()
         self.waiting: Counter[tuple[str, str]] = Counter()
         self.settle = settle
         self.gap = 0.0
@@ -401,6 +402,7 @@
             self._step()
             return
         self._ended = True
+        self._driver.finished[self._key] += 1
         self._driver.open.pop((self._position, self._waiting.request_id), None)
         self._driver.estimates[self._position].learn(
             self._waiting.account, self._waiting.service, self._tokens
--- a/tests/test_loomyard_router/test_shares/test_fleet.py
+++ b/tests/test_loomyard_router/test_shares/test_fleet.py
@@ -188,6 +188,21 @@
         figures = driver.run(35.0)
         self.assertLess(figures.gap, 4000)
 
+    def test_account_far_ahead_is_served_once_in_a_while(self) -> None:
+        own = Load(account="rich", service="own", mean=150.0, outstanding=20, routers=(3,))
+        wanted = Load(account="rich", service="s", mean=150.0, outstanding=20, routers=(3,))
+        driver = ShareDriver(
+            "fleet",
+            [own, wanted, backlog("large", 0, outstanding=40), backlog("kiosk", 1)],
+            routers=4,
+            engines={"s": (1, 4), "own": (4, 4)},
+        )
+        driver.run(40.0)
+        before = driver.finished["rich", "s"]
+        driver.agenda.run(120.0)
+        self.assertGreaterEqual(driver.finished["rich", "s"] - before, 2)
+        self.assertLessEqual(driver.finished["rich", "s"] - before, 8)
+
     def test_fewer_slots_are_recalled(self) -> None:
         driver = make_driver(*UNEVEN)
         driver.run(10.0)
