--- a/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
@@ -18,8 +18,8 @@
     from loomyard_router.shares.floor_level import FloorLevel
     from loomyard_router.shares.messages import ShareReport
 
-# A report without news is answered after this time.
-RENEWAL = 0.7
+# A report without news is answered after this part of the lease.
+RENEWAL_PART = 0.3
 # Levels that moved by less than this part of the margin are not told.
 TOLD_PART = 0.125
 
@@ -150,7 +150,7 @@
 
     def must_renew(self, now: float) -> bool:
         """Tell whether a reply is needed to renew the lease."""
-        return self.unanswered and now - self.replied_at >= RENEWAL
+        return self.unanswered and now - self.replied_at >= RENEWAL_PART * self.longest_lease
 
     def take_slots(self, report: ShareReport) -> bool:
         """Take over what a report says of slots; true where some came free."""
