--- a/packages/loomyard/src/loomyard/manifests.py
+++ b/packages/loomyard/src/loomyard/manifests.py
@@ -18,6 +18,8 @@
 
 MAX_MANIFEST_BYTES = 16 * 1024 * 1024
 VERSION_FIELD = "version"
+# The loader in C where the library was built with it: both are safe.
+_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 
 @attrs.frozen
@@ -72,7 +74,9 @@
         faults.append(_fault(source, "-", "-", f"longer than {MAX_MANIFEST_BYTES} bytes"))
         return []
     try:
-        return [document for document in yaml.safe_load_all(text) if document is not None]
+        return [
+            document for document in yaml.load_all(text, Loader=_LOADER) if document is not None
+        ]
     except (yaml.YAMLError, ValueError, RecursionError) as error:
         faults.append(_fault(source, "-", "-", f"not YAML: {error}"))
         return []
--- a/packages/loomyardctl/src/loomyardctl/output.py
+++ b/packages/loomyardctl/src/loomyardctl/output.py
@@ -12,6 +12,8 @@
     from collections.abc import Sequence
 
 COLUMN_GAP = "  "
+# The dumper in C where the library was built with it: both are safe.
+_DUMPER = getattr(yaml, "CSafeDumper", yaml.SafeDumper)
 
 
 class OutputFormat(Enum):
@@ -27,9 +29,9 @@
     if output is OutputFormat.JSON:
         print(json.dumps(document, indent=2))
     elif isinstance(document, list):
-        print(yaml.safe_dump_all(document, sort_keys=False), end="")
+        print(yaml.dump_all(document, Dumper=_DUMPER, sort_keys=False), end="")
     else:
-        print(yaml.safe_dump(document, sort_keys=False), end="")
+        print(yaml.dump(document, Dumper=_DUMPER, sort_keys=False), end="")
 
 
 def print_table(head: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
