--- a/packages/loomyardctl/src/loomyardctl/commands/status.py
+++ b/packages/loomyardctl/src/loomyardctl/commands/status.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
+from attrs import frozen
+
 from loomyardctl.exit_codes import ExitCode
 from loomyardctl.failures import report_failure
 from loomyardctl.output import OutputFormat, print_document, print_table
@@ -19,6 +22,14 @@
 DIGEST_DIGITS = 8
 
 
+@frozen
+class Newest:
+    """The newest version in the fleet and its digest."""
+
+    version: int
+    digest: str
+
+
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Declare the arguments."""
     parser.add_argument(
@@ -36,37 +47,49 @@
         return report_failure(reply)
     routers = reply.document.get("routers", [])
     silent = reply.document.get("silent", [])
-    newest = max((router.get("version", -1) for router in routers), default=-1)
+    fleet = find_newest(routers)
     if context.output is not OutputFormat.TABLE:
         print_document(reply.document, context.output)
     else:
-        print_table(HEAD, [_row(router, newest) for router in routers])
+        print_table(HEAD, [_row(router, fleet) for router in routers])
         for laggard in silent:
             print(f"{laggard['name']}: {laggard['detail']}")
-    healthy = not silent and all(_is_healthy(router, newest) for router in routers)
+    healthy = not silent and all(_is_healthy(router, fleet) for router in routers)
     return ExitCode.OK if healthy or not context.arguments.check else ExitCode.FAILED
 
 
-def _row(router: dict[str, Any], newest: int) -> list[object]:
-    version = router.get("version", -1)
+def find_newest(routers: list[dict[str, Any]]) -> Newest:
+    """Return the newest version and the digest that most routers have for it."""
+    version = max((router.get("version", -1) for router in routers), default=-1)
+    digests = [r.get("digest", "") for r in routers if r.get("version", -1) == version]
+    return Newest(version, Counter(digests).most_common(1)[0][0] if digests else "")
+
+
+def _row(router: dict[str, Any], fleet: Newest) -> list[object]:
     return [
         router["name"],
         router.get("data_centre", "") or "-",
         _state(router),
-        version,
+        router.get("version", -1),
         router.get("applied", -1),
-        "-" if version == newest else f"behind {newest}",
+        _lag(router, fleet),
         "reachable" if router.get("log_reachable") else "unreachable",
         len(router.get("members", [])),
         router.get("digest", "")[:DIGEST_DIGITS],
     ]
 
 
+def _lag(router: dict[str, Any], fleet: Newest) -> str:
+    if router.get("version", -1) != fleet.version:
+        return f"behind {fleet.version}"
+    return "-" if router.get("digest", "") == fleet.digest else "differs"
+
+
 def _state(router: dict[str, Any]) -> str:
     if router.get("stopping"):
         return "stopping"
     return "ready" if router.get("ready") else "not ready"
 
 
-def _is_healthy(router: dict[str, Any], newest: int) -> bool:
-    return _state(router) == "ready" and router.get("version", -1) == newest
+def _is_healthy(router: dict[str, Any], fleet: Newest) -> bool:
+    return _state(router) == "ready" and _lag(router, fleet) == "-"
