--- a/packages/loomyard-router/src/loomyard_router/configuration/follower.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/follower.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import logging
 from typing import TYPE_CHECKING
 
@@ -12,6 +11,7 @@
 from loomyard.configuration import CONFIG_STREAM, EMPTY_VERSION, Verdict
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
+from loomyard.util.collector import exempt_from_collection
 from loomyard_router.configuration.repeating import repeat
 from loomyard_router.configuration.replica import ConfigReplica
 
@@ -33,7 +33,6 @@
 GAP_RETRY_SECONDS = 2.0
 LONG_LOG_RECORDS = 1000
 SETTLE_WAIT = 0.5
-FROZEN_OBJECTS = 1000
 
 
 class ConfigFollower:
@@ -116,10 +115,8 @@
 
     def note_caught_up(self) -> None:
         """Take in that the state was as new as a reader of the log had it."""
-        if not self._caught_up and len(self.state.objects) >= FROZEN_OBJECTS:
-            # Full collections would go through every object of the configuration each time and
-            # hold up the relays meanwhile; the objects form no cycles.
-            gc.freeze()
+        if not self._caught_up:
+            exempt_from_collection(len(self.state.objects))
         self._caught_up = True
 
     def start(self) -> None:
--- a/packages/loomyard-router/src/loomyard_router/configuration/replica.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/replica.py
@@ -21,6 +21,7 @@
 from loomyard.events import Event, emit
 from loomyard.objects import ref_of
 from loomyard.routing import Routing
+from loomyard.util.collector import exempt_from_collection
 from loomyard_router.configuration.record_tail import RecordTail
 from loomyard_router.configuration.settled_change import SettledChange
 
@@ -103,6 +104,7 @@
             self.tail.restart(state.applied + 1)
             self._remember_digest(state)
             self._adopt(state, Routing(state))
+            exempt_from_collection(len(state.objects))
             return True
 
     def _note(self, offset: int, folded: FoldedRecord) -> None:
--- a/packages/loomyard/src/loomyard/configuration/packing.py
+++ b/packages/loomyard/src/loomyard/configuration/packing.py
@@ -17,6 +17,7 @@
 from loomyard.configuration.snapshot import PART_BYTES, SnapshotNotice, SnapshotPart
 from loomyard.configuration.state import ConfigState, VersionedObject, make_state
 from loomyard.objects import ConfigObject
+from loomyard.util.collector import paused_collector
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -64,7 +65,8 @@
     if hashlib.sha256(data).digest() != head.checksum:
         return Err("the checksum differs")
     try:
-        state = make_state(_decompress(data), version=head.version, applied=head.as_of)
+        with paused_collector():
+            state = make_state(_decompress(data), version=head.version, applied=head.as_of)
     except BaseValidationError as error:
         return Err("; ".join(transform_error(error)))
     except Exception as error:  # zlib, cbor2 and hooks raise many types on hostile bytes
