--- a/tests/test_loomyard_router/test_requests/test_serving.py
+++ b/tests/test_loomyard_router/test_requests/test_serving.py
@@ -19,12 +19,13 @@
 from loomyard_router.configuration.follower import CONFIG_STREAM, ConfigFollower
 from loomyard_router.metrics.meters import Meters
 from loomyard_router.peers.no_peers import NoPeers
+from loomyard_router.relays.event_stream import MAX_EVENT_LENGTH
 from loomyard_router.requests.estimates import CostEstimates
 from loomyard_router.requests.journal import Journal
 from loomyard_router.requests.request import Request
 from loomyard_router.requests.resume_holds import ResumeHolds
 from loomyard_router.requests.resuming import Resuming
-from loomyard_router.requests.retries import Retries
+from loomyard_router.requests.retries import MAX_ATTEMPTS, Retries
 from loomyard_router.requests.serving import Serving
 from loomyard_router.requests.stream_token import StreamTokens
 from loomyard_router.requests.whole_answers import HELD_BYTES, AnswerBrokenError
@@ -289,6 +290,14 @@
         self.assertIn(b'"code": "3005"', data)
         self.assertNotIn(b"[DONE]", data)
 
+    def test_an_event_without_an_end_is_held_up_to_a_bound_only(self) -> None:
+        endless = stream(b"data: " + b"x" * (2 * MAX_EVENT_LENGTH))
+        self.script(*[endless] * MAX_ATTEMPTS)
+        request = self.make_request("assistant", stream=True)
+        fault = self.make_serving().serve(request).unwrap_err()
+        self.assertIs(fault.code, ResultCode.ANSWER_INVALID)
+        self.assert_slots_free()
+
     def test_the_usage_event_reaches_only_callers_who_ask(self) -> None:
         data = events(0, 2) + USAGE + done(3)
         self.assertEqual(self.stream(stream(data), usage_asked=True), data)
