--- a/packages/loomyard-standins/src/loomyard_standins/benches/driver.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/driver.py
@@ -12,7 +12,7 @@
 
 from loomyard.objects import ServiceType
 from loomyard_standins.benches.account_plan import Pattern
-from loomyard_standins.benches.caller import HTTP_OK, Caller
+from loomyard_standins.benches.caller import HTTP_OK, Caller, Reply
 from loomyard_standins.benches.draws import Draws
 from loomyard_standins.benches.timeline import Phase
 
@@ -22,7 +22,7 @@
     from loomyard_standins.benches.account_plan import AccountPlan
     from loomyard_standins.benches.landing import Landing
     from loomyard_standins.benches.timeline import Timeline
-    from loomyard_standins.benches.trace import Trace
+    from loomyard_standins.benches.trace import Trace, Wait
     from loomyard_standins.benches.workload import Workload
 
 PROMPT_WEIGHT = 1.0
@@ -154,20 +154,20 @@
         wait = self._trace.send(account.number, self._services[service])
         try:
             if self._types[service] is ServiceType.PLAIN:
-                status, retry_after = self._call_plain(account, service, caller, wait)
+                reply = self._call_plain(account, service, caller, wait)
             else:
-                status, retry_after = self._call_model(account, service, caller, wait)
+                reply = self._call_model(account, service, caller, wait)
         except OSError:
             self.failed += 1
             self._trace.refuse(wait)
             return RECONNECT_SECONDS
-        if status == HTTP_OK:
+        if reply.status == HTTP_OK:
             return 0.0
         self.refused += 1
         self._trace.refuse(wait)
-        return min(MAX_RETRY_SECONDS, retry_after) * account.draws.fraction()
+        return min(MAX_RETRY_SECONDS, reply.retry_after) * account.draws.fraction()
 
-    def _call_model(self, account: _Account, service: str, caller: Caller, wait) -> tuple:
+    def _call_model(self, account: _Account, service: str, caller: Caller, wait: Wait) -> Reply:
         tokens, prompt = account.draws.tokens(), account.draws.prompt_tokens()
         cost = PROMPT_WEIGHT * prompt + COMPLETION_WEIGHT * tokens
         asked = {
@@ -191,16 +191,16 @@
         body = json.dumps(asked).encode()
         reply = caller.call("/v1/completions", body, account.draws.hint_of(cost), on_tokens)
         self.cut_off += not reply.whole
-        return reply.status, reply.retry_after
+        return reply
 
-    def _call_plain(self, account: _Account, service: str, caller: Caller, wait) -> tuple:
+    def _call_plain(self, account: _Account, service: str, caller: Caller, wait: Wait) -> Reply:
         seconds = account.draws.seconds()
         body = json.dumps({"seconds": seconds}).encode()
         hint = account.draws.hint_of(SECOND_WEIGHT * seconds)
         reply = caller.call(f"/services/{service}/work", body, hint, _ignore)
         if reply.status == HTTP_OK:
             self._trace.add_spread(wait, SECOND_WEIGHT * seconds, seconds)
-        return reply.status, reply.retry_after
+        return reply
 
     def _measure_lateness(self) -> None:
         while True:
