--- a/packages/loomyard-standins/src/loomyard_standins/benches/events.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/events.py
@@ -17,6 +17,7 @@
 KILLED_ROUTER = 5
 CUT_ROUTERS = (0, 4)
 POLL_SECONDS = 0.1
+GIVE_UP_SECONDS = 4.0
 
 
 class Events:
@@ -54,6 +55,8 @@
     def _await_configuration(self, started: float) -> None:
         wanted = self._fleet.status(0).version
         while self._fleet.status(KILLED_ROUTER).version < wanted:
+            if time.monotonic() - started > GIVE_UP_SECONDS:
+                return
             gevent.sleep(POLL_SECONDS)
         self.configured_after = time.monotonic() - started
 
