--- a/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/reporting_router.py
@@ -6,18 +6,23 @@
 from typing import TYPE_CHECKING
 from zlib import crc32
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from loomyard_router.members.membership import Member
 from loomyard_router.shares.changed_values import ChangedValues
 from loomyard_router.shares.lease_terms import IDLE_LEASE
-from loomyard_router.shares.messages import AccountReport, ShareReply
+from loomyard_router.shares.messages import AccountReport, Elsewhere, ShareReply
 from loomyard_router.shares.slot_lease import SlotLease
 
 if TYPE_CHECKING:
     from loomyard_router.shares.floor_level import FloorLevel
     from loomyard_router.shares.messages import ShareReport
 
+# A report without news is answered after this time.
+RENEWAL = 0.7
+# Levels that moved by less than this part of the margin are not told.
+TOLD_PART = 0.125
+
 
 @define
 class PendingGrant:
@@ -39,6 +44,7 @@
     promised: dict[int, float] = field(factory=lambda: {0: IDLE_LEASE})
     reply_sequence: int = 0
     acknowledged: int = 0
+    unanswered: bool = False
     reply_due: bool = False
     urgent: bool = False
     replied_at: float = float("-inf")
@@ -46,7 +52,8 @@
     leases: dict[bytes, SlotLease] = field(factory=dict)
     pending: list[PendingGrant] = field(factory=list)
     offsets: ChangedValues[bytes, int] = field(factory=ChangedValues)
-    lowest: ChangedValues[bytes, int | None] = field(factory=ChangedValues)
+    lowest: ChangedValues[bytes, Elsewhere | None] = field(factory=ChangedValues)
+    lowest_told_at: dict[bytes, float] = field(factory=dict)
     limits: ChangedValues[bytes, int] = field(factory=ChangedValues)
 
     @property
@@ -85,6 +92,7 @@
         """Take in the numbers of a report."""
         self.sequence = report.sequence
         self.heard_at = now
+        self.unanswered = True
         self.acknowledged = max(self.acknowledged, report.acknowledged)
         # A reply that is superseded no longer binds.
         superseded = [number for number in self.promised if number < self.acknowledged]
@@ -95,7 +103,10 @@
         """Make the reply with all that the router may not know."""
         self.reply_sequence += 1
         self.promised[self.reply_sequence] = lease
-        self.reply_due = self.urgent = False
+        self.unanswered = self.reply_due = self.urgent = False
+        limits = self.limits.since(self.acknowledged)
+        for target in limits.keys() & self.leases.keys():
+            self.leases[target].told_in = self.reply_sequence
         return ShareReply(
             session=self.session,
             sequence=self.reply_sequence,
@@ -106,9 +117,39 @@
             margin=margin,
             offsets=self.offsets.since(self.acknowledged),
             lowest=self.lowest.since(self.acknowledged),
-            limits=self.limits.since(self.acknowledged),
+            limits=limits,
         )
 
+    def tell_lowest(self, service: bytes, lowest: Elsewhere | None, now: float) -> None:
+        """Tell of the neediest elsewhere where that differs from what the router goes by."""
+        told = self.lowest.get(service)
+        if told is not None and lowest is not None:
+            carried = told.level + told.rate * (now - self.lowest_told_at[service])
+            if abs(carried - lowest.level) < TOLD_PART * min(told.margin, lowest.margin):
+                return
+        if self.lowest.set(service, lowest, self.next_reply):
+            self.lowest_told_at[service] = now
+            self.reply_due = True
+            self.urgent |= told is None
+
+    def carry_lowest(self, now: float) -> None:
+        """Bring to the present what is sent again, as the router goes by when it hears it."""
+        for service, lowest in self.lowest.since(self.acknowledged).items():
+            if lowest is not None:
+                grown = lowest.rate * (now - self.lowest_told_at[service])
+                carried = evolve(lowest, level=lowest.level + round(grown))
+                self.lowest.set(service, carried, self.next_reply)
+                self.lowest_told_at[service] = now
+
+    def is_due(self, now: float, gap: float) -> bool:
+        """Tell whether to reply: for news after a gap, else only in time to renew the lease."""
+        since = now - self.replied_at
+        return self.urgent or (self.reply_due and since >= gap) or self.must_renew(now)
+
+    def must_renew(self, now: float) -> bool:
+        """Tell whether a reply is needed to renew the lease."""
+        return self.unanswered and now - self.replied_at >= RENEWAL
+
     def take_slots(self, report: ShareReport) -> bool:
         """Take over what a report says of slots; true where some came free."""
         self.pending = [grant for grant in self.pending if grant.reply > report.acknowledged]
