--- a/packages/loomyard-standins/src/loomyard_standins/benches/window_figures.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/window_figures.py
@@ -44,6 +44,7 @@
         queue = self._queue_times(window)
         p50, p99 = (np.percentile(queue, [50, 99]) * 1000).tolist() if queue.size else (0.0, 0.0)
         return self.short_of(window) | {
+            "gap_by_service": self._gap_by_service(window),
             "utilisation_by_service": self._utilisation_by_service(window),
             "smallest_p50_ms": round_figure(p50),
             "smallest_p99_ms": round_figure(p99),
@@ -61,6 +62,15 @@
         names = [self._workload.accounts[number].name for number in gap.accounts]
         return {"units": round(gap.units), "accounts": names}
 
+    def _gap_by_service(self, window: np.ndarray) -> dict[str, Any]:
+        service, backlog = self._trace.service, self._backlog_on_one
+        return {
+            plan.name: self._describe(
+                contender_gap(service[:, n : n + 1], backlog[:, n : n + 1], self._weights, window)
+            )
+            for n, plan in enumerate(self._workload.services)
+        }
+
     def _utilisation_by_service(self, window: np.ndarray) -> dict[str, float]:
         return {
             plan.name: round_figure(
