Split the fake fleet by what it publishes, calls and is made of

Call sites say `fleet.callers` and `fleet.publisher`; in the tests only those names changed, every assertion is as it was. Conclusion: no change of behaviour.

--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_callers.py
@@ -0,0 +1,129 @@
+"""The callers of a fake fleet."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import gevent
+
+from loomyard_standins.faults.fake_call import (
+    HTTP_OK,
+    MODEL,
+    MODELS_PATH,
+    make_environ,
+    make_model_call,
+    make_plain_call,
+    perform,
+)
+from loomyard_standins.faults.fake_publisher import GENERATION_PREFIX
+from loomyard_standins.faults.sightings import CallerSaw, Ending, ModelsSeen
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from loomyard.clock import Clock
+    from loomyard_standins.faults.fake_router import FakeRouter
+    from loomyard_standins.faults.sightings import Sightings
+
+    App = Callable[..., Any]
+
+WATCHER = "kiosk"
+
+
+class FakeCallers:
+    """Call the routers and keep what came of it; ``wrap_app`` stands before each router."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        routers: Mapping[str, FakeRouter],
+        sightings: Sightings,
+        *,
+        wrap_app: Callable[[App], App],
+    ) -> None:
+        self._clock = clock
+        self._routers = routers
+        self._sightings = sightings
+        self._wrap_app = wrap_app
+
+    @property
+    def calls_ended(self) -> bool:
+        return all(saw.ended is not None for saw in self._sightings.callers)
+
+    @property
+    def probes_ended(self) -> bool:
+        return all(saw.ended is not None for saw in self._sightings.callers if saw.probe)
+
+    def call_model(
+        self,
+        marker: str,
+        router: str,
+        *,
+        tokens: int = 6,
+        stream: bool = True,
+        model: str = MODEL,
+    ) -> CallerSaw:
+        """Start a call of the model service."""
+        saw, environ = make_model_call(
+            marker, router, self._clock.now(), tokens=tokens, stream=stream, model=model
+        )
+        return self._call(saw, environ)
+
+    def call_plain(
+        self, marker: str, router: str, *, idempotent: bool = False, key: str | None = None
+    ) -> CallerSaw:
+        """Start a call of the plain service."""
+        saw, environ = make_plain_call(
+            marker, router, self._clock.now(), idempotent=idempotent, key=key
+        )
+        return self._call(saw, environ)
+
+    def probe(self) -> None:
+        """Call every live router, which must serve."""
+        for name, router in self._routers.items():
+            if router.points.dead:
+                continue
+            marker = f"{WATCHER}/probe-{len(self._sightings.callers)}"
+            self.call_model(marker, name).probe = True
+            self.call_plain(f"{marker}-plain", name, idempotent=True).probe = True
+
+    def watch_models(self, *, final: bool = False) -> None:
+        """Let a caller list the models of every router that runs."""
+        for name, router in self._routers.items():
+            if not (router.points.paused or router.points.dead):
+                self.watch_router(name, final=final)
+
+    def watch_router(self, name: str, *, final: bool = False) -> None:
+        """Let a caller list the models of a router."""
+        environ = make_environ(WATCHER, MODELS_PATH, b"", method="GET")
+        now = self._clock.now()
+        saw = CallerSaw(marker="", account=WATCHER, router=name, expected="", started=now)
+        perform(self._routers[name].server.call, environ, saw, self._clock)
+        if saw.ending is not Ending.WHOLE or saw.status != HTTP_OK:
+            return
+        models = frozenset(model["id"] for model in json.loads(saw.body)["data"])
+        numbers = [
+            int(model.removeprefix(GENERATION_PREFIX))
+            for model in models
+            if model.startswith(GENERATION_PREFIX)
+        ]
+        generation = max(numbers, default=0)
+        self._sightings.seen.append(
+            ModelsSeen(router=name, at=now, generation=generation, models=models, final=final)
+        )
+
+    def _call(self, saw: CallerSaw, environ: dict[str, Any]) -> CallerSaw:
+        self._sightings.callers.append(saw)
+        router = self._routers[saw.router]
+        if router.points.dead:
+            saw.ending, saw.ended = Ending.CUT, self._clock.now()
+            return saw
+        inner = self._wrap_app(router.server.call)
+
+        def app(environ: dict[str, Any], start_response: Any) -> Any:
+            router.points.reach("request.received")
+            return inner(environ, start_response)
+
+        router.calls.append(gevent.spawn(perform, app, environ, saw, self._clock))
+        return saw
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
@@ -2,65 +2,32 @@
 
 from __future__ import annotations
 
-import json
 import math
 import random
-import secrets
 from collections import deque
 from contextlib import ExitStack, suppress
 from typing import TYPE_CHECKING, Any
 from unittest.mock import patch
 
 import gevent
-from result import Ok
-
-from loomyard.codec import encode
-from loomyard.configuration import Change, Put
-from loomyard.objects import (
-    ClientAccount,
-    ConfigObject,
-    Metadata,
-    Operation,
-    Route,
-    Service,
-    ServiceType,
-    Target,
-    ref_of,
-)
+
 from loomyard_router import application as application_module
 from loomyard_router.application import make_application
-from loomyard_router.callers.keys import digest_key
-from loomyard_router.configuration import snapshot_writer
-from loomyard_router.configuration.follower import CONFIG_STREAM
-from loomyard_router.configuration.log_snapshots import SNAPSHOT_STREAM
-from loomyard_router.orders import (
-    order_keeper,
-    order_lease_keeper,
-    order_planner,
-    order_sender,
-)
 from loomyard_router.parts import Platform
 from loomyard_router.settings import Settings
 from loomyard_standins.fake_clock import FakeClock
 from loomyard_standins.faults.answer_fault import AnswerFault
 from loomyard_standins.faults.checkers import IN_FORCE_SECONDS, LEAVING_SECONDS
-from loomyard_standins.faults.fake_call import (
-    HTTP_OK,
-    MODEL,
-    MODELS_PATH,
-    PLAIN,
-    fake_key,
-    make_environ,
-    make_model_call,
-    make_plain_call,
-    perform,
-)
 from loomyard_standins.faults.fake_caller_server import FakeCallerServer
+from loomyard_standins.faults.fake_callers import FakeCallers
 from loomyard_standins.faults.fake_engine import FakeEngine
 from loomyard_standins.faults.fake_peer_network import FakePeerNetwork, peer_address
+from loomyard_standins.faults.fake_publisher import FakePublisher
 from loomyard_standins.faults.fake_router import FakeRouter
 from loomyard_standins.faults.fake_target import FakeTarget
 from loomyard_standins.faults.fault_points import FaultPoints, RouterKilled
+from loomyard_standins.faults.fleet_objects import make_objects
+from loomyard_standins.faults.hastened_times import HASTENED, HASTENED_RETENTION
 from loomyard_standins.faults.pointed_platform import (
     PointedClock,
     PointedEngine,
@@ -69,10 +36,7 @@
 )
 from loomyard_standins.faults.seeded_random import SeededRandom
 from loomyard_standins.faults.sightings import (
-    CallerSaw,
     CutOff,
-    Ending,
-    ModelsSeen,
     Sightings,
     Woken,
 )
@@ -82,31 +46,18 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
-    from types import ModuleType
 
     from loomyard.platform.engine import Engine
 
     App = Callable[..., Any]
 
-ACCOUNTS = ("kiosk", "genealogy", "labels")
 STEP_SECONDS = 0.2
 TURNS = 10
 LOAD_INTERVAL = 1.0
 MILLISECOND = 0.001
 SEED = 1
 RETENTION = 86400.0
-HASTENED_RETENTION = 8.0
 JOIN_SECONDS = 1.5
-GENERATION_PREFIX = "generation-"
-WATCHER = "kiosk"
-HASTENED: dict[ModuleType, dict[str, float]] = {
-    snapshot_writer: {"CHECK_SECONDS": 1.0},
-    order_keeper: {"STEP_SECONDS": 0.2},
-    order_lease_keeper: {"TERM": 2.0, "RENEW_AFTER": 0.6, "MARGIN": 0.4, "TAKEOVER_AFTER": 2.5},
-    order_planner: {"BACKLOG_SECONDS": 1.0, "IDLE_SECONDS": 1.0, "DWELL_SECONDS": 2.0},
-    order_sender: {"ORDER_SECONDS": 0.6, "LOAD_SECONDS": 2.0, "RETRY_SECONDS": 0.4},
-}
-YOUNG_SECONDS = 4.0
 OPEN_FAULTS = frozenset([AnswerFault.GONE_DURING, AnswerFault.GONE_AFTER, AnswerFault.DOUBLED])
 
 
@@ -118,8 +69,6 @@
     ``hastened`` shortens the times of orders and snapshots in proportion.
     """
 
-    LOADABLE = "translator"
-
     def __init__(
         self,
         *,
@@ -145,12 +94,9 @@
         self.records = [self._make_target(f"records-{n}", plain=True) for n in range(2)]
         self.targets = {target.name: target for target in [*self.engines, *self.records]}
         self.routers: dict[str, FakeRouter] = {}
-        self.generation = 0
-        self._ends: list[tuple[float, int]] = []
         self.longest_death = 0.0
         self._patches = ExitStack()
         self._wrap_engine = wrap_engine
-        self._wrap_app = wrap_app
         self._policy = policy
         self._retention = HASTENED_RETENTION if hastened else RETENTION
         if hastened:
@@ -159,7 +105,12 @@
         self._starts = 0
         self._cut_at: dict[str, float] = {}
         self._paused_at: dict[str, float] = {}
-        self.publish(self._objects(spare))
+        self.publisher = FakePublisher(
+            self.clock, self.log, self.routers, self.sightings, hastened=hastened
+        )
+        self.callers = FakeCallers(self.clock, self.routers, self.sightings, wrap_app=wrap_app)
+        configured = [target for name, target in self.targets.items() if name not in spare]
+        self.publisher.publish(make_objects(configured))
         for position in range(routers):
             self.start(f"router-{position}")
         self.run(JOIN_SECONDS)
@@ -278,23 +229,6 @@
             return
         self.faults.append(fault)
 
-    def trim_log(self) -> None:
-        """Forget all records but those younger than the retention that routers rely on.
-
-        Hastened, that leaves claims, whose window is shorter, snapshots, and what was published
-        in the last seconds or is in no snapshot yet.
-        """
-        hastened = self._retention == HASTENED_RETENTION
-        for stream in self.log.streams:
-            if not hastened:
-                self.log.trim(stream, self.log.end(stream))
-            elif stream == CONFIG_STREAM and SNAPSHOT_STREAM in self.log.streams:
-                self.log.trim(stream, self._old_end())
-
-    def _old_end(self) -> int:
-        young = self.clock.now() - YOUNG_SECONDS
-        return max((end for at, end in self._ends if at <= young), default=0)
-
     def turn(self, turns: int = TURNS) -> None:
         """Let every task run that can."""
         for _ in range(turns):
@@ -312,122 +246,6 @@
         while not condition() and self.clock.now() < until:
             self.run(STEP_SECONDS)
 
-    @property
-    def calls_ended(self) -> bool:
-        return all(saw.ended is not None for saw in self.sightings.callers)
-
-    @property
-    def probes_ended(self) -> bool:
-        return all(saw.ended is not None for saw in self.sightings.callers if saw.probe)
-
-    def call_model(
-        self,
-        marker: str,
-        router: str,
-        *,
-        tokens: int = 6,
-        stream: bool = True,
-        model: str = MODEL,
-    ) -> CallerSaw:
-        """Start a call of the model service."""
-        saw, environ = make_model_call(
-            marker, router, self.clock.now(), tokens=tokens, stream=stream, model=model
-        )
-        return self._call(saw, environ)
-
-    def call_plain(
-        self, marker: str, router: str, *, idempotent: bool = False, key: str | None = None
-    ) -> CallerSaw:
-        """Start a call of the plain service."""
-        saw, environ = make_plain_call(
-            marker, router, self.clock.now(), idempotent=idempotent, key=key
-        )
-        return self._call(saw, environ)
-
-    def target_object(self, target: FakeTarget) -> Target:
-        """Return the object that configures a target."""
-        return Target(
-            metadata=Metadata(
-                name=target.name, labels={"kind": "plain" if target.plain else "engine"}
-            ),
-            url=target.url,
-            services=[PLAIN if target.plain else MODEL],
-            loadable=[] if target.plain else [self.LOADABLE],
-            slots=2,
-            vm=target.name,
-            checks_fencing=target.checks_fencing,
-        )
-
-    def publish(self, objects: list[ConfigObject]) -> bool:
-        """Append a change of new objects; false where the log service refuses."""
-        return self._append([Put(object=o) for o in objects])
-
-    def replace(self, item: ConfigObject) -> bool:
-        """Append a change of an object that is configured."""
-        follower = next(iter(self.routers.values())).application.parts.follower
-        based_on = follower.state.get(ref_of(item)).version
-        return self._append([Put(object=item, based_on=based_on)])
-
-    def publish_generation(self) -> None:
-        """Publish a service whose presence callers can see."""
-        self.generation += 1
-        name = f"{GENERATION_PREFIX}{self.generation}"
-        objects: list[ConfigObject] = [
-            Service(metadata=Metadata(name=name)),
-            Route(metadata=Metadata(name=name), service=name, targets="kind=engine"),
-        ]
-        if self.publish(objects):
-            reachable = frozenset(
-                name
-                for name, router in self.routers.items()
-                if not (router.points.paused or router.points.log_cut or router.points.dead)
-            )
-            self.sightings.generations[self.generation] = (self.clock.now(), reachable)
-
-    def publish_race(self) -> None:
-        """Publish two changes of which only one can be accepted."""
-        for name in ("race-a", "race-b"):
-            self.publish(
-                [
-                    Service(metadata=Metadata(name=name)),
-                    Route(metadata=Metadata(name="race"), service=name, targets="kind=engine"),
-                ]
-            )
-
-    def probe(self) -> None:
-        """Call every live router, which must serve."""
-        for name, router in self.routers.items():
-            if router.points.dead:
-                continue
-            marker = f"{WATCHER}/probe-{len(self.sightings.callers)}"
-            self.call_model(marker, name).probe = True
-            self.call_plain(f"{marker}-plain", name, idempotent=True).probe = True
-
-    def watch_models(self, *, final: bool = False) -> None:
-        """Let a caller list the models of every router that runs."""
-        for name, router in self.routers.items():
-            if not (router.points.paused or router.points.dead):
-                self.watch_router(name, final=final)
-
-    def watch_router(self, name: str, *, final: bool = False) -> None:
-        """Let a caller list the models of a router."""
-        environ = make_environ(WATCHER, MODELS_PATH, b"", method="GET")
-        now = self.clock.now()
-        saw = CallerSaw(marker="", account=WATCHER, router=name, expected="", started=now)
-        perform(self.routers[name].server.call, environ, saw, self.clock)
-        if saw.ending is not Ending.WHOLE or saw.status != HTTP_OK:
-            return
-        models = frozenset(model["id"] for model in json.loads(saw.body)["data"])
-        numbers = [
-            int(model.removeprefix(GENERATION_PREFIX))
-            for model in models
-            if model.startswith(GENERATION_PREFIX)
-        ]
-        generation = max(numbers, default=0)
-        self.sightings.seen.append(
-            ModelsSeen(router=name, at=now, generation=generation, models=models, final=final)
-        )
-
     def close(self) -> None:
         """End every router."""
         for name in list(self.routers):
@@ -441,12 +259,6 @@
         router.points.kill()
         self.network.leave(router.name)
 
-    def _append(self, puts: list[Put]) -> bool:
-        change = Change(change_id=secrets.token_hex(8), puts=puts)
-        appended = self.log.append(CONFIG_STREAM, encode(change))
-        self._ends.append((self.clock.now(), self.log.end(CONFIG_STREAM)))
-        return isinstance(appended, Ok)
-
     @property
     def live(self) -> list[str]:
         """Return the routers that are neither dead nor stopping."""
@@ -475,36 +287,3 @@
 
     def _make_target(self, name: str, **options: bool) -> FakeTarget:
         return FakeTarget(name, self.clock, self.sightings, self.faults, **options)
-
-    def _call(self, saw: CallerSaw, environ: dict[str, Any]) -> CallerSaw:
-        self.sightings.callers.append(saw)
-        router = self.routers[saw.router]
-        if router.points.dead:
-            saw.ending, saw.ended = Ending.CUT, self.clock.now()
-            return saw
-        inner = self._wrap_app(router.server.call)
-
-        def app(environ: dict[str, Any], start_response: Any) -> Any:
-            router.points.reach("request.received")
-            return inner(environ, start_response)
-
-        router.calls.append(gevent.spawn(perform, app, environ, saw, self.clock))
-        return saw
-
-    def _objects(self, spare: Collection[str]) -> list[ConfigObject]:
-        receipts = Operation(path="/receipts", method="POST", idempotent=False)
-        accounts = [
-            ClientAccount(metadata=Metadata(name=name), key_digests=[digest_key(fake_key(name))])
-            for name in ACCOUNTS
-        ]
-        services = [
-            Service(metadata=Metadata(name=MODEL), default_cost=10.0),
-            Service(metadata=Metadata(name=self.LOADABLE), default_cost=10.0),
-            Service(metadata=Metadata(name=PLAIN), type=ServiceType.PLAIN, operations=[receipts]),
-        ]
-        targets = [self.target_object(t) for t in self.targets.values() if t.name not in spare]
-        routes = [
-            Route(metadata=Metadata(name=name), service=name)
-            for name in (MODEL, PLAIN, self.LOADABLE)
-        ]
-        return [*accounts, *services, *targets, *routes]
--- a/packages/loomyard-standins/src/loomyard_standins/faults/injection.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/injection.py
@@ -63,7 +63,7 @@
 
 
 def _log_trimmed(fleet: FakeFleet, victim: str) -> None:
-    fleet.trim_log()
+    fleet.publisher.trim_log()
 
 
 def _vm_list_stale(fleet: FakeFleet, victim: str) -> None:
@@ -73,13 +73,13 @@
 
 
 def _operators_racing(fleet: FakeFleet, victim: str) -> None:
-    fleet.publish_race()
+    fleet.publisher.publish_race()
 
 
 def _flood(fleet: FakeFleet, victim: str) -> None:
     for number in range(FLOOD_REQUESTS):
         router = VICTIM if number % 2 else OTHER
-        fleet.call_model(f"{FLOOD_ACCOUNT}/flood-{number}", router, tokens=2)
+        fleet.callers.call_model(f"{FLOOD_ACCOUNT}/flood-{number}", router, tokens=2)
 
 
 def _weight_store_limited(fleet: FakeFleet, victim: str) -> None:
--- a/packages/loomyard-standins/src/loomyard_standins/faults/matrix.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/matrix.py
@@ -97,12 +97,12 @@
 def finish(fleet: FakeFleet) -> list[Violation]:
     """Mend every fault, let the fleet settle, probe it and check every invariant."""
     fleet.heal()
-    fleet.publish_generation()
+    fleet.publisher.publish_generation()
     # A target is tried again after about as long as it was gone.
     fleet.run(SETTLING_SECONDS + fleet.longest_death)
-    fleet.probe()
-    fleet.run_until(lambda: fleet.probes_ended, PROBE_SECONDS)
-    fleet.watch_models(final=True)
+    fleet.callers.probe()
+    fleet.run_until(lambda: fleet.callers.probes_ended, PROBE_SECONDS)
+    fleet.callers.watch_models(final=True)
     return check(fleet.sightings)
 
 
--- a/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/change.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/change.py
@@ -16,20 +16,20 @@
 
 def run_change(fleet: FakeFleet, step: Step, trigger: Trigger) -> None:
     """Publish a change and let the fault come at a step."""
-    fleet.publish_generation()
+    fleet.publisher.publish_generation()
     fleet.run(0.2)
-    fleet.watch_models()
+    fleet.callers.watch_models()
     match step:
         case Step.CHANGE_PROPOSED:
             trigger.fire(VICTIM)
         case Step.CHANGE_APPENDED:
             trigger.arm(fleet, "log.answered loomyard.configuration", VICTIM)
-    fleet.publish_generation()
+    fleet.publisher.publish_generation()
     fleet.turn()
     if step is Step.CHANGE_IN_FORCE:
         trigger.fire(VICTIM)
     for router in (VICTIM, OTHER):
-        fleet.call_model(f"kiosk/change-{router}", router)
-        fleet.call_plain(f"labels/change-{router}", router)
+        fleet.callers.call_model(f"kiosk/change-{router}", router)
+        fleet.callers.call_plain(f"labels/change-{router}", router)
     fleet.run(AFTER_SECONDS)
-    fleet.watch_models()
+    fleet.callers.watch_models()
--- a/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/lease.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/lease.py
@@ -37,8 +37,8 @@
         case Step.LEASE_GRANTED:
             trigger.arm(fleet, "peer.receive ShareReply", holder, victim)
     for number in range(BACKLOG):
-        fleet.call_model(f"kiosk/lease-{number}", holder)
-        fleet.call_model(f"genealogy/lease-{number}", allocator)
+        fleet.callers.call_model(f"kiosk/lease-{number}", holder)
+        fleet.callers.call_model(f"genealogy/lease-{number}", allocator)
     fleet.run(0.5)
     if step is Step.LEASE_HELD:
         trigger.fire(victim)
@@ -53,7 +53,7 @@
 def _find_roles(fleet: FakeFleet) -> tuple[str, str]:
     """Return a router that asks for slots, and the one that allocates them."""
     for name in fleet.routers:
-        fleet.call_model("labels/" + name, name)
+        fleet.callers.call_model("labels/" + name, name)
     fleet.run(0.5)
     replies = {n: r.points.reached["peer.send ShareReply"] for n, r in fleet.routers.items()}
     allocator = max(replies, key=lambda name: replies[name])
--- a/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/order.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/order.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from loomyard_standins.faults.fleet_objects import LOADABLE
 from loomyard_standins.faults.step import Step
 
 if TYPE_CHECKING:
@@ -47,12 +48,12 @@
         return
     for name, router in fleet.routers.items():
         if not router.points.dead:
-            fleet.call_model(f"kiosk/loaded-{name}", name, model=fleet.LOADABLE).probe = True
+            fleet.callers.call_model(f"kiosk/loaded-{name}", name, model=LOADABLE).probe = True
 
 
 def _call(fleet: FakeFleet, name: str) -> None:
     for router in fleet.routers:
-        fleet.call_model(f"kiosk/{name}-{router}", router, model=fleet.LOADABLE)
+        fleet.callers.call_model(f"kiosk/{name}-{router}", router, model=LOADABLE)
     fleet.run(ROUND_SECONDS)
 
 
--- a/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/request.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/request.py
@@ -77,17 +77,17 @@
     for target in fleet.targets.values():
         target.hold()
     for number in range(FILLERS):
-        fleet.call_model(f"genealogy/filler-{number}", VICTIM)
-        fleet.call_plain(f"genealogy/filler-plain-{number}", VICTIM, idempotent=True)
+        fleet.callers.call_model(f"genealogy/filler-{number}", VICTIM)
+        fleet.callers.call_plain(f"genealogy/filler-plain-{number}", VICTIM, idempotent=True)
 
 
 def _call(fleet: FakeFleet, kind: RequestKind, router: str) -> CallerSaw:
     marker = f"kiosk/{kind.name.lower()}"
     calls: dict[RequestKind, Callable[[], CallerSaw]] = {
-        RequestKind.STREAM: lambda: fleet.call_model(marker, router),
-        RequestKind.WHOLE: lambda: fleet.call_model(marker, router, stream=False),
-        RequestKind.RECEIPT: lambda: fleet.call_plain(marker, router),
-        RequestKind.KEYED_RECEIPT: lambda: fleet.call_plain(marker, router, key=KEY),
-        RequestKind.HOSTED_RECEIPT: lambda: fleet.call_plain(marker, router, key=KEY),
+        RequestKind.STREAM: lambda: fleet.callers.call_model(marker, router),
+        RequestKind.WHOLE: lambda: fleet.callers.call_model(marker, router, stream=False),
+        RequestKind.RECEIPT: lambda: fleet.callers.call_plain(marker, router),
+        RequestKind.KEYED_RECEIPT: lambda: fleet.callers.call_plain(marker, router, key=KEY),
+        RequestKind.HOSTED_RECEIPT: lambda: fleet.callers.call_plain(marker, router, key=KEY),
     }
     return calls[kind]()
--- a/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/stop.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/scenarios/stop.py
@@ -20,14 +20,14 @@
     for target in fleet.targets.values():
         target.hold()
     for number in range(REQUESTS):
-        fleet.call_model(f"kiosk/stop-{number}", VICTIM)
-        fleet.call_plain(f"genealogy/stop-{number}", VICTIM)
-    fleet.call_plain("labels/stop", VICTIM, key=KEY)
+        fleet.callers.call_model(f"kiosk/stop-{number}", VICTIM)
+        fleet.callers.call_plain(f"genealogy/stop-{number}", VICTIM)
+    fleet.callers.call_plain("labels/stop", VICTIM, key=KEY)
     fleet.run(0.5)
     if step is Step.STOP_BEGUN:
         trigger.fire(VICTIM)
     fleet.drain(VICTIM)
-    fleet.call_model("kiosk/late", VICTIM)
+    fleet.callers.call_model("kiosk/late", VICTIM)
     fleet.run(0.3)
     if step is Step.STOP_DRAINING:
         trigger.fire(VICTIM)
@@ -37,5 +37,5 @@
     if step is Step.STOP_ENDING:
         fleet.turn(2)
         trigger.fire(VICTIM)
-    fleet.call_plain("labels/stop", OTHER, key=KEY)
+    fleet.callers.call_plain("labels/stop", OTHER, key=KEY)
     fleet.run(1.5)
--- a/packages/loomyard-standins/src/loomyard_standins/faults/sequences.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/sequences.py
@@ -33,14 +33,14 @@
         finish(fleet)
         _repeat_keys(fleet)
         fleet.run(SOON)
-        fleet.run_until(lambda: fleet.calls_ended, END_SECONDS)
+        fleet.run_until(lambda: fleet.callers.calls_ended, END_SECONDS)
         return check(fleet.sightings)
     finally:
         fleet.close()
 
 
 def _happen(fleet: FakeFleet, number: int, happening: Happening) -> None:
-    fleet.publish_generation()
+    fleet.publisher.publish_generation()
     _work(fleet, f"{number}-before")
     fleet.turn(2)
     victim = list(fleet.routers)[happening.victim]
@@ -51,7 +51,7 @@
         points.arm(happening.point, lambda: _strike(fleet, happening, victim))
     _work(fleet, f"{number}-after")
     fleet.run(happening.seconds)
-    fleet.watch_models()
+    fleet.callers.watch_models()
     if happening.heals:
         fleet.heal()
         fleet.run(SOON)
@@ -73,10 +73,10 @@
 def _work(fleet: FakeFleet, name: str) -> None:
     for router in fleet.routers:
         suffix = f"{name}-{router}"
-        fleet.call_model(f"kiosk/stream-{suffix}", router)
-        fleet.call_model(f"genealogy/whole-{suffix}", router, stream=False, tokens=20)
-        fleet.call_plain(f"labels/receipt-{suffix}", router)
-        fleet.call_plain(f"labels/keyed-{suffix}", router, key=f"key-{suffix}")
+        fleet.callers.call_model(f"kiosk/stream-{suffix}", router)
+        fleet.callers.call_model(f"genealogy/whole-{suffix}", router, stream=False, tokens=20)
+        fleet.callers.call_plain(f"labels/receipt-{suffix}", router)
+        fleet.callers.call_plain(f"labels/keyed-{suffix}", router, key=f"key-{suffix}")
 
 
 def _repeat_keys(fleet: FakeFleet) -> None:
@@ -84,4 +84,4 @@
     keyed = [saw for saw in fleet.sightings.callers if saw.key and not saw.repeat]
     for number, saw in enumerate(keyed):
         router = routers[number % len(routers)]
-        fleet.call_plain(saw.marker, router, key=saw.key).repeat = True
+        fleet.callers.call_plain(saw.marker, router, key=saw.key).repeat = True
--- a/tests/test_loomyard_router/test_queued_requests.py
+++ b/tests/test_loomyard_router/test_queued_requests.py
@@ -8,6 +8,7 @@
 
 from loomyard.objects import TargetState
 from loomyard_standins.faults.fake_fleet import FakeFleet
+from loomyard_standins.faults.fleet_objects import make_target_object
 from loomyard_standins.faults.sightings import CallerSaw, Ending
 
 FILLERS = 12
@@ -19,25 +20,25 @@
         self.addCleanup(self.fleet.close)
         self.fleet.engines[0].hold()
         for number in range(FILLERS):
-            self.fleet.call_model(f"labels/filler-{number}", "router-0")
+            self.fleet.callers.call_model(f"labels/filler-{number}", "router-0")
         self.fleet.run(1.0)
 
     def queue(self) -> CallerSaw:
-        saw = self.fleet.call_model("kiosk/queued", "router-0")
+        saw = self.fleet.callers.call_model("kiosk/queued", "router-0")
         self.fleet.run(1.0)
         self.assertIs(saw.ending, Ending.OPEN)
         return saw
 
     def test_a_target_that_comes_takes_what_waits(self) -> None:
         saw = self.queue()
-        self.fleet.publish([self.fleet.target_object(self.fleet.engines[1])])
+        self.fleet.publisher.publish([make_target_object(self.fleet.engines[1])])
         self.fleet.run(3.0)
         self.assertEqual((saw.ending, saw.status), (Ending.WHOLE, 200))
 
     def test_what_waits_is_refused_when_no_target_is_left(self) -> None:
         saw = self.queue()
-        leaving = self.fleet.target_object(self.fleet.engines[0])
-        self.fleet.replace(evolve(leaving, state=TargetState.LEAVING))
+        leaving = make_target_object(self.fleet.engines[0])
+        self.fleet.publisher.replace(evolve(leaving, state=TargetState.LEAVING))
         self.fleet.run(3.0)
         self.assertEqual((saw.ending, saw.executed), (Ending.WHOLE, "no"))
 
--- a/tests/test_loomyard_standins/test_checkers.py
+++ b/tests/test_loomyard_standins/test_checkers.py
@@ -34,12 +34,12 @@
 
     def test_no_violation_without_a_bug(self) -> None:
         fleet = self.fleet()
-        fleet.call_model("kiosk/1", "router-0")
-        fleet.call_model("kiosk/2", "router-1", stream=False)
-        fleet.call_plain("labels/1", "router-0", idempotent=True)
-        fleet.publish_generation()
+        fleet.callers.call_model("kiosk/1", "router-0")
+        fleet.callers.call_model("kiosk/2", "router-1", stream=False)
+        fleet.callers.call_plain("labels/1", "router-0", idempotent=True)
+        fleet.publisher.publish_generation()
         fleet.run(0.1)
-        fleet.watch_models()
+        fleet.callers.watch_models()
         self.assertEqual(check(fleet.sightings), [])
         self.assertEqual(len(fleet.sightings.runs), 3)
 
@@ -47,38 +47,38 @@
         for bug in (bugs.CrossesAnswers, bugs.DoublesEvents, bugs.DropsEvents):
             with self.subTest(bug=bug.__name__):
                 fleet = self.fleet(wrap_app=bug)
-                fleet.call_model("kiosk/1", "router-0")
+                fleet.callers.call_model("kiosk/1", "router-0")
                 self.assert_fleet_violates(Invariant.WHOLE_ANSWER, fleet)
         for bug in (bugs.CrossesAnswers, bugs.CutsWholeAnswers):
             with self.subTest(bug=bug.__name__, stream=False):
                 fleet = self.fleet(wrap_app=bug)
-                fleet.call_model("kiosk/1", "router-0", stream=False)
+                fleet.callers.call_model("kiosk/1", "router-0", stream=False)
                 self.assert_fleet_violates(Invariant.WHOLE_ANSWER, fleet)
 
     def test_not_executed(self) -> None:
         fleet = self.fleet(wrap_engine=bugs.DeniesExecution)
         fleet.faults.extend([AnswerFault.LOST] * 9)
-        fleet.call_plain("kiosk/1", "router-0", idempotent=True)
+        fleet.callers.call_plain("kiosk/1", "router-0", idempotent=True)
         fleet.run(RETRY_SECONDS)
         self.assert_fleet_violates(Invariant.NOT_EXECUTED, fleet)
 
     def test_at_most_once(self) -> None:
         fleet = self.fleet(wrap_engine=bugs.SendsTwice)
-        fleet.call_plain("kiosk/1", "router-0")
+        fleet.callers.call_plain("kiosk/1", "router-0")
         self.assert_fleet_violates(Invariant.AT_MOST_ONCE, fleet)
 
     def test_leaving(self) -> None:
         fleet = self.fleet()
         fleet.sightings.leaving = dict.fromkeys(fleet.targets, fleet.clock.now())
         fleet.run(2.1)
-        fleet.call_model("kiosk/1", "router-0")
+        fleet.callers.call_model("kiosk/1", "router-0")
         self.assert_fleet_violates(Invariant.LEAVING, fleet)
 
     def test_planned_stop(self) -> None:
         fleet = self.fleet()
         for engine in fleet.engines:
             engine.hold()
-        fleet.call_model("kiosk/1", "router-0")
+        fleet.callers.call_model("kiosk/1", "router-0")
         fleet.turn()
         gevent.killall(fleet.routers["router-0"].calls)
         fleet.drain("router-0")
@@ -94,21 +94,21 @@
     def test_never_reverts(self) -> None:
         fleet = self.fleet()
         fleet.cut("router-1")
-        fleet.publish_generation()
+        fleet.publisher.publish_generation()
         fleet.run(0.1)
-        fleet.watch_router("router-0")
+        fleet.callers.watch_router("router-0")
         routers = fleet.routers
         routers["router-0"], routers["router-1"] = routers["router-1"], routers["router-0"]
-        fleet.watch_router("router-0")
+        fleet.callers.watch_router("router-0")
         self.assert_fleet_violates(Invariant.NEVER_REVERTS, fleet)
 
     def test_in_force(self) -> None:
         fleet = self.fleet()
         fleet.cut("router-1")
-        fleet.publish_generation()
+        fleet.publisher.publish_generation()
         fleet.sightings.generations[1] = (fleet.clock.now(), frozenset(fleet.routers))
         fleet.run(3.1)
-        fleet.watch_models()
+        fleet.callers.watch_models()
         self.assert_fleet_violates(Invariant.IN_FORCE, fleet)
 
     def test_no_starvation(self) -> None:
@@ -116,10 +116,10 @@
         for engine in fleet.engines:
             engine.hold()
         for number in range(5):
-            fleet.call_model(f"genealogy/{number}", "router-0")
-        fleet.call_model("kiosk/1", "router-0")
+            fleet.callers.call_model(f"genealogy/{number}", "router-0")
+        fleet.callers.call_model("kiosk/1", "router-0")
         fleet.run(31)
-        fleet.call_plain("labels/1", "router-1", idempotent=True)
+        fleet.callers.call_plain("labels/1", "router-1", idempotent=True)
         for engine in fleet.engines:
             engine.release()
         fleet.turn()
@@ -147,29 +147,29 @@
         fleet = self.fleet()
         for engine in fleet.engines:
             engine.hold()
-        fleet.call_model("kiosk/1", "router-0")
+        fleet.callers.call_model("kiosk/1", "router-0")
         self.assert_fleet_violates(Invariant.ENDS, fleet)
 
     def test_recovers(self) -> None:
         fleet = self.fleet(policy="fifo")
         for engine in fleet.engines:
             engine.up = False
-        fleet.probe()
+        fleet.callers.probe()
         fleet.run(8.0)
         self.assert_fleet_violates(Invariant.RECOVERS, fleet)
 
     def test_agreed(self) -> None:
         fleet = self.fleet()
         fleet.cut("router-1")
-        fleet.publish_race()
+        fleet.publisher.publish_race()
         fleet.run(0.1)
-        fleet.watch_models(final=True)
+        fleet.callers.watch_models(final=True)
         self.assert_fleet_violates(Invariant.AGREED, fleet)
 
     def test_lapsed(self) -> None:
         fleet = self.fleet(policy="fifo")
         for number in range(4):
-            fleet.call_model(f"kiosk/{number}", "router-0")
+            fleet.callers.call_model(f"kiosk/{number}", "router-0")
         fleet.pause("router-0")
         fleet.run(3.5)
         fleet.wake("router-0")
