--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_call.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_call.py
@@ -8,7 +8,8 @@
 
 from gevent import GreenletExit
 
-from loomyard_standins.faults.fake_target import MODEL, expected_text, plain_body
+from loomyard_standins.faults.fake_target import MODEL
+from loomyard_standins.faults.generated import expected_text, plain_body
 from loomyard_standins.faults.sightings import CallerSaw, Ending
 
 if TYPE_CHECKING:
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_target.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_target.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from gevent.event import Event
 from result import Err, Ok, Result
@@ -12,6 +12,7 @@
 from loomyard.platform.engine import CacheEvent, EngineOrder, LoadReport, TargetCall
 from loomyard_standins.faults.answer_fault import AnswerFault
 from loomyard_standins.faults.fake_answer import FakeAnswer
+from loomyard_standins.faults.generated import generate, generate_plain
 from loomyard_standins.faults.sightings import OrderSeen, Run
 
 if TYPE_CHECKING:
@@ -22,7 +23,6 @@
     from loomyard_standins.faults.sightings import Sightings
 
 MODEL = "assistant"
-DEFAULT_TOKENS = 6
 LATE_SECONDS = 1.0
 STEP_SECONDS = 0.003
 EVENT_STREAM = "text/event-stream"
@@ -198,14 +198,14 @@
         return Ok(None)
 
     def _run(self, call: TargetCall) -> Run:
-        marker, tokens, chunks = self._generate(call)
+        generated = generate_plain(call) if self.plain else generate(call)
         run = Run(
             target=self.name,
             attempt_id=call.attempt_id,
-            marker=marker,
+            marker=generated.marker,
             at=self._clock.now(),
-            tokens=tokens,
-            chunks=chunks,
+            tokens=generated.tokens,
+            chunks=generated.chunks,
             refused=self.leaving,
         )
         self._sightings.runs.append(run)
@@ -215,16 +215,6 @@
         self._kept[call.attempt_id] = run
         return run
 
-    def _generate(self, call: TargetCall) -> tuple[str, int, list[bytes]]:
-        if self.plain:
-            marker = call.body.decode()
-            return marker, 0, [plain_body(marker).encode()]
-        body = json.loads(call.body)
-        marker, tokens = body["prompt"], int(body.get("max_tokens", DEFAULT_TOKENS))
-        if body.get("stream"):
-            return marker, tokens, _stream_chunks(call.attempt_id, marker, tokens)
-        return marker, tokens, [_whole_chunk(call.attempt_id, marker, tokens)]
-
     def _answer(self, run: Run, fault: AnswerFault | None) -> FakeAnswer:
         chunks = run.chunks
         half = chunks[: len(chunks) // 2] if len(chunks) > 1 else [chunks[0][: len(chunks[0]) // 2]]
@@ -298,34 +288,5 @@
                 self._break_off(answer)
 
 
-def expected_text(marker: str, tokens: int) -> str:
-    """Return the text that a model generates for a marker."""
-    return "".join(f"{marker}.{number} " for number in range(tokens))
-
-
-def plain_body(marker: str) -> str:
-    """Return the body with which a plain server answers a marker."""
-    return json.dumps({"echo": marker})
-
-
-def _stream_chunks(attempt_id: str, marker: str, tokens: int) -> list[bytes]:
-    data: list[Any] = [
-        {"id": attempt_id, "choices": [{"index": 0, "text": f"{marker}.{number} "}]}
-        for number in range(tokens)
-    ]
-    data.append({"id": attempt_id, "choices": [], "usage": _usage(tokens)})
-    texts = [*map(json.dumps, data), "[DONE]"]
-    return [f"id: {n}\ndata: {text}\n\n".encode() for n, text in enumerate(texts)]
-
-
-def _whole_chunk(attempt_id: str, marker: str, tokens: int) -> bytes:
-    choice = {"index": 0, "text": expected_text(marker, tokens)}
-    return json.dumps({"id": attempt_id, "choices": [choice], "usage": _usage(tokens)}).encode()
-
-
-def _usage(tokens: int) -> dict[str, int]:
-    return {"prompt_tokens": 1, "completion_tokens": tokens, "total_tokens": tokens + 1}
-
-
 def _fault(code: ResultCode, detail: str, executed: Executed) -> Fault:
     return Fault(code=code, detail=detail, executed=executed)
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/generated.py
@@ -0,0 +1,66 @@
+"""What a target in memory generates for a call."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from loomyard.platform.engine import TargetCall
+
+DEFAULT_TOKENS = 6
+
+
+@frozen
+class Generated:
+    """The marker of a call, its tokens and the chunks of its answer."""
+
+    marker: str
+    tokens: int
+    chunks: list[bytes]
+
+
+def generate_plain(call: TargetCall) -> Generated:
+    """Return what a plain server answers."""
+    marker = call.body.decode()
+    return Generated(marker, 0, [plain_body(marker).encode()])
+
+
+def generate(call: TargetCall) -> Generated:
+    """Return what a model engine answers."""
+    body = json.loads(call.body)
+    marker, tokens = body["prompt"], int(body.get("max_tokens", DEFAULT_TOKENS))
+    if body.get("stream"):
+        return Generated(marker, tokens, _stream_chunks(call.attempt_id, marker, tokens))
+    return Generated(marker, tokens, [_whole_chunk(call.attempt_id, marker, tokens)])
+
+
+def expected_text(marker: str, tokens: int) -> str:
+    """Return the text that a model generates for a marker."""
+    return "".join(f"{marker}.{number} " for number in range(tokens))
+
+
+def plain_body(marker: str) -> str:
+    """Return the body with which a plain server answers a marker."""
+    return json.dumps({"echo": marker})
+
+
+def _stream_chunks(attempt_id: str, marker: str, tokens: int) -> list[bytes]:
+    data: list[Any] = [
+        {"id": attempt_id, "choices": [{"index": 0, "text": f"{marker}.{number} "}]}
+        for number in range(tokens)
+    ]
+    data.append({"id": attempt_id, "choices": [], "usage": _usage(tokens)})
+    texts = [*map(json.dumps, data), "[DONE]"]
+    return [f"id: {n}\ndata: {text}\n\n".encode() for n, text in enumerate(texts)]
+
+
+def _whole_chunk(attempt_id: str, marker: str, tokens: int) -> bytes:
+    choice = {"index": 0, "text": expected_text(marker, tokens)}
+    return json.dumps({"id": attempt_id, "choices": [choice], "usage": _usage(tokens)}).encode()
+
+
+def _usage(tokens: int) -> dict[str, int]:
+    return {"prompt_tokens": 1, "completion_tokens": tokens, "total_tokens": tokens + 1}
