--- a/packages/loomyard-standins/src/loomyard_standins/benches/slopes/shares_probe.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/slopes/shares_probe.py
@@ -7,7 +7,8 @@
 from loomyard_standins.benches.slopes.call_timer import CallTimer
 from loomyard_standins.benches.slopes.sample import Sample
 from loomyard_standins.benches.slopes.usage import resident_bytes
-from loomyard_standins.share_driver import Load, ShareDriver
+from loomyard_standins.share_driver import ShareDriver
+from loomyard_standins.share_load import Load
 
 ROUTERS = 360
 ACCOUNTS = 3_100
--- a/packages/loomyard-standins/src/loomyard_standins/share_driver.py
+++ b/packages/loomyard-standins/src/loomyard_standins/share_driver.py
@@ -3,25 +3,14 @@
 from __future__ import annotations
 
 import random
-from collections import Counter, deque
-from collections.abc import Callable
+from collections import Counter
 from itertools import combinations
 from math import exp, log
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-from attrs import define, evolve, field, frozen
+from attrs import evolve
 
-from loomyard.configuration import ConfigState, VersionedObject, make_state
-from loomyard.objects import (
-    ClientAccount,
-    ConfigObject,
-    Metadata,
-    Route,
-    Service,
-    Target,
-    TargetState,
-    ref_of,
-)
+from loomyard.objects import TargetState, ref_of
 from loomyard.routing import Routing
 from loomyard_router.members.membership import Member
 from loomyard_router.requests.estimates import CostEstimates
@@ -36,62 +25,24 @@
 from loomyard_router.shares.parents import find_allocator
 from loomyard_router.shares.waiting import WaitingRequest
 from loomyard_router.targets.directory import ConfiguredTargets, make_configured_targets
+from loomyard_standins.immediate_result import ImmediateResult
+from loomyard_standins.share_attempt import LINK_DELAY, ShareAttempt
+from loomyard_standins.share_figures import Figures
+from loomyard_standins.share_state import make_share_state
+from loomyard_standins.virtual_engine import VirtualEngine
 from loomyard_standins.virtual_time import Agenda, VirtualMembers, VirtualNetwork
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
 
-    from loomyard_router.shares.admission import Admission
     from loomyard_router.shares.policy import SharePolicy
+    from loomyard_standins.share_load import Load
 
-LINK_DELAY = 0.0015
-STEP = 0.003
-CHUNK = 64
 SAMPLE_INTERVAL = 0.1
 DEADLINE = 1e9
 DETECTION_DELAY = 1.0
 
 
-@frozen(kw_only=True)
-class Load:
-    """What an account sends: ``outstanding`` requests at all times between its ``spans``."""
-
-    account: str
-    service: str
-    mean: float
-    outstanding: int
-    routers: tuple[int, ...]
-    weight: float = 1.0
-    spans: tuple[tuple[float, float], ...] = ((0.0, 1e9),)
-
-
-@frozen(kw_only=True)
-class Figures:
-    """What a run came to; ``gap`` in tokens over weight, the rest per second and router."""
-
-    policy: str
-    gap: float
-    utilisation: float
-    messages: float
-    bytes: float
-    busiest_messages: float
-    busiest_bytes: float
-    excess: int
-
-
-class _Admitted:
-    """Stand in for the ``AsyncResult`` of a waiting request."""
-
-    def __init__(self, call: Callable[[Any], None]) -> None:
-        self.set = call
-
-
-@define(eq=False)
-class _Engine:
-    slots: int
-    running: int = 0
-    queue: deque[Callable[[], None]] = field(factory=deque)
-
-
 class ShareDriver:
     """Routers of one policy, engines of fixed speed and accounts with closed loops."""
 
@@ -112,9 +63,9 @@
         self.loads = loads
         self.random = random.Random(seed)
         self.network = VirtualNetwork(self.agenda, delay=LINK_DELAY, seed=seed)
-        self.state = _make_state(loads, engines)
+        self.state = make_share_state(loads, engines)
         self.routing = Routing(self.state)
-        self.engines = {name: _Engine(t.slots) for name, t in self.routing.targets.items()}
+        self.engines = {name: VirtualEngine(t.slots) for name, t in self.routing.targets.items()}
         self.count = 1 if policy == "single" else routers
         self.members: dict[int, VirtualMembers] = {}
         self.policies: dict[int, SharePolicy] = {}
@@ -285,8 +236,8 @@
         def again() -> None:
             self._submit(load, number, until)
 
-        attempt = _Attempt(self, position, waiting, tokens, again)
-        waiting.admitted = _Admitted(attempt.begin)
+        attempt = ShareAttempt(self, position, waiting, tokens, again)
+        waiting.admitted = ImmediateResult(attempt.begin)
         self.waiting[key] += 1
         self.open[position, waiting.request_id] = attempt.abandon
         if self.policies[position].submit(waiting).is_err():
@@ -326,124 +277,3 @@
                 self.gap = high - low
                 self.gap_at = (self.agenda.now(), *pair)
         self._extremes = extremes
-
-
-class _Attempt:
-    """One request, from its submission to its end."""
-
-    def __init__(
-        self,
-        driver: ShareDriver,
-        position: int,
-        waiting: WaitingRequest,
-        tokens: int,
-        again: Callable[[], None],
-    ) -> None:
-        self._driver = driver
-        self._position = position
-        self._waiting = waiting
-        self._tokens = tokens
-        self._again = again
-        self._done = 0
-        self._policy = driver.policies[position]
-        self._admission: Admission | None = None
-        self._running = False
-        self._ended = False
-
-    def begin(self, admission: Admission) -> None:
-        """Go to the engine."""
-        self._admission = admission
-        engine = self._engine
-        if engine.running < engine.slots:
-            self._run()
-        else:
-            engine.queue.append(self._run)
-
-    def abandon(self) -> None:
-        """End with the router; the caller tries again."""
-        self._ended = True
-        if self._running:
-            self._leave_engine()
-        else:
-            self._driver.waiting[self._key] -= 1
-        self._driver.agenda.after(0.01, self._again)
-
-    @property
-    def _key(self) -> tuple[str, str]:
-        return self._waiting.account.metadata.name, self._waiting.service.metadata.name
-
-    @property
-    def _engine(self) -> _Engine:
-        assert self._admission is not None
-        return self._driver.engines[self._admission.target.metadata.name]
-
-    def _run(self) -> None:
-        if self._ended:
-            self._start_next()
-            return
-        self._running = True
-        self._driver.waiting[self._key] -= 1
-        self._engine.running += 1
-        self._step()
-
-    def _step(self) -> None:
-        count = min(CHUNK, self._tokens - self._done)
-        self._driver.agenda.after(count * STEP, lambda: self._progress(count))
-
-    def _progress(self, count: int) -> None:
-        if self._ended:
-            return
-        admission = self._admission
-        assert admission is not None
-        self._done += count
-        self._driver.served[self._key[0]] += count
-        if self._done < self._tokens:
-            self._policy.charge(admission, max(admission.charged, float(self._done)))
-            self._step()
-            return
-        self._ended = True
-        self._driver.finished[self._key] += 1
-        self._driver.open.pop((self._position, self._waiting.request_id), None)
-        self._driver.estimates[self._position].learn(
-            self._waiting.account, self._waiting.service, self._tokens
-        )
-        self._leave_engine()
-        # The answer reaches the router, and the caller's next request comes, a link later.
-        self._driver.agenda.after(LINK_DELAY, self._finish)
-
-    def _finish(self) -> None:
-        assert self._admission is not None
-        self._policy.finish(self._admission, float(self._tokens))
-        self._again()
-
-    def _leave_engine(self) -> None:
-        self._running = False
-        self._engine.running -= 1
-        self._start_next()
-
-    def _start_next(self) -> None:
-        engine = self._engine
-        if engine.queue and engine.running < engine.slots:
-            engine.queue.popleft()()
-
-
-def _make_state(loads: list[Load], engines: dict[str, tuple[int, int]]) -> ConfigState:
-    weights = {load.account: load.weight for load in loads}
-    objects: list[ConfigObject] = [
-        ClientAccount(metadata=Metadata(name=name), weight=weight)
-        for name, weight in weights.items()
-    ]
-    for service, (count, slots) in engines.items():
-        objects.append(Service(metadata=Metadata(name=service)))
-        objects.append(Route(metadata=Metadata(name=service), service=service))
-        objects += [
-            Target(
-                metadata=Metadata(name=f"{service}-{number}"),
-                url="http://127.0.0.1:1",
-                services=[service],
-                slots=slots,
-            )
-            for number in range(count)
-        ]
-    versioned = [VersionedObject(item, 0) for item in objects]
-    return make_state(versioned, version=0, applied=0)
--- a/packages/loomyard-standins/src/loomyard_standins/share_rounds.py
+++ b/packages/loomyard-standins/src/loomyard_standins/share_rounds.py
@@ -9,7 +9,8 @@
 
 import attrs
 
-from loomyard_standins.share_driver import DETECTION_DELAY, Load, ShareDriver
+from loomyard_standins.share_driver import DETECTION_DELAY, ShareDriver
+from loomyard_standins.share_load import Load
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/test_loomyard_router/test_shares/test_fleet.py
+++ b/tests/test_loomyard_router/test_shares/test_fleet.py
@@ -9,7 +9,8 @@
 from loomyard_router.shares.fleet import FleetPolicy
 from loomyard_router.shares.lease_terms import IDLE_LEASE, LEASE
 from loomyard_router.shares.short_ids import short_id
-from loomyard_standins.share_driver import Load, ShareDriver
+from loomyard_standins.share_driver import ShareDriver
+from loomyard_standins.share_load import Load
 
 if TYPE_CHECKING:
     from loomyard_router.members.membership import Member
