Split the choice, the floor and the sending from the fleet policy

Ruled out: giving a report to this router itself by the handler of peers, which also exchanges; it goes straight to the allocator, as before. Conclusion: no change of behaviour.

--- a/packages/loomyard-router/src/loomyard_router/shares/fleet.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/fleet.py
@@ -3,20 +3,18 @@
 from __future__ import annotations
 
 import logging
-from collections import Counter
 from typing import TYPE_CHECKING
 
 import gevent
 
 from loomyard.events import Event, emit
-from loomyard.rendezvous import choose
 from loomyard_router.members.membership import SoleMembership
-from loomyard_router.peers.compact_codec import pack
 from loomyard_router.shares.account_levels import AccountLevels
 from loomyard_router.shares.admission import Admission
 from loomyard_router.shares.allocator import Allocator
 from loomyard_router.shares.capacity import Capacity
 from loomyard_router.shares.fleet_size import FleetSize
+from loomyard_router.shares.floor_admission import FloorAdmission
 from loomyard_router.shares.give_back_pace import GiveBackPace
 from loomyard_router.shares.held_slots import HeldSlots
 from loomyard_router.shares.messages import ShareReply, ShareReport, ShareReset
@@ -25,8 +23,9 @@
 from loomyard_router.shares.parents import find_allocator
 from loomyard_router.shares.reporter import Reporter
 from loomyard_router.shares.request_queues import RequestQueues
+from loomyard_router.shares.share_sender import ShareSender
 from loomyard_router.shares.short_ids import short_id
-from loomyard_router.targets.choosing import choose as choose_target
+from loomyard_router.shares.slot_choice import SlotChoice
 
 if TYPE_CHECKING:
     from gevent import Greenlet
@@ -37,6 +36,7 @@
     from loomyard.routing import Routing
     from loomyard_router.members.membership import Member, Membership
     from loomyard_router.peers.links import PeerLinks
+    from loomyard_router.shares.share_sender import ShareMessage
     from loomyard_router.shares.waiting import WaitingRequest
     from loomyard_router.targets.directory import TargetDirectory
 
@@ -49,7 +49,6 @@
 MESSAGE_BURST = 8.0
 # A router that began less than this ago may not know yet that there are others.
 JOINING = 1.5
-NO_MARGIN = 1.0
 
 
 class FleetPolicy:
@@ -66,24 +65,35 @@
         byte_rate: float,
     ) -> None:
         self._clock = clock
-        self._members = members
-        self._peers = peers
         self._queues = RequestQueues(clock)
         self._levels = AccountLevels()
         self._held = HeldSlots()
         self._overdue = Overdue()
         self._pace = GiveBackPace()
-        self._directory = directory
         self._capacity = Capacity(directory)
-        self._in_flight: Counter[str] = Counter()
+        self._choice = SlotChoice(
+            queues=self._queues,
+            levels=self._levels,
+            overdue=self._overdue,
+            capacity=self._capacity,
+            directory=directory,
+        )
+        self._floor = FloorAdmission(
+            members=members,
+            queues=self._queues,
+            levels=self._levels,
+            choice=self._choice,
+            start=self._start,
+        )
         self._exchanging = False
         self._task: Greenlet | None = None
         messages = max(MESSAGES_PER_SECOND, byte_rate / BYTES_PER_MESSAGE)
         pacer = Pacer(messages=messages, size=byte_rate, burst=MESSAGE_BURST)
+        sender = ShareSender(members, peers, deliver=self._deliver)
         self._reporter = Reporter(
             members=members,
             find_allocator=find_allocator,
-            send=self._send_report,
+            send=sender.send,
             pacer=pacer,
             queues=self._queues,
             levels=self._levels,
@@ -96,7 +106,7 @@
             live=members.live,
             fleet_size=FleetSize(members).count,
             joined_at=clock.now() + joining,
-            send=self._send_reply,
+            send=sender.send,
             pacer=pacer,
         )
         peers.handle(ShareReport, self._handle_report)
@@ -138,7 +148,7 @@
     def finish(self, admission: Admission, cost: float) -> None:
         self.charge(admission, cost)
         self._held.release(short_id(admission.target.metadata.name))
-        self._in_flight[admission.waiting.service.metadata.name] -= 1
+        self._floor.end(admission.waiting.service.metadata.name)
         self._levels.end(short_id(admission.waiting.account.metadata.name))
         self._admit()
         self._exchange()
@@ -196,11 +206,11 @@
     def _admit(self) -> None:
         now = self._clock.now()
         if not self._held.valid(now):
-            self._admit_floor(now)
+            self._floor.admit(now)
             return
         free = self._held.free(now)
-        while free and (waiting := self._neediest(free, now)) is not None:
-            target = self._choose_target(waiting, free)
+        while free and (waiting := self._choice.find_neediest(free, now)) is not None:
+            target = self._choice.choose_target(waiting, free)
             free[target] -= 1
             if not free[target]:
                 del free[target]
@@ -210,47 +220,6 @@
                 self._held.give_back(target)
                 self._reporter.urgent = True
 
-    def _admit_floor(self, now: float) -> None:
-        """Send one request at a time to each service while no lease holds."""
-        for service in self._queues.services:
-            queues = self._queues.of(service)
-            if queues is None or self._in_flight[service]:
-                continue
-            name = min(queues.accounts, key=lambda a: self._levels.level(short_id(a)))
-            waiting = queues.head(name)
-            usable = [t for t in waiting.targets_by_id if self._usable(t, waiting)]
-            if usable:
-                own = self._members.own.name
-                names = {waiting.targets_by_id[t].metadata.name: t for t in usable}
-                self._start(waiting, names[choose(own, names)], now)
-
-    def _neediest(self, free: dict[bytes, int], now: float) -> WaitingRequest | None:
-        best: WaitingRequest | None = None
-        least = (True, float("inf"))
-        for service in self._queues.services:
-            queues = self._queues.of(service)
-            assert queues is not None
-            for name in queues.accounts:
-                head = queues.head(name)
-                rank = not self._overdue.applies(head, now), self._levels.level(short_id(name))
-                if rank < least and any(self._usable(t, head) for t in free):
-                    best, least = head, rank
-        return best
-
-    def _usable(self, target: bytes, waiting: WaitingRequest) -> bool:
-        service = waiting.service.metadata.name
-        return target in waiting.targets_by_id and self._capacity.usable(target, service)
-
-    def _choose_target(self, waiting: WaitingRequest, free: dict[bytes, int]) -> bytes:
-        usable = {t: free[t] for t in free if self._usable(t, waiting)}
-        if not waiting.prefix:
-            return max(usable, key=usable.__getitem__)
-        # Free slots of one lease cost the balance nothing, whichever is used.
-        candidates = [self._capacity.candidate(t, slots) for t, slots in usable.items()]
-        chosen = choose_target(candidates, waiting.prefix, self._directory, margin=NO_MARGIN)
-        assert chosen is not None
-        return short_id(chosen.metadata.name)
-
     def _keeps(self, waiting: WaitingRequest, now: float) -> bool:
         if self._overdue.applies(waiting, now):
             return True
@@ -264,7 +233,7 @@
         taken = self._queues.pop(service, account)
         assert taken is waiting
         self._held.take(target)
-        self._in_flight[service] += 1
+        self._floor.begin(service)
         self._overdue.note(waiting, now)
         admission = Admission(
             waiting=waiting, target=waiting.targets_by_id[target], admitted_at=now
@@ -295,25 +264,14 @@
             self._reporter.begin_session()
             self._exchange()
 
-    def _send_report(self, to: str, report: ShareReport) -> int:
-        if to == self._members.own.name:
-            self._allocator.handle_report(self._members.own, report)
-            return 0
-        return self._send(to, report)
-
-    def _send_reply(self, to: str, reply: ShareReply | ShareReset) -> int:
-        own = self._members.own
-        if to != own.name:
-            return self._send(to, reply)
-        if isinstance(reply, ShareReset):
-            self._handle_reset(own, reply)
-        else:
-            self._handle_reply(own, reply)
-        return 0
-
-    def _send(self, to: str, message: ShareReport | ShareReply | ShareReset) -> int:
-        self._peers.send(to, message)
-        return len(pack(message))
+    def _deliver(self, own: Member, message: ShareMessage) -> None:
+        match message:
+            case ShareReport():
+                self._allocator.handle_report(own, message)
+            case ShareReply():
+                self._handle_reply(own, message)
+            case ShareReset():
+                self._handle_reset(own, message)
 
 
 def make_fleet_policy(
