Let one listener that may be left out serve metrics and operators

Now: util/optional_listener.py holds them; both classes extend it. The time open calls get at a stop stays: none for metrics, the default of the server for operators. Conclusion: no change of behaviour.

--- a/packages/loomyard-router/src/loomyard_router/metrics/server.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/server.py
@@ -8,6 +8,7 @@
 from gevent.pool import Pool
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
+from loomyard.util.optional_listener import OptionalListener
 from loomyard.util.tcp import NoDelayServer
 from loomyard_router.metrics.exposition import expose
 
@@ -22,30 +23,19 @@
 PLAIN_TYPE = "text/plain"
 
 
-class MetricsServer:
+class MetricsServer(OptionalListener):
     """Serve /healthz, /readyz and /metrics; without an address nothing."""
 
     def __init__(self, address: str, ready: Callable[[], bool], collector: Collector) -> None:
         self._ready = ready
         self._collector = collector
-        self._server: NoDelayServer | None = None
-        if address:
-            host, _, port = address.rpartition(":")
-            self._server = NoDelayServer((host, int(port)), self._serve, log=None, spawn=Pool())
-
-    @property
-    def port(self) -> int:
-        return 0 if self._server is None else self._server.server_port
-
-    def start(self) -> None:
-        """Start to serve."""
-        if self._server is not None:
-            self._server.start()
-
-    def stop(self) -> None:
-        """Stop to serve."""
-        if self._server is not None:
-            self._server.stop(timeout=0)
+        super().__init__(self._make_server(address), stop_timeout=0)
+
+    def _make_server(self, address: str) -> NoDelayServer | None:
+        if not address:
+            return None
+        host, _, port = address.rpartition(":")
+        return NoDelayServer((host, int(port)), self._serve, log=None, spawn=Pool())
 
     def _serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
         status, kind, body = self._answer(environ["PATH_INFO"])
--- a/packages/loomyard-router/src/loomyard_router/operators/interface.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/interface.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from loomyard.util.optional_listener import OptionalListener
 from loomyard_router.configuration.log_snapshots import LogSnapshots
 from loomyard_router.operators.app import OperatorsApp
 from loomyard_router.operators.changes import ChangePublisher
@@ -21,26 +22,9 @@
     from loomyard_router.settings import Settings
 
 
-class OperatorsInterface:
+class OperatorsInterface(OptionalListener):
     """Answer operators on a listener of their own; without an address only peers are answered."""
 
-    def __init__(self, server: OperatorServer | None) -> None:
-        self._server = server
-
-    @property
-    def port(self) -> int:
-        return 0 if self._server is None else self._server.server_port
-
-    def start(self) -> None:
-        """Start to serve."""
-        if self._server is not None:
-            self._server.start()
-
-    def stop(self) -> None:
-        """Stop to serve."""
-        if self._server is not None:
-            self._server.stop()
-
 
 def make_operators_interface(
     settings: Settings,
