Split addresses in one place

Cause: `split_address` of the peers' sockets stood again, written out, in six places: the clients of log service, VM list and weight store, the listeners of callers, operators and metrics. Now: loomyard/util/addresses.py, used by all of them, the peers' sockets and the datagrams. Ruled out: the two checks in settings.py, which must not raise on what is no address. Conclusion: no change of behaviour.

--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -12,6 +12,7 @@
 from loomyard.platform.http_log import connect_log
 from loomyard.platform.http_vm_list import connect_vm_list
 from loomyard.platform.http_weight_store import connect_weight_store
+from loomyard.util.addresses import split_address
 from loomyard_router.callers.app import CallersApp
 from loomyard_router.callers.handler import CallerServer
 from loomyard_router.callers.in_flight import InFlight
@@ -73,9 +74,8 @@
         self._serving = serving
         self._in_flight = InFlight(platform.clock)
         self._drained: GeventEvent | None = None
-        host, _, port = settings.listen.rpartition(":")
         self._server = CallerServer(
-            (host, int(port)),
+            split_address(settings.listen),
             callers,
             log=None,
             error_log=logger,
--- a/packages/loomyard-router/src/loomyard_router/members/datagrams.py
+++ b/packages/loomyard-router/src/loomyard_router/members/datagrams.py
@@ -7,7 +7,7 @@
 
 import gevent
 
-from loomyard_router.peers.sockets import split_address
+from loomyard.util.addresses import split_address
 
 if TYPE_CHECKING:
     import socket
--- a/packages/loomyard-router/src/loomyard_router/metrics/server.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/server.py
@@ -8,6 +8,7 @@
 from gevent.pool import Pool
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
+from loomyard.util.addresses import split_address
 from loomyard.util.optional_listener import OptionalListener
 from loomyard.util.tcp import NoDelayServer
 from loomyard_router.metrics.exposition import expose
@@ -34,8 +35,7 @@
     def _make_server(self, address: str) -> NoDelayServer | None:
         if not address:
             return None
-        host, _, port = address.rpartition(":")
-        return NoDelayServer((host, int(port)), self._serve, log=None, spawn=Pool())
+        return NoDelayServer(split_address(address), self._serve, log=None, spawn=Pool())
 
     def _serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
         status, kind, body = self._answer(environ["PATH_INFO"])
--- a/packages/loomyard-router/src/loomyard_router/operators/interface.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/interface.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from loomyard.util.addresses import split_address
 from loomyard.util.optional_listener import OptionalListener
 from loomyard_router.configuration.log_snapshots import LogSnapshots
 from loomyard_router.operators.app import OperatorsApp
@@ -61,8 +62,7 @@
 def _make_server(settings: Settings, app: OperatorsApp) -> OperatorServer | None:
     if not settings.operator_listen:
         return None
-    host, _, port = settings.operator_listen.rpartition(":")
     tls = {}
     if settings.operator_certificate:
         tls = {"certfile": settings.operator_certificate, "keyfile": settings.operator_private_key}
-    return OperatorServer((host, int(port)), app, **tls)
+    return OperatorServer(split_address(settings.operator_listen), app, **tls)
--- a/packages/loomyard-router/src/loomyard_router/peers/sockets.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/sockets.py
@@ -6,6 +6,8 @@
 
 from attrs import frozen
 
+from loomyard.util.addresses import split_address
+
 BIND_ATTEMPTS = 20
 BACKLOG = 256
 
@@ -42,9 +44,3 @@
             continue
         return PeerSockets(stream=stream, datagram=datagram, address=f"{host}:{bound}")
     raise AssertionError("unreachable")
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``host:port``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/packages/loomyard/src/loomyard/platform/http_log.py
+++ b/packages/loomyard/src/loomyard/platform/http_log.py
@@ -9,6 +9,7 @@
 from loomyard.codec import decode
 from loomyard.errors import Executed, Fault, ResultCode
 from loomyard.platform.log_service import LogBatch
+from loomyard.util.addresses import split_address
 from loomyard.util.tcp import make_http_client
 
 if TYPE_CHECKING:
@@ -63,8 +64,7 @@
 
 def connect_log(address: str) -> LogService:
     """Make a log client for ``host:port``."""
-    host, _, port = address.rpartition(":")
-    return HttpLogService(host, int(port))
+    return HttpLogService(*split_address(address))
 
 
 def _make_client(host: str, port: int) -> HTTPClient:
--- a/packages/loomyard/src/loomyard/platform/http_vm_list.py
+++ b/packages/loomyard/src/loomyard/platform/http_vm_list.py
@@ -10,6 +10,7 @@
 from loomyard.codec import CODEC
 from loomyard.errors import Fault, ResultCode
 from loomyard.platform.vm_list import Vm
+from loomyard.util.addresses import split_address
 from loomyard.util.tcp import make_http_client
 
 if TYPE_CHECKING:
@@ -42,8 +43,7 @@
 
 def connect_vm_list(address: str) -> VmList:
     """Make a client of the VM list for ``host:port``."""
-    host, _, port = address.rpartition(":")
-    return HttpVmList(host, int(port))
+    return HttpVmList(*split_address(address))
 
 
 def _unavailable(detail: str) -> Fault:
--- a/packages/loomyard/src/loomyard/platform/http_weight_store.py
+++ b/packages/loomyard/src/loomyard/platform/http_weight_store.py
@@ -10,6 +10,7 @@
 
 from loomyard.codec import CODEC
 from loomyard.errors import Fault, ResultCode
+from loomyard.util.addresses import split_address
 from loomyard.util.tcp import make_http_client
 
 if TYPE_CHECKING:
@@ -58,8 +59,7 @@
 
 def connect_weight_store(address: str, clock: Clock) -> WeightStore:
     """Make a client of the weight store at ``host:port``."""
-    host, _, port = address.rpartition(":")
-    return HttpWeightStore(clock, host, int(port))
+    return HttpWeightStore(clock, *split_address(address))
 
 
 def _limited(detail: str, retry_after: float) -> Fault:
