--- a/packages/loomyard-router/src/loomyard_router/operators/interface.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/interface.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from loomyard.util.addresses import split_address
+from loomyard.util.optional_listener import OptionalListener
 from loomyard_router.configuration.log_snapshots import LogSnapshots
 from loomyard_router.operators.app import OperatorsApp
 from loomyard_router.operators.changes import ChangePublisher
@@ -21,26 +23,9 @@
     from loomyard_router.settings import Settings
 
 
-class OperatorsInterface:
+class OperatorsInterface(OptionalListener):
     """Answer operators on a listener of their own; without an address only peers are answered."""
 
-    def __init__(self, server: OperatorServer | None) -> None:
-        self._server = server
-
-    @property
-    def port(self) -> int:
-        return 0 if self._server is None else self._server.server_port
-
-    def start(self) -> None:
-        """Start to serve."""
-        if self._server is not None:
-            self._server.start()
-
-    def stop(self) -> None:
-        """Stop to serve."""
-        if self._server is not None:
-            self._server.stop()
-
 
 def make_operators_interface(
     settings: Settings,
@@ -77,8 +62,7 @@
 def _make_server(settings: Settings, app: OperatorsApp) -> OperatorServer | None:
     if not settings.operator_listen:
         return None
-    host, _, port = settings.operator_listen.rpartition(":")
     tls = {}
     if settings.operator_certificate:
         tls = {"certfile": settings.operator_certificate, "keyfile": settings.operator_private_key}
-    return OperatorServer((host, int(port)), app, **tls)
+    return OperatorServer(split_address(settings.operator_listen), app, **tls)
