Refuse semantic tags in CBOR that comes from outside

No record and no message needs a tag. Ruled out: bounding numbers by hooks of the converter, which also caught IntEnum fields.

--- a/packages/loomyard-router/src/loomyard_router/peers/frames.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/frames.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from loomyard.errors import Fault, ResultCode
+from loomyard.plain_cbor import make_plain_decoder
 from loomyard_router.peers.compact_codec import structure
 from loomyard_router.peers.fleet_secret import MAC_BYTES, matches, tag
 
@@ -82,7 +83,7 @@
 def _split(body: bytes) -> Result[list[tuple[Envelope, int]], Fault]:
     envelopes: list[tuple[Envelope, int]] = []
     stream = BytesIO(body)
-    reader = cbor2.CBORDecoder(stream)
+    reader = make_plain_decoder(stream)
     while (start := stream.tell()) < len(body):
         try:
             data = reader.decode()
--- a/packages/loomyard/src/loomyard/configuration/packing.py
+++ b/packages/loomyard/src/loomyard/configuration/packing.py
@@ -17,6 +17,7 @@
 from loomyard.configuration.snapshot import PART_BYTES, SnapshotNotice, SnapshotPart
 from loomyard.configuration.state import ConfigState, VersionedObject, make_state
 from loomyard.objects import ConfigObject
+from loomyard.plain_cbor import make_plain_decoder
 from loomyard.util.collector import paused_collector
 from loomyard.validation_errors import error_lines
 
@@ -100,7 +101,7 @@
 def _decompress(data: bytes) -> Iterator[VersionedObject]:
     unpacked = zlib.decompressobj().decompress(data, MAX_UNPACKED_BYTES)
     stream = io.BytesIO(unpacked)
-    decoder = cbor2.CBORDecoder(stream)
+    decoder = make_plain_decoder(stream)
     while stream.tell() < len(unpacked):
         for version, fields in decoder.decode():
             yield VersionedObject(CODEC.structure(fields, _OBJECT_KIND), version)
