Refuse aliases in manifests; share the serving of the stand-ins

Cause: a few nested aliases of YAML stand for billions of objects, and duplicates listed the same server code in five stand-ins.

--- a/packages/loomyard-standins/src/loomyard_standins/engine.py
+++ b/packages/loomyard-standins/src/loomyard_standins/engine.py
@@ -16,9 +16,9 @@
 from loomyard.codec import CODEC
 from loomyard.platform.engine import EngineOrder
 from loomyard.prefixes import prefix_of
-from loomyard_standins.closing_server import ClosingServer
 from loomyard_standins.engine_cache import CAPACITY, PrefixCache
 from loomyard_standins.engine_orders import OrderBook
+from loomyard_standins.served_standin import LOOPBACK, ServedStandin
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -45,7 +45,7 @@
     grown: Event = field(factory=Event)
 
 
-class EngineServer:
+class EngineServer(ServedStandin):
     """An engine that makes one token of each running request every step.
 
     The first step takes ``prefill_seconds`` more, and ``HIT_PART`` of them on a cached prefix.
@@ -59,7 +59,7 @@
         model: str,
         slots: int = 8,
         step_seconds: float = 0.003,
-        listen: tuple[str, int] = ("127.0.0.1", 0),
+        listen: tuple[str, int] = LOOPBACK,
         prefill_seconds: float = 0.0,
         cached_prefixes: int = CAPACITY,
         checks_fencing: bool = False,
@@ -80,22 +80,16 @@
         self.running = 0
         self.waiting = 0
         self._slots = BoundedSemaphore(slots)
-        self._server = ClosingServer(listen, self._serve)
-
-    @property
-    def url(self) -> str:
-        return f"http://{self._server.server_host}:{self._server.server_port}"
+        super().__init__(listen, self._serve)
 
     def start(self) -> None:
-        """Start to serve."""
-        self._server.start()
+        super().start()
         if self.load_lag:
             gevent.spawn(self._sample_load)
 
     def stop(self) -> None:
-        """Stop to serve."""
         self.load_lag = 0.0
-        self._server.stop()
+        super().stop()
 
     def _serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
         parts = environ["PATH_INFO"].strip("/").split("/")
--- a/packages/loomyard-standins/src/loomyard_standins/log_service.py
+++ b/packages/loomyard-standins/src/loomyard_standins/log_service.py
@@ -13,7 +13,7 @@
 from loomyard.codec import encode
 from loomyard.errors import Executed, Fault, ResultCode
 from loomyard.platform.log_service import LogBatch, LogRecord
-from loomyard_standins.closing_server import ClosingServer
+from loomyard_standins.served_standin import LOOPBACK, ServedStandin
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -91,24 +91,12 @@
                 self._grown.wait()
 
 
-class LogServer:
+class LogServer(ServedStandin):
     """The streams of a ``MemoryLog`` over HTTP."""
 
-    def __init__(self, log: MemoryLog, listen: tuple[str, int] = ("127.0.0.1", 0)) -> None:
+    def __init__(self, log: MemoryLog, listen: tuple[str, int] = LOOPBACK) -> None:
         self.log = log
-        self._server = ClosingServer(listen, self._serve)
-
-    @property
-    def address(self) -> str:
-        return f"{self._server.server_host}:{self._server.server_port}"
-
-    def start(self) -> None:
-        """Start to serve."""
-        self._server.start()
-
-    def stop(self) -> None:
-        """Stop to serve."""
-        self._server.stop()
+        super().__init__(listen, self._serve)
 
     def _serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
         stream = environ["PATH_INFO"].split("/")[2]
--- a/packages/loomyard-standins/src/loomyard_standins/plain_service.py
+++ b/packages/loomyard-standins/src/loomyard_standins/plain_service.py
@@ -7,33 +7,19 @@
 
 import gevent
 
-from loomyard_standins.closing_server import ClosingServer
+from loomyard_standins.served_standin import LOOPBACK, ServedStandin
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
 
-class PlainServer:
+class PlainServer(ServedStandin):
     """A service that answers after some seconds."""
 
-    def __init__(
-        self, *, seconds: float = 0.01, listen: tuple[str, int] = ("127.0.0.1", 0)
-    ) -> None:
+    def __init__(self, *, seconds: float = 0.01, listen: tuple[str, int] = LOOPBACK) -> None:
         self.seconds = seconds
         self.ran: list[tuple[str, str, bytes]] = []
-        self._server = ClosingServer(listen, self._serve)
-
-    @property
-    def url(self) -> str:
-        return f"http://{self._server.server_host}:{self._server.server_port}"
-
-    def start(self) -> None:
-        """Start to serve."""
-        self._server.start()
-
-    def stop(self) -> None:
-        """Stop to serve."""
-        self._server.stop()
+        super().__init__(listen, self._serve)
 
     def _serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
         body = environ["wsgi.input"].read()
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/served_standin.py
@@ -0,0 +1,36 @@
+"""A stand-in that serves HTTP on loopback."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loomyard_standins.closing_server import ClosingServer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LOOPBACK = ("127.0.0.1", 0)
+
+
+class ServedStandin:
+    """Start, stop and name the server of a stand-in."""
+
+    def __init__(self, listen: tuple[str, int], serve: Callable) -> None:
+        self._server = ClosingServer(listen, serve)
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port``."""
+        return f"{self._server.server_host}:{self._server.server_port}"
+
+    @property
+    def url(self) -> str:
+        return f"http://{self.address}"
+
+    def start(self) -> None:
+        """Start to serve."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop to serve."""
+        self._server.stop()
--- a/packages/loomyard-standins/src/loomyard_standins/vm_list.py
+++ b/packages/loomyard-standins/src/loomyard_standins/vm_list.py
@@ -10,7 +10,7 @@
 from loomyard.codec import CODEC
 from loomyard.errors import Fault, ResultCode
 from loomyard.platform.vm_list import Vm
-from loomyard_standins.closing_server import ClosingServer
+from loomyard_standins.served_standin import LOOPBACK, ServedStandin
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -34,24 +34,12 @@
         return Ok(list(self._published))
 
 
-class VmListServer:
+class VmListServer(ServedStandin):
     """A ``MemoryVmList`` over HTTP."""
 
-    def __init__(self, vm_list: MemoryVmList, listen: tuple[str, int] = ("127.0.0.1", 0)) -> None:
+    def __init__(self, vm_list: MemoryVmList, listen: tuple[str, int] = LOOPBACK) -> None:
         self.vm_list = vm_list
-        self._server = ClosingServer(listen, self._serve)
-
-    @property
-    def address(self) -> str:
-        return f"{self._server.server_host}:{self._server.server_port}"
-
-    def start(self) -> None:
-        """Start to serve."""
-        self._server.start()
-
-    def stop(self) -> None:
-        """Stop to serve."""
-        self._server.stop()
+        super().__init__(listen, self._serve)
 
     def _serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
         match self.vm_list.read():
--- a/packages/loomyard-standins/src/loomyard_standins/weight_store.py
+++ b/packages/loomyard-standins/src/loomyard_standins/weight_store.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from loomyard.errors import Fault, ResultCode
-from loomyard_standins.closing_server import ClosingServer
+from loomyard_standins.served_standin import LOOPBACK, ServedStandin
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -38,26 +38,12 @@
         return Ok(now)
 
 
-class WeightStoreServer:
+class WeightStoreServer(ServedStandin):
     """A ``LimitedWeightStore`` over HTTP."""
 
-    def __init__(
-        self, store: LimitedWeightStore, listen: tuple[str, int] = ("127.0.0.1", 0)
-    ) -> None:
+    def __init__(self, store: LimitedWeightStore, listen: tuple[str, int] = LOOPBACK) -> None:
         self.store = store
-        self._server = ClosingServer(listen, self._serve)
-
-    @property
-    def address(self) -> str:
-        return f"{self._server.server_host}:{self._server.server_port}"
-
-    def start(self) -> None:
-        """Start to serve."""
-        self._server.start()
-
-    def stop(self) -> None:
-        """Stop to serve."""
-        self._server.stop()
+        super().__init__(listen, self._serve)
 
     def _serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
         match self.store.reserve(environ["PATH_INFO"].rpartition("/")[2]):
--- a/packages/loomyard/src/loomyard/manifests.py
+++ b/packages/loomyard/src/loomyard/manifests.py
@@ -75,6 +75,10 @@
         faults.append(_fault(source, "-", "-", f"longer than {MAX_MANIFEST_BYTES} bytes"))
         return []
     try:
+        if any(isinstance(event, yaml.AliasEvent) for event in yaml.parse(text, Loader=_LOADER)):
+            # A few nested aliases stand for billions of objects.
+            faults.append(_fault(source, "-", "-", "aliases are refused"))
+            return []
         return [
             document for document in yaml.load_all(text, Loader=_LOADER) if document is not None
         ]
--- a/tests/test_loomyard/test_manifests.py
+++ b/tests/test_loomyard/test_manifests.py
@@ -44,6 +44,13 @@
             faults = read_manifests([("a.yaml", account)]).unwrap_err()
             self.assertEqual([fault.field for fault in faults], ["weight"])
 
+    def test_refuses_aliases(self) -> None:
+        text = "a: &a [x, x]\nb: &b [*a, *a]\n"
+        faults = read_manifests([("d.yaml", text)]).unwrap_err()
+        self.assertEqual(
+            [(f.source, f.detail) for f in faults], [("d.yaml", "aliases are refused")]
+        )
+
     def test_reports_every_fault_with_its_place(self) -> None:
         faults = read_manifests([("b.yaml", BAD), ("c.yaml", "{")]).unwrap_err()
         places = [(fault.source, fault.object, fault.field) for fault in faults]
