--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -25,6 +25,8 @@
 MIN_CLAIM_WINDOW = 300.0
 RETENTION_MARGIN = 300.0
 POLICIES = ("fleet", "local", "fifo")
+LOG_FORMATS = ("text", "json")
+NO_INTEGER = -1
 
 _ADDRESS = re.compile(r"\S+:\d+\Z")
 _DIGEST = re.compile(r"[0-9a-f]{64}\Z")
@@ -100,15 +102,15 @@
     add("data-centre", "", "data centre of this router")
     add("listen", "127.0.0.1:8080", "address for callers")
     add("log-service", "", "address of the log service")
-    add("policy", "fleet", "share policy", choices=POLICIES)
-    add("position", 0, "position of this router for the local policy", type=int)
-    add("routers", 1, "number of routers for the local policy", type=int)
+    add("policy", "fleet", "share policy", metavar="|".join(POLICIES))
+    add("position", 0, "position of this router for the local policy", type=_integer)
+    add("routers", 1, "number of routers for the local policy", type=_integer)
     add("drain-seconds", 60.0, "longest wait of a planned stop for what runs", type=_number)
     add("resume-seconds", 5.0, "time a caller that went has to resume a stream", type=_number)
     add("metrics-listen", "", "address of /metrics, /healthz and /readyz; none: no metrics")
     add("certificate", "", "PEM certificate for TLS with callers")
     add("private-key", "", "PEM key of the certificate")
-    add("log-format", "text", "text or json", choices=("text", "json"))
+    add("log-format", "text", "text or json", metavar="|".join(LOG_FORMATS))
     add("operator-listen", "", "address for operators; none turns their interface off")
     add("operator-keys", "", "SHA-256 digests of operator keys, by commas", type=_split)
     add("operator-certificate", "", "file of the operator listener's TLS certificate chain")
@@ -141,7 +143,21 @@
         host, _, port = value.rpartition(":")
         if not host or not port.isdigit():
             faults.append(_fault(name, f"not host:port: {value!r}"))
-    return faults + _check_callers(settings) + _check_operators(settings)
+    return faults + _check_choices(settings) + _check_callers(settings) + _check_operators(settings)
+
+
+def _check_choices(settings: Settings) -> list[FieldFault]:
+    """Check what argparse would end the process for, or not check in the environment."""
+    faults = []
+    if settings.policy not in POLICIES:
+        faults.append(_fault("policy", f"not one of {', '.join(POLICIES)}"))
+    if settings.log_format not in LOG_FORMATS:
+        faults.append(_fault("log_format", f"not one of {', '.join(LOG_FORMATS)}"))
+    if settings.routers < 1:
+        faults.append(_fault("routers", "not a whole number above 0"))
+    elif not 0 <= settings.position < settings.routers:
+        faults.append(_fault("position", "not a whole number from 0 to routers less 1"))
+    return faults
 
 
 def _check_callers(settings: Settings) -> list[FieldFault]:
@@ -179,6 +195,14 @@
         return math.nan
 
 
+def _integer(text: str) -> int:
+    """Read a whole number; what is none is reported with the other faults."""
+    try:
+        return int(text)
+    except ValueError:
+        return NO_INTEGER
+
+
 def _check_operators(settings: Settings) -> list[FieldFault]:
     faults = []
     if settings.log_retention <= 0:
