--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which request goes next and to which target: full targets, fair shares."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/admission/gate.py
@@ -0,0 +1,160 @@
+"""Give places at targets to requests, the client account that got least first."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from gevent import Timeout
+from result import Err, Ok, Result
+
+from loomyard.errors import Fault, ResultCode
+from loomyard_router.admission.place import Place
+from loomyard_router.admission.waiter import Waiter
+
+if TYPE_CHECKING:
+    import random
+
+    from loomyard.clock import Clock
+    from loomyard_router.admission.account_usage import AccountUsage
+    from loomyard_router.admission.target_choice import TargetChoice
+    from loomyard_router.admission.target_health import TargetHealth
+    from loomyard_router.admission.target_loads import TargetLoads
+    from loomyard_router.announced.announced_target import AnnouncedTarget
+    from loomyard_router.announced.target_board import TargetBoard
+    from loomyard_router.routed.routed_request import RoutedRequest
+
+# A caller that is refused within a quarter of its objective can still be served in time elsewhere.
+WAIT_PART = 0.25
+DEFAULT_WAIT = 0.1
+# When to come back: after the burst of a second or so that filled the places, spread out.
+RETRY_LEAST = 0.5
+RETRY_MOST = 1.2
+
+
+class Gate:
+    """Queue requests for each service; what finds no place soon is refused, to come back later."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        board: TargetBoard,
+        loads: TargetLoads,
+        health: TargetHealth,
+        choice: TargetChoice,
+        usage: AccountUsage,
+        source: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._board = board
+        self._loads = loads
+        self._health = health
+        self._choice = choice
+        self._usage = usage
+        self._random = source
+        self._queues: dict[str, dict[str, deque[Waiter]]] = {}
+        board.subscribe(self._dispatch_all)
+
+    def take(self, request: RoutedRequest, avoided: frozenset[str]) -> Result[Place, Fault]:
+        """Wait for a place, at a target that is not avoided.
+
+        Errors: ``NO_TARGET``, ``QUEUE_TIMEOUT``, ``CALLER_GONE``; nothing ran.
+        """
+        if not self._candidates(request, avoided):
+            return Err(self._fault(ResultCode.NO_TARGET, "no target of the service takes new work"))
+        waiter = Waiter(request, avoided)
+        if not self._queues.get(request.service):
+            place = self._place(waiter)
+            if place is not None:
+                return Ok(place)
+        return self._wait(waiter)
+
+    def _wait(self, waiter: Waiter) -> Result[Place, Fault]:
+        request = waiter.request
+        queue = self._queues.setdefault(request.service, {})
+        queue.setdefault(request.account_name, deque()).append(waiter)
+        self._dispatch(request.service)
+
+        def leave() -> None:
+            if not waiter.placed.ready():
+                waiter.placed.set(None)
+
+        request.presence.subscribe(leave)
+        objective = request.route.objective
+        wait = DEFAULT_WAIT if objective is None else WAIT_PART * objective
+        until = min(request.arrived_at + wait, request.deadline)
+        place = None
+        try:
+            with Timeout(max(0.0, until - self._clock.now()), False):
+                place = waiter.placed.get()
+        finally:
+            request.presence.unsubscribe(leave)
+            self._withdraw(waiter)
+            if place is None and waiter.placed.ready():
+                place = waiter.placed.get_nowait()
+        if place is not None:
+            return Ok(place)
+        if request.presence.gone:
+            return Err(Fault(code=ResultCode.CALLER_GONE, detail="the caller left"))
+        return Err(self._fault(ResultCode.QUEUE_TIMEOUT, "no place came free soon enough"))
+
+    def _withdraw(self, waiter: Waiter) -> None:
+        queue = self._queues.get(waiter.request.service, {})
+        waiting = queue.get(waiter.request.account_name)
+        if waiting and waiter in waiting:
+            waiting.remove(waiter)
+            if not waiting:
+                del queue[waiter.request.account_name]
+
+    def _candidates(self, request: RoutedRequest, avoided: frozenset[str]) -> list[AnnouncedTarget]:
+        usable = [one for one in self._board.usable(request.service) if one.id not in avoided]
+        return self._health.sound(usable) if usable else []
+
+    def _place(self, waiter: Waiter) -> Place | None:
+        request = waiter.request
+        candidates = self._candidates(request, waiter.avoided)
+        target = self._choice.choose(request.affinity, candidates, request.head.attempt_id)
+        if target is None:
+            return None
+        self._loads.enter(target)
+        self._usage.add(request.account_name, request.cost)
+
+        def released() -> None:
+            self._loads.leave(target)
+            self._dispatch(target.service)
+
+        return Place(target, released)
+
+    def _dispatch_all(self) -> None:
+        for service in list(self._queues):
+            self._dispatch(service)
+
+    def _dispatch(self, service: str) -> None:
+        """Give free places to what waits, the neediest account first."""
+        queue = self._queues.get(service)
+        if not queue:
+            return
+        while queue and self._serve_neediest(queue):
+            pass
+
+    def _serve_neediest(self, queue: dict[str, deque[Waiter]]) -> bool:
+        """Give one place away; false where none can be given."""
+        for account in sorted(queue, key=self._usage.level):
+            waiting = queue[account]
+            place = self._place(waiting[0])
+            if place is not None:
+                waiter = waiting.popleft()
+                if not waiting:
+                    del queue[account]
+                waiter.placed.set(place)
+                return True
+            if not waiting[0].avoided:
+                # No target has a place, so nobody else's request finds one either.
+                return False
+        return False
+
+    def _fault(self, code: ResultCode, detail: str) -> Fault:
+        return Fault(
+            code=code, detail=detail, retry_after=self._random.uniform(RETRY_LEAST, RETRY_MOST)
+        )
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/admission/place.py
@@ -0,0 +1,24 @@
+"""The right to send one request to one target."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard_router.announced.announced_target import AnnouncedTarget
+
+
+class Place:
+    """A place at a target until it is released, which may be done more than once."""
+
+    def __init__(self, target: AnnouncedTarget, released: Callable[[], None]) -> None:
+        self.target = target
+        self._released: Callable[[], None] | None = released
+
+    def release(self) -> None:
+        """Give the place back."""
+        released, self._released = self._released, None
+        if released is not None:
+            released()
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/admission/target_choice.py
@@ -0,0 +1,47 @@
+"""Choose a target by what it keeps of the prompt, within a bound on its load."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loomyard.rendezvous import rank
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from loomyard_router.admission.target_loads import TargetLoads
+    from loomyard_router.announced.announced_target import AnnouncedTarget
+
+# Above this many times the mean load, a target is passed over for the next one in its rank.
+LOAD_BOUND = 1.3
+LOAD_SLACK = 2.0
+
+
+class TargetChoice:
+    """Rendezvous hashing with bounded loads; the least loaded one where there is no prompt."""
+
+    def __init__(self, loads: TargetLoads) -> None:
+        self._loads = loads
+        self._ranks: dict[tuple[str, tuple[str, ...]], list[str]] = {}
+
+    def choose(
+        self, affinity: str, targets: Sequence[AnnouncedTarget], key: str
+    ) -> AnnouncedTarget | None:
+        """Return a target with a free place, or ``None``; ``key`` settles ties."""
+        free = [target for target in targets if self._loads.has_place(target)]
+        if not free:
+            return None
+        if len(free) == 1:
+            return free[0]
+        if not affinity:
+            order = rank(key, [target.id for target in free])
+            place = {target_id: number for number, target_id in enumerate(order)}
+            return min(free, key=lambda one: (self._loads.running(one), place[one.id]))
+        by_id = {target.id: target for target in free}
+        mean = sum(self._loads.running(target) for target in targets) / len(targets)
+        bound = LOAD_BOUND * mean + LOAD_SLACK
+        ranked = [by_id[target_id] for target_id in rank(affinity, by_id)]
+        for target in ranked:
+            if self._loads.running(target) < bound:
+                return target
+        return min(ranked, key=self._loads.running)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/admission/target_loads.py
@@ -0,0 +1,46 @@
+"""How many requests run at each target, and how many may."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard_router.announced.announced_target import AnnouncedTarget
+
+# Routers are not equally loaded, so the parts of a target add up to more than its slots.
+OVERCOMMITMENT = 1.3
+LEAST_PLACES = 2
+
+
+class TargetLoads:
+    """Requests of this router at each target, bounded by its part of the slots."""
+
+    def __init__(self, routers: Callable[[], int]) -> None:
+        self._routers = routers
+        self._running: Counter[str] = Counter()
+
+    def running(self, target: AnnouncedTarget) -> int:
+        """Return how many requests of this router run at a target."""
+        return self._running[target.id]
+
+    def places(self, target: AnnouncedTarget) -> int:
+        """Return how many requests of this router may run at a target."""
+        part = OVERCOMMITMENT * target.slots / max(1, self._routers())
+        return max(LEAST_PLACES, math.ceil(part))
+
+    def has_place(self, target: AnnouncedTarget) -> bool:
+        return self._running[target.id] < self.places(target)
+
+    def enter(self, target: AnnouncedTarget) -> None:
+        """Count a request that begins."""
+        self._running[target.id] += 1
+
+    def leave(self, target: AnnouncedTarget) -> None:
+        """Count a request that ended."""
+        self._running[target.id] -= 1
+        if self._running[target.id] <= 0:
+            del self._running[target.id]
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/announced/__init__.py
@@ -0,0 +1,1 @@
+"""Targets that announce themselves, and which of them may get new work."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_board.py
@@ -0,0 +1,184 @@
+"""Which targets may get new work."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from loomyard.events import Event, emit
+from loomyard_router.announced.announced_target import AnnouncedTarget
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from loomyard.clock import Clock
+
+logger = logging.getLogger(__name__)
+
+# Entries that lapsed while the store was away come back within two seconds of its return.
+RETURN_SECONDS = 2.0
+# As many entries that vanish together did not leave by themselves.
+MASS_SHARE = 0.5
+MASS_LEAST = 2
+MASS_WINDOW = 0.5
+
+
+@define(eq=False)
+class _Lapsed:
+    target: AnnouncedTarget
+    vanished_at: float
+    usable_until: float
+
+
+class TargetBoard:
+    """The targets of each service, after what the feed says and when it could say it.
+
+    Who drains or vanishes gets no new work. Who vanished while the store was away, or together
+    with half of its service, is used until the time by which it had to come back.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._targets: dict[str, AnnouncedTarget] = {}
+        self._lapsed: dict[str, _Lapsed] = {}
+        self._usable: dict[str, tuple[AnnouncedTarget, ...]] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self._heard = False
+        self._store_away = False
+        self._store_back_at = clock.now() - RETURN_SECONDS
+        self._next_check = 0.0
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the targets were listed once."""
+        return self._heard
+
+    def subscribe(self, changed: Callable[[], None]) -> None:
+        """Call back after each change; the call must not wait."""
+        self._listeners.append(changed)
+
+    def usable(self, service: str) -> tuple[AnnouncedTarget, ...]:
+        """Return the targets of a service that may get new work."""
+        if self._next_check and self._clock.now() >= self._next_check:
+            self._refresh()
+        return self._usable.get(service, ())
+
+    def known(self) -> list[AnnouncedTarget]:
+        """Return all targets that are listed, or were until just now."""
+        return [*self._targets.values(), *(lapsed.target for lapsed in self._lapsed.values())]
+
+    def may_send(self, target: AnnouncedTarget) -> bool:
+        """Tell whether a target may get new work right now."""
+        return any(found.id == target.id for found in self.usable(target.service))
+
+    def replace_all(self, targets: Iterable[AnnouncedTarget]) -> None:
+        """Take over a whole listing."""
+        listed = {target.id: target for target in targets}
+        self._heard = True
+        gone = [target for id_, target in self._targets.items() if id_ not in listed]
+        for target in listed.values():
+            self._put(target)
+        self._drop(gone)
+        self._changed()
+
+    def apply(self, put: Iterable[AnnouncedTarget], dropped: Iterable[str]) -> None:
+        """Take changes over."""
+        for target in put:
+            self._put(target)
+        self._drop([self._targets[id_] for id_ in dropped if id_ in self._targets])
+        self._changed()
+
+    def note_store_lost(self) -> None:
+        """Take in that the store does not answer."""
+        self._store_away = True
+
+    def note_store_back(self) -> None:
+        """Take in that the store answers again."""
+        self._store_away = False
+        now = self._clock.now()
+        self._store_back_at = now
+        for lapsed in self._lapsed.values():
+            lapsed.usable_until = now + RETURN_SECONDS
+        self._changed()
+
+    def _put(self, target: AnnouncedTarget) -> None:
+        known = self._targets.get(target.id)
+        self._targets[target.id] = target
+        lapsed = self._lapsed.pop(target.id, None)
+        if known is None:
+            event = Event.TARGET_ANNOUNCED if lapsed is None else Event.TARGET_REANNOUNCED
+            emit(
+                logger,
+                event,
+                target=target.id,
+                service=target.service,
+                address=target.address,
+                draining=target.draining,
+            )
+        elif target.draining and not known.draining:
+            emit(logger, Event.TARGET_DRAINS, target=target.id, service=target.service)
+
+    def _drop(self, gone: list[AnnouncedTarget]) -> None:
+        now = self._clock.now()
+        for target in gone:
+            del self._targets[target.id]
+            self._lapsed[target.id] = _Lapsed(target, now, now)
+        for service in {target.service for target in gone}:
+            self._grant_returns(service, now)
+        for target in gone:
+            emit(
+                logger,
+                Event.TARGET_VANISHED,
+                target=target.id,
+                service=target.service,
+                used_for=max(0.0, round(self._lapsed[target.id].usable_until - now, 3)),
+            )
+
+    def _grant_returns(self, service: str, now: float) -> None:
+        """Give those that may have lapsed by a fault of the store the time to come back."""
+        recent = [
+            lapsed
+            for lapsed in self._lapsed.values()
+            if lapsed.target.service == service
+            and not lapsed.target.draining
+            and now - lapsed.vanished_at <= MASS_WINDOW
+        ]
+        left = sum(target.service == service for target in self._targets.values())
+        together = len(recent) >= MASS_LEAST and len(recent) >= MASS_SHARE * (len(recent) + left)
+        after_outage = self._store_away or now - self._store_back_at < RETURN_SECONDS
+        if after_outage:
+            until = max(now, self._store_back_at) + RETURN_SECONDS
+        elif together:
+            until = now + RETURN_SECONDS
+        else:
+            return
+        for lapsed in recent:
+            lapsed.usable_until = max(lapsed.usable_until, until)
+
+    def _changed(self) -> None:
+        self._refresh()
+        for changed in self._listeners:
+            changed()
+
+    def _refresh(self) -> None:
+        now = self._clock.now()
+        for id_, lapsed in list(self._lapsed.items()):
+            over = lapsed.usable_until <= now and not self._store_away
+            if over and now - lapsed.vanished_at > RETURN_SECONDS:
+                del self._lapsed[id_]
+        usable: dict[str, list[AnnouncedTarget]] = {}
+        waits = []
+        for target in self._targets.values():
+            if not target.draining:
+                usable.setdefault(target.service, []).append(target)
+        for lapsed in self._lapsed.values():
+            if lapsed.usable_until > now:
+                usable.setdefault(lapsed.target.service, []).append(lapsed.target)
+                waits.append(lapsed.usable_until)
+        self._next_check = min(waits, default=0.0)
+        self._usable = {
+            service: tuple(sorted(targets, key=lambda target: target.id))
+            for service, targets in usable.items()
+        }
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/feeds/__init__.py
@@ -0,0 +1,1 @@
+"""Feeds of keyed records that the platform keeps, and following them."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed.py
@@ -0,0 +1,47 @@
+"""The protocol of a feed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from attrs import field, frozen
+
+from loomyard_router.feeds.keyed_record import KeyedRecord
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from loomyard.errors import Fault
+
+
+@frozen(kw_only=True)
+class Listing:
+    """The newest record of each key; changes since ``next_offset`` may be missing."""
+
+    records: list[KeyedRecord] = field(factory=list)
+    next_offset: int
+
+
+@frozen(kw_only=True)
+class Batch:
+    """Records in order, and the offset to read on from."""
+
+    records: list[KeyedRecord] = field(factory=list)
+    next_offset: int
+
+
+class Feed(Protocol):
+    """Records by key, the newest of which are kept for good.
+
+    Errors: ``LOG_UNAVAILABLE``; reads also ``LOG_TRIMMED`` where the records are gone.
+    """
+
+    @property
+    def name(self) -> str:
+        """Return the name for logs."""
+
+    def newest(self, deadline: float) -> Result[Listing, Fault]:
+        """Return the newest record of each key."""
+
+    def read(self, offset: int, wait_until: float) -> Result[Batch, Fault]:
+        """Return records from an offset on, waiting for the first until a time."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
@@ -0,0 +1,132 @@
+"""Follow a feed for as long as the router runs."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Protocol
+
+import gevent
+from result import Err, Ok
+
+from loomyard.errors import ResultCode
+from loomyard.events import Event, emit
+
+if TYPE_CHECKING:
+    import random
+
+    from loomyard.clock import Clock
+    from loomyard.errors import Fault
+    from loomyard_router.feeds.feed import Feed
+    from loomyard_router.feeds.keyed_record import KeyedRecord
+
+logger = logging.getLogger(__name__)
+
+# A read that waits longer costs fewer calls, but hides for that long that the store is silent.
+WAIT_SECONDS = 6.0
+LIST_SECONDS = 1.5
+FIRST_PAUSE = 0.1
+LONGEST_PAUSE = 0.8
+
+
+class RecordTaker(Protocol):
+    """Take over what a feed says."""
+
+    def take_listing(self, records: list[KeyedRecord]) -> None:
+        """Take the newest record of each key; a key that is not listed is gone."""
+
+    def take_records(self, records: list[KeyedRecord]) -> None:
+        """Take changes in order."""
+
+    def note_lost(self) -> None:
+        """Take in that the store does not answer."""
+
+    def note_regained(self) -> None:
+        """Take in that the store answers again."""
+
+
+class FeedFollower:
+    """List a feed once, then read on; list again where records are gone."""
+
+    def __init__(self, feed: Feed, taker: RecordTaker, clock: Clock, source: random.Random) -> None:
+        self._feed = feed
+        self._taker = taker
+        self._clock = clock
+        self._random = source
+        self._next_offset: int | None = None
+        self._failures = 0
+        self._task: gevent.Greenlet | None = None
+
+    @property
+    def caught_up(self) -> bool:
+        return self._next_offset is not None
+
+    @property
+    def answering(self) -> bool:
+        return self._failures == 0
+
+    def start(self) -> None:
+        """Start to follow."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """End."""
+        if self._task is not None:
+            self._task.kill(block=False)
+
+    def step(self) -> float:
+        """Make one call; return the seconds to wait before the next one."""
+        fault = self._list() if self._next_offset is None else self._read(self._next_offset)
+        if fault is None:
+            self._note_answer()
+            return 0.0
+        return self._note_failure(fault)
+
+    def _run(self) -> None:
+        while True:
+            pause = self.step()
+            if pause:
+                self._clock.sleep(pause)
+
+    def _list(self) -> Fault | None:
+        match self._feed.newest(self._clock.now() + LIST_SECONDS):
+            case Ok(listing):
+                self._next_offset = listing.next_offset
+                self._taker.take_listing(listing.records)
+                return None
+            case Err(fault):
+                return fault
+        raise AssertionError("a result is a value or a fault")
+
+    def _read(self, offset: int) -> Fault | None:
+        match self._feed.read(offset, self._clock.now() + WAIT_SECONDS):
+            case Ok(batch):
+                if batch.next_offset < offset:
+                    # The store fell back; what it says from here on is listed anew.
+                    self._next_offset = None
+                    return None
+                self._next_offset = batch.next_offset
+                if batch.records:
+                    self._taker.take_records(batch.records)
+                return None
+            case Err(fault):
+                if fault.code is ResultCode.LOG_TRIMMED:
+                    emit(logger, Event.FEED_TRIMMED, feed=self._feed.name, offset=offset)
+                    self._next_offset = None
+                    return None
+                return fault
+        raise AssertionError("a result is a value or a fault")
+
+    def _note_answer(self) -> None:
+        if self._failures:
+            emit(logger, Event.FEED_REGAINED, feed=self._feed.name, failures=self._failures)
+            self._failures = 0
+            self._taker.note_regained()
+
+    def _note_failure(self, fault: Fault) -> float:
+        self._failures += 1
+        if self._failures == 1:
+            emit(logger, Event.FEED_LOST, feed=self._feed.name, detail=fault.detail)
+            self._taker.note_lost()
+        pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2.0 ** min(self._failures, 8))
+        # Routers that lost the store together must not come back together.
+        return pause * self._random.uniform(0.5, 1.0)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/platform/__main__.py
@@ -0,0 +1,69 @@
+"""The router as a process of the platform."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all(thread=False, subprocess=False, queue=False)
+
+# Everything below must see the patched standard library.
+import os  # noqa: E402
+import signal  # noqa: E402
+import sys  # noqa: E402
+
+import gevent  # noqa: E402
+from gevent.event import Event as GeventEvent  # noqa: E402
+from result import Err, Ok  # noqa: E402
+
+from loomyard.clock import SystemClock  # noqa: E402
+from loomyard.logs import JSON, configure_logs  # noqa: E402
+from loomyard.util.collector import tune_collector  # noqa: E402
+from loomyard_router.platform import names  # noqa: E402
+from loomyard_router.platform.callers import PlatformCallers  # noqa: E402
+from loomyard_router.platform.documents import decode_configuration, decode_target  # noqa: E402
+from loomyard_router.platform.settings_file import read_settings  # noqa: E402
+from loomyard_router.platform.store_feed import StoreFeed  # noqa: E402
+from loomyard_router.platform.targets import PlatformTargets  # noqa: E402
+from loomyard_router.routed_application import RoutedApplication, RoutedPlatform  # noqa: E402
+
+EXIT_SETTINGS = 2
+
+
+def main() -> int:
+    """Run a router until it is told to stop."""
+    path = os.environ.get(names.SETTINGS_VARIABLE, "")
+    match read_settings(path):
+        case Err(detail):
+            print(detail, file=sys.stderr)
+            return EXIT_SETTINGS
+        case Ok(settings):
+            pass
+    configure_logs(JSON)
+    clock = SystemClock()
+    application = RoutedApplication(
+        settings,
+        RoutedPlatform(
+            clock=clock,
+            tables=StoreFeed(settings.store, names.CONFIGURATION_TOPIC, clock),
+            table_key=names.CONFIGURATION_KEY,
+            decode_table=decode_configuration,
+            targets=StoreFeed(settings.store, names.TARGETS_TOPIC, clock),
+            decode_target=decode_target,
+            callers=PlatformCallers(),
+            target_dialect=PlatformTargets(),
+            ready_path=names.READY_PATH,
+        ),
+    )
+    tune_collector()
+    stopping = GeventEvent()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopping.set)
+    gevent.signal_handler(signal.SIGHUP, lambda: None)
+    application.start()
+    stopping.wait()
+    application.drain()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/platform/callers.py
@@ -0,0 +1,120 @@
+"""Callers as they speak on the platform."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from loomyard.errors import Executed, Fault, ResultCode
+from loomyard_router.callers.problems import status_of
+from loomyard_router.platform import names
+from loomyard_router.routed.request_head import PromptPart, RequestHead
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+MILLISECONDS = 1000.0
+DEFAULT_SECONDS = 30.0
+# What the caller's own request makes wrong keeps its status; it never reached a target.
+CALLER_CODES = frozenset(
+    [
+        ResultCode.MALFORMED_REQUEST,
+        ResultCode.BODY_TOO_LARGE,
+        ResultCode.UNKNOWN_KEY,
+        ResultCode.UNKNOWN_PATH,
+    ]
+)
+# Headers of one connection, and those that the router sets or keeps for itself.
+NOT_PASSED = frozenset(
+    name.lower()
+    for name in (
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Connection",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "TE",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+        "Content-Length",
+        "Expect",
+        names.AUTHORIZATION,
+        names.ACCOUNT,
+        names.EXPECTED_TARGET,
+        names.DEADLINE_MS,
+        names.LAST_EVENT_ID,
+    )
+)
+
+
+class PlatformCallers:
+    """The ``CallerDialect`` of the platform."""
+
+    def read_head(self, headers: list[tuple[str, str]], now: float) -> Result[RequestHead, Fault]:
+        fields = {name.lower(): value.strip() for name, value in headers}
+        attempt_id = fields.get(names.ATTEMPT_ID.lower(), "")
+        if not attempt_id:
+            return Err(_malformed("the request has no id"))
+        try:
+            return Ok(self._decode(attempt_id, fields, headers, now))
+        except ValueError as error:
+            return Err(_malformed(f"a header can't be read: {error}"))
+
+    def refusal(self, fault: Fault) -> tuple[int, list[tuple[str, str]]]:
+        if fault.executed is not Executed.NO:
+            late = fault.code is ResultCode.ANSWER_LATE
+            return (HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY), []
+        if fault.code in CALLER_CODES:
+            return status_of(fault.code), []
+        headers = []
+        if fault.retry_after is not None:
+            headers.append((names.RETRY_AFTER, f"{fault.retry_after:.2f}"))
+        return HTTPStatus.SERVICE_UNAVAILABLE, headers
+
+    def _decode(
+        self,
+        attempt_id: str,
+        fields: Mapping[str, str],
+        headers: list[tuple[str, str]],
+        now: float,
+    ) -> RequestHead:
+        milliseconds = fields.get(names.DEADLINE_MS.lower())
+        seconds = DEFAULT_SECONDS if milliseconds is None else float(milliseconds) / MILLISECONDS
+        prompt_tokens, _, most_output = fields.get(names.TOKEN_USAGE.lower(), "").partition(",")
+        hint = fields.get(names.LENGTH_HINT.lower())
+        dropped = NOT_PASSED | _named_by_connection(fields.get("connection", ""))
+        return RequestHead(
+            attempt_id=attempt_id,
+            deadline=now + seconds,
+            key=_key(fields.get(names.AUTHORIZATION.lower(), "")),
+            passed=[(name, value) for name, value in headers if name.lower() not in dropped],
+            prompt=_parts(fields.get(names.PROMPT_PARTS.lower(), "")),
+            prompt_tokens=int(prompt_tokens or 0),
+            most_output_tokens=int(most_output or 0),
+            output_hint=None if hint is None else int(float(hint)),
+            last_event=fields.get(names.LAST_EVENT_ID.lower(), ""),
+        )
+
+
+def _key(value: str) -> str:
+    scheme, _, key = value.partition(" ")
+    return key.strip() if scheme.lower() == names.KEY_SCHEME.strip().lower() else ""
+
+
+def _parts(value: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for text in filter(None, (part.strip() for part in value.split(","))):
+        part_id, _, tokens = text.partition(":")
+        parts.append(PromptPart(part_id, int(tokens or 0)))
+    return tuple(parts)
+
+
+def _named_by_connection(value: str) -> frozenset[str]:
+    return frozenset(name.strip().lower() for name in value.split(",") if name.strip())
+
+
+def _malformed(detail: str) -> Fault:
+    return Fault(code=ResultCode.MALFORMED_REQUEST, detail=detail)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/platform/names.py
@@ -0,0 +1,29 @@
+"""The platform's names: headers, paths, topics and what a name does not say."""
+
+from __future__ import annotations
+
+ATTEMPT_ID = "Loomyard-Attempt-Id"
+DEADLINE_MS = "Loomyard-Deadline-Ms"
+# The client account, by its name; the platform calls accounts tenants.
+ACCOUNT = "Loomyard-Tenant"
+# Prompt tokens and the most tokens to generate, with a comma; nothing is "used" yet.
+TOKEN_USAGE = "Loomyard-Token-Usage"
+PROMPT_PARTS = "Loomyard-Prompt-Prefix"
+LENGTH_HINT = "Loomyard-Length-Hint"
+LAST_EVENT_ID = "Last-Event-Id"
+# The life of a target that alone may run the request.
+EXPECTED_TARGET = "Loomyard-Expect-Instance"
+# The target's word that it did not run the request.
+NOT_RUN = "Loomyard-Not-Executed"
+STAMP = "Loomyard-Server-Stamp"
+RETRY_AFTER = "Retry-After"
+AUTHORIZATION = "Authorization"
+KEY_SCHEME = "Bearer "
+
+READY_PATH = "/readyz"
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+TARGETS_TOPIC = "keyed.servers"
+
+SETTINGS_VARIABLE = "LOOMYARD_NODE_FILE"
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
@@ -0,0 +1,66 @@
+"""The settings file of a process on the platform."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from loomyard_router.routed_settings import RetryTerms, RoutedSettings
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+MILLISECONDS = 1000.0
+# Metrics stand on the last of the ports kept free for the system's own use, peers on the first.
+DEFAULT_GRACE = 8.0
+
+
+def read_settings(path: str) -> Result[RoutedSettings, str]:
+    """Read and check the settings; fields that are not known are passed over."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(f"the settings file can't be read: {error}")
+    return parse_settings_text(text)
+
+
+def parse_settings_text(text: str) -> Result[RoutedSettings, str]:
+    """Decode lines of the form ``a.b=value``."""
+    fields = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+    fields = {name.strip(): value.strip() for name, value in fields.items()}
+    try:
+        return Ok(_make(fields))
+    except KeyError as error:
+        return Err(f"the settings file lacks {error.args[0]}")
+    except ValueError as error:
+        return Err(f"the settings file holds a value that can't be read: {error}")
+
+
+def _make(fields: Mapping[str, str]) -> RoutedSettings:
+    ports = [int(port) for port in fields["internal_ports"].split(",")]
+    own = fields["ip"]
+    seeds = tuple(
+        f"{seed.rpartition(':')[0]}:{ports[0]}"
+        for seed in fields.get("seeds", "").split(",")
+        if seed and seed.rpartition(":")[0] != own
+    )
+    return RoutedSettings(
+        name=fields["node_name"],
+        data_centre=fields.get("zone", ""),
+        listen=fields["listen.frontend"],
+        ready_listen=fields["listen.readiness"],
+        peer_listen=f"{own}:{ports[0]}",
+        metrics_listen=f"{own}:{ports[-1]}",
+        seeds=seeds,
+        store=fields["platform.address"],
+        grace=float(fields.get("bounds.grace_s", DEFAULT_GRACE)),
+        retries=RetryTerms(
+            ratio=float(fields.get("bounds.retry_ratio", 0.0)),
+            window=float(fields.get("bounds.retry_window_s", 10.0)),
+            slack=float(fields.get("bounds.retry_slack", 0.0)),
+        ),
+        share_window=float(fields.get("bounds.quota_window_s", 4.0)),
+        prompt_kept=float(fields.get("bounds.retry_after_s", 10.0)),
+    )
--- a/packages/loomyard-router/src/loomyard_router/relays/event_stream.py
+++ b/packages/loomyard-router/src/loomyard_router/relays/event_stream.py
@@ -40,6 +40,11 @@
         self._tails: deque[bytes] = deque(maxlen=KEPT_TAILS)
         self._resumed = after >= 0
 
+    @property
+    def pending(self) -> bool:
+        """Tell whether a part of an event has come."""
+        return bool(self._rest)
+
     @property
     def usage(self) -> Usage | None:
         return find_usage(b"".join(self._tails))
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/routed/__init__.py
@@ -0,0 +1,1 @@
+"""Requests on routes: reading, sending, repeating, relaying, answering."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/routed/answer_parser.py
@@ -0,0 +1,50 @@
+"""One answer on a connection, and whether bytes came after it."""
+
+from __future__ import annotations
+
+from geventhttpclient._parser import HTTPParseError
+from geventhttpclient.response import HTTPResponse
+
+FIRST_FINAL_STATUS = 200
+
+
+class AnswerParser(HTTPResponse):
+    """Parse the bytes of one answer; ``excess`` is set where more came."""
+
+    def __init__(self, method: str) -> None:
+        super().__init__(method=method)
+        self.ended = False
+        self.excess = False
+
+    @property
+    def final(self) -> bool:
+        """Tell whether the head of the answer is there, interim ones passed."""
+        return self.headers_complete and self.get_code() >= FIRST_FINAL_STATUS
+
+    def feed(self, data: str | bytes) -> None:
+        if self.ended:
+            self.excess = self.excess or bool(data)
+            return
+        try:
+            super().feed(data)
+        except HTTPParseError:
+            if not self.ended:
+                raise
+            self.excess = True
+
+    def take_body(self) -> bytes:
+        """Return the bytes of the body that were not taken yet."""
+        data = bytes(self._body_buffer)
+        self._body_buffer.clear()
+        return data
+
+    def _on_message_begin(self) -> None:
+        if self.ended:
+            self.excess = True
+            raise HTTPParseError("bytes after the answer")
+        super()._on_message_begin()
+
+    def _on_message_complete(self) -> None:
+        super()._on_message_complete()
+        if self.get_code() >= FIRST_FINAL_STATUS:
+            self.ended = True
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -0,0 +1,206 @@
+"""The WSGI application of callers on routes."""
+
+from __future__ import annotations
+
+import logging
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Ok, Result
+
+from loomyard.errors import Executed, Fault, ResultCode
+from loomyard.events import Event, emit
+from loomyard_router.callers.app import DROPPED_HEADERS
+from loomyard_router.callers.handler import PRESENCE_KEY, TARGET_KEY
+from loomyard_router.requests.presence import CallerPresence
+from loomyard_router.routed.routed_request import RoutedRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from loomyard.clock import Clock
+    from loomyard_router.requests.answer import Answer
+    from loomyard_router.routed.dialects import CallerDialect
+    from loomyard_router.routed.forwarder import Forwarder
+    from loomyard_router.routed.request_head import RequestHead
+    from loomyard_router.routes.account_terms import AccountTerms
+    from loomyard_router.routes.route import Route
+    from loomyard_router.routes.route_table import RouteTable
+    from loomyard_router.routes.table_holder import TableHolder
+
+    Environ = dict[str, Any]
+    StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+logger = logging.getLogger(__name__)
+
+HEADERS_KEY = "loomyard.headers"
+NOT_READY_RETRY_AFTER = 0.5
+READ_BYTES = 65536
+# A head or body that the caller did not send whole leaves the connection unusable.
+CLOSING_CODES = (ResultCode.MALFORMED_REQUEST, ResultCode.BODY_TOO_LARGE)
+
+
+class RoutedApp:
+    """Answer requests on routes, each by the configuration in force when it arrives."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        holder: TableHolder,
+        dialect: CallerDialect,
+        forwarder: Forwarder,
+        stopping: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._holder = holder
+        self._dialect = dialect
+        self._forwarder = forwarder
+        self._stopping = stopping
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        arrived_at = self._clock.now()
+        headers = environ[HEADERS_KEY]
+        read = self._read(environ, headers, arrived_at)
+        if read.is_err():
+            return self._refuse(environ, start_response, read.unwrap_err(), None)
+        request = read.unwrap()
+        outcome = self._forwarder.forward(request)
+        if outcome.is_err():
+            return self._refuse(environ, start_response, outcome.unwrap_err(), request)
+        return self._answer(start_response, outcome.unwrap(), request)
+
+    def _read(
+        self, environ: Environ, headers: list[tuple[str, str]], now: float
+    ) -> Result[RoutedRequest, Fault]:
+        table = self._holder.table
+        if table is None:
+            detail = "this router knows no configuration yet"
+            code = ResultCode.NOT_READY
+            return Err(Fault(code=code, detail=detail, retry_after=NOT_READY_RETRY_AFTER))
+        head = self._dialect.read_head(headers, now)
+        if head.is_err():
+            return Err(head.unwrap_err())
+        target = environ[TARGET_KEY]
+        route = table.find(_host(environ), target.partition("?")[0])
+        if route is None:
+            detail = f"no route of version {table.version}"
+            return Err(Fault(code=ResultCode.UNKNOWN_PATH, detail=detail))
+        account = self._authenticate(table, route, head.unwrap())
+        if account.is_err():
+            return Err(account.unwrap_err())
+        body = _read_body(environ, table.limits.body_bytes)
+        if body.is_err():
+            return Err(body.unwrap_err())
+        return Ok(self._make(environ, head.unwrap(), route, account.unwrap(), body.unwrap(), now))
+
+    def _authenticate(
+        self, table: RouteTable, route: Route, head: RequestHead
+    ) -> Result[AccountTerms | None, Fault]:
+        if route.public or not table.keys_required:
+            return Ok(None)
+        account = table.authenticate(head.key)
+        if account is None:
+            detail = f"no client account of version {table.version} has this key"
+            return Err(Fault(code=ResultCode.UNKNOWN_KEY, detail=detail))
+        return Ok(account)
+
+    def _make(
+        self,
+        environ: Environ,
+        head: RequestHead,
+        route: Route,
+        account: AccountTerms | None,
+        body: bytes,
+        now: float,
+    ) -> RoutedRequest:
+        deadline = head.deadline
+        if route.timeout is not None:
+            deadline = min(deadline, now + route.timeout)
+        return RoutedRequest(
+            head=head,
+            route=route,
+            service=route.choose_service(head.attempt_id),
+            account=account,
+            method=environ["REQUEST_METHOD"],
+            path=environ[TARGET_KEY],
+            body=body,
+            presence=environ.get(PRESENCE_KEY) or CallerPresence(),
+            arrived_at=now,
+            deadline=deadline,
+        )
+
+    def _answer(
+        self, start_response: StartResponse, answer: Answer, request: RoutedRequest
+    ) -> Iterable[bytes]:
+        headers = [(n, v) for n, v in answer.headers if n.lower() not in DROPPED_HEADERS]
+        if self._stopping():
+            headers.append(("Connection", "close"))
+        self._log(request, status=answer.status, code=0, executed=Executed.YES)
+        start_response(_status_line(answer.status), headers)
+        return answer.body
+
+    def _refuse(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        fault: Fault,
+        request: RoutedRequest | None,
+    ) -> Iterable[bytes]:
+        status, headers = self._dialect.refusal(fault)
+        if request is not None:
+            self._log(request, status=status, code=int(fault.code), executed=fault.executed)
+        else:
+            path = environ[TARGET_KEY]
+            emit(logger, Event.REQUEST_REFUSED, path=path, code=int(fault.code), why=fault.detail)
+        if self._stopping() or fault.code in CLOSING_CODES:
+            headers.append(("Connection", "close"))
+        start_response(_status_line(status), headers)
+        return [b""]
+
+    def _log(self, request: RoutedRequest, *, status: int, code: int, executed: Executed) -> None:
+        emit(
+            logger,
+            Event.REQUEST_ENDED,
+            request=request.head.attempt_id,
+            route=request.route.name,
+            account=request.account_name,
+            status=int(status),
+            code=code,
+            executed=executed.value,
+            milliseconds=round((self._clock.now() - request.arrived_at) * 1000),
+        )
+
+
+def _host(environ: Environ) -> str:
+    host = environ.get("HTTP_HOST", "").lower()
+    name, colon, port = host.rpartition(":")
+    return name if colon and port.isdigit() else host
+
+
+def _read_body(environ: Environ, most: int) -> Result[bytes, Fault]:
+    too_large = Fault(code=ResultCode.BODY_TOO_LARGE, detail=f"the body is over {most} bytes")
+    length = environ.get("CONTENT_LENGTH")
+    if length and int(length) > most:
+        return Err(too_large)
+    blocks: list[bytes] = []
+    size = 0
+    try:
+        while block := environ["wsgi.input"].read(READ_BYTES):
+            blocks.append(block)
+            size += len(block)
+            if size > most:
+                return Err(too_large)
+    except (OSError, ValueError) as error:
+        detail = f"the body did not come whole: {error}"
+        return Err(Fault(code=ResultCode.MALFORMED_REQUEST, detail=detail))
+    if length and size < int(length):
+        return Err(Fault(code=ResultCode.MALFORMED_REQUEST, detail="the body did not come whole"))
+    return Ok(b"".join(blocks))
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{int(status)} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/routed/connection_pool.py
@@ -0,0 +1,83 @@
+"""Kept connections to targets."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from loomyard_router.routed.target_connection import TargetConnection, connect
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard_router.announced.announced_target import AnnouncedTarget
+
+CONNECT_SECONDS = 0.4
+MOST_IDLE_SECONDS = 8.0
+# Closed this much before the target may do so itself.
+IDLE_MARGIN = 0.5
+# A connection that rested longer may be forgotten by the target, which a request that can't be
+# repeated must not find out.
+FRESH_SECONDS = 1.0
+MOST_KEPT = 16
+_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
+
+
+@define(eq=False)
+class _Idle:
+    connection: TargetConnection
+    since: float
+    until: float
+
+
+class ConnectionPool:
+    """The idle connections of each target's life, the one used last first."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._idle: dict[str, list[_Idle]] = {}
+        self.opened = 0
+
+    def take(self, target: AnnouncedTarget, *, repeatable: bool) -> TargetConnection:
+        """Return a kept or a new connection. Errors: ``OSError``; nothing was sent then."""
+        now = self._clock.now()
+        idle = self._idle.get(target.id, [])
+        while idle:
+            kept = idle.pop()
+            young = now - kept.since <= FRESH_SECONDS
+            if now < kept.until and (repeatable or young) and kept.connection.quiet:
+                return kept.connection
+            kept.connection.close()
+        self.opened += 1
+        return connect(target.address, self._clock, CONNECT_SECONDS)
+
+    def give_back(self, target: AnnouncedTarget, connection: TargetConnection) -> None:
+        """Keep a connection if it may be used again, and close it otherwise."""
+        idle = self._idle.setdefault(target.id, [])
+        if not connection.reusable or len(idle) >= MOST_KEPT:
+            connection.close()
+            return
+        now = self._clock.now()
+        idle.append(_Idle(connection, now, now + _idle_seconds(connection.headers)))
+
+    def forget(self, known: set[str]) -> None:
+        """Close what is kept to targets that are not known any more, and what is too old."""
+        now = self._clock.now()
+        for target_id, idle in list(self._idle.items()):
+            kept = [one for one in idle if target_id in known and now < one.until]
+            for one in idle:
+                if one not in kept:
+                    one.connection.close()
+            if kept:
+                self._idle[target_id] = kept
+            else:
+                del self._idle[target_id]
+
+
+def _idle_seconds(headers: list[tuple[str, str]]) -> float:
+    for name, value in headers:
+        found = _TIMEOUT.search(value) if name.lower() == "keep-alive" else None
+        if found:
+            return min(MOST_IDLE_SECONDS, int(found[1]) - IDLE_MARGIN)
+    return MOST_IDLE_SECONDS
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/routed/dialects.py
@@ -0,0 +1,49 @@
+"""What an adapter must do to speak with callers and targets in their own way."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from loomyard.errors import Fault
+    from loomyard_router.announced.announced_target import AnnouncedTarget
+    from loomyard_router.routed.request_head import RequestHead
+    from loomyard_router.routed.routed_request import RoutedRequest
+
+
+class CallerDialect(Protocol):
+    """Read heads of callers and word refusals."""
+
+    def read_head(self, headers: list[tuple[str, str]], now: float) -> Result[RequestHead, Fault]:
+        """Decode the headers of a request. Errors: ``MALFORMED_REQUEST``."""
+
+    def refusal(self, fault: Fault) -> tuple[int, list[tuple[str, str]]]:
+        """Return status and headers of a final answer that is no target's."""
+
+
+@frozen(kw_only=True)
+class AnswerWord:
+    """What a target's head says: for which attempt it is, and that it ran nothing.
+
+    ``vouched`` is false for a success that lacks the mark by which callers know a target's answer.
+    """
+
+    attempt_id: str
+    not_run: bool
+    vouched: bool = True
+
+
+class TargetDialect(Protocol):
+    """Word requests to targets and read the heads of their answers."""
+
+    def render_head(
+        self, request: RoutedRequest, target: AnnouncedTarget, *, milliseconds: int, last_event: str
+    ) -> bytes:
+        """Return the head with its empty line; ``milliseconds`` is what the target may take."""
+
+    def read_word(self, status: int, headers: list[tuple[str, str]]) -> AnswerWord:
+        """Read what the head of an answer says."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -0,0 +1,237 @@
+"""Serve a request on a route: a place, one target or several, one answer."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+from result import Err, Ok, Result
+
+from loomyard.errors import Executed, Fault, ResultCode
+from loomyard.events import Event, emit
+from loomyard_router.requests.answer import Answer
+from loomyard_router.requests.body import Body
+from loomyard_router.routed.stream_passing import StreamPassing
+from loomyard_router.routed.target_connection import ExchangeBrokenError, ExchangeLateError
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from loomyard.clock import Clock
+    from loomyard_router.admission.gate import Gate
+    from loomyard_router.admission.place import Place
+    from loomyard_router.admission.target_health import TargetHealth
+    from loomyard_router.requests.retry_budget import RetryBudget
+    from loomyard_router.routed.routed_request import RoutedRequest
+    from loomyard_router.routed.sender import Exchange, Sender
+
+logger = logging.getLogger(__name__)
+
+HELD_BYTES = 1 << 20
+EVENT_STREAM_TYPE = "text/event-stream"
+RETRY_AFTER = 0.5
+# A target that could not be reached was sent nothing and counts for no attempt.
+MOST_UNREACHED = 3
+_FAULTS_OF_TARGET = (
+    ResultCode.TARGET_UNREACHABLE,
+    ResultCode.ANSWER_LOST,
+    ResultCode.ANSWER_INVALID,
+    ResultCode.ANSWER_LATE,
+    ResultCode.ANSWER_INCOMPLETE,
+)
+
+
+class Forwarder:
+    """Send a request until it has an answer or must not be sent again."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        gate: Gate,
+        sender: Sender,
+        health: TargetHealth,
+        budget: RetryBudget,
+    ) -> None:
+        self._clock = clock
+        self._gate = gate
+        self._sender = sender
+        self._health = health
+        self._budget = budget
+
+    def forward(self, request: RoutedRequest) -> Result[Answer, Fault]:
+        """Serve a request.
+
+        Errors: those of ``Gate.take`` and ``Sender.send``; ``executed`` tells whether it may have
+        run at any target.
+        """
+        self._budget.deposit(request.service)
+        opened = self.open(request, avoided=frozenset(), last_event=request.head.last_event)
+        if opened.is_err():
+            return Err(opened.unwrap_err())
+        exchange, first, whole = opened.unwrap()
+        if whole:
+            self.close(request, exchange)
+            return Ok(Answer(status=exchange.status, headers=exchange.headers, body=[first]))
+        return Ok(self._pass_on(request, exchange, first))
+
+    def open(
+        self, request: RoutedRequest, *, avoided: frozenset[str], last_event: str
+    ) -> Result[tuple[Exchange, bytes, bool], Fault]:
+        """Send until an answer has begun; return it, its first bytes and whether those are all."""
+        executed = Executed.NO
+        attempts = unreached = 0
+        while True:
+            taken = self._gate.take(request, avoided)
+            if taken.is_err():
+                fault = taken.unwrap_err()
+                return Err(evolve(fault, executed=executed) if attempts else fault)
+            place = taken.unwrap()
+            outcome = self._attempt(request, place, last_event)
+            if outcome.is_ok():
+                exchange, first, whole = outcome.unwrap()
+                attempts += 1
+                if not (exchange.failed and self._may_repeat(request, attempts)):
+                    return Ok((exchange, first, whole))
+                self._health.note_failure(
+                    place.target, f"status {exchange.status}", unreachable=False
+                )
+                self.close(request, exchange)
+                executed = Executed.YES
+            else:
+                place.release()
+                fault = outcome.unwrap_err()
+                self._note(request, place, fault)
+                if fault.code is ResultCode.TARGET_UNREACHABLE:
+                    unreached += 1
+                else:
+                    attempts += 1
+                if fault.executed is not Executed.NO:
+                    executed = fault.executed
+                if not self._may_go_on(request, fault, executed, attempts, unreached):
+                    return Err(self._final(fault, executed))
+            avoided = avoided | {place.target.id}
+            if attempts:
+                self._budget.take(request.service)
+
+    def close(self, request: RoutedRequest, exchange: Exchange) -> None:
+        """End an exchange, whole or not."""
+        exchange.place.release()
+        self._sender.finish(request, exchange)
+
+    def reopen(
+        self, request: RoutedRequest, broken: Place, *, last_event: str
+    ) -> Result[tuple[Exchange, bytes, bool], Fault]:
+        """Go on with a broken stream at another target, if the budget allows."""
+        if not self._budget.has(request.service):
+            detail = "the budget for retries is spent"
+            return Err(Fault(code=ResultCode.RETRY_BUDGET_SPENT, detail=detail))
+        self._budget.take(request.service)
+        return self.open(request, avoided=frozenset([broken.target.id]), last_event=last_event)
+
+    def note_broken(self, request: RoutedRequest, place: Place, detail: str) -> None:
+        """Take in that a target broke an answer off."""
+        code = ResultCode.ANSWER_INCOMPLETE
+        self._note(request, place, Fault(code=code, detail=detail, executed=Executed.UNKNOWN))
+
+    def _attempt(
+        self, request: RoutedRequest, place: Place, last_event: str
+    ) -> Result[tuple[Exchange, bytes, bool], Fault]:
+        sent = self._sender.send(request, place, last_event=last_event, answer_by=request.deadline)
+        if sent.is_err():
+            return Err(sent.unwrap_err())
+        exchange = sent.unwrap()
+        try:
+            if _is_stream(exchange):
+                first = exchange.connection.read_block(request.deadline)
+                self._health.note_answer(place.target)
+                return Ok((exchange, first, False))
+            first, whole = self._hold(request, exchange)
+        except ExchangeBrokenError as error:
+            self._sender.finish(request, exchange)
+            return Err(_broken(request, error))
+        if not exchange.failed:
+            self._health.note_answer(place.target)
+        return Ok((exchange, first, whole))
+
+    def _hold(self, request: RoutedRequest, exchange: Exchange) -> tuple[bytes, bool]:
+        blocks: list[bytes] = []
+        size = 0
+        while size <= HELD_BYTES:
+            block = exchange.connection.read_block(request.deadline)
+            if not block:
+                return b"".join(blocks), True
+            blocks.append(block)
+            size += len(block)
+        return b"".join(blocks), False
+
+    def _pass_on(self, request: RoutedRequest, exchange: Exchange, first: bytes) -> Answer:
+        passing = StreamPassing(self, request, exchange)
+        blocks: Generator[bytes, None, None]
+        blocks = passing.events(first) if _is_stream(exchange) else passing.blocks(first)
+        return Answer(
+            status=exchange.status, headers=exchange.headers, body=Body(blocks, passing.close)
+        )
+
+    def _may_go_on(
+        self,
+        request: RoutedRequest,
+        fault: Fault,
+        executed: Executed,
+        attempts: int,
+        unreached: int,
+    ) -> bool:
+        if fault.code is ResultCode.CALLER_GONE or request.presence.gone:
+            return False
+        if executed is not Executed.NO and not request.route.repeatable:
+            return False
+        if not attempts:
+            return unreached < MOST_UNREACHED and self._clock.now() < request.deadline
+        return self._has_attempts(request, attempts)
+
+    def _may_repeat(self, request: RoutedRequest, attempts: int) -> bool:
+        return request.route.repeatable and self._has_attempts(request, attempts)
+
+    def _has_attempts(self, request: RoutedRequest, attempts: int) -> bool:
+        return (
+            attempts < request.route.max_attempts
+            and self._clock.now() < request.deadline
+            and self._budget.has(request.service)
+        )
+
+    def _final(self, fault: Fault, executed: Executed) -> Fault:
+        if executed is Executed.NO:
+            return evolve(fault, retry_after=fault.retry_after or RETRY_AFTER)
+        return evolve(fault, executed=executed)
+
+    def _note(self, request: RoutedRequest, place: Place, fault: Fault) -> None:
+        if fault.code in _FAULTS_OF_TARGET:
+            unreachable = fault.code is ResultCode.TARGET_UNREACHABLE
+            self._health.note_failure(place.target, fault.detail, unreachable=unreachable)
+        emit(
+            logger,
+            Event.ATTEMPT_FAILED,
+            request=request.head.attempt_id,
+            target=place.target.id,
+            code=int(fault.code),
+            executed=fault.executed.value,
+            detail=fault.detail,
+        )
+
+
+def _is_stream(exchange: Exchange) -> bool:
+    if exchange.failed:
+        return False
+    kind = next((v for n, v in exchange.headers if n.lower() == "content-type"), "")
+    return kind.startswith(EVENT_STREAM_TYPE)
+
+
+def _broken(request: RoutedRequest, error: ExchangeBrokenError) -> Fault:
+    if request.presence.gone:
+        code = ResultCode.CALLER_GONE
+    elif isinstance(error, ExchangeLateError):
+        code = ResultCode.ANSWER_LATE
+    else:
+        code = ResultCode.ANSWER_INCOMPLETE
+    return Fault(code=code, detail=str(error), executed=Executed.UNKNOWN)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/routed/listener.py
@@ -0,0 +1,58 @@
+"""The listener for callers on routes."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from typing import TYPE_CHECKING, Any
+
+from gevent import Timeout
+
+from loomyard_router.callers.handler import CONNECTION_TIMEOUT, CallerHandler, CallerServer
+from loomyard_router.routed.app import HEADERS_KEY
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard_router.routes.caller_limits import CallerLimits
+
+
+class RoutedHandler(CallerHandler):
+    """Keep idle connections as long as the configuration says, and close them at a stop."""
+
+    server: RoutedListener
+
+    def read_requestline(self) -> str:
+        self.socket.settimeout(self.server.limits().idle_seconds)
+        self.server.idle.add(self)
+        try:
+            return super().read_requestline()
+        finally:
+            self.server.idle.discard(self)
+            if self.socket is not None:
+                self.socket.settimeout(CONNECTION_TIMEOUT)
+
+    def read_request(self, raw_requestline: str) -> bool:
+        with Timeout(self.server.limits().head_seconds, ValueError("the head took too long")):
+            return super().read_request(raw_requestline)
+
+    def get_environ(self) -> dict[str, Any]:
+        environ = super().get_environ()
+        environ[HEADERS_KEY] = list(self.headers.items())
+        return environ
+
+
+class RoutedListener(CallerServer):
+    """Accept callers; ``limits`` are read for each request."""
+
+    handler_class = RoutedHandler
+
+    def __init__(self, *arguments: Any, limits: Callable[[], CallerLimits], **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.limits = limits
+        self.idle: set[RoutedHandler] = set()
+
+    def close_idle(self) -> None:
+        """Close connections on which no request is on its way."""
+        for handler in list(self.idle):
+            with suppress(OSError):
+                handler.socket.close()
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
@@ -0,0 +1,52 @@
+"""A request on a route."""
+
+from __future__ import annotations
+
+from attrs import define, field
+
+from loomyard_router.requests.presence import CallerPresence
+from loomyard_router.routed.request_head import RequestHead
+from loomyard_router.routes.account_terms import AccountTerms
+from loomyard_router.routes.route import Route
+
+# An output token takes as much of an engine as two prompt tokens, by the platform's account.
+OUTPUT_WEIGHT = 2
+PUBLIC_ACCOUNT = ""
+
+
+@define(kw_only=True, eq=False)
+class RoutedRequest:
+    """A request as it was read; ``deadline`` also bounds it by the timeout of its route."""
+
+    head: RequestHead
+    route: Route
+    service: str
+    account: AccountTerms | None
+    method: str
+    path: str
+    body: bytes = field(repr=False)
+    presence: CallerPresence
+    arrived_at: float
+    deadline: float
+
+    @property
+    def account_name(self) -> str:
+        return PUBLIC_ACCOUNT if self.account is None else self.account.name
+
+    @property
+    def cost(self) -> float:
+        """Return the expected work in tokens, output counted double; at least 1."""
+        head = self.head
+        output = head.most_output_tokens
+        if head.output_hint is not None:
+            output = min(output or head.output_hint, head.output_hint)
+        return max(1.0, head.prompt_tokens + OUTPUT_WEIGHT * output)
+
+    @property
+    def affinity(self) -> str:
+        """Return the id of the longest prompt that other requests share, empty without one."""
+        prompt = self.head.prompt
+        if not prompt:
+            return ""
+        # The last part is the request's own.
+        return prompt[-2].id if len(prompt) > 1 else prompt[0].id
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/routed/sender.py
@@ -0,0 +1,132 @@
+"""Send one attempt to one target."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from attrs import define
+from result import Err, Ok, Result
+
+from loomyard.errors import Executed, Fault, ResultCode
+from loomyard_router.admission.place import Place
+from loomyard_router.routed.target_connection import (
+    ExchangeBrokenError,
+    ExchangeLateError,
+    TargetConnection,
+)
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard_router.routed.connection_pool import ConnectionPool
+    from loomyard_router.routed.dialects import TargetDialect
+    from loomyard_router.routed.routed_request import RoutedRequest
+
+MILLISECONDS = 1000
+SERVER_ERROR = 500
+
+
+@define(eq=False)
+class Exchange:
+    """An attempt whose answer has begun."""
+
+    place: Place
+    connection: TargetConnection
+    status: int
+    headers: list[tuple[str, str]]
+
+    @property
+    def failed(self) -> bool:
+        """Tell whether the target answered with an error of its own."""
+        return self.status >= SERVER_ERROR
+
+
+class Sender:
+    """Send requests; no attempt is ever sent twice here."""
+
+    def __init__(self, clock: Clock, pool: ConnectionPool, dialect: TargetDialect) -> None:
+        self._clock = clock
+        self._pool = pool
+        self._dialect = dialect
+
+    def send(
+        self, request: RoutedRequest, place: Place, *, last_event: str, answer_by: float
+    ) -> Result[Exchange, Fault]:
+        """Send and wait for the head of the answer.
+
+        Errors: ``TARGET_UNREACHABLE``, ``TARGET_REFUSED``: it did not run. ``ANSWER_LOST``,
+        ``ANSWER_INVALID``, ``ANSWER_LATE``: it may have run. ``CALLER_GONE``.
+        """
+        try:
+            connection = self._pool.take(place.target, repeatable=request.route.repeatable)
+        except OSError as error:
+            return Err(Fault(code=ResultCode.TARGET_UNREACHABLE, detail=f"no connection: {error}"))
+        request.presence.subscribe(connection.close)
+        try:
+            return self._exchange(request, place, connection, last_event, answer_by)
+        except ExchangeLateError as error:
+            connection.close()
+            return Err(_maybe_run(ResultCode.ANSWER_LATE, str(error)))
+        except ExchangeBrokenError as error:
+            connection.close()
+            if request.presence.gone:
+                return Err(_maybe_run(ResultCode.CALLER_GONE, "the caller left"))
+            return Err(_maybe_run(ResultCode.ANSWER_LOST, str(error)))
+        except BaseException:
+            connection.close()
+            raise
+
+    def finish(self, request: RoutedRequest, exchange: Exchange) -> None:
+        """Keep the connection if its answer was read whole, and close it otherwise."""
+        request.presence.unsubscribe(exchange.connection.close)
+        self._pool.give_back(exchange.place.target, exchange.connection)
+
+    def _exchange(
+        self,
+        request: RoutedRequest,
+        place: Place,
+        connection: TargetConnection,
+        last_event: str,
+        answer_by: float,
+    ) -> Result[Exchange, Fault]:
+        left = request.deadline - self._clock.now()
+        head = self._dialect.render_head(
+            request,
+            place.target,
+            milliseconds=max(1, math.floor(left * MILLISECONDS)),
+            last_event=last_event,
+        )
+        connection.send(head, request.body, request.method, answer_by)
+        connection.read_head(answer_by)
+        headers = connection.headers
+        word = self._dialect.read_word(connection.status, headers)
+        if word.attempt_id and word.attempt_id != request.head.attempt_id:
+            connection.close()
+            return Err(_maybe_run(ResultCode.ANSWER_INVALID, "the answer is to another attempt"))
+        if word.not_run:
+            self._read_out(connection, answer_by)
+            request.presence.unsubscribe(connection.close)
+            self._pool.give_back(place.target, connection)
+            detail = f"the target did not run it: status {connection.status}"
+            return Err(Fault(code=ResultCode.TARGET_REFUSED, detail=detail))
+        if not word.attempt_id:
+            connection.close()
+            return Err(_maybe_run(ResultCode.ANSWER_INVALID, "the answer names no attempt"))
+        if not word.vouched:
+            connection.close()
+            return Err(_maybe_run(ResultCode.ANSWER_INVALID, "no target vouches for the answer"))
+        return Ok(
+            Exchange(place=place, connection=connection, status=connection.status, headers=headers)
+        )
+
+    def _read_out(self, connection: TargetConnection, deadline: float) -> None:
+        """Read the short body of a refusal, so that the connection can be used again."""
+        try:
+            while connection.read_block(deadline):
+                pass
+        except ExchangeBrokenError:
+            connection.close()
+
+
+def _maybe_run(code: ResultCode, detail: str) -> Fault:
+    return Fault(code=code, detail=detail, executed=Executed.UNKNOWN)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -0,0 +1,171 @@
+"""The application for a platform that publishes routes and lists targets: one router, wired."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+from result import Result
+
+from loomyard.clock import Clock
+from loomyard.events import Event, emit
+from loomyard.util.addresses import split_address
+from loomyard_router.admission.account_usage import AccountUsage
+from loomyard_router.admission.gate import Gate
+from loomyard_router.admission.target_choice import TargetChoice
+from loomyard_router.admission.target_health import TargetHealth
+from loomyard_router.admission.target_loads import TargetLoads
+from loomyard_router.announced.announced_target import AnnouncedTarget
+from loomyard_router.announced.target_board import TargetBoard
+from loomyard_router.announced.target_feed import TargetFeed
+from loomyard_router.callers.in_flight import InFlight
+from loomyard_router.feeds.feed import Feed
+from loomyard_router.feeds.feed_follower import FeedFollower
+from loomyard_router.ready_listener import ReadyListener
+from loomyard_router.requests.retry_budget import RetryBudget
+from loomyard_router.routed.app import RoutedApp
+from loomyard_router.routed.connection_pool import ConnectionPool
+from loomyard_router.routed.dialects import CallerDialect, TargetDialect
+from loomyard_router.routed.forwarder import Forwarder
+from loomyard_router.routed.listener import RoutedListener
+from loomyard_router.routed.sender import Sender
+from loomyard_router.routes.caller_limits import CallerLimits
+from loomyard_router.routes.route_table import RouteTable
+from loomyard_router.routes.table_feed import TableFeed
+from loomyard_router.routes.table_holder import TableHolder
+
+if TYPE_CHECKING:
+
+    from loomyard_router.routed_settings import RoutedSettings
+
+logger = logging.getLogger(__name__)
+
+# The balancer takes a router out after two of its checks, a second apart, found it not ready.
+UNLISTED_SECONDS = 2.5
+# What is left of the grace for the end of the process itself.
+GRACE_MARGIN = 0.6
+# The part of the fleet's slack for retries that is dealt out to the routers.
+SLACK_PART = 0.5
+# Nothing else tells a router how many there are.
+SWEEP_SECONDS = 2.0
+
+
+@frozen(kw_only=True)
+class RoutedPlatform:
+    """What an adapter brings: feeds, how to read them, and how callers and targets speak."""
+
+    clock: Clock
+    tables: Feed
+    table_key: str
+    decode_table: Callable[[bytes], Result[RouteTable, str]]
+    targets: Feed
+    decode_target: Callable[[str, bytes], Result[AnnouncedTarget, str]]
+    callers: CallerDialect
+    target_dialect: TargetDialect
+    ready_path: str
+
+
+class RoutedApplication:
+    """One router on such a platform."""
+
+    def __init__(self, settings: RoutedSettings, platform: RoutedPlatform) -> None:
+        clock = platform.clock
+        self._settings = settings
+        self._clock = clock
+        self._stopping = False
+        source = random.Random()
+        self.holder = TableHolder(platform.decode_table)
+        self.board = TargetBoard(clock)
+        self._tables = FeedFollower(
+            platform.tables, TableFeed(self.holder, platform.table_key), clock, source
+        )
+        self._targets = FeedFollower(
+            platform.targets, TargetFeed(self.board, platform.decode_target), clock, source
+        )
+        self._health = TargetHealth(clock)
+        self._pool = ConnectionPool(clock)
+        loads = TargetLoads(self._routers)
+        gate = Gate(
+            clock=clock,
+            board=self.board,
+            loads=loads,
+            health=self._health,
+            choice=TargetChoice(loads),
+            usage=AccountUsage(clock, settings.share_window),
+            source=source,
+        )
+        retries = settings.retries
+        forwarder = Forwarder(
+            clock=clock,
+            gate=gate,
+            sender=Sender(clock, self._pool, platform.target_dialect),
+            health=self._health,
+            budget=RetryBudget(
+                per_request=retries.ratio,
+                most=lambda: 1.0 + SLACK_PART * retries.slack / self._routers(),
+            ),
+        )
+        self.app = RoutedApp(
+            clock=clock,
+            holder=self.holder,
+            dialect=platform.callers,
+            forwarder=forwarder,
+            stopping=lambda: self._stopping,
+        )
+        self._in_flight = InFlight(clock)
+        self._listener = RoutedListener(
+            split_address(settings.listen),
+            self.app,
+            log=None,
+            error_log=logger,
+            in_flight=self._in_flight,
+            limits=self._limits,
+        )
+        self._ready = ReadyListener(settings.ready_listen, platform.ready_path, self._is_ready)
+        self.board.subscribe(self._forget)
+
+    def start(self) -> None:
+        """Start to follow the feeds and to serve callers."""
+        self._tables.start()
+        self._targets.start()
+        self._ready.start()
+        self._listener.start()
+        emit(logger, Event.ROUTER_STARTED, name=self._settings.name, listen=self._settings.listen)
+
+    def drain(self) -> None:
+        """Stop as planned: say so, let what runs end within the grace, then stop."""
+        deadline = self._clock.now() + self._settings.grace - GRACE_MARGIN
+        unlisted_at = self._clock.now() + UNLISTED_SECONDS
+        self._stopping = True
+        emit(logger, Event.ROUTER_STOPPING, in_flight=len(self._in_flight))
+        self._clock.sleep(max(0.0, unlisted_at - self._clock.now()))
+        self._listener.close_idle()
+        self._in_flight.wait_idle(deadline)
+        self._listener.close_idle()
+        emit(logger, Event.ROUTER_STOPPED, in_flight=len(self._in_flight))
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self._listener.stop()
+        self._ready.stop()
+        self._tables.stop()
+        self._targets.stop()
+
+    def _is_ready(self) -> bool:
+        return not self._stopping and self.holder.table is not None and self.board.ready
+
+    def _limits(self) -> CallerLimits:
+        table = self.holder.table
+        return CallerLimits() if table is None else table.limits
+
+    def _routers(self) -> int:
+        return 1
+
+    def _forget(self) -> None:
+        known = {target.id for target in self.board.known()}
+        self._pool.forget(known)
+        self._health.forget(known)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/routed_settings.py
@@ -0,0 +1,40 @@
+"""What a router that serves routes is told at its start."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+
+@frozen(kw_only=True)
+class RetryTerms:
+    """The budget of the whole fleet: retries up to ``ratio`` of the requests, and ``slack`` more.
+
+    It holds within each ``window`` of seconds.
+    """
+
+    ratio: float = 0.2
+    window: float = 10.0
+    slack: float = 0.0
+
+
+@frozen(kw_only=True)
+class RoutedSettings:
+    """Addresses are ``host:port``, times are seconds.
+
+    ``grace`` is the time between the request to stop and the kill, ``share_window`` the time over
+    which shares of client accounts are compared, ``prompt_kept`` the time for which a prompt that
+    was read is worth going back to.
+    """
+
+    name: str
+    listen: str
+    ready_listen: str
+    store: str
+    data_centre: str = ""
+    peer_listen: str = ""
+    metrics_listen: str = ""
+    seeds: tuple[str, ...] = ()
+    grace: float = 8.0
+    retries: RetryTerms = RetryTerms()
+    share_window: float = 4.0
+    prompt_kept: float = 10.0
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes by host and path: what an operator's configuration says of requests."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/routes/route.py
@@ -0,0 +1,60 @@
+"""A route by host and path prefix."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+from attrs import frozen
+
+from loomyard_router.routes.route_kind import RouteKind
+from loomyard_router.routes.service_share import ServiceShare
+
+POINT_BYTES = 8
+
+
+@frozen(kw_only=True)
+class Route:
+    """Where requests go and what is asked of their answers.
+
+    ``timeout`` is the longest a request is held, ``objective`` the time to its answer (a stream:
+    to its first event), ``gap_objective`` the longest pause between two events; all in seconds,
+    ``None`` where the operator sets none.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    timeout: float | None = None
+    objective: float | None = None
+    gap_objective: float | None = None
+    priority: int = 0
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        if self.kind is RouteKind.STREAM:
+            return self.resumable
+        return self.kind is RouteKind.IDEMPOTENT
+
+    @property
+    def streams(self) -> bool:
+        return self.kind is RouteKind.STREAM
+
+    def choose_service(self, key: str) -> str:
+        """Return the service for a request, by weight and the same for the same key."""
+        shares = self.shares
+        if len(shares) == 1:
+            return shares[0].service
+        digest = blake2b(key.encode(), digest_size=POINT_BYTES).digest()
+        total = sum(share.weight for share in shares)
+        point = int.from_bytes(digest, "big") / (1 << (8 * POINT_BYTES)) * total
+        for share in shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return shares[-1].service
--- a/packages/loomyard/src/loomyard/errors.py
+++ b/packages/loomyard/src/loomyard/errors.py
@@ -59,6 +59,7 @@
     STREAM_GONE = 3007, "the target no longer has the stream"
     ORDER_FENCED = 3008, "the engine refused an order with an old fencing number"
     TARGET_FAILED = 3009, "the engine answered with an error of its own"
+    ANSWER_LATE = 3010, "the request was sent and not answered in time"
 
     KEY_REUSED = 4001, "the idempotency key was used for another request"
     KEY_EXPIRED = 4002, "the idempotency key is older than the window"
