Share the slots of engines over the fleet by one keeping router for each engine

Change: membership and links of the product run on the platform, found by the seeds; the router that rendezvous hashing names for an engine gives its places, the client account that got least first.

--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -0,0 +1,104 @@
+"""Places at engines, of which the whole fleet shares the slots."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from loomyard.errors import Fault, ResultCode
+from loomyard.rendezvous import rank
+from loomyard_router.admission.place import Place
+from loomyard_router.admission.place_client import Verdict
+from loomyard_router.admission.waiting_time import RetryHint, wait_until
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard_router.admission.place_client import PlaceClient
+    from loomyard_router.admission.target_health import TargetHealth
+    from loomyard_router.admission.target_loads import TargetLoads
+    from loomyard_router.announced.announced_target import AnnouncedTarget
+    from loomyard_router.announced.target_board import TargetBoard
+    from loomyard_router.routed.routed_request import RoutedRequest
+
+# Waiting for the engine that keeps a prompt pays for as long as another would read the prompt.
+READ_TOKENS_PER_SECOND = 150_000.0
+# Engines tried besides the preferred one before it is waited for again.
+MOST_OTHERS = 2
+
+
+class FleetGate:
+    """Ask the keepers of engines; without an answer take no more than this router's part."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        board: TargetBoard,
+        health: TargetHealth,
+        loads: TargetLoads,
+        client: PlaceClient,
+        hint: RetryHint,
+    ) -> None:
+        self._clock = clock
+        self._board = board
+        self._health = health
+        self._loads = loads
+        self._client = client
+        self._hint = hint
+
+    def take(self, request: RoutedRequest, avoided: frozenset[str]) -> Result[Place, Fault]:
+        ranked = self._rank(request, avoided)
+        if not ranked:
+            detail = "no target of the service takes new work"
+            return Err(self._hint.refuse(ResultCode.NO_TARGET, detail))
+        until = wait_until(request)
+        first = min(until - self._clock.now(), _reading_seconds(request))
+        waits = [(ranked[0], first)]
+        waits += [(target, 0.0) for target in ranked[1 : 1 + MOST_OTHERS]]
+        for target, wait in waits:
+            place = self._ask(request, target, wait)
+            if place is not None or request.presence.gone:
+                return self._end(request, place)
+        place = self._ask(request, ranked[0], until - self._clock.now())
+        return self._end(request, place)
+
+    def _end(self, request: RoutedRequest, place: Place | None) -> Result[Place, Fault]:
+        if request.presence.gone:
+            if place is not None:
+                place.release()
+            return Err(Fault(code=ResultCode.CALLER_GONE, detail="the caller left"))
+        if place is None:
+            return Err(self._hint.refuse(ResultCode.QUEUE_TIMEOUT, "no place came free soon"))
+        return Ok(place)
+
+    def _rank(self, request: RoutedRequest, avoided: frozenset[str]) -> list[AnnouncedTarget]:
+        usable = [one for one in self._board.usable(request.service) if one.id not in avoided]
+        if not usable:
+            return []
+        by_id = {target.id: target for target in self._health.sound(usable)}
+        ids = rank(request.affinity or request.head.attempt_id, by_id)
+        ranked = [by_id[target_id] for target_id in ids]
+        if not request.affinity:
+            ranked.sort(key=self._client.taken)
+        return ranked
+
+    def _ask(self, request: RoutedRequest, target: AnnouncedTarget, wait: float) -> Place | None:
+        verdict, ticket = self._client.ask(request, target, wait)
+        if verdict is Verdict.FULL:
+            return None
+        if verdict is Verdict.UNREACHABLE and not self._loads.has_place(target):
+            return None
+        self._loads.enter(target)
+
+        def released() -> None:
+            self._loads.leave(target)
+            if ticket:
+                self._client.release(ticket)
+
+        return Place(target, released, taken=self._client.taken(target) if ticket else -1)
+
+
+def _reading_seconds(request: RoutedRequest) -> float:
+    shared = sum(part.tokens for part in request.head.prompt[:-1])
+    return shared / READ_TOKENS_PER_SECOND
--- a/packages/loomyard-router/src/loomyard_router/admission/gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/gate.py
@@ -11,26 +11,19 @@
 from loomyard.errors import Fault, ResultCode
 from loomyard_router.admission.place import Place
 from loomyard_router.admission.waiter import Waiter
+from loomyard_router.admission.waiting_time import wait_until
 
 if TYPE_CHECKING:
-    import random
-
     from loomyard.clock import Clock
     from loomyard_router.admission.account_usage import AccountUsage
     from loomyard_router.admission.target_choice import TargetChoice
     from loomyard_router.admission.target_health import TargetHealth
     from loomyard_router.admission.target_loads import TargetLoads
+    from loomyard_router.admission.waiting_time import RetryHint
     from loomyard_router.announced.announced_target import AnnouncedTarget
     from loomyard_router.announced.target_board import TargetBoard
     from loomyard_router.routed.routed_request import RoutedRequest
 
-# A caller that is refused within a quarter of its objective can still be served in time elsewhere.
-WAIT_PART = 0.25
-DEFAULT_WAIT = 0.1
-# When to come back: after the burst of a second or so that filled the places, spread out.
-RETRY_LEAST = 0.5
-RETRY_MOST = 1.2
-
 
 class Gate:
     """Queue requests for each service; what finds no place soon is refused, to come back later."""
@@ -44,7 +37,7 @@
         health: TargetHealth,
         choice: TargetChoice,
         usage: AccountUsage,
-        source: random.Random,
+        hint: RetryHint,
     ) -> None:
         self._clock = clock
         self._board = board
@@ -52,7 +45,7 @@
         self._health = health
         self._choice = choice
         self._usage = usage
-        self._random = source
+        self._hint = hint
         self._queues: dict[str, dict[str, deque[Waiter]]] = {}
         board.subscribe(self._dispatch_all)
 
@@ -62,7 +55,9 @@
         Errors: ``NO_TARGET``, ``QUEUE_TIMEOUT``, ``CALLER_GONE``; nothing ran.
         """
         if not self._candidates(request, avoided):
-            return Err(self._fault(ResultCode.NO_TARGET, "no target of the service takes new work"))
+            return Err(
+                self._hint.refuse(ResultCode.NO_TARGET, "no target of the service takes new work")
+            )
         waiter = Waiter(request, avoided)
         if not self._queues.get(request.service):
             place = self._place(waiter)
@@ -81,9 +76,7 @@
                 waiter.placed.set(None)
 
         request.presence.subscribe(leave)
-        objective = request.route.objective
-        wait = DEFAULT_WAIT if objective is None else WAIT_PART * objective
-        until = min(request.arrived_at + wait, request.deadline)
+        until = wait_until(request)
         place = None
         try:
             with Timeout(max(0.0, until - self._clock.now()), False):
@@ -97,7 +90,7 @@
             return Ok(place)
         if request.presence.gone:
             return Err(Fault(code=ResultCode.CALLER_GONE, detail="the caller left"))
-        return Err(self._fault(ResultCode.QUEUE_TIMEOUT, "no place came free soon enough"))
+        return Err(self._hint.refuse(ResultCode.QUEUE_TIMEOUT, "no place came free soon enough"))
 
     def _withdraw(self, waiter: Waiter) -> None:
         queue = self._queues.get(waiter.request.service, {})
@@ -153,8 +146,3 @@
                 # No target has a place, so nobody else's request finds one either.
                 return False
         return False
-
-    def _fault(self, code: ResultCode, detail: str) -> Fault:
-        return Fault(
-            code=code, detail=detail, retry_after=self._random.uniform(RETRY_LEAST, RETRY_MOST)
-        )
--- a/packages/loomyard-router/src/loomyard_router/admission/place.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place.py
@@ -11,10 +11,16 @@
 
 
 class Place:
-    """A place at a target until it is released, which may be done more than once."""
+    """A place at a target until it is released, which may be done more than once.
 
-    def __init__(self, target: AnnouncedTarget, released: Callable[[], None]) -> None:
+    ``taken`` is how many were in use with it, -1 where nobody counts them.
+    """
+
+    def __init__(
+        self, target: AnnouncedTarget, released: Callable[[], None], *, taken: int = -1
+    ) -> None:
         self.target = target
+        self.taken = taken
         self._released: Callable[[], None] | None = released
 
     def release(self) -> None:
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_client.py
@@ -0,0 +1,177 @@
+"""Ask the keepers of targets for places."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import gevent
+from attrs import frozen
+from result import Ok
+
+from loomyard.rendezvous import choose
+from loomyard_router.admission.place_messages import (
+    PlaceAnswer,
+    PlaceRequest,
+    PlacesHeld,
+    PlacesReleased,
+)
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard_router.admission.place_keeper import PlaceKeeper
+    from loomyard_router.announced.announced_target import AnnouncedTarget
+    from loomyard_router.members.membership import Membership
+    from loomyard_router.peers.links import PeerLinks
+    from loomyard_router.routed.routed_request import RoutedRequest
+
+MILLISECONDS = 1000
+# Two ways between data centres and a turn of the other router's loop take a few milliseconds.
+REPLY_SECONDS = 0.06
+# A keeper that did not answer is left alone until membership had time to judge it.
+SILENT_SECONDS = 0.5
+STATEMENT_SECONDS = 1.0
+# Releases that come together travel together.
+RELEASE_SECONDS = 0.002
+
+
+class Verdict(Enum):
+    """What came of an ask."""
+
+    GRANTED = "granted"
+    FULL = "full"
+    UNREACHABLE = "unreachable"
+
+
+@frozen(kw_only=True)
+class _Held:
+    target: str
+    keeper: str
+
+
+class PlaceClient:
+    """Hold places by tickets, and tell each keeper what is held there."""
+
+    def __init__(
+        self, *, clock: Clock, members: Membership, peers: PeerLinks, keeper: PlaceKeeper
+    ) -> None:
+        self._clock = clock
+        self._members = members
+        self._peers = peers
+        self._keeper = keeper
+        self._tickets = 0
+        self._held: dict[int, _Held] = {}
+        self._keepers: dict[str, str] = {}
+        self._silent_until: dict[str, float] = {}
+        self._released: dict[str, list[int]] = {}
+        self._taken: dict[str, int] = {}
+        self._task: gevent.Greenlet | None = None
+        members.subscribe(self._move)
+
+    def start(self) -> None:
+        """Start to state what is held."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """End."""
+        if self._task is not None:
+            self._task.kill(block=False)
+
+    def taken(self, target: AnnouncedTarget) -> int:
+        """Return how many places of a target were taken when its keeper answered last."""
+        return self._taken.get(target.id, 0)
+
+    def ask(
+        self, request: RoutedRequest, target: AnnouncedTarget, wait: float
+    ) -> tuple[Verdict, int]:
+        """Ask for a place, waiting for up to some seconds; return the ticket where there is one."""
+        keeper = self._keeper_of(target.id)
+        own = self._members.own
+        if keeper != own.name and self._clock.now() < self._silent_until.get(keeper, 0.0):
+            return Verdict.UNREACHABLE, 0
+        self._tickets += 1
+        ticket = self._tickets
+        message = PlaceRequest(
+            target=target.id,
+            slots=target.slots,
+            ticket=ticket,
+            account=request.account_name,
+            cost=int(request.cost),
+            wait=int(max(0.0, wait) * MILLISECONDS),
+        )
+        if keeper == own.name:
+            answer = self._keeper.ask(own, message)
+        else:
+            deadline = self._clock.now() + wait + REPLY_SECONDS
+            match self._peers.request(keeper, message, deadline):
+                case Ok(PlaceAnswer() as answer):
+                    pass
+                case _:
+                    self._silent_until[keeper] = self._clock.now() + SILENT_SECONDS
+                    self._queue_release(keeper, ticket)
+                    return Verdict.UNREACHABLE, 0
+        self._taken[target.id] = answer.taken
+        if not answer.granted:
+            return Verdict.FULL, 0
+        self._held[ticket] = _Held(target=target.id, keeper=keeper)
+        return Verdict.GRANTED, ticket
+
+    def release(self, ticket: int) -> None:
+        """Give a place back."""
+        held = self._held.pop(ticket, None)
+        if held is not None:
+            self._queue_release(held.keeper, ticket)
+
+    def forget(self, known: set[str]) -> None:
+        """Forget targets that are not known any more."""
+        for target_id in set(self._taken) - known:
+            del self._taken[target_id]
+
+    def _queue_release(self, keeper: str, ticket: int) -> None:
+        own = self._members.own
+        if keeper == own.name:
+            self._keeper.release(own, PlacesReleased(tickets=[ticket]))
+            return
+        waiting = self._released.get(keeper)
+        if waiting is not None:
+            waiting.append(ticket)
+            return
+        self._released[keeper] = [ticket]
+        gevent.spawn_later(RELEASE_SECONDS, self._send_releases, keeper)
+
+    def _send_releases(self, keeper: str) -> None:
+        tickets = self._released.pop(keeper, [])
+        self._peers.send(keeper, PlacesReleased(tickets=tickets))
+
+    def _keeper_of(self, target_id: str) -> str:
+        keeper = self._keepers.get(target_id)
+        if keeper is None:
+            keeper = choose(target_id, [member.name for member in self._members.live()])
+            self._keepers[target_id] = keeper
+        return keeper
+
+    def _move(self) -> None:
+        """Tell new keepers at once what is held at their targets."""
+        self._keepers.clear()
+        for ticket, held in list(self._held.items()):
+            keeper = self._keeper_of(held.target)
+            if keeper != held.keeper:
+                self._held[ticket] = _Held(target=held.target, keeper=keeper)
+        self._state()
+
+    def _state(self) -> None:
+        own = self._members.own
+        by_keeper: dict[str, dict[str, list[int]]] = {}
+        for ticket, held in self._held.items():
+            by_keeper.setdefault(held.keeper, {}).setdefault(held.target, []).append(ticket)
+        for keeper, held_there in by_keeper.items():
+            statement = PlacesHeld(held=held_there)
+            if keeper == own.name:
+                self._keeper.restate(own, statement)
+            else:
+                self._peers.send(keeper, statement)
+
+    def _run(self) -> None:
+        while True:
+            self._clock.sleep(STATEMENT_SECONDS)
+            self._state()
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
@@ -0,0 +1,136 @@
+"""Keep the places of some targets for the whole fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent import Timeout
+
+from loomyard_router.admission.place_book import Ask, PlaceBook
+from loomyard_router.admission.place_messages import (
+    PlaceAnswer,
+    PlaceRequest,
+    PlacesHeld,
+    PlacesReleased,
+)
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard_router.admission.account_usage import AccountUsage
+    from loomyard_router.members.membership import Member, Membership
+    from loomyard_router.peers.links import PeerLinks
+
+MILLISECONDS = 1000.0
+# Routers state what they hold every second; after some silence their places are free.
+SILENCE_SECONDS = 5.0
+SWEEP_SECONDS = 1.0
+
+
+class PlaceKeeper:
+    """Give places to routers, the client account that got least first.
+
+    Which router keeps a target follows from the live routers; where two of them keep one for a
+    moment, a target gets more than its slots, and its own queue takes the rest.
+    """
+
+    def __init__(
+        self, *, clock: Clock, members: Membership, peers: PeerLinks, usage: AccountUsage
+    ) -> None:
+        self._clock = clock
+        self._members = members
+        self._usage = usage
+        self._books: dict[str, PlaceBook] = {}
+        self._task: gevent.Greenlet | None = None
+        peers.handle(PlaceRequest, self.ask)
+        peers.handle(PlacesReleased, self.release)
+        peers.handle(PlacesHeld, self.restate)
+        members.subscribe(self._drop_dead)
+
+    def start(self) -> None:
+        """Start to drop places of routers that fell silent."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """End."""
+        if self._task is not None:
+            self._task.kill(block=False)
+
+    def ask(self, member: Member, request: PlaceRequest) -> PlaceAnswer:
+        """Give a place, waiting for one as long as the request says."""
+        book = self._books.get(request.target)
+        if book is None:
+            book = self._books[request.target] = PlaceBook(request.slots)
+        book.slots = request.slots
+        ticket = (member.name, member.incarnation, request.ticket)
+        if not book.full and not book.waiting:
+            self._grant(book, ticket, request.account, request.cost)
+            return PlaceAnswer(granted=True, taken=len(book.held))
+        if not request.wait:
+            return PlaceAnswer(granted=False, taken=len(book.held) + len(book.waiting))
+        granted = self._wait(book, Ask(ticket, request.account, request.cost), request.wait)
+        return PlaceAnswer(granted=granted, taken=len(book.held) + len(book.waiting))
+
+    def release(self, member: Member, released: PlacesReleased) -> None:
+        """Take places back and give them to who waits."""
+        for number in released.tickets:
+            ticket = (member.name, member.incarnation, number)
+            for book in self._books.values():
+                if book.release(ticket):
+                    self._serve(book)
+                    break
+
+    def restate(self, member: Member, statement: PlacesHeld) -> None:
+        """Take over all that a router holds here."""
+        now = self._clock.now()
+        for target, tickets in statement.held.items():
+            book = self._books.get(target)
+            if book is None:
+                book = self._books[target] = PlaceBook(slots=1)
+            book.restate(member.name, member.incarnation, set(tickets), now)
+        for target, book in self._books.items():
+            if target not in statement.held:
+                book.restate(member.name, member.incarnation, set(), now)
+            self._serve(book)
+
+    def sweep(self) -> None:
+        """Free the places of which nothing was heard for long."""
+        oldest = self._clock.now() - SILENCE_SECONDS
+        for target, book in list(self._books.items()):
+            if book.drop(lambda _, since: since < oldest):
+                self._serve(book)
+            if not book.held and not book.waiting:
+                del self._books[target]
+
+    def _wait(self, book: PlaceBook, ask: Ask, milliseconds: int) -> bool:
+        book.waiting.append(ask)
+        try:
+            with Timeout(milliseconds / MILLISECONDS, False):
+                ask.granted.get()
+        finally:
+            if ask in book.waiting:
+                book.waiting.remove(ask)
+        return ask.granted.ready()
+
+    def _serve(self, book: PlaceBook) -> None:
+        while book.waiting and not book.full:
+            levels = {ask.account: self._usage.level(ask.account) for ask in book.waiting}
+            ask = min(book.waiting, key=lambda one: levels[one.account])
+            book.waiting.remove(ask)
+            self._grant(book, ask.ticket, ask.account, ask.cost)
+            ask.granted.set(True)
+
+    def _grant(self, book: PlaceBook, ticket: tuple[str, int, int], account: str, cost: float):
+        book.grant(ticket, self._clock.now())
+        self._usage.add(account, cost)
+
+    def _drop_dead(self) -> None:
+        live = {(member.name, member.incarnation) for member in self._members.live()}
+        for book in self._books.values():
+            if book.drop(lambda ticket, _: ticket[:2] not in live):
+                self._serve(book)
+
+    def _run(self) -> None:
+        while True:
+            self._clock.sleep(SWEEP_SECONDS)
+            self.sweep()
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_source.py
@@ -0,0 +1,22 @@
+"""The protocol of where places come from."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from loomyard.errors import Fault
+    from loomyard_router.admission.place import Place
+    from loomyard_router.routed.routed_request import RoutedRequest
+
+
+class PlaceSource(Protocol):
+    """Give places at targets."""
+
+    def take(self, request: RoutedRequest, avoided: frozenset[str]) -> Result[Place, Fault]:
+        """Wait for a place, at a target that is not avoided.
+
+        Errors: ``NO_TARGET``, ``QUEUE_TIMEOUT``, ``CALLER_GONE``; nothing ran.
+        """
--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -184,7 +184,7 @@
     """Wire a router from its settings."""
     platform = platform or make_platform(settings)
     clock = platform.clock
-    fleet = make_fleet_parts(settings, platform)
+    fleet = make_fleet_parts(settings, clock, platform.vm_list)
     follower = ConfigFollower(platform.log, clock)
     targets = make_known_targets(clock, platform.engine, fleet.members, fleet.peers)
     if fleet.vm_watch is not None:
--- a/packages/loomyard-router/src/loomyard_router/fleet_parts.py
+++ b/packages/loomyard-router/src/loomyard_router/fleet_parts.py
@@ -21,7 +21,8 @@
 from loomyard_router.peers.websocket_links import WebSocketLinks
 
 if TYPE_CHECKING:
-    from loomyard_router.parts import Platform
+    from loomyard.clock import Clock
+    from loomyard.platform.vm_list import VmList
     from loomyard_router.settings import Settings
 
 MILLISECONDS = 1000
@@ -38,13 +39,12 @@
     table_sync: TableSync | None = None
 
 
-def make_fleet_parts(settings: Settings, platform: Platform) -> FleetParts:
+def make_fleet_parts(settings: Settings, clock: Clock, vm_list: VmList | None = None) -> FleetParts:
     """Make the parts that the settings ask for; without ``peer_listen`` a fleet of one."""
-    clock = platform.clock
     traffic = TrafficCounters()
     # Starts of one name have to grow; there is no disk to count them on.
     incarnation = int(clock.wall() * MILLISECONDS)
-    vm_watch = VmWatch(platform.vm_list, clock) if platform.vm_list else None
+    vm_watch = VmWatch(vm_list, clock) if vm_list else None
     if not settings.peer_listen:
         sole = SoleMembership(_own_member(settings, incarnation, ""))
         return FleetParts(members=sole, peers=NoPeers(), traffic=traffic, vm_watch=vm_watch)
--- a/packages/loomyard-router/src/loomyard_router/platform/__main__.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/__main__.py
@@ -4,7 +4,7 @@
 
 from gevent import monkey
 
-monkey.patch_all(thread=False, subprocess=False, queue=False)
+monkey.patch_all()
 
 # Everything below must see the patched standard library.
 import os  # noqa: E402
@@ -31,8 +31,7 @@
 
 def main() -> int:
     """Run a router until it is told to stop."""
-    path = os.environ.get(names.SETTINGS_VARIABLE, "")
-    match read_settings(path):
+    match read_settings(os.environ):
         case Err(detail):
             print(detail, file=sys.stderr)
             return EXIT_SETTINGS
--- a/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
@@ -5,9 +5,12 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from attrs import evolve
 from result import Err, Ok, Result
 
+from loomyard_router.platform import names
 from loomyard_router.routed_settings import RetryTerms, RoutedSettings
+from loomyard_router.settings import FLEET_SECRET_VARIABLE
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -17,13 +20,14 @@
 DEFAULT_GRACE = 8.0
 
 
-def read_settings(path: str) -> Result[RoutedSettings, str]:
+def read_settings(environment: Mapping[str, str]) -> Result[RoutedSettings, str]:
     """Read and check the settings; fields that are not known are passed over."""
     try:
-        text = Path(path).read_text(encoding="utf-8")
+        text = Path(environment.get(names.SETTINGS_VARIABLE, "")).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         return Err(f"the settings file can't be read: {error}")
-    return parse_settings_text(text)
+    secret = environment.get(FLEET_SECRET_VARIABLE, "")
+    return parse_settings_text(text).map(lambda read: evolve(read, fleet_secret=(secret,)))
 
 
 def parse_settings_text(text: str) -> Result[RoutedSettings, str]:
--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -168,10 +168,20 @@
             status=int(status),
             code=code,
             executed=executed.value,
-            milliseconds=round((self._clock.now() - request.arrived_at) * 1000),
+            target=request.trace.target,
+            attempts=request.trace.attempts,
+            taken=request.trace.taken,
+            prompt=request.head.prompt_tokens,
+            placed_ms=_milliseconds(request.arrived_at, request.trace.placed_at),
+            first_ms=_milliseconds(request.arrived_at, request.trace.first_at),
+            milliseconds=_milliseconds(request.arrived_at, self._clock.now()),
         )
 
 
+def _milliseconds(since: float, until: float | None) -> int | None:
+    return None if until is None else round((until - since) * 1000)
+
+
 def _host(environ: Environ) -> str:
     host = environ.get("HTTP_HOST", "").lower()
     name, colon, port = host.rpartition(":")
--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -19,8 +19,8 @@
     from collections.abc import Generator
 
     from loomyard.clock import Clock
-    from loomyard_router.admission.gate import Gate
     from loomyard_router.admission.place import Place
+    from loomyard_router.admission.place_source import PlaceSource
     from loomyard_router.admission.target_health import TargetHealth
     from loomyard_router.requests.retry_budget import RetryBudget
     from loomyard_router.routed.routed_request import RoutedRequest
@@ -49,7 +49,7 @@
         self,
         *,
         clock: Clock,
-        gate: Gate,
+        gate: PlaceSource,
         sender: Sender,
         health: TargetHealth,
         budget: RetryBudget,
@@ -88,6 +88,7 @@
                 fault = taken.unwrap_err()
                 return Err(evolve(fault, executed=executed) if attempts else fault)
             place = taken.unwrap()
+            request.trace.place(place.target.id, place.taken, self._clock.now())
             outcome = self._attempt(request, place, last_event)
             if outcome.is_ok():
                 exchange, first, whole = outcome.unwrap()
@@ -145,6 +146,7 @@
         try:
             if _is_stream(exchange):
                 first = exchange.connection.read_block(request.deadline)
+                request.trace.answer(self._clock.now())
                 self._health.note_answer(place.target)
                 return Ok((exchange, first, False))
             first, whole = self._hold(request, exchange)
--- a/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
@@ -6,6 +6,7 @@
 
 from loomyard_router.requests.presence import CallerPresence
 from loomyard_router.routed.request_head import RequestHead
+from loomyard_router.routed.request_trace import RequestTrace
 from loomyard_router.routes.account_terms import AccountTerms
 from loomyard_router.routes.route import Route
 
@@ -28,6 +29,7 @@
     presence: CallerPresence
     arrived_at: float
     deadline: float
+    trace: RequestTrace = field(factory=RequestTrace)
 
     @property
     def account_name(self) -> str:
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -14,16 +14,22 @@
 from loomyard.events import Event, emit
 from loomyard.util.addresses import split_address
 from loomyard_router.admission.account_usage import AccountUsage
+from loomyard_router.admission.fleet_gate import FleetGate
 from loomyard_router.admission.gate import Gate
+from loomyard_router.admission.place_client import PlaceClient
+from loomyard_router.admission.place_keeper import PlaceKeeper
+from loomyard_router.admission.service_gates import ServiceGates
 from loomyard_router.admission.target_choice import TargetChoice
 from loomyard_router.admission.target_health import TargetHealth
 from loomyard_router.admission.target_loads import TargetLoads
+from loomyard_router.admission.waiting_time import RetryHint
 from loomyard_router.announced.announced_target import AnnouncedTarget
 from loomyard_router.announced.target_board import TargetBoard
 from loomyard_router.announced.target_feed import TargetFeed
 from loomyard_router.callers.in_flight import InFlight
 from loomyard_router.feeds.feed import Feed
 from loomyard_router.feeds.feed_follower import FeedFollower
+from loomyard_router.fleet_parts import make_fleet_parts
 from loomyard_router.ready_listener import ReadyListener
 from loomyard_router.requests.retry_budget import RetryBudget
 from loomyard_router.routed.app import RoutedApp
@@ -36,6 +42,7 @@
 from loomyard_router.routes.route_table import RouteTable
 from loomyard_router.routes.table_feed import TableFeed
 from loomyard_router.routes.table_holder import TableHolder
+from loomyard_router.settings import Settings
 
 if TYPE_CHECKING:
 
@@ -49,8 +56,6 @@
 GRACE_MARGIN = 0.6
 # The part of the fleet's slack for retries that is dealt out to the routers.
 SLACK_PART = 0.5
-# Nothing else tells a router how many there are.
-SWEEP_SECONDS = 2.0
 
 
 @frozen(kw_only=True)
@@ -87,15 +92,38 @@
         )
         self._health = TargetHealth(clock)
         self._pool = ConnectionPool(clock)
-        loads = TargetLoads(self._routers)
-        gate = Gate(
+        self.fleet = make_fleet_parts(_fleet_settings(settings), clock)
+        self.members, peers = self.fleet.members, self.fleet.peers
+        self._keeper = PlaceKeeper(
             clock=clock,
-            board=self.board,
-            loads=loads,
-            health=self._health,
-            choice=TargetChoice(loads),
+            members=self.members,
+            peers=peers,
             usage=AccountUsage(clock, settings.share_window),
-            source=source,
+        )
+        self._places = PlaceClient(
+            clock=clock, members=self.members, peers=peers, keeper=self._keeper
+        )
+        hint = RetryHint(source)
+        loads = TargetLoads(self._routers)
+        gate = ServiceGates(
+            holder=self.holder,
+            engines=FleetGate(
+                clock=clock,
+                board=self.board,
+                health=self._health,
+                loads=loads,
+                client=self._places,
+                hint=hint,
+            ),
+            plain=Gate(
+                clock=clock,
+                board=self.board,
+                loads=loads,
+                health=self._health,
+                choice=TargetChoice(loads),
+                usage=AccountUsage(clock, settings.share_window),
+                hint=hint,
+            ),
         )
         retries = settings.retries
         forwarder = Forwarder(
@@ -129,6 +157,10 @@
 
     def start(self) -> None:
         """Start to follow the feeds and to serve callers."""
+        for part in (self.fleet.peers, self.members, self._keeper, self._places):
+            part.start()
+        if self.fleet.table_sync is not None:
+            self.fleet.table_sync.start()
         self._tables.start()
         self._targets.start()
         self._ready.start()
@@ -141,6 +173,7 @@
         unlisted_at = self._clock.now() + UNLISTED_SECONDS
         self._stopping = True
         emit(logger, Event.ROUTER_STOPPING, in_flight=len(self._in_flight))
+        self.members.leave()
         self._clock.sleep(max(0.0, unlisted_at - self._clock.now()))
         self._listener.close_idle()
         self._in_flight.wait_idle(deadline)
@@ -154,6 +187,10 @@
         self._ready.stop()
         self._tables.stop()
         self._targets.stop()
+        if self.fleet.table_sync is not None:
+            self.fleet.table_sync.stop()
+        for part in (self._places, self._keeper, self.members, self.fleet.peers):
+            part.stop()
 
     def _is_ready(self) -> bool:
         return not self._stopping and self.holder.table is not None and self.board.ready
@@ -163,9 +200,20 @@
         return CallerLimits() if table is None else table.limits
 
     def _routers(self) -> int:
-        return 1
+        return len(self.members.live())
 
     def _forget(self) -> None:
         known = {target.id for target in self.board.known()}
         self._pool.forget(known)
         self._health.forget(known)
+        self._places.forget(known)
+
+
+def _fleet_settings(settings: RoutedSettings) -> Settings:
+    return Settings(
+        name=settings.name,
+        data_centre=settings.data_centre,
+        peer_listen=settings.peer_listen,
+        peers=settings.seeds,
+        fleet_secret=settings.fleet_secret,
+    )
--- a/packages/loomyard-router/src/loomyard_router/routed_settings.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import frozen
+from attrs import field, frozen
 
 
 @frozen(kw_only=True)
@@ -34,6 +34,7 @@
     peer_listen: str = ""
     metrics_listen: str = ""
     seeds: tuple[str, ...] = ()
+    fleet_secret: tuple[str, ...] = field(default=(), repr=False)
     grace: float = 8.0
     retries: RetryTerms = RetryTerms()
     share_window: float = 4.0
--- a/packages/loomyard-standins/src/loomyard_standins/benches/members/node.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/members/node.py
@@ -18,11 +18,9 @@
 
 from loomyard.clock import SystemClock  # noqa: E402
 from loomyard_router.fleet_parts import FleetParts, make_fleet_parts  # noqa: E402
-from loomyard_router.parts import Platform  # noqa: E402
 from loomyard_router.peers.message_types import peer_message  # noqa: E402
 from loomyard_router.settings import Settings  # noqa: E402
 from loomyard_standins.benches.slopes.usage import cpu_seconds, resident_bytes  # noqa: E402
-from loomyard_standins.log_service import MemoryLog  # noqa: E402
 
 SECRET = "bench"
 REQUEST_SECONDS = 10.0
@@ -51,8 +49,7 @@
             peers=(seed,) if seed else (),
             fleet_secret=(SECRET,),
         )
-        platform = Platform(clock=self.clock, log=MemoryLog(), engine=None)  # type: ignore[arg-type]
-        self.parts: FleetParts = make_fleet_parts(settings, platform)
+        self.parts: FleetParts = make_fleet_parts(settings, self.clock)
         self.parts.peers.handle(Counter, self._receive)
         self.parts.peers.start()
         self.parts.members.start()
