Bound the prompts read at once at an engine; stop in an order that cuts nothing

Change: keepers count the unread tokens of the prompts they admitted, by the shared parts they know an engine keeps and its measured pace, and admit while these take up to 0.6 of the objective; 2.5 s after the request to stop the listener closes and late requests are refused.

--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -23,6 +23,9 @@
 
 # Waiting for the engine that keeps a prompt pays for as long as another would read the prompt.
 READ_TOKENS_PER_SECOND = 150_000.0
+# Prompts ahead may take this part of the objective, so that the first event is in time.
+PATIENCE_PART = 0.6
+DEFAULT_OBJECTIVE = 0.4
 # Engines tried besides the preferred one before it is waited for again.
 MOST_OTHERS = 2
 
@@ -53,14 +56,15 @@
             detail = "no target of the service takes new work"
             return Err(self._hint.refuse(ResultCode.NO_TARGET, detail))
         until = wait_until(request)
+        patience = PATIENCE_PART * (request.route.objective or DEFAULT_OBJECTIVE)
         first = min(until - self._clock.now(), _reading_seconds(request))
         waits = [(ranked[0], first)]
         waits += [(target, 0.0) for target in ranked[1 : 1 + MOST_OTHERS]]
         for target, wait in waits:
-            place = self._ask(request, target, wait)
+            place = self._ask(request, target, wait, patience)
             if place is not None or request.presence.gone:
                 return self._end(request, place)
-        place = self._ask(request, ranked[0], until - self._clock.now())
+        place = self._ask(request, ranked[0], until - self._clock.now(), patience)
         return self._end(request, place)
 
     def _end(self, request: RoutedRequest, place: Place | None) -> Result[Place, Fault]:
@@ -83,8 +87,10 @@
             ranked.sort(key=self._client.taken)
         return ranked
 
-    def _ask(self, request: RoutedRequest, target: AnnouncedTarget, wait: float) -> Place | None:
-        verdict, ticket = self._client.ask(request, target, wait)
+    def _ask(
+        self, request: RoutedRequest, target: AnnouncedTarget, wait: float, patience: float
+    ) -> Place | None:
+        verdict, ticket = self._client.ask(request, target, wait=wait, patience=patience)
         if verdict is Verdict.FULL:
             return None
         if verdict is Verdict.UNREACHABLE and not self._loads.has_place(target):
@@ -96,7 +102,12 @@
             if ticket:
                 self._client.release(ticket)
 
-        return Place(target, released, taken=self._client.taken(target) if ticket else -1)
+        def answered() -> None:
+            if ticket:
+                self._client.note_read(ticket)
+
+        taken = self._client.taken(target) if ticket else -1
+        return Place(target, released, answered=answered, taken=taken)
 
 
 def _reading_seconds(request: RoutedRequest) -> float:
--- a/packages/loomyard-router/src/loomyard_router/admission/place.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place.py
@@ -17,11 +17,22 @@
     """
 
     def __init__(
-        self, target: AnnouncedTarget, released: Callable[[], None], *, taken: int = -1
+        self,
+        target: AnnouncedTarget,
+        released: Callable[[], None],
+        *,
+        answered: Callable[[], None] | None = None,
+        taken: int = -1,
     ) -> None:
         self.target = target
         self.taken = taken
         self._released: Callable[[], None] | None = released
+        self._answered = answered
+
+    def note_answer(self) -> None:
+        """Take in that the answer began, so the prompt was read."""
+        if self._answered is not None:
+            self._answered()
 
     def release(self) -> None:
         """Give the place back."""
--- a/packages/loomyard-router/src/loomyard_router/admission/place_book.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_book.py
@@ -1,4 +1,4 @@
-"""The places of one target: who holds them and who waits for one."""
+"""The places of one engine: who holds them, whose prompts are being read, and who waits."""
 
 from __future__ import annotations
 
@@ -7,23 +7,40 @@
 from attrs import define, field
 from gevent.event import AsyncResult
 
+from loomyard_router.admission.place_messages import PlaceRequest
+from loomyard_router.admission.prompt_memory import PromptMemory
+from loomyard_router.admission.reading_pace import ReadingPace
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+
 # Holder of a place: router, incarnation of it, ticket.
 Ticket = tuple[str, int, int]
 
+# A grant may be on its way to the router while that states what it holds.
+STATEMENT_LAG = 0.5
+MILLISECONDS = 1000.0
+
 
 @define(eq=False)
 class Ask:
     """A wish for a place that is not met yet; ``granted`` tells its end."""
 
     ticket: Ticket
-    account: str
-    cost: float
+    request: PlaceRequest
     granted: AsyncResult = field(factory=AsyncResult)
 
 
+@define(eq=False)
+class _Reading:
+    """A prompt that is being read: its unread tokens, those ahead of it, and since when."""
+
+    tokens: float
+    ahead: float
+    since: float
+
+
 @define(eq=False)
 class PlaceBook:
     """Count places by ticket, so that a release or a statement may come twice or be lost."""
@@ -31,24 +48,50 @@
     slots: int
     held: dict[Ticket, float] = field(factory=dict)
     waiting: list[Ask] = field(factory=list)
+    memory: PromptMemory = field(factory=PromptMemory)
+    pace: ReadingPace = field(factory=ReadingPace)
+    _reading: dict[Ticket, _Reading] = field(factory=dict)
 
     @property
-    def full(self) -> bool:
-        return len(self.held) >= self.slots
-
-    def grant(self, ticket: Ticket, now: float) -> None:
+    def unread(self) -> float:
+        """Return the tokens of prompts that are being read."""
+        return sum(reading.tokens for reading in self._reading.values())
+
+    def admits(self, request: PlaceRequest) -> bool:
+        """Tell whether a place is free and the prompts ahead leave the request its time."""
+        if len(self.held) >= self.slots:
+            return False
+        if not request.patience or not self._reading:
+            return True
+        own = request.prompt - self.memory.kept(request.parts)
+        return self.pace.seconds(self.unread + own) * MILLISECONDS <= request.patience
+
+    def grant(self, ticket: Ticket, request: PlaceRequest, now: float) -> None:
         """Give a place."""
         self.held[ticket] = now
+        if request.prompt:
+            own = max(0, request.prompt - self.memory.kept(request.parts))
+            self._reading[ticket] = _Reading(own, self.unread, now)
+            self.memory.use(request.parts)
+
+    def note_read(self, ticket: Ticket, now: float) -> bool:
+        """Take in that a prompt was read; false where that was known."""
+        reading = self._reading.pop(ticket, None)
+        if reading is None:
+            return False
+        self.pace.note(reading.ahead + reading.tokens, now - reading.since)
+        return True
 
     def release(self, ticket: Ticket) -> bool:
         """Take a place back; false where the ticket holds none."""
+        self._reading.pop(ticket, None)
         return self.held.pop(ticket, None) is not None
 
     def restate(self, router: str, incarnation: int, tickets: set[int], now: float) -> None:
         """Take over all that a router holds; what was granted just now is not in it yet."""
         for ticket in [t for t in self.held if t[:2] == (router, incarnation)]:
             if ticket[2] not in tickets and now - self.held[ticket] > STATEMENT_LAG:
-                del self.held[ticket]
+                self.release(ticket)
         for number in tickets:
             self.held[router, incarnation, number] = now
 
@@ -56,9 +99,5 @@
         """Take back all places that meet a condition; tell whether there were any."""
         lost = [ticket for ticket, since in self.held.items() if condition(ticket, since)]
         for ticket in lost:
-            del self.held[ticket]
+            self.release(ticket)
         return bool(lost)
-
-
-# A grant may be on its way to the router while that states what it holds.
-STATEMENT_LAG = 0.5
--- a/packages/loomyard-router/src/loomyard_router/admission/place_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_client.py
@@ -15,6 +15,7 @@
     PlaceRequest,
     PlacesHeld,
     PlacesReleased,
+    PromptsRead,
 )
 
 if TYPE_CHECKING:
@@ -31,8 +32,8 @@
 # A keeper that did not answer is left alone until membership had time to judge it.
 SILENT_SECONDS = 0.5
 STATEMENT_SECONDS = 1.0
-# Releases that come together travel together.
-RELEASE_SECONDS = 0.002
+# Notices that come together travel together.
+GATHER_SECONDS = 0.002
 
 
 class Verdict(Enum):
@@ -64,6 +65,8 @@
         self._keepers: dict[str, str] = {}
         self._silent_until: dict[str, float] = {}
         self._released: dict[str, list[int]] = {}
+        self._read: dict[str, list[int]] = {}
+        self._sending: set[str] = set()
         self._taken: dict[str, int] = {}
         self._task: gevent.Greenlet | None = None
         members.subscribe(self._move)
@@ -82,7 +85,7 @@
         return self._taken.get(target.id, 0)
 
     def ask(
-        self, request: RoutedRequest, target: AnnouncedTarget, wait: float
+        self, request: RoutedRequest, target: AnnouncedTarget, *, wait: float, patience: float
     ) -> tuple[Verdict, int]:
         """Ask for a place, waiting for up to some seconds; return the ticket where there is one."""
         keeper = self._keeper_of(target.id)
@@ -97,6 +100,9 @@
             ticket=ticket,
             account=request.account_name,
             cost=int(request.cost),
+            prompt=request.head.prompt_tokens,
+            parts=[(part.id, part.tokens) for part in request.head.prompt[:-1]],
+            patience=int(max(0.0, patience) * MILLISECONDS),
             wait=int(max(0.0, wait) * MILLISECONDS),
         )
         if keeper == own.name:
@@ -116,6 +122,18 @@
         self._held[ticket] = _Held(target=target.id, keeper=keeper)
         return Verdict.GRANTED, ticket
 
+    def note_read(self, ticket: int) -> None:
+        """Say that the prompt behind a place was read."""
+        held = self._held.get(ticket)
+        if held is None:
+            return
+        own = self._members.own
+        if held.keeper == own.name:
+            self._keeper.note_read(own, PromptsRead(tickets=[ticket]))
+        else:
+            self._read.setdefault(held.keeper, []).append(ticket)
+            self._send_soon(held.keeper)
+
     def release(self, ticket: int) -> None:
         """Give a place back."""
         held = self._held.pop(ticket, None)
@@ -132,16 +150,20 @@
         if keeper == own.name:
             self._keeper.release(own, PlacesReleased(tickets=[ticket]))
             return
-        waiting = self._released.get(keeper)
-        if waiting is not None:
-            waiting.append(ticket)
-            return
-        self._released[keeper] = [ticket]
-        gevent.spawn_later(RELEASE_SECONDS, self._send_releases, keeper)
-
-    def _send_releases(self, keeper: str) -> None:
-        tickets = self._released.pop(keeper, [])
-        self._peers.send(keeper, PlacesReleased(tickets=tickets))
+        self._released.setdefault(keeper, []).append(ticket)
+        self._send_soon(keeper)
+
+    def _send_soon(self, keeper: str) -> None:
+        if keeper not in self._sending:
+            self._sending.add(keeper)
+            gevent.spawn_later(GATHER_SECONDS, self._send, keeper)
+
+    def _send(self, keeper: str) -> None:
+        self._sending.discard(keeper)
+        if read := self._read.pop(keeper, None):
+            self._peers.send(keeper, PromptsRead(tickets=read))
+        if released := self._released.pop(keeper, None):
+            self._peers.send(keeper, PlacesReleased(tickets=released))
 
     def _keeper_of(self, target_id: str) -> str:
         keeper = self._keepers.get(target_id)
--- a/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
@@ -7,17 +7,19 @@
 import gevent
 from gevent import Timeout
 
-from loomyard_router.admission.place_book import Ask, PlaceBook
+from loomyard_router.admission.place_book import Ask, PlaceBook, Ticket
 from loomyard_router.admission.place_messages import (
     PlaceAnswer,
     PlaceRequest,
     PlacesHeld,
     PlacesReleased,
+    PromptsRead,
 )
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
     from loomyard_router.admission.account_usage import AccountUsage
+    from loomyard_router.announced.target_board import TargetBoard
     from loomyard_router.members.membership import Member, Membership
     from loomyard_router.peers.links import PeerLinks
 
@@ -35,15 +37,23 @@
     """
 
     def __init__(
-        self, *, clock: Clock, members: Membership, peers: PeerLinks, usage: AccountUsage
+        self,
+        *,
+        clock: Clock,
+        board: TargetBoard,
+        members: Membership,
+        peers: PeerLinks,
+        usage: AccountUsage,
     ) -> None:
         self._clock = clock
+        self._board = board
         self._members = members
         self._usage = usage
         self._books: dict[str, PlaceBook] = {}
         self._task: gevent.Greenlet | None = None
         peers.handle(PlaceRequest, self.ask)
         peers.handle(PlacesReleased, self.release)
+        peers.handle(PromptsRead, self.note_read)
         peers.handle(PlacesHeld, self.restate)
         members.subscribe(self._drop_dead)
 
@@ -63,14 +73,24 @@
             book = self._books[request.target] = PlaceBook(request.slots)
         book.slots = request.slots
         ticket = (member.name, member.incarnation, request.ticket)
-        if not book.full and not book.waiting:
-            self._grant(book, ticket, request.account, request.cost)
+        if not book.waiting and book.admits(request):
+            self._grant(book, ticket, request)
             return PlaceAnswer(granted=True, taken=len(book.held))
         if not request.wait:
             return PlaceAnswer(granted=False, taken=len(book.held) + len(book.waiting))
-        granted = self._wait(book, Ask(ticket, request.account, request.cost), request.wait)
+        granted = self._wait(book, Ask(ticket, request))
         return PlaceAnswer(granted=granted, taken=len(book.held) + len(book.waiting))
 
+    def note_read(self, member: Member, read: PromptsRead) -> None:
+        """Take in which prompts were read, and admit who waited for that."""
+        now = self._clock.now()
+        for number in read.tickets:
+            ticket = (member.name, member.incarnation, number)
+            for book in self._books.values():
+                if book.note_read(ticket, now):
+                    self._serve(book)
+                    break
+
     def release(self, member: Member, released: PlacesReleased) -> None:
         """Take places back and give them to who waits."""
         for number in released.tickets:
@@ -96,16 +116,17 @@
     def sweep(self) -> None:
         """Free the places of which nothing was heard for long."""
         oldest = self._clock.now() - SILENCE_SECONDS
+        known = {target.id for target in self._board.known()}
         for target, book in list(self._books.items()):
             if book.drop(lambda _, since: since < oldest):
                 self._serve(book)
-            if not book.held and not book.waiting:
+            if not book.held and not book.waiting and target not in known:
                 del self._books[target]
 
-    def _wait(self, book: PlaceBook, ask: Ask, milliseconds: int) -> bool:
+    def _wait(self, book: PlaceBook, ask: Ask) -> bool:
         book.waiting.append(ask)
         try:
-            with Timeout(milliseconds / MILLISECONDS, False):
+            with Timeout(ask.request.wait / MILLISECONDS, False):
                 ask.granted.get()
         finally:
             if ask in book.waiting:
@@ -113,16 +134,22 @@
         return ask.granted.ready()
 
     def _serve(self, book: PlaceBook) -> None:
-        while book.waiting and not book.full:
-            levels = {ask.account: self._usage.level(ask.account) for ask in book.waiting}
-            ask = min(book.waiting, key=lambda one: levels[one.account])
-            book.waiting.remove(ask)
-            self._grant(book, ask.ticket, ask.account, ask.cost)
-            ask.granted.set(True)
-
-    def _grant(self, book: PlaceBook, ticket: tuple[str, int, int], account: str, cost: float):
-        book.grant(ticket, self._clock.now())
-        self._usage.add(account, cost)
+        """Give free places to who waits, the neediest account first; who is not admitted waits."""
+        while book.waiting:
+            levels = {
+                ask.request.account: self._usage.level(ask.request.account) for ask in book.waiting
+            }
+            waiting = sorted(book.waiting, key=lambda one: levels[one.request.account])
+            admitted = next((ask for ask in waiting if book.admits(ask.request)), None)
+            if admitted is None:
+                return
+            book.waiting.remove(admitted)
+            self._grant(book, admitted.ticket, admitted.request)
+            admitted.granted.set(True)
+
+    def _grant(self, book: PlaceBook, ticket: Ticket, request: PlaceRequest) -> None:
+        book.grant(ticket, request, self._clock.now())
+        self._usage.add(request.account, request.cost)
 
     def _drop_dead(self) -> None:
         live = {(member.name, member.incarnation) for member in self._members.live()}
--- a/packages/loomyard-router/src/loomyard_router/admission/place_messages.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_messages.py
@@ -12,7 +12,9 @@
 class PlaceRequest:
     """Ask for a place; ``ticket`` is a number that the asking router never used before.
 
-    ``cost`` is in tokens, ``wait`` in milliseconds.
+    ``cost`` and ``prompt`` are in tokens; ``parts`` are the parts of the prompt that others share,
+    by id with their tokens. ``wait`` is in milliseconds; so is ``patience``, the time that prompts
+    ahead of this one may take to be read.
     """
 
     target: str
@@ -20,6 +22,9 @@
     ticket: int
     account: str
     cost: int
+    prompt: int = 0
+    parts: list[tuple[str, int]] = field(factory=list)
+    patience: int = 0
     wait: int = 0
 
 
@@ -32,6 +37,14 @@
     taken: int
 
 
+@peer_message("pe")
+@frozen(kw_only=True)
+class PromptsRead:
+    """Places whose prompts were read: the first of their answers has come."""
+
+    tickets: list[int] = field(factory=list)
+
+
 @peer_message("pl")
 @frozen(kw_only=True)
 class PlacesReleased:
--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -35,6 +35,7 @@
 
 HEADERS_KEY = "loomyard.headers"
 NOT_READY_RETRY_AFTER = 0.5
+STOPPING = Fault(code=ResultCode.STOPPING, detail="this router is being stopped", retry_after=0.05)
 READ_BYTES = 65536
 # A head or body that the caller did not send whole leaves the connection unusable.
 CLOSING_CODES = (ResultCode.MALFORMED_REQUEST, ResultCode.BODY_TOO_LARGE)
@@ -51,16 +52,20 @@
         dialect: CallerDialect,
         forwarder: Forwarder,
         stopping: Callable[[], bool],
+        closing: Callable[[], bool] = lambda: False,
     ) -> None:
         self._clock = clock
         self._holder = holder
         self._dialect = dialect
         self._forwarder = forwarder
         self._stopping = stopping
+        self._closing = closing
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         arrived_at = self._clock.now()
         headers = environ[HEADERS_KEY]
+        if self._closing():
+            return self._refuse(environ, start_response, STOPPING, None)
         read = self._read(environ, headers, arrived_at)
         if read.is_err():
             return self._refuse(environ, start_response, read.unwrap_err(), None)
--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -147,6 +147,7 @@
             if _is_stream(exchange):
                 first = exchange.connection.read_block(request.deadline)
                 request.trace.answer(self._clock.now())
+                place.note_answer()
                 self._health.note_answer(place.target)
                 return Ok((exchange, first, False))
             first, whole = self._hold(request, exchange)
--- a/packages/loomyard-router/src/loomyard_router/routed/listener.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/listener.py
@@ -51,6 +51,10 @@
         self.limits = limits
         self.idle: set[RoutedHandler] = set()
 
+    def close_listener(self) -> None:
+        """Close the listener; open connections go on."""
+        self.close()
+
     def close_idle(self) -> None:
         """Close connections on which no request is on its way."""
         for handler in list(self.idle):
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -81,6 +81,7 @@
         self._settings = settings
         self._clock = clock
         self._stopping = False
+        self._closing = False
         source = random.Random()
         self.holder = TableHolder(platform.decode_table)
         self.board = TargetBoard(clock)
@@ -96,6 +97,7 @@
         self.members, peers = self.fleet.members, self.fleet.peers
         self._keeper = PlaceKeeper(
             clock=clock,
+            board=self.board,
             members=self.members,
             peers=peers,
             usage=AccountUsage(clock, settings.share_window),
@@ -142,6 +144,7 @@
             dialect=platform.callers,
             forwarder=forwarder,
             stopping=lambda: self._stopping,
+            closing=lambda: self._closing,
         )
         self._in_flight = InFlight(clock)
         self._listener = RoutedListener(
@@ -175,6 +178,9 @@
         emit(logger, Event.ROUTER_STOPPING, in_flight=len(self._in_flight))
         self.members.leave()
         self._clock.sleep(max(0.0, unlisted_at - self._clock.now()))
+        # What began by now ends within the grace; what still comes is refused, to go elsewhere.
+        self._closing = True
+        self._listener.close_listener()
         self._listener.close_idle()
         self._in_flight.wait_idle(deadline)
         self._listener.close_idle()
