--- a/packages/loomyard-router/src/loomyard_router/admission/place_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_client.py
@@ -88,7 +88,7 @@
         self, request: RoutedRequest, target: AnnouncedTarget, *, wait: float, patience: float
     ) -> tuple[Verdict, int]:
         """Ask for a place, waiting for up to some seconds; return the ticket where there is one."""
-        keeper = self._keeper_of(target.id)
+        keeper = self.keeper_of(target.id)
         own = self._members.own
         if keeper != own.name and self._clock.now() < self._silent_until.get(keeper, 0.0):
             return Verdict.UNREACHABLE, 0
@@ -145,6 +145,27 @@
         for target_id in set(self._taken) - known:
             del self._taken[target_id]
 
+    def keeper_of(self, target_id: str) -> str:
+        """Return the router that keeps the places of a target."""
+        keeper = self._keepers.get(target_id)
+        if keeper is None:
+            keeper = choose(target_id, [member.name for member in self._members.live()])
+            self._keepers[target_id] = keeper
+        return keeper
+
+    def state(self) -> None:
+        """State all places that are held to their keepers."""
+        own = self._members.own
+        by_keeper: dict[str, dict[str, list[int]]] = {}
+        for ticket, held in self._held.items():
+            by_keeper.setdefault(held.keeper, {}).setdefault(held.target, []).append(ticket)
+        for keeper, held_there in by_keeper.items():
+            statement = PlacesHeld(held=held_there)
+            if keeper == own.name:
+                self._keeper.restate(own, statement)
+            else:
+                self._peers.send(keeper, statement)
+
     def _queue_release(self, keeper: str, ticket: int) -> None:
         own = self._members.own
         if keeper == own.name:
@@ -165,35 +186,16 @@
         if released := self._released.pop(keeper, None):
             self._peers.send(keeper, PlacesReleased(tickets=released))
 
-    def _keeper_of(self, target_id: str) -> str:
-        keeper = self._keepers.get(target_id)
-        if keeper is None:
-            keeper = choose(target_id, [member.name for member in self._members.live()])
-            self._keepers[target_id] = keeper
-        return keeper
-
     def _move(self) -> None:
         """Tell new keepers at once what is held at their targets."""
         self._keepers.clear()
         for ticket, held in list(self._held.items()):
-            keeper = self._keeper_of(held.target)
+            keeper = self.keeper_of(held.target)
             if keeper != held.keeper:
                 self._held[ticket] = _Held(target=held.target, keeper=keeper)
-        self._state()
-
-    def _state(self) -> None:
-        own = self._members.own
-        by_keeper: dict[str, dict[str, list[int]]] = {}
-        for ticket, held in self._held.items():
-            by_keeper.setdefault(held.keeper, {}).setdefault(held.target, []).append(ticket)
-        for keeper, held_there in by_keeper.items():
-            statement = PlacesHeld(held=held_there)
-            if keeper == own.name:
-                self._keeper.restate(own, statement)
-            else:
-                self._peers.send(keeper, statement)
+        self.state()
 
     def _run(self) -> None:
         while True:
             self._clock.sleep(STATEMENT_SECONDS)
-            self._state()
+            self.state()
--- a/packages/loomyard-router/src/loomyard_router/announced/target_board.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_board.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
 from attrs import define
@@ -73,14 +74,14 @@
         """Tell whether a target may get new work right now."""
         return any(found.id == target.id for found in self.usable(target.service))
 
-    def replace_all(self, targets: Iterable[AnnouncedTarget]) -> None:
-        """Take over a whole listing."""
+    def replace_all(self, targets: Iterable[AnnouncedTarget], *, by_peer: bool = False) -> None:
+        """Take over a whole listing; one of another router comes from a store that answers it."""
         listed = {target.id: target for target in targets}
         self._heard = True
         gone = [target for id_, target in self._targets.items() if id_ not in listed]
         for target in listed.values():
             self._put(target)
-        self._drop(gone)
+        self._drop(gone, by_peer=by_peer)
         self._changed()
 
     def apply(self, put: Iterable[AnnouncedTarget], dropped: Iterable[str]) -> None:
@@ -100,7 +101,8 @@
         now = self._clock.now()
         self._store_back_at = now
         for lapsed in self._lapsed.values():
-            lapsed.usable_until = now + RETURN_SECONDS
+            if lapsed.usable_until > now:
+                lapsed.usable_until = now + RETURN_SECONDS
         self._changed()
 
     def _put(self, target: AnnouncedTarget) -> None:
@@ -120,23 +122,23 @@
         elif target.draining and not known.draining:
             emit(logger, Event.TARGET_DRAINS, target=target.id, service=target.service)
 
-    def _drop(self, gone: list[AnnouncedTarget]) -> None:
+    def _drop(self, gone: list[AnnouncedTarget], *, by_peer: bool = False) -> None:
         now = self._clock.now()
         for target in gone:
             del self._targets[target.id]
             self._lapsed[target.id] = _Lapsed(target, now, now)
         for service in {target.service for target in gone}:
-            self._grant_returns(service, now)
+            self._grant_returns(service, now, by_peer=by_peer)
         for target in gone:
             emit(
                 logger,
                 Event.TARGET_VANISHED,
                 target=target.id,
                 service=target.service,
-                used_for=max(0.0, round(self._lapsed[target.id].usable_until - now, 3)),
+                used_on=self._lapsed[target.id].usable_until > now,
             )
 
-    def _grant_returns(self, service: str, now: float) -> None:
+    def _grant_returns(self, service: str, now: float, *, by_peer: bool) -> None:
         """Give those that may have lapsed by a fault of the store the time to come back."""
         recent = [
             lapsed
@@ -147,9 +149,10 @@
         ]
         left = sum(target.service == service for target in self._targets.values())
         together = len(recent) >= MASS_LEAST and len(recent) >= MASS_SHARE * (len(recent) + left)
-        after_outage = self._store_away or now - self._store_back_at < RETURN_SECONDS
-        if after_outage:
-            until = max(now, self._store_back_at) + RETURN_SECONDS
+        if self._store_away and not by_peer:
+            until = math.inf  # until the store is back and the time to return has passed
+        elif now - self._store_back_at < RETURN_SECONDS:
+            until = self._store_back_at + RETURN_SECONDS
         elif together:
             until = now + RETURN_SECONDS
         else:
--- a/packages/loomyard-router/src/loomyard_router/announced/target_feed.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_feed.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from loomyard.events import Event, emit
+from loomyard_router.feeds.feed_follower import PEER
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,8 +29,8 @@
         self._board = board
         self._decode = decode
 
-    def take_listing(self, records: list[KeyedRecord]) -> None:
-        self._board.replace_all(self._decoded(records))
+    def take_listing(self, records: list[KeyedRecord], source: str) -> None:
+        self._board.replace_all(self._decoded(records), by_peer=source == PEER)
 
     def take_records(self, records: list[KeyedRecord]) -> None:
         newest = {record.key: record for record in records}
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
@@ -13,10 +13,11 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from loomyard.clock import Clock
     from loomyard.errors import Fault
-    from loomyard_router.feeds.feed import Feed
+    from loomyard_router.feeds.feed import Batch, Feed
     from loomyard_router.feeds.keyed_record import KeyedRecord
 
 logger = logging.getLogger(__name__)
@@ -26,13 +27,18 @@
 LIST_SECONDS = 1.5
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.8
+STORE = "store"
+PEER = "peer"
 
 
 class RecordTaker(Protocol):
     """Take over what a feed says."""
 
-    def take_listing(self, records: list[KeyedRecord]) -> None:
-        """Take the newest record of each key; a key that is not listed is gone."""
+    def take_listing(self, records: list[KeyedRecord], source: str) -> None:
+        """Take the newest record of each key; a key that is not listed is gone.
+
+        ``source`` tells whether the store or another router says so.
+        """
 
     def take_records(self, records: list[KeyedRecord]) -> None:
         """Take changes in order."""
@@ -53,9 +59,25 @@
         self._clock = clock
         self._random = source
         self._next_offset: int | None = None
+        self._records: dict[str, KeyedRecord] = {}
+        self._listeners: list[Callable[[FeedFollower], None]] = []
         self._failures = 0
         self._task: gevent.Greenlet | None = None
 
+    @property
+    def name(self) -> str:
+        return self._feed.name
+
+    @property
+    def next_offset(self) -> int:
+        """Return the offset of the first record that was not read, -1 before the first listing."""
+        return -1 if self._next_offset is None else self._next_offset
+
+    @property
+    def records(self) -> list[KeyedRecord]:
+        """Return the newest record of each key."""
+        return list(self._records.values())
+
     @property
     def caught_up(self) -> bool:
         return self._next_offset is not None
@@ -64,6 +86,19 @@
     def answering(self) -> bool:
         return self._failures == 0
 
+    def subscribe(self, advanced: Callable[[FeedFollower], None]) -> None:
+        """Call back when records were read or heard."""
+        self._listeners.append(advanced)
+
+    def take_over(self, records: list[KeyedRecord], next_offset: int) -> None:
+        """Take over what another router read further than this one."""
+        if next_offset <= self.next_offset:
+            return
+        self._records = {record.key: record for record in records}
+        self._next_offset = next_offset
+        self._taker.take_listing(records, PEER)
+        self._tell()
+
     def start(self) -> None:
         """Start to follow."""
         self._task = gevent.spawn(self._run)
@@ -90,8 +125,13 @@
     def _list(self) -> Fault | None:
         match self._feed.newest(self._clock.now() + LIST_SECONDS):
             case Ok(listing):
+                if listing.next_offset < self.next_offset:
+                    # A router that read further told this one meanwhile.
+                    return None
                 self._next_offset = listing.next_offset
-                self._taker.take_listing(listing.records)
+                self._records = {record.key: record for record in listing.records}
+                self._taker.take_listing(listing.records, STORE)
+                self._tell()
                 return None
             case Err(fault):
                 return fault
@@ -104,9 +144,8 @@
                     # The store fell back; what it says from here on is listed anew.
                     self._next_offset = None
                     return None
-                self._next_offset = batch.next_offset
-                if batch.records:
-                    self._taker.take_records(batch.records)
+                if batch.next_offset > self.next_offset:
+                    self._take(batch)
                 return None
             case Err(fault):
                 if fault.code is ResultCode.LOG_TRIMMED:
@@ -116,6 +155,23 @@
                 return fault
         raise AssertionError("a result is a value or a fault")
 
+    def _take(self, batch: Batch) -> None:
+        records = [record for record in batch.records if record.offset >= self.next_offset]
+        self._next_offset = batch.next_offset
+        if not records:
+            return
+        for record in records:
+            if record.value is None:
+                self._records.pop(record.key, None)
+            else:
+                self._records[record.key] = record
+        self._taker.take_records(records)
+        self._tell()
+
+    def _tell(self) -> None:
+        for advanced in self._listeners:
+            advanced(self)
+
     def _note_answer(self) -> None:
         if self._failures:
             emit(logger, Event.FEED_REGAINED, feed=self._feed.name, failures=self._failures)
--- a/packages/loomyard-router/src/loomyard_router/routed/listener.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/listener.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
+import gevent
 from gevent import Timeout
 
 from loomyard_router.callers.handler import CONNECTION_TIMEOUT, CallerHandler, CallerServer
@@ -23,11 +23,12 @@
 
     def read_requestline(self) -> str:
         self.socket.settimeout(self.server.limits().idle_seconds)
-        self.server.idle.add(self)
+        task = gevent.getcurrent()
+        self.server.idle.add(task)
         try:
             return super().read_requestline()
         finally:
-            self.server.idle.discard(self)
+            self.server.idle.discard(task)
             if self.socket is not None:
                 self.socket.settimeout(CONNECTION_TIMEOUT)
 
@@ -49,7 +50,7 @@
     def __init__(self, *arguments: Any, limits: Callable[[], CallerLimits], **options: Any) -> None:
         super().__init__(*arguments, **options)
         self.limits = limits
-        self.idle: set[RoutedHandler] = set()
+        self.idle: set[gevent.Greenlet] = set()
 
     def close_listener(self) -> None:
         """Close the listener; open connections go on."""
@@ -57,6 +58,6 @@
 
     def close_idle(self) -> None:
         """Close connections on which no request is on its way."""
-        for handler in list(self.idle):
-            with suppress(OSError):
-                handler.socket.close()
+        for task in list(self.idle):
+            # Closing the socket from here would leave it open for as long as the task reads it.
+            task.kill(OSError("the router is being stopped"), block=False)
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -28,6 +28,7 @@
 from loomyard_router.announced.target_feed import TargetFeed
 from loomyard_router.callers.in_flight import InFlight
 from loomyard_router.feeds.feed import Feed
+from loomyard_router.feeds.feed_exchange import FeedExchange
 from loomyard_router.feeds.feed_follower import FeedFollower
 from loomyard_router.fleet_parts import make_fleet_parts
 from loomyard_router.ready_listener import ReadyListener
@@ -80,8 +81,8 @@
         clock = platform.clock
         self._settings = settings
         self._clock = clock
-        self._stopping = False
-        self._closing = False
+        self.stopping = False
+        self.closing = False
         source = random.Random()
         self.holder = TableHolder(platform.decode_table)
         self.board = TargetBoard(clock)
@@ -105,6 +106,13 @@
         self._places = PlaceClient(
             clock=clock, members=self.members, peers=peers, keeper=self._keeper
         )
+        self._exchange = FeedExchange(
+            clock=clock,
+            members=self.members,
+            peers=peers,
+            followers=(self._tables, self._targets),
+            source=source,
+        )
         hint = RetryHint(source)
         loads = TargetLoads(self._routers)
         gate = ServiceGates(
@@ -143,8 +151,8 @@
             holder=self.holder,
             dialect=platform.callers,
             forwarder=forwarder,
-            stopping=lambda: self._stopping,
-            closing=lambda: self._closing,
+            stopping=lambda: self.stopping,
+            closing=lambda: self.closing,
         )
         self._in_flight = InFlight(clock)
         self._listener = RoutedListener(
@@ -155,12 +163,29 @@
             in_flight=self._in_flight,
             limits=self._limits,
         )
-        self._ready = ReadyListener(settings.ready_listen, platform.ready_path, self._is_ready)
+        self._ready = ReadyListener(settings.ready_listen, platform.ready_path, lambda: self.ready)
         self.board.subscribe(self._forget)
 
+    @property
+    def port(self) -> int:
+        return self._listener.server_port
+
+    @property
+    def ready_port(self) -> int:
+        return self._ready.server_port
+
+    @property
+    def ready(self) -> bool:
+        return not self.stopping and self.holder.table is not None and self.board.ready
+
+    @property
+    def in_flight(self) -> int:
+        return len(self._in_flight)
+
     def start(self) -> None:
         """Start to follow the feeds and to serve callers."""
-        for part in (self.fleet.peers, self.members, self._keeper, self._places):
+        parts = (self.fleet.peers, self.members, self._keeper, self._places, self._exchange)
+        for part in parts:
             part.start()
         if self.fleet.table_sync is not None:
             self.fleet.table_sync.start()
@@ -174,12 +199,12 @@
         """Stop as planned: say so, let what runs end within the grace, then stop."""
         deadline = self._clock.now() + self._settings.grace - GRACE_MARGIN
         unlisted_at = self._clock.now() + UNLISTED_SECONDS
-        self._stopping = True
+        self.stopping = True
         emit(logger, Event.ROUTER_STOPPING, in_flight=len(self._in_flight))
         self.members.leave()
         self._clock.sleep(max(0.0, unlisted_at - self._clock.now()))
         # What began by now ends within the grace; what still comes is refused, to go elsewhere.
-        self._closing = True
+        self.closing = True
         self._listener.close_listener()
         self._listener.close_idle()
         self._in_flight.wait_idle(deadline)
@@ -195,12 +220,10 @@
         self._targets.stop()
         if self.fleet.table_sync is not None:
             self.fleet.table_sync.stop()
-        for part in (self._places, self._keeper, self.members, self.fleet.peers):
+        parts = (self._exchange, self._places, self._keeper, self.members, self.fleet.peers)
+        for part in parts:
             part.stop()
 
-    def _is_ready(self) -> bool:
-        return not self._stopping and self.holder.table is not None and self.board.ready
-
     def _limits(self) -> CallerLimits:
         table = self.holder.table
         return CallerLimits() if table is None else table.limits
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -34,6 +34,7 @@
     FEED_LOST = (302, logging.WARNING, "a feed of the platform's store does not answer")
     FEED_REGAINED = (303, logging.INFO, "a feed of the platform's store answers again")
     FEED_TRIMMED = (304, logging.INFO, "records of a feed are gone; it is listed anew")
+    FEED_HEARD = (305, logging.INFO, "another router has read further in a feed")
     MEMBER_CHANGED = (310, logging.INFO, "a router joined, left or changed its state")
     MEMBER_SUSPECTED = (311, logging.INFO, "a router did not answer probes")
     MEMBER_REFUTED = (312, logging.WARNING, "others doubted that this router is alive")
--- /dev/null
+++ b/tests/test_loomyard_router/test_platform/test_settings_file.py
@@ -0,0 +1,47 @@
+"""Tests of the settings file."""
+
+from __future__ import annotations
+
+import unittest
+
+from loomyard_router.platform.settings_file import parse_settings_text, read_settings
+
+TEXT = """node_name=edge-1
+ip=10.1.0.33
+zone=north
+listen.frontend=10.1.0.33:8783
+listen.readiness=10.1.0.33:8780
+internal_ports=7400,7415
+seeds=10.1.0.33:8785,10.2.0.18:8785
+bounds.grace_s=8
+bounds.retry_ratio=0.2
+bounds.retry_window_s=10
+bounds.retry_slack=54
+platform.address=10.200.1.7:8781
+added.later=x=y
+"""
+
+
+class TestSettingsFile(unittest.TestCase):
+    def test_fields(self) -> None:
+        settings = parse_settings_text(TEXT).unwrap()
+        self.assertEqual("10.1.0.33:8783", settings.listen)
+        self.assertEqual("10.1.0.33:7400", settings.peer_listen)
+        self.assertEqual("10.1.0.33:7415", settings.metrics_listen)
+        self.assertEqual(("10.2.0.18:7400",), settings.seeds)
+        self.assertEqual("10.200.1.7:8781", settings.store)
+        self.assertEqual((0.2, 54.0), (settings.retries.ratio, settings.retries.slack))
+
+    def test_a_missing_field_is_named(self) -> None:
+        text = TEXT.replace("platform.address", "elsewhere")
+        self.assertIn("platform.address", parse_settings_text(text).unwrap_err())
+
+    def test_a_value_that_can_not_be_read(self) -> None:
+        self.assertTrue(parse_settings_text(TEXT.replace("grace_s=8", "grace_s=x")).is_err())
+
+    def test_a_missing_file(self) -> None:
+        self.assertTrue(read_settings({}).is_err())
+
+
+if __name__ == "__main__":
+    unittest.main()
