--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -21,11 +21,13 @@
     from loomyard_router.announced.target_board import TargetBoard
     from loomyard_router.routed.routed_request import RoutedRequest
 
-# Waiting for the engine that keeps a prompt pays for as long as another would read the prompt.
-READ_TOKENS_PER_SECOND = 150_000.0
+# Seconds of waiting that a token is worth which another engine would read again: some fifteen times
+# its reading, since that also delays all that runs there (docs/DECISIONS.md, Places of engines).
+WAIT_PER_TOKEN = 100e-6
 # Prompts ahead may take this part of the objective, so that the first event is in time.
-PATIENCE_PART = 0.6
+PATIENCE_PART = 0.75
 DEFAULT_OBJECTIVE = 0.4
+LEAST_WAIT = 0.002
 # Engines tried besides the preferred one before it is waited for again.
 MOST_OTHERS = 2
 
@@ -57,15 +59,17 @@
             return Err(self._hint.refuse(ResultCode.NO_TARGET, detail))
         until = wait_until(request)
         patience = PATIENCE_PART * (request.route.objective or DEFAULT_OBJECTIVE)
-        first = min(until - self._clock.now(), _reading_seconds(request))
+        first = min(until - self._clock.now(), _worthwhile_wait(request))
         waits = [(ranked[0], first)]
         waits += [(target, 0.0) for target in ranked[1 : 1 + MOST_OTHERS]]
-        for target, wait in waits:
-            place = self._ask(request, target, wait, patience)
+        for choice, (target, wait) in enumerate(waits):
+            place = self._ask(request, target, wait, patience, choice)
             if place is not None or request.presence.gone:
                 return self._end(request, place)
-        place = self._ask(request, ranked[0], until - self._clock.now(), patience)
-        return self._end(request, place)
+        left = until - self._clock.now()
+        if left < LEAST_WAIT:
+            return self._end(request, None)
+        return self._end(request, self._ask(request, ranked[0], left, patience, 0))
 
     def _end(self, request: RoutedRequest, place: Place | None) -> Result[Place, Fault]:
         if request.presence.gone:
@@ -88,7 +92,12 @@
         return ranked
 
     def _ask(
-        self, request: RoutedRequest, target: AnnouncedTarget, wait: float, patience: float
+        self,
+        request: RoutedRequest,
+        target: AnnouncedTarget,
+        wait: float,
+        patience: float,
+        choice: int,
     ) -> Place | None:
         verdict, ticket = self._client.ask(request, target, wait=wait, patience=patience)
         if verdict is Verdict.FULL:
@@ -107,9 +116,9 @@
                 self._client.note_read(ticket)
 
         taken = self._client.taken(target) if ticket else -1
-        return Place(target, released, answered=answered, taken=taken)
+        return Place(target, released, answered=answered, taken=taken, choice=choice)
 
 
-def _reading_seconds(request: RoutedRequest) -> float:
+def _worthwhile_wait(request: RoutedRequest) -> float:
     shared = sum(part.tokens for part in request.head.prompt[:-1])
-    return shared / READ_TOKENS_PER_SECOND
+    return shared * WAIT_PER_TOKEN
--- a/packages/loomyard-router/src/loomyard_router/admission/place.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place.py
@@ -13,7 +13,8 @@
 class Place:
     """A place at a target until it is released, which may be done more than once.
 
-    ``taken`` is how many were in use with it, -1 where nobody counts them.
+    ``taken`` is how many were in use with it, -1 where nobody counts them; ``choice`` is the rank
+    of the target for the prompt, -1 where there is no rank.
     """
 
     def __init__(
@@ -23,9 +24,11 @@
         *,
         answered: Callable[[], None] | None = None,
         taken: int = -1,
+        choice: int = -1,
     ) -> None:
         self.target = target
         self.taken = taken
+        self.choice = choice
         self._released: Callable[[], None] | None = released
         self._answered = answered
 
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
@@ -23,7 +23,9 @@
 logger = logging.getLogger(__name__)
 
 # A read that waits longer costs fewer calls, but hides for that long that the store is silent.
-WAIT_SECONDS = 6.0
+# Routers wait for different times, so that one of them soon notices and tells the others.
+LEAST_WAIT = 6.0
+MOST_WAIT = 14.0
 LIST_SECONDS = 1.5
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.8
@@ -53,7 +55,16 @@
 class FeedFollower:
     """List a feed once, then read on; list again where records are gone."""
 
-    def __init__(self, feed: Feed, taker: RecordTaker, clock: Clock, source: random.Random) -> None:
+    def __init__(
+        self,
+        feed: Feed,
+        taker: RecordTaker,
+        clock: Clock,
+        source: random.Random,
+        *,
+        pace: float = 0.0,
+    ) -> None:
+        self._pace = pace
         self._feed = feed
         self._taker = taker
         self._clock = clock
@@ -110,11 +121,12 @@
 
     def step(self) -> float:
         """Make one call; return the seconds to wait before the next one."""
-        fault = self._list() if self._next_offset is None else self._read(self._next_offset)
-        if fault is None:
-            self._note_answer()
-            return 0.0
-        return self._note_failure(fault)
+        before = self._next_offset
+        fault = self._list() if before is None else self._read(before)
+        if fault is not None:
+            return self._note_failure(fault)
+        self._note_answer()
+        return 0.0 if self._next_offset == before else self._pace
 
     def _run(self) -> None:
         while True:
@@ -138,7 +150,8 @@
         raise AssertionError("a result is a value or a fault")
 
     def _read(self, offset: int) -> Fault | None:
-        match self._feed.read(offset, self._clock.now() + WAIT_SECONDS):
+        wait = self._random.uniform(LEAST_WAIT, MOST_WAIT)
+        match self._feed.read(offset, self._clock.now() + wait):
             case Ok(batch):
                 if batch.next_offset < offset:
                     # The store fell back; what it says from here on is listed anew.
--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -176,6 +176,7 @@
             target=request.trace.target,
             attempts=request.trace.attempts,
             taken=request.trace.taken,
+            choice=request.trace.choice,
             prompt=request.head.prompt_tokens,
             placed_ms=_milliseconds(request.arrived_at, request.trace.placed_at),
             first_ms=_milliseconds(request.arrived_at, request.trace.first_at),
--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -88,7 +88,7 @@
                 fault = taken.unwrap_err()
                 return Err(evolve(fault, executed=executed) if attempts else fault)
             place = taken.unwrap()
-            request.trace.place(place.target.id, place.taken, self._clock.now())
+            request.trace.place(place, self._clock.now())
             outcome = self._attempt(request, place, last_event)
             if outcome.is_ok():
                 exchange, first, whole = outcome.unwrap()
--- a/packages/loomyard-router/src/loomyard_router/routed/request_trace.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/request_trace.py
@@ -2,23 +2,33 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from attrs import define
 
+if TYPE_CHECKING:
+    from loomyard_router.admission.place import Place
+
 
 @define(eq=False)
 class RequestTrace:
-    """Times are monotonic; ``taken`` is the number of places in use as the keeper said it."""
+    """Times are monotonic; ``taken`` is the number of places in use as the keeper said it.
+
+    ``choice`` is the rank of the target among those for the prompt, 0 for the preferred one.
+    """
 
     target: str = ""
     attempts: int = 0
     taken: int = -1
+    choice: int = -1
     placed_at: float | None = None
     first_at: float | None = None
 
-    def place(self, target: str, taken: int, now: float) -> None:
+    def place(self, place: Place, now: float) -> None:
         """Take in that a place was given."""
-        self.target = target
-        self.taken = taken
+        self.target = place.target.id
+        self.taken = place.taken
+        self.choice = place.choice
         self.placed_at = now
         self.attempts += 1
 
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -87,10 +87,18 @@
         self.holder = TableHolder(platform.decode_table)
         self.board = TargetBoard(clock)
         self._tables = FeedFollower(
-            platform.tables, TableFeed(self.holder, platform.table_key), clock, source
+            platform.tables,
+            TableFeed(self.holder, platform.table_key),
+            clock,
+            source,
+            pace=settings.feed_pace,
         )
         self._targets = FeedFollower(
-            platform.targets, TargetFeed(self.board, platform.decode_target), clock, source
+            platform.targets,
+            TargetFeed(self.board, platform.decode_target),
+            clock,
+            source,
+            pace=settings.feed_pace,
         )
         self._health = TargetHealth(clock)
         self._pool = ConnectionPool(clock)
--- a/tests/test_loomyard_router/test_routed/routed_case.py
+++ b/tests/test_loomyard_router/test_routed/routed_case.py
@@ -88,6 +88,7 @@
                 ready_listen="127.0.0.1:0",
                 store="",
                 grace=self.grace,
+                feed_pace=0.0,
                 retries=RetryTerms(ratio=0.2, window=10.0, slack=20.0),
             ),
             RoutedPlatform(
