--- a/packages/loomyard-router/src/loomyard_router/routes/table_holder.py
+++ b/packages/loomyard-router/src/loomyard_router/routes/table_holder.py
@@ -82,6 +82,7 @@
             version=table.version,
             before=before,
             routes=table.route_count,
+            tokens_per_second=table.limits.tokens_per_second,
         )
         for changed in self._listeners:
             changed(table)
