Keep half of an engine for accounts within their share; close connections that only rest

Cause: owed is only the max-min share of the stated rate, yet whoever asked most filled every place, so first events were late for all and a crash cut twice as much. Change: keepers judge by asked and given tokens of the share window who is beyond its share; such an account gets places up to 0.52 of an engine's slots. Refusals close their connection; beyond a bound from descriptors and memory the connection that rested longest is closed.

--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -63,7 +63,7 @@
         waits = [(ranked[0], first)]
         waits += [(target, 0.0) for target in ranked[1 : 1 + MOST_OTHERS]]
         for choice, (target, wait) in enumerate(waits):
-            place = self._ask(request, target, wait, patience, choice)
+            place = self._ask(request, target, wait, patience, choice, first=choice == 0)
             if place is not None or request.presence.gone:
                 return self._end(request, place)
         left = until - self._clock.now()
@@ -98,8 +98,12 @@
         wait: float,
         patience: float,
         choice: int,
+        *,
+        first: bool = False,
     ) -> Place | None:
-        verdict, ticket = self._client.ask(request, target, wait=wait, patience=patience)
+        verdict, ticket = self._client.ask(
+            request, target, wait=wait, patience=patience, first=first
+        )
         if verdict is Verdict.FULL:
             return None
         if verdict is Verdict.UNREACHABLE and not self._loads.has_place(target):
--- a/packages/loomyard-router/src/loomyard_router/admission/place_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_client.py
@@ -85,7 +85,13 @@
         return self._taken.get(target.id, 0)
 
     def ask(
-        self, request: RoutedRequest, target: AnnouncedTarget, *, wait: float, patience: float
+        self,
+        request: RoutedRequest,
+        target: AnnouncedTarget,
+        *,
+        wait: float,
+        patience: float,
+        first: bool = False,
     ) -> tuple[Verdict, int]:
         """Ask for a place, waiting for up to some seconds; return the ticket where there is one."""
         keeper = self.keeper_of(target.id)
@@ -103,6 +109,7 @@
             prompt=request.head.prompt_tokens,
             parts=[(part.id, part.tokens) for part in request.head.prompt[:-1]],
             patience=int(max(0.0, patience) * MILLISECONDS),
+            first=first,
             wait=int(max(0.0, wait) * MILLISECONDS),
         )
         if keeper == own.name:
--- a/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
@@ -15,10 +15,12 @@
     PlacesReleased,
     PromptsRead,
 )
+from loomyard_router.admission.share_judge import ShareJudge
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from loomyard.clock import Clock
-    from loomyard_router.admission.account_usage import AccountUsage
     from loomyard_router.announced.target_board import TargetBoard
     from loomyard_router.members.membership import Member, Membership
     from loomyard_router.peers.links import PeerLinks
@@ -32,6 +34,9 @@
 class PlaceKeeper:
     """Give places to routers, the client account that got least first.
 
+    An account that has had its share of the stated rate is given free places only up to a part, so
+    that the others find engines that answer in time.
+
     Which router keeps a target follows from the live routers; where two of them keep one for a
     moment, a target gets more than its slots, and its own queue takes the rest.
     """
@@ -43,12 +48,15 @@
         board: TargetBoard,
         members: Membership,
         peers: PeerLinks,
-        usage: AccountUsage,
+        window: float,
+        engine_rate: Callable[[], float],
     ) -> None:
         self._clock = clock
         self._board = board
         self._members = members
-        self._usage = usage
+        self._window = window
+        self._engine_rate = engine_rate
+        self._shares = ShareJudge(clock, window=window, rate=self._rate)
         self._books: dict[str, PlaceBook] = {}
         self._task: gevent.Greenlet | None = None
         peers.handle(PlaceRequest, self.ask)
@@ -73,7 +81,10 @@
             book = self._books[request.target] = PlaceBook(request.slots)
         book.slots = request.slots
         ticket = (member.name, member.incarnation, request.ticket)
-        if not book.waiting and book.admits(request):
+        book.asked_at = self._clock.now()
+        if request.first:
+            self._shares.ask(request.account, request.cost)
+        if not book.waiting and self._admits(book, request):
             self._grant(book, ticket, request)
             return PlaceAnswer(granted=True, taken=len(book.held))
         if not request.wait:
@@ -137,19 +148,27 @@
         """Give free places to who waits, the neediest account first; who is not admitted waits."""
         while book.waiting:
             levels = {
-                ask.request.account: self._usage.level(ask.request.account) for ask in book.waiting
+                ask.request.account: self._shares.level(ask.request.account) for ask in book.waiting
             }
             waiting = sorted(book.waiting, key=lambda one: levels[one.request.account])
-            admitted = next((ask for ask in waiting if book.admits(ask.request)), None)
+            admitted = next((ask for ask in waiting if self._admits(book, ask.request)), None)
             if admitted is None:
                 return
             book.waiting.remove(admitted)
             self._grant(book, admitted.ticket, admitted.request)
             admitted.granted.set(True)
 
+    def _admits(self, book: PlaceBook, request: PlaceRequest) -> bool:
+        return book.admits(request, beyond=self._shares.beyond(request.account))
+
+    def _rate(self) -> float:
+        """Return the tokens a second of the engines that are asked for here."""
+        recent = self._clock.now() - self._window
+        return self._engine_rate() * sum(book.asked_at >= recent for book in self._books.values())
+
     def _grant(self, book: PlaceBook, ticket: Ticket, request: PlaceRequest) -> None:
         book.grant(ticket, request, self._clock.now())
-        self._usage.add(request.account, request.cost)
+        self._shares.give(request.account, request.cost)
 
     def _drop_dead(self) -> None:
         live = {(member.name, member.incarnation) for member in self._members.live()}
--- a/packages/loomyard-router/src/loomyard_router/admission/place_messages.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_messages.py
@@ -14,7 +14,8 @@
 
     ``cost`` and ``prompt`` are in tokens; ``parts`` are the parts of the prompt that others share,
     by id with their tokens. ``wait`` is in milliseconds; so is ``patience``, the time that prompts
-    ahead of this one may take to be read.
+    ahead of this one may take to be read. ``first`` marks the first ask for a request, by which its
+    account's demand is counted.
     """
 
     target: str
@@ -26,6 +27,7 @@
     parts: list[tuple[str, int]] = field(factory=list)
     patience: int = 0
     wait: int = 0
+    first: bool = False
 
 
 @peer_message("pa")
--- a/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
@@ -16,8 +16,18 @@
     from collections.abc import Mapping
 
 MILLISECONDS = 1000.0
-# Metrics stand on the last of the ports kept free for the system's own use, peers on the first.
 DEFAULT_GRACE = 8.0
+# Files keep 200 descriptors; connections of callers may take half of the others.
+FILE_DESCRIPTORS = 200
+CALLERS_PART = 0.5
+DEFAULT_DESCRIPTORS = 4096
+# The process without callers, and what a connection with its task takes (measured on the bench:
+# 148 MB with 3,900 connections, 34 MB with 150).
+BASE_MB = 60.0
+CONNECTION_MB = 0.032
+DEFAULT_MEMORY_MB = 256.0
+MEMORY_PART = 0.8
+LEAST_CONNECTIONS = 100
 
 
 def read_settings(environment: Mapping[str, str]) -> Result[RoutedSettings, str]:
@@ -65,6 +75,14 @@
             window=float(fields.get("bounds.retry_window_s", 10.0)),
             slack=float(fields.get("bounds.retry_slack", 0.0)),
         ),
+        most_connections=_most_connections(fields),
         share_window=float(fields.get("bounds.quota_window_s", 4.0)),
         prompt_kept=float(fields.get("bounds.retry_after_s", 10.0)),
     )
+
+
+def _most_connections(fields: Mapping[str, str]) -> int:
+    descriptors = int(fields.get("limits.max_fds", DEFAULT_DESCRIPTORS)) - FILE_DESCRIPTORS
+    memory = MEMORY_PART * float(fields.get("limits.memory_mb", DEFAULT_MEMORY_MB)) - BASE_MB
+    bound = min(CALLERS_PART * descriptors, memory / CONNECTION_MB)
+    return max(LEAST_CONNECTIONS, int(bound))
--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -37,12 +37,13 @@
 NOT_READY_RETRY_AFTER = 0.5
 STOPPING = Fault(code=ResultCode.STOPPING, detail="this router is being stopped", retry_after=0.05)
 READ_BYTES = 65536
-# A head or body that the caller did not send whole leaves the connection unusable.
-CLOSING_CODES = (ResultCode.MALFORMED_REQUEST, ResultCode.BODY_TOO_LARGE)
 
 
 class RoutedApp:
-    """Answer requests on routes, each by the configuration in force when it arrives."""
+    """Answer requests on routes, each by the configuration in force when it arrives.
+
+    While ``ending`` answers close their connections; while ``closing`` nothing is served any more.
+    """
 
     def __init__(
         self,
@@ -51,14 +52,14 @@
         holder: TableHolder,
         dialect: CallerDialect,
         forwarder: Forwarder,
-        stopping: Callable[[], bool],
+        ending: Callable[[], bool],
         closing: Callable[[], bool] = lambda: False,
     ) -> None:
         self._clock = clock
         self._holder = holder
         self._dialect = dialect
         self._forwarder = forwarder
-        self._stopping = stopping
+        self._ending = ending
         self._closing = closing
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
@@ -139,7 +140,7 @@
         self, start_response: StartResponse, answer: Answer, request: RoutedRequest
     ) -> Iterable[bytes]:
         headers = [(n, v) for n, v in answer.headers if n.lower() not in DROPPED_HEADERS]
-        if self._stopping():
+        if self._ending():
             headers.append(("Connection", "close"))
         self._log(request, status=answer.status, code=0, executed=Executed.YES)
         start_response(_status_line(answer.status), headers)
@@ -158,8 +159,8 @@
         else:
             path = environ[TARGET_KEY]
             emit(logger, Event.REQUEST_REFUSED, path=path, code=int(fault.code), why=fault.detail)
-        if self._stopping() or fault.code in CLOSING_CODES:
-            headers.append(("Connection", "close"))
+        # A caller comes back on another connection, so this one would only rest.
+        headers.append(("Connection", "close"))
         start_response(_status_line(status), headers)
         return [b""]
 
--- a/packages/loomyard-router/src/loomyard_router/routed/listener.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/listener.py
@@ -24,11 +24,11 @@
     def read_requestline(self) -> str:
         self.socket.settimeout(self.server.limits().idle_seconds)
         task = gevent.getcurrent()
-        self.server.idle.add(task)
+        self.server.idle[task] = None
         try:
             return super().read_requestline()
         finally:
-            self.server.idle.discard(task)
+            self.server.idle.pop(task, None)
             if self.socket is not None:
                 self.socket.settimeout(CONNECTION_TIMEOUT)
 
@@ -43,14 +43,40 @@
 
 
 class RoutedListener(CallerServer):
-    """Accept callers; ``limits`` are read for each request."""
+    """Accept callers; ``limits`` are read for each request.
+
+    Where more than ``most_connections`` are open, answers close theirs and the idle ones that
+    rested longest are closed.
+    """
 
     handler_class = RoutedHandler
 
-    def __init__(self, *arguments: Any, limits: Callable[[], CallerLimits], **options: Any) -> None:
+    def __init__(
+        self,
+        *arguments: Any,
+        limits: Callable[[], CallerLimits],
+        most_connections: int,
+        **options: Any,
+    ) -> None:
         super().__init__(*arguments, **options)
         self.limits = limits
-        self.idle: set[gevent.Greenlet] = set()
+        # In the order in which they began to rest.
+        self.idle: dict[gevent.Greenlet, None] = {}
+        self._open = 0
+        self._most_connections = most_connections
+
+    @property
+    def crowded(self) -> bool:
+        return self._open > self._most_connections
+
+    def handle(self, sock: Any, address: Any) -> None:
+        self._open += 1
+        if self.crowded:
+            self._close_oldest()
+        try:
+            super().handle(sock, address)
+        finally:
+            self._open -= 1
 
     def close_listener(self) -> None:
         """Close the listener; open connections go on."""
@@ -59,5 +85,15 @@
     def close_idle(self) -> None:
         """Close connections on which no request is on its way."""
         for task in list(self.idle):
-            # Closing the socket from here would leave it open for as long as the task reads it.
-            task.kill(OSError("the router is being stopped"), block=False)
+            _end(task)
+
+    def _close_oldest(self) -> None:
+        oldest = next(iter(self.idle), None)
+        if oldest is not None:
+            self.idle.pop(oldest)
+            _end(oldest)
+
+
+def _end(task: gevent.Greenlet) -> None:
+    # Closing the socket from here would leave it open for as long as the task reads it.
+    task.kill(OSError("the connection is given up"), block=False)
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -109,7 +109,8 @@
             board=self.board,
             members=self.members,
             peers=peers,
-            usage=AccountUsage(clock, settings.share_window),
+            window=settings.share_window,
+            engine_rate=self._engine_rate,
         )
         self._places = PlaceClient(
             clock=clock, members=self.members, peers=peers, keeper=self._keeper
@@ -159,7 +160,7 @@
             holder=self.holder,
             dialect=platform.callers,
             forwarder=forwarder,
-            stopping=lambda: self.stopping,
+            ending=lambda: self.stopping or self._listener.crowded,
             closing=lambda: self.closing,
         )
         self._in_flight = InFlight(clock)
@@ -170,6 +171,7 @@
             error_log=logger,
             in_flight=self._in_flight,
             limits=self._limits,
+            most_connections=settings.most_connections,
         )
         self._ready = ReadyListener(settings.ready_listen, platform.ready_path, lambda: self.ready)
         self.board.subscribe(self._forget)
@@ -236,6 +238,15 @@
         table = self.holder.table
         return CallerLimits() if table is None else table.limits
 
+    def _engine_rate(self) -> float:
+        """Return the tokens a second that the configuration states, for each engine."""
+        table = self.holder.table
+        if table is None:
+            return 0.0
+        services = [name for name, terms in table.services.items() if terms.engine]
+        engines = sum(len(self.board.usable(name)) for name in services)
+        return table.limits.tokens_per_second / max(1, engines)
+
     def _routers(self) -> int:
         return len(self.members.live())
 
--- a/tests/test_loomyard_router/test_admission/test_places.py
+++ b/tests/test_loomyard_router/test_admission/test_places.py
@@ -7,7 +7,6 @@
 
 import gevent
 
-from loomyard_router.admission.account_usage import AccountUsage
 from loomyard_router.admission.fleet_gate import FleetGate
 from loomyard_router.admission.place_client import PlaceClient
 from loomyard_router.admission.place_keeper import SILENCE_SECONDS, PlaceKeeper
@@ -63,7 +62,8 @@
             board=self.board,
             members=self.members,
             peers=self.peers,
-            usage=AccountUsage(clock, 4.0),
+            window=4.0,
+            engine_rate=lambda: fleet.engine_rate,
         )
         self.client = PlaceClient(
             clock=clock, members=self.members, peers=self.peers, keeper=self.keeper
@@ -83,6 +83,7 @@
 
     def __init__(self, engines: int) -> None:
         self.clock = FakeClock()
+        self.engine_rate = 0.0
         self.network = MemoryNetwork()
         self.members = [
             Member(name=f"r{n}", incarnation=1, address="", data_centre="") for n in range(3)
@@ -223,6 +224,19 @@
         gevent.sleep(0.01)
         self.assertTrue(self.take(2).is_ok())
 
+    def test_an_account_beyond_its_share_leaves_places_to_the_others(self) -> None:
+        self.fleet.engine_rate = 100.0
+        tokens = {"prompt_tokens": 300}
+        given = [self.take(n % 3, account="greedy", number=n, **tokens).is_ok() for n in range(4)]
+        self.assertEqual([True, True, True, False], given)
+        self.assertTrue(self.take(0, account="small", number=9, prompt_tokens=10).is_ok())
+
+    def test_an_account_alone_has_all_of_the_rate(self) -> None:
+        self.fleet.engine_rate = 1000.0
+        tokens = {"prompt_tokens": 300}
+        given = [self.take(n % 3, account="greedy", number=n, **tokens).is_ok() for n in range(4)]
+        self.assertEqual([True] * 4, given)
+
     def keeper_name(self, target: str) -> str:
         return self.fleet.routers[0].client.keeper_of(target)
 
--- a/tests/test_loomyard_router/test_routed/routed_case.py
+++ b/tests/test_loomyard_router/test_routed/routed_case.py
@@ -75,6 +75,7 @@
     """Start a router; tests put targets and tables as objects under a number."""
 
     grace = 8.0
+    most_connections = 100
 
     def setUp(self) -> None:
         self.objects: list[object] = []
@@ -89,6 +90,7 @@
                 store="",
                 grace=self.grace,
                 feed_pace=0.0,
+                most_connections=self.most_connections,
                 retries=RetryTerms(ratio=0.2, window=10.0, slack=20.0),
             ),
             RoutedPlatform(
--- a/tests/test_loomyard_router/test_routed/test_rules.py
+++ b/tests/test_loomyard_router/test_routed/test_rules.py
@@ -375,6 +375,26 @@
         self.assertGreater(float(response.headers["Retry-After"]), 0)
 
 
+class TestConnections(RoutedCase):
+    most_connections = 3
+
+    def test_a_refusal_closes_its_connection(self) -> None:
+        self.publish(route())
+        sock = self.connect()
+        self.assertEqual(503, self.call(sock=sock).status)
+        self.assertEqual(b"", sock.recv(1))
+
+    def test_too_many_connections_close_the_one_that_rested_longest(self) -> None:
+        self.target("t1", plain_script)
+        self.publish(route())
+        resting = [self.connect() for _ in range(3)]
+        for number, sock in enumerate(resting):
+            self.call(sock=sock, Loomyard_Attempt_Id=f"a{number}")
+        self.assertEqual(200, self.call(Loomyard_Attempt_Id="last").status)
+        self.assertEqual(b"", resting[0].recv(1))
+        self.assertEqual(200, self.call(sock=resting[1], Loomyard_Attempt_Id="more").status)
+
+
 class TestStop(RoutedCase):
     def test_a_stop_lets_what_runs_end_and_refuses_what_comes_late(self) -> None:
         go_on = gevent.event.Event()
