--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
@@ -150,7 +150,8 @@
         raise AssertionError("a result is a value or a fault")
 
     def _read(self, offset: int) -> Fault | None:
-        wait = self._random.uniform(LEAST_WAIT, MOST_WAIT)
+        # A read that waits would not tell that a lost store is back before it has something to say.
+        wait = 0.0 if self._failures else self._random.uniform(LEAST_WAIT, MOST_WAIT)
         match self._feed.read(offset, self._clock.now() + wait):
             case Ok(batch):
                 if batch.next_offset < offset:
--- a/tests/test_loomyard_router/test_feeds/test_feed_follower.py
+++ b/tests/test_loomyard_router/test_feeds/test_feed_follower.py
@@ -35,6 +35,7 @@
     listings: list[Result[Listing, Fault]] = field(factory=list)
     batches: list[Result[Batch, Fault]] = field(factory=list)
     asked: list[int] = field(factory=list)
+    waits: list[float] = field(factory=list)
     name: str = "feed"
 
     def newest(self, deadline: float) -> Result[Listing, Fault]:
@@ -42,6 +43,7 @@
 
     def read(self, offset: int, wait_until: float) -> Result[Batch, Fault]:
         self.asked.append(offset)
+        self.waits.append(wait_until)
         return self.batches.pop(0)
 
 
@@ -110,6 +112,15 @@
         self.assertTrue(self.follower.answering)
         self.assertEqual(["lost", "regained"], self.taken.told[1:])
 
+    def test_a_store_that_is_back_is_noticed_without_waiting_for_records(self) -> None:
+        self.list_to(3)
+        self.feed.batches = [Err(DOWN)] + [Ok(Batch(records=[], next_offset=3))] * 2
+        for _ in range(3):
+            self.follower.step()
+        long, short, again = self.feed.waits
+        self.assertEqual(0.0, short)
+        self.assertGreater(min(long, again), 1.0)
+
     def test_what_a_peer_read_further_is_taken_over_and_not_read_again(self) -> None:
         self.list_to(3)
         self.follower.take_over([record("a", 0), record("c", 4)], 5)
