--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	$(BIN)/black --quiet --check $(SOURCES)
 	$(BIN)/ruff check --quiet --output-format concise $(SOURCES)
 	$(BIN)/mypy --no-error-summary
+	$(BIN)/python -m loomyard_standins.wire_names packages
 
 format: setup
 	$(BIN)/black --quiet $(SOURCES)
--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -9,9 +9,9 @@
 
 from loomyard.clock import SystemClock
 from loomyard.events import Event, emit
-from loomyard.platform.http_log import connect_log
-from loomyard.platform.http_vm_list import connect_vm_list
-from loomyard.platform.http_weight_store import connect_weight_store
+from loomyard.outside.http_log import connect_log
+from loomyard.outside.http_vm_list import connect_vm_list
+from loomyard.outside.http_weight_store import connect_weight_store
 from loomyard.util.addresses import split_address
 from loomyard_router.callers.app import CallersApp
 from loomyard_router.callers.handler import CallerServer
--- a/packages/loomyard-router/src/loomyard_router/claims/log_claims.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/log_claims.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
-    from loomyard.platform.log_service import LogService
+    from loomyard.outside.log_service import LogService
     from loomyard_router.claims.keeper import ClaimKey
     from loomyard_router.members.membership import Membership
     from loomyard_router.peers.links import PeerLinks
--- a/packages/loomyard-router/src/loomyard_router/claims/partition.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/partition.py
@@ -14,7 +14,7 @@
 from loomyard.errors import ResultCode
 from loomyard.events import Event as LogEvent
 from loomyard.events import emit
-from loomyard.platform.settled_append import backoff_seconds
+from loomyard.outside.settled_append import backoff_seconds
 from loomyard_router.claims.keys import stream_of
 from loomyard_router.claims.partition_state import PartitionState
 from loomyard_router.claims.records import Abandoned, Begun, ClaimBatch, Finished
@@ -26,7 +26,7 @@
     from collections.abc import Callable
 
     from loomyard.clock import Clock
-    from loomyard.platform.log_service import LogBatch, LogService
+    from loomyard.outside.log_service import LogBatch, LogService
     from loomyard_router.claims.key_state import KeyState
 
 logger = logging.getLogger(__name__)
--- a/packages/loomyard-router/src/loomyard_router/configuration/follower.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/follower.py
@@ -20,7 +20,7 @@
 
     from loomyard.clock import Clock
     from loomyard.configuration import ConfigState
-    from loomyard.platform.log_service import LogBatch, LogService
+    from loomyard.outside.log_service import LogBatch, LogService
     from loomyard.routing import Routing
     from loomyard_router.configuration.settled_change import SettledChange
     from loomyard_router.configuration.starting_point import StartingPoint
--- a/packages/loomyard-router/src/loomyard_router/configuration/log_snapshots.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/log_snapshots.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from loomyard.configuration import ConfigState
     from loomyard.errors import Fault
-    from loomyard.platform.log_service import LogService
+    from loomyard.outside.log_service import LogService
 
 logger = logging.getLogger(__name__)
 
--- a/packages/loomyard-router/src/loomyard_router/configuration/messages.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/messages.py
@@ -5,7 +5,7 @@
 from attrs import field, frozen
 
 from loomyard.configuration import EMPTY_VERSION, SnapshotPart
-from loomyard.platform.log_service import LogBatch
+from loomyard.outside.log_service import LogBatch
 from loomyard_router.peers.message_types import peer_message
 
 ANY_SNAPSHOT = b""
--- a/packages/loomyard-router/src/loomyard_router/configuration/replica.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/replica.py
@@ -30,7 +30,7 @@
 
     from loomyard.configuration import FoldedRecord
     from loomyard.objects import ObjectRef
-    from loomyard.platform.log_service import LogRecord
+    from loomyard.outside.log_service import LogRecord
 
 logger = logging.getLogger(__name__)
 
--- a/packages/loomyard-router/src/loomyard_router/configuration/snapshot_writer.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/snapshot_writer.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from loomyard.clock import Clock
     from loomyard.configuration import ConfigState
-    from loomyard.platform.log_service import LogService
+    from loomyard.outside.log_service import LogService
     from loomyard_router.configuration.follower import ConfigFollower
     from loomyard_router.configuration.log_snapshots import LogSnapshots
     from loomyard_router.members.membership import Membership
--- a/packages/loomyard-router/src/loomyard_router/operators/changes.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/changes.py
@@ -25,7 +25,7 @@
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
-    from loomyard.platform.log_service import LogService
+    from loomyard.outside.log_service import LogService
     from loomyard_router.configuration.follower import ConfigFollower
     from loomyard_router.configuration.settled_change import SettledChange
     from loomyard_router.operators.fleet_status import FleetStatus
--- a/packages/loomyard-router/src/loomyard_router/operators/restores.py
+++ b/packages/loomyard-router/src/loomyard_router/operators/restores.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from loomyard.clock import Clock
     from loomyard.objects import ConfigObject
-    from loomyard.platform.log_service import LogService
+    from loomyard.outside.log_service import LogService
     from loomyard_router.configuration.follower import ConfigFollower
     from loomyard_router.configuration.log_snapshots import LogSnapshots
     from loomyard_router.operators.fleet_status import FleetStatus
--- a/packages/loomyard-router/src/loomyard_router/orders/order_keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/orders/order_keeper.py
@@ -19,9 +19,9 @@
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
-    from loomyard.platform.engine import Engine
-    from loomyard.platform.log_service import LogService
-    from loomyard.platform.weight_store import WeightStore
+    from loomyard.outside.engine import Engine
+    from loomyard.outside.log_service import LogService
+    from loomyard.outside.weight_store import WeightStore
     from loomyard.routing import Routing
     from loomyard_router.members.membership import Membership
     from loomyard_router.orders.backlog import BacklogView
--- a/packages/loomyard-router/src/loomyard_router/orders/target_view.py
+++ b/packages/loomyard-router/src/loomyard_router/orders/target_view.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from loomyard.objects import Target
-from loomyard.platform.engine import LoadReport
+from loomyard.outside.engine import LoadReport
 
 
 @frozen(kw_only=True)
--- a/packages/loomyard-router/src/loomyard_router/parts.py
+++ b/packages/loomyard-router/src/loomyard_router/parts.py
@@ -5,10 +5,10 @@
 from attrs import define, field
 
 from loomyard.clock import Clock
-from loomyard.platform.engine import Engine
-from loomyard.platform.log_service import LogService
-from loomyard.platform.vm_list import VmList
-from loomyard.platform.weight_store import WeightStore
+from loomyard.outside.engine import Engine
+from loomyard.outside.log_service import LogService
+from loomyard.outside.vm_list import VmList
+from loomyard.outside.weight_store import WeightStore
 from loomyard_router.claims.keeper import ClaimKeeper
 from loomyard_router.configuration.distribution import ConfigDistribution
 from loomyard_router.configuration.follower import ConfigFollower
--- a/packages/loomyard-router/src/loomyard_router/platform/documents.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/documents.py
@@ -10,8 +10,8 @@
 from loomyard_router.announced.announced_target import AnnouncedTarget
 from loomyard_router.routes.account_terms import AccountTerms
 from loomyard_router.routes.caller_limits import CallerLimits
+from loomyard_router.routes.kind import RouteKind
 from loomyard_router.routes.route import Route
-from loomyard_router.routes.route_kind import RouteKind
 from loomyard_router.routes.route_table import RouteTable, make_route_table
 from loomyard_router.routes.service_share import ServiceShare
 from loomyard_router.routes.service_terms import EngineTerms, ServiceTerms
--- a/packages/loomyard-router/src/loomyard_router/requests/answer_check.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/answer_check.py
@@ -9,7 +9,7 @@
 from loomyard.objects import ServiceType
 
 if TYPE_CHECKING:
-    from loomyard.platform.engine import TargetAnswer, TargetCall
+    from loomyard.outside.engine import TargetAnswer, TargetCall
     from loomyard_router.requests.request import Request
 
 NOT_RUN_HEADER = "loomyard-not-run"
--- a/packages/loomyard-router/src/loomyard_router/requests/resuming.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/resuming.py
@@ -11,7 +11,7 @@
 
 from loomyard.errors import Executed, Fault, ResultCode
 from loomyard.events import Event, emit
-from loomyard.platform.engine import TargetCall
+from loomyard.outside.engine import TargetCall
 from loomyard_router.callers.problems import error_event
 from loomyard_router.relays.event_stream import EventStream
 from loomyard_router.relays.stream_relay import StreamRelay
@@ -26,7 +26,7 @@
 
     from loomyard.clock import Clock
     from loomyard.objects import ClientAccount
-    from loomyard.platform.engine import Engine
+    from loomyard.outside.engine import Engine
     from loomyard_router.configuration.follower import ConfigFollower
     from loomyard_router.requests.attempt import Attempt
     from loomyard_router.requests.presence import CallerPresence
--- a/packages/loomyard-router/src/loomyard_router/requests/serving.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/serving.py
@@ -26,7 +26,7 @@
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
-    from loomyard.platform.engine import Engine
+    from loomyard.outside.engine import Engine
     from loomyard_router.claims.keeper import ClaimKeeper
     from loomyard_router.configuration.follower import ConfigFollower
     from loomyard_router.metrics.meters import Meters
--- a/packages/loomyard-router/src/loomyard_router/requests/stream_answers.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/stream_answers.py
@@ -24,7 +24,7 @@
     from collections.abc import Generator
 
     from loomyard.clock import Clock
-    from loomyard.platform.engine import Engine
+    from loomyard.outside.engine import Engine
     from loomyard_router.metrics.meters import Meters
     from loomyard_router.requests.attempt import Attempt
     from loomyard_router.requests.claimed_run import ClaimedRun
--- a/packages/loomyard-router/src/loomyard_router/requests/whole_answers.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/whole_answers.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Generator
 
-    from loomyard.platform.engine import TargetAnswer
+    from loomyard.outside.engine import TargetAnswer
     from loomyard_router.requests.attempt import Attempt
     from loomyard_router.requests.claimed_run import ClaimedRun
     from loomyard_router.requests.request import Request
--- a/packages/loomyard-router/src/loomyard_router/routes/route.py
+++ b/packages/loomyard-router/src/loomyard_router/routes/route.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-from loomyard_router.routes.route_kind import RouteKind
+from loomyard_router.routes.kind import RouteKind
 from loomyard_router.routes.service_share import ServiceShare
 
 POINT_BYTES = 8
--- a/packages/loomyard-router/src/loomyard_router/targets/cache_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/cache_follower.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from loomyard.clock import Clock
     from loomyard.objects import Target
-    from loomyard.platform.engine import Engine
+    from loomyard.outside.engine import Engine
     from loomyard_router.targets.prefix_index import PrefixIndex
 
 POLL_SECONDS = 2.0
--- a/packages/loomyard-router/src/loomyard_router/targets/http_engine.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/http_engine.py
@@ -21,7 +21,7 @@
 
 from loomyard.codec import CODEC
 from loomyard.errors import Executed, Fault, ResultCode
-from loomyard.platform.engine import CacheEvent, EngineOrder, LoadReport, TargetCall
+from loomyard.outside.engine import CacheEvent, EngineOrder, LoadReport, TargetCall
 from loomyard_router.targets.http_answer import ATTEMPT_HEADER, HttpAnswer, read_response
 from loomyard_router.targets.http_connections import Connections
 
@@ -29,7 +29,7 @@
     from geventhttpclient.connectionpool import ConnectionPool
 
     from loomyard.clock import Clock
-    from loomyard.platform.engine import TargetAnswer
+    from loomyard.outside.engine import TargetAnswer
 
 CONTROL_TIMEOUT = 2.0
 STALL_TIMEOUT = 30.0
--- a/packages/loomyard-router/src/loomyard_router/targets/load_poller.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/load_poller.py
@@ -17,7 +17,7 @@
     from loomyard.clock import Clock
     from loomyard.errors import Fault
     from loomyard.objects import Target
-    from loomyard.platform.engine import Engine, LoadReport
+    from loomyard.outside.engine import Engine, LoadReport
     from loomyard_router.members.membership import Membership
 
     TakeReport = Callable[[Target, Result[LoadReport, Fault]], None]
--- a/packages/loomyard-router/src/loomyard_router/targets/loaded_book.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/loaded_book.py
@@ -11,7 +11,7 @@
 
     from loomyard.clock import Clock
     from loomyard.objects import Target
-    from loomyard.platform.engine import LoadReport
+    from loomyard.outside.engine import LoadReport
     from loomyard_router.targets.gossip import Gossip
 
 LOADED_TOPIC = "targets.loaded"
--- a/packages/loomyard-router/src/loomyard_router/targets/slot_book.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/slot_book.py
@@ -16,7 +16,7 @@
 
     from loomyard.clock import Clock
     from loomyard.objects import Target
-    from loomyard.platform.engine import LoadReport
+    from loomyard.outside.engine import LoadReport
     from loomyard_router.members.membership import Member, Membership
     from loomyard_router.peers.links import PeerLinks
 
--- a/packages/loomyard-router/src/loomyard_router/targets/slot_estimate.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/slot_estimate.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from loomyard.platform.engine import LoadReport
+    from loomyard.outside.engine import LoadReport
 
 MAX_SLOTS = 4096
 # The estimate never passes this many times the configured slots.
--- a/packages/loomyard-standins/src/loomyard_standins/benches/bench_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/bench_fleet.py
@@ -21,7 +21,7 @@
     ServiceType,
     Target,
 )
-from loomyard.platform.vm_list import Vm
+from loomyard.outside.vm_list import Vm
 from loomyard_router.callers.keys import digest_key
 from loomyard_router.configuration.follower import CONFIG_STREAM
 from loomyard_standins.benches.child import Child
--- a/packages/loomyard-standins/src/loomyard_standins/benches/orders.py
+++ b/packages/loomyard-standins/src/loomyard_standins/benches/orders.py
@@ -21,7 +21,7 @@
 from loomyard_standins.fleet import StandinFleet, sample_key, start_fleet  # noqa: E402
 
 if TYPE_CHECKING:
-    from loomyard.platform.engine import EngineOrder
+    from loomyard.outside.engine import EngineOrder
     from loomyard_router.application import Application
 
 LIMIT_SECONDS = 45.0
--- a/packages/loomyard-standins/src/loomyard_standins/engine.py
+++ b/packages/loomyard-standins/src/loomyard_standins/engine.py
@@ -14,7 +14,7 @@
 from gevent.lock import BoundedSemaphore
 
 from loomyard.codec import CODEC
-from loomyard.platform.engine import EngineOrder
+from loomyard.outside.engine import EngineOrder
 from loomyard.prefixes import prefix_of
 from loomyard_standins.engine_cache import CAPACITY, PrefixCache
 from loomyard_standins.engine_orders import OrderBook
--- a/packages/loomyard-standins/src/loomyard_standins/engine_orders.py
+++ b/packages/loomyard-standins/src/loomyard_standins/engine_orders.py
@@ -5,7 +5,7 @@
 import gevent
 from attrs import define, field
 
-from loomyard.platform.engine import EngineOrder
+from loomyard.outside.engine import EngineOrder
 
 
 @define(eq=False)
--- a/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/fake_fleet.py
@@ -47,7 +47,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
-    from loomyard.platform.engine import Engine
+    from loomyard.outside.engine import Engine
 
     App = Callable[..., Any]
 
--- a/packages/loomyard-standins/src/loomyard_standins/fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/fleet.py
@@ -20,7 +20,7 @@
     Target,
     ref_of,
 )
-from loomyard.platform.vm_list import Vm
+from loomyard.outside.vm_list import Vm
 from loomyard_router.application import Application, make_application
 from loomyard_router.callers.keys import digest_key
 from loomyard_router.configuration.follower import CONFIG_STREAM
--- a/packages/loomyard/src/loomyard/platform/http_log.py
+++ b/packages/loomyard/src/loomyard/outside/http_log.py
@@ -8,14 +8,14 @@
 
 from loomyard.codec import decode
 from loomyard.errors import Executed, Fault, ResultCode
-from loomyard.platform.log_service import LogBatch
+from loomyard.outside.log_service import LogBatch
 from loomyard.util.addresses import split_address
 from loomyard.util.tcp import make_http_client
 
 if TYPE_CHECKING:
     from geventhttpclient import HTTPClient
 
-    from loomyard.platform.log_service import LogService
+    from loomyard.outside.log_service import LogService
 
 CONNECT_TIMEOUT = 1.0
 ANSWER_TIMEOUT = 5.0
--- a/packages/loomyard/src/loomyard/platform/settled_append.py
+++ b/packages/loomyard/src/loomyard/outside/settled_append.py
@@ -14,7 +14,7 @@
     from collections.abc import Callable
 
     from loomyard.clock import Clock
-    from loomyard.platform.log_service import LogService
+    from loomyard.outside.log_service import LogService
 
 FIRST_DELAY = 0.02
 LAST_DELAY = 1.0
--- a/tests/test_loomyard/test_settled_append.py
+++ b/tests/test_loomyard/test_settled_append.py
@@ -7,7 +7,7 @@
 import gevent
 
 from loomyard.errors import Executed, ResultCode
-from loomyard.platform.settled_append import append_settled
+from loomyard.outside.settled_append import append_settled
 from loomyard_standins.fake_clock import FakeClock
 from loomyard_standins.log_service import MemoryLog
 
--- a/tests/test_loomyard_router/test_config_distribution.py
+++ b/tests/test_loomyard_router/test_config_distribution.py
@@ -22,7 +22,7 @@
 )
 from loomyard.events import Event
 from loomyard.objects import ClientAccount, Metadata, ObjectRef
-from loomyard.platform.log_service import LogRecord
+from loomyard.outside.log_service import LogRecord
 from loomyard_router.configuration.log_snapshots import LogSnapshots
 from loomyard_router.configuration.repeating import FAILURE_PAUSE
 from loomyard_standins.config_fleet import RETENTION, ConfigFleet
--- a/tests/test_loomyard_router/test_platform/test_documents.py
+++ b/tests/test_loomyard_router/test_platform/test_documents.py
@@ -6,7 +6,7 @@
 import unittest
 
 from loomyard_router.platform.documents import decode_configuration, decode_target
-from loomyard_router.routes.route_kind import RouteKind
+from loomyard_router.routes.kind import RouteKind
 
 ROUTE = {
     "name": "r",
--- a/tests/test_loomyard_router/test_routed/routed_case.py
+++ b/tests/test_loomyard_router/test_routed/routed_case.py
@@ -23,8 +23,8 @@
 from loomyard_router.routed_settings import RetryTerms, RoutedSettings
 from loomyard_router.routes.account_terms import AccountTerms
 from loomyard_router.routes.caller_limits import CallerLimits
+from loomyard_router.routes.kind import RouteKind
 from loomyard_router.routes.route import Route
-from loomyard_router.routes.route_kind import RouteKind
 from loomyard_router.routes.route_table import RouteTable, make_route_table
 from loomyard_router.routes.service_share import ServiceShare
 from loomyard_router.routes.service_terms import EngineTerms, ServiceTerms
--- a/tests/test_loomyard_router/test_routed/test_rules.py
+++ b/tests/test_loomyard_router/test_routed/test_rules.py
@@ -8,7 +8,7 @@
 import gevent
 
 from loomyard_router.routes.caller_limits import CallerLimits
-from loomyard_router.routes.route_kind import RouteKind
+from loomyard_router.routes.kind import RouteKind
 from test_loomyard_router.test_routed.routed_case import RoutedCase, request_bytes, route
 from test_loomyard_router.test_routed.scripted_target import (
     Received,
--- a/tests/test_loomyard_router/test_targets/test_leaving_spread.py
+++ b/tests/test_loomyard_router/test_targets/test_leaving_spread.py
@@ -8,7 +8,7 @@
 
 from loomyard.configuration import Change, ConfigState, Put, fold
 from loomyard.objects import Metadata, Service, Target
-from loomyard.platform.vm_list import Vm, VmState
+from loomyard.outside.vm_list import Vm, VmState
 from loomyard.routing import Routing
 from loomyard_router.peers.no_peers import NoPeers
 from loomyard_router.targets.known_targets import KnownTargets, make_known_targets
