Write one line for each request at its end, bounded; read changed settings; serve metrics on demand

Cause: a stream's line came with its head, so it could not say how it ended; a slow reader of the output held the process up; SIGHUP and a changed file did nothing. Change: a queue of log lines with its own writer, a ceiling for plain successes and a count of what was left out; both clocks in each line; queue, first event and total time in histograms by account and service; the exposition is loaded with the first request for it.

--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/metrics/lazy_server.py
@@ -0,0 +1,53 @@
+"""The listener for metrics of a process that is rarely asked for them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from gevent.pool import Pool
+
+from loomyard.util.addresses import split_address
+from loomyard.util.optional_listener import OptionalListener
+from loomyard.util.tcp import NoDelayServer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from loomyard_router.metrics.meters import Meters
+    from loomyard_router.peers.traffic import TrafficCounters
+
+
+class LazyMetricsServer(OptionalListener):
+    """Load the exposition with the first request for it, since it takes some megabytes."""
+
+    def __init__(self, address: str, make_server: Callable[[], Any]) -> None:
+        self._make = make_server
+        self._app: Any = None
+        server = None
+        if address:
+            server = NoDelayServer(split_address(address), self._serve, log=None, spawn=Pool())
+        super().__init__(server, stop_timeout=0)
+
+    def _serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
+        if self._app is None:
+            self._app = self._make()
+        return self._app.serve(environ, start_response)
+
+
+def make_lazy_metrics(
+    address: str,
+    ready: Callable[[], bool],
+    *,
+    meters: Meters,
+    traffic: TrafficCounters,
+    in_flight: Callable[[], int],
+) -> LazyMetricsServer:
+    """Make the listener; without an address it does nothing."""
+
+    def make() -> Any:
+        from loomyard_router.metrics.exposition import MetersCollector
+        from loomyard_router.metrics.server import MetricsServer
+
+        return MetricsServer("", ready, MetersCollector(meters, traffic, in_flight))
+
+    return LazyMetricsServer(address, make)
--- a/packages/loomyard-router/src/loomyard_router/metrics/server.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/server.py
@@ -32,16 +32,17 @@
         self._collector = collector
         super().__init__(self._make_server(address), stop_timeout=0)
 
-    def _make_server(self, address: str) -> NoDelayServer | None:
-        if not address:
-            return None
-        return NoDelayServer(split_address(address), self._serve, log=None, spawn=Pool())
-
-    def _serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
+    def serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
+        """Answer a request; a WSGI application."""
         status, kind, body = self._answer(environ["PATH_INFO"])
         start_response(f"{status.value} {status.phrase}", [("Content-Type", kind)])
         return [body]
 
+    def _make_server(self, address: str) -> NoDelayServer | None:
+        if not address:
+            return None
+        return NoDelayServer(split_address(address), self.serve, log=None, spawn=Pool())
+
     def _answer(self, path: str) -> tuple[HTTPStatus, str, bytes]:
         if path == METRICS_PATH:
             return HTTPStatus.OK, CONTENT_TYPE_LATEST, expose(self._collector)
--- a/packages/loomyard-router/src/loomyard_router/platform/__main__.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/__main__.py
@@ -15,18 +15,22 @@
 from gevent.event import Event as GeventEvent  # noqa: E402
 from result import Err, Ok  # noqa: E402
 
+from loomyard.bounded_log import BoundedLogHandler  # noqa: E402
 from loomyard.clock import SystemClock  # noqa: E402
-from loomyard.logs import JSON, configure_logs  # noqa: E402
+from loomyard.logs import JSON, use_handler  # noqa: E402
 from loomyard.util.collector import tune_collector  # noqa: E402
 from loomyard_router.platform import names  # noqa: E402
 from loomyard_router.platform.callers import PlatformCallers  # noqa: E402
 from loomyard_router.platform.documents import decode_configuration, decode_target  # noqa: E402
 from loomyard_router.platform.settings_file import read_settings  # noqa: E402
+from loomyard_router.platform.settings_watch import SettingsWatch  # noqa: E402
 from loomyard_router.platform.store_feed import StoreFeed  # noqa: E402
 from loomyard_router.platform.targets import PlatformTargets  # noqa: E402
 from loomyard_router.routed_application import RoutedApplication, RoutedPlatform  # noqa: E402
 
 EXIT_SETTINGS = 2
+# Within what the grace leaves for the end of the process.
+FLUSH_SECONDS = 0.2
 
 
 def main() -> int:
@@ -37,8 +41,10 @@
             return EXIT_SETTINGS
         case Ok(settings):
             pass
-    configure_logs(JSON)
     clock = SystemClock()
+    lines = BoundedLogHandler(sys.stdout.fileno(), clock)
+    use_handler(lines, JSON)
+    lines.start()
     application = RoutedApplication(
         settings,
         RoutedPlatform(
@@ -57,10 +63,13 @@
     stopping = GeventEvent()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopping.set)
-    gevent.signal_handler(signal.SIGHUP, lambda: None)
+    watch = SettingsWatch(os.environ, clock, application.adopt)
+    gevent.signal_handler(signal.SIGHUP, watch.reload)
+    watch.start()
     application.start()
     stopping.wait()
     application.drain()
+    lines.flush_now(clock.now() + FLUSH_SECONDS)
     return 0
 
 
--- a/packages/loomyard-router/src/loomyard_router/platform/callers.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/callers.py
@@ -53,6 +53,8 @@
 class PlatformCallers:
     """The ``CallerDialect`` of the platform."""
 
+    id_header = names.ATTEMPT_ID
+
     def read_head(self, headers: list[tuple[str, str]], now: float) -> Result[RequestHead, Fault]:
         fields = {name.lower(): value.strip() for name, value in headers}
         attempt_id = fields.get(names.ATTEMPT_ID.lower(), "")
--- a/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
@@ -16,6 +16,8 @@
     from collections.abc import Mapping
 
 MILLISECONDS = 1000.0
+# As deploy/system.toml says it; the settings hold no port for metrics.
+METRICS_PORT = 9464
 DEFAULT_GRACE = 8.0
 # Files keep 200 descriptors; connections of callers may take half of the others.
 FILE_DESCRIPTORS = 200
@@ -66,7 +68,7 @@
         listen=fields["listen.frontend"],
         ready_listen=fields["listen.readiness"],
         peer_listen=f"{own}:{ports[0]}",
-        metrics_listen=f"{own}:{ports[-1]}",
+        metrics_listen=f"{own}:{METRICS_PORT}",
         seeds=seeds,
         store=fields["platform.address"],
         grace=float(fields.get("bounds.grace_s", DEFAULT_GRACE)),
--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -12,13 +12,16 @@
 from loomyard.events import Event, emit
 from loomyard_router.callers.app import DROPPED_HEADERS
 from loomyard_router.callers.handler import PRESENCE_KEY, TARGET_KEY
+from loomyard_router.metrics.phase import Phase
 from loomyard_router.requests.presence import CallerPresence
+from loomyard_router.routed.reported_body import ReportedBody
 from loomyard_router.routed.routed_request import RoutedRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from loomyard.clock import Clock
+    from loomyard_router.metrics.meters import Meters
     from loomyard_router.requests.answer import Answer
     from loomyard_router.routed.dialects import CallerDialect
     from loomyard_router.routed.forwarder import Forwarder
@@ -52,6 +55,7 @@
         holder: TableHolder,
         dialect: CallerDialect,
         forwarder: Forwarder,
+        meters: Meters,
         ending: Callable[[], bool],
         closing: Callable[[], bool] = lambda: False,
     ) -> None:
@@ -59,6 +63,7 @@
         self._holder = holder
         self._dialect = dialect
         self._forwarder = forwarder
+        self._meters = meters
         self._ending = ending
         self._closing = closing
 
@@ -98,7 +103,9 @@
         body = _read_body(environ, table.limits.body_bytes)
         if body.is_err():
             return Err(body.unwrap_err())
-        return Ok(self._make(environ, head.unwrap(), route, account.unwrap(), body.unwrap(), now))
+        request = self._make(environ, head.unwrap(), route, account.unwrap(), body.unwrap(), now)
+        request.table_version = table.version
+        return Ok(request)
 
     def _authenticate(
         self, table: RouteTable, route: Route, head: RequestHead
@@ -142,9 +149,16 @@
         headers = [(n, v) for n, v in answer.headers if n.lower() not in DROPPED_HEADERS]
         if self._ending():
             headers.append(("Connection", "close"))
-        self._log(request, status=answer.status, code=0, executed=Executed.YES)
         start_response(_status_line(answer.status), headers)
-        return answer.body
+
+        def ended() -> None:
+            self._end(request, status=answer.status, code=0, executed=Executed.YES)
+
+        if isinstance(answer.body, list):
+            # The server states the length of a body that it has whole.
+            ended()
+            return answer.body
+        return ReportedBody(answer.body, ended)
 
     def _refuse(
         self,
@@ -155,33 +169,72 @@
     ) -> Iterable[bytes]:
         status, headers = self._dialect.refusal(fault)
         if request is not None:
-            self._log(request, status=status, code=int(fault.code), executed=fault.executed)
+            self._end(
+                request,
+                status=status,
+                code=fault.code,
+                executed=fault.executed,
+                why=fault.detail,
+                retry_after=fault.retry_after,
+            )
         else:
-            path = environ[TARGET_KEY]
-            emit(logger, Event.REQUEST_REFUSED, path=path, code=int(fault.code), why=fault.detail)
+            self._meters.count(fault.code)
+            emit(
+                logger,
+                Event.REQUEST_REFUSED,
+                request=dict(environ[HEADERS_KEY]).get(self._dialect.id_header, ""),
+                path=environ[TARGET_KEY],
+                status=int(status),
+                code=int(fault.code),
+                why=fault.detail,
+            )
         # A caller comes back on another connection, so this one would only rest.
         headers.append(("Connection", "close"))
         start_response(_status_line(status), headers)
         return [b""]
 
-    def _log(self, request: RoutedRequest, *, status: int, code: int, executed: Executed) -> None:
+    def _end(
+        self,
+        request: RoutedRequest,
+        *,
+        status: int,
+        code: int,
+        executed: Executed,
+        **more: object,
+    ) -> None:
+        """Measure a request and write its line."""
+        trace = request.trace
+        now = self._clock.now()
+        self._meters.count(ResultCode(code) if code else None)
+        measured = (
+            (Phase.QUEUE, trace.placed_at),
+            (Phase.FIRST_TOKEN, trace.first_at),
+            (Phase.TOTAL, now),
+        )
+        for phase, at in measured:
+            if at is not None:
+                seconds = at - request.arrived_at
+                self._meters.record(request.account_name, request.service, phase, seconds)
         emit(
             logger,
             Event.REQUEST_ENDED,
             request=request.head.attempt_id,
             route=request.route.name,
+            service=request.service,
             account=request.account_name,
+            version=request.table_version,
             status=int(status),
-            code=code,
+            code=int(code),
             executed=executed.value,
-            target=request.trace.target,
-            attempts=request.trace.attempts,
-            taken=request.trace.taken,
-            choice=request.trace.choice,
+            target=trace.target,
+            attempts=trace.attempts,
+            taken=trace.taken,
+            choice=trace.choice,
             prompt=request.head.prompt_tokens,
-            placed_ms=_milliseconds(request.arrived_at, request.trace.placed_at),
-            first_ms=_milliseconds(request.arrived_at, request.trace.first_at),
-            milliseconds=_milliseconds(request.arrived_at, self._clock.now()),
+            placed_ms=_milliseconds(request.arrived_at, trace.placed_at),
+            first_ms=_milliseconds(request.arrived_at, trace.first_at),
+            ended_ms=_milliseconds(request.arrived_at, now),
+            **more,
         )
 
 
--- a/packages/loomyard-router/src/loomyard_router/routed/dialects.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/dialects.py
@@ -18,6 +18,10 @@
 class CallerDialect(Protocol):
     """Read heads of callers and word refusals."""
 
+    @property
+    def id_header(self) -> str:
+        """Return the header that names a request, for logs."""
+
     def read_head(self, headers: list[tuple[str, str]], now: float) -> Result[RequestHead, Fault]:
         """Decode the headers of a request. Errors: ``MALFORMED_REQUEST``."""
 
--- a/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
@@ -29,6 +29,7 @@
     presence: CallerPresence
     arrived_at: float
     deadline: float
+    table_version: int = -1
     trace: RequestTrace = field(factory=RequestTrace)
 
     @property
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+import attrs
 from attrs import frozen
 from result import Result
 
@@ -31,6 +32,8 @@
 from loomyard_router.feeds.feed_exchange import FeedExchange
 from loomyard_router.feeds.feed_follower import FeedFollower
 from loomyard_router.fleet_parts import make_fleet_parts
+from loomyard_router.metrics.lazy_server import make_lazy_metrics
+from loomyard_router.metrics.meters import Meters
 from loomyard_router.ready_listener import ReadyListener
 from loomyard_router.requests.retry_budget import RetryBudget
 from loomyard_router.routed.app import RoutedApp
@@ -144,19 +147,20 @@
                 hint=hint,
             ),
         )
-        retries = settings.retries
         forwarder = Forwarder(
             clock=clock,
             gate=gate,
             sender=Sender(clock, self._pool, platform.target_dialect),
             health=self._health,
             budget=RetryBudget(
-                per_request=retries.ratio,
-                most=lambda: 1.0 + SLACK_PART * retries.slack / self._routers(),
+                per_request=settings.retries.ratio,
+                most=self._retry_slack,
             ),
         )
+        meters = Meters(clock)
         self.app = RoutedApp(
             clock=clock,
+            meters=meters,
             holder=self.holder,
             dialect=platform.callers,
             forwarder=forwarder,
@@ -174,6 +178,13 @@
             most_connections=settings.most_connections,
         )
         self._ready = ReadyListener(settings.ready_listen, platform.ready_path, lambda: self.ready)
+        self._metrics = make_lazy_metrics(
+            settings.metrics_listen,
+            lambda: self.ready,
+            meters=meters,
+            traffic=self.fleet.traffic,
+            in_flight=lambda: self.in_flight,
+        )
         self.board.subscribe(self._forget)
 
     @property
@@ -202,9 +213,21 @@
         self._tables.start()
         self._targets.start()
         self._ready.start()
+        self._metrics.start()
         self._listener.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, listen=self._settings.listen)
 
+    def adopt(self, settings: RoutedSettings) -> None:
+        """Take changed settings over; grace and retry slack at once, the rest at the next start."""
+        changed = [
+            field
+            for field in attrs.asdict(settings, recurse=False)
+            if getattr(settings, field) != getattr(self._settings, field)
+        ]
+        if changed:
+            self._settings = settings
+            emit(logger, Event.SETTINGS_ADOPTED, changed=",".join(changed))
+
     def drain(self) -> None:
         """Stop as planned: say so, let what runs end within the grace, then stop."""
         deadline = self._clock.now() + self._settings.grace - GRACE_MARGIN
@@ -226,6 +249,7 @@
         """Stop at once."""
         self._listener.stop()
         self._ready.stop()
+        self._metrics.stop()
         self._tables.stop()
         self._targets.stop()
         if self.fleet.table_sync is not None:
@@ -234,6 +258,9 @@
         for part in parts:
             part.stop()
 
+    def _retry_slack(self) -> float:
+        return 1.0 + SLACK_PART * self._settings.retries.slack / self._routers()
+
     def _limits(self) -> CallerLimits:
         table = self.holder.table
         return CallerLimits() if table is None else table.limits
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -12,6 +12,9 @@
     ROUTER_STARTED = (100, logging.INFO, "the router serves callers")
     ROUTER_STOPPING = (101, logging.INFO, "a planned stop began")
     ROUTER_STOPPED = (102, logging.INFO, "a planned stop ended")
+    SETTINGS_ADOPTED = (103, logging.INFO, "changed settings are in force")
+    SETTINGS_UNREADABLE = (104, logging.ERROR, "changed settings can't be read; the old ones stay")
+    LOG_LINES_LEFT_OUT = (110, logging.WARNING, "log lines were left out to hold nothing up")
     CONFIGURATION_ADOPTED = (200, logging.INFO, "a configuration version is in force")
     CONFIGURATION_REJECTED = (201, logging.WARNING, "a change was rejected in log order")
     RECORD_INVALID = (202, logging.ERROR, "a log record could not be read and was skipped")
@@ -93,3 +96,8 @@
     """Log an event with its fields."""
     if logger.isEnabledFor(event.level):
         logger.log(event.level, event.meaning, extra={"event": event, "fields": fields})
+
+
+def event_of(record: logging.LogRecord) -> Event | None:
+    """Return the event of a log record."""
+    return getattr(record, "event", None)
--- a/packages/loomyard/src/loomyard/logs.py
+++ b/packages/loomyard/src/loomyard/logs.py
@@ -5,9 +5,12 @@
 import json
 import logging
 import sys
+import time
 from datetime import UTC, datetime
 from typing import Any
 
+from loomyard.events import event_of
+
 TEXT = "text"
 JSON = "json"
 
@@ -32,6 +35,8 @@
         number, fields = _event_of(record)
         document: dict[str, Any] = {
             "time": _time_of(record),
+            # Seconds of the steady clock; the time of day may jump.
+            "steady": round(time.monotonic(), 4),
             "level": record.levelname.lower(),
             "logger": record.name,
             "event": number,
@@ -44,13 +49,17 @@
 
 def configure_logs(form: str, level: int = logging.INFO) -> None:
     """Log to the standard error stream in a format."""
-    handler = logging.StreamHandler(sys.stderr)
+    use_handler(logging.StreamHandler(sys.stderr), form, level)
+
+
+def use_handler(handler: logging.Handler, form: str, level: int = logging.INFO) -> None:
+    """Log to a handler in a format, and nowhere else."""
     handler.setFormatter(JsonFormatter() if form == JSON else TextFormatter())
     logging.basicConfig(level=level, handlers=[handler], force=True)
 
 
 def _event_of(record: logging.LogRecord) -> tuple[int, dict[str, Any]]:
-    event = getattr(record, "event", None)
+    event = event_of(record)
     return (event.number if event else 0), getattr(record, "fields", {})
 
 
--- /dev/null
+++ b/tests/test_loomyard/test_bounded_log.py
@@ -0,0 +1,80 @@
+"""Tests of log lines that hold nobody up."""
+
+from __future__ import annotations
+
+import fcntl
+import json
+import logging
+import os
+import unittest
+
+import gevent
+
+from loomyard.bounded_log import MOST_LINES, REPORT_SECONDS, BoundedLogHandler
+from loomyard.events import Event
+from loomyard.logs import JsonFormatter
+from loomyard_standins.fake_clock import FakeClock
+
+PIPE_BYTES = 4096
+
+
+class TestBoundedLog(unittest.TestCase):
+    def setUp(self) -> None:
+        self.read_end, self.write_end = os.pipe()
+        self.addCleanup(os.close, self.read_end)
+        self.addCleanup(os.close, self.write_end)
+        fcntl.fcntl(self.write_end, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+        os.set_blocking(self.read_end, False)
+        self.clock = FakeClock()
+        self.handler = BoundedLogHandler(self.write_end, self.clock, routine_bytes=1000.0)
+        self.handler.setFormatter(JsonFormatter())
+
+    def log(self, event: Event, **fields: object) -> None:
+        record = logging.LogRecord("x", event.level, "", 0, event.meaning, None, None)
+        record.event = event
+        record.fields = fields
+        self.handler.handle(record)
+
+    def lines(self) -> list[dict]:
+        data = b""
+        while True:
+            gevent.sleep(0.005)
+            try:
+                data += os.read(self.read_end, 65536)
+            except BlockingIOError:
+                return [json.loads(line) for line in data.splitlines()]
+
+    def test_a_line_names_both_clocks(self) -> None:
+        self.handler.start()
+        self.log(Event.TARGET_DRAINS, target="t1")
+        (line,) = self.lines()
+        self.assertEqual((605, {"target": "t1"}), (line["event"], line["fields"]))
+        self.assertIn("steady", line)
+        self.assertIn("time", line)
+
+    def test_an_output_that_nobody_reads_holds_nothing_up(self) -> None:
+        self.handler.start()
+        for number in range(3 * MOST_LINES):
+            self.log(Event.ATTEMPT_FAILED, number=number)
+        gevent.sleep(0.01)
+        self.assertGreaterEqual(self.handler.left_out, MOST_LINES)
+        self.clock.advance(REPORT_SECONDS)
+        said = self.lines()
+        self.assertEqual(3 * MOST_LINES - 1, said[-2]["fields"].get("number"))
+        self.assertEqual(Event.LOG_LINES_LEFT_OUT.number, said[-1]["event"])
+        self.assertEqual(self.handler.left_out, said[-1]["fields"]["all"])
+
+    def test_routine_lines_have_a_ceiling_and_failures_do_not(self) -> None:
+        self.handler.start()
+        for number in range(20):
+            self.log(Event.REQUEST_ENDED, number=number, code=0)
+            self.log(Event.REQUEST_ENDED, number=number, code=2003)
+        ended = [line for line in self.lines() if line["event"] == 405]
+        refused = [line for line in ended if line["fields"]["code"]]
+        self.assertEqual(20, len(refused))
+        self.assertLess(len(ended) - len(refused), 10)
+        self.assertEqual(40 - len(ended), self.handler.left_out)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_loomyard_router/test_platform/test_settings_watch.py
@@ -0,0 +1,44 @@
+"""Tests of settings that change while a router runs."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from loomyard_router.platform import names
+from loomyard_router.platform.settings_watch import SettingsWatch
+from loomyard_standins.fake_clock import FakeClock
+from test_loomyard_router.test_platform.test_settings_file import TEXT
+
+
+class TestSettingsWatch(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "settings.conf"
+        self.path.write_text(TEXT)
+        self.taken: list = []
+        environment = {names.SETTINGS_VARIABLE: str(self.path)}
+        self.watch = SettingsWatch(environment, FakeClock(), self.taken.append)
+
+    def test_a_changed_file_is_read_without_a_signal(self) -> None:
+        self.watch.look()
+        self.assertEqual([], self.taken)
+        self.path.write_text(TEXT.replace("grace_s=8", "grace_s=12.5"))
+        self.watch.look()
+        self.watch.look()
+        self.assertEqual([12.5], [settings.grace for settings in self.taken])
+
+    def test_a_signal_reads_it_in_any_case(self) -> None:
+        self.watch.reload()
+        self.assertEqual(1, len(self.taken))
+
+    def test_what_can_not_be_read_changes_nothing(self) -> None:
+        self.path.write_text("half a fi")
+        self.watch.look()
+        self.assertEqual([], self.taken)
+
+
+if __name__ == "__main__":
+    unittest.main()
