--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_exchange.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_exchange.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
 import gevent
+from gevent.event import Event as GeventEvent
 from result import Ok
 
 from loomyard.events import Event, emit
-from loomyard_router.feeds.exchange_messages import FeedAnswer, FeedRequest
+from loomyard.rendezvous import rank
+from loomyard_router.feeds.exchange_messages import FeedAnswer, FeedRequest, FeedWait
 
 if TYPE_CHECKING:
     import random
@@ -28,13 +31,22 @@
 # How often a router without the store asks others, and how long one with it waits for its own read.
 ASK_SECONDS = 0.4
 READ_SECONDS = 0.3
+# A fleet up to this size reads the store itself; a larger one through the root of its size, but at
+# least as many, so that the loss of a rack leaves readers.
+LEAST_READERS = 10
+READERS_TRIED = 2
+# A wait is short, so that a reader that stands still is noticed within a configuration's bound.
+NEWS_SECONDS = 1.0
+OWN_SECONDS = 5.0
+MILLISECONDS = 1000
 
 
 class FeedExchange:
     """Announce how far feeds were read; ask others while the store is silent or they are ahead.
 
     One router that reaches the store is enough for all. A router asks one other at a time, so the
-    load does not grow with the fleet.
+    load does not grow with the fleet. In a large fleet only some routers read the store; each of
+    the others waits at one of them for news, so calls to the store grow with the root of its size.
     """
 
     def __init__(
@@ -53,13 +65,18 @@
         self._random = source
         self._heard: dict[str, int] = {}
         self._behind_since: dict[str, float] = {}
+        self._moved = GeventEvent()
+        self._own_until: dict[str, float] = {}
         self._task: gevent.Greenlet | None = None
         peers.handle(FeedRequest, self.give)
+        peers.handle(FeedWait, self.give_news)
 
     def start(self) -> None:
         """Start to announce and to ask."""
         for follower in self._followers.values():
             follower.subscribe(self._announce)
+            follower.subscribe_store(self._wake)
+            follower.read_through(self)
         self._members.subscribe_topic(TOPIC, self._hear)
         self._task = gevent.spawn(self._run)
 
@@ -75,6 +92,54 @@
             return FeedAnswer()
         return FeedAnswer(next_offset=follower.next_offset, records=follower.records)
 
+    def give_news(self, _: Member, request: FeedWait) -> FeedAnswer:
+        """Answer a router that waits for news here."""
+        follower = self._followers.get(request.feed)
+        if follower is None:
+            return FeedAnswer(answering=False)
+        deadline = self._clock.now() + request.wait / MILLISECONDS
+        while (
+            follower.next_offset <= request.beyond
+            and follower.answering == request.answering
+            and self._clock.now() < deadline
+        ):
+            self._moved.wait(max(0.0, deadline - self._clock.now()))
+        if follower.next_offset <= request.beyond:
+            return FeedAnswer(answering=follower.answering)
+        return FeedAnswer(
+            next_offset=follower.next_offset,
+            records=follower.records,
+            answering=follower.answering,
+        )
+
+    def wait_for_news(self, follower: FeedFollower) -> FeedAnswer | None:
+        """Wait at a router that reads the store; ``None`` where this one reads it itself."""
+        now = self._clock.now()
+        if now < self._own_until.get(follower.name, 0.0):
+            return None
+        own = self._members.own.name
+        names = [member.name for member in self._members.live()]
+        count = max(LEAST_READERS, math.ceil(math.sqrt(len(names))))
+        if len(names) <= count:
+            return None
+        readers = rank(f"reader of {follower.name}", names)[:count]
+        if own in readers:
+            return None
+        request = FeedWait(
+            feed=follower.name,
+            beyond=follower.next_offset,
+            wait=int(NEWS_SECONDS * MILLISECONDS),
+            answering=follower.answering,
+        )
+        for reader in rank(own, readers)[:READERS_TRIED]:
+            deadline = self._clock.now() + NEWS_SECONDS + REQUEST_SECONDS
+            match self._peers.request(reader, request, deadline):
+                case Ok(FeedAnswer() as answer) if answer.answering:
+                    return answer
+        # Readers are away or cut off themselves; the store decides what is true of it.
+        self._own_until[follower.name] = self._clock.now() + OWN_SECONDS
+        return None
+
     def step(self) -> None:
         """Ask another router for each feed that this one may lack something of."""
         now = self._clock.now()
@@ -107,7 +172,12 @@
                 )
                 follower.take_over(answer.records, answer.next_offset)
 
+    def _wake(self) -> None:
+        moved, self._moved = self._moved, GeventEvent()
+        moved.set()
+
     def _announce(self, follower: FeedFollower) -> None:
+        self._wake()
         until = self._clock.now() + ANNOUNCED_SECONDS
         self._members.announce(TOPIC, follower.name, follower.next_offset, until=until)
 
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
@@ -17,6 +17,7 @@
 
     from loomyard.clock import Clock
     from loomyard.errors import Fault
+    from loomyard_router.feeds.exchange_messages import FeedAnswer
     from loomyard_router.feeds.feed import Batch, Feed
     from loomyard_router.feeds.keyed_record import KeyedRecord
 
@@ -52,6 +53,13 @@
         """Take in that the store answers again."""
 
 
+class NewsSource(Protocol):
+    """Another way to hear what the store says."""
+
+    def wait_for_news(self, follower: FeedFollower) -> FeedAnswer | None:
+        """Wait for news of a feed; ``None`` where the store is to be read."""
+
+
 class FeedFollower:
     """List a feed once, then read on; list again where records are gone."""
 
@@ -72,6 +80,8 @@
         self._next_offset: int | None = None
         self._records: dict[str, KeyedRecord] = {}
         self._listeners: list[Callable[[FeedFollower], None]] = []
+        self._store_listeners: list[Callable[[], None]] = []
+        self._news: NewsSource | None = None
         self._failures = 0
         self._task: gevent.Greenlet | None = None
 
@@ -101,6 +111,14 @@
         """Call back when records were read or heard."""
         self._listeners.append(advanced)
 
+    def subscribe_store(self, changed: Callable[[], None]) -> None:
+        """Call back when the store is lost or answers again."""
+        self._store_listeners.append(changed)
+
+    def read_through(self, news: NewsSource) -> None:
+        """Hear from others instead of the store where they say so."""
+        self._news = news
+
     def take_over(self, records: list[KeyedRecord], next_offset: int) -> None:
         """Take over what another router read further than this one."""
         if next_offset <= self.next_offset:
@@ -122,6 +140,11 @@
     def step(self) -> float:
         """Make one call; return the seconds to wait before the next one."""
         before = self._next_offset
+        if before is not None and self._news is not None:
+            news = self._news.wait_for_news(self)
+            if news is not None:
+                self._hear(news)
+                return 0.0
         fault = self._list() if before is None else self._read(before)
         if fault is not None:
             return self._note_failure(fault)
@@ -134,6 +157,10 @@
             if pause:
                 self._clock.sleep(pause)
 
+    def _hear(self, answer: FeedAnswer) -> None:
+        self._note_answer()
+        self.take_over(answer.records, answer.next_offset)
+
     def _list(self) -> Fault | None:
         match self._feed.newest(self._clock.now() + LIST_SECONDS):
             case Ok(listing):
@@ -182,6 +209,10 @@
         self._taker.take_records(records)
         self._tell()
 
+    def _tell_store(self) -> None:
+        for changed in self._store_listeners:
+            changed()
+
     def _tell(self) -> None:
         for advanced in self._listeners:
             advanced(self)
@@ -191,12 +222,14 @@
             emit(logger, Event.FEED_REGAINED, feed=self._feed.name, failures=self._failures)
             self._failures = 0
             self._taker.note_regained()
+            self._tell_store()
 
     def _note_failure(self, fault: Fault) -> float:
         self._failures += 1
         if self._failures == 1:
             emit(logger, Event.FEED_LOST, feed=self._feed.name, detail=fault.detail)
             self._taker.note_lost()
+            self._tell_store()
         pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2.0 ** min(self._failures, 8))
         # Routers that lost the store together must not come back together.
         return pause * self._random.uniform(0.5, 1.0)
--- a/tests/test_loomyard_router/test_feeds/test_feed_follower.py
+++ b/tests/test_loomyard_router/test_feeds/test_feed_follower.py
@@ -162,6 +162,87 @@
         self.heard[topic] = heard
 
 
+class ManyMembers(SoleMembership):
+    """A membership of many."""
+
+    def __init__(self, own: Member, all_: list[Member]) -> None:
+        super().__init__(own)
+        self._all = all_
+
+    def live(self) -> tuple[Member, ...]:
+        return tuple(self._all)
+
+
+class TestReaders(unittest.TestCase):
+    """A fleet of 40, of which ten read the store."""
+
+    def setUp(self) -> None:
+        self.network = MemoryNetwork()
+        self.clock = FakeClock()
+        members = [
+            Member(name=f"r{n}", incarnation=1, address="", data_centre="") for n in range(40)
+        ]
+        self.feeds: dict[str, ScriptedFeed] = {}
+        self.followers: dict[str, FeedFollower] = {}
+        self.exchanges: dict[str, FeedExchange] = {}
+        for member in members:
+            name = member.name
+            feed = self.feeds[name] = ScriptedFeed()
+            follower = FeedFollower(feed, Taken(), self.clock, random.Random(1))
+            self.followers[name] = follower
+            exchange = self.exchanges[name] = FeedExchange(
+                clock=self.clock,
+                members=ManyMembers(member, members),
+                peers=self.network.join(member),
+                followers=[follower],
+                source=random.Random(1),
+            )
+            exchange.start()
+            self.addCleanup(exchange.stop)
+            feed.listings.append(Ok(Listing(records=[record("a", 0)], next_offset=1)))
+            follower.step()
+        self.readers = [name for name in self.followers if self.reads_itself(name)]
+        self.level(100)
+
+    def reads_itself(self, name: str) -> bool:
+        # The others have something newer, so that nobody waits.
+        newest = max(follower.next_offset for follower in self.followers.values())
+        self.level(newest + 1, but=name)
+        return self.exchanges[name].wait_for_news(self.followers[name]) is None
+
+    def level(self, offset: int, but: str = "") -> None:
+        for name, follower in self.followers.items():
+            if name != but:
+                follower.take_over([record("a", 0)], offset)
+
+    def test_some_read_the_store(self) -> None:
+        self.assertEqual(10, len(self.readers))
+
+    def test_the_others_hear_what_the_readers_read(self) -> None:
+        name = next(one for one in self.followers if one not in self.readers)
+        for reader in self.readers:
+            self.followers[reader].take_over([record("c", 100)], 101)
+        self.followers[name].step()
+        self.assertEqual(101, self.followers[name].next_offset)
+        self.assertEqual([], self.feeds[name].asked)
+
+    def test_without_readers_a_router_reads_the_store_itself(self) -> None:
+        name = next(one for one in self.followers if one not in self.readers)
+        self.network.cut({name}, set(self.readers))
+        self.feeds[name].batches.append(Ok(Batch(records=[record("c", 100)], next_offset=101)))
+        self.followers[name].step()
+        self.assertEqual(101, self.followers[name].next_offset)
+
+    def test_readers_without_the_store_are_passed_over(self) -> None:
+        name = next(one for one in self.followers if one not in self.readers)
+        for reader in self.readers:
+            self.feeds[reader].batches.append(Err(DOWN))
+            self.followers[reader].step()
+        self.feeds[name].batches.append(Ok(Batch(records=[], next_offset=100)))
+        self.followers[name].step()
+        self.assertEqual([100], self.feeds[name].asked)
+
+
 class TestFeedExchange(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = FakeClock()
