Bound the requests of one account that wait for places at one router

Change: twelve requests of an account wait at once, further ones are refused with a time to come back.

--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
@@ -28,6 +29,9 @@
 PATIENCE_PART = 0.75
 DEFAULT_OBJECTIVE = 0.4
 LEAST_WAIT = 0.002
+# Requests of one account that wait here at once. Each waits a tenth of a second, so more would only
+# make the router late for everybody, as one account's burst of 300 a second did on half a core.
+MOST_WAITING = 12
 # Engines tried besides the preferred one before it is waited for again.
 MOST_OTHERS = 2
 
@@ -51,8 +55,22 @@
         self._loads = loads
         self._client = client
         self._hint = hint
+        self._asking: Counter[str] = Counter()
 
     def take(self, request: RoutedRequest, avoided: frozenset[str]) -> Result[Place, Fault]:
+        account = request.account_name
+        if self._asking[account] >= MOST_WAITING:
+            detail = "too many requests of the account wait for a place here"
+            return Err(self._hint.refuse(ResultCode.QUEUE_FULL, detail))
+        self._asking[account] += 1
+        try:
+            return self._find(request, avoided)
+        finally:
+            self._asking[account] -= 1
+            if not self._asking[account]:
+                del self._asking[account]
+
+    def _find(self, request: RoutedRequest, avoided: frozenset[str]) -> Result[Place, Fault]:
         ranked = self._rank(request, avoided)
         if not ranked:
             detail = "no target of the service takes new work"
--- a/tests/test_loomyard_router/test_admission/test_places.py
+++ b/tests/test_loomyard_router/test_admission/test_places.py
@@ -7,7 +7,8 @@
 
 import gevent
 
-from loomyard_router.admission.fleet_gate import FleetGate
+from loomyard.errors import ResultCode
+from loomyard_router.admission.fleet_gate import MOST_WAITING, FleetGate
 from loomyard_router.admission.place_client import PlaceClient
 from loomyard_router.admission.place_keeper import SILENCE_SECONDS, PlaceKeeper
 from loomyard_router.admission.place_messages import PlaceRequest, PlacesHeld, PromptsRead
@@ -224,6 +225,16 @@
         gevent.sleep(0.01)
         self.assertTrue(self.take(2).is_ok())
 
+    def test_an_account_that_waits_too_often_is_refused_at_once(self) -> None:
+        places = [self.take(0, number=n).unwrap() for n in range(SLOTS)]
+        waiting = [gevent.spawn(self.take, 1, number=n) for n in range(MOST_WAITING)]
+        gevent.sleep(0.01)
+        self.assertIs(ResultCode.QUEUE_FULL, self.take(1, number=99).unwrap_err().code)
+        self.assertFalse(any(one.ready() for one in waiting))
+        places[0].release()
+        gevent.joinall(waiting)
+        self.assertEqual(1, sum(one.value.is_ok() for one in waiting))
+
     def test_an_account_beyond_its_share_leaves_places_to_the_others(self) -> None:
         self.fleet.engine_rate = 100.0
         tokens = {"prompt_tokens": 300}
