--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -84,6 +84,9 @@
             place = self._ask(request, target, wait, patience, choice, first=choice == 0)
             if place is not None or request.presence.gone:
                 return self._end(request, place)
+            if self._client.beyond(request.account_name) and request.affinity:
+                # What it asks beyond its share must not make other engines read its prompts again.
+                break
         left = until - self._clock.now()
         if left < LEAST_WAIT:
             return self._end(request, None)
--- a/packages/loomyard-router/src/loomyard_router/admission/place_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_client.py
@@ -34,6 +34,9 @@
 STATEMENT_SECONDS = 1.0
 # Notices that come together travel together.
 GATHER_SECONDS = 0.002
+# Weight of the newest word on an account, and the mean above which it counts as beyond its share.
+NEWEST_WEIGHT = 0.2
+BEYOND_MEAN = 0.7
 
 
 class Verdict(Enum):
@@ -67,6 +70,7 @@
         self._released: dict[str, list[int]] = {}
         self._read: dict[str, list[int]] = {}
         self._sending: set[str] = set()
+        self._beyond: dict[str, float] = {}
         self._taken: dict[str, int] = {}
         self._task: gevent.Greenlet | None = None
         members.subscribe(self._move)
@@ -84,6 +88,13 @@
         """Return how many places of a target were taken when its keeper answered last."""
         return self._taken.get(target.id, 0)
 
+    def beyond(self, account: str) -> bool:
+        """Tell whether most keepers that answered lately say that an account has had its share.
+
+        Each judges by its own engines, so where there are many of them a single one often errs.
+        """
+        return self._beyond.get(account, 0.0) > BEYOND_MEAN
+
     def ask(
         self,
         request: RoutedRequest,
@@ -124,6 +135,9 @@
                     self._queue_release(keeper, ticket)
                     return Verdict.UNREACHABLE, 0
         self._taken[target.id] = answer.taken
+        before = self._beyond.get(request.account_name, 0.0)
+        step = NEWEST_WEIGHT * (answer.beyond - before)
+        self._beyond[request.account_name] = before + step
         if not answer.granted:
             return Verdict.FULL, 0
         self._held[ticket] = _Held(target=target.id, keeper=keeper)
--- a/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
@@ -87,10 +87,12 @@
         if not book.waiting and self._admits(book, request):
             self._grant(book, ticket, request)
             return PlaceAnswer(granted=True, taken=len(book.held))
-        if not request.wait:
-            return PlaceAnswer(granted=False, taken=len(book.held) + len(book.waiting))
-        granted = self._wait(book, Ask(ticket, request))
-        return PlaceAnswer(granted=granted, taken=len(book.held) + len(book.waiting))
+        granted = bool(request.wait) and self._wait(book, Ask(ticket, request))
+        return PlaceAnswer(
+            granted=granted,
+            taken=len(book.held) + len(book.waiting),
+            beyond=self._shares.beyond(request.account),
+        )
 
     def note_read(self, member: Member, read: PromptsRead) -> None:
         """Take in which prompts were read, and admit who waited for that."""
--- a/packages/loomyard-router/src/loomyard_router/admission/place_messages.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_messages.py
@@ -33,10 +33,14 @@
 @peer_message("pa")
 @frozen(kw_only=True)
 class PlaceAnswer:
-    """Whether the place was given, and how many are taken of the target."""
+    """Whether the place was given, and how many are taken of the target.
+
+    ``beyond`` says that the account has had its share, so that it finds half of the places only.
+    """
 
     granted: bool
     taken: int
+    beyond: bool = False
 
 
 @peer_message("pe")
--- a/packages/loomyard-router/src/loomyard_router/callers/presence_watch.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/presence_watch.py
@@ -31,6 +31,7 @@
         self._readable = loop.io(sock.fileno(), READABLE)
         self._timer = loop.timer(CHECK_SECONDS, CHECK_SECONDS)
         self._readable.start(self._check)
+        presence.look_with(lambda: _is_connected(sock))
 
     def stop(self) -> None:
         """Watch no longer."""
--- a/packages/loomyard-router/src/loomyard_router/requests/presence.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/presence.py
@@ -14,11 +14,22 @@
     def __init__(self) -> None:
         self._gone = False
         self._listeners: list[Callable[[], None]] = []
+        self._connected: Callable[[], bool] | None = None
 
     @property
     def gone(self) -> bool:
         return self._gone
 
+    def look_with(self, connected: Callable[[], bool]) -> None:
+        """Take a way to look whether the caller is there, besides being told."""
+        self._connected = connected
+
+    def look(self) -> bool:
+        """Look now; where the process is busy, the word that a caller went comes late."""
+        if not self._gone and self._connected is not None and not self._connected():
+            self.leave()
+        return not self._gone
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call back when the caller goes; at once where it has gone already."""
         if self._gone:
--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -38,6 +38,9 @@
 
 HEADERS_KEY = "loomyard.headers"
 NOT_READY_RETRY_AFTER = 0.5
+OVERLOADED = Fault(
+    code=ResultCode.ROUTER_OVERLOADED, detail="this router is behind with its work", retry_after=0.6
+)
 STOPPING = Fault(code=ResultCode.STOPPING, detail="this router is being stopped", retry_after=0.05)
 READ_BYTES = 65536
 
@@ -58,6 +61,7 @@
         meters: Meters,
         ending: Callable[[], bool],
         closing: Callable[[], bool] = lambda: False,
+        overloaded: Callable[[], bool] = lambda: False,
     ) -> None:
         self._clock = clock
         self._holder = holder
@@ -66,10 +70,13 @@
         self._meters = meters
         self._ending = ending
         self._closing = closing
+        self._overloaded = overloaded
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         arrived_at = self._clock.now()
         headers = environ[HEADERS_KEY]
+        if self._overloaded():
+            return self._refuse(environ, start_response, OVERLOADED, None)
         if self._closing():
             return self._refuse(environ, start_response, STOPPING, None)
         read = self._read(environ, headers, arrived_at)
--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -88,6 +88,10 @@
                 fault = taken.unwrap_err()
                 return Err(evolve(fault, executed=executed) if attempts else fault)
             place = taken.unwrap()
+            if not request.presence.look():
+                place.release()
+                fault = Fault(code=ResultCode.CALLER_GONE, detail="the caller left")
+                return Err(evolve(fault, executed=executed))
             request.trace.place(place, self._clock.now())
             outcome = self._attempt(request, place, last_event)
             if outcome.is_ok():
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -41,6 +41,7 @@
 from loomyard_router.routed.dialects import CallerDialect, TargetDialect
 from loomyard_router.routed.forwarder import Forwarder
 from loomyard_router.routed.listener import RoutedListener
+from loomyard_router.routed.loop_lag import LoopLag
 from loomyard_router.routed.sender import Sender
 from loomyard_router.routes.caller_limits import CallerLimits
 from loomyard_router.routes.route_table import RouteTable
@@ -158,6 +159,7 @@
             ),
         )
         meters = Meters(clock)
+        self._lag = LoopLag(clock)
         self.app = RoutedApp(
             clock=clock,
             meters=meters,
@@ -166,6 +168,7 @@
             forwarder=forwarder,
             ending=lambda: self.stopping or self._listener.crowded,
             closing=lambda: self.closing,
+            overloaded=lambda: self._lag.overloaded,
         )
         self._in_flight = InFlight(clock)
         self._listener = RoutedListener(
@@ -212,6 +215,7 @@
             self.fleet.table_sync.start()
         self._tables.start()
         self._targets.start()
+        self._lag.start()
         self._ready.start()
         self._metrics.start()
         self._listener.start()
@@ -248,6 +252,7 @@
     def stop(self) -> None:
         """Stop at once."""
         self._listener.stop()
+        self._lag.stop()
         self._ready.stop()
         self._metrics.stop()
         self._tables.stop()
