--- a/packages/loomyard-router/src/loomyard_router/callers/handler.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/handler.py
@@ -8,7 +8,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
-from gevent import Timeout
+from gevent import GreenletExit, Timeout
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler
 
@@ -97,7 +97,8 @@
 
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
         self.close_connection = True
-        if isinstance(v, OSError):
+        if isinstance(v, OSError | GreenletExit):
+            # The connection broke, or the router is being stopped.
             return
         emit(logger, Event.HANDLER_FAILED, error=f"{t.__name__}: {v}")
         super().handle_error(t, v, tb)
--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -159,7 +159,10 @@
         start_response(_status_line(answer.status), headers)
 
         def ended() -> None:
-            self._end(request, status=answer.status, code=0, executed=Executed.YES)
+            broken = request.trace.broken
+            code = ResultCode.ANSWER_INCOMPLETE if broken else 0
+            more = {"why": broken} if broken else {}
+            self._end(request, status=answer.status, code=code, executed=Executed.YES, **more)
 
         if isinstance(answer.body, list):
             # The server states the length of a body that it has whole.
--- a/packages/loomyard-router/src/loomyard_router/routed/stream_passing.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/stream_passing.py
@@ -106,6 +106,7 @@
 
     def _break(self, detail: str) -> None:
         gone = self._request.presence.gone
+        self._request.trace.broken = "the caller left" if gone else detail
         emit(
             logger,
             Event.CALLER_GONE if gone else Event.STREAM_BROKEN,
--- a/tests/test_loomyard_router/test_routed/test_rules.py
+++ b/tests/test_loomyard_router/test_routed/test_rules.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from loomyard.errors import ResultCode
 from loomyard_router.routes.caller_limits import CallerLimits
 from loomyard_router.routes.kind import RouteKind
 from test_loomyard_router.test_routed.routed_case import RoutedCase, request_bytes, route
@@ -300,7 +301,10 @@
         self.target("t1", stream, "engine")
         self.target("t2", stream, "engine")
         self.publish(route(service="engine", kind=RouteKind.STREAM))
-        data = self.cut("/p/x")
+        with mock.patch("loomyard_router.routed.app.emit") as emit:
+            data = self.cut("/p/x")
+            self.until(lambda: emit.called)
+        self.assertEqual(int(ResultCode.ANSWER_INCOMPLETE), emit.call_args.kwargs["code"])
         self.assertIn(event(0), data)
         self.assertNotIn(b"id: 1", data)
         self.assertFalse(data.endswith(b"0\r\n\r\n"))
