--- a/packages/loomyard-router/src/loomyard_router/callers/app.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/app.py
@@ -19,6 +19,7 @@
     JSON_TYPE,
     problem_document,
     problem_headers,
+    status_line,
     status_of,
 )
 from loomyard_router.callers.request_reader import SERVICES_PREFIX, RequestReader
@@ -141,7 +142,7 @@
     def _report(self, path: str, start_response: StartResponse) -> Iterable[bytes]:
         good = path == HEALTH_PATH or self.ready
         status = HTTPStatus.OK if good else HTTPStatus.SERVICE_UNAVAILABLE
-        start_response(_status_line(status), [("Content-Type", "text/plain")])
+        start_response(status_line(status), [("Content-Type", "text/plain")])
         return [b"ok\n" if good else b"not ready\n"]
 
     def _list_models(self, account: ClientAccount) -> Answer:
@@ -181,7 +182,7 @@
         request_id = answer.request_id or self.request_id
         headers += [("Loomyard-Request-Id", request_id), ("X-Request-Id", request_id)]
         try:
-            self._start_response(_status_line(answer.status), headers)
+            self._start_response(status_line(answer.status), headers)
         except Exception as error:
             if close := getattr(answer.body, "close", None):
                 close()
@@ -201,12 +202,5 @@
         headers = [("Content-Type", kind), *problem_headers(fault, self.request_id)]
         if fault.code in CLOSING_CODES:
             headers.append(("Connection", "close"))
-        self._start_response(_status_line(status_of(fault.code)), headers)
+        self._start_response(status_line(status_of(fault.code)), headers)
         return [body]
-
-
-def _status_line(status: int) -> str:
-    try:
-        return f"{int(status)} {HTTPStatus(status).phrase}"
-    except ValueError:
-        return f"{status} Unknown"
--- a/packages/loomyard-router/src/loomyard_router/callers/problems.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/problems.py
@@ -51,6 +51,14 @@
     return _STATUS.get(code, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
+def status_line(status: int) -> str:
+    """Return a status with its phrase, as a WSGI server takes it."""
+    try:
+        return f"{int(status)} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
+
+
 def problem_headers(fault: Fault, request_id: str) -> list[tuple[str, str]]:
     """Return the headers of a problem."""
     headers = [("Loomyard-Request-Id", request_id), ("X-Request-Id", request_id)]
--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
@@ -12,6 +11,7 @@
 from loomyard.events import Event, emit
 from loomyard_router.callers.app import DROPPED_HEADERS
 from loomyard_router.callers.handler import PRESENCE_KEY, TARGET_KEY
+from loomyard_router.callers.problems import status_line
 from loomyard_router.metrics.phase import Phase
 from loomyard_router.requests.presence import CallerPresence
 from loomyard_router.routed.reported_body import ReportedBody
@@ -156,7 +156,7 @@
         headers = [(n, v) for n, v in answer.headers if n.lower() not in DROPPED_HEADERS]
         if self._ending():
             headers.append(("Connection", "close"))
-        start_response(_status_line(answer.status), headers)
+        start_response(status_line(answer.status), headers)
 
         def ended() -> None:
             broken = request.trace.broken
@@ -200,7 +200,7 @@
             )
         # A caller comes back on another connection, so this one would only rest.
         headers.append(("Connection", "close"))
-        start_response(_status_line(status), headers)
+        start_response(status_line(status), headers)
         return [b""]
 
     def _end(
@@ -277,10 +277,3 @@
     if length and size < int(length):
         return Err(Fault(code=ResultCode.MALFORMED_REQUEST, detail="the body did not come whole"))
     return Ok(b"".join(blocks))
-
-
-def _status_line(status: int) -> str:
-    try:
-        return f"{int(status)} {HTTPStatus(status).phrase}"
-    except ValueError:
-        return f"{status} Unknown"
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -14,16 +14,7 @@
 from loomyard.clock import Clock
 from loomyard.events import Event, emit
 from loomyard.util.addresses import split_address
-from loomyard_router.admission.account_usage import AccountUsage
-from loomyard_router.admission.fleet_gate import FleetGate
-from loomyard_router.admission.gate import Gate
-from loomyard_router.admission.place_client import PlaceClient
-from loomyard_router.admission.place_keeper import PlaceKeeper
-from loomyard_router.admission.service_gates import ServiceGates
-from loomyard_router.admission.target_choice import TargetChoice
-from loomyard_router.admission.target_health import TargetHealth
-from loomyard_router.admission.target_loads import TargetLoads
-from loomyard_router.admission.waiting_time import RetryHint
+from loomyard_router.admission.parts import make_admission
 from loomyard_router.announced.announced_target import AnnouncedTarget
 from loomyard_router.announced.target_board import TargetBoard
 from loomyard_router.announced.target_feed import TargetFeed
@@ -104,21 +95,9 @@
             source,
             pace=settings.feed_pace,
         )
-        self._health = TargetHealth(clock)
         self._pool = ConnectionPool(clock)
         self.fleet = make_fleet_parts(_fleet_settings(settings), clock)
         self.members, peers = self.fleet.members, self.fleet.peers
-        self._keeper = PlaceKeeper(
-            clock=clock,
-            board=self.board,
-            members=self.members,
-            peers=peers,
-            window=settings.share_window,
-            engine_rate=self._engine_rate,
-        )
-        self._places = PlaceClient(
-            clock=clock, members=self.members, peers=peers, keeper=self._keeper
-        )
         self._exchange = FeedExchange(
             clock=clock,
             members=self.members,
@@ -126,33 +105,20 @@
             followers=(self._tables, self._targets),
             source=source,
         )
-        hint = RetryHint(source)
-        loads = TargetLoads(self._routers)
-        gate = ServiceGates(
+        self._admission = make_admission(
+            clock=clock,
+            board=self.board,
             holder=self.holder,
-            engines=FleetGate(
-                clock=clock,
-                board=self.board,
-                health=self._health,
-                loads=loads,
-                client=self._places,
-                hint=hint,
-            ),
-            plain=Gate(
-                clock=clock,
-                board=self.board,
-                loads=loads,
-                health=self._health,
-                choice=TargetChoice(loads),
-                usage=AccountUsage(clock, settings.share_window),
-                hint=hint,
-            ),
+            members=self.members,
+            peers=peers,
+            window=settings.share_window,
+            source=source,
         )
         forwarder = Forwarder(
             clock=clock,
-            gate=gate,
+            gate=self._admission.gate,
             sender=Sender(clock, self._pool, platform.target_dialect),
-            health=self._health,
+            health=self._admission.health,
             budget=RetryBudget(
                 per_request=settings.retries.ratio,
                 most=self._retry_slack,
@@ -208,7 +174,7 @@
 
     def start(self) -> None:
         """Start to follow the feeds and to serve callers."""
-        parts = (self.fleet.peers, self.members, self._keeper, self._places, self._exchange)
+        parts = (self.fleet.peers, self.members, self._admission, self._exchange)
         for part in parts:
             part.start()
         if self.fleet.table_sync is not None:
@@ -259,7 +225,7 @@
         self._targets.stop()
         if self.fleet.table_sync is not None:
             self.fleet.table_sync.stop()
-        parts = (self._exchange, self._places, self._keeper, self.members, self.fleet.peers)
+        parts = (self._exchange, self._admission, self.members, self.fleet.peers)
         for part in parts:
             part.stop()
 
@@ -270,23 +236,13 @@
         table = self.holder.table
         return CallerLimits() if table is None else table.limits
 
-    def _engine_rate(self) -> float:
-        """Return the tokens a second that the configuration states, for each engine."""
-        table = self.holder.table
-        if table is None:
-            return 0.0
-        services = [name for name, terms in table.services.items() if terms.engine]
-        engines = sum(len(self.board.usable(name)) for name in services)
-        return table.limits.tokens_per_second / max(1, engines)
-
     def _routers(self) -> int:
         return len(self.members.live())
 
     def _forget(self) -> None:
         known = {target.id for target in self.board.known()}
         self._pool.forget(known)
-        self._health.forget(known)
-        self._places.forget(known)
+        self._admission.forget(known)
 
 
 def _fleet_settings(settings: RoutedSettings) -> Settings:
--- /dev/null
+++ b/tests/test_loomyard_router/test_routed/test_answers.py
@@ -0,0 +1,171 @@
+"""Tests of answers and streams on their way to callers."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+from unittest import mock
+
+import gevent
+
+from loomyard.errors import ResultCode
+from loomyard_router.routes.kind import RouteKind
+from test_loomyard_router.test_routed.routed_case import RoutedCase, route
+from test_loomyard_router.test_routed.scripted_target import (
+    Received,
+    answer,
+    chunk,
+    event,
+    stream_head,
+)
+
+if TYPE_CHECKING:
+    import socket
+
+REPEATABLE = {"kind": RouteKind.IDEMPOTENT}
+RESUMABLE = {"kind": RouteKind.STREAM, "resumable": True}
+
+
+class TestAnswers(RoutedCase):
+    def test_an_answer_to_another_attempt_reaches_nobody(self) -> None:
+        self.target("t1", lambda r, sock: sock.sendall(answer(r, echo="another")))
+        self.publish(route())
+        response = self.call()
+        self.assertEqual((502, b""), (response.status, response.data))
+
+    def test_a_success_without_the_mark_of_a_target_reaches_nobody(self) -> None:
+        def unmarked(request: Received, sock: socket.socket) -> None:
+            whole = answer(request).replace(b"Loomyard-Server-Stamp", b"X-Nothing")
+            sock.sendall(whole)
+
+        self.target("t1", unmarked)
+        self.publish(route())
+        self.assertEqual(502, self.call().status)
+
+    def test_bytes_after_an_answer_end_the_connection(self) -> None:
+        target = self.target("t1", lambda r, sock: sock.sendall(answer(r) + answer(r, b"again")))
+        self.publish(route(**REPEATABLE))
+        for number in range(3):
+            response = self.call(Loomyard_Attempt_Id=f"a{number}")
+            self.assertEqual(b"whole", response.data)
+        self.assertEqual(3, target.connections)
+
+    def test_a_late_second_answer_is_not_the_next_ones(self) -> None:
+        def twice(request: Received, sock: socket.socket) -> None:
+            sock.sendall(answer(request, request.attempt_id.encode()))
+            gevent.sleep(0.02)
+            sock.sendall(answer(request, request.attempt_id.encode()))
+
+        self.target("t1", twice)
+        self.publish(route(**REPEATABLE))
+        for number in range(3):
+            response = self.call(Loomyard_Attempt_Id=f"a{number}")
+            self.assertEqual(f"a{number}".encode(), response.data)
+            gevent.sleep(0.05)
+
+    def test_a_short_answer_does_not_look_complete(self) -> None:
+        def cut(request: Received, sock: socket.socket) -> bool:
+            sock.sendall(answer(request)[:-2])
+            return True
+
+        self.target("t1", cut)
+        self.publish(route())
+        self.assertEqual((502, b""), (self.call().status, self.call().data))
+
+    def test_bytes_that_are_no_answer(self) -> None:
+        def spoil(request: Received, sock: socket.socket) -> bool:
+            sock.sendall(b"\x00\x01 nonsense\r\n\r\n")
+            return True
+
+        self.target("t1", spoil)
+        self.publish(route())
+        self.assertEqual(502, self.call().status)
+
+    def test_an_answer_without_a_length(self) -> None:
+        def unframed(request: Received, sock: socket.socket) -> bool:
+            sock.sendall(answer(request).replace(b"Content-Length: 5\r\n", b""))
+            return True
+
+        self.target("t1", unframed)
+        self.publish(route())
+        self.assertEqual(b"whole", self.call().data)
+
+    def test_an_answer_before_a_long_body_was_read(self) -> None:
+        def early(request: Received, sock: socket.socket) -> None:
+            sock.sendall(answer(request, b"no", status="400 Bad Request"))
+
+        target = self.target("t1", early)
+        self.publish(route(**REPEATABLE))
+        response = self.call(body=b"x" * 200_000)
+        self.assertEqual((400, b"no"), (response.status, response.data))
+        self.assertEqual(200_000, len(target.received[0].body))
+
+
+class TestStreams(RoutedCase):
+    def test_whole_events_pass_as_they_come(self) -> None:
+        def stream(request: Received, sock: socket.socket) -> None:
+            sock.sendall(stream_head(request))
+            for number in range(3):
+                data = event(number)
+                sock.sendall(chunk(data[:7]))
+                sock.sendall(chunk(data[7:]))
+            sock.sendall(b"0\r\n\r\n")
+
+        self.target("t1", stream, "engine")
+        self.publish(route(service="engine", kind=RouteKind.STREAM))
+        self.assertEqual(event(0) + event(1) + event(2), self.call().data)
+
+    def test_a_broken_stream_goes_on_at_another_target_under_the_first_head(self) -> None:
+        def stream(request: Received, sock: socket.socket) -> bool:
+            after = request.headers.get("last-event-id")
+            first = 0 if after is None else int(after) + 1
+            sock.sendall(stream_head(request, f"stamp-{first}"))
+            if after is None:
+                sock.sendall(chunk(event(0) + event(1) + event(2)[:6]))
+                return True
+            sock.sendall(chunk(event(2) + event(3)) + b"0\r\n\r\n")
+            return False
+
+        targets = [self.target(f"t{n}", stream, "engine") for n in range(2)]
+        self.publish(route(service="engine", **RESUMABLE))
+        response = self.call()
+        self.assertEqual(event(0) + event(1) + event(2) + event(3), response.data)
+        self.assertEqual("stamp-0", response.headers["Loomyard-Server-Stamp"])
+        self.assertEqual([1, 1], [len(target.received) for target in targets])
+
+    def test_a_broken_stream_that_may_not_resume_does_not_look_complete(self) -> None:
+        def stream(request: Received, sock: socket.socket) -> bool:
+            sock.sendall(stream_head(request) + chunk(event(0) + event(1)[:6]))
+            return True
+
+        self.target("t1", stream, "engine")
+        self.target("t2", stream, "engine")
+        self.publish(route(service="engine", kind=RouteKind.STREAM))
+        with mock.patch("loomyard_router.routed.app.emit") as emit:
+            data = self.cut("/p/x")
+            self.until(lambda: emit.called)
+        self.assertEqual(int(ResultCode.ANSWER_INCOMPLETE), emit.call_args.kwargs["code"])
+        self.assertIn(event(0), data)
+        self.assertNotIn(b"id: 1", data)
+        self.assertFalse(data.endswith(b"0\r\n\r\n"))
+
+    def test_a_stream_that_ends_within_an_event_does_not_look_complete(self) -> None:
+        def stream(request: Received, sock: socket.socket) -> None:
+            sock.sendall(stream_head(request) + chunk(event(0) + event(1)[:6]) + b"0\r\n\r\n")
+
+        self.target("t1", stream, "engine")
+        self.publish(route(service="engine", kind=RouteKind.STREAM))
+        self.assertFalse(self.cut("/p/x").endswith(b"0\r\n\r\n"))
+
+    def test_a_caller_goes_on_after_the_event_that_it_names(self) -> None:
+        def stream(request: Received, sock: socket.socket) -> None:
+            first = int(request.headers["last-event-id"]) + 1
+            sock.sendall(stream_head(request) + chunk(event(first)) + b"0\r\n\r\n")
+
+        self.target("t1", stream, "engine")
+        self.publish(route(service="engine", **RESUMABLE))
+        self.assertEqual(event(8), self.call(Last_Event_Id="7").data)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_loomyard_router/test_routed/test_connections.py
@@ -0,0 +1,105 @@
+"""Tests of callers that go, connections and stops."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+import gevent
+
+from loomyard_router.routes.kind import RouteKind
+from test_loomyard_router.test_routed.routed_case import RoutedCase, request_bytes, route
+from test_loomyard_router.test_routed.scripted_target import (
+    Received,
+    answer,
+    hang,
+    plain_script,
+)
+
+if TYPE_CHECKING:
+    import socket
+
+REPEATABLE = {"kind": RouteKind.IDEMPOTENT}
+
+
+class TestCallersThatGo(RoutedCase):
+    def test_a_caller_that_goes_ends_its_work_at_the_target(self) -> None:
+        for kind in ({"kind": RouteKind.STREAM}, REPEATABLE):
+            with self.subTest(kind=kind):
+                target = self.target(f"t-{kind['kind'].value}", hang, kind["kind"].value)
+                self.publish(
+                    route(service=kind["kind"].value, **kind),
+                    version=self.router.holder.version + 2,
+                )
+                sock = self.connect()
+                sock.sendall(request_bytes("/p/x"))
+                self.until(lambda target=target: target.received)
+                sock.close()
+                self.until(lambda target=target: target.broken_off)
+
+    def test_the_place_of_a_caller_that_goes_is_free_again(self) -> None:
+        target = self.target("t1", hang, "engine")
+        self.publish(route(service="engine", kind=RouteKind.STREAM))
+        socks = []
+        for number in range(4):
+            sock = self.connect()
+            sock.sendall(request_bytes("/p/x", Loomyard_Attempt_Id=f"a{number}"))
+            socks.append(sock)
+        self.until(lambda: len(target.received) == 4)
+        self.assertEqual(503, self.call(Loomyard_Attempt_Id="more").status)
+        for sock in socks:
+            sock.close()
+        self.until(lambda: target.broken_off == 4)
+        target.script = plain_script
+        self.assertEqual(200, self.call(Loomyard_Attempt_Id="last").status)
+
+
+class TestConnections(RoutedCase):
+    most_connections = 3
+
+    def test_a_refusal_closes_its_connection(self) -> None:
+        self.publish(route())
+        sock = self.connect()
+        self.assertEqual(503, self.call(sock=sock).status)
+        self.assertEqual(b"", sock.recv(1))
+
+    def test_too_many_connections_close_the_one_that_rested_longest(self) -> None:
+        self.target("t1", plain_script)
+        self.publish(route())
+        resting = [self.connect() for _ in range(3)]
+        for number, sock in enumerate(resting):
+            self.call(sock=sock, Loomyard_Attempt_Id=f"a{number}")
+        self.assertEqual(200, self.call(Loomyard_Attempt_Id="last").status)
+        self.assertEqual(b"", resting[0].recv(1))
+        self.assertEqual(200, self.call(sock=resting[1], Loomyard_Attempt_Id="more").status)
+
+
+class TestStop(RoutedCase):
+    def test_a_stop_lets_what_runs_end_and_refuses_what_comes_late(self) -> None:
+        go_on = gevent.event.Event()
+
+        def slow(request: Received, sock: socket.socket) -> None:
+            go_on.wait()
+            sock.sendall(answer(request))
+
+        target = self.target("t1", slow)
+        self.publish(route())
+        kept = self.connect()
+        running = gevent.spawn(self.call)
+        self.until(lambda: target.received)
+        stopping = gevent.spawn(self.router.drain)
+        self.until(lambda: self.router.stopping)
+        self.assertFalse(self.router.ready)
+        self.until(lambda: self.router.closing)
+        with self.assertRaises(ConnectionRefusedError):
+            self.connect()
+        self.assertEqual(b"", kept.recv(10))
+        go_on.set()
+        response = running.get()
+        self.assertEqual((200, b"whole"), (response.status, response.data))
+        self.assertEqual("close", response.headers["Connection"])
+        stopping.join()
+
+
+if __name__ == "__main__":
+    unittest.main()
