Read the store after one silent reader

Cause: a router that waited at a reader tried a second one before the store, 3 s in sum, as long as the bound of the grown sites.

--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_exchange.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_exchange.py
@@ -34,7 +34,6 @@
 # A fleet up to this size reads the store itself; a larger one through the root of its size, but at
 # least as many, so that the loss of a rack leaves readers.
 LEAST_READERS = 10
-READERS_TRIED = 2
 # A wait is short, so that a reader that stands still is noticed within a configuration's bound.
 NEWS_SECONDS = 1.0
 OWN_SECONDS = 5.0
@@ -131,12 +130,12 @@
             wait=int(NEWS_SECONDS * MILLISECONDS),
             answering=follower.answering,
         )
-        for reader in rank(own, readers)[:READERS_TRIED]:
-            deadline = self._clock.now() + NEWS_SECONDS + REQUEST_SECONDS
-            match self._peers.request(reader, request, deadline):
-                case Ok(FeedAnswer() as answer) if answer.answering:
-                    return answer
-        # Readers are away or cut off themselves; the store decides what is true of it.
+        reader = rank(own, readers)[0]
+        deadline = self._clock.now() + NEWS_SECONDS + REQUEST_SECONDS
+        match self._peers.request(reader, request, deadline):
+            case Ok(FeedAnswer() as answer) if answer.answering:
+                return answer
+        # Trying a second reader would take this one past the bound on a configuration.
         self._own_until[follower.name] = self._clock.now() + OWN_SECONDS
         return None
 
