Remove a setting and a question of the board that nobody uses

prompt_kept and may_send were left over; the test of a draining target keeps its check of the usable list, which is as strict.

--- a/packages/loomyard-router/src/loomyard_router/announced/target_board.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_board.py
@@ -70,10 +70,6 @@
         """Return all targets that are listed, or were until just now."""
         return [*self._targets.values(), *(lapsed.target for lapsed in self._lapsed.values())]
 
-    def may_send(self, target: AnnouncedTarget) -> bool:
-        """Tell whether a target may get new work right now."""
-        return any(found.id == target.id for found in self.usable(target.service))
-
     def replace_all(self, targets: Iterable[AnnouncedTarget], *, by_peer: bool = False) -> None:
         """Take over a whole listing; one of another router comes from a store that answers it."""
         listed = {target.id: target for target in targets}
--- a/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
@@ -79,7 +79,6 @@
         ),
         most_connections=_most_connections(fields),
         share_window=float(fields.get("bounds.quota_window_s", 4.0)),
-        prompt_kept=float(fields.get("bounds.retry_after_s", 10.0)),
     )
 
 
--- a/packages/loomyard-router/src/loomyard_router/routed_settings.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_settings.py
@@ -22,10 +22,9 @@
     """Addresses are ``host:port``, times are seconds.
 
     ``grace`` is the time between the request to stop and the kill, ``share_window`` the time over
-    which shares of client accounts are compared, ``prompt_kept`` the time for which a prompt that
-    was read is worth going back to. ``feed_pace`` is the least time between two reads of a feed
-    that both bring something, since each call has its price. ``most_connections`` bounds the open
-    connections of callers; beyond it those that rest are closed.
+    which shares of client accounts are compared. ``feed_pace`` is the least time between two reads
+    of a feed that both bring something, since each call has its price. ``most_connections`` bounds
+    the open connections of callers; beyond it those that rest are closed.
     """
 
     name: str
@@ -40,6 +39,5 @@
     grace: float = 8.0
     retries: RetryTerms = RetryTerms()
     share_window: float = 4.0
-    prompt_kept: float = 10.0
     feed_pace: float = 0.5
     most_connections: int = 2000
--- a/tests/test_loomyard_router/test_feeds/test_target_board.py
+++ b/tests/test_loomyard_router/test_feeds/test_target_board.py
@@ -27,7 +27,6 @@
     def test_a_draining_one_gets_nothing_at_once(self) -> None:
         self.board.apply([target(2, draining=True)], [])
         self.assertEqual(["t0", "t1", "t3", "t4", "t5"], self.usable())
-        self.assertFalse(self.board.may_send(target(2)))
 
     def test_one_that_vanishes_gets_nothing_at_once(self) -> None:
         self.board.apply([], ["t1"])
