--- /dev/null
+++ b/tests/test_loomyard_standins/test_requirements.py
@@ -0,0 +1,20 @@
+"""Test that the platform's build and the project use the same versions."""
+
+from __future__ import annotations
+
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+
+
+class TestRequirements(unittest.TestCase):
+    def test_the_platform_is_built_from_pinned_versions_of_ours(self) -> None:
+        pinned = set((ROOT / "constraints.txt").read_text().split())
+        required = (ROOT / "deploy" / "requirements.txt").read_text().split()
+        self.assertTrue(required)
+        self.assertEqual([], [line for line in required if line not in pinned])
+
+
+if __name__ == "__main__":
+    unittest.main()
