Drop a memo that nothing reads; use the one name of the event stream's type

Found by reading the change again: TargetChoice kept an empty table of ranks, and the forwarder named text/event-stream beside answer_check. Behaviour stays: lint and the 62 tests of routes and admission pass.

--- a/packages/loomyard-router/src/loomyard_router/admission/target_choice.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/target_choice.py
@@ -22,7 +22,6 @@
 
     def __init__(self, loads: TargetLoads) -> None:
         self._loads = loads
-        self._ranks: dict[tuple[str, tuple[str, ...]], list[str]] = {}
 
     def choose(
         self, affinity: str, targets: Sequence[AnnouncedTarget], key: str
--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -11,6 +11,7 @@
 from loomyard.errors import Executed, Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard_router.requests.answer import Answer
+from loomyard_router.requests.answer_check import EVENT_STREAM_TYPE
 from loomyard_router.requests.body import Body
 from loomyard_router.routed.stream_passing import StreamPassing
 from loomyard_router.routed.target_connection import ExchangeBrokenError, ExchangeLateError
@@ -29,7 +30,6 @@
 logger = logging.getLogger(__name__)
 
 HELD_BYTES = 1 << 20
-EVENT_STREAM_TYPE = "text/event-stream"
 RETRY_AFTER = 0.5
 # A target that could not be reached was sent nothing and counts for no attempt.
 MOST_UNREACHED = 3
