List a feed anew in the same step in which its records were found gone

The lines of the readers show event 304 with the same offset 1 every half second. After a read that found its records gone the follower paused before it listed; in the pause the exchange, which asks others while nothing is listed, took over the old offset of a router that was behind as well, so the next step read there again instead of listing. Ruled out: a late store (its listings answer in 4 ms), a slow reader (all ten did the same), the wait of the others at their readers (they had it 10 to 60 ms after their reader). The test of listing again now asks for it in one step, which is stricter than the two it allowed before; the new one fails without the change.

--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
@@ -183,19 +183,23 @@
             case Ok(batch):
                 if batch.next_offset < offset:
                     # The store fell back; what it says from here on is listed anew.
-                    self._next_offset = None
-                    return None
+                    return self._list_anew()
                 if batch.next_offset > self.next_offset:
                     self._take(batch)
                 return None
             case Err(fault):
                 if fault.code is ResultCode.LOG_TRIMMED:
                     emit(logger, Event.FEED_TRIMMED, feed=self._feed.name, offset=offset)
-                    self._next_offset = None
-                    return None
+                    return self._list_anew()
                 return fault
         raise AssertionError("a result is a value or a fault")
 
+    def _list_anew(self) -> Fault | None:
+        # At once: in a pause another router that is behind too would say where to read on, and
+        # reading there again finds the records gone.
+        self._next_offset = None
+        return self._list()
+
     def _take(self, batch: Batch) -> None:
         records = [record for record in batch.records if record.offset >= self.next_offset]
         self._next_offset = batch.next_offset
--- a/tests/test_loomyard_router/test_feeds/test_feed_follower.py
+++ b/tests/test_loomyard_router/test_feeds/test_feed_follower.py
@@ -98,9 +98,17 @@
     def test_lists_again_where_records_are_gone(self) -> None:
         self.list_to(3)
         self.feed.batches = [Err(GONE)]
-        self.follower.step()
         self.list_to(9)
         self.assertEqual([(STORE, ["a"]), (STORE, ["a"])], self.taken.told)
+        self.assertEqual(9, self.follower.next_offset)
+
+    def test_another_router_that_is_behind_does_not_keep_it_from_listing(self) -> None:
+        self.list_to(3)
+        for number in range(3):
+            self.feed.batches.append(Err(GONE))
+            self.list_to(10 + number)
+            self.follower.take_over([record("a", 0)], 3)
+            self.assertEqual(10 + number, self.follower.next_offset)
 
     def test_pauses_while_the_store_is_away_and_tells_once(self) -> None:
         self.list_to(3)
