--- a/packages/loomyard/src/loomyard/bounded_log.py
+++ b/packages/loomyard/src/loomyard/bounded_log.py
@@ -19,23 +19,46 @@
 
 # Room for some seconds of lines where nobody reads; older routine lines go first.
 MOST_LINES = 4000
-# Bytes a second for routine lines, one for each plain success; all others are always written.
-ROUTINE_BYTES = 24_000.0
+# Bytes a second for the lines of plain successes, and as many for those of requests that were
+# refused and did not run: some sixty lines each, of the hundreds that a burst would write on half a
+# core. All others, failures above all, are always written.
+CEILING_BYTES = 24_000.0
 REPORT_SECONDS = 5.0
-ROUTINE = frozenset([Event.REQUEST_ENDED])
+NOT_RUN = "no"
+
+
+class Ceiling:
+    """A bound on the bytes a second of one kind of lines; a second's worth may come at once."""
+
+    def __init__(self, clock: Clock, rate: float) -> None:
+        self._clock = clock
+        self._rate = rate
+        self._credit = rate
+        self._at = clock.now()
+
+    @property
+    def open(self) -> bool:
+        """Tell whether a line may be written; it need not be formatted to know that."""
+        now = self._clock.now()
+        self._credit = min(self._rate, self._credit + (now - self._at) * self._rate)
+        self._at = now
+        return self._credit > 0
+
+    def spend(self, size: int) -> None:
+        """Count a line that is written."""
+        self._credit -= size
 
 
 class BoundedLogHandler(logging.Handler):
     """Queue lines for a task that writes them; what does not fit is counted and said."""
 
-    def __init__(self, fd: int, clock: Clock, *, routine_bytes: float = ROUTINE_BYTES) -> None:
+    def __init__(self, fd: int, clock: Clock, *, ceiling: float = CEILING_BYTES) -> None:
         super().__init__()
         self.left_out = 0
         self._fd = fd
         self._clock = clock
-        self._routine_bytes = routine_bytes
-        self._credit = routine_bytes
-        self._credit_at = clock.now()
+        self._successes = Ceiling(clock, ceiling)
+        self._refusals = Ceiling(clock, ceiling)
         self._lines: deque[bytes] = deque()
         self._reported = 0
         self._report_at = 0.0
@@ -50,14 +73,17 @@
         self._task = gevent.spawn(self._run)
 
     def emit(self, record: logging.LogRecord) -> None:
+        ceiling = self._ceiling_of(record)
+        if ceiling is not None and not ceiling.open:
+            self.left_out += 1
+            return
         try:
             line = self.format(record).encode() + b"\n"
         except Exception:
             self.handleError(record)
             return
-        if _is_routine(record) and not self._afford(len(line)):
-            self.left_out += 1
-            return
+        if ceiling is not None:
+            ceiling.spend(len(line))
         if len(self._lines) >= MOST_LINES:
             self._lines.popleft()
             self.left_out += 1
@@ -69,15 +95,13 @@
         while self._lines and self._clock.now() < deadline:
             gevent.sleep(0.005)
 
-    def _afford(self, size: int) -> bool:
-        now = self._clock.now()
-        earned = (now - self._credit_at) * self._routine_bytes
-        self._credit = min(self._routine_bytes, self._credit + earned)
-        self._credit_at = now
-        if self._credit < size:
-            return False
-        self._credit -= size
-        return True
+    def _ceiling_of(self, record: logging.LogRecord) -> Ceiling | None:
+        if event_of(record) is not Event.REQUEST_ENDED:
+            return None
+        fields = getattr(record, "fields", {})
+        if not fields.get("code"):
+            return self._successes
+        return self._refusals if fields.get("executed") == NOT_RUN else None
 
     def _run(self) -> None:
         while True:
@@ -108,7 +132,3 @@
         record.event = Event.LOG_LINES_LEFT_OUT
         record.fields = {"lines": count, "all": self.left_out}
         self.emit(record)
-
-
-def _is_routine(record: logging.LogRecord) -> bool:
-    return event_of(record) in ROUTINE and not getattr(record, "fields", {}).get("code")
