Try more engines for prompts that are mostly their own

A prompt with at least twice as many own tokens as shared ones is now tried at six engines besides the preferred one.

--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -32,6 +32,11 @@
 LEAST_WAIT = 0.002
 # Engines tried besides the preferred one before it is waited for again.
 MOST_OTHERS = 2
+# As many for a prompt that is mostly its own: little of it is read again elsewhere, and where it is
+# long, only an engine that reads nothing else begins it in time; each second one does.
+MOST_OTHERS_OWN = 6
+# Own tokens for each shared one from which on a prompt counts as its own.
+OWN_RATIO = 2.0
 
 
 class FleetGate:
@@ -85,7 +90,7 @@
         waits_here = not self._ledger.far_beyond(request.account_name)
         first = min(until - self._clock.now(), _worthwhile_wait(request)) if waits_here else 0.0
         waits = [(ranked[0], first)]
-        waits += [(target, 0.0) for target in ranked[1 : 1 + MOST_OTHERS]]
+        waits += [(target, 0.0) for target in ranked[1 : 1 + _most_others(request)]]
         for choice, (target, wait) in enumerate(waits):
             place = self._ask(request, target, wait, patience, choice)
             if place is not None or request.presence.gone:
@@ -155,6 +160,15 @@
         return Place(target, released, answered=answered, taken=taken, choice=choice)
 
 
+def _shared_tokens(request: RoutedRequest) -> int:
+    return sum(part.tokens for part in request.head.prompt[:-1])
+
+
 def _worthwhile_wait(request: RoutedRequest) -> float:
-    shared = sum(part.tokens for part in request.head.prompt[:-1])
-    return shared * WAIT_PER_TOKEN
+    return _shared_tokens(request) * WAIT_PER_TOKEN
+
+
+def _most_others(request: RoutedRequest) -> int:
+    shared = _shared_tokens(request)
+    mostly_own = request.head.prompt_tokens - shared >= OWN_RATIO * shared
+    return MOST_OTHERS_OWN if mostly_own else MOST_OTHERS
