--- a/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
@@ -32,8 +32,8 @@
 STALE_WORD_SECONDS = 2.0
 # Who asks beyond its share is among those that ask most; the others need not be named.
 MOST_ACCOUNTS = 64
-# Less than this above the share may be the lag of reports: 0.75 s of a burst in a window of 4 s.
-FAR_BEYOND = 1.5
+# Less than this above a share may be the lag of reports: 0.75 s of a burst in a window of 4 s.
+FAR_BEYOND = 1.2
 
 
 @frozen
@@ -119,9 +119,14 @@
         return used is not None and used > 1.0
 
     def far_beyond(self, account: str) -> bool:
-        """Tell whether an account got so much that it may have only what nobody waits for."""
-        used = self.share_used(account)
-        return used is not None and used > FAR_BEYOND
+        """Tell whether an account got so much that it may have only what nobody waits for.
+
+        That is measured by what engines do in fact. Where they do twice the stated rate, many
+        accounts are beyond their share of that, and these too must get about the same.
+        """
+        if self._stale or self._word.reached == NO_SHARE:
+            return False
+        return self.level(account) > FAR_BEYOND * self._word.reached
 
     def take_report(self, member: Member, report: ShareReport) -> ShareWord:
         """Take in the sums of another router; answer with what is known here."""
@@ -133,7 +138,7 @@
         told = {name: round(cost * decay) for name, cost in self._word.given.items()}
         # Who is beyond its share is told to all: its next request may come to any router.
         given = {name: cost for name, cost in told.items() if name in report.asked or cost > share}
-        return ShareWord(share=self._word.share, given=given)
+        return ShareWord(share=self._word.share, reached=self._word.reached, given=given)
 
     def step(self) -> None:
         """Report upwards and take the word from there; at the top judge."""
@@ -179,8 +184,14 @@
 
     def _judge(self, report: ShareReport) -> ShareWord:
         capacity = self._rate() * self._window
-        share = round(find_water_level(report.asked, capacity)) if capacity else NO_SHARE
-        return ShareWord(share=share, given=report.given)
+        if not capacity:
+            return ShareWord(given=report.given)
+        reached = max(capacity, sum(report.given.values()))
+        return ShareWord(
+            share=round(find_water_level(report.asked, capacity)),
+            reached=round(find_water_level(report.asked, reached)),
+            given=report.given,
+        )
 
     def _report(self, parent: str, report: ShareReport) -> ShareWord | None:
         match self._peers.request(parent, report, self._clock.now() + REPLY_SECONDS):
--- a/packages/loomyard-router/src/loomyard_router/admission/share_messages.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_messages.py
@@ -29,8 +29,10 @@
 class ShareWord:
     """The max-min share of each account over the fleet, and what the accounts reported got there.
 
-    Both in tokens of the share window; ``share`` is ``NO_SHARE`` where none is known.
+    All in tokens of the share window. ``share`` is of the stated rate, ``reached`` of what was
+    given in fact where that was more; both are ``NO_SHARE`` where none is known.
     """
 
     share: int = NO_SHARE
+    reached: int = NO_SHARE
     given: dict[str, int] = field(factory=dict)
--- a/tests/test_loomyard_router/test_admission/test_places.py
+++ b/tests/test_loomyard_router/test_admission/test_places.py
@@ -286,6 +286,8 @@
         places = [self.take(n % 3, account="greedy", number=n, prompt_tokens=300) for n in range(3)]
         for number in range(3, SLOTS):
             self.take(0, account="small", number=number, prompt_tokens=10)
+        # Another account wants as much, so half of what was given would have been greedy's share.
+        self.fleet.routers[0].ledger.ask("other", 1000.0)
         self.fleet.report()
         waiting = gevent.spawn(self.take, 1, account="greedy", number=5, prompt_tokens=300)
         patient = gevent.spawn(self.take, 1, account="small", number=6, prompt_tokens=10)
--- a/tests/test_loomyard_router/test_admission/test_share_ledger.py
+++ b/tests/test_loomyard_router/test_admission/test_share_ledger.py
@@ -71,6 +71,17 @@
         # A small account asked 150 of 400 tokens, so the share is 250.
         self.assertAlmostEqual(1.2, self.ledgers[1].share_used("large"), delta=0.02)
 
+    def test_beyond_the_stated_rate_accounts_are_measured_by_what_engines_do(self) -> None:
+        # The stated rate is 400 tokens of the window; engines did 1,400.
+        for account, got in (("flood", 1000.0), ("single", 300.0), ("small", 100.0)):
+            self.use(0, account, got)
+            self.ledgers[0].ask(account, {"flood": 9000.0, "single": 500.0}.get(account, 0.0))
+        self.report()
+        self.assertEqual({True}, self.beyond("flood"))
+        self.assertEqual({True}, self.beyond("single"))
+        self.assertEqual([True] * 3, [one.far_beyond("flood") for one in self.ledgers])
+        self.assertEqual([False] * 3, [one.far_beyond("single") for one in self.ledgers])
+
     def test_what_was_given_since_the_last_word_counts(self) -> None:
         self.use(0, "large", 100.0)
         self.ledgers[0].ask("large", 900.0)
