--- a/tests/test_loomyard_router/test_admission/test_share_ledger.py
+++ b/tests/test_loomyard_router/test_admission/test_share_ledger.py
@@ -12,7 +12,7 @@
 from loomyard_router.members.membership import Member
 from loomyard_standins.fake_clock import FakeClock
 from loomyard_standins.memory_network import MemoryNetwork
-from test_loomyard_router.test_admission.test_places import Members
+from test_loomyard_router.test_admission.places_case import Members
 
 WINDOW = 4.0
 RATE = 100.0
