Name the outcome of a refusal in the log by its one type

The handler of log lines had the word of Executed.NO written again; the doc comment of an ask said that a share is meant where having had it is.

--- a/packages/loomyard-router/src/loomyard_router/admission/place_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_client.py
@@ -96,7 +96,7 @@
     ) -> tuple[Verdict, int]:
         """Ask for a place, waiting for up to some seconds; return the ticket where there is one.
 
-        ``level`` is what the account got in the fleet, ``beyond`` whether that is its share.
+        ``level`` is what the account got in the fleet, ``beyond`` whether it has had its share.
         """
         keeper = self.keeper_of(target.id)
         own = self._members.own
--- a/packages/loomyard/src/loomyard/bounded_log.py
+++ b/packages/loomyard/src/loomyard/bounded_log.py
@@ -12,6 +12,7 @@
 from gevent.event import Event as GeventEvent
 from gevent.os import nb_write
 
+from loomyard.errors import Executed
 from loomyard.events import Event, event_of
 
 if TYPE_CHECKING:
@@ -24,7 +25,6 @@
 # core. All others, failures above all, are always written.
 CEILING_BYTES = 24_000.0
 REPORT_SECONDS = 5.0
-NOT_RUN = "no"
 
 
 class Ceiling:
@@ -101,7 +101,7 @@
         fields = getattr(record, "fields", {})
         if not fields.get("code"):
             return self._successes
-        return self._refusals if fields.get("executed") == NOT_RUN else None
+        return self._refusals if fields.get("executed") == Executed.NO.value else None
 
     def _run(self) -> None:
         while True:
