End connections whose peer fell silent, to store, targets and routers alike

A request on such a connection ended by the user timeout of 3 s, but a read that only waits, like the store's long read of 6 to 14 s, sent nothing that could stay unacknowledged and would have hung for up to 15 s; a configuration must be in force 2 s after contact returns. Now one function sets user timeout and keep-alive probes (silent for 3 s) on all three kinds of connection.

--- a/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import socket
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import gevent
@@ -15,6 +14,7 @@
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
+from loomyard.util.tcp import disable_delay, end_if_silent
 from loomyard_router.members.membership import Member, MemberState
 from loomyard_router.peers.acceptor import Acceptor, library_logger
 from loomyard_router.peers.connections import OpenedConnection
@@ -26,6 +26,7 @@
 from loomyard_router.peers.pending import PendingMessages
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable
 
     from websockets.sync.connection import Connection
@@ -43,7 +44,6 @@
 IDLE_AFTER = 60.0
 SWEEP_INTERVAL = 5.0
 MAX_HANDSHAKES = 64
-USER_TIMEOUT_MILLISECONDS = 3000
 M = TypeVar("M")
 
 
@@ -204,7 +204,7 @@
                 self.traffic.refused("handshake")
                 connection.close_socket()
                 return None
-        _limit_silence(connection.socket)
+        limit_silence(connection.socket)
         peer = _member_of(agreement.peer)
         link = PeerLink(
             connection=connection,
@@ -266,7 +266,7 @@
     )
 
 
-def _limit_silence(connection: socket.socket) -> None:
-    """Let the kernel end a connection whose bytes stay unacknowledged, and send at once."""
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
+def limit_silence(connection: socket.socket) -> None:
+    """Let the kernel end a connection whose peer fell silent, and send at once."""
+    disable_delay(connection)
+    end_if_silent(connection)
--- a/packages/loomyard-router/src/loomyard_router/routed/target_connection.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/target_connection.py
@@ -9,6 +9,7 @@
 from gevent import socket
 
 from loomyard.util.addresses import split_address
+from loomyard.util.tcp import disable_delay, end_if_silent
 from loomyard_router.routed.answer_parser import AnswerParser
 
 if TYPE_CHECKING:
@@ -17,8 +18,6 @@
 READ_BYTES = 65536
 # A longer body is sent by a task of its own, since the target may answer before it is read.
 SMALL_BODY = 8192
-# A target that lost power answers nothing; two lost packets take less than this on a local network.
-USER_TIMEOUT_MILLISECONDS = 3000
 LEAST_WAIT = 0.001
 
 
@@ -151,6 +150,6 @@
 def connect(address: str, clock: Clock, seconds: float) -> TargetConnection:
     """Open a connection. Errors: ``OSError``; nothing was sent then."""
     sock = socket.create_connection(split_address(address), timeout=seconds)
-    sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
-    sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
+    disable_delay(sock)
+    end_if_silent(sock)
     return TargetConnection(sock, clock)
--- a/packages/loomyard/src/loomyard/util/tcp.py
+++ b/packages/loomyard/src/loomyard/util/tcp.py
@@ -1,4 +1,4 @@
-"""TCP connections that send at once.
+"""TCP connections that send at once and do not stay open to a peer that fell silent.
 
 A head and a body written one after the other wait 40 ms for each other's acknowledgement where
 the sender gathers small segments; every listener and client here turns that off.
@@ -16,6 +16,16 @@
     from geventhttpclient.connectionpool import ConnectionPool
 
 
+# A connection whose peer answers no probe, or acknowledges nothing that was sent, ends after this
+# long. Without it a read that waits for news hangs on a connection that the network forgot. Two
+# lost packets take less on a local network; configurations must be known within 2 s of contact
+# (bounds.config_apply_ms), of which 3 s after a fault (bounds.contact_ms) are excused.
+MOST_SILENT_MILLISECONDS = 3000
+PROBE_AFTER_SECONDS = 1
+PROBE_EVERY_SECONDS = 1
+MOST_PROBES = 2
+
+
 class NoDelayServer(WSGIServer):
     """A WSGI server whose connections send at once; accepted sockets inherit the option."""
 
@@ -32,11 +42,12 @@
 
 
 def send_at_once(pool: ConnectionPool) -> None:
-    """Let the connections that a pool makes send at once."""
+    """Let the connections that a pool makes send at once and end with a silent peer."""
     connected = pool.after_connect
 
     def after_connect(sock: socket.socket) -> Any:
         disable_delay(sock)
+        end_if_silent(sock)
         return connected(sock)
 
     pool.after_connect = after_connect  # type: ignore[method-assign]
@@ -45,3 +56,12 @@
 def disable_delay(sock: Any) -> None:
     """Turn the gathering of small segments off."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def end_if_silent(sock: Any) -> None:
+    """Let the kernel end a connection whose peer is gone without a word."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, MOST_SILENT_MILLISECONDS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MOST_PROBES)
