--- a/packages/loomyard-router/src/loomyard_router/admission/place_book.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_book.py
@@ -75,8 +75,9 @@
         if request.beyond and (request.own, request.prompt) in self._refused:
             # It is late already, so it takes no time of one that can still be answered in time.
             # Where accounts ask two to five times their share, this and the other engines that such
-            # prompts may try answered 5 to 9 % more requests in time and half as many late, on four
-            # days of 5,500 to 7,200 requests, one run each with and without, counted at the callers.
+            # prompts may try answered 5 to 9 % more requests in time and half as many late, on
+            # four days of 5,500 to 7,200 requests, one run each with and without, counted at the
+            # callers.
             return False
         own = request.prompt - self.memory.kept(request.parts)
         patience = request.patience * (BEYOND_PATIENCE if request.beyond else 1.0)
