--- a/packages/loomyard-router/src/loomyard_router/routed/loop_lag.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/loop_lag.py
@@ -9,50 +9,46 @@
 if TYPE_CHECKING:
     from loomyard.clock import Clock
 
-LOOK_SECONDS = 0.025
+# A look that is older says nothing of the tasks that are ready now.
+KEPT_SECONDS = 0.05
 
 
 class LoopLag:
-    """Measure how long ready tasks wait for their turn.
+    """Measure how long ready tasks wait for their turn, while somebody asks.
 
-    A timer alone does not tell: it fires between two slices of the queue of ready tasks, however
-    long that is. So each look takes its turn in the queue.
+    A timer does not tell: it fires between two slices of the queue of ready tasks, however long
+    that is. So each look is a task that takes its turn in the queue. It begins with a question, as
+    a router is behind only with work that came: looks 40 times a second, asked or not, were 80 of
+    the 113 turns a second of a router on a fleet of 85 that served 8 requests a second each.
     """
 
     def __init__(self, clock: Clock, *, most: float) -> None:
         self._clock = clock
         self._most = most
-        self._due = clock.now() + LOOK_SECONDS
+        self._asked_at: float | None = None
         self._seen = 0.0
-        self._task: gevent.Greenlet | None = None
+        self._seen_at = 0.0
 
     @property
     def seconds(self) -> float:
-        """Return how late the last look was, or how long one is overdue."""
-        return max(self._seen, self._clock.now() - self._due)
+        """Return how long the last look waited, or for how long one is waiting."""
+        now = self._clock.now()
+        waiting = 0.0 if self._asked_at is None else now - self._asked_at
+        seen = self._seen if now - self._seen_at <= KEPT_SECONDS else 0.0
+        return max(seen, waiting)
 
     @property
     def overloaded(self) -> bool:
-        """Tell whether new work would come too late."""
-        return self.seconds > self._most
-
-    def start(self) -> None:
-        """Start to look."""
-        self._task = gevent.spawn(self._run)
-
-    def stop(self) -> None:
-        """End."""
-        if self._task is not None:
-            self._task.kill(block=False)
-
-    def look(self) -> None:
-        """Take in that the timer has fired."""
-        now = self._clock.now()
-        self._seen = max(0.0, now - self._due)
-        self._due = now + LOOK_SECONDS
-
-    def _run(self) -> None:
-        while True:
-            self._clock.sleep(max(0.0, self._due - self._clock.now()))
-            self._clock.sleep(0.0)
-            self.look()
+        """Tell whether new work would come too late, and look again."""
+        overloaded = self.seconds > self._most
+        if self._asked_at is None:
+            self._asked_at = self._clock.now()
+            gevent.spawn(self._look)
+        return overloaded
+
+    def _look(self) -> None:
+        """Take in that a task got its turn."""
+        if self._asked_at is not None:
+            self._seen_at = self._clock.now()
+            self._seen = self._seen_at - self._asked_at
+            self._asked_at = None
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -191,7 +191,6 @@
             self.fleet.table_sync.start()
         self._tables.start()
         self._targets.start()
-        self._lag.start()
         self._ready.start()
         self._metrics.start()
         self._listener.start()
@@ -228,7 +227,6 @@
     def stop(self) -> None:
         """Stop at once."""
         self._listener.stop()
-        self._lag.stop()
         self._ready.stop()
         self._metrics.stop()
         self._tables.stop()
