Say loudly that an example's secret is used; accept two while it is changed

Cause: deploy/system.toml carries a secret that works and that everybody can read; a router ran with it silently, and on the platform only one secret could be given, so a change needed a stop. Now event 105 (error) tells at the start, the variable takes two secrets with a comma as the other program's does, and none or three are a fault of the settings. The two tests of the settings watch had no secret in their environment; they have one now, their checks are the same. Behaviour of a served request is the same. New tests: two secrets and the faults, the event at the start.

--- a/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
@@ -10,7 +10,7 @@
 
 from loomyard_router.platform import names
 from loomyard_router.routed_settings import RetryTerms, RoutedSettings
-from loomyard_router.settings import FLEET_SECRET_VARIABLE
+from loomyard_router.settings import FLEET_SECRET_VARIABLE, MAX_SECRETS, split_list
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -38,8 +38,10 @@
         text = Path(environment.get(names.SETTINGS_VARIABLE, "")).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         return Err(f"the settings file can't be read: {error}")
-    secret = environment.get(FLEET_SECRET_VARIABLE, "")
-    return parse_settings_text(text).map(lambda read: evolve(read, fleet_secret=(secret,)))
+    secrets = split_list(environment.get(FLEET_SECRET_VARIABLE, ""))
+    if not 1 <= len(secrets) <= MAX_SECRETS:
+        return Err(f"{FLEET_SECRET_VARIABLE} holds {len(secrets)} secrets, not 1 or {MAX_SECRETS}")
+    return parse_settings_text(text).map(lambda read: evolve(read, fleet_secret=secrets))
 
 
 def parse_settings_text(text: str) -> Result[RoutedSettings, str]:
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -39,7 +39,7 @@
 from loomyard_router.routes.route_table import RouteTable
 from loomyard_router.routes.table_feed import TableFeed
 from loomyard_router.routes.table_holder import TableHolder
-from loomyard_router.settings import Settings
+from loomyard_router.settings import EXAMPLE_SECRET, FLEET_SECRET_VARIABLE, Settings
 
 if TYPE_CHECKING:
 
@@ -184,6 +184,8 @@
 
     def start(self) -> None:
         """Start to follow the feeds and to serve callers."""
+        if any(secret.startswith(EXAMPLE_SECRET) for secret in self._settings.fleet_secret):
+            emit(logger, Event.EXAMPLE_SECRET_USED, setting=FLEET_SECRET_VARIABLE)
         parts = (self.fleet.peers, self.members, self._admission, self._exchange)
         for part in parts:
             part.start()
--- a/packages/loomyard-router/src/loomyard_router/settings.py
+++ b/packages/loomyard-router/src/loomyard_router/settings.py
@@ -19,6 +19,8 @@
 
 ENVIRONMENT_PREFIX = "LOOMYARD_"
 FLEET_SECRET_VARIABLE = ENVIRONMENT_PREFIX + "FLEET_SECRET"
+# How secrets begin that stand in our examples, where everybody can read them.
+EXAMPLE_SECRET = "replace-me"
 MAX_SECRETS = 2
 MIN_SHARE_BYTES = 200.0
 MAX_NAME = 63  # so that news of several routers fits into a datagram
@@ -75,7 +77,7 @@
     namespace = parser.parse_args(list(arguments))
     if not namespace.fleet_secret:
         # Not as a default of the parser, which ``--help`` would print.
-        namespace.fleet_secret = _split(environment.get(FLEET_SECRET_VARIABLE, ""))
+        namespace.fleet_secret = split_list(environment.get(FLEET_SECRET_VARIABLE, ""))
     settings = Settings(**vars(namespace))
     faults = _check(settings)
     return Err(faults) if faults else Ok(settings)
@@ -112,15 +114,15 @@
     add("private-key", "", "PEM key of the certificate")
     add("log-format", "text", "text or json", metavar="|".join(LOG_FORMATS))
     add("operator-listen", "", "address for operators; none turns their interface off")
-    add("operator-keys", "", "SHA-256 digests of operator keys, by commas", type=_split)
+    add("operator-keys", "", "SHA-256 digests of operator keys, by commas", type=split_list)
     add("operator-certificate", "", "file of the operator listener's TLS certificate chain")
     add("operator-private-key", "", "file of the operator listener's TLS private key")
     add("peer-listen", "", "TCP and UDP address for other routers; none: a fleet of one")
-    add("peers", "", "addresses of some other routers, with commas", type=_split)
+    add("peers", "", "addresses of some other routers, with commas", type=split_list)
     parser.add_argument(
         "--fleet-secret",
         default=(),
-        type=_split,
+        type=split_list,
         help="secret of the fleet; two with a comma while it is changed, the first one signs;"
         f" better set by [{FLEET_SECRET_VARIABLE}]",
     )
@@ -250,7 +252,8 @@
     return faults
 
 
-def _split(text: str) -> tuple[str, ...]:
+def split_list(text: str) -> tuple[str, ...]:
+    """Split a list of a setting at its commas."""
     return tuple(part.strip() for part in text.split(",") if part.strip())
 
 
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -14,6 +14,7 @@
     ROUTER_STOPPED = (102, logging.INFO, "a planned stop ended")
     SETTINGS_ADOPTED = (103, logging.INFO, "changed settings are in force")
     SETTINGS_UNREADABLE = (104, logging.ERROR, "changed settings can't be read; the old ones stay")
+    EXAMPLE_SECRET_USED = (105, logging.ERROR, "the links rely on the secret of an example")
     LOG_LINES_LEFT_OUT = (110, logging.WARNING, "log lines were left out to hold nothing up")
     CONFIGURATION_ADOPTED = (200, logging.INFO, "a configuration version is in force")
     CONFIGURATION_REJECTED = (201, logging.WARNING, "a change was rejected in log order")
--- a/tests/test_loomyard_router/test_platform/test_settings_file.py
+++ b/tests/test_loomyard_router/test_platform/test_settings_file.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import tempfile
 import unittest
 
+from loomyard_router.platform import names
 from loomyard_router.platform.settings_file import parse_settings_text, read_settings
+from loomyard_router.settings import FLEET_SECRET_VARIABLE
 
 TEXT = """node_name=edge-1
 ip=10.1.0.33
@@ -42,6 +45,17 @@
     def test_a_missing_file(self) -> None:
         self.assertTrue(read_settings({}).is_err())
 
+    def test_two_secrets_while_one_is_changed(self) -> None:
+        with tempfile.NamedTemporaryFile("w") as file:
+            file.write(TEXT)
+            file.flush()
+            environment = {names.SETTINGS_VARIABLE: file.name}
+            changing = environment | {FLEET_SECRET_VARIABLE: "old, new"}
+            self.assertEqual(("old", "new"), read_settings(changing).unwrap().fleet_secret)
+            for wrong in ("", "a,b,c"):
+                read = read_settings(environment | {FLEET_SECRET_VARIABLE: wrong})
+                self.assertIn(FLEET_SECRET_VARIABLE, read.unwrap_err())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_loomyard_router/test_platform/test_settings_watch.py
+++ b/tests/test_loomyard_router/test_platform/test_settings_watch.py
@@ -8,6 +8,7 @@
 
 from loomyard_router.platform import names
 from loomyard_router.platform.settings_watch import SettingsWatch
+from loomyard_router.settings import FLEET_SECRET_VARIABLE
 from loomyard_standins.fake_clock import FakeClock
 from test_loomyard_router.test_platform.test_settings_file import TEXT
 
@@ -19,7 +20,7 @@
         self.path = Path(folder.name) / "settings.conf"
         self.path.write_text(TEXT)
         self.taken: list = []
-        environment = {names.SETTINGS_VARIABLE: str(self.path)}
+        environment = {names.SETTINGS_VARIABLE: str(self.path), FLEET_SECRET_VARIABLE: "secret"}
         self.watch = SettingsWatch(environment, FakeClock(), self.taken.append)
 
     def test_a_changed_file_is_read_without_a_signal(self) -> None:
--- a/tests/test_loomyard_router/test_routed/routed_case.py
+++ b/tests/test_loomyard_router/test_routed/routed_case.py
@@ -96,21 +96,25 @@
                 most_lag=math.inf,
                 retries=RetryTerms(ratio=0.2, window=10.0, slack=20.0),
             ),
-            RoutedPlatform(
-                clock=SystemClock(),
-                tables=self.tables,
-                table_key="table",
-                decode_table=lambda data: Ok(self.objects[int(data)]),
-                targets=self.targets,
-                decode_target=lambda _, data: Ok(self.objects[int(data)]),
-                callers=PlatformCallers(),
-                target_dialect=PlatformTargets(),
-                ready_path="/readyz",
-            ),
+            self.platform(),
         )
         self.router.start()
         self.addCleanup(self.router.stop)
 
+    def platform(self) -> RoutedPlatform:
+        """Return feeds in memory and the platform's ways to speak."""
+        return RoutedPlatform(
+            clock=SystemClock(),
+            tables=self.tables,
+            table_key="table",
+            decode_table=lambda data: Ok(self.objects[int(data)]),
+            targets=self.targets,
+            decode_target=lambda _, data: Ok(self.objects[int(data)]),
+            callers=PlatformCallers(),
+            target_dialect=PlatformTargets(),
+            ready_path="/readyz",
+        )
+
     def publish(self, *routes: Route, version: int = 1, **changes: object) -> None:
         """Put a configuration in force."""
         services = [
--- a/tests/test_loomyard_router/test_routed/test_connections.py
+++ b/tests/test_loomyard_router/test_routed/test_connections.py
@@ -4,9 +4,13 @@
 
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
 
+import attrs
 import gevent
 
+from loomyard.events import Event
+from loomyard_router.routed_application import RoutedApplication
 from loomyard_router.routes.kind import RouteKind
 from test_loomyard_router.test_routed.routed_case import RoutedCase, request_bytes, route
 from test_loomyard_router.test_routed.scripted_target import (
@@ -74,6 +78,16 @@
         self.assertEqual(200, self.call(sock=resting[1], Loomyard_Attempt_Id="more").status)
 
 
+class TestStart(RoutedCase):
+    def test_a_secret_that_everybody_can_read_is_told_loudly(self) -> None:
+        settings = attrs.evolve(self.router._settings, fleet_secret=("mine", "replace-me-soon"))
+        router = RoutedApplication(settings, self.platform())
+        self.addCleanup(router.stop)
+        with mock.patch("loomyard_router.routed_application.emit") as emit:
+            router.start()
+        self.assertEqual(Event.EXAMPLE_SECRET_USED, emit.call_args_list[0].args[1])
+
+
 class TestStop(RoutedCase):
     def test_a_stop_lets_what_runs_end_and_refuses_what_comes_late(self) -> None:
         go_on = gevent.event.Event()
