Show that an outage of the store cuts no request and refuses none

Four tests do now, one for each kind of route and one for what comes meanwhile; they pass on the code as it is. One feed of the stand-in can be lost while a read of it waits. A first form of these tests never ended: the stand-in's read went round without a pause after the outage.

--- a/tests/test_loomyard_router/test_routed/routed_case.py
+++ b/tests/test_loomyard_router/test_routed/routed_case.py
@@ -49,6 +49,14 @@
     def put(self, key: str, value: bytes | None) -> None:
         record = KeyedRecord(key=key, value=value, offset=len(self.records))
         self.records.append(record)
+        self._wake()
+
+    def lose(self) -> None:
+        """Let each read fail, also those that wait."""
+        self.down = True
+        self._wake()
+
+    def _wake(self) -> None:
         changed, self._changed = self._changed, Event()
         changed.set()
 
--- a/tests/test_loomyard_router/test_routed/test_connections.py
+++ b/tests/test_loomyard_router/test_routed/test_connections.py
@@ -8,11 +8,12 @@
 
 import attrs
 import gevent
+import gevent.event
 
 from loomyard.events import Event
 from loomyard_router.routed_application import RoutedApplication
 from loomyard_router.routes.kind import RouteKind
-from test_loomyard_router.test_routed.routed_case import RoutedCase, request_bytes, route
+from test_loomyard_router.test_routed.routed_case import WAIT, RoutedCase, request_bytes, route
 from test_loomyard_router.test_routed.scripted_target import (
     Received,
     answer,
@@ -78,6 +79,48 @@
         self.assertEqual(200, self.call(sock=resting[1], Loomyard_Attempt_Id="more").status)
 
 
+class TestStoreOutage(RoutedCase):
+    def lose_store(self) -> None:
+        """Let each read fail, also those that wait."""
+        for feed, follower in (
+            (self.tables, self.router._tables),
+            (self.targets, self.router._targets),
+        ):
+            feed.lose()
+            self.until(lambda follower=follower: not follower.answering)
+
+    def check_it_is_answered(self, kind: RouteKind) -> None:
+        """Lose the store while a target runs a request."""
+        lost = gevent.event.Event()
+
+        def answer_during_outage(request: Received, sock: socket.socket) -> None:
+            lost.wait()
+            plain_script(request, sock)
+
+        target = self.target("t1", answer_during_outage)
+        self.publish(route(kind=kind))
+        calling = gevent.spawn(self.call)
+        self.until(lambda: target.received)
+        self.lose_store()
+        lost.set()
+        self.assertEqual(200, calling.get(timeout=WAIT).status)
+
+    def test_it_cuts_no_idempotent_request(self) -> None:
+        self.check_it_is_answered(RouteKind.IDEMPOTENT)
+
+    def test_it_cuts_no_request_that_runs_once(self) -> None:
+        self.check_it_is_answered(RouteKind.NON_IDEMPOTENT)
+
+    def test_it_cuts_no_stream(self) -> None:
+        self.check_it_is_answered(RouteKind.STREAM)
+
+    def test_what_comes_meanwhile_is_served(self) -> None:
+        self.target("t1", plain_script)
+        self.publish(route())
+        self.lose_store()
+        self.assertEqual(200, self.call().status)
+
+
 class TestStart(RoutedCase):
     def test_a_secret_that_everybody_can_read_is_told_loudly(self) -> None:
         settings = attrs.evolve(self.router._settings, fleet_secret=("mine", "replace-me-soon"))
