--- a/tests/test_loomyard_router/test_routed/test_loop_lag.py
+++ b/tests/test_loomyard_router/test_routed/test_loop_lag.py
@@ -20,9 +20,12 @@
         self.clock = FakeClock()
         self.lag = LoopLag(self.clock, most=MOST_LAG)
 
-    def work(self) -> None:
-        """Take a hundredth of a second of the only turn there is."""
-        self.clock.advance(0.01)
+    def ask_before(self, tasks: int) -> None:
+        """Ask while some tasks of 0.01 s each are ready, and let them have their turn."""
+        for _ in range(tasks):
+            gevent.spawn(self.clock.advance, 0.01)
+        self.assertFalse(self.lag.overloaded)
+        gevent.sleep(0)
 
     def test_a_router_that_is_not_asked_does_nothing(self) -> None:
         self.clock.advance(60.0)
@@ -30,10 +33,7 @@
         self.assertFalse(self.lag.overloaded)
 
     def test_a_long_queue_of_ready_tasks_is_found_by_the_next_who_asks(self) -> None:
-        for _ in range(50):
-            gevent.spawn(self.work)
-        self.assertFalse(self.lag.overloaded)
-        gevent.sleep(0)
+        self.ask_before(50)
         self.assertAlmostEqual(0.5, self.lag.seconds)
         self.assertTrue(self.lag.overloaded)
 
@@ -44,26 +44,17 @@
         self.assertTrue(self.lag.overloaded)
 
     def test_a_short_queue_is_no_lag(self) -> None:
-        for _ in range(5):
-            gevent.spawn(self.work)
-        self.assertFalse(self.lag.overloaded)
-        gevent.sleep(0)
+        self.ask_before(5)
         self.assertFalse(self.lag.overloaded)
 
     def test_who_asks_goes_on_looking(self) -> None:
-        for _ in range(50):
-            gevent.spawn(self.work)
-        self.assertFalse(self.lag.overloaded)
-        gevent.sleep(0)
+        self.ask_before(50)
         self.assertTrue(self.lag.overloaded)
         gevent.sleep(0)
         self.assertFalse(self.lag.overloaded)
 
     def test_what_was_seen_long_ago_says_nothing(self) -> None:
-        for _ in range(50):
-            gevent.spawn(self.work)
-        self.assertFalse(self.lag.overloaded)
-        gevent.sleep(0)
+        self.ask_before(50)
         self.clock.advance(KEPT_SECONDS + 0.01)
         self.assertFalse(self.lag.overloaded)
 
