--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_exchange.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_exchange.py
@@ -13,6 +13,8 @@
 from loomyard.events import Event, emit
 from loomyard.rendezvous import rank
 from loomyard_router.feeds.exchange_messages import FeedAnswer, FeedRequest, FeedWait
+from loomyard_router.feeds.feed_follower import LOG_DIGITS
+from loomyard_router.feeds.feed_state import FeedState
 
 if TYPE_CHECKING:
     import random
@@ -64,6 +66,7 @@
         self._random = source
         self._heard: dict[str, int] = {}
         self._behind_since: dict[str, float] = {}
+        self._asked_in_vain: dict[str, int] = {}
         self._moved = GeventEvent()
         self._own_until: dict[str, float] = {}
         self._task: gevent.Greenlet | None = None
@@ -84,6 +87,19 @@
         if self._task is not None:
             self._task.kill(block=False)
 
+    def states(self) -> list[FeedState]:
+        """Return how far this router has come in each feed."""
+        now = self._clock.now()
+        return [
+            FeedState(
+                name=name,
+                next_offset=follower.next_offset,
+                announced_offset=self._heard.get(name, -1),
+                silent=now - follower.answered_at,
+            )
+            for name, follower in self._followers.items()
+        ]
+
     def give(self, _: Member, request: FeedRequest) -> FeedAnswer:
         """Answer another router."""
         follower = self._followers.get(request.feed)
@@ -158,8 +174,8 @@
             return
         peer = self._random.choice(others)
         request = FeedRequest(feed=name, beyond=follower.next_offset)
-        deadline = self._clock.now() + REQUEST_SECONDS
-        match self._peers.request(peer, request, deadline):
+        now = self._clock.now()
+        match self._peers.request(peer, request, now + REQUEST_SECONDS):
             case Ok(FeedAnswer() as answer) if answer.next_offset > follower.next_offset:
                 emit(
                     logger,
@@ -168,8 +184,12 @@
                     peer=peer,
                     offset=answer.next_offset,
                     before=follower.next_offset,
+                    behind=round(now - self._behind_since.get(name, now), LOG_DIGITS),
+                    in_vain=self._asked_in_vain.pop(name, 0),
                 )
                 follower.take_over(answer.records, answer.next_offset)
+            case _:
+                self._asked_in_vain[name] = self._asked_in_vain.get(name, 0) + 1
 
     def _wake(self) -> None:
         moved, self._moved = self._moved, GeventEvent()
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
@@ -30,6 +30,7 @@
 LIST_SECONDS = 1.5
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.8
+LOG_DIGITS = 3
 STORE = "store"
 PEER = "peer"
 
@@ -83,6 +84,8 @@
         self._store_listeners: list[Callable[[], None]] = []
         self._news: NewsSource | None = None
         self._failures = 0
+        self._asked_at = clock.now()
+        self._answered_at = self._asked_at
         self._task: gevent.Greenlet | None = None
 
     @property
@@ -107,6 +110,11 @@
     def answering(self) -> bool:
         return self._failures == 0
 
+    @property
+    def answered_at(self) -> float:
+        """Return when the store last answered, to this router or to the one it waits at."""
+        return self._answered_at
+
     def subscribe(self, advanced: Callable[[FeedFollower], None]) -> None:
         """Call back when records were read or heard."""
         self._listeners.append(advanced)
@@ -145,6 +153,7 @@
             if news is not None:
                 self._hear(news)
                 return 0.0
+        self._asked_at = self._clock.now()
         fault = self._list() if before is None else self._read(before)
         if fault is not None:
             return self._note_failure(fault)
@@ -223,17 +232,34 @@
 
     def _note_answer(self) -> None:
         if self._failures:
-            emit(logger, Event.FEED_REGAINED, feed=self._feed.name, failures=self._failures)
+            emit(
+                logger,
+                Event.FEED_REGAINED,
+                feed=self._feed.name,
+                failures=self._failures,
+                silent=self._seconds_since(self._answered_at),
+            )
             self._failures = 0
             self._taker.note_regained()
             self._tell_store()
+        self._answered_at = self._clock.now()
 
     def _note_failure(self, fault: Fault) -> float:
         self._failures += 1
         if self._failures == 1:
-            emit(logger, Event.FEED_LOST, feed=self._feed.name, detail=fault.detail)
+            emit(
+                logger,
+                Event.FEED_LOST,
+                feed=self._feed.name,
+                detail=fault.detail,
+                waited=self._seconds_since(self._asked_at),
+                silent=self._seconds_since(self._answered_at),
+            )
             self._taker.note_lost()
             self._tell_store()
         pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2.0 ** min(self._failures, 8))
         # Routers that lost the store together must not come back together.
         return pause * self._random.uniform(0.5, 1.0)
+
+    def _seconds_since(self, moment: float) -> float:
+        return round(self._clock.now() - moment, LOG_DIGITS)
--- a/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
@@ -13,10 +13,11 @@
 from loomyard_router.metrics.key_histograms import UNITS_PER_SECOND
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
     from prometheus_client.metrics_core import Metric
 
+    from loomyard_router.feeds.feed_state import FeedState
     from loomyard_router.metrics.meters import Meters
     from loomyard_router.peers.traffic import TrafficCounters
 
@@ -29,11 +30,16 @@
     """Turn the measurements into metric families."""
 
     def __init__(
-        self, meters: Meters, traffic: TrafficCounters, in_flight: Callable[[], int]
+        self,
+        meters: Meters,
+        traffic: TrafficCounters,
+        in_flight: Callable[[], int],
+        feeds: Callable[[], Iterable[FeedState]] = tuple,
     ) -> None:
         self._meters = meters
         self._traffic = traffic
         self._in_flight = in_flight
+        self._feeds = feeds
 
     def collect(self) -> Iterator[Metric]:
         yield from self._phases()
@@ -42,6 +48,7 @@
         yield GaugeMetricFamily(
             "loomyard_requests_in_flight", "requests in flight", value=self._in_flight()
         )
+        yield from self._feed_states()
 
     def _phases(self) -> Iterator[Metric]:
         quantiles = GaugeMetricFamily(
@@ -82,6 +89,26 @@
         size.add_metric(("received",), self._traffic.received_bytes)
         yield size
 
+    def _feed_states(self) -> Iterator[Metric]:
+        read = GaugeMetricFamily(
+            "loomyard_feed_offset", "next offset of a feed here, -1 before", labels=("feed",)
+        )
+        announced = GaugeMetricFamily(
+            "loomyard_feed_announced_offset",
+            "highest offset of a feed that another router announced",
+            labels=("feed",),
+        )
+        silent = GaugeMetricFamily(
+            "loomyard_feed_silent_seconds",
+            "seconds since the store last answered on a feed",
+            labels=("feed",),
+        )
+        for state in self._feeds():
+            read.add_metric((state.name,), state.next_offset)
+            announced.add_metric((state.name,), state.announced_offset)
+            silent.add_metric((state.name,), state.silent)
+        yield from (read, announced, silent)
+
 
 def expose(collector: Collector) -> bytes:
     """Return the text of all metrics."""
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -163,6 +163,7 @@
             meters=meters,
             traffic=self.fleet.traffic,
             in_flight=lambda: self.in_flight,
+            feeds=self._exchange.states,
         )
         self.board.subscribe(self._forget)
 
--- /dev/null
+++ b/tests/test_loomyard_router/test_feeds/feed_case.py
@@ -0,0 +1,86 @@
+"""Feeds, takers and memberships that tests of feeds script."""
+
+from __future__ import annotations
+
+from attrs import define, field
+from result import Result
+
+from loomyard.errors import Fault, ResultCode
+from loomyard_router.feeds.feed import Batch, Listing
+from loomyard_router.feeds.keyed_record import KeyedRecord
+from loomyard_router.members.membership import Member, SoleMembership
+
+GONE = Fault(code=ResultCode.LOG_TRIMMED, detail="gone")
+DOWN = Fault(code=ResultCode.LOG_UNAVAILABLE, detail="down")
+
+
+@define(eq=False)
+class ScriptedFeed:
+    """Answer calls in turn."""
+
+    listings: list[Result[Listing, Fault]] = field(factory=list)
+    batches: list[Result[Batch, Fault]] = field(factory=list)
+    asked: list[int] = field(factory=list)
+    waits: list[float] = field(factory=list)
+    name: str = "feed"
+
+    def newest(self, deadline: float) -> Result[Listing, Fault]:
+        return self.listings.pop(0)
+
+    def read(self, offset: int, wait_until: float) -> Result[Batch, Fault]:
+        self.asked.append(offset)
+        self.waits.append(wait_until)
+        return self.batches.pop(0)
+
+
+@define(eq=False)
+class Taken:
+    """What a taker was told."""
+
+    told: list[object] = field(factory=list)
+
+    def take_listing(self, records: list[KeyedRecord], source: str) -> None:
+        self.told.append((source, [record.key for record in records]))
+
+    def take_records(self, records: list[KeyedRecord]) -> None:
+        self.told.append([record.key for record in records])
+
+    def note_lost(self) -> None:
+        self.told.append("lost")
+
+    def note_regained(self) -> None:
+        self.told.append("regained")
+
+
+def record(key: str, offset: int, value: bytes | None = b"v") -> KeyedRecord:
+    return KeyedRecord(key=key, value=value, offset=offset)
+
+
+class TwoMembers(SoleMembership):
+    """A membership of two that hears what a test says."""
+
+    def __init__(self, own: Member, other: Member) -> None:
+        super().__init__(own)
+        self.other = other
+        self.heard: dict[str, object] = {}
+        self.announced: list[tuple[str, int]] = []
+
+    def live(self) -> tuple[Member, ...]:
+        return (self.own, self.other)
+
+    def announce(self, topic: str, key: str, value: int, *, until: float) -> None:
+        self.announced.append((key, value))
+
+    def subscribe_topic(self, topic: str, heard: object) -> None:
+        self.heard[topic] = heard
+
+
+class ManyMembers(SoleMembership):
+    """A membership of many."""
+
+    def __init__(self, own: Member, all_: list[Member]) -> None:
+        super().__init__(own)
+        self._all = all_
+
+    def live(self) -> tuple[Member, ...]:
+        return tuple(self._all)
--- /dev/null
+++ b/tests/test_loomyard_router/test_feeds/test_feed_exchange.py
@@ -0,0 +1,159 @@
+"""Tests of hearing a feed from other routers."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from result import Err, Ok
+
+from loomyard_router.feeds.exchange_messages import FeedRequest
+from loomyard_router.feeds.feed import Batch, Listing
+from loomyard_router.feeds.feed_exchange import FeedExchange
+from loomyard_router.feeds.feed_follower import PEER, FeedFollower
+from loomyard_router.members.membership import Member
+from loomyard_standins.fake_clock import FakeClock
+from loomyard_standins.memory_network import MemoryNetwork
+from test_loomyard_router.test_feeds.feed_case import (
+    DOWN,
+    ManyMembers,
+    ScriptedFeed,
+    Taken,
+    TwoMembers,
+    record,
+)
+
+
+class TestReaders(unittest.TestCase):
+    """A fleet of 40, of which ten read the store."""
+
+    def setUp(self) -> None:
+        self.network = MemoryNetwork()
+        self.clock = FakeClock()
+        members = [
+            Member(name=f"r{n}", incarnation=1, address="", data_centre="") for n in range(40)
+        ]
+        self.feeds: dict[str, ScriptedFeed] = {}
+        self.followers: dict[str, FeedFollower] = {}
+        self.exchanges: dict[str, FeedExchange] = {}
+        for member in members:
+            name = member.name
+            feed = self.feeds[name] = ScriptedFeed()
+            follower = FeedFollower(feed, Taken(), self.clock, random.Random(1))
+            self.followers[name] = follower
+            exchange = self.exchanges[name] = FeedExchange(
+                clock=self.clock,
+                members=ManyMembers(member, members),
+                peers=self.network.join(member),
+                followers=[follower],
+                source=random.Random(1),
+            )
+            exchange.start()
+            self.addCleanup(exchange.stop)
+            feed.listings.append(Ok(Listing(records=[record("a", 0)], next_offset=1)))
+            follower.step()
+        self.readers = [name for name in self.followers if self.reads_itself(name)]
+        self.level(100)
+
+    def reads_itself(self, name: str) -> bool:
+        # The others have something newer, so that nobody waits.
+        newest = max(follower.next_offset for follower in self.followers.values())
+        self.level(newest + 1, but=name)
+        return self.exchanges[name].wait_for_news(self.followers[name]) is None
+
+    def level(self, offset: int, but: str = "") -> None:
+        for name, follower in self.followers.items():
+            if name != but:
+                follower.take_over([record("a", 0)], offset)
+
+    def test_some_read_the_store(self) -> None:
+        self.assertEqual(10, len(self.readers))
+
+    def test_the_others_hear_what_the_readers_read(self) -> None:
+        name = next(one for one in self.followers if one not in self.readers)
+        for reader in self.readers:
+            self.followers[reader].take_over([record("c", 100)], 101)
+        self.followers[name].step()
+        self.assertEqual(101, self.followers[name].next_offset)
+        self.assertEqual([], self.feeds[name].asked)
+
+    def test_without_readers_a_router_reads_the_store_itself(self) -> None:
+        name = next(one for one in self.followers if one not in self.readers)
+        self.network.cut({name}, set(self.readers))
+        self.feeds[name].batches.append(Ok(Batch(records=[record("c", 100)], next_offset=101)))
+        self.followers[name].step()
+        self.assertEqual(101, self.followers[name].next_offset)
+
+    def test_readers_without_the_store_are_passed_over(self) -> None:
+        name = next(one for one in self.followers if one not in self.readers)
+        for reader in self.readers:
+            self.feeds[reader].batches.append(Err(DOWN))
+            self.followers[reader].step()
+        self.feeds[name].batches.append(Ok(Batch(records=[], next_offset=100)))
+        self.followers[name].step()
+        self.assertEqual([100], self.feeds[name].asked)
+
+
+class TestFeedExchange(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        network = MemoryNetwork()
+        members = [
+            Member(name=f"r{n}", incarnation=1, address="", data_centre="") for n in range(2)
+        ]
+        self.feeds = [ScriptedFeed(), ScriptedFeed()]
+        self.taken = [Taken(), Taken()]
+        self.followers = [
+            FeedFollower(self.feeds[n], self.taken[n], self.clock, random.Random(1))
+            for n in range(2)
+        ]
+        self.members = [TwoMembers(members[n], members[1 - n]) for n in range(2)]
+        self.exchanges = [
+            FeedExchange(
+                clock=self.clock,
+                members=self.members[n],
+                peers=network.join(members[n]),
+                followers=[self.followers[n]],
+                source=random.Random(1),
+            )
+            for n in range(2)
+        ]
+        for exchange in self.exchanges:
+            exchange.start()
+            self.addCleanup(exchange.stop)
+        self.feeds[0].listings.append(Ok(Listing(records=[record("a", 0)], next_offset=3)))
+        self.followers[0].step()
+
+    def test_a_router_that_never_reached_the_store_hears_all(self) -> None:
+        self.exchanges[1].step()
+        self.assertEqual([(PEER, ["a"])], self.taken[1].told)
+        self.assertEqual(3, self.followers[1].next_offset)
+
+    def test_a_router_that_lost_the_store_hears_what_is_newer(self) -> None:
+        self.exchanges[1].step()
+        self.feeds[1].batches.append(Err(DOWN))
+        self.followers[1].step()
+        self.feeds[0].batches.append(Ok(Batch(records=[record("b", 3)], next_offset=4)))
+        self.followers[0].step()
+        self.exchanges[1].step()
+        self.assertEqual((PEER, ["a", "b"]), self.taken[1].told[-1])
+
+    def test_a_router_whose_read_hangs_asks_once_it_hears_of_more(self) -> None:
+        self.exchanges[1].step()
+        self.feeds[0].batches.append(Ok(Batch(records=[record("b", 3)], next_offset=4)))
+        self.followers[0].step()
+        self.assertIn(("feed", 4), self.members[0].announced)
+        self.members[1].heard["feed"]("feed", 4)  # type: ignore[operator]
+        self.exchanges[1].step()
+        self.assertEqual(3, self.followers[1].next_offset)
+        self.clock.advance(1.0)
+        self.exchanges[1].step()
+        self.assertEqual(4, self.followers[1].next_offset)
+
+    def test_who_has_read_no_further_gives_nothing(self) -> None:
+        answer = self.exchanges[0].give(self.members[1].own, FeedRequest(feed="feed", beyond=3))
+        self.assertEqual((-1, []), (answer.next_offset, answer.records))
+
+
+if __name__ == "__main__":
+    unittest.main()
