Show in a test that fails how late the last router has what an outage held back

Bench-free, deterministic: seven routers with real membership, followers and exchange on a clock that jumps from sleep to sleep, and a store whose answers due in a silent outage are never given. The bound asked is 2.5 s; users hold a router to it from 3 s after the store's return on.

To make it run on injected time, the wait at another router uses wait_any of the clock (moved from the claims to loomyard.util), and the time an answer may take stands with the protocol of a feed. Ruled out as the cause by the same test: outages in which calls fail at once.

--- a/packages/loomyard-router/src/loomyard_router/claims/partition.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/partition.py
@@ -19,7 +19,7 @@
 from loomyard_router.claims.partition_state import PartitionState
 from loomyard_router.claims.records import Abandoned, Begun, ClaimBatch, Finished
 from loomyard_router.claims.verdict import Verdict
-from loomyard_router.claims.waiting import wait_any, wait_result
+from loomyard.util.waiting import wait_any, wait_result
 from loomyard_router.peers.compact_codec import pack, unpack
 
 if TYPE_CHECKING:
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed.py
@@ -13,6 +13,9 @@
 
     from loomyard.errors import Fault
 
+# What an answer may take beyond the wait that was asked for, in seconds; a slow store takes 0.4.
+ANSWER_SECONDS = 1.0
+
 
 @frozen(kw_only=True)
 class Listing:
@@ -44,4 +47,7 @@
         """Return the newest record of each key."""
 
     def read(self, offset: int, wait_until: float) -> Result[Batch, Fault]:
-        """Return records from an offset on, waiting for the first until a time."""
+        """Return records from an offset on, waiting for the first until a time.
+
+        Error: ``LOG_UNAVAILABLE`` at the latest ``ANSWER_SECONDS`` after that time.
+        """
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_exchange.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_exchange.py
@@ -12,6 +12,7 @@
 
 from loomyard.events import Event, emit
 from loomyard.rendezvous import rank
+from loomyard.util.waiting import wait_any
 from loomyard_router.feeds.exchange_messages import FeedAnswer, FeedRequest, FeedWait
 from loomyard_router.feeds.feed_follower import LOG_DIGITS
 from loomyard_router.feeds.feed_state import FeedState
@@ -118,7 +119,7 @@
             and follower.answering == request.answering
             and self._clock.now() < deadline
         ):
-            self._moved.wait(max(0.0, deadline - self._clock.now()))
+            wait_any([self._moved], deadline, self._clock)
         if follower.next_offset <= request.beyond:
             return FeedAnswer(answering=follower.answering)
         return FeedAnswer(
--- a/packages/loomyard-router/src/loomyard_router/platform/store_feed.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/store_feed.py
@@ -14,7 +14,7 @@
 from loomyard.errors import Fault, ResultCode
 from loomyard.util.addresses import split_address
 from loomyard.util.tcp import make_http_client
-from loomyard_router.feeds.feed import Batch, Listing
+from loomyard_router.feeds.feed import ANSWER_SECONDS, Batch, Listing
 from loomyard_router.feeds.keyed_record import KeyedRecord
 
 if TYPE_CHECKING:
@@ -25,8 +25,6 @@
 HTTP_OK = 200
 HTTP_GONE = 410
 CONNECT_SECONDS = 0.5
-# What an answer may take beyond the wait that was asked for.
-ANSWER_SECONDS = 1.0
 LEAST_SECONDS = 0.05
 MILLISECONDS = 1000
 _ENDS = struct.Struct(">QQ")
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/memory_store.py
@@ -0,0 +1,112 @@
+"""A store of keyed records in this process, with outages for all routers or for some."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from gevent.event import Event
+from result import Err, Ok, Result
+
+from loomyard.errors import Fault, ResultCode
+from loomyard.util.waiting import wait_any
+from loomyard_router.feeds.feed import ANSWER_SECONDS, Batch, Listing
+from loomyard_router.feeds.keyed_record import KeyedRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from loomyard.clock import Clock
+
+
+class Outage(Enum):
+    """What becomes of calls: no answer, a refusal at once, or broken connections."""
+
+    SILENT = "no answer in time"
+    BUSY = "status 503"
+    RESET = "connection closed"
+
+
+class MemoryStore:
+    """One feed. An answer that is due while the store is away is never given, also later."""
+
+    def __init__(self, name: str, clock: Clock) -> None:
+        self.name = name
+        self.clock = clock
+        self.moved = Event()
+        self._records: list[KeyedRecord] = []
+        self._outages: dict[str, Outage] = {}
+
+    def publish(self, key: str, value: bytes) -> float:
+        """Keep a record; return the time at which its writer is told so."""
+        self._records.append(KeyedRecord(key=key, value=value, offset=len(self._records)))
+        self._wake()
+        return self.clock.now()
+
+    def fail(self, routers: Iterable[str], outage: Outage) -> None:
+        """Begin an outage for some routers."""
+        self._outages |= dict.fromkeys(routers, outage)
+        self._wake()
+
+    def heal(self) -> float:
+        """End all outages; return the time."""
+        self._outages.clear()
+        self._wake()
+        return self.clock.now()
+
+    def outage(self, router: str) -> Outage | None:
+        """Return how the store fails a router now."""
+        return self._outages.get(router)
+
+    def since(self, offset: int) -> list[KeyedRecord]:
+        """Return the records from an offset on."""
+        return self._records[offset:]
+
+    def newest(self) -> list[KeyedRecord]:
+        """Return the newest record of each key."""
+        return list({record.key: record for record in self._records}.values())
+
+    def _wake(self) -> None:
+        moved, self.moved = self.moved, Event()
+        moved.set()
+
+
+class MemoryStoreFeed:
+    """The ``Feed`` of one router."""
+
+    def __init__(self, store: MemoryStore, router: str) -> None:
+        self.calls = 0
+        self._store = store
+        self._router = router
+
+    @property
+    def name(self) -> str:
+        return self._store.name
+
+    def newest(self, deadline: float) -> Result[Listing, Fault]:
+        self.calls += 1
+        outage = self._store.outage(self._router)
+        if outage is not None:
+            return self._fail(outage, deadline)
+        records = self._store.newest()
+        return Ok(Listing(records=records, next_offset=len(self._store.since(0))))
+
+    def read(self, offset: int, wait_until: float) -> Result[Batch, Fault]:
+        self.calls += 1
+        store, clock = self._store, self._store.clock
+        outage = store.outage(self._router)
+        if outage is not None:
+            return self._fail(outage, wait_until + ANSWER_SECONDS)
+        while not store.since(offset) and clock.now() < wait_until:
+            wait_any([store.moved], wait_until, clock)
+            if store.outage(self._router) is Outage.RESET:
+                return self._fail(Outage.RESET, clock.now())
+        if store.outage(self._router) is not None:
+            return self._fail(Outage.SILENT, wait_until + ANSWER_SECONDS)
+        records = store.since(offset)
+        return Ok(Batch(records=records, next_offset=offset + len(records)))
+
+    def _fail(self, outage: Outage, deadline: float) -> Err[Fault]:
+        if outage is Outage.SILENT:
+            self._store.clock.sleep(deadline - self._store.clock.now())
+        return Err(Fault(code=ResultCode.LOG_UNAVAILABLE, detail=outage.value))
