--- a/tests/test_loomyard_router/test_feeds/feed_fleet.py
+++ b/tests/test_loomyard_router/test_feeds/feed_fleet.py
@@ -30,6 +30,22 @@
 SETTLED = 6.0
 
 
+def make_members(
+    name: str, clock: Clock, datagrams: DatagramNetwork, *, seed: int
+) -> SwimMembership:
+    """Make the membership of a router of a fleet that finds itself at ``r0``."""
+    own = Member(name=name, incarnation=1, address=f"{name}:1", data_centre="")
+    return SwimMembership(
+        own=own,
+        datagrams=datagrams.join(own.address),
+        seal=DatagramSeal(make_fleet_secret(["secret"]), clock),
+        clock=clock,
+        traffic=TrafficCounters(),
+        seeds=("r0:1",),
+        seed=seed,
+    )
+
+
 @define(eq=False)
 class Arrivals:
     """A taker that notes when each value arrived first."""
@@ -115,16 +131,7 @@
     def _make(self, number: int) -> Router:
         name = f"r{number}"
         source = random.Random(f"{self._seed} {name}")
-        own = Member(name=name, incarnation=1, address=f"{name}:1", data_centre="")
-        members = SwimMembership(
-            own=own,
-            datagrams=self._datagrams.join(own.address),
-            seal=DatagramSeal(make_fleet_secret(["secret"]), self.clock),
-            clock=self.clock,
-            traffic=TrafficCounters(),
-            seeds=("r0:1",),
-            seed=self._seed + number,
-        )
+        members = make_members(name, self.clock, self._datagrams, seed=self._seed + number)
         feeds = {feed: MemoryStoreFeed(store, name) for feed, store in self.stores.items()}
         arrivals = {feed: Arrivals(self.clock) for feed in feeds}
         followers = {
@@ -134,7 +141,7 @@
         exchange = FeedExchange(
             clock=self.clock,
             members=members,
-            peers=self.network.join(own),
+            peers=self.network.join(members.own),
             followers=followers.values(),
             source=source,
         )
