Let a hanging read of the log end with its wait and the time of an answer

Reads wait 1 s now and end after 2 s; a router that is behind, or whose log is silent, asks three others in turn where it asked one.

Cost: a call a second for each stream in place of one in two.

--- a/packages/loomyard-router/src/loomyard_router/claims/partition.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/partition.py
@@ -14,6 +14,7 @@
 from loomyard.errors import ResultCode
 from loomyard.events import Event as LogEvent
 from loomyard.events import emit
+from loomyard.outside.log_service import READ_WAIT
 from loomyard.outside.settled_append import backoff_seconds
 from loomyard.util.waiting import wait_any, wait_result
 from loomyard_router.claims.keys import stream_of
@@ -31,7 +32,6 @@
 
 logger = logging.getLogger(__name__)
 
-READ_WAIT = 2.0
 PAGE = 500
 # A host that has not read to the end for this long refuses to judge.
 FRESH_SECONDS = 5.0
--- a/packages/loomyard-router/src/loomyard_router/configuration/follower.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/follower.py
@@ -11,6 +11,7 @@
 from loomyard.configuration import CONFIG_STREAM, EMPTY_VERSION, Verdict
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
+from loomyard.outside.log_service import READ_WAIT
 from loomyard.util.collector import exempt_from_collection
 from loomyard_router.configuration.repeating import repeat
 from loomyard_router.configuration.replica import ConfigReplica
@@ -27,7 +28,6 @@
 
 logger = logging.getLogger(__name__)
 
-READ_WAIT = 2.0
 READ_RECORDS = 50
 RETRY_SECONDS = 0.2
 GAP_RETRY_SECONDS = 2.0
--- a/packages/loomyard-router/src/loomyard_router/configuration/peer_configuration.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/peer_configuration.py
@@ -17,6 +17,7 @@
     unpack,
 )
 from loomyard.events import Event, emit
+from loomyard.outside.log_service import READ_ANSWER_SECONDS, READ_WAIT
 from loomyard_router.configuration.messages import (
     ANY_SNAPSHOT,
     PartAnswer,
@@ -38,7 +39,7 @@
 
 REQUEST_SECONDS = 1.0
 POLL_SECONDS = 0.5
-LOG_SILENCE = 2.5  # longer than a read waits for records
+LOG_SILENCE = READ_WAIT + READ_ANSWER_SECONDS
 PEERS_ASKED = 3
 VERSION_TOPIC = "configuration"
 VERSION_KEY = "version"
@@ -85,9 +86,8 @@
             self._task.kill()
 
     def poll(self) -> bool:
-        """Ask one peer for newer records; tell whether any came."""
-        names = self._choose_peers(1)
-        return bool(names) and self._ask(names[0])
+        """Ask some peers in turn for newer records, until any came; tell whether any did."""
+        return any(self._ask(name) for name in self._choose_peers(PEERS_ASKED))
 
     def find(self, least: int) -> ConfigState | None:
         """Return the state of a peer that has applied offset ``least`` or a later one."""
--- a/packages/loomyard/src/loomyard/outside/http_log.py
+++ b/packages/loomyard/src/loomyard/outside/http_log.py
@@ -8,7 +8,7 @@
 
 from loomyard.codec import decode
 from loomyard.errors import Executed, Fault, ResultCode
-from loomyard.outside.log_service import LogBatch
+from loomyard.outside.log_service import READ_ANSWER_SECONDS, READ_WAIT, LogBatch
 from loomyard.util.addresses import split_address
 from loomyard.util.tcp import make_http_client
 
@@ -19,7 +19,7 @@
 
 CONNECT_TIMEOUT = 1.0
 ANSWER_TIMEOUT = 5.0
-READ_TIMEOUT = ANSWER_TIMEOUT
+READ_TIMEOUT = READ_WAIT + READ_ANSWER_SECONDS
 CONCURRENCY = 64
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
@@ -30,8 +30,8 @@
 
     def __init__(self, host: str, port: int) -> None:
         # Reads that wait for news must not keep appends from a connection.
-        self._appends = _make_client(host, port)
-        self._reads = _make_client(host, port)
+        self._appends = _make_client(host, port, ANSWER_TIMEOUT)
+        self._reads = _make_client(host, port, READ_TIMEOUT)
 
     def append(self, stream: str, payload: bytes) -> Result[int, Fault]:
         """Append a record and return its offset."""
@@ -68,13 +68,13 @@
     return HttpLogService(*split_address(address))
 
 
-def _make_client(host: str, port: int) -> HTTPClient:
+def _make_client(host: str, port: int, timeout: float) -> HTTPClient:
     return make_http_client(
         host,
         port,
         concurrency=CONCURRENCY,
         connection_timeout=CONNECT_TIMEOUT,
-        network_timeout=ANSWER_TIMEOUT,
+        network_timeout=timeout,
     )
 
 
--- a/packages/loomyard/src/loomyard/outside/log_service.py
+++ b/packages/loomyard/src/loomyard/outside/log_service.py
@@ -11,6 +11,12 @@
 
     from loomyard.errors import Fault
 
+# Seconds a read waits for records, and what an answer may take beyond. A log that falls silent
+# never answers what was due meanwhile, so their sum is how long silence can pass for a quiet
+# stream. With a wait of 2 s and a timeout of 5 s a change came up to 5 s after an outage had ended.
+READ_WAIT = 1.0
+READ_ANSWER_SECONDS = 1.0
+
 
 @frozen
 class LogRecord:
@@ -42,4 +48,7 @@
     def read(
         self, stream: str, offset: int, *, limit: int = 1000, wait: float = 0.0
     ) -> Result[LogBatch, Fault]:
-        """Read from an offset on; wait up to some seconds while there is nothing new."""
+        """Read from an offset on; wait up to some seconds while there is nothing new.
+
+        The wait is ``READ_WAIT`` at most; an error comes ``READ_ANSWER_SECONDS`` after that.
+        """
--- /dev/null
+++ b/tests/test_loomyard/test_http_log.py
@@ -0,0 +1,21 @@
+"""Tests of the client of the log service."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from loomyard.outside.http_log import HttpLogService
+from loomyard.outside.log_service import READ_ANSWER_SECONDS, READ_WAIT
+
+
+class HttpLogServiceTest(unittest.TestCase):
+    def test_a_read_that_hangs_ends_within_its_wait_and_the_time_of_an_answer(self) -> None:
+        with mock.patch("loomyard.outside.http_log.make_http_client") as make:
+            HttpLogService("127.0.0.1", 1).read("stream", 0, wait=READ_WAIT)
+        _, reads = (call.kwargs["network_timeout"] for call in make.call_args_list)
+        self.assertEqual(READ_WAIT + READ_ANSWER_SECONDS, reads)
+
+
+if __name__ == "__main__":
+    unittest.main()
