--- a/packages/loomyard-standins/src/loomyard_standins/memory_store.py
+++ b/packages/loomyard-standins/src/loomyard_standins/memory_store.py
@@ -34,6 +34,7 @@
         self.name = name
         self.clock = clock
         self.moved = Event()
+        self.connections = 0
         self._records: list[KeyedRecord] = []
         self._outages: dict[str, Outage] = {}
 
@@ -54,6 +55,10 @@
         self._wake()
         return self.clock.now()
 
+    def mute(self) -> None:
+        """Let all open connections fall silent for good; new ones work."""
+        self.connections += 1
+
     def outage(self, router: str) -> Outage | None:
         """Return how the store fails a router now."""
         return self._outages.get(router)
@@ -97,11 +102,12 @@
         outage = store.outage(self._router)
         if outage is not None:
             return self._fail(outage, wait_until + ANSWER_SECONDS)
+        connections = store.connections
         while not store.since(offset) and clock.now() < wait_until:
             wait_any([store.moved], wait_until, clock)
             if store.outage(self._router) is Outage.RESET:
                 return self._fail(Outage.RESET, clock.now())
-        if store.outage(self._router) is not None:
+        if store.outage(self._router) is not None or store.connections != connections:
             return self._fail(Outage.SILENT, wait_until + ANSWER_SECONDS)
         records = store.since(offset)
         return Ok(Batch(records=records, next_offset=offset + len(records)))
--- a/tests/test_loomyard_router/test_feeds/test_store_outages.py
+++ b/tests/test_loomyard_router/test_feeds/test_store_outages.py
@@ -89,6 +89,29 @@
                         self.begin_outage(fleet, outage, lead, list(fleet.routers)[:without])
                         self.assertLessEqual(self.last_of_changes(fleet), BOUND)
 
+    def test_open_connections_that_fall_silent_hold_nothing_up_for_longer(self) -> None:
+        fleet = self.start(7)
+        for store in fleet.stores.values():
+            store.mute()
+        self.assertLessEqual(self.last_of_changes(fleet), BOUND)
+
+    def test_a_fleet_in_which_only_some_read_the_store_keeps_the_bound(self) -> None:
+        for outage in (Outage.SILENT, Outage.BUSY):
+            with self.subTest(outage=outage, without="all"):
+                fleet = self.start(24)
+                last = self.last_after_outage(fleet, outage, 0.3, fleet.routers)
+                self.assertLessEqual(last, BOUND)
+            with self.subTest(outage=outage, without="a third"):
+                fleet = self.start(24)
+                self.begin_outage(fleet, outage, 0.3, list(fleet.routers)[:8])
+                self.assertLessEqual(self.last_of_changes(fleet), BOUND)
+
+    def test_a_quiet_feed_costs_about_a_call_a_second(self) -> None:
+        fleet = self.start(7)
+        before = fleet.calls
+        fleet.run(30.0)
+        self.assertLessEqual((fleet.calls - before) / (30.0 * 7 * len(FEEDS)), 1.1)
+
 
 if __name__ == "__main__":
     unittest.main()
