Soak the real programs: routers, store, targets and callers as processes, faults from outside

Processes on loopback addresses of their own; faults by signals to processes that this run started, by a TCP proxy in front of the store of each router and of each target (silent, one way, delayed, reset), by a store that refuses, by targets that refuse, break off and fail; promises are checked while it runs from what callers and targets say.

--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/caller_program.py
@@ -0,0 +1,132 @@
+"""Callers as a program: requests of all kinds to all routers; each outcome is said."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import random  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+
+import gevent  # noqa: E402
+from attrs import define, field  # noqa: E402
+from geventhttpclient import HTTPClient  # noqa: E402
+
+from loomyard_standins.programs.words import (  # noqa: E402
+    HOST,
+    HTTP_OK,
+    PATHS,
+    PROBE_HOST,
+    REPEATABLE,
+    STREAM,
+    probe_path,
+    request_headers,
+    say,
+    told,
+    whole_answer,
+    whole_stream,
+)
+
+CALLERS = 6
+PAUSE_SECONDS = 0.05
+DEADLINE_SECONDS = 5.0
+CONNECT_SECONDS = 1.0
+PROBE_EVERY = 4
+# How many versions back from the newest are asked for.
+PROBED = 3
+# A part of the callers leaves before the answer.
+LEAVING_PART = 0.05
+LEAVE_SECONDS = 0.1
+
+
+@define(eq=False)
+class Caller:
+    """One caller; it asks one router after the other and waits for each answer."""
+
+    name: str
+    routers: list[str]
+    source: random.Random
+    newest: list[int]
+    _asked: int = field(default=0)
+
+    def run(self) -> None:
+        """Ask for ever."""
+        while True:
+            self._asked += 1
+            router = self.source.choice(self.routers)
+            if self._asked % PROBE_EVERY == 0:
+                self._probe(router)
+            else:
+                self._request(router, self.source.choice(list(PATHS)))
+            gevent.sleep(PAUSE_SECONDS * self.source.random())
+
+    def _request(self, router: str, kind: str) -> None:
+        attempt_id = f"{self.name}-{self._asked}"
+        body = attempt_id.encode() * self.source.randint(1, 40)
+        leaves = self.source.random() < LEAVING_PART
+        expected = whole_stream(attempt_id) if kind == STREAM else whole_answer(attempt_id, body)
+        say(sent=attempt_id, kind=kind, router=router)
+        seconds = LEAVE_SECONDS if leaves else DEADLINE_SECONDS + CONNECT_SECONDS
+        status, got, ended = self._ask(
+            router, HOST, f"{PATHS[kind]}x", attempt_id, body, time.monotonic() + seconds
+        )
+        whole = status == HTTP_OK and ended
+        say(
+            saw=attempt_id,
+            status=status,
+            whole=whole,
+            own=got == expected if whole else status != HTTP_OK or expected.startswith(got),
+        )
+
+    def _probe(self, router: str) -> None:
+        """Ask for a route that a version added; only the status counts."""
+        version = self.source.randint(max(1, self.newest[0] - PROBED), self.newest[0])
+        attempt_id = f"{self.name}-{self._asked}"
+        say(sent=attempt_id, kind=REPEATABLE, router=router)
+        began = time.monotonic()
+        until = began + DEADLINE_SECONDS
+        status, _, _ = self._ask(router, PROBE_HOST, probe_path(version), attempt_id, b"", until)
+        if status:
+            say(probe=version, router=router, status=status, began=began)
+
+    def _ask(
+        self, router: str, host: str, path: str, attempt_id: str, body: bytes, until: float
+    ) -> tuple[int, bytes, bool]:
+        """Return status (0 without one), body as far as it came, and whether it ended whole."""
+        client = HTTPClient.from_url(
+            f"http://{router}",
+            connection_timeout=CONNECT_SECONDS,
+            network_timeout=DEADLINE_SECONDS,
+        )
+        headers = request_headers(attempt_id, DEADLINE_SECONDS) | {"Host": host}
+        status, got, whole = 0, b"", False
+        try:
+            with gevent.Timeout(max(0.0, until - time.monotonic()), False):
+                response = client.post(path, body=body, headers=headers)
+                status = response.status_code
+                while block := response.read(4096):
+                    got += bytes(block)
+                whole = response.message_complete
+        except Exception as error:  # the client raises many types on a broken connection
+            say(broken=attempt_id, detail=repr(error))
+        finally:
+            client.close()
+        return status, got, whole
+
+
+def main() -> int:
+    """Ask as ``SEED ROUTER...`` says until standard input ends; its lines are newest versions."""
+    seed, *routers = sys.argv[1:]
+    newest = [1]
+    for number in range(CALLERS):
+        caller = Caller(f"c{number}", routers, random.Random(f"{seed} {number}"), newest)
+        gevent.spawn(caller.run)
+    for line in told():
+        newest[0] = int(line)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/fault_plan.py
@@ -0,0 +1,47 @@
+"""Faults of a soak, drawn from its seed."""
+
+from __future__ import annotations
+
+import random
+from enum import Enum
+
+from attrs import frozen
+
+
+class ProgramFault(Enum):
+    """What befalls a program, or a connection."""
+
+    KILL_ROUTER = "a router is killed and starts again"
+    STOP_ROUTER = "a router is told to stop, and starts again"
+    PAUSE_ROUTER = "a router stands still"
+    CRASH_TARGET = "a target is killed, another starts"
+    LEAVE_TARGET = "a target says that it leaves, ends later, another starts"
+    PAUSE_TARGET = "a target stands still"
+    CUT_TARGET = "connections to a target fail"
+    PAUSE_STORE = "the store stands still"
+    BUSY_STORE = "the store refuses every call"
+    CUT_STORE = "connections of some routers to the store fail"
+    MUTE_STORE = "connections of all routers to the store fail"
+
+
+@frozen(kw_only=True)
+class Planned:
+    """A fault; ``at`` and ``until`` are seconds after the start, ``choice`` picks who and how."""
+
+    at: float
+    until: float
+    fault: ProgramFault
+    choice: int
+
+
+def draw_plan(seed: int, *, seconds: float, every: float) -> list[Planned]:
+    """Return faults in the order of their times; they may overlap, and all end in time."""
+    source = random.Random(seed)
+    plan = []
+    at = every
+    while at < seconds - every:
+        until = min(at + source.uniform(0.3, 4.0), seconds)
+        fault = source.choice(list(ProgramFault))
+        plan.append(Planned(at=at, until=until, fault=fault, choice=source.randrange(2**16)))
+        at += every * source.uniform(0.3, 1.7)
+    return plan
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
@@ -0,0 +1,185 @@
+"""Routers, store, targets and callers as processes on loopback."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import sys
+import time
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from attrs import define
+
+from loomyard.clock import SystemClock
+from loomyard_standins.programs import documents
+from loomyard_standins.programs.fault_proxy import FaultProxy
+from loomyard_standins.programs.program import Program
+from loomyard_standins.programs.words import ONCE, STREAM
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from loomyard_standins.programs.promises import Promises
+
+TARGETS_OF_EACH = 2
+MODULES = "loomyard_standins.programs"
+ROUTER_MODULE = "loomyard_router.platform"
+SECRET = "a secret of this run"
+# How long a target that crashed or left stays announced, and one that leaves goes on serving.
+LAPSE_SECONDS = 1.0
+LEAVE_SECONDS = 4.0
+FIRST_HOST = 10
+
+
+@define(eq=False)
+class Router:
+    """A router, which keeps its addresses through its lives."""
+
+    name: str
+    host: str
+    store: FaultProxy
+    program: Program
+
+    @property
+    def address(self) -> str:
+        return f"{self.host}:{documents.FRONT_PORT}"
+
+
+@define(eq=False)
+class Target:
+    """One life of a target."""
+
+    id: str
+    kind: str
+    link: FaultProxy
+    program: Program
+
+
+class ProgramFleet:
+    """Start, fail and end the programs; each process is known by the object that started it."""
+
+    def __init__(self, folder: Path, *, seed: int, routers: int, promises: Promises) -> None:
+        self.clock = SystemClock()
+        self.breaches: list[Any] = []
+        self.version = 0
+        self._folder = folder
+        self._seed = seed
+        self._promises = promises
+        self._lives = 0
+        self._programs: list[Program] = []
+        # Addresses of loopback that other runs on this machine do not use.
+        number = os.getpid()
+        self._base = f"127.{1 + number // 250 % 250}.{number % 250}"
+        self._store_host = f"{self._base}.1"
+        self.store = self._start("store", "store_program", f"{self._store_host}:0")
+        self.targets = [
+            self._start_target(kind) for kind in (ONCE, STREAM) for _ in range(TARGETS_OF_EACH)
+        ]
+        self.publish_configuration()
+        hosts = [f"{self._base}.{FIRST_HOST + number}" for number in range(routers)]
+        self.routers = [self._make_router(host, hosts) for host in hosts]
+        self.callers = self._start(
+            "callers", "caller_program", str(seed), *[router.address for router in self.routers]
+        )
+
+    def publish_configuration(self) -> None:
+        """Publish the next version."""
+        self.version += 1
+        self._publish(
+            documents.CONFIGURATION_TOPIC,
+            documents.CONFIGURATION_KEY,
+            documents.configuration(self.version),
+            version=self.version,
+        )
+
+    def tell_version(self) -> None:
+        """Let callers ask for the newest route."""
+        self.callers.tell(str(self.version))
+
+    def restart_router(self, router: Router, number: signal.Signals) -> None:
+        """End a router by a signal, as the platform does, and start it again."""
+        router.program.signal(number)
+        if not router.program.wait(documents.GRACE_SECONDS):
+            router.program.signal(signal.SIGKILL)
+        router.program.end()
+        self._promises.note_router(router.address, time.monotonic())
+        router.program = self._start_router(router.name)
+
+    def replace_target(self, target: Target, *, crash: bool) -> None:
+        """End a target, at once or after it said that it leaves; another life takes its place."""
+        if crash:
+            target.program.end()
+            gevent.sleep(LAPSE_SECONDS)
+        else:
+            self._announce(target, draining=True)
+            gevent.sleep(LEAVE_SECONDS)
+        self._publish(documents.TARGETS_TOPIC, target.id, None)
+        self.targets.append(self._start_target(target.kind))
+        self.targets.remove(target)
+        if not crash:
+            gevent.sleep(LAPSE_SECONDS)
+            target.program.end()
+        target.link.stop()
+
+    def end(self) -> None:
+        """End every process that this fleet started, and no other."""
+        for program in reversed(self._programs):
+            program.end()
+        for proxy in [*(r.store for r in self.routers), *(t.link for t in self.targets)]:
+            proxy.stop()
+
+    def _make_router(self, host: str, hosts: list[str]) -> Router:
+        name = f"r{host.rpartition('.')[2]}"
+        store = FaultProxy(self._store_host, (self._store_host, self.store.port), self.clock)
+        store.start()
+        text = documents.settings(name, host, hosts, store.address)
+        self._settings(name).write_text(text, encoding="utf-8")
+        return Router(name, host, store, self._start_router(name))
+
+    def _start_router(self, name: str) -> Program:
+        environment = {
+            "LOOMYARD_NODE_FILE": str(self._settings(name)),
+            "LOOMYARD_FLEET_SECRET": SECRET,
+        }
+        program = Program(
+            [sys.executable, "-m", ROUTER_MODULE],
+            self._folder / f"{name}.log",
+            lambda _: None,
+            environment,
+        )
+        self._programs.append(program)
+        return program
+
+    def _start_target(self, kind: str) -> Target:
+        self._lives += 1
+        id_ = f"t{self._lives}"
+        program = self._start(
+            id_, "target_program", id_, kind, self._store_host, f"{self._seed} {id_}"
+        )
+        link = FaultProxy(self._store_host, (self._store_host, program.port), self.clock)
+        link.start()
+        target = Target(id_, kind, link, program)
+        self._announce(target, draining=False)
+        return target
+
+    def _announce(self, target: Target, *, draining: bool) -> None:
+        service = documents.SERVICES[target.kind]
+        value = documents.announcement(service, target.link.address, draining=draining)
+        self._publish(documents.TARGETS_TOPIC, target.id, value)
+
+    def _publish(self, topic: str, key: str, value: str | None, **more: int) -> None:
+        self.store.tell(json.dumps({"topic": topic, "key": key, "value": value, **more}))
+
+    def _start(self, name: str, module: str, *arguments: str) -> Program:
+        command = [sys.executable, "-m", f"{MODULES}.{module}", *arguments]
+        program = Program(command, self._folder / f"{name}.log", self._hear)
+        self._programs.append(program)
+        return program
+
+    def _hear(self, said: dict[str, Any]) -> None:
+        self.breaches += self._promises.take(said)
+
+    def _settings(self, name: str) -> Path:
+        return self._folder / f"{name}.conf"
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/promises.py
@@ -0,0 +1,121 @@
+"""What must hold whatever fails, checked on what callers and targets say while they run."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field, frozen
+
+from loomyard_standins.programs.words import HTTP_OK, NOT_RUN_STATUSES, ONCE
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+HTTP_NOT_FOUND = 404
+
+
+class Promise(Enum):
+    """What must hold."""
+
+    OWN_ANSWER = "a caller gets its own whole answer, or sees that it did not"
+    NOT_RUN = "what is refused as not run has not run and never will"
+    AT_MOST_ONCE = "a request that may not be repeated runs at most once"
+    ASKED = "a target runs what a caller sent and nothing else"
+    NEVER_BACK = "the configuration that a router serves never goes back"
+    SERVES_AGAIN = "once the faults are over every router serves every kind of request"
+
+
+@frozen
+class Breach:
+    """A sighting against a promise."""
+
+    promise: Promise
+    detail: str
+
+
+@define(eq=False)
+class Promises:
+    """Take in what programs say, and tell what breaks a promise as soon as it is seen."""
+
+    requests: int = 0
+    answered: int = 0
+    refused: int = 0
+    runs: int = 0
+    # Seconds from the acknowledgement of each version until each router was first seen to serve it.
+    lags: list[float] = field(factory=list)
+    _kinds: dict[str, str] = field(factory=dict)
+    _ran: defaultdict[str, list[str]] = field(factory=lambda: defaultdict(list))
+    _statuses: dict[str, int] = field(factory=dict)
+    _acked: dict[int, float] = field(factory=dict)
+    _served: dict[str, dict[int, float]] = field(factory=dict)
+    _started: dict[str, float] = field(factory=dict)
+
+    def note_router(self, router: str, at: float) -> None:
+        """Take in that a life of a router ended; a new one may know less."""
+        self._started[router] = at
+        self._served[router] = {}
+
+    def note_sent(self, attempt_id: str, kind: str) -> None:
+        """Take in that a request goes out."""
+        self.requests += 1
+        self._kinds[attempt_id] = kind
+
+    def take(self, said: dict[str, Any]) -> Iterator[Breach]:
+        """Take in what a program said."""
+        if "sent" in said:
+            self.note_sent(said["sent"], said["kind"])
+        elif "run" in said:
+            yield from self._take_run(said)
+        elif "saw" in said:
+            yield from self._take_answer(said)
+        elif "probe" in said:
+            yield from self._take_probe(said)
+        elif said.get("version") is not None:
+            self._acked[said["version"]] = said["at"]
+
+    def unasked(self) -> Iterator[Breach]:
+        """Return what ran though nobody sent it; to be asked for at the end."""
+        for attempt_id in self._ran.keys() - self._kinds.keys():
+            yield Breach(Promise.ASKED, f"{attempt_id!r} ran at {self._ran[attempt_id]}")
+
+    def _take_run(self, said: dict[str, Any]) -> Iterator[Breach]:
+        attempt_id = said["run"]
+        self.runs += 1
+        targets = self._ran[attempt_id]
+        targets.append(said["target"])
+        if attempt_id in self._statuses:
+            detail = f"{attempt_id} got {self._statuses[attempt_id]}, then ran at {targets}"
+            yield Breach(Promise.NOT_RUN, detail)
+        if len(targets) > 1 and self._kinds.get(attempt_id) == ONCE:
+            yield Breach(Promise.AT_MOST_ONCE, f"{attempt_id} ran at {targets}")
+
+    def _take_answer(self, said: dict[str, Any]) -> Iterator[Breach]:
+        attempt_id, status = said["saw"], said["status"]
+        self.answered += status == HTTP_OK and said["whole"]
+        if not said["own"]:
+            yield Breach(Promise.OWN_ANSWER, f"{attempt_id} got something else as {status}")
+        if status in NOT_RUN_STATUSES:
+            self.refused += 1
+            self._statuses[attempt_id] = status
+            if self._ran.get(attempt_id):
+                detail = f"{attempt_id} got {status}, but had run at {self._ran[attempt_id]}"
+                yield Breach(Promise.NOT_RUN, detail)
+
+    def _take_probe(self, said: dict[str, Any]) -> Iterator[Breach]:
+        router, version, began = said["router"], said["probe"], said["began"]
+        if began < self._started.get(router, 0.0):
+            return
+        served = self._served.setdefault(router, {})
+        if said["status"] == HTTP_OK:
+            if version not in served and version in self._acked:
+                self.lags.append(said["at"] - self._acked[version])
+            served.setdefault(version, said["at"])
+        if said["status"] != HTTP_NOT_FOUND:
+            return
+        # A version has all routes of those before it.
+        before = [known for known, at in served.items() if known >= version and at < began]
+        if before:
+            detail = f"{router} does not know version {version}, but had served {max(before)}"
+            yield Breach(Promise.NEVER_BACK, detail)
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
@@ -0,0 +1,190 @@
+"""One run: programs, the faults of a seed, and what broke."""
+
+from __future__ import annotations
+
+import json
+import signal
+import statistics
+import time
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from geventhttpclient import HTTPClient
+
+from loomyard_standins.programs.fault_plan import ProgramFault, draw_plan
+from loomyard_standins.programs.fault_proxy import LinkFault
+from loomyard_standins.programs.program_fleet import ProgramFleet
+from loomyard_standins.programs.promises import Breach, Promise, Promises
+from loomyard_standins.programs.words import HTTP_OK, PATHS, request_headers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+    from loomyard_standins.programs.fault_plan import Planned
+    from loomyard_standins.programs.program import Program
+
+CHANGE_SECONDS = 1.0
+# After the faults: by then every router has to serve every kind of request.
+SERVES_SECONDS = 60.0
+ASK_SECONDS = 5.0
+LOOK_SECONDS = 0.2
+LINK_FAULTS = (LinkFault.SILENT, LinkFault.ONE_WAY, LinkFault.DELAYED, LinkFault.RESET)
+
+
+class SoakRun:
+    """Play the faults of a seed against a fleet of programs."""
+
+    def __init__(
+        self, folder: Path, *, seed: int, seconds: float, every: float, routers: int
+    ) -> None:
+        self._seed = seed
+        self._seconds = seconds
+        self._plan = draw_plan(seed, seconds=seconds, every=every)
+        self._promises = Promises()
+        self._fleet = ProgramFleet(folder, seed=seed, routers=routers, promises=self._promises)
+        self._struck: set[object] = set()
+        self._played = 0
+        self._faults: dict[ProgramFault, Callable[[Planned], None]] = {
+            ProgramFault.KILL_ROUTER: lambda one: self._restart(one, signal.SIGKILL),
+            ProgramFault.STOP_ROUTER: lambda one: self._restart(one, signal.SIGTERM),
+            ProgramFault.PAUSE_ROUTER: lambda one: self._pause(one, self._router(one).program),
+            ProgramFault.CRASH_TARGET: lambda one: self._replace(one, crash=True),
+            ProgramFault.LEAVE_TARGET: lambda one: self._replace(one, crash=False),
+            ProgramFault.PAUSE_TARGET: lambda one: self._pause(one, self._target(one).program),
+            ProgramFault.CUT_TARGET: self._cut_target,
+            ProgramFault.PAUSE_STORE: lambda one: self._pause(one, self._fleet.store),
+            ProgramFault.BUSY_STORE: self._refuse,
+            ProgramFault.CUT_STORE: lambda one: self._cut_store(one, everyone=False),
+            ProgramFault.MUTE_STORE: lambda one: self._cut_store(one, everyone=True),
+        }
+
+    @property
+    def breaches(self) -> list[Breach]:
+        return self._fleet.breaches
+
+    def play(self) -> dict[str, Any]:
+        """Play everything; return figures."""
+        began = time.monotonic()
+        try:
+            tasks = [gevent.spawn(self._strike, planned) for planned in self._plan]
+            changes = gevent.spawn(self._change)
+            gevent.sleep(self._seconds)
+            gevent.joinall(tasks, raise_error=True)
+            changes.kill()
+            self._await_service()
+        finally:
+            self._fleet.end()
+        self.breaches.extend(self._promises.unasked())
+        return self._report(time.monotonic() - began)
+
+    def _strike(self, planned: Planned) -> None:
+        gevent.sleep(planned.at)
+        self._faults[planned.fault](planned)
+
+    def _change(self) -> None:
+        while True:
+            gevent.sleep(CHANGE_SECONDS)
+            self._fleet.publish_configuration()
+            self._fleet.tell_version()
+
+    def _router(self, planned: Planned) -> Any:
+        return self._fleet.routers[planned.choice % len(self._fleet.routers)]
+
+    def _target(self, planned: Planned) -> Any:
+        return self._fleet.targets[planned.choice % len(self._fleet.targets)]
+
+    def _take(self, struck: object) -> bool:
+        """Strike what no other fault strikes now; tell whether it is free."""
+        if struck in self._struck:
+            return False
+        self._struck.add(struck)
+        self._played += 1
+        return True
+
+    def _restart(self, planned: Planned, number: signal.Signals) -> None:
+        router = self._router(planned)
+        if self._take(router):
+            self._fleet.restart_router(router, number)
+            self._struck.remove(router)
+
+    def _replace(self, planned: Planned, *, crash: bool) -> None:
+        target = self._target(planned)
+        if self._take(target):
+            self._fleet.replace_target(target, crash=crash)
+            self._struck.remove(target)
+
+    def _pause(self, planned: Planned, program: Program) -> None:
+        # A router or target that is being replaced may end meanwhile; its signals go nowhere then.
+        if self._take(program):
+            program.signal(signal.SIGSTOP)
+            gevent.sleep(planned.until - planned.at)
+            program.signal(signal.SIGCONT)
+            self._struck.remove(program)
+
+    def _refuse(self, planned: Planned) -> None:
+        if self._take(ProgramFault.BUSY_STORE):
+            self._fleet.store.tell(json.dumps({"busy": True}))
+            gevent.sleep(planned.until - planned.at)
+            self._fleet.store.tell(json.dumps({"busy": False}))
+            self._struck.remove(ProgramFault.BUSY_STORE)
+
+    def _cut_target(self, planned: Planned) -> None:
+        target = self._target(planned)
+        if self._take(target.link):
+            target.link.set_fault(LINK_FAULTS[planned.choice % len(LINK_FAULTS)])
+            gevent.sleep(planned.until - planned.at)
+            target.link.set_fault(LinkFault.NONE)
+            self._struck.remove(target.link)
+
+    def _cut_store(self, planned: Planned, *, everyone: bool) -> None:
+        routers = self._fleet.routers if everyone else [self._router(planned)]
+        links = [router.store for router in routers if self._take(router.store)]
+        for link in links:
+            link.set_fault(LINK_FAULTS[planned.choice % len(LINK_FAULTS)])
+        gevent.sleep(planned.until - planned.at)
+        for link in links:
+            link.set_fault(LinkFault.NONE)
+            self._struck.remove(link)
+
+    def _await_service(self) -> None:
+        until = time.monotonic() + SERVES_SECONDS
+        missing = [(router.address, kind) for router in self._fleet.routers for kind in PATHS]
+        asked = 0
+        while missing and time.monotonic() < until:
+            asked += 1
+            missing = [one for one in missing if not self._serves(*one, f"end-{asked}-{one[1]}")]
+            gevent.sleep(LOOK_SECONDS)
+        for address, kind in missing:
+            detail = f"{address} serves no {kind} {SERVES_SECONDS} s after the last fault"
+            self.breaches.append(Breach(Promise.SERVES_AGAIN, detail))
+
+    def _serves(self, address: str, kind: str, attempt: str) -> bool:
+        attempt_id = f"{attempt}-{address}"
+        self._promises.note_sent(attempt_id, kind)
+        client = HTTPClient.from_url(
+            f"http://{address}", connection_timeout=ASK_SECONDS, network_timeout=ASK_SECONDS
+        )
+        try:
+            headers = request_headers(attempt_id, ASK_SECONDS)
+            return client.post(f"{PATHS[kind]}x", body=b"", headers=headers).status_code == HTTP_OK
+        except Exception:  # the client raises many types on a broken connection
+            return False
+        finally:
+            client.close()
+
+    def _report(self, seconds: float) -> dict[str, Any]:
+        promises, lags = self._promises, sorted(self._promises.lags)
+        return {
+            "seed": self._seed,
+            "faults": self._played,
+            "requests": promises.requests,
+            "whole": promises.answered,
+            "refused": promises.refused,
+            "runs": promises.runs,
+            "versions": self._fleet.version,
+            "seen_after_p50": round(statistics.median(lags), 2) if lags else None,
+            "seen_after_most": round(lags[-1], 2) if lags else None,
+            "breaches": len(self.breaches),
+            "seconds": round(seconds, 1),
+        }
--- /dev/null
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/store_program.py
@@ -0,0 +1,110 @@
+"""The store as a program: keyed records, long reads, told by lines of its standard input."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import base64  # noqa: E402
+import json  # noqa: E402
+import struct  # noqa: E402
+import sys  # noqa: E402
+from collections import defaultdict  # noqa: E402
+from typing import TYPE_CHECKING, Any  # noqa: E402
+from urllib.parse import parse_qs  # noqa: E402
+
+import gevent  # noqa: E402
+from attrs import define, field  # noqa: E402
+from gevent.event import Event  # noqa: E402
+
+from loomyard.util.tcp import NoDelayServer  # noqa: E402
+from loomyard_standins.programs.words import MILLISECONDS, say, told  # noqa: E402
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+
+@define(eq=False)
+class Topic:
+    """Records by offset; a value of ``None`` drops its key."""
+
+    records: list[tuple[str, bytes | None]] = field(factory=list)
+    grown: Event = field(factory=Event)
+
+    def add(self, key: str, value: bytes | None) -> None:
+        """Keep a record and wake who waits for it."""
+        self.records.append((key, value))
+        grown, self.grown = self.grown, Event()
+        grown.set()
+
+
+@define(eq=False)
+class StoreProgram:
+    """Topics with one partition each; ``busy`` refuses every call."""
+
+    busy: bool = False
+    topics: defaultdict[str, Topic] = field(factory=lambda: defaultdict(Topic))
+
+    def serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
+        """Answer a call; a WSGI application."""
+        query = {name: values[0] for name, values in parse_qs(environ["QUERY_STRING"]).items()}
+        topic = self.topics[query["topic"]]
+        if self.busy:
+            start_response("503 Service Unavailable", [])
+            return [b""]
+        if environ["PATH_INFO"] == "/log-read":
+            body = self._read(topic, int(query["from"]), int(query["wait_ms"]) / MILLISECONDS)
+        else:
+            body = _list(topic)
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+    def follow(self, lines: Iterable[str]) -> None:
+        """Do what lines of JSON say until they end."""
+        for line in lines:
+            told = json.loads(line)
+            if "busy" in told:
+                self.busy = told["busy"]
+                continue
+            value = None if told["value"] is None else told["value"].encode()
+            self.topics[told["topic"]].add(told["key"], value)
+            say(acked=told["key"], version=told.get("version"))
+
+    def _read(self, topic: Topic, offset: int, wait: float) -> bytes:
+        with gevent.Timeout(wait, False):
+            while offset >= len(topic.records):
+                topic.grown.wait()
+        content = [_encode(key, value) for key, value in topic.records[offset:]]
+        return struct.pack(">QQ", len(topic.records), 0) + b"".join(content)
+
+
+def _list(topic: Topic) -> bytes:
+    newest = {key: (offset, value) for offset, (key, value) in enumerate(topic.records)}
+    items = [
+        {"tls_key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+        for key, (offset, value) in newest.items()
+        if value is not None
+    ]
+    document = {"items": items, "truncated": False, "end_offset": len(topic.records)}
+    return json.dumps(document).encode()
+
+
+def _encode(key: str, value: bytes | None) -> bytes:
+    content = bytes([len(key)]) + key.encode() + (value or b"")
+    return struct.pack(">I", len(content)) + content
+
+
+def main() -> int:
+    """Serve at the address of the first argument until standard input ends."""
+    host, _, port = sys.argv[1].rpartition(":")
+    store = StoreProgram()
+    server = NoDelayServer((host, int(port)), store.serve, log=None)
+    server.start()
+    say(listening=server.server_port)
+    store.follow(told())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
