--- a/packages/loomyard-standins/src/loomyard_standins/programs/__main__.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/__main__.py
@@ -10,10 +10,13 @@
 import json  # noqa: E402
 import random  # noqa: E402
 import shutil  # noqa: E402
+import signal  # noqa: E402
 import sys  # noqa: E402
 import tempfile  # noqa: E402
 from pathlib import Path  # noqa: E402
 
+import gevent  # noqa: E402
+
 from loomyard_standins.programs.soak_run import SoakRun  # noqa: E402
 
 SECONDS = 30.0
@@ -24,6 +27,8 @@
 def main() -> int:
     """Run some seeds one after the other; fail with any breach, whose logs are kept."""
     arguments = _parse()
+    # Told to end, a run ends its programs first.
+    gevent.signal_handler(signal.SIGTERM, gevent.getcurrent().throw, SystemExit(1))
     first = arguments.seed
     broken = 0
     for seed in range(first, first + arguments.seeds):
