--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/loomyard packages/loomyard-router packages/loomyardctl packages/loomyard-standins
 SOURCES := packages tests
 
-.PHONY: setup demo serve test soak lint format tables clean
+.PHONY: setup demo serve test soak soak-programs lint format tables clean
 setup: $(VENV)/.ready
 
 $(VENV)/.ready: constraints.txt $(PACKAGES:%=%/pyproject.toml)
@@ -22,6 +22,9 @@
 test: setup
 	$(BIN)/python -m loomyard_standins.testing tests
 
+soak-programs: setup
+	$(BIN)/python -m loomyard_standins.programs $(if $(SEED),--seed $(SEED)) $(if $(SEEDS),--seeds $(SEEDS))
+
 lint: setup
 	$(BIN)/black --quiet --check $(SOURCES)
 	$(BIN)/ruff check --quiet --output-format concise $(SOURCES)
--- a/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
@@ -19,8 +19,10 @@
 from loomyard_standins.programs.words import ONCE, STREAM
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from pathlib import Path
 
+    from loomyard_standins.programs.program import Listener
     from loomyard_standins.programs.promises import Promises
 
 TARGETS_OF_EACH = 2
@@ -67,6 +69,7 @@
         self._folder = folder
         self._seed = seed
         self._promises = promises
+        self._ending = False
         self._lives = 0
         self._programs: list[Program] = []
         # Addresses of loopback that other runs on this machine do not use.
@@ -124,7 +127,8 @@
         target.link.stop()
 
     def end(self) -> None:
-        """End every process that this fleet started, and no other."""
+        """End every process that this fleet started, and no other; none starts from now on."""
+        self._ending = True
         for program in reversed(self._programs):
             program.end()
         for proxy in [*(r.store for r in self.routers), *(t.link for t in self.targets)]:
@@ -143,14 +147,7 @@
             "LOOMYARD_NODE_FILE": str(self._settings(name)),
             "LOOMYARD_FLEET_SECRET": SECRET,
         }
-        program = Program(
-            [sys.executable, "-m", ROUTER_MODULE],
-            self._folder / f"{name}.log",
-            lambda _: None,
-            environment,
-        )
-        self._programs.append(program)
-        return program
+        return self._launch(name, ROUTER_MODULE, lambda _: None, environment=environment)
 
     def _start_target(self, kind: str) -> Target:
         self._lives += 1
@@ -173,9 +170,23 @@
         self.store.tell(json.dumps({"topic": topic, "key": key, "value": value, **more}))
 
     def _start(self, name: str, module: str, *arguments: str) -> Program:
-        command = [sys.executable, "-m", f"{MODULES}.{module}", *arguments]
-        program = Program(command, self._folder / f"{name}.log", self._hear)
+        return self._launch(name, f"{MODULES}.{module}", self._hear, *arguments)
+
+    def _launch(
+        self,
+        name: str,
+        module: str,
+        listener: Listener,
+        *arguments: str,
+        environment: Mapping[str, str] = {},
+    ) -> Program:
+        if self._ending:
+            raise gevent.GreenletExit
+        command = [sys.executable, "-m", module, *arguments]
+        program = Program(command, self._folder / f"{name}.log", listener, environment)
         self._programs.append(program)
+        if self._ending:
+            program.end()
         return program
 
     def _hear(self, said: dict[str, Any]) -> None:
--- /dev/null
+++ b/tests/test_loomyard_standins/test_programs/test_promises.py
@@ -0,0 +1,72 @@
+"""Tests that each broken promise is seen, in whatever order its signs come."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from loomyard_standins.programs.promises import Promise, Promises
+from loomyard_standins.programs.words import ONCE, REPEATABLE
+
+ROUTER = "127.0.0.1:1"
+
+
+class PromisesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.promises = Promises()
+
+    def broken(self, *sayings: dict[str, Any]) -> list[Promise]:
+        return [
+            breach.promise
+            for number, said in enumerate(sayings)
+            for breach in self.promises.take({"at": float(number), **said})
+        ]
+
+    def probe(self, version: int, status: int, began: float) -> dict[str, Any]:
+        return {"probe": version, "router": ROUTER, "status": status, "began": began}
+
+    def test_an_answer_of_somebody_else(self) -> None:
+        saw = {"saw": "a", "status": 200, "whole": True, "own": False}
+        self.assertEqual([Promise.OWN_ANSWER], self.broken({"sent": "a", "kind": ONCE}, saw))
+
+    def test_a_refusal_is_untrue_whether_the_run_came_before_or_after(self) -> None:
+        for number, order in enumerate(((0, 1), (1, 0))):
+            name = f"a{number}"
+            run = {"run": name, "target": "t1"}
+            saw = {"saw": name, "status": 503, "whole": False, "own": True}
+            sayings = [(run, saw)[index] for index in order]
+            sent = {"sent": name, "kind": REPEATABLE}
+            self.assertEqual([Promise.NOT_RUN], self.broken(sent, *sayings))
+
+    def test_a_second_run_counts_only_where_it_is_not_allowed(self) -> None:
+        for kind, expected in ((REPEATABLE, []), (ONCE, [Promise.AT_MOST_ONCE])):
+            runs = [{"run": kind, "target": target} for target in ("t1", "t2")]
+            self.assertEqual(expected, self.broken({"sent": kind, "kind": kind}, *runs))
+
+    def test_what_nobody_sent(self) -> None:
+        self.assertEqual([], self.broken({"run": "x", "target": "t1"}))
+        self.assertEqual([Promise.ASKED], [one.promise for one in self.promises.unasked()])
+
+    def test_a_version_that_goes_back(self) -> None:
+        served, older = self.probe(4, 200, 0.0), self.probe(3, 404, 5.0)
+        self.assertEqual([Promise.NEVER_BACK], self.broken(served, older))
+
+    def test_a_version_that_is_not_there_yet_is_no_breach(self) -> None:
+        served, newer = self.probe(4, 200, 0.0), self.probe(5, 404, 5.0)
+        self.assertEqual([], self.broken(served, newer))
+
+    def test_a_new_life_of_a_router_may_know_less(self) -> None:
+        self.assertEqual([], self.broken(self.probe(4, 200, 0.0)))
+        self.promises.note_router(ROUTER, 6.0)
+        self.assertEqual([], self.broken(self.probe(4, 404, 5.0), self.probe(4, 404, 7.0)))
+
+    def test_an_answer_that_overtook_another_is_no_breach(self) -> None:
+        self.assertEqual([], self.broken(self.probe(4, 200, 0.0), self.probe(4, 404, 0.0)))
+
+    def test_counts_and_the_time_to_the_first_sight_of_a_version(self) -> None:
+        self.broken({"acked": "config", "version": 4}, self.probe(4, 200, 0.5))
+        self.assertEqual([1.0], self.promises.lags)
+
+
+if __name__ == "__main__":
+    unittest.main()
