--- a/packages/loomyard-standins/src/loomyard_standins/programs/program.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program.py
@@ -18,6 +18,8 @@
     Listener = Callable[[dict[str, Any]], None]
 
 END_SECONDS = 15.0
+# A busy machine takes seconds to start a program; none that starts at all takes as long.
+LISTEN_SECONDS = 60.0
 
 
 class Program:
@@ -46,7 +48,7 @@
     @property
     def port(self) -> int:
         """Return the port at which the program said that it listens."""
-        if not self._listening.wait(END_SECONDS):
+        if not self._listening.wait(LISTEN_SECONDS):
             raise TimeoutError(f"a program does not listen; see {self._log.name}")
         return self._port
 
