--- a/packages/loomyard-standins/src/loomyard_standins/programs/caller_program.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/caller_program.py
@@ -73,6 +73,8 @@
             router, HOST, f"{PATHS[kind]}x", attempt_id, body, time.monotonic() + seconds
         )
         whole = status == HTTP_OK and ended
+        if leaves and not ended:
+            say(left=attempt_id)
         say(
             saw=attempt_id,
             status=status,
--- a/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
@@ -117,6 +117,7 @@
             gevent.sleep(LAPSE_SECONDS)
         else:
             self._announce(target, draining=True)
+            self._promises.note_leaving(target.id, time.monotonic())
             gevent.sleep(LEAVE_SECONDS)
         self._publish(documents.TARGETS_TOPIC, target.id, None)
         self.targets.append(self._start_target(target.kind))
--- a/packages/loomyard-standins/src/loomyard_standins/programs/promises.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/promises.py
@@ -45,18 +45,27 @@
     runs: int = 0
     # Seconds from the acknowledgement of each version until each router was first seen to serve it.
     lags: list[float] = field(factory=list)
+    # Seconds from a target's word that it leaves, or a caller's leaving, to what still ran there.
+    after_leaving: list[float] = field(factory=list)
+    after_caller: list[float] = field(factory=list)
     _kinds: dict[str, str] = field(factory=dict)
     _ran: defaultdict[str, list[str]] = field(factory=lambda: defaultdict(list))
     _statuses: dict[str, int] = field(factory=dict)
     _acked: dict[int, float] = field(factory=dict)
     _served: dict[str, dict[int, float]] = field(factory=dict)
     _started: dict[str, float] = field(factory=dict)
+    _leaving: dict[str, float] = field(factory=dict)
+    _left: dict[str, float] = field(factory=dict)
 
     def note_router(self, router: str, at: float) -> None:
         """Take in that a life of a router ended; a new one may know less."""
         self._started[router] = at
         self._served[router] = {}
 
+    def note_leaving(self, target: str, at: float) -> None:
+        """Take in that a target says that it leaves."""
+        self._leaving[target] = at
+
     def note_sent(self, attempt_id: str, kind: str) -> None:
         """Take in that a request goes out."""
         self.requests += 1
@@ -70,6 +79,8 @@
             yield from self._take_run(said)
         elif "saw" in said:
             yield from self._take_answer(said)
+        elif "left" in said:
+            self._left[said["left"]] = said["at"]
         elif "probe" in said:
             yield from self._take_probe(said)
         elif said.get("version") is not None:
@@ -85,6 +96,10 @@
         self.runs += 1
         targets = self._ran[attempt_id]
         targets.append(said["target"])
+        if said["target"] in self._leaving:
+            self.after_leaving.append(said["at"] - self._leaving[said["target"]])
+        if attempt_id in self._left:
+            self.after_caller.append(said["at"] - self._left[attempt_id])
         if attempt_id in self._statuses:
             detail = f"{attempt_id} got {self._statuses[attempt_id]}, then ran at {targets}"
             yield Breach(Promise.NOT_RUN, detail)
--- a/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
@@ -174,7 +174,7 @@
             client.close()
 
     def _report(self, seconds: float) -> dict[str, Any]:
-        promises, lags = self._promises, sorted(self._promises.lags)
+        promises, lags = self._promises, self._promises.lags
         return {
             "seed": self._seed,
             "faults": self._played,
@@ -184,7 +184,13 @@
             "runs": promises.runs,
             "versions": self._fleet.version,
             "seen_after_p50": round(statistics.median(lags), 2) if lags else None,
-            "seen_after_most": round(lags[-1], 2) if lags else None,
+            "seen_after_most": _most(lags),
+            "run_after_target_left_most": _most(promises.after_leaving),
+            "run_after_caller_left_most": _most(promises.after_caller),
             "breaches": len(self.breaches),
             "seconds": round(seconds, 1),
         }
+
+
+def _most(seconds: list[float]) -> float | None:
+    return round(max(seconds), 2) if seconds else None
--- a/tests/test_loomyard_standins/test_programs/test_promises.py
+++ b/tests/test_loomyard_standins/test_programs/test_promises.py
@@ -67,6 +67,15 @@
         self.broken({"acked": "config", "version": 4}, self.probe(4, 200, 0.5))
         self.assertEqual([1.0], self.promises.lags)
 
+    def test_what_runs_after_a_target_or_a_caller_left_is_measured(self) -> None:
+        self.promises.note_leaving("t1", 0.5)
+        run = {"run": "a", "target": "t1"}
+        self.broken(
+            {"sent": "a", "kind": ONCE}, {"left": "a"}, {"acked": "x", "version": None}, run
+        )
+        self.assertEqual([2.5], self.promises.after_leaving)
+        self.assertEqual([2.0], self.promises.after_caller)
+
 
 if __name__ == "__main__":
     unittest.main()
