--- a/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
@@ -23,7 +23,7 @@
     from pathlib import Path
 
     from loomyard_standins.programs.program import Listener
-    from loomyard_standins.programs.promises import Promises
+    from loomyard_standins.programs.promises import Breach, Promises
 
 TARGETS_OF_EACH = 2
 MODULES = "loomyard_standins.programs"
@@ -64,7 +64,7 @@
 
     def __init__(self, folder: Path, *, seed: int, routers: int, promises: Promises) -> None:
         self.clock = SystemClock()
-        self.breaches: list[Any] = []
+        self.breaches: list[Breach] = []
         self.version = 0
         self._folder = folder
         self._seed = seed
--- a/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
@@ -23,6 +23,7 @@
 
     from loomyard_standins.programs.fault_plan import Planned
     from loomyard_standins.programs.program import Program
+    from loomyard_standins.programs.program_fleet import Router, Target
 
 CHANGE_SECONDS = 1.0
 # After the faults: by then every router has to serve every kind of request.
@@ -88,10 +89,10 @@
             self._fleet.publish_configuration()
             self._fleet.tell_version()
 
-    def _router(self, planned: Planned) -> Any:
+    def _router(self, planned: Planned) -> Router:
         return self._fleet.routers[planned.choice % len(self._fleet.routers)]
 
-    def _target(self, planned: Planned) -> Any:
+    def _target(self, planned: Planned) -> Target:
         return self._fleet.targets[planned.choice % len(self._fleet.targets)]
 
     def _take(self, struck: object) -> bool:
