--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -8,11 +8,14 @@
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.rendezvous import rank
+from loomyard_router.admission.cold_rate import ColdRate
 from loomyard_router.admission.place import Place
 from loomyard_router.admission.place_client import Verdict
 from loomyard_router.admission.waiting_time import RetryHint, wait_until
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from loomyard.clock import Clock
     from loomyard_router.admission.place_client import PlaceClient
     from loomyard_router.admission.share_ledger import ShareLedger
@@ -20,7 +23,9 @@
     from loomyard_router.admission.target_loads import TargetLoads
     from loomyard_router.admission.waiting_accounts import WaitingAccounts
     from loomyard_router.announced.announced_target import AnnouncedTarget
+    from loomyard_router.announced.cold_targets import ColdTargets
     from loomyard_router.announced.target_board import TargetBoard
+    from loomyard_router.announced.target_life import TargetLife
     from loomyard_router.routed.routed_request import RoutedRequest
 
 # Seconds of waiting that a token is worth which another engine would read again: some fifteen times
@@ -53,6 +58,8 @@
         ledger: ShareLedger,
         waiting: WaitingAccounts,
         hint: RetryHint,
+        cold: ColdTargets | None = None,
+        routers: Callable[[], int] = lambda: 1,
     ) -> None:
         self._clock = clock
         self._board = board
@@ -62,8 +69,16 @@
         self._ledger = ledger
         self._waiting = waiting
         self._hint = hint
+        self._cold = cold
+        self._routers = routers
+        self._own_rates: dict[TargetLife, ColdRate] = {}
+
+    def forget(self, known: set[TargetLife]) -> None:
+        """Forget lives of targets that are not known any more."""
+        for life in set(self._own_rates) - known:
+            del self._own_rates[life]
 
-    def take(self, request: RoutedRequest, avoided: frozenset[str]) -> Result[Place, Fault]:
+    def take(self, request: RoutedRequest, avoided: frozenset[TargetLife]) -> Result[Place, Fault]:
         account = request.account_name
         if not avoided:
             # What goes on at another target was asked for once already.
@@ -78,7 +93,7 @@
         finally:
             self._waiting.leave(account)
 
-    def _find(self, request: RoutedRequest, avoided: frozenset[str]) -> Result[Place, Fault]:
+    def _find(self, request: RoutedRequest, avoided: frozenset[TargetLife]) -> Result[Place, Fault]:
         ranked = self._rank(request, avoided)
         if not ranked:
             detail = "no target of the service takes new work"
@@ -90,7 +105,8 @@
         # router; whoever got most would wait at all routers and take each place that comes free.
         waits_here = not self._ledger.far_beyond(request.account_name)
         first = min(until - self._clock.now(), _worthwhile_wait(request)) if waits_here else 0.0
-        waits = [(ranked[0], first)]
+        # A cold target is asked, not waited for: it bears a few requests a second.
+        waits = [(ranked[0], 0.0 if self._cold_rate(ranked[0]) else first)]
         waits += [(target, 0.0) for target in ranked[1 : 1 + _most_others(request, beyond=beyond)]]
         for choice, (target, wait) in enumerate(waits):
             place = self._ask(request, target, wait, patience, choice)
@@ -99,7 +115,19 @@
         left = until - self._clock.now()
         if left < LEAST_WAIT or not waits_here:
             return self._end(request, None)
-        return self._end(request, self._ask(request, ranked[0], left, patience, 0))
+        return self._wait_longer(request, ranked, left, patience)
+
+    def _wait_longer(
+        self,
+        request: RoutedRequest,
+        ranked: list[AnnouncedTarget],
+        left: float,
+        patience: float,
+    ) -> Result[Place, Fault]:
+        for choice, target in enumerate(ranked):
+            if not self._cold_rate(target):
+                return self._end(request, self._ask(request, target, left, patience, choice))
+        return self._end(request, None)
 
     def _end(self, request: RoutedRequest, place: Place | None) -> Result[Place, Fault]:
         if request.presence.gone:
@@ -110,8 +138,10 @@
             return Err(self._hint.refuse(ResultCode.QUEUE_TIMEOUT, "no place came free soon"))
         return Ok(place)
 
-    def _rank(self, request: RoutedRequest, avoided: frozenset[str]) -> list[AnnouncedTarget]:
-        usable = [one for one in self._board.usable(request.service) if one.id not in avoided]
+    def _rank(
+        self, request: RoutedRequest, avoided: frozenset[TargetLife]
+    ) -> list[AnnouncedTarget]:
+        usable = [one for one in self._board.usable(request.service) if one.life not in avoided]
         if not usable:
             return []
         by_id = {target.id: target for target in self._health.sound(usable)}
@@ -130,6 +160,7 @@
         choice: int,
     ) -> Place | None:
         account = request.account_name
+        cold_rate = self._cold_rate(target)
         verdict, ticket = self._client.ask(
             request,
             target,
@@ -137,10 +168,11 @@
             patience=patience,
             level=self._ledger.level(account),
             beyond=self._ledger.beyond(account),
+            cold_rate=cold_rate,
         )
         if verdict is Verdict.FULL:
             return None
-        if verdict is Verdict.UNREACHABLE and not self._loads.has_place(target):
+        if verdict is Verdict.UNREACHABLE and not self._has_own_place(target, cold_rate):
             return None
         self._loads.enter(target)
         self._ledger.give(account, request.cost)
@@ -157,6 +189,20 @@
         taken = self._client.taken(target) if ticket else -1
         return Place(target, released, answered=answered, taken=taken, choice=choice)
 
+    def _cold_rate(self, target: AnnouncedTarget) -> float:
+        return 0.0 if self._cold is None else self._cold.rate(target)
+
+    def _has_own_place(self, target: AnnouncedTarget, cold_rate: float) -> bool:
+        """Tell whether this router's part of a target, whose keeper is silent, has room."""
+        if not self._loads.has_place(target):
+            return False
+        rate = self._own_rates.setdefault(target.life, ColdRate())
+        rate.per_second = cold_rate / max(1, self._routers())
+        if not rate.admits(self._clock.now()):
+            return False
+        rate.spend()
+        return True
+
 
 def _worthwhile_wait(request: RoutedRequest) -> float:
     return request.shared_tokens * WAIT_PER_TOKEN
--- a/packages/loomyard-router/src/loomyard_router/admission/gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/gate.py
@@ -21,7 +21,9 @@
     from loomyard_router.admission.target_loads import TargetLoads
     from loomyard_router.admission.waiting_time import RetryHint
     from loomyard_router.announced.announced_target import AnnouncedTarget
+    from loomyard_router.announced.cold_targets import ColdTargets
     from loomyard_router.announced.target_board import TargetBoard
+    from loomyard_router.announced.target_life import TargetLife
     from loomyard_router.routed.routed_request import RoutedRequest
 
 
@@ -38,6 +40,7 @@
         choice: TargetChoice,
         usage: AccountUsage,
         hint: RetryHint,
+        cold: ColdTargets | None = None,
     ) -> None:
         self._clock = clock
         self._board = board
@@ -46,10 +49,11 @@
         self._choice = choice
         self._usage = usage
         self._hint = hint
+        self._cold = cold
         self._queues: dict[str, dict[str, deque[Waiter]]] = {}
         board.subscribe(self._dispatch_all)
 
-    def take(self, request: RoutedRequest, avoided: frozenset[str]) -> Result[Place, Fault]:
+    def take(self, request: RoutedRequest, avoided: frozenset[TargetLife]) -> Result[Place, Fault]:
         """Wait for a place, at a target that is not avoided.
 
         Errors: ``NO_TARGET``, ``QUEUE_TIMEOUT``, ``CALLER_GONE``; nothing ran.
@@ -100,8 +104,12 @@
             if not waiting:
                 del queue[waiter.request.account_name]
 
-    def _candidates(self, request: RoutedRequest, avoided: frozenset[str]) -> list[AnnouncedTarget]:
-        usable = [one for one in self._board.usable(request.service) if one.id not in avoided]
+    def _candidates(
+        self, request: RoutedRequest, avoided: frozenset[TargetLife]
+    ) -> list[AnnouncedTarget]:
+        usable = [one for one in self._board.usable(request.service) if one.life not in avoided]
+        if self._cold is not None:
+            usable = [one for one in usable if not self._cold.rate(one)]
         return self._health.sound(usable) if usable else []
 
     def _place(self, waiter: Waiter) -> Place | None:
--- a/packages/loomyard-router/src/loomyard_router/admission/parts.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/parts.py
@@ -19,12 +19,14 @@
 from loomyard_router.admission.target_loads import TargetLoads
 from loomyard_router.admission.waiting_accounts import WaitingAccounts
 from loomyard_router.admission.waiting_time import RetryHint
+from loomyard_router.announced.cold_targets import ColdTargets
 
 if TYPE_CHECKING:
     import random
 
     from loomyard.clock import Clock
     from loomyard_router.announced.target_board import TargetBoard
+    from loomyard_router.announced.target_life import TargetLife
     from loomyard_router.members.membership import Membership
     from loomyard_router.peers.links import PeerLinks
     from loomyard_router.routes.table_holder import TableHolder
@@ -35,6 +37,8 @@
     """The source of places, what keeps them and the shares, and what is known of targets."""
 
     gate: PlaceSource
+    engines: FleetGate
+    cold: ColdTargets
     ledger: ShareLedger
     keeper: PlaceKeeper
     places: PlaceClient
@@ -54,8 +58,9 @@
         self.keeper.stop()
         self.ledger.stop()
 
-    def forget(self, known: set[str]) -> None:
-        """Forget targets that are not known any more."""
+    def forget(self, known: set[TargetLife]) -> None:
+        """Forget lives of targets that are not known any more."""
+        self.engines.forget(known)
         self.health.forget(known)
         self.places.forget(known)
 
@@ -80,7 +85,8 @@
         rate=lambda: 0.0 if holder.table is None else holder.table.limits.tokens_per_second,
         source=source,
     )
-    keeper = PlaceKeeper(clock=clock, board=board, members=members, peers=peers)
+    cold = ColdTargets(clock, board, holder)
+    keeper = PlaceKeeper(clock=clock, board=board, members=members, peers=peers, cold=cold)
     places = PlaceClient(clock=clock, members=members, peers=peers, keeper=keeper)
     health = TargetHealth(clock)
     loads = TargetLoads(lambda: len(members.live()))
@@ -95,6 +101,8 @@
         ledger=ledger,
         waiting=waiting,
         hint=hint,
+        cold=cold,
+        routers=lambda: len(members.live()),
     )
     plain = Gate(
         clock=clock,
@@ -104,10 +112,13 @@
         choice=TargetChoice(loads),
         usage=AccountUsage(clock, window),
         hint=hint,
+        cold=cold,
     )
-    gate = ServiceGates(holder=holder, engines=engines, plain=plain)
+    gate = ServiceGates(holder=holder, board=board, cold=cold, engines=engines, plain=plain)
     return AdmissionParts(
         gate=gate,
+        engines=engines,
+        cold=cold,
         ledger=ledger,
         keeper=keeper,
         places=places,
--- a/packages/loomyard-router/src/loomyard_router/admission/place_book.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_book.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 from gevent.event import AsyncResult
 
+from loomyard_router.admission.cold_rate import ColdRate
 from loomyard_router.admission.place_messages import PlaceRequest
 from loomyard_router.admission.prompt_memory import PromptMemory
 from loomyard_router.admission.reading_pace import ReadingPace
@@ -58,6 +59,7 @@
     waiting: list[Ask] = field(factory=list)
     memory: PromptMemory = field(factory=PromptMemory)
     pace: ReadingPace = field(factory=ReadingPace)
+    cold: ColdRate = field(factory=ColdRate)
     _reading: dict[Ticket, _Reading] = field(factory=dict)
     _refused: OrderedDict[tuple[str, int], None] = field(factory=OrderedDict)
 
@@ -66,10 +68,12 @@
         """Return the tokens of prompts that are being read."""
         return sum(reading.tokens for reading in self._reading.values())
 
-    def admits(self, request: PlaceRequest) -> bool:
+    def admits(self, request: PlaceRequest, now: float) -> bool:
         """Tell whether a place is free and the prompts ahead leave the request its time."""
         if len(self.held) >= self.slots * (BEYOND_PART if request.beyond else 1.0):
             return False
+        if not self.cold.admits(now):
+            return False
         if not request.patience or not self._reading:
             return True
         if request.beyond and (request.own, request.prompt) in self._refused:
@@ -95,6 +99,7 @@
     def grant(self, ticket: Ticket, request: PlaceRequest, now: float) -> None:
         """Give a place."""
         self.held[ticket] = now
+        self.cold.spend()
         if request.prompt:
             own = max(0, request.prompt - self.memory.kept(request.parts))
             self._reading[ticket] = _Reading(own, self.unread, now)
--- a/packages/loomyard-router/src/loomyard_router/admission/place_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_client.py
@@ -17,6 +17,7 @@
     PlacesReleased,
     PromptsRead,
 )
+from loomyard_router.announced.target_life import TargetLife
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -46,7 +47,7 @@
 
 @frozen(kw_only=True)
 class _Held:
-    target: str
+    target: TargetLife
     keeper: str
 
 
@@ -62,12 +63,12 @@
         self._keeper = keeper
         self._tickets = 0
         self._held: dict[int, _Held] = {}
-        self._keepers: dict[str, str] = {}
+        self._keepers: dict[TargetLife, str] = {}
         self._silent_until: dict[str, float] = {}
         self._released: dict[str, list[int]] = {}
         self._read: dict[str, list[int]] = {}
         self._sending: set[str] = set()
-        self._taken: dict[str, int] = {}
+        self._taken: dict[TargetLife, int] = {}
         self._task: gevent.Greenlet | None = None
         members.subscribe(self._move)
 
@@ -82,7 +83,7 @@
 
     def taken(self, target: AnnouncedTarget) -> int:
         """Return how many places of a target were taken when its keeper answered last."""
-        return self._taken.get(target.id, 0)
+        return self._taken.get(target.life, 0)
 
     def ask(
         self,
@@ -93,19 +94,21 @@
         patience: float,
         level: float,
         beyond: bool,
+        cold_rate: float = 0.0,
     ) -> tuple[Verdict, int]:
         """Ask for a place, waiting for up to some seconds; return the ticket where there is one.
 
-        ``level`` is what the account got in the fleet, ``beyond`` whether it has had its share.
+        ``level`` is what the account got in the fleet, ``beyond`` whether it has had its share,
+        ``cold_rate`` the requests a second that a cold target bears, 0 for a warm one.
         """
-        keeper = self.keeper_of(target.id)
+        keeper = self.keeper_of(target.life)
         own = self._members.own
         if keeper != own.name and self._clock.now() < self._silent_until.get(keeper, 0.0):
             return Verdict.UNREACHABLE, 0
         self._tickets += 1
         ticket = self._tickets
         message = PlaceRequest(
-            target=target.id,
+            target=target.life,
             slots=target.slots,
             ticket=ticket,
             level=round(level),
@@ -115,6 +118,7 @@
             patience=int(max(0.0, patience) * MILLISECONDS),
             wait=int(max(0.0, wait) * MILLISECONDS),
             beyond=beyond,
+            cold_rate=cold_rate,
         )
         if keeper == own.name:
             answer = self._keeper.ask(own, message)
@@ -127,10 +131,10 @@
                     self._silent_until[keeper] = self._clock.now() + SILENT_SECONDS
                     self._queue_release(keeper, ticket)
                     return Verdict.UNREACHABLE, 0
-        self._taken[target.id] = answer.taken
+        self._taken[target.life] = answer.taken
         if not answer.granted:
             return Verdict.FULL, 0
-        self._held[ticket] = _Held(target=target.id, keeper=keeper)
+        self._held[ticket] = _Held(target=target.life, keeper=keeper)
         return Verdict.GRANTED, ticket
 
     def note_read(self, ticket: int) -> None:
@@ -151,23 +155,25 @@
         if held is not None:
             self._queue_release(held.keeper, ticket)
 
-    def forget(self, known: set[str]) -> None:
-        """Forget targets that are not known any more."""
-        for target_id in set(self._taken) - known:
-            del self._taken[target_id]
+    def forget(self, known: set[TargetLife]) -> None:
+        """Forget lives of targets that are not known any more."""
+        for life in set(self._taken) - known:
+            del self._taken[life]
+        for life in set(self._keepers) - known:
+            del self._keepers[life]
 
-    def keeper_of(self, target_id: str) -> str:
+    def keeper_of(self, life: TargetLife) -> str:
         """Return the router that keeps the places of a target."""
-        keeper = self._keepers.get(target_id)
+        keeper = self._keepers.get(life)
         if keeper is None:
-            keeper = choose(target_id, [member.name for member in self._members.live()])
-            self._keepers[target_id] = keeper
+            keeper = choose(life, [member.name for member in self._members.live()])
+            self._keepers[life] = keeper
         return keeper
 
     def state(self) -> None:
         """State all places that are held to their keepers."""
         own = self._members.own
-        by_keeper: dict[str, dict[str, list[int]]] = {}
+        by_keeper: dict[str, dict[TargetLife, list[int]]] = {}
         for ticket, held in self._held.items():
             by_keeper.setdefault(held.keeper, {}).setdefault(held.target, []).append(ticket)
         for keeper, held_there in by_keeper.items():
--- a/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
@@ -18,7 +18,9 @@
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
+    from loomyard_router.announced.cold_targets import ColdTargets
     from loomyard_router.announced.target_board import TargetBoard
+    from loomyard_router.announced.target_life import TargetLife
     from loomyard_router.members.membership import Member, Membership
     from loomyard_router.peers.links import PeerLinks
 
@@ -45,11 +47,13 @@
         board: TargetBoard,
         members: Membership,
         peers: PeerLinks,
+        cold: ColdTargets | None = None,
     ) -> None:
         self._clock = clock
         self._board = board
+        self._cold = cold
         self._members = members
-        self._books: dict[str, PlaceBook] = {}
+        self._books: dict[TargetLife, PlaceBook] = {}
         self._task: gevent.Greenlet | None = None
         peers.handle(PlaceRequest, self.ask)
         peers.handle(PlacesReleased, self.release)
@@ -72,6 +76,8 @@
         if book is None:
             book = self._books[request.target] = PlaceBook(request.slots)
         book.slots = request.slots
+        # Whoever of both has heard that the target is cold is right: the other has not yet.
+        book.cold.per_second = request.cold_rate or self._cold_rate(request.target)
         ticket = (member.name, member.incarnation, request.ticket)
         granted = self._wait(book, Ask(ticket, request))
         if not granted:
@@ -113,12 +119,18 @@
     def sweep(self) -> None:
         """Free the places of which nothing was heard for long."""
         oldest = self._clock.now() - SILENCE_SECONDS
-        known = {target.id for target in self._board.known()}
-        for target, book in list(self._books.items()):
+        known = {target.life for target in self._board.known()}
+        for life, book in list(self._books.items()):
             if book.drop(lambda _, since: since < oldest):
                 self._serve(book)
-            if not book.held and not book.waiting and target not in known:
-                del self._books[target]
+            if not book.held and not book.waiting and life not in known:
+                del self._books[life]
+
+    def _cold_rate(self, life: TargetLife) -> float:
+        if self._cold is None:
+            return 0.0
+        target = self._board.find(life)
+        return 0.0 if target is None else self._cold.rate(target)
 
     def _wait(self, book: PlaceBook, ask: Ask) -> bool:
         book.waiting.append(ask)
@@ -137,7 +149,8 @@
         """Give free places to who waits, the neediest account first; who is not admitted waits."""
         while book.waiting:
             waiting = sorted(book.waiting, key=lambda one: one.request.level)
-            admitted = next((ask for ask in waiting if book.admits(ask.request)), None)
+            now = self._clock.now()
+            admitted = next((ask for ask in waiting if book.admits(ask.request, now)), None)
             if admitted is None:
                 return
             book.waiting.remove(admitted)
--- a/packages/loomyard-router/src/loomyard_router/admission/place_messages.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_messages.py
@@ -4,6 +4,7 @@
 
 from attrs import field, frozen
 
+from loomyard_router.announced.target_life import TargetLife
 from loomyard_router.peers.message_types import peer_message
 
 
@@ -17,10 +18,11 @@
     a part of the places only. ``prompt`` is in tokens; ``own`` is the part of it that no other
     request has, by which it is known again when its caller comes back; ``parts`` are those that
     others share, by id with their tokens. ``wait`` is in milliseconds; so is ``patience``, the time
-    that prompts ahead of this one may take to be read.
+    that prompts ahead of this one may take to be read. ``target`` names the life of a target;
+    ``cold_rate`` is how many requests a second it may get while it is cold, 0 for a warm one.
     """
 
-    target: str
+    target: TargetLife
     slots: int
     ticket: int
     level: int
@@ -30,6 +32,7 @@
     patience: int = 0
     wait: int = 0
     beyond: bool = False
+    cold_rate: float = 0.0
 
 
 @peer_message("pa")
@@ -62,4 +65,4 @@
 class PlacesHeld:
     """All places that the sender holds at targets of the receiver, by target."""
 
-    held: dict[str, list[int]] = field(factory=dict)
+    held: dict[TargetLife, list[int]] = field(factory=dict)
--- a/packages/loomyard-router/src/loomyard_router/admission/place_source.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_source.py
@@ -9,13 +9,14 @@
 
     from loomyard.errors import Fault
     from loomyard_router.admission.place import Place
+    from loomyard_router.announced.target_life import TargetLife
     from loomyard_router.routed.routed_request import RoutedRequest
 
 
 class PlaceSource(Protocol):
     """Give places at targets."""
 
-    def take(self, request: RoutedRequest, avoided: frozenset[str]) -> Result[Place, Fault]:
+    def take(self, request: RoutedRequest, avoided: frozenset[TargetLife]) -> Result[Place, Fault]:
         """Wait for a place, at a target that is not avoided.
 
         Errors: ``NO_TARGET``, ``QUEUE_TIMEOUT``, ``CALLER_GONE``; nothing ran.
--- a/packages/loomyard-router/src/loomyard_router/admission/target_health.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/target_health.py
@@ -14,6 +14,7 @@
 
     from loomyard.clock import Clock
     from loomyard_router.announced.announced_target import AnnouncedTarget
+    from loomyard_router.announced.target_life import TargetLife
 
 logger = logging.getLogger(__name__)
 
@@ -38,18 +39,18 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._records: dict[str, _Record] = {}
+        self._records: dict[TargetLife, _Record] = {}
 
     def sound(self, targets: Iterable[AnnouncedTarget]) -> list[AnnouncedTarget]:
         """Return the targets that don't rest; all of them where each one does."""
         now = self._clock.now()
         listed = list(targets)
-        sound = [target for target in listed if not self._rests(target.id, now)]
+        sound = [target for target in listed if not self._rests(target.life, now)]
         return sound or listed
 
     def note_answer(self, target: AnnouncedTarget) -> None:
         """Take in that a target answered as it should."""
-        record = self._records.get(target.id)
+        record = self._records.get(target.life)
         if record is None:
             return
         record.failing *= 1.0 - NEWEST_WEIGHT
@@ -57,12 +58,12 @@
             emit(logger, Event.TARGET_RETURNED, target=target.id, service=target.service)
             record.rests_until = 0.0
         if record.failing < NEWEST_WEIGHT / 2:
-            del self._records[target.id]
+            del self._records[target.life]
 
     def note_failure(self, target: AnnouncedTarget, detail: str, *, unreachable: bool) -> None:
         """Take in that a target failed a request, or could not be reached."""
         now = self._clock.now()
-        record = self._records.setdefault(target.id, _Record())
+        record = self._records.setdefault(target.life, _Record())
         weight = UNREACHABLE_WEIGHT if unreachable else NEWEST_WEIGHT
         record.failing += weight * (1.0 - record.failing)
         if record.failing < EJECTING_MEAN or record.rests_until > now:
@@ -80,11 +81,11 @@
             detail=detail,
         )
 
-    def forget(self, known: set[str]) -> None:
-        """Forget targets that are not known any more."""
-        for target_id in set(self._records) - known:
-            del self._records[target_id]
+    def forget(self, known: set[TargetLife]) -> None:
+        """Forget lives of targets that are not known any more."""
+        for life in set(self._records) - known:
+            del self._records[life]
 
-    def _rests(self, target_id: str, now: float) -> bool:
-        record = self._records.get(target_id)
+    def _rests(self, life: TargetLife, now: float) -> bool:
+        record = self._records.get(life)
         return record is not None and record.rests_until > now
--- a/packages/loomyard-router/src/loomyard_router/admission/target_loads.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/target_loads.py
@@ -10,6 +10,7 @@
     from collections.abc import Callable
 
     from loomyard_router.announced.announced_target import AnnouncedTarget
+    from loomyard_router.announced.target_life import TargetLife
 
 # Routers are not equally loaded, so the parts of a target add up to more than its slots.
 OVERCOMMITMENT = 1.3
@@ -21,11 +22,11 @@
 
     def __init__(self, routers: Callable[[], int]) -> None:
         self._routers = routers
-        self._running: Counter[str] = Counter()
+        self._running: Counter[TargetLife] = Counter()
 
     def running(self, target: AnnouncedTarget) -> int:
         """Return how many requests of this router run at a target."""
-        return self._running[target.id]
+        return self._running[target.life]
 
     def places(self, target: AnnouncedTarget) -> int:
         """Return how many requests of this router may run at a target."""
@@ -33,14 +34,14 @@
         return max(LEAST_PLACES, math.ceil(part))
 
     def has_place(self, target: AnnouncedTarget) -> bool:
-        return self._running[target.id] < self.places(target)
+        return self._running[target.life] < self.places(target)
 
     def enter(self, target: AnnouncedTarget) -> None:
         """Count a request that begins."""
-        self._running[target.id] += 1
+        self._running[target.life] += 1
 
     def leave(self, target: AnnouncedTarget) -> None:
         """Count a request that ended."""
-        self._running[target.id] -= 1
-        if self._running[target.id] <= 0:
-            del self._running[target.id]
+        self._running[target.life] -= 1
+        if self._running[target.life] <= 0:
+            del self._running[target.life]
--- a/packages/loomyard-router/src/loomyard_router/admission/waiter.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/waiter.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 from gevent.event import AsyncResult
 
+from loomyard_router.announced.target_life import TargetLife
 from loomyard_router.routed.routed_request import RoutedRequest
 
 
@@ -13,5 +14,5 @@
     """A request, the targets that failed it, and its place once it has one."""
 
     request: RoutedRequest
-    avoided: frozenset[str]
+    avoided: frozenset[TargetLife]
     placed: AsyncResult = field(factory=AsyncResult)
--- a/packages/loomyard-router/src/loomyard_router/announced/target_board.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_board.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable, Iterable
 
     from loomyard.clock import Clock
+    from loomyard_router.announced.target_life import TargetLife
 
 logger = logging.getLogger(__name__)
 
@@ -36,8 +37,9 @@
 class TargetBoard:
     """The targets of each service, after what the feed says and when it could say it.
 
-    Who drains or vanishes gets no new work. Who vanished while the store was away, or together
-    with half of its service, is used until the time by which it had to come back.
+    Who drains, vanishes or stands in an emptied data centre gets no new work, also where nobody
+    else is left: a request is refused then, since it did not run. Who vanished while the store was
+    away, or together with half of its service, is used until the time by which it had to come back.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -45,8 +47,13 @@
         self._targets: dict[str, AnnouncedTarget] = {}
         self._lapsed: dict[str, _Lapsed] = {}
         self._usable: dict[str, tuple[AnnouncedTarget, ...]] = {}
-        self._usable_ids: frozenset[str] = frozenset()
+        self._usable_lives: frozenset[TargetLife] = frozenset()
+        self._by_life: dict[TargetLife, AnnouncedTarget] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._emptied: frozenset[str] = frozenset()
+        self._taken_back_at: dict[str, float] = {}
+        self._cold_until: dict[str, float] = {}
+        self.lives_replaced = 0
         self._heard = False
         self._store_away = False
         self._store_back_at = clock.now() - RETURN_SECONDS
@@ -70,7 +77,19 @@
     def takes_work(self, target: AnnouncedTarget) -> bool:
         """Tell whether a target may still get new work."""
         self.usable(target.service)
-        return target.id in self._usable_ids
+        return target.life in self._usable_lives
+
+    def cold_until(self, target: AnnouncedTarget) -> float:
+        """Return when a target gets warm after its own word; it may have passed."""
+        return self._cold_until.get(target.id, -math.inf)
+
+    def taken_back_at(self, data_centre: str) -> float:
+        """Return when a data centre that had been emptied was last taken back."""
+        return self._taken_back_at.get(data_centre, -math.inf)
+
+    def find(self, life: TargetLife) -> AnnouncedTarget | None:
+        """Return the target that is known under the name of a life."""
+        return self._by_life.get(life)
 
     def known(self) -> list[AnnouncedTarget]:
         """Return all targets that are listed, or were until just now."""
@@ -93,6 +112,23 @@
         self._drop([self._targets[id_] for id_ in dropped if id_ in self._targets])
         self._changed()
 
+    def withdraw(self, ids: Iterable[str]) -> None:
+        """Use targets no more of which nothing that can be read stands in the store."""
+        for id_ in ids:
+            self._lapsed.pop(id_, None)
+            target = self._targets.pop(id_, None)
+            if target is not None:
+                emit(logger, Event.TARGET_VANISHED, target=id_, service=target.service)
+        self._changed()
+
+    def note_emptied(self, data_centres: frozenset[str]) -> None:
+        """Take in which data centres get no new work."""
+        now = self._clock.now()
+        for data_centre in self._emptied - data_centres:
+            self._taken_back_at[data_centre] = now
+        self._emptied = data_centres
+        self._changed()
+
     def note_store_lost(self) -> None:
         """Take in that the store does not answer."""
         self._store_away = True
@@ -109,8 +145,18 @@
 
     def _put(self, target: AnnouncedTarget) -> None:
         known = self._targets.get(target.id)
+        lapsed = self._lapsed.get(target.id)
+        before = known if lapsed is None else lapsed.target
+        if before is not None and _is_old_news(target, before):
+            emit(logger, Event.OLD_LIFE_IGNORED, target=target.id, life=target.life)
+            return
+        self._lapsed.pop(target.id, None)
         self._targets[target.id] = target
-        lapsed = self._lapsed.pop(target.id, None)
+        if before is not None and before.life != target.life:
+            self.lives_replaced += 1
+            emit(logger, Event.TARGET_REBORN, target=target.id, life=target.life, old=before.life)
+        if before is None or before != target or before.offset != target.offset:
+            self._cold_until[target.id] = self._clock.now() + target.cold_seconds
         if known is None:
             event = Event.TARGET_ANNOUNCED if lapsed is None else Event.TARGET_REANNOUNCED
             emit(
@@ -173,18 +219,25 @@
             over = lapsed.usable_until <= now and not self._store_away
             if over and now - lapsed.vanished_at > RETURN_SECONDS:
                 del self._lapsed[id_]
+                self._cold_until.pop(id_, None)
         usable: dict[str, list[AnnouncedTarget]] = {}
         waits = []
         for target in self._targets.values():
-            if not target.draining:
+            if not target.draining and target.data_centre not in self._emptied:
                 usable.setdefault(target.service, []).append(target)
         for lapsed in self._lapsed.values():
-            if lapsed.usable_until > now:
+            if lapsed.usable_until > now and lapsed.target.data_centre not in self._emptied:
                 usable.setdefault(lapsed.target.service, []).append(lapsed.target)
                 waits.append(lapsed.usable_until)
         self._next_check = min(waits, default=0.0)
+        self._by_life = {target.life: target for target in self.known()}
         self._usable = {
             service: tuple(sorted(targets, key=lambda target: target.id))
             for service, targets in usable.items()
         }
-        self._usable_ids = frozenset(target.id for one in usable.values() for target in one)
+        self._usable_lives = frozenset(target.life for one in usable.values() for target in one)
+
+
+def _is_old_news(target: AnnouncedTarget, known: AnnouncedTarget) -> bool:
+    """Tell whether an announcement is of an earlier life than the known one."""
+    return target.born is not None and known.born is not None and target.born < known.born
--- a/packages/loomyard-router/src/loomyard_router/announced/target_feed.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_feed.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import logging
 from typing import TYPE_CHECKING
 
-from loomyard.events import Event, emit
+from attrs import evolve
+from result import Err, Ok
+
 from loomyard_router.feeds.feed_follower import PEER
 
 if TYPE_CHECKING:
@@ -16,26 +17,37 @@
     from loomyard_router.announced.announced_target import AnnouncedTarget
     from loomyard_router.announced.target_board import TargetBoard
     from loomyard_router.feeds.keyed_record import KeyedRecord
+    from loomyard_router.feeds.unreadable_entries import UnreadableEntries
+    from loomyard_router.feeds.unreadable_entry import UnreadableEntry
 
-    Decoder = Callable[[str, bytes], Result[AnnouncedTarget, str]]
+    Decoder = Callable[[str, bytes], Result[AnnouncedTarget, UnreadableEntry]]
 
-logger = logging.getLogger(__name__)
+FEED = "targets"
 
 
 class TargetFeed:
-    """The taker of records that announce targets."""
+    """The taker of records that announce targets.
+
+    An entry that can't be read names no target to use, also where an earlier one did.
+    """
 
-    def __init__(self, board: TargetBoard, decode: Decoder) -> None:
+    def __init__(self, board: TargetBoard, decode: Decoder, unreadable: UnreadableEntries) -> None:
         self._board = board
         self._decode = decode
+        self._unreadable = unreadable
 
     def take_listing(self, records: list[KeyedRecord], source: str) -> None:
-        self._board.replace_all(self._decoded(records), by_peer=source == PEER)
+        targets, withdrawn = self._decode_all(records)
+        # First, so that they don't seem to have lapsed with the rest of their service.
+        self._board.withdraw(withdrawn)
+        self._board.replace_all(targets, by_peer=source == PEER)
 
     def take_records(self, records: list[KeyedRecord]) -> None:
         newest = {record.key: record for record in records}
         dropped = [record.key for record in newest.values() if record.value is None]
-        self._board.apply(self._decoded(list(newest.values())), dropped)
+        targets, withdrawn = self._decode_all(list(newest.values()))
+        self._board.withdraw(withdrawn)
+        self._board.apply(targets, dropped)
 
     def note_lost(self) -> None:
         self._board.note_store_lost()
@@ -43,19 +55,16 @@
     def note_regained(self) -> None:
         self._board.note_store_back()
 
-    def _decoded(self, records: list[KeyedRecord]) -> list[AnnouncedTarget]:
-        targets = []
+    def _decode_all(self, records: list[KeyedRecord]) -> tuple[list[AnnouncedTarget], list[str]]:
+        """Return the targets that are announced, and the keys whose entries can't be read."""
+        targets, unreadable = [], []
         for record in records:
             if record.value is None:
                 continue
-            decoded = self._decode(record.key, record.value)
-            if decoded.is_err():
-                emit(
-                    logger,
-                    Event.ANNOUNCEMENT_UNREADABLE,
-                    target=record.key,
-                    detail=decoded.unwrap_err(),
-                )
-                continue
-            targets.append(decoded.unwrap())
-        return targets
+            match self._decode(record.key, record.value):
+                case Ok(target):
+                    targets.append(evolve(target, offset=record.offset))
+                case Err(entry):
+                    self._unreadable.note(FEED, record.key, record.offset, entry)
+                    unreadable.append(record.key)
+        return targets, unreadable
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/feeds/unreadable_entries.py
@@ -0,0 +1,45 @@
+"""Count the entries of feeds that can't be read, and tell of each once."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter, OrderedDict
+from typing import TYPE_CHECKING
+
+from loomyard.events import Event, emit
+
+if TYPE_CHECKING:
+    from loomyard_router.feeds.unreadable_entry import Unreadable, UnreadableEntry
+
+logger = logging.getLogger(__name__)
+
+# Entries whose lines are remembered; another writer may leave any number of them.
+MOST_TOLD = 1024
+MOST_KEY = 100
+
+
+class UnreadableEntries:
+    """One log line for each record, however often it is listed, and a counter by reason."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[tuple[str, Unreadable]] = Counter()
+        self._told: OrderedDict[tuple[str, str], int] = OrderedDict()
+
+    def note(self, feed: str, key: str, offset: int, entry: UnreadableEntry) -> None:
+        """Take in that the record of a key at an offset can't be read."""
+        if self._told.get((feed, key)) == offset:
+            return
+        self._told[feed, key] = offset
+        self._told.move_to_end((feed, key))
+        if len(self._told) > MOST_TOLD:
+            self._told.popitem(last=False)
+        self.counts[feed, entry.reason] += 1
+        emit(
+            logger,
+            Event.ENTRY_UNREADABLE,
+            feed=feed,
+            key=key[:MOST_KEY],
+            offset=offset,
+            reason=entry.reason.value,
+            detail=entry.detail,
+        )
--- a/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
@@ -10,6 +10,7 @@
 from prometheus_client.exposition import generate_latest
 from prometheus_client.registry import Collector
 
+from loomyard_router.announced.announced_figures import AnnouncedFigures
 from loomyard_router.metrics.key_histograms import UNITS_PER_SECOND
 
 if TYPE_CHECKING:
@@ -35,11 +36,13 @@
         traffic: TrafficCounters,
         in_flight: Callable[[], int],
         feeds: Callable[[], Iterable[FeedState]] = tuple,
+        announced: AnnouncedFigures | None = None,
     ) -> None:
         self._meters = meters
         self._traffic = traffic
         self._in_flight = in_flight
         self._feeds = feeds
+        self._announced = announced or AnnouncedFigures()
 
     def collect(self) -> Iterator[Metric]:
         yield from self._phases()
@@ -49,6 +52,7 @@
             "loomyard_requests_in_flight", "requests in flight", value=self._in_flight()
         )
         yield from self._feed_states()
+        yield from self._announcements()
 
     def _phases(self) -> Iterator[Metric]:
         quantiles = GaugeMetricFamily(
@@ -109,6 +113,28 @@
             silent.add_metric((state.name,), state.silent)
         yield from (read, announced, silent)
 
+    def _announcements(self) -> Iterator[Metric]:
+        figures = self._announced
+        yield GaugeMetricFamily(
+            "loomyard_data_centres_emptied",
+            "data centres that operators emptied",
+            value=figures.emptied(),
+        )
+        yield GaugeMetricFamily("loomyard_targets_cold", "targets that are cold", figures.cold())
+        yield CounterMetricFamily(
+            "loomyard_target_lives_replaced",
+            "targets that started again under their id",
+            value=figures.lives_replaced(),
+        )
+        unreadable = CounterMetricFamily(
+            "loomyard_entries_unreadable",
+            "records of a feed that could not be read",
+            labels=("feed", "reason"),
+        )
+        for (feed, reason), count in figures.unreadable().items():
+            unreadable.add_metric((feed, reason.value), count)
+        yield unreadable
+
 
 def expose(collector: Collector) -> bytes:
     """Return the text of all metrics."""
--- a/packages/loomyard-router/src/loomyard_router/metrics/lazy_server.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/lazy_server.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from loomyard_router.announced.announced_figures import AnnouncedFigures
     from loomyard_router.feeds.feed_state import FeedState
     from loomyard_router.metrics.meters import Meters
     from loomyard_router.peers.traffic import TrafficCounters
@@ -43,6 +44,7 @@
     traffic: TrafficCounters,
     in_flight: Callable[[], int],
     feeds: Callable[[], Iterable[FeedState]],
+    announced: AnnouncedFigures,
 ) -> LazyMetricsServer:
     """Make the listener; without an address it does nothing."""
 
@@ -50,6 +52,8 @@
         from loomyard_router.metrics.exposition import MetersCollector
         from loomyard_router.metrics.server import MetricsServer
 
-        return MetricsServer("", ready, MetersCollector(meters, traffic, in_flight, feeds))
+        return MetricsServer(
+            "", ready, MetersCollector(meters, traffic, in_flight, feeds, announced)
+        )
 
     return LazyMetricsServer(address, make)
--- a/packages/loomyard-router/src/loomyard_router/platform/__main__.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/__main__.py
@@ -21,7 +21,11 @@
 from loomyard.util.collector import tune_collector  # noqa: E402
 from loomyard_router.platform import names  # noqa: E402
 from loomyard_router.platform.callers import PlatformCallers  # noqa: E402
-from loomyard_router.platform.documents import decode_configuration, decode_target  # noqa: E402
+from loomyard_router.platform.documents import (  # noqa: E402
+    decode_configuration,
+    decode_target,
+    find_emptied_data_centre,
+)
 from loomyard_router.platform.settings_file import read_settings  # noqa: E402
 from loomyard_router.platform.settings_watch import SettingsWatch  # noqa: E402
 from loomyard_router.platform.store_feed import StoreFeed  # noqa: E402
@@ -52,6 +56,7 @@
             tables=StoreFeed(settings.store, names.CONFIGURATION_TOPIC, clock),
             table_key=names.CONFIGURATION_KEY,
             decode_table=decode_configuration,
+            find_emptied_data_centre=find_emptied_data_centre,
             targets=StoreFeed(settings.store, names.TARGETS_TOPIC, clock),
             decode_target=decode_target,
             callers=PlatformCallers(),
--- a/packages/loomyard-router/src/loomyard_router/platform/documents.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/documents.py
@@ -1,13 +1,17 @@
-"""The documents in the platform's store: the configuration and the targets' announcements."""
+"""The documents in the platform's store: configuration, operators' orders, announcements."""
 
 from __future__ import annotations
 
 import json
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
 
 from loomyard_router.announced.announced_target import AnnouncedTarget
+from loomyard_router.feeds.unreadable_entry import Unreadable, UnreadableEntry, make_unreadable
+from loomyard_router.platform import names
+from loomyard_router.platform.entries import DRAINING, ConfigurationEntry, TargetEntry
+from loomyard_router.platform.entry_fields import is_name, read_fields
 from loomyard_router.routes.account_terms import AccountTerms
 from loomyard_router.routes.caller_limits import CallerLimits
 from loomyard_router.routes.kind import RouteKind
@@ -16,109 +20,130 @@
 from loomyard_router.routes.service_share import ServiceShare
 from loomyard_router.routes.service_terms import EngineTerms, ServiceTerms
 
+if TYPE_CHECKING:
+    from loomyard_router.platform.entries import (
+        EngineEntry,
+        LimitsEntry,
+        RouteEntry,
+        ServiceEntry,
+        TenantEntry,
+    )
+
 MILLISECONDS = 1000.0
-DRAINING = "draining"
 KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
     "streaming": RouteKind.STREAM,
 }
-_UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
 
 
-def decode_configuration(data: bytes) -> Result[RouteTable, str]:
+def decode_configuration(data: bytes) -> Result[RouteTable, UnreadableEntry]:
     """Decode a whole version of the configuration."""
-    try:
-        document = json.loads(data)
-        tenants = document.get("tenants")
-        return Ok(
-            make_route_table(
-                version=int(document["version"]),
-                routes=[_decode_route(route) for route in document["routes"]],
-                services=[_decode_service(service) for service in document["services"]],
-                accounts=None if tenants is None else [_decode_account(one) for one in tenants],
-                limits=_decode_limits(document.get("limits") or {}),
-            )
+    read = _read(ConfigurationEntry, data)
+    if read.is_err():
+        return Err(read.unwrap_err())
+    entry: ConfigurationEntry = read.unwrap()
+    return Ok(
+        make_route_table(
+            version=entry.version,
+            routes=[_make_route(route) for route in entry.routes],
+            services=[_make_service(service) for service in entry.services],
+            accounts=None if entry.tenants is None else [_make_account(t) for t in entry.tenants],
+            limits=_make_limits(entry.limits),
         )
-    except _UNREADABLE as error:
-        return Err(f"{type(error).__name__}: {error}")
+    )
+
 
+def decode_target(key: str, data: bytes) -> Result[AnnouncedTarget, UnreadableEntry]:
+    """Decode the announcement of a target; the key is its id."""
+    if not is_name(key):
+        return Err(make_unreadable(Unreadable.KEY, f"no id: {key!r}"))
+    read = _read(TargetEntry, data)
+    if read.is_err():
+        return Err(read.unwrap_err())
+    entry: TargetEntry = read.unwrap()
+    return Ok(
+        AnnouncedTarget(
+            id=key,
+            service=entry.service,
+            address=entry.address,
+            data_centre=entry.zone or "",
+            slots=entry.slots,
+            draining=entry.state == DRAINING,
+            born=entry.born,
+            cold_seconds=entry.cold_left_ms / MILLISECONDS,
+        )
+    )
 
-def decode_target(key: str, data: bytes) -> Result[AnnouncedTarget, str]:
-    """Decode the announcement of a target; the key is the id of this life of it."""
+
+def find_emptied_data_centre(key: str) -> str | None:
+    """Return the data centre that an operator's record empties, ``None`` for any other record."""
+    if not key.startswith(names.EMPTYING_PREFIX):
+        return None
+    return key.removeprefix(names.EMPTYING_PREFIX) or None
+
+
+def _read(kind: type, data: bytes) -> Result[Any, UnreadableEntry]:
     try:
         document = json.loads(data)
-        return Ok(
-            AnnouncedTarget(
-                id=key,
-                service=document["service"],
-                address=document["address"],
-                data_centre=document.get("zone") or "",
-                slots=max(1, int(document.get("slots") or 1)),
-                draining=document.get("state") == DRAINING,
-            )
-        )
-    except _UNREADABLE as error:
-        return Err(f"{type(error).__name__}: {error}")
+    except (ValueError, RecursionError) as error:
+        return Err(make_unreadable(Unreadable.SYNTAX, f"{type(error).__name__}: {error}"))
+    try:
+        return Ok(read_fields(kind, document))
+    except (ValueError, TypeError) as error:
+        return Err(make_unreadable(Unreadable.FIELDS, error))
 
 
-def _decode_route(document: dict[str, Any]) -> Route:
-    split = document.get("split") or [{"service": document["service"]}]
+def _make_route(entry: RouteEntry) -> Route:
+    if entry.split:
+        shares = tuple(ServiceShare(service=one.service, weight=one.weight) for one in entry.split)
+    else:
+        shares = (ServiceShare(service=entry.service or "", weight=1.0),)
     return Route(
-        name=document["name"],
-        host=document["host"].lower(),
-        prefix=document["path_prefix"],
+        name=entry.name,
+        host=entry.host.lower(),
+        prefix=entry.path_prefix,
         # A kind that a later platform adds may be anything: it is not repeated.
-        kind=KINDS.get(document.get("route_kind", ""), RouteKind.NON_IDEMPOTENT),
-        shares=tuple(
-            ServiceShare(service=part["service"], weight=float(part.get("weight", 1)))
-            for part in split
-        ),
-        timeout=_seconds(document.get("timeout_ms")),
-        objective=_seconds(document.get("slo_ms")),
-        gap_objective=_seconds(document.get("gap_slo_ms")),
-        priority=int(document.get("priority") or 0),
-        max_attempts=max(1, int(document.get("max_attempts") or 1)),
-        public=bool(document.get("public")),
-        resumable=bool(document.get("resumable")),
+        kind=KINDS.get(entry.route_kind or "", RouteKind.NON_IDEMPOTENT),
+        shares=shares,
+        timeout=_seconds(entry.timeout_ms),
+        objective=_seconds(entry.slo_ms),
+        gap_objective=_seconds(entry.gap_slo_ms),
+        priority=entry.priority,
+        max_attempts=max(1, entry.max_attempts),
+        public=entry.public,
+        resumable=entry.resumable,
     )
 
 
-def _decode_service(document: dict[str, Any]) -> ServiceTerms:
-    engine = document.get("engine")
+def _make_service(entry: ServiceEntry) -> ServiceTerms:
     return ServiceTerms(
-        name=document["name"],
-        max_connections=int(document.get("max_conns") or 0),
-        engine=None if not engine else _decode_engine(engine),
+        name=entry.name,
+        max_connections=entry.max_conns,
+        engine=None if entry.engine is None else _make_engine(entry.engine),
+        cold_seconds=entry.cold_start_s,
+        cold_per_second=entry.cold_per_s,
     )
 
 
-def _decode_engine(document: dict[str, Any]) -> EngineTerms:
-    return EngineTerms(
-        slots=max(1, int(document.get("slots") or 1)),
-        memory_tokens=int(document.get("kv_capacity") or 0),
-    )
+def _make_engine(entry: EngineEntry) -> EngineTerms:
+    return EngineTerms(slots=entry.slots, memory_tokens=entry.kv_capacity)
 
 
-def _decode_account(document: dict[str, Any]) -> AccountTerms:
-    priority = document.get("priority")
-    return AccountTerms(
-        name=document["name"],
-        keys=tuple(document.get("api_keys") or ()),
-        priority=None if priority is None else int(priority),
-    )
+def _make_account(entry: TenantEntry) -> AccountTerms:
+    return AccountTerms(name=entry.name, keys=tuple(entry.api_keys), priority=entry.priority)
 
 
-def _decode_limits(document: dict[str, Any]) -> CallerLimits:
+def _make_limits(entry: LimitsEntry) -> CallerLimits:
     unset = CallerLimits()
     return CallerLimits(
-        head_bytes=int(document.get("max_header_bytes") or unset.head_bytes),
-        body_bytes=int(document.get("max_body_bytes") or unset.body_bytes),
-        head_seconds=_seconds(document.get("header_timeout_ms")) or unset.head_seconds,
-        idle_seconds=_seconds(document.get("idle_timeout_ms")) or unset.idle_seconds,
-        tokens_per_second=float(document.get("tokens_per_s") or 0.0),
+        head_bytes=entry.max_header_bytes or unset.head_bytes,
+        body_bytes=entry.max_body_bytes or unset.body_bytes,
+        head_seconds=entry.header_timeout_ms / MILLISECONDS or unset.head_seconds,
+        idle_seconds=entry.idle_timeout_ms / MILLISECONDS or unset.idle_seconds,
+        tokens_per_second=float(entry.tokens_per_s),
     )
 
 
-def _seconds(milliseconds: Any) -> float | None:
-    return None if milliseconds is None else float(milliseconds) / MILLISECONDS
+def _seconds(milliseconds: float | None) -> float | None:
+    return None if milliseconds is None else milliseconds / MILLISECONDS
--- a/packages/loomyard-router/src/loomyard_router/platform/names.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/names.py
@@ -27,6 +27,8 @@
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
+# Before the name of a data centre whose targets are to get nothing.
+EMPTYING_PREFIX = "evacuate/"
 TARGETS_TOPIC = "keyed.servers"
 
 SETTINGS_VARIABLE = "LOOMYARD_NODE_FILE"
--- a/packages/loomyard-router/src/loomyard_router/platform/store_feed.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/store_feed.py
@@ -55,15 +55,16 @@
                 return Err(body.unwrap_err())
             try:
                 page = json.loads(body.unwrap())
-                records += [_decode_item(item) for item in page["items"]]
+                items = page["items"]
+                records += [_decode_item(item) for item in items]
                 # The pages are no snapshot: what changed since the first is read again.
                 first_end = int(page["end_offset"]) if first_end is None else first_end
-                more = bool(page.get("truncated")) and bool(page["items"])
-            except (ValueError, KeyError, TypeError) as error:
+                more = bool(page.get("truncated")) and bool(items)
+                after = items[-1]["tls_key"] if more else None
+            except (ValueError, KeyError, TypeError, RecursionError) as error:
                 return Err(_unavailable(f"an unreadable listing: {error!r}"))
             if not more:
                 return Ok(Listing(records=records, next_offset=first_end))
-            after = records[-1].key
 
     def read(self, offset: int, wait_until: float) -> Result[Batch, Fault]:
         wait = max(0, int((wait_until - self._clock.now()) * MILLISECONDS))
@@ -116,7 +117,7 @@
 def _decode_item(item: dict) -> KeyedRecord:
     value = base64.b64decode(item["value"]) if item.get("value") else None
     # The platform's field for a record's key is named after a key of TLS.
-    return KeyedRecord(key=item["tls_key"], value=value, offset=int(item["offset"]))
+    return KeyedRecord(key=str(item["tls_key"]), value=value, offset=int(item["offset"]))
 
 
 def _decode_batch(data: bytes, offset: int) -> Result[Batch, Fault]:
@@ -134,15 +135,18 @@
             at += length
             records.append(_decode_record(content, offset))
             offset += 1
-    except (struct.error, IndexError, UnicodeDecodeError) as error:
+    except struct.error as error:
         return Err(_unavailable(f"an unreadable batch: {error!r}"))
     # The end before the offset asked for says that the store fell back.
     return Ok(Batch(records=records, next_offset=min(offset, end)))
 
 
 def _decode_record(content: bytes, offset: int) -> KeyedRecord:
+    if not content:
+        # Another writer may append anything; a record without a key says nothing.
+        return KeyedRecord(key="", value=None, offset=offset)
     length = content[0]
-    key = content[1 : 1 + length].decode()
+    key = content[1 : 1 + length].decode(errors="replace")
     return KeyedRecord(key=key, value=content[1 + length :] or None, offset=offset)
 
 
--- a/packages/loomyard-router/src/loomyard_router/routed/connection_pool.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/connection_pool.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from loomyard.clock import Clock
     from loomyard_router.announced.announced_target import AnnouncedTarget
+    from loomyard_router.announced.target_life import TargetLife
 
 CONNECT_SECONDS = 0.4
 MOST_IDLE_SECONDS = 8.0
@@ -36,13 +37,13 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._idle: dict[str, list[_Idle]] = {}
+        self._idle: dict[TargetLife, list[_Idle]] = {}
         self.opened = 0
 
     def take(self, target: AnnouncedTarget, *, repeatable: bool) -> TargetConnection:
         """Return a kept or a new connection. Errors: ``OSError``; nothing was sent then."""
         now = self._clock.now()
-        idle = self._idle.get(target.id, [])
+        idle = self._idle.get(target.life, [])
         while idle:
             kept = idle.pop()
             young = now - kept.since <= FRESH_SECONDS
@@ -54,25 +55,25 @@
 
     def give_back(self, target: AnnouncedTarget, connection: TargetConnection) -> None:
         """Keep a connection if it may be used again, and close it otherwise."""
-        idle = self._idle.setdefault(target.id, [])
+        idle = self._idle.setdefault(target.life, [])
         if not connection.reusable or len(idle) >= MOST_KEPT:
             connection.close()
             return
         now = self._clock.now()
         idle.append(_Idle(connection, now, now + _idle_seconds(connection.headers)))
 
-    def forget(self, known: set[str]) -> None:
+    def forget(self, known: set[TargetLife]) -> None:
         """Close what is kept to targets that are not known any more, and what is too old."""
         now = self._clock.now()
-        for target_id, idle in list(self._idle.items()):
-            kept = [one for one in idle if target_id in known and now < one.until]
+        for life, idle in list(self._idle.items()):
+            kept = [one for one in idle if life in known and now < one.until]
             for one in idle:
                 if one not in kept:
                     one.connection.close()
             if kept:
-                self._idle[target_id] = kept
+                self._idle[life] = kept
             else:
-                del self._idle[target_id]
+                del self._idle[life]
 
 
 def _idle_seconds(headers: list[tuple[str, str]]) -> float:
--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -24,6 +24,7 @@
     from loomyard_router.admission.place_source import PlaceSource
     from loomyard_router.admission.target_health import TargetHealth
     from loomyard_router.announced.target_board import TargetBoard
+    from loomyard_router.announced.target_life import TargetLife
     from loomyard_router.requests.retry_budget import RetryBudget
     from loomyard_router.routed.routed_request import RoutedRequest
     from loomyard_router.routed.sender import Exchange, Sender
@@ -80,7 +81,7 @@
         return Ok(self._pass_on(request, exchange, first))
 
     def open(
-        self, request: RoutedRequest, *, avoided: frozenset[str], last_event: str
+        self, request: RoutedRequest, *, avoided: frozenset[TargetLife], last_event: str
     ) -> Result[tuple[Exchange, bytes, bool], Fault]:
         """Send until an answer has begun; return it, its first bytes and whether those are all."""
         executed = Executed.NO
@@ -98,7 +99,7 @@
             if not self._board.takes_work(place.target):
                 # It began to leave while this request waited for the place or for its turn.
                 place.release()
-                avoided = avoided | {place.target.id}
+                avoided = avoided | {place.target.life}
                 continue
             request.trace.place(place, self._clock.now())
             outcome = self._attempt(request, place, last_event)
@@ -124,7 +125,7 @@
                     executed = fault.executed
                 if not self._may_go_on(request, fault, executed, attempts, unreached):
                     return Err(self._final(fault, executed))
-            avoided = avoided | {place.target.id}
+            avoided = avoided | {place.target.life}
             if attempts:
                 self._budget.take(request.service)
 
@@ -141,7 +142,7 @@
             detail = "the budget for retries is spent"
             return Err(Fault(code=ResultCode.RETRY_BUDGET_SPENT, detail=detail))
         self._budget.take(request.service)
-        return self.open(request, avoided=frozenset([broken.target.id]), last_event=last_event)
+        return self.open(request, avoided=frozenset([broken.target.life]), last_event=last_event)
 
     def note_broken(self, request: RoutedRequest, place: Place, detail: str) -> None:
         """Take in that a target broke an answer off."""
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -15,13 +15,18 @@
 from loomyard.events import Event, emit
 from loomyard.util.addresses import split_address
 from loomyard_router.admission.parts import make_admission
+from loomyard_router.announced.announced_figures import AnnouncedFigures
 from loomyard_router.announced.announced_target import AnnouncedTarget
+from loomyard_router.announced.emptied_data_centres import EmptiedDataCentres
 from loomyard_router.announced.target_board import TargetBoard
 from loomyard_router.announced.target_feed import TargetFeed
 from loomyard_router.callers.in_flight import InFlight
 from loomyard_router.feeds.feed import Feed
 from loomyard_router.feeds.feed_exchange import FeedExchange
 from loomyard_router.feeds.feed_follower import FeedFollower
+from loomyard_router.feeds.joint_taker import JointTaker
+from loomyard_router.feeds.unreadable_entries import UnreadableEntries
+from loomyard_router.feeds.unreadable_entry import UnreadableEntry
 from loomyard_router.fleet_parts import make_fleet_parts
 from loomyard_router.metrics.lazy_server import make_lazy_metrics
 from loomyard_router.metrics.meters import Meters
@@ -62,9 +67,10 @@
     clock: Clock
     tables: Feed
     table_key: str
-    decode_table: Callable[[bytes], Result[RouteTable, str]]
+    decode_table: Callable[[bytes], Result[RouteTable, UnreadableEntry]]
+    find_emptied_data_centre: Callable[[str], str | None]
     targets: Feed
-    decode_target: Callable[[str, bytes], Result[AnnouncedTarget, str]]
+    decode_target: Callable[[str, bytes], Result[AnnouncedTarget, UnreadableEntry]]
     callers: CallerDialect
     target_dialect: TargetDialect
     ready_path: str
@@ -82,16 +88,24 @@
         source = random.Random()
         self.holder = TableHolder(platform.decode_table)
         self.board = TargetBoard(clock)
+        self._emptied = EmptiedDataCentres(platform.find_emptied_data_centre)
+        self._emptied.subscribe(self.board.note_emptied)
+        self._unreadable = UnreadableEntries()
         self._tables = FeedFollower(
             platform.tables,
-            TableFeed(self.holder, platform.table_key),
+            JointTaker(
+                (
+                    self._emptied,
+                    TableFeed(self.holder, platform.table_key, self._unreadable),
+                )
+            ),
             clock,
             source,
             pace=settings.feed_pace,
         )
         self._targets = FeedFollower(
             platform.targets,
-            TargetFeed(self.board, platform.decode_target),
+            TargetFeed(self.board, platform.decode_target, self._unreadable),
             clock,
             source,
             pace=settings.feed_pace,
@@ -164,6 +178,12 @@
             traffic=self.fleet.traffic,
             in_flight=lambda: self.in_flight,
             feeds=self._exchange.states,
+            announced=AnnouncedFigures(
+                emptied=lambda: len(self._emptied.names),
+                cold=self._admission.cold.count,
+                lives_replaced=lambda: self.board.lives_replaced,
+                unreadable=lambda: self._unreadable.counts,
+            ),
         )
         self.board.subscribe(self._forget)
 
@@ -251,7 +271,7 @@
         return len(self.members.live())
 
     def _forget(self) -> None:
-        known = {target.id for target in self.board.known()}
+        known = {target.life for target in self.board.known()}
         self._pool.forget(known)
         self._admission.forget(known)
 
--- a/packages/loomyard-router/src/loomyard_router/routes/service_terms.py
+++ b/packages/loomyard-router/src/loomyard_router/routes/service_terms.py
@@ -15,8 +15,14 @@
 
 @frozen(kw_only=True)
 class ServiceTerms:
-    """A service; ``engine`` is ``None`` for a plain one."""
+    """A service; ``engine`` is ``None`` for a plain one.
+
+    A target of it is cold for ``cold_seconds`` after its start and bears ``cold_per_second``
+    requests meanwhile; 0 where nothing bounds them.
+    """
 
     name: str
     max_connections: int = 0
     engine: EngineTerms | None = None
+    cold_seconds: float = 0.0
+    cold_per_second: float = 0.0
--- a/packages/loomyard-router/src/loomyard_router/routes/table_feed.py
+++ b/packages/loomyard-router/src/loomyard_router/routes/table_feed.py
@@ -5,13 +5,17 @@
 from typing import TYPE_CHECKING
 
 from attrs import frozen
+from result import Err
 
 from loomyard_router.feeds.feed_follower import STORE
+from loomyard_router.feeds.unreadable_entries import UnreadableEntries
 from loomyard_router.routes.table_holder import TableHolder
 
 if TYPE_CHECKING:
     from loomyard_router.feeds.keyed_record import KeyedRecord
 
+FEED = "configuration"
+
 
 @frozen
 class TableFeed:
@@ -19,6 +23,7 @@
 
     holder: TableHolder
     key: str
+    unreadable: UnreadableEntries
 
     def take_listing(self, records: list[KeyedRecord], source: str) -> None:
         self._offer(records, source)
@@ -33,8 +38,12 @@
         pass
 
     def _offer(self, records: list[KeyedRecord], source: str) -> None:
-        # The last one first: a whole version makes the ones before it needless.
+        # The last one first: a whole version that can be read makes the ones before it needless.
         for record in reversed(records):
-            if record.key == self.key and record.value is not None:
-                self.holder.offer(record.value, source)
-                return
+            if record.key != self.key or record.value is None:
+                continue
+            match self.holder.offer(record.value, source):
+                case Err(entry):
+                    self.unreadable.note(FEED, record.key, record.offset, entry)
+                case _:
+                    return
--- a/packages/loomyard-router/src/loomyard_router/routes/table_holder.py
+++ b/packages/loomyard-router/src/loomyard_router/routes/table_holder.py
@@ -6,17 +6,17 @@
 from typing import TYPE_CHECKING
 
 from attrs import frozen
+from result import Err, Ok, Result
 
 from loomyard.events import Event, emit
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from result import Result
-
+    from loomyard_router.feeds.unreadable_entry import UnreadableEntry
     from loomyard_router.routes.route_table import RouteTable
 
-    Decoder = Callable[[bytes], Result[RouteTable, str]]
+    Decoder = Callable[[bytes], Result[RouteTable, UnreadableEntry]]
 
 logger = logging.getLogger(__name__)
 
@@ -55,12 +55,14 @@
         """Call back with each version that comes into force."""
         self._listeners.append(changed)
 
-    def offer(self, data: bytes, source: str) -> bool:
-        """Put a published document in force where it is newer; tell whether it is now."""
+    def offer(self, data: bytes, source: str) -> Result[bool, UnreadableEntry]:
+        """Put a published document in force where it is newer; tell whether it is now.
+
+        Of one that can't be read the version in force stays.
+        """
         decoded = self._decode(data)
         if decoded.is_err():
-            emit(logger, Event.TABLE_UNREADABLE, source=source, detail=decoded.unwrap_err())
-            return False
+            return Err(decoded.unwrap_err())
         table = decoded.unwrap()
         if table.version <= self.version:
             if table.version < self.version:
@@ -71,7 +73,7 @@
                     version=table.version,
                     in_force=self.version,
                 )
-            return False
+            return Ok(False)
         before = self.version
         self._table = table
         self._document = TableDocument(version=table.version, data=data)
@@ -86,4 +88,4 @@
         )
         for changed in self._listeners:
             changed(table)
-        return True
+        return Ok(True)
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -29,7 +29,6 @@
     CONFIGURATION_RESTORED = (210, logging.WARNING, "an operator restored the configuration")
     TABLE_ADOPTED = (230, logging.INFO, "a published configuration is in force")
     TABLE_IGNORED = (231, logging.WARNING, "a published configuration is older than that in force")
-    TABLE_UNREADABLE = (232, logging.ERROR, "a published configuration can't be read")
     OPERATOR_REFUSED = (220, logging.WARNING, "an operator's request had no valid key")
     OPERATOR_CHANGE = (221, logging.INFO, "an operator's change was settled")
     OPERATOR_DRAIN = (222, logging.INFO, "an operator drains a router or a target")
@@ -73,7 +72,15 @@
     TARGET_REANNOUNCED = (604, logging.INFO, "a target that had vanished is back")
     TARGET_DRAINS = (605, logging.INFO, "a target drains; it gets no new work")
     TARGET_VANISHED = (606, logging.INFO, "a target's announcement is gone")
-    ANNOUNCEMENT_UNREADABLE = (607, logging.ERROR, "a target's announcement can't be read")
+    ENTRY_UNREADABLE = (
+        607,
+        logging.ERROR,
+        "an entry of a feed can't be read; it names nothing to use",
+    )
+    TARGET_REBORN = (608, logging.INFO, "a target started again under its id")
+    OLD_LIFE_IGNORED = (609, logging.INFO, "an announcement is of an earlier life of its target")
+    DATA_CENTRE_EMPTIED = (620, logging.WARNING, "an operator emptied a data centre")
+    DATA_CENTRE_TAKEN_BACK = (621, logging.INFO, "an emptied data centre is in use again")
     ORDER_LEASE_TAKEN = (610, logging.INFO, "this router holds the lease on orders to engines")
     ORDER_LEASE_LOST = (611, logging.INFO, "another router took the lease on orders to engines")
     ORDER_SENT = (612, logging.INFO, "an engine took an order")
--- a/tests/test_loomyard_router/test_routed/routed_case.py
+++ b/tests/test_loomyard_router/test_routed/routed_case.py
@@ -19,6 +19,7 @@
 from loomyard_router.feeds.feed import Batch, Listing
 from loomyard_router.feeds.keyed_record import KeyedRecord
 from loomyard_router.platform.callers import PlatformCallers
+from loomyard_router.platform.documents import find_emptied_data_centre
 from loomyard_router.platform.targets import PlatformTargets
 from loomyard_router.routed_application import RoutedApplication, RoutedPlatform
 from loomyard_router.routed_settings import RetryTerms, RoutedSettings
@@ -116,6 +117,7 @@
             tables=self.tables,
             table_key="table",
             decode_table=lambda data: Ok(self.objects[int(data)]),
+            find_emptied_data_centre=find_emptied_data_centre,
             targets=self.targets,
             decode_target=lambda _, data: Ok(self.objects[int(data)]),
             callers=PlatformCallers(),
