--- a/tests/test_loomyard_router/test_admission/places_case.py
+++ b/tests/test_loomyard_router/test_admission/places_case.py
@@ -1,9 +1,11 @@
-"""Three routers that share the places of some engines."""
+"""Routers that share the places of some engines."""
 
 from __future__ import annotations
 
 import random
 
+from result import Ok
+
 from loomyard_router.admission.fleet_gate import FleetGate
 from loomyard_router.admission.place_client import PlaceClient
 from loomyard_router.admission.place_keeper import PlaceKeeper
@@ -13,17 +15,35 @@
 from loomyard_router.admission.waiting_accounts import WaitingAccounts
 from loomyard_router.admission.waiting_time import RetryHint
 from loomyard_router.announced.announced_target import AnnouncedTarget
+from loomyard_router.announced.cold_targets import ColdTargets
 from loomyard_router.announced.target_board import TargetBoard
 from loomyard_router.members.membership import Member, SoleMembership
 from loomyard_router.requests.presence import CallerPresence
 from loomyard_router.routed.request_head import RequestHead
 from loomyard_router.routed.routed_request import RoutedRequest
 from loomyard_router.routes.account_terms import AccountTerms
+from loomyard_router.routes.route_table import RouteTable, make_route_table
+from loomyard_router.routes.service_terms import EngineTerms, ServiceTerms
+from loomyard_router.routes.table_holder import TableHolder
 from loomyard_standins.fake_clock import FakeClock
 from loomyard_standins.memory_network import MemoryNetwork
 from test_loomyard_router.test_routed.routed_case import route
 
 SLOTS = 4
+# What a cold engine bears, and for how long it is cold after its start.
+COLD_PER_SECOND = 18.0
+COLD_SECONDS = 3.0
+
+
+def make_table() -> RouteTable:
+    """Make a configuration with one service of engines."""
+    terms = ServiceTerms(
+        name="engine",
+        engine=EngineTerms(slots=SLOTS),
+        cold_seconds=COLD_SECONDS,
+        cold_per_second=COLD_PER_SECOND,
+    )
+    return make_route_table(version=1, routes=[], services=[terms], accounts=None)
 
 
 class Members(SoleMembership):
@@ -55,11 +75,13 @@
         self.peers = fleet.network.join(own)
         self.board = TargetBoard(clock)
         self.board.replace_all(fleet.targets)
+        self.cold = ColdTargets(clock, self.board, fleet.holder)
         self.keeper = PlaceKeeper(
             clock=clock,
             board=self.board,
             members=self.members,
             peers=self.peers,
+            cold=self.cold,
         )
         self.ledger = ShareLedger(
             clock=clock,
@@ -81,21 +103,25 @@
             ledger=self.ledger,
             waiting=WaitingAccounts(self.ledger),
             hint=RetryHint(random.Random(1)),
+            cold=self.cold,
+            routers=lambda: len(fleet.members),
         )
 
 
 class Fleet:
-    """Three routers and some engines."""
+    """Some routers, three unless said, and some engines."""
 
-    def __init__(self, engines: int) -> None:
+    def __init__(self, engines: int, routers: int = 3, slots: int = SLOTS) -> None:
         self.clock = FakeClock()
+        self.holder = TableHolder(lambda _: Ok(make_table()))
+        self.holder.offer(b"", "store")
         self.rate = 0.0
         self.network = MemoryNetwork()
         self.members = [
-            Member(name=f"r{n}", incarnation=1, address="", data_centre="") for n in range(3)
+            Member(name=f"r{n}", incarnation=1, address="", data_centre="") for n in range(routers)
         ]
         self.targets = [
-            AnnouncedTarget(id=f"e{n}", service="engine", address=f"127.0.0.1:{n}", slots=SLOTS)
+            AnnouncedTarget(id=f"e{n}", service="engine", address=f"127.0.0.1:{n}", slots=slots)
             for n in range(engines)
         ]
         self.routers = [Router(member, self) for member in self.members]
--- /dev/null
+++ b/tests/test_loomyard_router/test_announced/test_emptied_data_centres.py
@@ -0,0 +1,118 @@
+"""Tests of data centres that operators empty: who stops sending there, and how soon."""
+
+from __future__ import annotations
+
+import unittest
+
+from loomyard_router.announced.announced_target import AnnouncedTarget
+from loomyard_router.announced.emptied_data_centres import EmptiedDataCentres
+from loomyard_router.announced.target_board import TargetBoard
+from loomyard_router.feeds.keyed_record import KeyedRecord
+from loomyard_router.platform.documents import find_emptied_data_centre
+from loomyard_standins.fake_clock import FakeClock
+from loomyard_standins.memory_store import Outage
+from test_loomyard_router.test_feeds.feed_fleet import FeedFleet
+from test_loomyard_router.test_routed.routed_case import RoutedCase, route
+from test_loomyard_router.test_routed.scripted_target import plain_script
+
+KEY = "evacuate/north"
+# Users hold a router to an order of theirs from 5 s after its acknowledgement on, and from 3 s after
+# the return of the store; the sending of what was decided just before is within the second left.
+BOUND = 2.5
+
+
+def record(offset: int, key: str = KEY, value: bytes | None = b"{}") -> KeyedRecord:
+    return KeyedRecord(key=key, value=value, offset=offset)
+
+
+class EmptiedDataCentresTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.board = TargetBoard(self.clock)
+        self.targets = [
+            AnnouncedTarget(id=f"t-{name}", service="s", address="127.0.0.1:1", data_centre=name)
+            for name in ("north", "south")
+        ]
+        self.board.replace_all(self.targets)
+        self.emptied = EmptiedDataCentres(find_emptied_data_centre)
+        self.emptied.subscribe(self.board.note_emptied)
+
+    def usable(self) -> list[str]:
+        return [target.id for target in self.board.usable("s")]
+
+    def test_an_order_stands_until_its_record_goes_whatever_it_holds(self) -> None:
+        for value in (b"{}", b"", b"null", b"[[[", b"\xff"):
+            with self.subTest(value=value):
+                self.emptied.take_records([record(1, value=value or b"0")])
+                self.assertEqual(["t-south"], self.usable())
+                self.emptied.take_records([record(2, value=None)])
+                self.assertEqual(2, len(self.usable()))
+
+    def test_the_last_of_several_orders_of_one_read_counts(self) -> None:
+        self.emptied.take_records([record(1), record(2, value=None), record(3)])
+        self.assertEqual(["t-south"], self.usable())
+        self.emptied.take_records([record(4, value=None), record(5), record(6, value=None)])
+        self.assertEqual(2, len(self.usable()))
+
+    def test_a_listing_without_the_order_takes_the_data_centre_back(self) -> None:
+        self.emptied.take_listing([record(1)], "store")
+        self.emptied.take_records([record(2, key="config", value=b"x")])
+        self.assertEqual(["t-south"], self.usable())
+        self.emptied.take_listing([record(2, key="config", value=b"x")], "peer")
+        self.assertEqual(2, len(self.usable()))
+
+    def test_a_place_that_was_granted_before_is_not_used(self) -> None:
+        self.assertTrue(self.board.takes_work(self.targets[0]))
+        self.emptied.take_records([record(1)])
+        self.assertFalse(self.board.takes_work(self.targets[0]))
+
+    def test_targets_that_lapsed_there_or_start_there_get_nothing(self) -> None:
+        self.board.note_store_lost()
+        self.board.apply([], ["t-north"])
+        self.assertEqual(2, len(self.usable()))
+        self.emptied.take_records([record(1)])
+        new = AnnouncedTarget(id="t-new", service="s", address="127.0.0.1:2", data_centre="north")
+        self.board.apply([new], [])
+        self.assertEqual(["t-south"], self.usable())
+
+    def test_where_nobody_else_is_left_nobody_gets_work(self) -> None:
+        self.emptied.take_records([record(1), record(2, key="evacuate/south")])
+        self.assertEqual([], self.usable())
+
+
+class EmptiedRouterTest(RoutedCase):
+    def test_a_request_with_nowhere_to_go_is_refused_and_did_not_run(self) -> None:
+        target = self.target("t-north", plain_script)
+        self.announce(target.announced(data_centre="north"))
+        self.tables.put(KEY, b"{}")
+        self.publish(route(), version=2)
+        response = self.call()
+        self.assertEqual(503, response.status)
+        self.assertTrue(response.getheader("Retry-After"))
+        self.assertEqual(0, len(target.received))
+
+
+class EmptyingInOutagesTest(unittest.TestCase):
+    """Orders stand in the feed of the configuration; all kinds of its outages hold them up alike."""
+
+    def test_the_last_router_hears_an_order_in_time(self) -> None:
+        for outage in Outage:
+            for without in (3, 7):
+                with self.subTest(outage=outage, without=without):
+                    fleet = FeedFleet(7)
+                    self.addCleanup(fleet.stop)
+                    store = fleet.stores["configuration"]
+                    store.publish(KEY, b"before")
+                    fleet.run(0.3)
+                    store.fail(list(fleet.routers)[:without], outage)
+                    fleet.run(6.0)
+                    if without == 7:
+                        store.heal()
+                    at = store.publish(KEY, b"order")
+                    fleet.run(3 * BOUND)
+                    last = fleet.last_arrival("configuration", b"order") - at
+                    self.assertLessEqual(last, BOUND)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_loomyard_router/test_platform/test_entries_of_others.py
@@ -0,0 +1,235 @@
+"""Tests of entries that anybody may have written: they name nothing to use and hold nothing up.
+
+Seen on crafted entries before they were checked: a service that is a list, an address without a
+port, a state that is unknown or missing and slots of 1e18 were all taken as targets to use, a
+deeply nested text raised out of the decoder, and a record without a key stopped the feed for good.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import struct
+import unittest
+from typing import Any
+
+from loomyard_router.announced.target_board import TargetBoard
+from loomyard_router.announced.target_feed import TargetFeed
+from loomyard_router.feeds.keyed_record import KeyedRecord
+from loomyard_router.feeds.unreadable_entries import UnreadableEntries
+from loomyard_router.feeds.unreadable_entry import MOST_DETAIL, Unreadable
+from loomyard_router.platform.documents import decode_configuration, decode_target
+from loomyard_router.platform.store_feed import _decode_batch
+from loomyard_router.routes.table_feed import TableFeed
+from loomyard_router.routes.table_holder import TableHolder
+from loomyard_standins.fake_clock import FakeClock
+from test_loomyard_router.test_platform.test_documents import document
+
+GOOD: dict[str, Any] = {
+    "service": "one",
+    "address": "10.0.0.1:80",
+    "zone": "north",
+    "version": "v1",
+    "slots": 48,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "stage": "both",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "seq_no": 4,
+}
+BAD: dict[str, tuple[object, ...]] = {
+    "service": (["one"], 1, "", None, "a\r\nb", "\ud800", {"x": 1}, "x" * 300),
+    "address": (80, "10.0.0.1", "10.0.0.1:", "10.0.0.1:99999999", "10.0.0.1:0", ":80", "x:80", []),
+    "state": ("new", None, 1, True, ["ready"]),
+    "slots": ("48", 1e18, 10**18, -1, 0, 48.5, True, float("nan"), []),
+    "zone": (7, ["north"], "nor th", {}),
+    "cold_left_ms": ("3", -1, float("inf"), True, []),
+    "born": ("1", -1, 1.5, 10**30, True),
+}
+KEYS = ("", "a\r\nX: y", "ä", "x" * 300)
+DEEP = b"[" * 200_000
+ROUNDS = 4_000
+VALUES: tuple[object, ...] = (
+    None,
+    True,
+    0,
+    -1,
+    1,
+    3.5,
+    1e18,
+    10**40,
+    float("nan"),
+    float("inf"),
+    "",
+    "x",
+    "\r\n",
+    "\ud800",
+    "y" * 5_000,
+    [],
+    [[]],
+    {},
+    {"service": {}},
+)
+
+
+def record(offset: int, key: str, value: bytes | None) -> KeyedRecord:
+    return KeyedRecord(key=key, value=value, offset=offset)
+
+
+class BadEntriesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.board = TargetBoard(FakeClock())
+        self.unreadable = UnreadableEntries()
+        self.feed = TargetFeed(self.board, decode_target, self.unreadable)
+        self.feed.take_listing([record(n, f"t{n}", json.dumps(GOOD).encode()) for n in (0, 1)], "")
+
+    def usable(self) -> list[str]:
+        return [target.id for target in self.board.usable("one")]
+
+    def test_an_entry_with_one_bad_field_names_no_target(self) -> None:
+        offset = 10
+        for field, values in BAD.items():
+            for value in values:
+                with self.subTest(field=field, value=value):
+                    if value is None and field == "zone":
+                        continue
+                    offset += 1
+                    bad = json.dumps(GOOD | {field: value}).encode()
+                    self.feed.take_records([record(offset, "t-bad", bad)])
+                    self.assertEqual(["t0", "t1"], self.usable())
+
+    def test_a_key_that_is_no_id_names_no_target(self) -> None:
+        for key in KEYS:
+            self.feed.take_records([record(10, key, json.dumps(GOOD).encode())])
+        self.assertEqual(["t0", "t1"], self.usable())
+        self.assertEqual(len(KEYS), self.unreadable.counts["targets", Unreadable.KEY])
+
+    def test_what_is_no_document_raises_nothing(self) -> None:
+        for number, data in enumerate((b"", b"\xff\xfe", DEEP, b'{"a":' * 100_000, b"1" * 9_000)):
+            self.assertTrue(decode_target("t", data).is_err())
+            self.assertTrue(decode_configuration(data).is_err())
+            self.feed.take_records([record(number, "t-bad", data)])
+        self.assertEqual(["t0", "t1"], self.usable())
+
+    def test_a_target_whose_entry_turns_bad_is_out_of_use_until_it_can_be_read(self) -> None:
+        self.feed.take_records([record(2, "t0", b"{}")])
+        self.assertEqual(["t1"], self.usable())
+        self.feed.take_records([record(3, "t0", json.dumps(GOOD).encode())])
+        self.assertEqual(["t0", "t1"], self.usable())
+
+    def test_all_entries_turning_bad_in_one_listing_is_no_lapse(self) -> None:
+        self.feed.take_listing([record(2, "t0", b"{}"), record(3, "t1", b"{}")], "")
+        self.assertEqual([], self.usable())
+
+    def test_an_entry_that_is_listed_again_is_told_once_and_briefly(self) -> None:
+        with self.assertLogs("loomyard_router", "ERROR") as logs:
+            for _ in range(5):
+                self.feed.take_records([record(7, "t-bad", b"[" + b"1" * 100_000)])
+        self.assertEqual(1, len(logs.records))
+        fields = logs.records[0].fields  # type: ignore[attr-defined]
+        self.assertLessEqual(len(fields["detail"]), MOST_DETAIL)
+        self.assertEqual(1, self.unreadable.counts.total())
+
+    def test_a_record_without_a_readable_key_holds_no_other_up(self) -> None:
+        good = bytes([2]) + b"t2" + json.dumps(GOOD).encode()
+        contents = [b"", b"\xff", bytes([2]) + b"\xff\xfe" + b"{}", good]
+        data = struct.pack(">QQ", 9, 5)
+        data += b"".join(struct.pack(">I", len(one)) + one for one in contents)
+        batch = _decode_batch(data, 5).unwrap()
+        self.assertEqual(9, batch.next_offset)
+        self.feed.take_records(batch.records)
+        self.assertEqual(["t0", "t1", "t2"], self.usable())
+
+
+class BadConfigurationsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.holder = TableHolder(decode_configuration)
+        self.unreadable = UnreadableEntries()
+        self.feed = TableFeed(self.holder, "config", self.unreadable)
+
+    def test_of_several_versions_the_last_that_can_be_read_is_in_force(self) -> None:
+        versions = [document(version=1), document(version=2), b"{", document(version="3")]
+        self.feed.take_records([record(n, "config", data) for n, data in enumerate(versions)])
+        self.assertEqual(2, self.holder.version)
+        self.feed.take_records([record(5, "config", document(version=4, routes=[{}]))])
+        self.assertEqual(2, self.holder.version)
+        self.feed.take_records([record(6, "config", document(version=5))])
+        self.assertEqual(5, self.holder.version)
+        self.assertEqual(3, self.unreadable.counts.total())
+
+
+class MutatedEntriesTest(unittest.TestCase):
+    """Mutate good entries by a seed; what is used must be valid, and nothing else be lost."""
+
+    def setUp(self) -> None:
+        self.random = random.Random(20)
+
+    def mutate(self, value: Any) -> Any:
+        source = self.random
+        if isinstance(value, dict) and value and source.random() < 0.8:
+            key = source.choice(sorted(value))
+            changed = dict(value)
+            if source.random() < 0.2:
+                del changed[key]
+            else:
+                changed[key] = self.mutate(value[key])
+            return changed
+        if isinstance(value, list) and value and source.random() < 0.8:
+            at = source.randrange(len(value))
+            return [*value[:at], self.mutate(value[at]), *value[at + 1 :]]
+        return source.choice(VALUES)
+
+    def encode(self, value: Any) -> bytes:
+        data = json.dumps(value).encode()
+        kind = self.random.random()
+        if kind < 0.1:
+            return data[: self.random.randrange(len(data) + 1)]
+        if kind < 0.2:
+            at = self.random.randrange(len(data) + 1)
+            return data[:at] + self.random.randbytes(3) + data[at:]
+        return data
+
+    def test_targets(self) -> None:
+        board = TargetBoard(FakeClock())
+        feed = TargetFeed(board, decode_target, UnreadableEntries())
+        feed.take_listing([record(0, "good", json.dumps(GOOD).encode())], "")
+        read = 0
+        for offset in range(1, ROUNDS):
+            value = self.encode(self.mutate(GOOD))
+            feed.take_records([record(offset, "mutated", value)])
+            self.assertIn("good", [target.id for target in board.usable("one")])
+            for target in board.known():
+                host, _, port = target.address.rpartition(":")
+                self.assertEqual(4, len([int(part) for part in host.split(".")]))
+                self.assertTrue(0 < int(port) < 65536)
+                self.assertTrue(type(target.slots) is int and 1 <= target.slots <= 100_000)
+                self.assertTrue(0.0 <= target.cold_seconds <= 86_400.0)
+                f"{target.id} {target.service} {target.data_centre}".encode("latin-1")
+            read += len(board.known()) - 1
+        self.assertGreater(read, ROUNDS / 20)
+        self.assertLess(read, ROUNDS)
+
+    def test_configurations(self) -> None:
+        good = json.loads(document())
+        holder = TableHolder(decode_configuration)
+        feed = TableFeed(holder, "config", UnreadableEntries())
+        feed.take_records([record(0, "config", document())])
+        adopted = 0
+        for offset in range(1, ROUNDS):
+            before = holder.version
+            mutated = self.mutate(good | {"version": before + 1})
+            feed.take_records([record(offset, "config", self.encode(mutated))])
+            self.assertGreaterEqual(holder.version, before)
+            adopted += holder.version > before
+            table = holder.table
+            assert table is not None
+            for route in table.find("a.example", "/a/b"), *(
+                one for routes in table.routes_by_host.values() for one in routes.values()
+            ):
+                if route is not None:
+                    route.choose_service("key").encode("latin-1")
+        self.assertGreater(adopted, ROUNDS / 20)
+
+
+if __name__ == "__main__":
+    unittest.main()
