--- a/packages/loomyard-router/src/loomyard_router/callers/handler.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/handler.py
@@ -15,12 +15,16 @@
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard.util.tcp import NoDelayServer
+from loomyard_router.callers.header_fields import HeaderFields, read_header_fields
 from loomyard_router.callers.presence_watch import PresenceWatch
 from loomyard_router.callers.problems import problem_document
 from loomyard_router.requests.presence import CallerPresence
 from loomyard_router.requests.whole_answers import AnswerBrokenError
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from typing import BinaryIO
+
     from loomyard_router.callers.in_flight import InFlight
 
 logger = logging.getLogger(__name__)
@@ -43,6 +47,16 @@
 
     server: CallerServer
 
+    def MessageClass(self, file: BinaryIO, *_: object) -> HeaderFields:  # noqa: N802
+        return read_header_fields(file)
+
+    def _headers(self) -> Iterator[tuple[str, str]]:
+        for name, value in self.headers.items():
+            key = name.replace("-", "_").upper()
+            # An underscore could stand for a dash, by which a name would seem another.
+            if "_" not in name and key not in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+                yield f"HTTP_{key}", value
+
     def read_request(self, raw_requestline: str) -> bool:
         read = super().read_request(raw_requestline)
         lengths = self.headers.get_all("content-length", [])
--- a/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
@@ -81,6 +81,7 @@
         ),
         most_connections=_most_connections(fields),
         share_window=float(fields.get("bounds.quota_window_s", 4.0)),
+        event_seconds=float(fields.get("bounds.pass_ms", 0.0)) / MILLISECONDS,
     )
 
 
--- a/packages/loomyard-router/src/loomyard_router/routed/connection_pool.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/connection_pool.py
@@ -7,6 +7,7 @@
 
 from attrs import define
 
+from loomyard_router.routed.deadline_watch import DeadlineWatch
 from loomyard_router.routed.target_connection import TargetConnection, connect
 
 if TYPE_CHECKING:
@@ -37,6 +38,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._watch = DeadlineWatch(clock)
         self._idle: dict[TargetLife, list[_Idle]] = {}
         self.opened = 0
 
@@ -51,7 +53,7 @@
                 return kept.connection
             kept.connection.close()
         self.opened += 1
-        return connect(target.address, self._clock, CONNECT_SECONDS)
+        return connect(target.address, self._clock, CONNECT_SECONDS, self._watch)
 
     def give_back(self, target: AnnouncedTarget, connection: TargetConnection) -> None:
         """Keep a connection if it may be used again, and close it otherwise."""
@@ -59,6 +61,7 @@
         if not connection.reusable or len(idle) >= MOST_KEPT:
             connection.close()
             return
+        connection.rest()
         now = self._clock.now()
         idle.append(_Idle(connection, now, now + _idle_seconds(connection.headers)))
 
--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -26,6 +26,7 @@
     from loomyard_router.announced.target_board import TargetBoard
     from loomyard_router.announced.target_life import TargetLife
     from loomyard_router.requests.retry_budget import RetryBudget
+    from loomyard_router.routed.event_pace import EventPace
     from loomyard_router.routed.routed_request import RoutedRequest
     from loomyard_router.routed.sender import Exchange, Sender
 
@@ -44,6 +45,10 @@
 )
 
 
+# Nothing was sent.
+_UNREACHED = (ResultCode.TARGET_UNREACHABLE, ResultCode.ROUTER_OVERLOADED)
+
+
 class Forwarder:
     """Send a request until it has an answer or must not be sent again."""
 
@@ -56,6 +61,7 @@
         health: TargetHealth,
         board: TargetBoard,
         budget: RetryBudget,
+        pace: EventPace,
     ) -> None:
         self._clock = clock
         self._gate = gate
@@ -63,6 +69,7 @@
         self._health = health
         self._board = board
         self._budget = budget
+        self._pace = pace
 
     def forward(self, request: RoutedRequest) -> Result[Answer, Fault]:
         """Serve a request.
@@ -117,7 +124,7 @@
                 place.release()
                 fault = outcome.unwrap_err()
                 self._note(request, place, fault)
-                if fault.code is ResultCode.TARGET_UNREACHABLE:
+                if fault.code in _UNREACHED:
                     unreached += 1
                 else:
                     attempts += 1
@@ -183,7 +190,7 @@
         return b"".join(blocks), False
 
     def _pass_on(self, request: RoutedRequest, exchange: Exchange, first: bytes) -> Answer:
-        passing = StreamPassing(self, request, exchange)
+        passing = StreamPassing(self, request, exchange, self._pace)
         blocks: Generator[bytes, None, None]
         blocks = passing.events(first) if _is_stream(exchange) else passing.blocks(first)
         return Answer(
--- a/packages/loomyard-router/src/loomyard_router/routed/sender.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/sender.py
@@ -10,6 +10,7 @@
 
 from loomyard.errors import Executed, Fault, ResultCode
 from loomyard_router.admission.place import Place
+from loomyard_router.own_time import NEGLIGIBLE_LAG, take_turn
 from loomyard_router.routed.target_connection import (
     ExchangeBrokenError,
     ExchangeLateError,
@@ -54,13 +55,14 @@
     ) -> Result[Exchange, Fault]:
         """Send and wait for the head of the answer.
 
-        Errors: ``TARGET_UNREACHABLE``, ``TARGET_REFUSED``: it did not run. ``ANSWER_LOST``,
+        Errors: ``TARGET_UNREACHABLE``, ``TARGET_REFUSED``, ``ROUTER_OVERLOADED``: it did not run.
+        ``ANSWER_LOST``,
         ``ANSWER_INVALID``, ``ANSWER_LATE``: it may have run. ``CALLER_GONE``.
         """
         try:
             connection = self._pool.take(place.target, repeatable=request.route.repeatable)
         except OSError as error:
-            return Err(Fault(code=ResultCode.TARGET_UNREACHABLE, detail=f"no connection: {error}"))
+            return Err(self._judge_unconnected(error))
         request.presence.subscribe(connection.close)
         try:
             return self._exchange(request, place, connection, last_event, answer_by)
@@ -76,6 +78,13 @@
             connection.close()
             raise
 
+    def _judge_unconnected(self, error: OSError) -> Fault:
+        """Tell whether a connection that did not come up says something of the target."""
+        if isinstance(error, TimeoutError) and take_turn(self._clock) > NEGLIGIBLE_LAG:
+            detail = "this router was too late to see a connection come up"
+            return Fault(code=ResultCode.ROUTER_OVERLOADED, detail=detail)
+        return Fault(code=ResultCode.TARGET_UNREACHABLE, detail=f"no connection: {error}")
+
     def finish(self, request: RoutedRequest, exchange: Exchange) -> None:
         """Keep the connection if its answer was read whole, and close it otherwise."""
         request.presence.unsubscribe(exchange.connection.close)
--- a/packages/loomyard-router/src/loomyard_router/routed/stream_passing.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/stream_passing.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Generator
 
+    from loomyard_router.routed.event_pace import EventPace
     from loomyard_router.routed.forwarder import Forwarder
     from loomyard_router.routed.routed_request import RoutedRequest
     from loomyard_router.routed.sender import Exchange
@@ -25,8 +26,11 @@
 class StreamPassing:
     """One answer on its way to its caller; the head of the first target stays that of all."""
 
-    def __init__(self, forwarder: Forwarder, request: RoutedRequest, exchange: Exchange) -> None:
+    def __init__(
+        self, forwarder: Forwarder, request: RoutedRequest, exchange: Exchange, pace: EventPace
+    ) -> None:
         self._forwarder = forwarder
+        self._pace = pace
         self._request = request
         self._exchange: Exchange | None = exchange
         after = request.head.last_event
@@ -58,6 +62,7 @@
                 self._break("events are missing or have no end")
             if whole:
                 yield whole
+                self._pace.hold()
             block = self._read_on()
 
     def _read_on(self) -> bytes:
--- a/packages/loomyard-router/src/loomyard_router/routed/target_connection.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/target_connection.py
@@ -14,11 +14,11 @@
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
+    from loomyard_router.routed.deadline_watch import DeadlineWatch
 
 READ_BYTES = 65536
 # A longer body is sent by a task of its own, since the target may answer before it is read.
 SMALL_BODY = 8192
-LEAST_WAIT = 0.001
 
 
 class ExchangeBrokenError(OSError):
@@ -32,9 +32,11 @@
 class TargetConnection:
     """A connection; ``close`` from another task ends a wait with an error."""
 
-    def __init__(self, sock: socket.socket, clock: Clock) -> None:
+    def __init__(self, sock: socket.socket, clock: Clock, watch: DeadlineWatch) -> None:
         self._socket = sock
         self._clock = clock
+        self._watch = watch
+        self._expired = False
         self._parser: AnswerParser | None = None
         self._sender: gevent.Greenlet | None = None
         self._sent = False
@@ -74,6 +76,7 @@
         """Send a request; a long body goes on while the answer is awaited."""
         self._parser = AnswerParser(method)
         self._sent = False
+        self._watch.begin(self, deadline)
         if len(body) <= SMALL_BODY:
             self._send_all(head + body, deadline)
         else:
@@ -96,24 +99,32 @@
                 return data
             self._read(deadline)
 
+    def rest(self) -> None:
+        """Take in that the exchange has ended and the connection is kept."""
+        self._watch.end(self)
+
+    def expire(self) -> None:
+        """Close, since the deadline of the exchange has passed."""
+        self._expired = True
+        self.close()
+
     def close(self) -> None:
         """Close at once."""
         self.closed = True
+        self._watch.end(self)
         sender, self._sender = self._sender, None
         if sender is not None:
             sender.kill(block=False)
         self._socket.close()
 
     def _read(self, deadline: float) -> None:
-        wait = deadline - self._clock.now()
-        if wait <= 0:
+        if self._expired or self._clock.now() >= deadline:
             raise ExchangeLateError("the deadline passed")
-        self._socket.settimeout(max(wait, LEAST_WAIT))
         try:
             data = self._socket.recv(READ_BYTES)
-        except TimeoutError as error:
-            raise ExchangeLateError("nothing came until the deadline") from error
         except OSError as error:
+            if self._expired:
+                raise ExchangeLateError("nothing came until the deadline") from error
             raise ExchangeBrokenError(str(error)) from error
         parser = self._parser
         assert parser is not None
@@ -134,22 +145,21 @@
     def _send_all(self, data: bytes, deadline: float) -> None:
         sent = 0
         while sent < len(data):
-            wait = deadline - self._clock.now()
-            if wait <= 0:
+            if self._expired or self._clock.now() >= deadline:
                 raise ExchangeLateError("the deadline passed before the request was sent")
-            self._socket.settimeout(max(wait, LEAST_WAIT))
             try:
                 sent += self._socket.send(memoryview(data)[sent:])
-            except TimeoutError as error:
-                raise ExchangeLateError("the target does not read the request") from error
             except OSError as error:
+                if self._expired:
+                    raise ExchangeLateError("the target does not read the request") from error
                 raise ExchangeBrokenError(str(error)) from error
         self._sent = True
 
 
-def connect(address: str, clock: Clock, seconds: float) -> TargetConnection:
+def connect(address: str, clock: Clock, seconds: float, watch: DeadlineWatch) -> TargetConnection:
     """Open a connection. Errors: ``OSError``; nothing was sent then."""
     sock = socket.create_connection(split_address(address), timeout=seconds)
+    sock.settimeout(None)
     disable_delay(sock)
     end_if_silent(sock)
-    return TargetConnection(sock, clock)
+    return TargetConnection(sock, clock, watch)
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -36,6 +36,7 @@
 from loomyard_router.routed.connection_pool import ConnectionPool
 from loomyard_router.routed.dialects import CallerDialect, TargetDialect
 from loomyard_router.routed.early_refusal import EarlyRefusal
+from loomyard_router.routed.event_pace import EventPace
 from loomyard_router.routed.forwarder import Forwarder
 from loomyard_router.routed.listener import RoutedListener
 from loomyard_router.routed.loop_lag import LoopLag
@@ -129,6 +130,7 @@
             window=settings.share_window,
             source=source,
         )
+        self._lag = LoopLag(clock, most=settings.most_lag)
         forwarder = Forwarder(
             clock=clock,
             gate=self._admission.gate,
@@ -139,9 +141,9 @@
                 per_request=settings.retries.ratio,
                 most=self._retry_slack,
             ),
+            pace=EventPace(clock=clock, most=settings.event_seconds, lag=lambda: self._lag.seconds),
         )
         meters = Meters(clock)
-        self._lag = LoopLag(clock, most=settings.most_lag)
         self.app = RoutedApp(
             clock=clock,
             meters=meters,
--- a/packages/loomyard-router/src/loomyard_router/routed_settings.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_settings.py
@@ -26,6 +26,8 @@
     of a feed that both bring something, since each call has its price. ``most_connections`` bounds
     the open connections of callers; beyond it those that rest are closed. While what is ready waits
     for longer than ``most_lag``, what comes is refused: an objective is a few hundred milliseconds.
+    ``event_seconds`` is how long an event of a stream may take from its target to its caller, 0
+    where users do not say.
     """
 
     name: str
@@ -43,3 +45,4 @@
     feed_pace: float = 0.5
     most_connections: int = 2000
     most_lag: float = 0.08
+    event_seconds: float = 0.0
--- a/packages/loomyard/src/loomyard/logs.py
+++ b/packages/loomyard/src/loomyard/logs.py
@@ -44,7 +44,12 @@
         }
         if record.exc_info:
             document["exception"] = self.formatException(record.exc_info)
-        return json.dumps(document | {"fields": fields}, default=str)
+        document["fields"] = fields
+        return _encode(document)
+
+
+# An encoder of its own: ``json.dumps`` makes one for each line that names a default.
+_encode = json.JSONEncoder(default=str).encode
 
 
 def configure_logs(form: str, level: int = logging.INFO) -> None:
@@ -54,6 +59,9 @@
 
 def use_handler(handler: logging.Handler, form: str, level: int = logging.INFO) -> None:
     """Log to a handler in a format, and nowhere else."""
+    # No line tells of source lines, threads or processes, so that is not looked up for each.
+    logging._srcfile = None  # type: ignore[attr-defined]
+    logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
     handler.setFormatter(JsonFormatter() if form == JSON else TextFormatter())
     logging.basicConfig(level=level, handlers=[handler], force=True)
 
