--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
@@ -35,7 +36,7 @@
 PATIENCE_PART = 0.75
 DEFAULT_OBJECTIVE = 0.4
 LEAST_WAIT = 0.002
-# Seconds after which a router that waits for its own part asks the keeper again.
+# Seconds after which a router that waits for its own part looks whether that is still so.
 OWN_WAIT = 0.05
 # Engines tried besides the preferred one before it is waited for again.
 MOST_OTHERS = 2
@@ -132,16 +133,19 @@
         keepers that it took for silent (19 routers, 36 requests a second there, lines of requests).
         """
         warm = [place for place in enumerate(ranked) if not self._cold_rate(place[1])]
-        while warm and until - self._clock.now() >= LEAST_WAIT and not request.presence.gone:
-            choice, target = warm[0]
-            place = self._ask(request, target, until - self._clock.now(), patience, choice)
-            if place is not None:
-                return place
+        left = until - self._clock.now()
+        if not warm or left < LEAST_WAIT:
+            return None
+        choice, target = warm[0]
+        place = self._ask(request, target, left, patience, choice)
+        for _ in range(math.ceil(left / OWN_WAIT)):
+            left = until - self._clock.now()
+            silent = self._client.is_silent(target)
+            if place is not None or request.presence.gone or not silent or left < LEAST_WAIT:
+                break
             if self._loads.wait(min(until, self._clock.now() + OWN_WAIT), self._clock):
                 place = self._ask_own(request, warm, patience)
-                if place is not None:
-                    return place
-        return None
+        return place
 
     def _ask_own(
         self,
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_exchange.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_exchange.py
@@ -87,11 +87,11 @@
         if follower is None:
             return FeedAnswer(answering=False)
         if follower.next_offset <= request.beyond:
-            return FeedAnswer(answering=follower.answering)
+            return FeedAnswer(answering=_has_store(follower))
         return FeedAnswer(
             next_offset=follower.next_offset,
             records=follower.records,
-            answering=follower.answering,
+            answering=_has_store(follower),
         )
 
     def give_news(self, sender: Member, request: FeedWait) -> FeedAnswer:
@@ -101,10 +101,12 @@
         while (
             follower is not None
             and follower.next_offset <= request.beyond
-            and follower.answering == request.answering
+            and _has_store(follower) == request.answering
             and self._clock.now() < deadline
         ):
-            wait_any([self._moved], deadline, self._clock)
+            # Who waits hears of a read that hangs as soon as it seems to.
+            until = deadline if follower.hangs else min(deadline, follower.overdue_at)
+            wait_any([self._moved], until, self._clock)
         return self.give(sender, FeedRequest(feed=request.feed, beyond=request.beyond))
 
     def wait_for_news(self, follower: FeedFollower) -> FeedAnswer | None:
@@ -143,3 +145,7 @@
         asker = self._askers.get(name)
         if asker is not None:
             asker.note_announced(offset)
+
+
+def _has_store(follower: FeedFollower) -> bool:
+    return follower.answering and not follower.hangs
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING, Protocol
 
 import gevent
@@ -31,6 +32,8 @@
 # one of them soon notices and tells the others.
 LEAST_WAIT = 0.8
 MOST_WAIT = 1.2
+# A slow store answers this much after the wait; a read that takes longer hangs, mostly.
+OVERDUE_SECONDS = 0.5
 LIST_SECONDS = 1.5
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.8
@@ -114,6 +117,18 @@
     def answering(self) -> bool:
         return self._failures == 0
 
+    @property
+    def hangs(self) -> bool:
+        """Tell whether the read on its way is overdue; it may not have failed yet."""
+        return self._clock.now() >= self.overdue_at
+
+    @property
+    def overdue_at(self) -> float:
+        """Return when the read on its way has taken longer than a slow store takes."""
+        if self._answered_at >= self._asked_at:
+            return math.inf
+        return self._asked_at + MOST_WAIT + OVERDUE_SECONDS
+
     @property
     def answered_at(self) -> float:
         """Return when the store last answered, to this router or to the one it waits at."""
--- a/packages/loomyard-router/src/loomyard_router/routed/sender.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/sender.py
@@ -56,8 +56,7 @@
         """Send and wait for the head of the answer.
 
         Errors: ``TARGET_UNREACHABLE``, ``TARGET_REFUSED``, ``ROUTER_OVERLOADED``: it did not run.
-        ``ANSWER_LOST``,
-        ``ANSWER_INVALID``, ``ANSWER_LATE``: it may have run. ``CALLER_GONE``.
+        ``ANSWER_LOST``, ``ANSWER_INVALID``, ``ANSWER_LATE``: it may have run. ``CALLER_GONE``.
         """
         try:
             connection = self._pool.take(place.target, repeatable=request.route.repeatable)
--- a/packages/loomyard/src/loomyard/logs.py
+++ b/packages/loomyard/src/loomyard/logs.py
@@ -60,7 +60,7 @@
 def use_handler(handler: logging.Handler, form: str, level: int = logging.INFO) -> None:
     """Log to a handler in a format, and nowhere else."""
     # No line tells of source lines, threads or processes, so that is not looked up for each.
-    logging._srcfile = None  # type: ignore[attr-defined]
+    logging._srcfile = None
     logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
     handler.setFormatter(JsonFormatter() if form == JSON else TextFormatter())
     logging.basicConfig(level=level, handlers=[handler], force=True)
--- a/tests/test_loomyard/test_tcp.py
+++ b/tests/test_loomyard/test_tcp.py
@@ -16,6 +16,7 @@
     make_http_client,
 )
 from loomyard_router.peers.websocket_links import limit_silence
+from loomyard_router.routed.deadline_watch import DeadlineWatch
 from loomyard_router.routed.target_connection import connect
 
 # What is excused after the reset of all connections, by the users' bounds.
@@ -51,7 +52,9 @@
         self.assertEqual(PROBE_AFTER_SECONDS + MOST_PROBES * PROBE_EVERY_SECONDS, silent)
 
     def test_connections_to_targets(self) -> None:
-        connection = connect(f"127.0.0.1:{self.server.server_port}", SystemClock(), 1.0)
+        clock = SystemClock()
+        address = f"127.0.0.1:{self.server.server_port}"
+        connection = connect(address, clock, 1.0, DeadlineWatch(clock))
         self.addCleanup(connection.close)
         self.assert_ends(connection._socket)
 
--- a/tests/test_loomyard_router/test_admission/test_places.py
+++ b/tests/test_loomyard_router/test_admission/test_places.py
@@ -9,6 +9,7 @@
 from loomyard.errors import ResultCode
 from loomyard_router.admission.place_keeper import SILENCE_SECONDS
 from loomyard_router.admission.place_messages import PlacesHeld
+from loomyard_router.admission.target_loads import LEAST_PLACES
 from loomyard_router.admission.waiting_accounts import MOST_WAITING
 from loomyard_router.members.membership import Member
 from test_loomyard_router.test_admission.places_case import SLOTS, Fleet
@@ -31,6 +32,20 @@
         self.assertTrue(self.take(2).is_ok())
         self.assertTrue(self.take(1).is_err())
 
+    def test_with_its_keeper_silent_a_router_waits_for_its_own_part(self) -> None:
+        """A router that all callers of an account met refused half of them within 28 ms."""
+        life = self.fleet.targets[0].life
+        keeper = self.fleet.routers[0].client.keeper_of(life)
+        router = next(one for one in self.fleet.routers if one.members.own.name != keeper)
+        self.fleet.network.cut({keeper}, {router.members.own.name})
+        own = [
+            router.gate.take(self.fleet.request(number=n), frozenset()).unwrap()
+            for n in range(LEAST_PLACES)
+        ]
+        gevent.spawn_later(0.01, own[0].release)
+        request = self.fleet.request(number=9, objective=2.0)
+        self.assertTrue(router.gate.take(request, frozenset()).is_ok())
+
     def test_a_refusal_says_when_to_come_back(self) -> None:
         for number in range(SLOTS):
             self.take(0, number=number)
--- a/tests/test_loomyard_router/test_feeds/test_store_outages.py
+++ b/tests/test_loomyard_router/test_feeds/test_store_outages.py
@@ -14,6 +14,7 @@
 import unittest
 from typing import TYPE_CHECKING
 
+from loomyard_router.feeds.feed_readers import choose_readers
 from loomyard_standins.memory_store import Outage
 from test_loomyard_router.test_feeds.feed_fleet import FEEDS, FeedFleet
 
@@ -106,6 +107,25 @@
                 self.begin_outage(fleet, outage, 0.3, list(fleet.routers)[:8])
                 self.assertLessEqual(self.last_of_changes(fleet), BOUND)
 
+    def last_without_readers(self, count: int, outage: Outage) -> float:
+        """Return the seconds to the last router where no reader of any feed has the store."""
+        fleet = self.start(count)
+        names = list(fleet.routers)
+        readers = {one for feed in FEEDS for one in choose_readers(feed, names)}
+        self.begin_outage(fleet, outage, 0.3, readers)
+        return self.last_of_changes(fleet)
+
+    def test_a_fleet_of_whose_readers_none_has_the_store_keeps_the_bound(self) -> None:
+        for outage in (Outage.SILENT, Outage.BUSY):
+            with self.subTest(outage=outage):
+                self.assertLessEqual(self.last_without_readers(60, outage), BOUND)
+
+    def test_a_small_fleet_of_whose_readers_none_has_the_store_keeps_the_bound(self) -> None:
+        # Most of its routers read one feed or the other, so few have the store at all.
+        for outage in (Outage.SILENT, Outage.BUSY):
+            with self.subTest(outage=outage):
+                self.assertLessEqual(self.last_without_readers(19, outage), BOUND)
+
     def test_a_quiet_feed_costs_about_a_call_a_second(self) -> None:
         fleet = self.start(7)
         before = fleet.calls
--- a/tests/test_loomyard_router/test_platform/test_entries_of_others.py
+++ b/tests/test_loomyard_router/test_platform/test_entries_of_others.py
@@ -12,6 +12,7 @@
 import struct
 import unittest
 from typing import Any
+from unittest import mock
 
 from loomyard_router.announced.target_board import TargetBoard
 from loomyard_router.announced.target_feed import TargetFeed
@@ -122,12 +123,11 @@
         self.assertEqual([], self.usable())
 
     def test_an_entry_that_is_listed_again_is_told_once_and_briefly(self) -> None:
-        with self.assertLogs("loomyard_router", "ERROR") as logs:
+        with mock.patch("loomyard_router.feeds.unreadable_entries.emit") as emit:
             for _ in range(5):
                 self.feed.take_records([record(7, "t-bad", b"[" + b"1" * 100_000)])
-        self.assertEqual(1, len(logs.records))
-        fields = logs.records[0].fields  # type: ignore[attr-defined]
-        self.assertLessEqual(len(fields["detail"]), MOST_DETAIL)
+        emit.assert_called_once()
+        self.assertLessEqual(len(emit.call_args.kwargs["detail"]), MOST_DETAIL)
         self.assertEqual(1, self.unreadable.counts.total())
 
     def test_a_record_without_a_readable_key_holds_no_other_up(self) -> None:
--- /dev/null
+++ b/tests/test_loomyard_router/test_routed/test_deadline_watch.py
@@ -0,0 +1,90 @@
+"""Tests of exchanges that end at their deadlines, and of events that travel together."""
+
+from __future__ import annotations
+
+import unittest
+
+import gevent
+from attrs import define, field
+
+from loomyard_router.routed.deadline_watch import LOOK_SECONDS, DeadlineWatch
+from loomyard_router.routed.event_pace import BEHIND_SECONDS, HELD_PART, EventPace
+from loomyard_standins.stepped_clock import SteppedClock
+
+
+@define(eq=False)
+class Exchange:
+    """An exchange that notes when it was ended."""
+
+    clock: SteppedClock
+    ended_at: list[float] = field(factory=list)
+
+    def expire(self) -> None:
+        self.ended_at.append(self.clock.now())
+
+
+class DeadlineWatchTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = SteppedClock()
+        self.watch = DeadlineWatch(self.clock)
+
+    def test_each_ends_once_and_soon_after_its_deadline(self) -> None:
+        exchanges = [Exchange(self.clock) for _ in range(5)]
+        for number, exchange in enumerate(exchanges):
+            self.watch.begin(exchange, 1.0 + number)
+        self.clock.run(20.0)
+        for number, exchange in enumerate(exchanges):
+            (ended_at,) = exchange.ended_at
+            self.assertGreaterEqual(ended_at, 1.0 + number)
+            self.assertLessEqual(ended_at, 1.0 + number + 2 * LOOK_SECONDS)
+
+    def test_one_that_ended_or_got_a_later_deadline_is_left_alone(self) -> None:
+        ended, later = Exchange(self.clock), Exchange(self.clock)
+        self.watch.begin(ended, 1.0)
+        self.watch.begin(later, 1.0)
+        self.watch.end(ended)
+        self.watch.begin(later, 5.0)
+        self.clock.run(4.0)
+        self.assertEqual(([], []), (ended.ended_at, later.ended_at))
+        self.clock.run(6.0)
+        self.assertEqual(1, len(later.ended_at))
+
+    def test_nothing_runs_while_there_is_nothing_to_watch(self) -> None:
+        self.watch.begin(Exchange(self.clock), 0.1)
+        self.clock.run(1.0)
+        self.assertEqual([], self.clock._sleepers)
+        again = Exchange(self.clock)
+        self.watch.begin(again, 2.0)
+        self.clock.run(3.0)
+        self.assertEqual(1, len(again.ended_at))
+
+
+class EventPaceTest(unittest.TestCase):
+    def held(self, lag: float, most: float) -> float:
+        """Return for how long a stream is left alone after an event."""
+        clock = SteppedClock()
+        pace = EventPace(clock=clock, most=most, lag=lambda: lag)
+        ended: list[float] = []
+
+        def run() -> None:
+            pace.hold()
+            ended.append(clock.now())
+
+        gevent.spawn(run)
+        clock.run(10.0)
+        return ended[0]
+
+    def test_events_are_passed_on_as_they_come_unless_the_router_is_behind(self) -> None:
+        self.assertEqual(0.0, self.held(0.0, 0.2))
+        self.assertEqual(0.0, self.held(BEHIND_SECONDS, 0.2))
+
+    def test_one_that_is_behind_holds_them_for_less_than_users_allow(self) -> None:
+        self.assertAlmostEqual(HELD_PART * 0.2, self.held(2 * BEHIND_SECONDS, 0.2))
+        self.assertLess(HELD_PART, 0.5)
+
+    def test_where_users_say_nothing_nothing_is_held(self) -> None:
+        self.assertEqual(0.0, self.held(1.0, 0.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
