Let a router without the store try the readers first

It took the list of readers and some others from its end, so the others came first, who mostly read nothing themselves. The test fails before.

--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_asker.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_asker.py
@@ -180,10 +180,10 @@
         follower.take_over(answer.records, answer.next_offset)
 
     def _next_untried(self) -> str:
-        """Return routers in a random order, each once before one comes again."""
+        """Return the readers first, then some others, each once before one comes again."""
         if not self._untried:
             self._untried = self._others()
-        return self._untried.pop() if self._untried else ""
+        return self._untried.pop(0) if self._untried else ""
 
     def _others(self) -> list[str]:
         """Return the readers but this one in random order, then some other routers."""
--- a/tests/test_loomyard_router/test_feeds/test_feed_exchange.py
+++ b/tests/test_loomyard_router/test_feeds/test_feed_exchange.py
@@ -68,6 +68,12 @@
             if name != but:
                 follower.take_over([record("a", 0)], offset)
 
+    def test_one_without_the_store_tries_the_readers_first(self) -> None:
+        name = next(one for one in self.exchanges if one not in self.readers)
+        (asker,) = self.exchanges[name]._askers.values()
+        tried = [asker._next_untried() for _ in self.readers]
+        self.assertEqual(sorted(self.readers), sorted(tried))
+
     def test_some_read_the_store(self) -> None:
         self.assertEqual(10, len(self.readers))
 
