--- a/packages/loomyard-router/src/loomyard_router/announced/target_board.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_board.py
@@ -114,12 +114,15 @@
 
     def withdraw(self, ids: Iterable[str]) -> None:
         """Use targets no more of which nothing that can be read stands in the store."""
-        for id_ in ids:
+        withdrawn = [id_ for id_ in ids if id_ in self._targets or id_ in self._lapsed]
+        for id_ in withdrawn:
             self._lapsed.pop(id_, None)
+            self._cold_until.pop(id_, None)
             target = self._targets.pop(id_, None)
             if target is not None:
                 emit(logger, Event.TARGET_VANISHED, target=id_, service=target.service)
-        self._changed()
+        if withdrawn:
+            self._changed()
 
     def note_emptied(self, data_centres: frozenset[str]) -> None:
         """Take in which data centres get no new work."""
