Keep a router's own part of cold targets with its other own parts; drop what the change left dead

The gate of engines kept rates of cold targets beside the loads that already hold this router's part of each target: one place now (TargetLoads.spend_part), so the gate needs neither the count of routers nor a forgetting of its own. ColdTargets is required where it was optional only for the tests' sake, which all gave it; three guards go. Whether targets are cold is looked up for the first warm one only, not for all 39 engines, whenever a request waits on. Orders of emptied data centres are followed in one pass for listings and changes. Documents are decoded by map in place of two copies of the same unwrapping. Dead since the change: the rendered header lines and the length of the deadline watch.

--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -9,14 +9,11 @@
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.rendezvous import rank
-from loomyard_router.admission.cold_rate import ColdRate
 from loomyard_router.admission.place import Place
 from loomyard_router.admission.place_client import Verdict
 from loomyard_router.admission.waiting_time import RetryHint, wait_until
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from loomyard.clock import Clock
     from loomyard_router.admission.place_client import PlaceClient
     from loomyard_router.admission.share_ledger import ShareLedger
@@ -61,8 +58,7 @@
         ledger: ShareLedger,
         waiting: WaitingAccounts,
         hint: RetryHint,
-        cold: ColdTargets | None = None,
-        routers: Callable[[], int] = lambda: 1,
+        cold: ColdTargets,
     ) -> None:
         self._clock = clock
         self._board = board
@@ -73,13 +69,6 @@
         self._waiting = waiting
         self._hint = hint
         self._cold = cold
-        self._routers = routers
-        self._own_rates: dict[TargetLife, ColdRate] = {}
-
-    def forget(self, known: set[TargetLife]) -> None:
-        """Forget lives of targets that are not known any more."""
-        for life in set(self._own_rates) - known:
-            del self._own_rates[life]
 
     def take(self, request: RoutedRequest, avoided: frozenset[TargetLife]) -> Result[Place, Fault]:
         account = request.account_name
@@ -109,7 +98,7 @@
         waits_here = not self._ledger.far_beyond(request.account_name)
         first = min(until - self._clock.now(), _worthwhile_wait(request)) if waits_here else 0.0
         # A cold target is asked, not waited for: it bears a few requests a second.
-        waits = [(ranked[0], 0.0 if self._cold_rate(ranked[0]) else first)]
+        waits = [(ranked[0], 0.0 if self._cold.rate(ranked[0]) else first)]
         waits += [(target, 0.0) for target in ranked[1 : 1 + _most_others(request, beyond=beyond)]]
         for choice, (target, wait) in enumerate(waits):
             place = self._ask(request, target, wait, patience, choice)
@@ -132,11 +121,11 @@
         the router that all large accounts met, half came within 28 ms of the arrival and with
         keepers that it took for silent (19 routers, 36 requests a second there, lines of requests).
         """
-        warm = [place for place in enumerate(ranked) if not self._cold_rate(place[1])]
         left = until - self._clock.now()
-        if not warm or left < LEAST_WAIT:
+        warm = (one for one in enumerate(ranked) if not self._cold.rate(one[1]))
+        choice, target = next(warm, (-1, None))
+        if target is None or left < LEAST_WAIT:
             return None
-        choice, target = warm[0]
         place = self._ask(request, target, left, patience, choice)
         for _ in range(math.ceil(left / OWN_WAIT)):
             left = until - self._clock.now()
@@ -144,18 +133,19 @@
             if place is not None or request.presence.gone or not silent or left < LEAST_WAIT:
                 break
             if self._loads.wait(min(until, self._clock.now() + OWN_WAIT), self._clock):
-                place = self._ask_own(request, warm, patience)
+                place = self._ask_own(request, ranked, patience)
         return place
 
     def _ask_own(
         self,
         request: RoutedRequest,
-        ranked: list[tuple[int, AnnouncedTarget]],
+        ranked: list[AnnouncedTarget],
         patience: float,
     ) -> Place | None:
-        """Take a place of this router's part of a target whose keeper is silent."""
-        for choice, target in ranked:
-            if self._client.is_silent(target) and self._loads.has_place(target):
+        """Take a place of this router's part of a warm target whose keeper is silent."""
+        for choice, target in enumerate(ranked):
+            own = self._client.is_silent(target) and self._loads.has_place(target)
+            if own and not self._cold.rate(target):
                 return self._ask(request, target, 0.0, patience, choice)
         return None
 
@@ -190,7 +180,7 @@
         choice: int,
     ) -> Place | None:
         account = request.account_name
-        cold_rate = self._cold_rate(target)
+        cold_rate = self._cold.rate(target)
         verdict, ticket = self._client.ask(
             request,
             target,
@@ -202,7 +192,9 @@
         )
         if verdict is Verdict.FULL:
             return None
-        if verdict is Verdict.UNREACHABLE and not self._has_own_place(target, cold_rate):
+        if verdict is Verdict.UNREACHABLE and not self._loads.spend_part(
+            target, cold_rate, self._clock.now()
+        ):
             return None
         self._loads.enter(target)
         self._ledger.give(account, request.cost)
@@ -219,20 +211,6 @@
         taken = self._client.taken(target) if ticket else -1
         return Place(target, released, answered=answered, taken=taken, choice=choice)
 
-    def _cold_rate(self, target: AnnouncedTarget) -> float:
-        return 0.0 if self._cold is None else self._cold.rate(target)
-
-    def _has_own_place(self, target: AnnouncedTarget, cold_rate: float) -> bool:
-        """Tell whether this router's part of a target, whose keeper is silent, has room."""
-        if not self._loads.has_place(target):
-            return False
-        rate = self._own_rates.setdefault(target.life, ColdRate())
-        rate.per_second = cold_rate / max(1, self._routers())
-        if not rate.admits(self._clock.now()):
-            return False
-        rate.spend()
-        return True
-
 
 def _worthwhile_wait(request: RoutedRequest) -> float:
     return request.shared_tokens * WAIT_PER_TOKEN
--- a/packages/loomyard-router/src/loomyard_router/admission/gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/gate.py
@@ -40,7 +40,7 @@
         choice: TargetChoice,
         usage: AccountUsage,
         hint: RetryHint,
-        cold: ColdTargets | None = None,
+        cold: ColdTargets,
     ) -> None:
         self._clock = clock
         self._board = board
@@ -107,9 +107,11 @@
     def _candidates(
         self, request: RoutedRequest, avoided: frozenset[TargetLife]
     ) -> list[AnnouncedTarget]:
-        usable = [one for one in self._board.usable(request.service) if one.life not in avoided]
-        if self._cold is not None:
-            usable = [one for one in usable if not self._cold.rate(one)]
+        usable = [
+            one
+            for one in self._board.usable(request.service)
+            if one.life not in avoided and not self._cold.rate(one)
+        ]
         return self._health.sound(usable) if usable else []
 
     def _place(self, waiter: Waiter) -> Place | None:
--- a/packages/loomyard-router/src/loomyard_router/admission/parts.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/parts.py
@@ -37,7 +37,7 @@
     """The source of places, what keeps them and the shares, and what is known of targets."""
 
     gate: PlaceSource
-    engines: FleetGate
+    loads: TargetLoads
     cold: ColdTargets
     ledger: ShareLedger
     keeper: PlaceKeeper
@@ -60,7 +60,7 @@
 
     def forget(self, known: set[TargetLife]) -> None:
         """Forget lives of targets that are not known any more."""
-        self.engines.forget(known)
+        self.loads.forget(known)
         self.health.forget(known)
         self.places.forget(known)
 
@@ -102,7 +102,6 @@
         waiting=waiting,
         hint=hint,
         cold=cold,
-        routers=lambda: len(members.live()),
     )
     plain = Gate(
         clock=clock,
@@ -117,7 +116,7 @@
     gate = ServiceGates(holder=holder, board=board, cold=cold, engines=engines, plain=plain)
     return AdmissionParts(
         gate=gate,
-        engines=engines,
+        loads=loads,
         cold=cold,
         ledger=ledger,
         keeper=keeper,
--- a/packages/loomyard-router/src/loomyard_router/admission/place_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_client.py
@@ -108,7 +108,7 @@
         """
         keeper = self.keeper_of(target.life)
         own = self._members.own
-        if keeper != own.name and self.is_silent(target):
+        if self.is_silent(target):
             return Verdict.UNREACHABLE, 0
         self._tickets += 1
         ticket = self._tickets
--- a/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
@@ -15,6 +15,7 @@
     PlacesReleased,
     PromptsRead,
 )
+from loomyard_router.announced.cold_targets import WARM
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -47,7 +48,7 @@
         board: TargetBoard,
         members: Membership,
         peers: PeerLinks,
-        cold: ColdTargets | None = None,
+        cold: ColdTargets,
     ) -> None:
         self._clock = clock
         self._board = board
@@ -127,10 +128,8 @@
                 del self._books[life]
 
     def _cold_rate(self, life: TargetLife) -> float:
-        if self._cold is None:
-            return 0.0
         target = self._board.find(life)
-        return 0.0 if target is None else self._cold.rate(target)
+        return WARM if target is None else self._cold.rate(target)
 
     def _wait(self, book: PlaceBook, ask: Ask) -> bool:
         book.waiting.append(ask)
--- a/packages/loomyard-router/src/loomyard_router/admission/target_loads.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/target_loads.py
@@ -8,6 +8,8 @@
 
 from gevent.event import AsyncResult
 
+from loomyard_router.admission.cold_rate import ColdRate
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -27,6 +29,7 @@
         self._routers = routers
         self._running: Counter[TargetLife] = Counter()
         self._waiting: deque[AsyncResult] = deque()
+        self._cold: dict[TargetLife, ColdRate] = {}
 
     def running(self, target: AnnouncedTarget) -> int:
         """Return how many requests of this router run at a target."""
@@ -40,6 +43,25 @@
     def has_place(self, target: AnnouncedTarget) -> bool:
         return self._running[target.life] < self.places(target)
 
+    def spend_part(self, target: AnnouncedTarget, cold_rate: float, now: float) -> bool:
+        """Take this router's part of a target, if there is room.
+
+        ``cold_rate`` is how many requests a second a cold target may get, 0 for a warm one.
+        """
+        if not self.has_place(target):
+            return False
+        rate = self._cold.setdefault(target.life, ColdRate())
+        rate.per_second = cold_rate / max(1, self._routers())
+        if not rate.admits(now):
+            return False
+        rate.spend()
+        return True
+
+    def forget(self, known: set[TargetLife]) -> None:
+        """Forget lives of targets that are not known any more."""
+        for life in set(self._cold) - known:
+            del self._cold[life]
+
     def enter(self, target: AnnouncedTarget) -> None:
         """Count a request that begins."""
         self._running[target.life] += 1
--- a/packages/loomyard-router/src/loomyard_router/announced/emptied_data_centres.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/emptied_data_centres.py
@@ -8,7 +8,7 @@
 from loomyard.events import Event, emit
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from loomyard_router.feeds.keyed_record import KeyedRecord
 
@@ -37,15 +37,10 @@
         self._listeners.append(changed)
 
     def take_listing(self, records: list[KeyedRecord], source: str) -> None:
-        self._replace(self._find_orders(records))
+        self._replace(self._follow({}, records))
 
     def take_records(self, records: list[KeyedRecord]) -> None:
-        offsets = dict(self._offsets)
-        for record in records:
-            name = self._find_name(record.key)
-            if name is not None and record.value is None:
-                offsets.pop(name, None)
-        self._replace(offsets | self._find_orders(records))
+        self._replace(self._follow(self._offsets, records))
 
     def note_lost(self) -> None:
         pass
@@ -53,14 +48,16 @@
     def note_regained(self) -> None:
         pass
 
-    def _find_orders(self, records: Iterable[KeyedRecord]) -> dict[str, int]:
-        newest = {record.key: record for record in records}
-        orders = {}
-        for key, record in newest.items():
-            name = self._find_name(key)
-            if name is not None and record.value is not None:
-                orders[name] = record.offset
-        return orders
+    def _follow(self, before: dict[str, int], records: list[KeyedRecord]) -> dict[str, int]:
+        """Return the orders that stand after some records, with their offsets."""
+        offsets = dict(before)
+        for record in records:
+            name = self._find_name(record.key)
+            if name is not None and record.value is None:
+                offsets.pop(name, None)
+            elif name is not None:
+                offsets[name] = record.offset
+        return offsets
 
     def _replace(self, offsets: dict[str, int]) -> None:
         before, self._offsets = self._offsets, offsets
--- a/packages/loomyard-router/src/loomyard_router/callers/header_fields.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/header_fields.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
     from typing import BinaryIO
 
 MOST_FIELDS = 100
@@ -35,10 +34,6 @@
     def typeheader(self) -> str | None:
         return self._first.get("content-type")
 
-    @property
-    def headers(self) -> Iterator[str]:
-        return (f"{name}: {value}\r\n" for name, value in self._fields)
-
     def get(self, name: str, default: str | None = None) -> str | None:
         """Return the first field of a name."""
         return self._first.get(name.lower(), default)
--- a/packages/loomyard-router/src/loomyard_router/platform/documents.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/documents.py
@@ -39,41 +39,14 @@
 
 def decode_configuration(data: bytes) -> Result[RouteTable, UnreadableEntry]:
     """Decode a whole version of the configuration."""
-    read = _read(ConfigurationEntry, data)
-    if read.is_err():
-        return Err(read.unwrap_err())
-    entry: ConfigurationEntry = read.unwrap()
-    return Ok(
-        make_route_table(
-            version=entry.version,
-            routes=[_make_route(route) for route in entry.routes],
-            services=[_make_service(service) for service in entry.services],
-            accounts=None if entry.tenants is None else [_make_account(t) for t in entry.tenants],
-            limits=_make_limits(entry.limits),
-        )
-    )
+    return _read(ConfigurationEntry, data).map(_make_table)
 
 
 def decode_target(key: str, data: bytes) -> Result[AnnouncedTarget, UnreadableEntry]:
     """Decode the announcement of a target; the key is its id."""
     if not is_name(key):
         return Err(make_unreadable(Unreadable.KEY, f"no id: {key!r}"))
-    read = _read(TargetEntry, data)
-    if read.is_err():
-        return Err(read.unwrap_err())
-    entry: TargetEntry = read.unwrap()
-    return Ok(
-        AnnouncedTarget(
-            id=key,
-            service=entry.service,
-            address=entry.address,
-            data_centre=entry.zone or "",
-            slots=entry.slots,
-            draining=entry.state == DRAINING,
-            born=entry.born,
-            cold_seconds=entry.cold_left_ms / MILLISECONDS,
-        )
-    )
+    return _read(TargetEntry, data).map(lambda entry: _make_target(key, entry))
 
 
 def find_emptied_data_centre(key: str) -> str | None:
@@ -94,6 +67,29 @@
         return Err(make_unreadable(Unreadable.FIELDS, error))
 
 
+def _make_table(entry: ConfigurationEntry) -> RouteTable:
+    return make_route_table(
+        version=entry.version,
+        routes=[_make_route(route) for route in entry.routes],
+        services=[_make_service(service) for service in entry.services],
+        accounts=None if entry.tenants is None else [_make_account(t) for t in entry.tenants],
+        limits=_make_limits(entry.limits),
+    )
+
+
+def _make_target(id_: str, entry: TargetEntry) -> AnnouncedTarget:
+    return AnnouncedTarget(
+        id=id_,
+        service=entry.service,
+        address=entry.address,
+        data_centre=entry.zone or "",
+        slots=entry.slots,
+        draining=entry.state == DRAINING,
+        born=entry.born,
+        cold_seconds=entry.cold_left_ms / MILLISECONDS,
+    )
+
+
 def _make_route(entry: RouteEntry) -> Route:
     if entry.split:
         shares = tuple(ServiceShare(service=one.service, weight=one.weight) for one in entry.split)
--- a/packages/loomyard-router/src/loomyard_router/routed/deadline_watch.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/deadline_watch.py
@@ -30,9 +30,6 @@
         self._deadlines: dict[Ending, float] = {}
         self._task: gevent.Greenlet | None = None
 
-    def __len__(self) -> int:
-        return len(self._deadlines)
-
     def begin(self, ending: Ending, deadline: float) -> None:
         """Watch a deadline, in place of an earlier one."""
         self._deadlines[ending] = deadline
--- a/tests/test_loomyard_router/test_admission/places_case.py
+++ b/tests/test_loomyard_router/test_admission/places_case.py
@@ -104,7 +104,6 @@
             waiting=WaitingAccounts(self.ledger),
             hint=RetryHint(random.Random(1)),
             cold=self.cold,
-            routers=lambda: len(fleet.members),
         )
 
 
