Name in each line of a failed attempt what was asked, so that a request that comes again is known

Lines 401 and 406 carry a digest of method, host, path, client account and body now, 406 its target too; it is made only where such a line is written. No logic changes.

--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -244,6 +244,7 @@
             code=int(fault.code),
             executed=fault.executed.value,
             detail=fault.detail,
+            fingerprint=request.fingerprint,
             **more,
         )
 
--- a/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from loomyard_router.requests.presence import CallerPresence
+from loomyard_router.routed.fingerprint import make_fingerprint
 from loomyard_router.routed.request_head import RequestHead
 from loomyard_router.routed.request_trace import RequestTrace
 from loomyard_router.routes.account_terms import AccountTerms
@@ -31,6 +32,20 @@
     deadline: float
     table_version: int = -1
     trace: RequestTrace = field(factory=RequestTrace)
+    _fingerprint: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """Return by what the request is known when it comes again; made when it is first needed."""
+        if not self._fingerprint:
+            self._fingerprint = make_fingerprint(
+                method=self.method,
+                host=self.route.host,
+                path=self.path,
+                account=self.account_name,
+                body=self.body,
+            )
+        return self._fingerprint
 
     @property
     def account_name(self) -> str:
--- a/packages/loomyard-router/src/loomyard_router/routed/stream_passing.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/stream_passing.py
@@ -116,7 +116,9 @@
             logger,
             Event.CALLER_GONE if gone else Event.STREAM_BROKEN,
             request=self._request.head.attempt_id,
+            target=self._request.trace.target,
             detail=detail,
+            fingerprint=self._request.fingerprint,
         )
         self.close()
         raise AnswerBrokenError(detail)
