Know a request that ends targets over its comings and over routers, and send it no more

Cause: nothing was kept of what a broken attempt had asked.

Class: a judgement on each target alone (health, budget, attempts) where what fails comes with the request. Mended in the design: - a broken attempt asks by one connection whether its target ended; a lost, spoiled or reset answer says nothing of the request - an end is blamed on all that ran there; copies that ran at once count once; one that runs for a second, or to its end, is cleared - after three ends one after the other a request is refused for ten minutes (503, not run, says when to come back; 502 where a try of the same attempt may have run); then one trial is enough to refuse it again - the ends under a request that is known for them are nobody else's - from one end on a request goes another way than its prompt, from two on it has a target to itself of its kind (at its keeper) - news goes to all routers at once, to six others each in a large fleet, and each router asks a random one once a second: bounded records (4,096), bounded lives

--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -165,9 +165,12 @@
         if not usable:
             return []
         by_id = {target.id: target for target in self._health.sound(usable)}
-        ids = rank(request.affinity or request.head.attempt_id, by_id)
+        # What ran beside a request that ends targets often shares its prompt; after its target
+        # ended it goes another way than that, so that it is not there again.
+        key = request.fingerprint if request.suspicion else request.affinity
+        ids = rank(key or request.head.attempt_id, by_id)
         ranked = [by_id[target_id] for target_id in ids]
-        if not request.affinity:
+        if not key:
             ranked.sort(key=self._client.taken)
         return ranked
 
--- a/packages/loomyard-router/src/loomyard_router/admission/place_book.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_book.py
@@ -27,6 +27,9 @@
 BEYOND_PART = 0.52
 # Their prompts leave this part of the time to the first event to the prompts of the others.
 BEYOND_PATIENCE = 0.3
+# A request that ends its target does so soon after it began; one that may do so has a target to
+# itself, of its kind, for so long. Its prompt may wait behind others first.
+APART_SECONDS = 2.0
 # Prompts that were refused here; at 200 refusals a second these are of the last 20 s, and callers
 # come back within a third of their time limit.
 MOST_REFUSED = 4096
@@ -61,6 +64,7 @@
     pace: ReadingPace = field(factory=ReadingPace)
     cold: ColdRate = field(factory=ColdRate)
     _reading: dict[Ticket, _Reading] = field(factory=dict)
+    _apart: dict[Ticket, float] = field(factory=dict)
     _refused: OrderedDict[tuple[str, int], None] = field(factory=OrderedDict)
 
     @property
@@ -74,6 +78,8 @@
             return False
         if not self.cold.admits(now):
             return False
+        if request.apart and any(now - since < APART_SECONDS for since in self._apart.values()):
+            return False
         if not request.patience or not self._reading:
             return True
         if request.beyond and (request.own, request.prompt) in self._refused:
@@ -99,6 +105,8 @@
     def grant(self, ticket: Ticket, request: PlaceRequest, now: float) -> None:
         """Give a place."""
         self.held[ticket] = now
+        if request.apart:
+            self._apart[ticket] = now
         self.cold.spend()
         if request.prompt:
             own = max(0, request.prompt - self.memory.kept(request.parts))
@@ -116,6 +124,7 @@
     def release(self, ticket: Ticket) -> bool:
         """Take a place back; false where the ticket holds none."""
         self._reading.pop(ticket, None)
+        self._apart.pop(ticket, None)
         return self.held.pop(ticket, None) is not None
 
     def restate(self, router: str, incarnation: int, tickets: set[int], now: float) -> None:
--- a/packages/loomyard-router/src/loomyard_router/admission/place_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_client.py
@@ -33,6 +33,9 @@
 # A keeper that did not answer is left alone until membership had time to judge it.
 SILENT_SECONDS = 0.5
 STATEMENT_SECONDS = 1.0
+# Requests under which so many targets ended run apart from each other: one of them ends the next
+# one too, and whoever runs beside it then would be blamed with it.
+APART_LEVEL = 2
 # Notices that come together travel together.
 GATHER_SECONDS = 0.002
 
@@ -124,6 +127,7 @@
             wait=int(max(0.0, wait) * MILLISECONDS),
             beyond=beyond,
             cold_rate=cold_rate,
+            apart=request.suspicion >= APART_LEVEL,
         )
         if keeper == own.name:
             answer = self._keeper.ask(own, message)
--- a/packages/loomyard-router/src/loomyard_router/admission/place_messages.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_messages.py
@@ -20,6 +20,7 @@
     others share, by id with their tokens. ``wait`` is in milliseconds; so is ``patience``, the time
     that prompts ahead of this one may take to be read. ``target`` names the life of a target;
     ``cold_rate`` is how many requests a second it may get while it is cold, 0 for a warm one.
+    ``apart`` asks for a place at a target where no other such request has just begun.
     """
 
     target: TargetLife
@@ -33,6 +34,7 @@
     wait: int = 0
     beyond: bool = False
     cold_rate: float = 0.0
+    apart: bool = False
 
 
 @peer_message("pa")
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/crashes/crash_guard.py
@@ -0,0 +1,104 @@
+"""Keep requests that end targets from the targets."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import gevent
+
+from loomyard.errors import Fault, ResultCode
+from loomyard.events import Event, emit
+from loomyard_router.crashes.crash_ledger import BLOCKING_LEVEL
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard_router.announced.announced_target import AnnouncedTarget
+    from loomyard_router.crashes.crash_ledger import CrashLedger
+    from loomyard_router.crashes.crash_record import CrashRecord
+    from loomyard_router.crashes.target_check import TargetCheck
+    from loomyard_router.routed.routed_request import RoutedRequest
+
+logger = logging.getLogger(__name__)
+
+# A request that gave events for so long runs at this target: whatever ended it was something else.
+# Targets that ended under a request did so 65 to 72 ms after it had begun to run, in the users'
+# record and in a play; one that ends them later than this is not recognized.
+RUNS_SECONDS = 1.0
+
+
+class CrashGuard:
+    """Judge requests before each send, and learn from how it ended."""
+
+    def __init__(self, clock: Clock, ledger: CrashLedger, check: TargetCheck) -> None:
+        self._clock = clock
+        self._ledger = ledger
+        self._check = check
+        self._told: set[str] = set()
+        ledger.subscribe(self._tell)
+
+    def judge(self, request: RoutedRequest) -> Fault | None:
+        """Set what a request is suspected of; return why it may not be sent, if so."""
+        if self._ledger.empty:
+            return None
+        until = self._ledger.blocked_until(request.fingerprint)
+        request.suspicion = self._ledger.level(request.fingerprint)
+        if until is None:
+            return None
+        return Fault(
+            code=ResultCode.ENDS_TARGETS,
+            detail=f"{request.suspicion} targets ended when they ran this request",
+            retry_after=until - self._clock.now(),
+        )
+
+    def note_sending(self, request: RoutedRequest) -> None:
+        """Take in that a request is sent now."""
+        known = not self._ledger.empty
+        request.send_rank = self._ledger.next_rank(request.fingerprint) if known else 1
+        request.began_at = None
+
+    def note_broken(self, request: RoutedRequest, target: AnnouncedTarget) -> gevent.Greenlet:
+        """Take in that a target broke a request off; return what finds out whether it ended."""
+        began = request.began_at
+        runs = began is not None and self._clock.now() - began >= RUNS_SECONDS
+        return gevent.spawn(self._find_out, request, target, request.send_rank, runs=runs)
+
+    def note_whole(self, request: RoutedRequest) -> None:
+        """Take in that a target ran a request to its end, well or not."""
+        if not self._ledger.empty:
+            self._ledger.clear(request.fingerprint)
+
+    def _find_out(
+        self, request: RoutedRequest, target: AnnouncedTarget, rank: int, *, runs: bool
+    ) -> None:
+        if not self._check.has_ended(target):
+            return
+        if not runs:
+            self._ledger.note_end(request.fingerprint, rank, target.life)
+        emit(
+            logger,
+            Event.TARGET_ENDED,
+            target=target.id,
+            request=request.head.attempt_id,
+            fingerprint=request.fingerprint,
+            rank=rank,
+            blamed=not runs,
+            level=self._ledger.level(request.fingerprint),
+        )
+
+    def _tell(self, record: CrashRecord) -> None:
+        """Write one line when a request is refused from now on, and one when that ends."""
+        fingerprint = record.fingerprint
+        level = self._ledger.level(fingerprint)
+        if level >= BLOCKING_LEVEL:
+            if fingerprint not in self._told:
+                self._told.add(fingerprint)
+                emit(
+                    logger,
+                    Event.REQUEST_BLOCKED,
+                    fingerprint=fingerprint,
+                    targets=list(record.ends.values()),
+                )
+        elif fingerprint in self._told:
+            self._told.discard(fingerprint)
+            emit(logger, Event.REQUEST_CLEARED, fingerprint=fingerprint)
--- a/packages/loomyard-router/src/loomyard_router/routed/connection_pool.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import re
 from typing import TYPE_CHECKING
 
@@ -15,7 +16,11 @@
     from loomyard_router.announced.announced_target import AnnouncedTarget
     from loomyard_router.announced.target_life import TargetLife
 
+logger = logging.getLogger(__name__)
+
 CONNECT_SECONDS = 0.4
+# A machine refuses a connection to a process that has ended within a way there and back.
+CHECK_SECONDS = 0.15
 MOST_IDLE_SECONDS = 8.0
 # Closed this much before the target may do so itself.
 IDLE_MARGIN = 0.5
@@ -65,6 +70,24 @@
         now = self._clock.now()
         idle.append(_Idle(connection, now, now + _idle_seconds(connection.headers)))
 
+    def refuses(self, target: AnnouncedTarget) -> bool:
+        """Tell whether a target's machine refuses connections; one that comes up is kept."""
+        try:
+            connection = connect(target.address, self._clock, CHECK_SECONDS, self._watch)
+        except ConnectionRefusedError:
+            return True
+        except OSError as error:
+            logger.debug("a target that broke an answer off can't be reached: %r", error)
+            return False
+        self.opened += 1
+        now = self._clock.now()
+        idle = self._idle.setdefault(target.life, [])
+        if len(idle) < MOST_KEPT:
+            idle.append(_Idle(connection, now, now + MOST_IDLE_SECONDS))
+        else:
+            connection.close()
+        return False
+
     def forget(self, known: set[TargetLife]) -> None:
         """Close what is kept to targets that are not known any more, and what is too old."""
         now = self._clock.now()
--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -19,12 +19,15 @@
 if TYPE_CHECKING:
     from collections.abc import Generator
 
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard_router.admission.place import Place
     from loomyard_router.admission.place_source import PlaceSource
     from loomyard_router.admission.target_health import TargetHealth
     from loomyard_router.announced.target_board import TargetBoard
     from loomyard_router.announced.target_life import TargetLife
+    from loomyard_router.crashes.crash_guard import CrashGuard
     from loomyard_router.requests.retry_budget import RetryBudget
     from loomyard_router.routed.event_pace import EventPace
     from loomyard_router.routed.routed_request import RoutedRequest
@@ -45,6 +48,9 @@
 )
 
 
+# What a target that ends does to all that runs there.
+_BREAKS = (ResultCode.ANSWER_LOST, ResultCode.ANSWER_INCOMPLETE)
+
 # Nothing was sent.
 _UNREACHED = (ResultCode.TARGET_UNREACHABLE, ResultCode.ROUTER_OVERLOADED)
 
@@ -60,6 +66,7 @@
         sender: Sender,
         health: TargetHealth,
         board: TargetBoard,
+        guard: CrashGuard,
         budget: RetryBudget,
         pace: EventPace,
     ) -> None:
@@ -68,6 +75,7 @@
         self._sender = sender
         self._health = health
         self._board = board
+        self._guard = guard
         self._budget = budget
         self._pace = pace
 
@@ -94,6 +102,9 @@
         executed = Executed.NO
         attempts = unreached = 0
         while True:
+            blocked = self._guard.judge(request)
+            if blocked is not None:
+                return Err(evolve(blocked, executed=executed) if attempts else blocked)
             taken = self._gate.take(request, avoided)
             if taken.is_err():
                 fault = taken.unwrap_err()
@@ -108,6 +119,10 @@
                 place.release()
                 avoided = avoided | {place.target.life}
                 continue
+            if self._guard.judge(request) is not None:
+                # Another router learned of it while this request waited for its place.
+                place.release()
+                continue
             request.trace.place(place, self._clock.now())
             outcome = self._attempt(request, place, last_event)
             if outcome.is_ok():
@@ -123,7 +138,7 @@
             else:
                 place.release()
                 fault = outcome.unwrap_err()
-                self._note(request, place, fault)
+                checking = self._note(request, place, fault)
                 if fault.code in _UNREACHED:
                     unreached += 1
                 else:
@@ -132,6 +147,9 @@
                     executed = fault.executed
                 if not self._may_go_on(request, fault, executed, attempts, unreached):
                     return Err(self._final(fault, executed))
+                if checking is not None:
+                    # The next send must know what this one did.
+                    checking.join()
             avoided = avoided | {place.target.life}
             if attempts:
                 self._budget.take(request.service)
@@ -152,13 +170,25 @@
         return self.open(request, avoided=frozenset([broken.target.life]), last_event=last_event)
 
     def note_broken(self, request: RoutedRequest, place: Place, detail: str) -> None:
-        """Take in that a target broke an answer off."""
+        """Take in that a target broke an answer off, and find out whether it ended."""
         code = ResultCode.ANSWER_INCOMPLETE
-        self._note(request, place, Fault(code=code, detail=detail, executed=Executed.UNKNOWN))
+        fault = Fault(code=code, detail=detail, executed=Executed.UNKNOWN)
+        checking = self._note(request, place, fault)
+        if checking is not None:
+            checking.join()
+
+    def note_cut(self, request: RoutedRequest, place: Place) -> None:
+        """Take in that a target broke off an answer that does not go on elsewhere."""
+        self._guard.note_broken(request, place.target)
+
+    def note_whole(self, request: RoutedRequest) -> None:
+        """Take in that an answer came to its end."""
+        self._guard.note_whole(request)
 
     def _attempt(
         self, request: RoutedRequest, place: Place, last_event: str
     ) -> Result[tuple[Exchange, bytes, bool], Fault]:
+        self._guard.note_sending(request)
         sent = self._sender.send(request, place, last_event=last_event, answer_by=request.deadline)
         if sent.is_err():
             return Err(sent.unwrap_err())
@@ -166,7 +196,8 @@
         try:
             if _is_stream(exchange):
                 first = exchange.connection.read_block(request.deadline)
-                request.trace.answer(self._clock.now())
+                request.began_at = self._clock.now()
+                request.trace.answer(request.began_at)
                 place.note_answer()
                 self._health.note_answer(place.target)
                 return Ok((exchange, first, False))
@@ -176,6 +207,8 @@
             return Err(_broken(request, error))
         if not exchange.failed:
             self._health.note_answer(place.target)
+        if whole:
+            self._guard.note_whole(request)
         return Ok((exchange, first, whole))
 
     def _hold(self, request: RoutedRequest, exchange: Exchange) -> tuple[bytes, bool]:
@@ -228,7 +261,8 @@
             return evolve(fault, retry_after=fault.retry_after or RETRY_AFTER)
         return evolve(fault, executed=executed)
 
-    def _note(self, request: RoutedRequest, place: Place, fault: Fault) -> None:
+    def _note(self, request: RoutedRequest, place: Place, fault: Fault) -> gevent.Greenlet | None:
+        """Take in a failed attempt; return what finds out whether its target ended, if it may."""
         if fault.code in _FAULTS_OF_TARGET:
             unreachable = fault.code is ResultCode.TARGET_UNREACHABLE
             self._health.note_failure(place.target, fault.detail, unreachable=unreachable)
@@ -247,6 +281,9 @@
             fingerprint=request.fingerprint,
             **more,
         )
+        if fault.code not in _BREAKS:
+            return None
+        return self._guard.note_broken(request, place.target)
 
 
 def _is_stream(exchange: Exchange) -> bool:
--- a/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
@@ -18,7 +18,12 @@
 
 @define(kw_only=True, eq=False)
 class RoutedRequest:
-    """A request as it was read; ``deadline`` also bounds it by the timeout of its route."""
+    """A request as it was read; ``deadline`` also bounds it by the timeout of its route.
+
+    ``suspicion`` is how many targets are known to have ended under it. Of the send under way
+    ``send_rank`` is its place in the sends under which targets may end, and ``began_at`` when the
+    first event came.
+    """
 
     head: RequestHead
     route: Route
@@ -32,6 +37,9 @@
     deadline: float
     table_version: int = -1
     trace: RequestTrace = field(factory=RequestTrace)
+    suspicion: int = 0
+    send_rank: int = 1
+    began_at: float | None = None
     _fingerprint: str = ""
 
     @property
--- a/packages/loomyard-router/src/loomyard_router/routed/stream_passing.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/stream_passing.py
@@ -48,6 +48,7 @@
         yield first
         while block := self._read():
             yield block
+        self._forwarder.note_whole(self._request)
 
     def events(self, first: bytes) -> Generator[bytes, None, None]:
         """Pass whole events on."""
@@ -56,6 +57,7 @@
             if not block:
                 if self._events.pending:
                     self._break("the stream ended within an event")
+                self._forwarder.note_whole(self._request)
                 return
             whole = self._events.feed(block)
             if whole is None:
@@ -78,6 +80,8 @@
         try:
             return self._exchange.connection.read_block(self._request.deadline)
         except ExchangeBrokenError as error:
+            if not self._request.presence.gone:
+                self._forwarder.note_cut(self._request, self._exchange.place)
             self._break(str(error))
         raise AssertionError("a broken answer raises")
 
@@ -86,6 +90,8 @@
         exchange = self._exchange
         assert exchange is not None
         if request.presence.gone or not request.route.resumable or not self._left:
+            if not request.presence.gone:
+                self._forwarder.note_cut(request, exchange.place)
             self._break(detail)
         last_event = str(self._events.last_id) if self._events.last_id >= 0 else ""
         self._forwarder.note_broken(request, exchange.place, detail)
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -21,6 +21,10 @@
 from loomyard_router.announced.target_board import TargetBoard
 from loomyard_router.announced.target_feed import TargetFeed
 from loomyard_router.callers.in_flight import InFlight
+from loomyard_router.crashes.crash_exchange import CrashExchange
+from loomyard_router.crashes.crash_guard import CrashGuard
+from loomyard_router.crashes.crash_ledger import CrashLedger
+from loomyard_router.crashes.target_check import TargetCheck
 from loomyard_router.feeds.feed import Feed
 from loomyard_router.feeds.feed_exchange import FeedExchange
 from loomyard_router.feeds.feed_follower import FeedFollower
@@ -130,6 +134,11 @@
             window=settings.share_window,
             source=source,
         )
+        self._crashes = CrashLedger(clock)
+        self._crash_exchange = CrashExchange(
+            clock=clock, ledger=self._crashes, members=self.members, peers=peers, source=source
+        )
+        self._check = TargetCheck(self._pool.refuses)
         self._lag = LoopLag(clock, most=settings.most_lag)
         forwarder = Forwarder(
             clock=clock,
@@ -137,6 +146,7 @@
             sender=Sender(clock, self._pool, platform.target_dialect),
             health=self._admission.health,
             board=self.board,
+            guard=CrashGuard(clock, self._crashes, self._check),
             budget=RetryBudget(
                 per_request=settings.retries.ratio,
                 most=self._retry_slack,
@@ -209,7 +219,13 @@
         """Start to follow the feeds and to serve callers."""
         if any(secret.startswith(EXAMPLE_SECRET) for secret in self._settings.fleet_secret):
             emit(logger, Event.EXAMPLE_SECRET_USED, setting=FLEET_SECRET_VARIABLE)
-        parts = (self.fleet.peers, self.members, self._admission, self._exchange)
+        parts = (
+            self.fleet.peers,
+            self.members,
+            self._admission,
+            self._exchange,
+            self._crash_exchange,
+        )
         for part in parts:
             part.start()
         if self.fleet.table_sync is not None:
@@ -258,7 +274,13 @@
         self._targets.stop()
         if self.fleet.table_sync is not None:
             self.fleet.table_sync.stop()
-        parts = (self._exchange, self._admission, self.members, self.fleet.peers)
+        parts = (
+            self._crash_exchange,
+            self._exchange,
+            self._admission,
+            self.members,
+            self.fleet.peers,
+        )
         for part in parts:
             part.stop()
 
@@ -275,6 +297,7 @@
     def _forget(self) -> None:
         known = {target.life for target in self.board.known()}
         self._pool.forget(known)
+        self._check.forget(known)
         self._admission.forget(known)
 
 
--- a/tests/test_loomyard_router/test_crashing/test_requests_that_end_targets.py
+++ b/tests/test_loomyard_router/test_crashing/test_requests_that_end_targets.py
@@ -53,6 +53,22 @@
         self.come_until_known()
         self.assertLessEqual(self.sent_later(), MORE)
 
+    def test_a_request_that_may_run_once_is_sent_no_more(self) -> None:
+        self.serve(route())
+        self.come_until_known()
+        self.assertLessEqual(self.sent_later(), MORE)
+
+    def test_a_stream_that_goes_on_elsewhere_is_sent_no_more(self) -> None:
+        self.serve(route(kind=RouteKind.STREAM, resumable=True, max_attempts=3), streams=True)
+        self.come_until_known()
+        self.assertLessEqual(self.sent_later(Last_Event_Id="1"), MORE)
+
+    def test_a_request_to_engines_is_sent_no_more(self) -> None:
+        served = route(service="engine", kind=RouteKind.STREAM, resumable=True, max_attempts=3)
+        self.serve(served, service="engine", streams=True)
+        self.come_until_known(Loomyard_Prompt_Prefix="aa:100,bb:10")
+        self.assertLessEqual(self.sent_later(Loomyard_Prompt_Prefix="aa:100,bb:10"), MORE)
+
     def test_a_router_that_starts_later_sends_it_no_more(self) -> None:
         self.serve(route(kind=RouteKind.IDEMPOTENT))
         self.come_until_known()
@@ -62,6 +78,16 @@
         self.routers = [late]
         self.assertLessEqual(self.sent_later(), MORE)
 
+    def test_what_is_refused_was_not_sent_and_says_when_to_come_back(self) -> None:
+        self.serve(route(kind=RouteKind.IDEMPOTENT))
+        self.come_until_known()
+        self.sent_later()
+        before = self.sent(ENDING)
+        status, headers = self.ask(self.router, ENDING)
+        self.assertEqual((UNAVAILABLE, before), (status, self.sent(ENDING)))
+        assert headers is not None
+        self.assertGreater(float(headers["Retry-After"]), 0.0)
+
     def test_other_requests_of_its_route_stay_served(self) -> None:
         self.serve(route(kind=RouteKind.IDEMPOTENT))
         self.come_until_known()
