Keep which requests end targets on the platform, for a fleet that is lost at once

One router writes each refused request to a topic of the store (one call in all, again where it failed, also by the next router); each reads it at its start.

--- a/packages/loomyard-router/src/loomyard_router/platform/__main__.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/__main__.py
@@ -28,6 +28,7 @@
 )
 from loomyard_router.platform.settings_file import read_settings  # noqa: E402
 from loomyard_router.platform.settings_watch import SettingsWatch  # noqa: E402
+from loomyard_router.platform.store_archive import StoreArchive  # noqa: E402
 from loomyard_router.platform.store_feed import StoreFeed  # noqa: E402
 from loomyard_router.platform.targets import PlatformTargets  # noqa: E402
 from loomyard_router.routed_application import RoutedApplication, RoutedPlatform  # noqa: E402
@@ -62,6 +63,7 @@
             callers=PlatformCallers(),
             target_dialect=PlatformTargets(),
             ready_path=names.READY_PATH,
+            crashes=StoreArchive(settings.store, names.CRASHES_TOPIC, clock),
         ),
     )
     tune_collector()
--- a/packages/loomyard-router/src/loomyard_router/platform/names.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/names.py
@@ -30,5 +30,7 @@
 # Before the name of a data centre whose targets are to get nothing.
 EMPTYING_PREFIX = "evacuate/"
 TARGETS_TOPIC = "keyed.servers"
+# Of the routers' own: what has to outlive all of them.
+CRASHES_TOPIC = "keyed.crashes"
 
 SETTINGS_VARIABLE = "LOOMYARD_NODE_FILE"
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/platform/store_archive.py
@@ -0,0 +1,50 @@
+"""A topic of the platform's store that routers write."""
+
+from __future__ import annotations
+
+import struct
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from loomyard_router.platform.store_calls import HTTP_OK, StoreCalls, unavailable
+from loomyard_router.platform.store_feed import StoreFeed
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from loomyard.clock import Clock
+    from loomyard.errors import Fault
+
+_LENGTH = struct.Struct(">I")
+
+
+class StoreArchive:
+    """The ``CrashArchive`` of the platform: the newest record of each key of a keyed topic."""
+
+    def __init__(self, address: str, topic: str, clock: Clock) -> None:
+        self._topic = topic
+        self._records = StoreFeed(address, topic, clock)
+        self._calls = StoreCalls(address, clock)
+
+    def read(self, deadline: float) -> Result[Mapping[str, bytes], Fault]:
+        return self._records.newest(deadline).map(
+            lambda listing: {
+                record.key: record.value for record in listing.records if record.value is not None
+            }
+        )
+
+    def write(self, key: str, value: bytes | None, deadline: float) -> Result[None, Fault]:
+        name = key.encode()
+        content = bytes([len(name)]) + name + (value or b"")
+        query = {"topic": self._topic, "part": 0}
+        match self._calls.post(
+            "/log-append", query, _LENGTH.pack(len(content)) + content, deadline
+        ):
+            case Err(fault):
+                return Err(fault)
+            case Ok(answer) if answer.status == HTTP_OK:
+                return Ok(None)
+            case Ok(answer):
+                return Err(unavailable(f"status {answer.status}"))
+        raise AssertionError("a result is a value or a fault")
--- a/packages/loomyard-router/src/loomyard_router/platform/store_feed.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/store_feed.py
@@ -6,26 +6,18 @@
 import json
 import struct
 from typing import TYPE_CHECKING
-from urllib.parse import urlencode
 
-from gevent import Timeout
 from result import Err, Ok, Result
 
 from loomyard.errors import Fault, ResultCode
-from loomyard.util.addresses import split_address
-from loomyard.util.tcp import make_http_client
 from loomyard_router.feeds.feed import ANSWER_SECONDS, Batch, Listing
 from loomyard_router.feeds.keyed_record import KeyedRecord
+from loomyard_router.platform.store_calls import HTTP_OK, StoreCalls, unavailable
 
 if TYPE_CHECKING:
-    from geventhttpclient import HTTPClient
-
     from loomyard.clock import Clock
 
-HTTP_OK = 200
 HTTP_GONE = 410
-CONNECT_SECONDS = 0.5
-LEAST_SECONDS = 0.05
 MILLISECONDS = 1000
 _ENDS = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
@@ -35,10 +27,9 @@
     """Read the only partition of a keyed topic over one connection."""
 
     def __init__(self, address: str, topic: str, clock: Clock) -> None:
-        self._host, self._port = split_address(address)
+        self._calls = StoreCalls(address, clock)
         self._topic = topic
         self._clock = clock
-        self._client: HTTPClient | None = None
 
     @property
     def name(self) -> str:
@@ -62,7 +53,7 @@
                 more = bool(page.get("truncated")) and bool(items)
                 after = items[-1]["tls_key"] if more else None
             except (ValueError, KeyError, TypeError, RecursionError) as error:
-                return Err(_unavailable(f"an unreadable listing: {error!r}"))
+                return Err(unavailable(f"an unreadable listing: {error!r}"))
             if not more:
                 return Ok(Listing(records=records, next_offset=first_end))
 
@@ -75,43 +66,16 @@
         return _decode_batch(body.unwrap(), offset)
 
     def _get(self, path: str, query: dict, deadline: float) -> Result[bytes, Fault]:
-        if self._client is None:
-            self._client = make_http_client(
-                self._host,
-                self._port,
-                concurrency=1,
-                connection_timeout=CONNECT_SECONDS,
-                network_timeout=None,
-            )
-        # The client bounds each wait; here the whole call has one deadline.
-        timeout = Timeout(max(LEAST_SECONDS, deadline - self._clock.now()))
-        try:
-            with timeout:
-                response = self._client.get(f"{path}?{urlencode(query)}")
-                body = bytes(response.read())
-            status = response.status_code
-            whole = response.message_complete
-        except Timeout as expired:
-            if expired is not timeout:
-                raise
-            self._drop()
-            return Err(_unavailable("no answer in time"))
-        except Exception as error:  # the client raises many types on a broken connection
-            self._drop()
-            return Err(_unavailable(str(error) or type(error).__name__))
-        if not whole:
-            self._drop()
-            return Err(_unavailable("the answer broke off"))
-        if status == HTTP_GONE:
+        match self._calls.get(path, query, deadline):
+            case Err(fault):
+                return Err(fault)
+            case Ok(answer):
+                pass
+        if answer.status == HTTP_GONE:
             return Err(Fault(code=ResultCode.LOG_TRIMMED, detail="the records are gone"))
-        if status != HTTP_OK:
-            return Err(_unavailable(f"status {status}"))
-        return Ok(body)
-
-    def _drop(self) -> None:
-        client, self._client = self._client, None
-        if client is not None:
-            client.close()
+        if answer.status != HTTP_OK:
+            return Err(unavailable(f"status {answer.status}"))
+        return Ok(answer.body)
 
 
 def _decode_item(item: dict) -> KeyedRecord:
@@ -131,12 +95,12 @@
             at += _LENGTH.size
             content = data[at : at + length]
             if len(content) < length:
-                return Err(_unavailable("a record that is cut off"))
+                return Err(unavailable("a record that is cut off"))
             at += length
             records.append(_decode_record(content, offset))
             offset += 1
     except struct.error as error:
-        return Err(_unavailable(f"an unreadable batch: {error!r}"))
+        return Err(unavailable(f"an unreadable batch: {error!r}"))
     # The end before the offset asked for says that the store fell back.
     return Ok(Batch(records=records, next_offset=min(offset, end)))
 
@@ -148,7 +112,3 @@
     length = content[0]
     key = content[1 : 1 + length].decode(errors="replace")
     return KeyedRecord(key=key, value=content[1 + length :] or None, offset=offset)
-
-
-def _unavailable(detail: str) -> Fault:
-    return Fault(code=ResultCode.LOG_UNAVAILABLE, detail=detail)
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -21,9 +21,11 @@
 from loomyard_router.announced.target_board import TargetBoard
 from loomyard_router.announced.target_feed import TargetFeed
 from loomyard_router.callers.in_flight import InFlight
+from loomyard_router.crashes.crash_archive import CrashArchive
 from loomyard_router.crashes.crash_exchange import CrashExchange
 from loomyard_router.crashes.crash_guard import CrashGuard
 from loomyard_router.crashes.crash_ledger import CrashLedger
+from loomyard_router.crashes.crash_memory import CrashMemory
 from loomyard_router.crashes.target_check import TargetCheck
 from loomyard_router.feeds.feed import Feed
 from loomyard_router.feeds.feed_exchange import FeedExchange
@@ -79,6 +81,7 @@
     callers: CallerDialect
     target_dialect: TargetDialect
     ready_path: str
+    crashes: CrashArchive | None = None
 
 
 class RoutedApplication:
@@ -138,6 +141,14 @@
         self._crash_exchange = CrashExchange(
             clock=clock, ledger=self._crashes, members=self.members, peers=peers, source=source
         )
+        self._crash_memory: CrashMemory | None = None
+        if platform.crashes is not None:
+            self._crash_memory = CrashMemory(
+                clock=clock,
+                ledger=self._crashes,
+                archive=platform.crashes,
+                members=self.members,
+            )
         self._check = TargetCheck(self._pool.refuses)
         self._lag = LoopLag(clock, most=settings.most_lag)
         forwarder = Forwarder(
@@ -230,6 +241,8 @@
             part.start()
         if self.fleet.table_sync is not None:
             self.fleet.table_sync.start()
+        if self._crash_memory is not None:
+            self._crash_memory.start()
         self._tables.start()
         self._targets.start()
         self._ready.start()
@@ -274,6 +287,8 @@
         self._targets.stop()
         if self.fleet.table_sync is not None:
             self.fleet.table_sync.stop()
+        if self._crash_memory is not None:
+            self._crash_memory.stop()
         parts = (
             self._crash_exchange,
             self._exchange,
--- a/packages/loomyard-standins/src/loomyard_standins/programs/store_program.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/store_program.py
@@ -1,4 +1,4 @@
-"""The store as a program: keyed records, long reads, told by lines of its standard input."""
+"""The store as a program: keyed records, appends, long reads; lines of its input tell it more."""
 
 from __future__ import annotations
 
@@ -53,7 +53,9 @@
         if self.busy:
             start_response("503 Service Unavailable", [])
             return [b""]
-        if environ["PATH_INFO"] == "/log-read":
+        if environ["PATH_INFO"] == "/log-append":
+            body = _append(topic, environ["wsgi.input"].read())
+        elif environ["PATH_INFO"] == "/log-read":
             body = self._read(topic, int(query["from"]), int(query["wait_ms"]) / MILLISECONDS)
         else:
             body = _list(topic)
@@ -79,6 +81,16 @@
         return struct.pack(">QQ", len(topic.records), 0) + b"".join(content)
 
 
+def _append(topic: Topic, content: bytes) -> bytes:
+    first = len(topic.records)
+    while content:
+        (length,) = struct.unpack_from(">I", content)
+        record, content = content[4 : 4 + length], content[4 + length :]
+        end = 1 + record[0]
+        topic.add(record[1:end].decode(), record[end:] or None)
+    return json.dumps({"offset": first, "end_offset": len(topic.records)}).encode()
+
+
 def _list(topic: Topic) -> bytes:
     newest = {key: (offset, value) for offset, (key, value) in enumerate(topic.records)}
     items = [
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -84,6 +84,11 @@
     TARGET_ENDED = (630, logging.WARNING, "a target ended while this request ran there")
     REQUEST_BLOCKED = (631, logging.ERROR, "a request ends targets; it is refused for a while")
     REQUEST_CLEARED = (632, logging.INFO, "a request that seemed to end targets ran to its end")
+    CRASHES_NOT_KEPT = (
+        633,
+        logging.WARNING,
+        "the platform does not keep which requests end targets",
+    )
     ORDER_LEASE_TAKEN = (610, logging.INFO, "this router holds the lease on orders to engines")
     ORDER_LEASE_LOST = (611, logging.INFO, "another router took the lease on orders to engines")
     ORDER_SENT = (612, logging.INFO, "an engine took an order")
--- /dev/null
+++ b/tests/test_loomyard_router/test_platform/test_store_archive.py
@@ -0,0 +1,46 @@
+"""Tests of what routers keep in the platform's store."""
+
+from __future__ import annotations
+
+import unittest
+
+from loomyard.clock import SystemClock
+from loomyard.errors import ResultCode
+from loomyard.util.tcp import NoDelayServer
+from loomyard_router.platform.store_archive import StoreArchive
+from loomyard_standins.programs.store_program import StoreProgram
+
+WAIT = 10.0
+
+
+class StoreArchiveTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = StoreProgram()
+        server = NoDelayServer(("127.0.0.1", 0), self.store.serve, log=None)
+        server.start()
+        self.addCleanup(server.stop, timeout=0)
+        self.clock = SystemClock()
+        self.archive = StoreArchive(
+            f"127.0.0.1:{server.server_port}", "keyed.something", self.clock
+        )
+
+    @property
+    def deadline(self) -> float:
+        return self.clock.now() + WAIT
+
+    def test_what_was_written_is_read_and_what_was_dropped_is_not(self) -> None:
+        for key, value in (("a", b"1"), ("b", b"2"), ("a", b"\x00\xff"), ("b", None)):
+            self.assertTrue(self.archive.write(key, value, self.deadline).is_ok())
+        self.assertEqual({"a": b"\x00\xff"}, self.archive.read(self.deadline).unwrap())
+
+    def test_a_store_that_refuses_is_a_fault(self) -> None:
+        self.store.busy = True
+        for outcome in (
+            self.archive.read(self.deadline),
+            self.archive.write("a", b"1", self.deadline),
+        ):
+            self.assertEqual(ResultCode.LOG_UNAVAILABLE, outcome.unwrap_err().code)
+
+
+if __name__ == "__main__":
+    unittest.main()
