Let leases and deadlines count the suspension of a VM

Cause: Clock.now() read the steady clock, which stands still while a VM is suspended, so each lease and deadline outlived by the whole suspension what everybody else held it to.

--- a/packages/loomyard-router/src/loomyard_router/admission/place_book.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_book.py
@@ -135,6 +135,11 @@
         for number in tickets:
             self.held[router, incarnation, number] = now
 
+    def postpone(self, seconds: float) -> None:
+        """Give all holders more time to state what they hold."""
+        for ticket in self.held:
+            self.held[ticket] += seconds
+
     def drop(self, condition: Callable[[Ticket, float], bool]) -> bool:
         """Take back all places that meet a condition; tell whether there were any."""
         lost = [ticket for ticket, since in self.held.items() if condition(ticket, since)]
--- a/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
@@ -16,6 +16,7 @@
     PromptsRead,
 )
 from loomyard_router.announced.cold_targets import WARM
+from loomyard_router.members.pause import PauseWatch
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -29,6 +30,8 @@
 # Routers state what they hold every second; after some silence their places are free.
 SILENCE_SECONDS = 5.0
 SWEEP_SECONDS = 1.0
+# A router that is this much late stood still, or its VM was suspended.
+PAUSE_SECONDS = 0.5
 
 
 class PlaceKeeper:
@@ -166,6 +169,13 @@
                 self._serve(book)
 
     def _run(self) -> None:
+        pause = PauseWatch(slack=PAUSE_SECONDS, bound=PAUSE_SECONDS, due=self._clock.now())
         while True:
+            pause.due = self._clock.now() + SWEEP_SECONDS
             self._clock.sleep(SWEEP_SECONDS)
+            late, paused = pause.tick(self._clock.now())
+            if paused:
+                # It heard nobody meanwhile, so nobody's silence counts for that time.
+                for book in self._books.values():
+                    book.postpone(late)
             self.sweep()
--- a/packages/loomyard-router/src/loomyard_router/callers/in_flight.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/in_flight.py
@@ -9,6 +9,9 @@
 if TYPE_CHECKING:
     from loomyard.clock import Clock
 
+# A wait of timers does not count a suspension of the VM, the deadline of a stop does.
+LOOK_SECONDS = 0.25
+
 
 class InFlight:
     """Count requests from their arrival to the last byte of their answers."""
@@ -35,4 +38,9 @@
 
     def wait_idle(self, deadline: float) -> bool:
         """Wait until nothing is in flight; false where the deadline came first."""
-        return self._idle.wait(max(0.0, deadline - self._clock.now()))
+        while not self._idle.is_set():
+            left = deadline - self._clock.now()
+            if left <= 0.0:
+                return False
+            self._idle.wait(min(left, LOOK_SECONDS))
+        return True
--- a/packages/loomyard/src/loomyard/logs.py
+++ b/packages/loomyard/src/loomyard/logs.py
@@ -5,10 +5,10 @@
 import json
 import logging
 import sys
-import time
 from datetime import UTC, datetime
 from typing import Any
 
+from loomyard.clock import machine_seconds
 from loomyard.events import event_of
 
 TEXT = "text"
@@ -35,8 +35,8 @@
         number, fields = _event_of(record)
         document: dict[str, Any] = {
             "time": _time_of(record),
-            # Seconds of the steady clock; the time of day may jump.
-            "steady": round(time.monotonic(), 4),
+            # The time of day may jump; these are the seconds of leases and deadlines.
+            "steady": round(machine_seconds(), 4),
             "level": record.levelname.lower(),
             "logger": record.name,
             "event": number,
