--- a/packages/loomyard-router/src/loomyard_router/announced/announced_figures.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/announced_figures.py
@@ -1,4 +1,4 @@
-"""What operators see of targets and of what is said of them."""
+"""What operators see of targets, of what is said of them and of what ends them."""
 
 from __future__ import annotations
 
@@ -11,9 +11,15 @@
 
 @frozen(kw_only=True)
 class AnnouncedFigures:
-    """Reads for metrics: data centres emptied, targets cold, and two counts since the start."""
+    """Reads for metrics: states as they are, and two counts since the start.
+
+    ``suspected`` and ``blocked`` are requests under which targets ended: all of them, and those
+    that are refused for it.
+    """
 
     emptied: Callable[[], int] = lambda: 0
     cold: Callable[[], int] = lambda: 0
+    suspected: Callable[[], int] = lambda: 0
+    blocked: Callable[[], int] = lambda: 0
     lives_replaced: Callable[[], int] = lambda: 0
     unreadable: Callable[[], Mapping[tuple[str, Unreadable], int]] = dict
--- a/packages/loomyard-router/src/loomyard_router/crashes/crash_guard.py
+++ b/packages/loomyard-router/src/loomyard_router/crashes/crash_guard.py
@@ -9,7 +9,7 @@
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
-from loomyard_router.crashes.crash_ledger import BLOCKING_LEVEL
+from loomyard_router.crashes.crash_ledger import BLOCKING_LEVEL, MOST_RECORDS
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -92,6 +92,9 @@
         level = self._ledger.level(fingerprint)
         if level >= BLOCKING_LEVEL:
             if fingerprint not in self._told:
+                if len(self._told) >= MOST_RECORDS:
+                    # Records that were forgotten are not taken out one by one.
+                    self._told.clear()
                 self._told.add(fingerprint)
                 emit(
                     logger,
--- a/packages/loomyard-router/src/loomyard_router/crashes/crash_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/crashes/crash_ledger.py
@@ -107,6 +107,10 @@
         until = record.until - (FORGET_SECONDS - BLOCK_SECONDS)
         return until if until > self._clock.now() else None
 
+    def suspected(self) -> int:
+        """Return under how many requests targets ended."""
+        return sum(bool(record.lives) for record in self._records.values())
+
     def blocked(self) -> int:
         """Return how many requests are refused."""
         return sum(self.blocked_until(one) is not None for one in self._heavy)
--- a/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
@@ -121,6 +121,16 @@
             value=figures.emptied(),
         )
         yield GaugeMetricFamily("loomyard_targets_cold", "targets that are cold", figures.cold())
+        yield GaugeMetricFamily(
+            "loomyard_requests_suspected",
+            "requests under which targets ended lately",
+            value=figures.suspected(),
+        )
+        yield GaugeMetricFamily(
+            "loomyard_requests_blocked",
+            "requests that are refused since targets end under them",
+            value=figures.blocked(),
+        )
         yield CounterMetricFamily(
             "loomyard_target_lives_replaced",
             "targets that started again under their id",
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -204,6 +204,8 @@
             announced=AnnouncedFigures(
                 emptied=lambda: len(self._emptied.names),
                 cold=self._admission.cold.count,
+                suspected=self._crashes.suspected,
+                blocked=self._crashes.blocked,
                 lives_replaced=lambda: self.board.lives_replaced,
                 unreadable=lambda: self._unreadable.counts,
             ),
