Let the soak of the real programs learn requests that end targets, and suspended VMs

Targets end, with all that runs there, under three requests that come again at any router; a third of the other requests is the same word for word. New promise: a request under which three targets ended is sent to three more at most, once routers had three seconds and none stood still or started; each harmless one is served by every router at the end. A router whose VM is suspended has a steady clock that stands still.

--- a/packages/loomyard-standins/src/loomyard_standins/programs/caller_program.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/caller_program.py
@@ -15,11 +15,13 @@
 from geventhttpclient import HTTPClient  # noqa: E402
 
 from loomyard_standins.programs.words import (  # noqa: E402
+    ENDING_BODIES,
     HOST,
     HTTP_OK,
     PATHS,
     PROBE_HOST,
     REPEATABLE,
+    SAME_BODIES,
     STREAM,
     probe_path,
     request_headers,
@@ -39,6 +41,10 @@
 # A part of the callers leaves before the answer.
 LEAVING_PART = 0.05
 LEAVE_SECONDS = 0.1
+# A part of the requests is the same word for word each time.
+SAME_PART = 0.3
+# Seconds between two comings of a request that ends targets, on average.
+ENDING_SECONDS = 1.0
 
 
 @define(eq=False)
@@ -59,12 +65,25 @@
             if self._asked % PROBE_EVERY == 0:
                 self._probe(router)
             else:
-                self._request(router, self.source.choice(list(PATHS)))
+                kind = self.source.choice(list(PATHS))
+                self._request(router, kind, self._choose_body())
             gevent.sleep(PAUSE_SECONDS * self.source.random())
 
-    def _request(self, router: str, kind: str) -> None:
+    def run_ending(self) -> None:
+        """Come again and again with requests that end targets, at any router."""
+        while True:
+            gevent.sleep(2 * ENDING_SECONDS * self.source.random())
+            self._asked += 1
+            kind = self.source.choice(list(PATHS))
+            self._request(self.source.choice(self.routers), kind, ENDING_BODIES[kind])
+
+    def _choose_body(self) -> bytes:
+        if self.source.random() < SAME_PART:
+            return self.source.choice(SAME_BODIES)
+        return f"{self.name}-{self._asked}".encode() * self.source.randint(1, 40)
+
+    def _request(self, router: str, kind: str, body: bytes) -> None:
         attempt_id = f"{self.name}-{self._asked}"
-        body = attempt_id.encode() * self.source.randint(1, 40)
         leaves = self.source.random() < LEAVING_PART
         expected = whole_stream(attempt_id) if kind == STREAM else whole_answer(attempt_id, body)
         say(sent=attempt_id, kind=kind, router=router)
@@ -125,6 +144,8 @@
     for number in range(CALLERS):
         caller = Caller(f"c{number}", routers, random.Random(f"{seed} {number}"), newest)
         gevent.spawn(caller.run)
+    ending = Caller("e", routers, random.Random(f"{seed} ending"), newest)
+    gevent.spawn(ending.run_ending)
     for line in told():
         newest[0] = int(line)
     return 0
--- a/packages/loomyard-standins/src/loomyard_standins/programs/fault_plan.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/fault_plan.py
@@ -14,6 +14,7 @@
     KILL_ROUTER = "a router is killed and starts again"
     STOP_ROUTER = "a router is told to stop, and starts again"
     PAUSE_ROUTER = "a router stands still"
+    SUSPEND_ROUTER = "the VM of a router is suspended: its steady clock stands still too"
     CRASH_TARGET = "a target is killed, another starts"
     LEAVE_TARGET = "a target says that it leaves, ends later, another starts"
     PAUSE_TARGET = "a target stands still"
--- a/packages/loomyard-standins/src/loomyard_standins/programs/fault_proxy.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/fault_proxy.py
@@ -61,6 +61,10 @@
         """Start to listen."""
         self._server.start()
 
+    def refuse(self) -> None:
+        """Refuse connections from now on, as a machine does whose process has ended."""
+        self._server.stop(timeout=0)
+
     def stop(self) -> None:
         """Close everything."""
         self._server.stop(timeout=0)
--- a/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
@@ -19,7 +19,7 @@
 from loomyard_standins.programs.words import ONCE, STREAM
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
     from pathlib import Path
 
     from loomyard_standins.programs.program import Listener
@@ -27,7 +27,7 @@
 
 TARGETS_OF_EACH = 2
 MODULES = "loomyard_standins.programs"
-ROUTER_MODULE = "loomyard_router.platform"
+ROUTER_MODULE = f"{MODULES}.suspended_router"
 SECRET = "a secret of this run"
 # How long a target that crashed or left stays announced, and one that leaves goes on serving.
 LAPSE_SECONDS = 1.0
@@ -65,6 +65,8 @@
     def __init__(self, folder: Path, *, seed: int, routers: int, promises: Promises) -> None:
         self.clock = SystemClock()
         self.breaches: list[Breach] = []
+        # Called with a target that ended under a request.
+        self.target_ended: Callable[[Target], None] = lambda _: None
         self.version = 0
         self._folder = folder
         self._seed = seed
@@ -113,6 +115,7 @@
     def replace_target(self, target: Target, *, crash: bool) -> None:
         """End a target, at once or after it said that it leaves; another life takes its place."""
         if crash:
+            target.link.refuse()
             target.program.end()
             gevent.sleep(LAPSE_SECONDS)
         else:
@@ -192,6 +195,15 @@
 
     def _hear(self, said: dict[str, Any]) -> None:
         self.breaches += self._promises.take(said)
+        if "ends" in said:
+            self._let_end(said["target"])
+
+    def _let_end(self, id_: str) -> None:
+        target = next((one for one in self.targets if one.id == id_), None)
+        if target is not None:
+            target.link.refuse()
+            target.program.tell("end")
+            self.target_ended(target)
 
     def _settings(self, name: str) -> Path:
         return self._folder / f"{name}.conf"
--- a/packages/loomyard-standins/src/loomyard_standins/programs/promises.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/promises.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
@@ -14,6 +14,11 @@
     from collections.abc import Iterator
 
 HTTP_NOT_FOUND = 404
+# After so many ends all routers have to know a request within some seconds, or as long after they
+# stood still or started, and may send it a few times more.
+KNOWN_ENDS = 3
+KNOWN_SECONDS = 3.0
+MORE_SENDS = 3
 
 
 class Promise(Enum):
@@ -24,6 +29,7 @@
     AT_MOST_ONCE = "a request that may not be repeated runs at most once"
     ASKED = "a target runs what a caller sent and nothing else"
     NEVER_BACK = "the configuration that a router serves never goes back"
+    FEW_ENDS = "a request under which three targets ended is sent to three more at most"
     SERVES_AGAIN = "once the faults are over every router serves every kind of request"
 
 
@@ -48,6 +54,13 @@
     # Seconds from a target's word that it leaves, or a caller's leaving, to what still ran there.
     after_leaving: list[float] = field(factory=list)
     after_caller: list[float] = field(factory=list)
+    # Targets that ended under requests, and sends of those that came when all routers had to know.
+    ended: int = 0
+    sent_later: int = 0
+    _ends: defaultdict[str, list[float]] = field(factory=lambda: defaultdict(list))
+    _late_sends: Counter[str] = field(factory=Counter)
+    _disturbed: int = 0
+    _calm_since: float = 0.0
     _kinds: dict[str, str] = field(factory=dict)
     _ran: defaultdict[str, list[str]] = field(factory=lambda: defaultdict(list))
     _statuses: dict[str, int] = field(factory=dict)
@@ -66,6 +79,15 @@
         """Take in that a target says that it leaves."""
         self._leaving[target] = at
 
+    def disturb(self) -> None:
+        """Take in that a router stands still or starts, so that it may know less for a while."""
+        self._disturbed += 1
+
+    def calm(self, at: float) -> None:
+        """Take in that it runs again."""
+        self._disturbed -= 1
+        self._calm_since = max(self._calm_since, at)
+
     def note_sent(self, attempt_id: str, kind: str) -> None:
         """Take in that a request goes out."""
         self.requests += 1
@@ -77,6 +99,9 @@
             self.note_sent(said["sent"], said["kind"])
         elif "run" in said:
             yield from self._take_run(said)
+        elif "ends" in said:
+            self.ended += 1
+            self._ends[said["ends"]].append(said["at"])
         elif "saw" in said:
             yield from self._take_answer(said)
         elif "left" in said:
@@ -103,9 +128,23 @@
         if attempt_id in self._statuses:
             detail = f"{attempt_id} got {self._statuses[attempt_id]}, then ran at {targets}"
             yield Breach(Promise.NOT_RUN, detail)
+        if said.get("ending") is not None:
+            yield from self._take_ending_run(said["ending"], said["at"])
         if len(targets) > 1 and self._kinds.get(attempt_id) == ONCE:
             yield Breach(Promise.AT_MOST_ONCE, f"{attempt_id} ran at {targets}")
 
+    def _take_ending_run(self, ending: str, at: float) -> Iterator[Breach]:
+        ends = self._ends[ending]
+        if len(ends) < KNOWN_ENDS or self._disturbed:
+            return
+        if at <= max(ends[KNOWN_ENDS - 1], self._calm_since) + KNOWN_SECONDS:
+            return
+        self.sent_later += 1
+        self._late_sends[ending] += 1
+        if self._late_sends[ending] > MORE_SENDS:
+            detail = f"{ending} request sent {self._late_sends[ending]} times more"
+            yield Breach(Promise.FEW_ENDS, detail)
+
     def _take_answer(self, said: dict[str, Any]) -> Iterator[Breach]:
         attempt_id, status = said["saw"], said["status"]
         self.answered += status == HTTP_OK and said["whole"]
--- a/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
@@ -15,7 +15,13 @@
 from loomyard_standins.programs.fault_proxy import LinkFault
 from loomyard_standins.programs.program_fleet import ProgramFleet
 from loomyard_standins.programs.promises import Breach, Promise, Promises
-from loomyard_standins.programs.words import HTTP_OK, PATHS, request_headers
+from loomyard_standins.programs.words import (
+    HTTP_OK,
+    PATHS,
+    SAME_BODIES,
+    SUSPENDING,
+    request_headers,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,6 +36,8 @@
 SERVES_SECONDS = 60.0
 ASK_SECONDS = 5.0
 LOOK_SECONDS = 0.2
+# The notice of a suspension has to be heard before the stop.
+NOTICE_SECONDS = 0.3
 LINK_FAULTS = (LinkFault.SILENT, LinkFault.ONE_WAY, LinkFault.DELAYED, LinkFault.RESET)
 
 
@@ -49,7 +57,8 @@
         self._faults: dict[ProgramFault, Callable[[Planned], None]] = {
             ProgramFault.KILL_ROUTER: lambda one: self._restart(one, signal.SIGKILL),
             ProgramFault.STOP_ROUTER: lambda one: self._restart(one, signal.SIGTERM),
-            ProgramFault.PAUSE_ROUTER: lambda one: self._pause(one, self._router(one).program),
+            ProgramFault.PAUSE_ROUTER: lambda one: self._pause_router(one, suspended=False),
+            ProgramFault.SUSPEND_ROUTER: lambda one: self._pause_router(one, suspended=True),
             ProgramFault.CRASH_TARGET: lambda one: self._replace(one, crash=True),
             ProgramFault.LEAVE_TARGET: lambda one: self._replace(one, crash=False),
             ProgramFault.PAUSE_TARGET: lambda one: self._pause(one, self._target(one).program),
@@ -67,6 +76,7 @@
     def play(self) -> dict[str, Any]:
         """Play everything; return figures."""
         began = time.monotonic()
+        self._fleet.target_ended = lambda target: gevent.spawn(self._replace_ended, target)
         try:
             tasks = [gevent.spawn(self._strike, planned) for planned in self._plan]
             changes = gevent.spawn(self._change)
@@ -106,7 +116,9 @@
     def _restart(self, planned: Planned, number: signal.Signals) -> None:
         router = self._router(planned)
         if self._take(router):
+            self._promises.disturb()
             self._fleet.restart_router(router, number)
+            self._promises.calm(time.monotonic())
             self._struck.remove(router)
 
     def _replace(self, planned: Planned, *, crash: bool) -> None:
@@ -115,6 +127,22 @@
             self._fleet.replace_target(target, crash=crash)
             self._struck.remove(target)
 
+    def _replace_ended(self, target: Target) -> None:
+        """Start another one, unless a fault is about to do so."""
+        if target not in self._struck:
+            self._struck.add(target)
+            self._fleet.replace_target(target, crash=True)
+            self._struck.remove(target)
+
+    def _pause_router(self, planned: Planned, *, suspended: bool) -> None:
+        program = self._router(planned).program
+        if suspended:
+            program.signal(SUSPENDING)
+            gevent.sleep(NOTICE_SECONDS)
+        self._promises.disturb()
+        self._pause(planned, program)
+        self._promises.calm(time.monotonic())
+
     def _pause(self, planned: Planned, program: Program) -> None:
         # A router or target that is being replaced may end meanwhile; its signals go nowhere then.
         if self._take(program):
@@ -150,17 +178,27 @@
 
     def _await_service(self) -> None:
         until = time.monotonic() + SERVES_SECONDS
-        missing = [(router.address, kind) for router in self._fleet.routers for kind in PATHS]
+        # Each kind, and also those that are harmless though they ran beside what ends targets.
+        missing = [
+            (router.address, kind, body)
+            for router in self._fleet.routers
+            for kind in PATHS
+            for body in (b"", *SAME_BODIES)
+        ]
         asked = 0
         while missing and time.monotonic() < until:
             asked += 1
-            missing = [one for one in missing if not self._serves(*one, f"end-{asked}-{one[1]}")]
+            missing = [
+                one
+                for number, one in enumerate(missing)
+                if not self._serves(*one, f"end-{asked}-{number}-{one[1]}")
+            ]
             gevent.sleep(LOOK_SECONDS)
-        for address, kind in missing:
-            detail = f"{address} serves no {kind} {SERVES_SECONDS} s after the last fault"
+        for address, kind, body in missing:
+            detail = f"{address} serves no {kind} {body!r} {SERVES_SECONDS} s after the last fault"
             self.breaches.append(Breach(Promise.SERVES_AGAIN, detail))
 
-    def _serves(self, address: str, kind: str, attempt: str) -> bool:
+    def _serves(self, address: str, kind: str, body: bytes, attempt: str) -> bool:
         attempt_id = f"{attempt}-{address}"
         self._promises.note_sent(attempt_id, kind)
         client = HTTPClient.from_url(
@@ -168,7 +206,8 @@
         )
         try:
             headers = request_headers(attempt_id, ASK_SECONDS)
-            return client.post(f"{PATHS[kind]}x", body=b"", headers=headers).status_code == HTTP_OK
+            answer = client.post(f"{PATHS[kind]}x", body=body, headers=headers)
+            return answer.status_code == HTTP_OK
         except Exception:  # the client raises many types on a broken connection
             return False
         finally:
@@ -183,6 +222,8 @@
             "whole": promises.answered,
             "refused": promises.refused,
             "runs": promises.runs,
+            "targets_ended": promises.ended,
+            "sent_after_known": promises.sent_later,
             "versions": self._fleet.version,
             "seen_after_p50": round(statistics.median(lags), 2) if lags else None,
             "seen_after_most": _most(lags),
--- a/packages/loomyard-standins/src/loomyard_standins/programs/target_program.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/target_program.py
@@ -1,4 +1,4 @@
-"""A target as a program: it says each request that it begins to run, and fails some on purpose."""
+"""A target as a program: it says each request that it begins to run, and fails on purpose."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 
 monkey.patch_all()
 
+import os  # noqa: E402
 import random  # noqa: E402
 import socket  # noqa: E402
 import sys  # noqa: E402
@@ -16,12 +17,14 @@
 
 from loomyard_standins.programs.words import (  # noqa: E402
     ATTEMPT_ID,
+    ENDING_BODIES,
     NOT_EXECUTED,
     STAMP,
     STREAM,
     STREAM_EVENTS,
     say,
     stream_event,
+    told,
     whole_answer,
 )
 
@@ -32,6 +35,7 @@
 WORK_SECONDS = 0.02
 EVENT_SECONDS = 0.03
 BLOCK_BYTES = 65536
+ENDED = 1
 
 
 @define(eq=False)
@@ -69,8 +73,11 @@
         if self.source.random() < REFUSED_PART:
             sock.sendall(_head("503 Service Unavailable", attempt_id, f"{NOT_EXECUTED}: 1", 0))
             return True
-        say(run=attempt_id, target=self.id, after=fields.get("last-event-id", ""))
+        ending = next((kind for kind, ends in ENDING_BODIES.items() if ends == body), None)
+        say(run=attempt_id, target=self.id, after=fields.get("last-event-id", ""), ending=ending)
         gevent.sleep(WORK_SECONDS)
+        if ending is not None:
+            self._end(ending)
         stamp = f"{STAMP}: {self.id}.{attempt_id}"
         if self.source.random() < ERROR_PART:
             sock.sendall(_head("500 Internal Server Error", attempt_id, stamp, 0))
@@ -83,6 +90,12 @@
         sock.sendall(answer if whole else answer[: len(answer) // 2])
         return whole
 
+    def _end(self, ending: str) -> None:
+        """End once the running process has closed the address, as a machine does at once."""
+        say(ends=ending, target=self.id)
+        next(told(), None)
+        os._exit(ENDED)
+
     def _stream(
         self,
         sock: socket.socket,
--- a/packages/loomyard-standins/src/loomyard_standins/programs/words.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/words.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import json
+import signal
 import sys
 import time
 from typing import TYPE_CHECKING, Any
@@ -13,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+# Said to a router's process before a stop that is a suspension.
+SUSPENDING = signal.SIGUSR1
 STREAM_EVENTS = 12
 MILLISECONDS = 1000
 HTTP_OK = 200
@@ -34,6 +37,10 @@
 # Kinds of requests, and the paths under which their routes stand.
 ONCE, REPEATABLE, STREAM = "non_idempotent", "idempotent", "streaming"
 PATHS = {ONCE: "/once/", REPEATABLE: "/again/", STREAM: "/stream/"}
+# A target that begins to run one of these ends, and all that runs there with it.
+ENDING_BODIES = {kind: f"ends targets {kind}".encode() for kind in PATHS}
+# Harmless ones that come again word for word.
+SAME_BODIES = [f"the same {number}".encode() for number in range(4)]
 
 
 def say(**fields: Any) -> None:
--- a/tests/test_loomyard_standins/test_programs/test_promises.py
+++ b/tests/test_loomyard_standins/test_programs/test_promises.py
@@ -5,7 +5,13 @@
 import unittest
 from typing import Any
 
-from loomyard_standins.programs.promises import Promise, Promises
+from loomyard_standins.programs.promises import (
+    KNOWN_ENDS,
+    KNOWN_SECONDS,
+    MORE_SENDS,
+    Promise,
+    Promises,
+)
 from loomyard_standins.programs.words import ONCE, REPEATABLE
 
 ROUTER = "127.0.0.1:1"
@@ -43,6 +49,35 @@
             runs = [{"run": kind, "target": target} for target in ("t1", "t2")]
             self.assertEqual(expected, self.broken({"sent": kind, "kind": kind}, *runs))
 
+    def ending(self, number: int, at: float) -> dict[str, Any]:
+        return {"run": f"e{number}", "target": f"t{number}", "ending": ONCE, "at": at}
+
+    def end_three(self) -> None:
+        for number in range(KNOWN_ENDS):
+            self.broken({"ends": ONCE, "target": f"t{number}", "at": float(number)})
+
+    def test_a_request_that_ends_targets_and_is_sent_on(self) -> None:
+        self.end_three()
+        late = KNOWN_ENDS + KNOWN_SECONDS
+        runs = [self.ending(number, late + number) for number in range(MORE_SENDS + 1)]
+        self.assertEqual([Promise.FEW_ENDS], self.broken(*runs))
+
+    def test_what_is_sent_before_news_had_its_time_is_no_breach(self) -> None:
+        self.end_three()
+        early = KNOWN_ENDS - 1 + KNOWN_SECONDS
+        self.assertEqual([], self.broken(*[self.ending(n, early) for n in range(9)]))
+
+    def test_nor_is_what_is_sent_while_a_router_may_know_less(self) -> None:
+        self.end_three()
+        self.promises.disturb()
+        self.assertEqual([], self.broken(*[self.ending(n, 20.0) for n in range(9)]))
+        self.promises.calm(30.0)
+        self.assertEqual([], self.broken(*[self.ending(n, 30.0) for n in range(9)]))
+        later = 31.0 + KNOWN_SECONDS
+        self.assertEqual(
+            [Promise.FEW_ENDS], self.broken(*[self.ending(n, later) for n in range(4)])
+        )
+
     def test_what_nobody_sent(self) -> None:
         self.assertEqual([], self.broken({"run": "x", "target": "t1"}))
         self.assertEqual([Promise.ASKED], [one.promise for one in self.promises.unasked()])
