--- a/packages/loomyard-standins/src/loomyard_standins/programs/caller_program.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/caller_program.py
@@ -44,7 +44,7 @@
 # A part of the requests is the same word for word each time.
 SAME_PART = 0.3
 # Seconds between two comings of a request that ends targets, on average.
-ENDING_SECONDS = 1.0
+ENDING_SECONDS = 0.5
 
 
 @define(eq=False)
@@ -70,12 +70,17 @@
             gevent.sleep(PAUSE_SECONDS * self.source.random())
 
     def run_ending(self) -> None:
-        """Come again and again with requests that end targets, at any router."""
+        """Come again and again with one that ends targets, and with harmless ones beside it."""
+        kind = self.source.choice(list(PATHS))
         while True:
             gevent.sleep(2 * ENDING_SECONDS * self.source.random())
-            self._asked += 1
-            kind = self.source.choice(list(PATHS))
-            self._request(self.source.choice(self.routers), kind, ENDING_BODIES[kind])
+            router = self.source.choice(self.routers)
+            asking = []
+            for body in (*SAME_BODIES, ENDING_BODIES[kind]):
+                self._asked += 1
+                asking.append(gevent.spawn(self._request, router, kind, body))
+                gevent.sleep(0)
+            gevent.joinall(asking)
 
     def _choose_body(self) -> bytes:
         if self.source.random() < SAME_PART:
--- a/packages/loomyard-standins/src/loomyard_standins/programs/promises.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/promises.py
@@ -59,8 +59,10 @@
     sent_later: int = 0
     _ends: defaultdict[str, list[float]] = field(factory=lambda: defaultdict(list))
     _late_sends: Counter[str] = field(factory=Counter)
-    _disturbed: int = 0
-    _calm_since: float = 0.0
+    # Routers that stand still or start, and since when the others run.
+    _disturbed: set[str] = field(factory=set)
+    _calm_since: dict[str, float] = field(factory=dict)
+    _routers: dict[str, str] = field(factory=dict)
     _kinds: dict[str, str] = field(factory=dict)
     _ran: defaultdict[str, list[str]] = field(factory=lambda: defaultdict(list))
     _statuses: dict[str, int] = field(factory=dict)
@@ -79,14 +81,14 @@
         """Take in that a target says that it leaves."""
         self._leaving[target] = at
 
-    def disturb(self) -> None:
+    def disturb(self, router: str) -> None:
         """Take in that a router stands still or starts, so that it may know less for a while."""
-        self._disturbed += 1
+        self._disturbed.add(router)
 
-    def calm(self, at: float) -> None:
+    def calm(self, router: str, at: float) -> None:
         """Take in that it runs again."""
-        self._disturbed -= 1
-        self._calm_since = max(self._calm_since, at)
+        self._disturbed.discard(router)
+        self._calm_since[router] = at
 
     def note_sent(self, attempt_id: str, kind: str) -> None:
         """Take in that a request goes out."""
@@ -97,6 +99,7 @@
         """Take in what a program said."""
         if "sent" in said:
             self.note_sent(said["sent"], said["kind"])
+            self._routers[said["sent"]] = said.get("router", "")
         elif "run" in said:
             yield from self._take_run(said)
         elif "ends" in said:
@@ -129,15 +132,15 @@
             detail = f"{attempt_id} got {self._statuses[attempt_id]}, then ran at {targets}"
             yield Breach(Promise.NOT_RUN, detail)
         if said.get("ending") is not None:
-            yield from self._take_ending_run(said["ending"], said["at"])
+            yield from self._take_ending_run(said["ending"], attempt_id, said["at"])
         if len(targets) > 1 and self._kinds.get(attempt_id) == ONCE:
             yield Breach(Promise.AT_MOST_ONCE, f"{attempt_id} ran at {targets}")
 
-    def _take_ending_run(self, ending: str, at: float) -> Iterator[Breach]:
-        ends = self._ends[ending]
-        if len(ends) < KNOWN_ENDS or self._disturbed:
+    def _take_ending_run(self, ending: str, attempt_id: str, at: float) -> Iterator[Breach]:
+        ends, router = self._ends[ending], self._routers.get(attempt_id, "")
+        if len(ends) < KNOWN_ENDS or router in self._disturbed:
             return
-        if at <= max(ends[KNOWN_ENDS - 1], self._calm_since) + KNOWN_SECONDS:
+        if at <= max(ends[KNOWN_ENDS - 1], self._calm_since.get(router, 0.0)) + KNOWN_SECONDS:
             return
         self.sent_later += 1
         self._late_sends[ending] += 1
--- a/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
@@ -11,6 +11,7 @@
 import gevent
 from geventhttpclient import HTTPClient
 
+from loomyard_standins.programs.documents import READY_PORT
 from loomyard_standins.programs.fault_plan import ProgramFault, draw_plan
 from loomyard_standins.programs.fault_proxy import LinkFault
 from loomyard_standins.programs.program_fleet import ProgramFleet
@@ -116,9 +117,10 @@
     def _restart(self, planned: Planned, number: signal.Signals) -> None:
         router = self._router(planned)
         if self._take(router):
-            self._promises.disturb()
+            self._promises.disturb(router.address)
             self._fleet.restart_router(router, number)
-            self._promises.calm(time.monotonic())
+            self._await_ready(router)
+            self._promises.calm(router.address, time.monotonic())
             self._struck.remove(router)
 
     def _replace(self, planned: Planned, *, crash: bool) -> None:
@@ -127,6 +129,12 @@
             self._fleet.replace_target(target, crash=crash)
             self._struck.remove(target)
 
+    def _await_ready(self, router: Router) -> None:
+        """Wait until a router serves; a busy machine takes seconds to start it."""
+        until = time.monotonic() + SERVES_SECONDS
+        while not _is_ready(router) and time.monotonic() < until:
+            gevent.sleep(LOOK_SECONDS)
+
     def _replace_ended(self, target: Target) -> None:
         """Start another one, unless a fault is about to do so."""
         if target not in self._struck:
@@ -135,13 +143,13 @@
             self._struck.remove(target)
 
     def _pause_router(self, planned: Planned, *, suspended: bool) -> None:
-        program = self._router(planned).program
+        router = self._router(planned)
         if suspended:
-            program.signal(SUSPENDING)
+            router.program.signal(SUSPENDING)
             gevent.sleep(NOTICE_SECONDS)
-        self._promises.disturb()
-        self._pause(planned, program)
-        self._promises.calm(time.monotonic())
+        self._promises.disturb(router.address)
+        self._pause(planned, router.program)
+        self._promises.calm(router.address, time.monotonic())
 
     def _pause(self, planned: Planned, program: Program) -> None:
         # A router or target that is being replaced may end meanwhile; its signals go nowhere then.
@@ -234,5 +242,17 @@
         }
 
 
+def _is_ready(router: Router) -> bool:
+    client = HTTPClient(
+        router.host, READY_PORT, connection_timeout=ASK_SECONDS, network_timeout=ASK_SECONDS
+    )
+    try:
+        return client.get("/readyz").status_code == HTTP_OK
+    except Exception:  # the client raises many types on a broken connection
+        return False
+    finally:
+        client.close()
+
+
 def _most(seconds: list[float]) -> float | None:
     return round(max(seconds), 2) if seconds else None
--- a/tests/test_loomyard_standins/test_programs/test_promises.py
+++ b/tests/test_loomyard_standins/test_programs/test_promises.py
@@ -50,7 +50,9 @@
             self.assertEqual(expected, self.broken({"sent": kind, "kind": kind}, *runs))
 
     def ending(self, number: int, at: float) -> dict[str, Any]:
-        return {"run": f"e{number}", "target": f"t{number}", "ending": ONCE, "at": at}
+        name = f"e{number}-{at}"
+        self.broken({"sent": name, "kind": REPEATABLE, "router": ROUTER})
+        return {"run": name, "target": f"t{number}", "ending": ONCE, "at": at}
 
     def end_three(self) -> None:
         for number in range(KNOWN_ENDS):
@@ -69,9 +71,9 @@
 
     def test_nor_is_what_is_sent_while_a_router_may_know_less(self) -> None:
         self.end_three()
-        self.promises.disturb()
+        self.promises.disturb(ROUTER)
         self.assertEqual([], self.broken(*[self.ending(n, 20.0) for n in range(9)]))
-        self.promises.calm(30.0)
+        self.promises.calm(ROUTER, 30.0)
         self.assertEqual([], self.broken(*[self.ending(n, 30.0) for n in range(9)]))
         later = 31.0 + KNOWN_SECONDS
         self.assertEqual(
