Let the soak of the real programs learn what targets, operators and other writers say

Targets start again under their id (born), are cold, stand in two data centres of which one is emptied and taken back, and another writer leaves entries that can't be read, also under a target's id and the configuration's key. Two promises that are seconds have a verdict where nothing on their way was struck: an emptied data centre gets nothing new 4 s after the order, a cold target no more than it bears.

--- a/packages/loomyard-standins/src/loomyard_standins/programs/documents.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/documents.py
@@ -7,6 +7,7 @@
 from loomyard_standins.programs.words import (
     HOST,
     KEY,
+    MILLISECONDS,
     ONCE,
     PATHS,
     PROBE_HOST,
@@ -20,6 +21,11 @@
 PLAIN_SERVICE, ENGINE_SERVICE = "plain", "engine"
 SERVICES = {ONCE: PLAIN_SERVICE, REPEATABLE: PLAIN_SERVICE, STREAM: ENGINE_SERVICE}
 SLOTS = 8
+# Of the targets of each service one stands in each; routers stand in the first.
+DATA_CENTRES = ("a", "b")
+EMPTYING = "evacuate/"
+# What a cold target bears, in requests a second.
+COLD_PER_SECOND = 4
 FRONT_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 8080, 8081, 8082, 7400
 GRACE_SECONDS = 4
 TERMS = {"timeout_ms": 5000, "slo_ms": 1000, "max_attempts": 3}
@@ -52,10 +58,11 @@
         for number in range(1, version + 1)
     ]
     services = [
-        {"name": PLAIN_SERVICE, "max_conns": 100},
+        {"name": PLAIN_SERVICE, "max_conns": 100, "cold_per_s": COLD_PER_SECOND},
         {
             "name": ENGINE_SERVICE,
             "max_conns": 100,
+            "cold_per_s": COLD_PER_SECOND,
             "engine": {"slots": SLOTS, "kv_capacity": 100_000},
         },
     ]
@@ -69,18 +76,27 @@
     return json.dumps(document)
 
 
-def announcement(service: str, address: str, *, draining: bool) -> str:
+def announcement(
+    service: str, address: str, *, data_centre: str, born: int, draining: bool, cold_seconds: float
+) -> str:
     """Return what a target says of itself."""
     document = {
         "service": service,
         "address": address,
-        "zone": "a",
+        "zone": data_centre,
         "slots": SLOTS,
         "state": "draining" if draining else "ready",
+        "born": born,
+        "cold_left_ms": round(cold_seconds * MILLISECONDS),
     }
     return json.dumps(document)
 
 
+def emptying_key(data_centre: str) -> str:
+    """Return the key under which an operator empties a data centre."""
+    return f"{EMPTYING}{data_centre}"
+
+
 def settings(name: str, host: str, seeds: list[str], store: str) -> str:
     """Return the settings file of a router."""
     fields = {
--- a/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
@@ -16,7 +16,7 @@
 from loomyard_standins.programs import documents
 from loomyard_standins.programs.fault_proxy import FaultProxy
 from loomyard_standins.programs.program import Program
-from loomyard_standins.programs.words import ONCE, STREAM
+from loomyard_standins.programs.words import ONCE, STREAM, SUSPENDING
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -25,7 +25,6 @@
     from loomyard_standins.programs.program import Listener
     from loomyard_standins.programs.promises import Breach, Promises
 
-TARGETS_OF_EACH = 2
 MODULES = "loomyard_standins.programs"
 ROUTER_MODULE = f"{MODULES}.suspended_router"
 SECRET = "a secret of this run"
@@ -51,12 +50,15 @@
 
 @define(eq=False)
 class Target:
-    """One life of a target."""
+    """One life of a target; ``cold_seconds`` are left of its being cold when it says so."""
 
     id: str
     kind: str
+    data_centre: str
+    born: int
     link: FaultProxy
     program: Program
+    cold_seconds: float = 0.0
 
 
 class ProgramFleet:
@@ -74,13 +76,18 @@
         self._ending = False
         self._lives = 0
         self._programs: list[Program] = []
+        # Programs inherit it: one that is still starting must not end by the notice of a
+        # suspension.
+        signal.signal(SUSPENDING, signal.SIG_IGN)
         # Addresses of loopback that other runs on this machine do not use.
         number = os.getpid()
         self._base = f"127.{1 + number // 250 % 250}.{number % 250}"
         self._store_host = f"{self._base}.1"
         self.store = self._start("store", "store_program", f"{self._store_host}:0")
         self.targets = [
-            self._start_target(kind) for kind in (ONCE, STREAM) for _ in range(TARGETS_OF_EACH)
+            self._start_target(kind, data_centre)
+            for kind in (ONCE, STREAM)
+            for data_centre in documents.DATA_CENTRES
         ]
         self.publish_configuration()
         hosts = [f"{self._base}.{FIRST_HOST + number}" for number in range(routers)]
@@ -123,13 +130,35 @@
             self._promises.note_leaving(target.id, time.monotonic())
             gevent.sleep(LEAVE_SECONDS)
         self._publish(documents.TARGETS_TOPIC, target.id, None)
-        self.targets.append(self._start_target(target.kind))
+        self.targets.append(self._start_target(target.kind, target.data_centre))
         self.targets.remove(target)
         if not crash:
             gevent.sleep(LAPSE_SECONDS)
             target.program.end()
         target.link.stop()
 
+    def restart_target(self, target: Target) -> None:
+        """End a target at once and start it again under its id, which another life has then."""
+        target.link.refuse()
+        target.program.end()
+        gevent.sleep(LAPSE_SECONDS)
+        self.targets.append(self._start_target(target.kind, target.data_centre, id_=target.id))
+        self.targets.remove(target)
+        target.link.stop()
+
+    def announce(self, target: Target) -> None:
+        """Let a target say what it is."""
+        self._announce(target, draining=False)
+
+    def publish_order(self, data_centre: str, *, emptied: bool) -> None:
+        """Empty a data centre, or take it back."""
+        key = documents.emptying_key(data_centre)
+        self._publish(documents.CONFIGURATION_TOPIC, key, "{}" if emptied else None)
+
+    def publish_entry(self, topic: str, key: str, value: str | None) -> None:
+        """Write as anybody may."""
+        self._publish(topic, key, value)
+
     def end(self) -> None:
         """End every process that this fleet started, and no other; none starts from now on."""
         self._ending = True
@@ -153,21 +182,29 @@
         }
         return self._launch(name, ROUTER_MODULE, lambda _: None, environment=environment)
 
-    def _start_target(self, kind: str) -> Target:
+    def _start_target(self, kind: str, data_centre: str, *, id_: str = "") -> Target:
         self._lives += 1
-        id_ = f"t{self._lives}"
-        program = self._start(
-            id_, "target_program", id_, kind, self._store_host, f"{self._seed} {id_}"
-        )
+        id_ = id_ or f"t{self._lives}"
+        seed = f"{self._seed} {self._lives}"
+        program = self._start(id_, "target_program", id_, kind, self._store_host, seed)
         link = FaultProxy(self._store_host, (self._store_host, program.port), self.clock)
         link.start()
-        target = Target(id_, kind, link, program)
+        # The number of a life stands in for the time at which it began.
+        target = Target(id_, kind, data_centre, self._lives, link, program)
+        self._promises.note_target(id_, data_centre)
         self._announce(target, draining=False)
         return target
 
     def _announce(self, target: Target, *, draining: bool) -> None:
         service = documents.SERVICES[target.kind]
-        value = documents.announcement(service, target.link.address, draining=draining)
+        value = documents.announcement(
+            service,
+            target.link.address,
+            data_centre=target.data_centre,
+            born=target.born,
+            draining=draining,
+            cold_seconds=target.cold_seconds,
+        )
         self._publish(documents.TARGETS_TOPIC, target.id, value)
 
     def _publish(self, topic: str, key: str, value: str | None, **more: int) -> None:
--- a/packages/loomyard-standins/src/loomyard_standins/programs/promises.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/promises.py
@@ -8,6 +8,7 @@
 
 from attrs import define, field, frozen
 
+from loomyard_standins.programs.documents import COLD_PER_SECOND, EMPTYING
 from loomyard_standins.programs.words import HTTP_OK, NOT_RUN_STATUSES, ONCE
 
 if TYPE_CHECKING:
@@ -19,6 +20,11 @@
 KNOWN_ENDS = 3
 KNOWN_SECONDS = 3.0
 MORE_SENDS = 3
+# An order is in force 2.5 s after its acknowledgement; as long after faults of what it comes by.
+ORDER_SECONDS = 4.0
+COLD_WINDOW = 1.0
+MOST_COLD_RUNS = int(1.5 * COLD_PER_SECOND) + 5
+STORE = "store"
 
 
 class Promise(Enum):
@@ -29,6 +35,8 @@
     AT_MOST_ONCE = "a request that may not be repeated runs at most once"
     ASKED = "a target runs what a caller sent and nothing else"
     NEVER_BACK = "the configuration that a router serves never goes back"
+    EMPTIED = "a data centre that is emptied gets no new work after some seconds"
+    COLD = "a cold target gets no more than it bears"
     FEW_ENDS = "a request under which three targets ended is sent to three more at most"
     SERVES_AGAIN = "once the faults are over every router serves every kind of request"
 
@@ -63,6 +71,10 @@
     _disturbed: set[str] = field(factory=set)
     _calm_since: dict[str, float] = field(factory=dict)
     _routers: dict[str, str] = field(factory=dict)
+    _data_centres: dict[str, str] = field(factory=dict)
+    _emptied: dict[str, float] = field(factory=dict)
+    _cold: dict[str, float] = field(factory=dict)
+    _cold_runs: defaultdict[str, list[float]] = field(factory=lambda: defaultdict(list))
     _kinds: dict[str, str] = field(factory=dict)
     _ran: defaultdict[str, list[str]] = field(factory=lambda: defaultdict(list))
     _statuses: dict[str, int] = field(factory=dict)
@@ -81,14 +93,27 @@
         """Take in that a target says that it leaves."""
         self._leaving[target] = at
 
-    def disturb(self, router: str) -> None:
-        """Take in that a router stands still or starts, so that it may know less for a while."""
-        self._disturbed.add(router)
+    def note_target(self, target: str, data_centre: str) -> None:
+        """Take in that a life of a target begins."""
+        self._data_centres[target] = data_centre
+        self._leaving.pop(target, None)
+        self._cold.pop(target, None)
 
-    def calm(self, router: str, at: float) -> None:
+    def note_cold(self, target: str, at: float | None) -> None:
+        """Take in that a target says that it is cold, or that it is not any more."""
+        if at is None:
+            self._cold.pop(target, None)
+        else:
+            self._cold[target] = at
+
+    def disturb(self, who: str) -> None:
+        """Take in that a router, a target or the store is struck, so that it may know less."""
+        self._disturbed.add(who)
+
+    def calm(self, who: str, at: float) -> None:
         """Take in that it runs again."""
-        self._disturbed.discard(router)
-        self._calm_since[router] = at
+        self._disturbed.discard(who)
+        self._calm_since[who] = at
 
     def note_sent(self, attempt_id: str, kind: str) -> None:
         """Take in that a request goes out."""
@@ -111,6 +136,8 @@
             self._left[said["left"]] = said["at"]
         elif "probe" in said:
             yield from self._take_probe(said)
+        elif str(said.get("acked")).startswith(EMPTYING):
+            self._take_order(said)
         elif said.get("version") is not None:
             self._acked[said["version"]] = said["at"]
 
@@ -128,6 +155,7 @@
             self.after_leaving.append(said["at"] - self._leaving[said["target"]])
         if attempt_id in self._left:
             self.after_caller.append(said["at"] - self._left[attempt_id])
+        yield from self._take_heeded(said["target"], attempt_id, said["at"])
         if attempt_id in self._statuses:
             detail = f"{attempt_id} got {self._statuses[attempt_id]}, then ran at {targets}"
             yield Breach(Promise.NOT_RUN, detail)
@@ -136,6 +164,32 @@
         if len(targets) > 1 and self._kinds.get(attempt_id) == ONCE:
             yield Breach(Promise.AT_MOST_ONCE, f"{attempt_id} ran at {targets}")
 
+    def _take_order(self, said: dict[str, Any]) -> None:
+        data_centre = said["acked"].removeprefix(EMPTYING)
+        if said["dropped"]:
+            self._emptied.pop(data_centre, None)
+        else:
+            self._emptied[data_centre] = said["at"]
+
+    def _take_heeded(self, target: str, attempt_id: str, at: float) -> Iterator[Breach]:
+        """Judge a run by what is said of its target, where nothing that says so was struck."""
+        struck = (self._routers.get(attempt_id, ""), target, STORE)
+        if self._disturbed.intersection(struck):
+            return
+        calm = max(self._calm_since.get(one, 0.0) for one in struck)
+        data_centre = self._data_centres.get(target, "")
+        emptied = self._emptied.get(data_centre)
+        if emptied is not None and at > max(calm, emptied) + ORDER_SECONDS:
+            detail = f"{attempt_id} ran at {target} in {data_centre} {at - emptied:.2f} s after"
+            yield Breach(Promise.EMPTIED, detail)
+        cold = self._cold.get(target)
+        if cold is not None and at > max(calm, cold) + ORDER_SECONDS:
+            runs = self._cold_runs[target]
+            runs.append(at)
+            lately = sum(at - run <= COLD_WINDOW for run in runs)
+            if lately > MOST_COLD_RUNS:
+                yield Breach(Promise.COLD, f"{target} ran {lately} requests in a second")
+
     def _take_ending_run(self, ending: str, attempt_id: str, at: float) -> Iterator[Breach]:
         ends, router = self._ends[ending], self._routers.get(attempt_id, "")
         if len(ends) < KNOWN_ENDS or router in self._disturbed:
--- a/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
@@ -6,16 +6,23 @@
 import signal
 import statistics
 import time
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any
 
 import gevent
 from geventhttpclient import HTTPClient
 
-from loomyard_standins.programs.documents import READY_PORT
+from loomyard_standins.programs.documents import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    DATA_CENTRES,
+    READY_PORT,
+    TARGETS_TOPIC,
+)
 from loomyard_standins.programs.fault_plan import ProgramFault, draw_plan
 from loomyard_standins.programs.fault_proxy import LinkFault
 from loomyard_standins.programs.program_fleet import ProgramFleet
-from loomyard_standins.programs.promises import Breach, Promise, Promises
+from loomyard_standins.programs.promises import STORE, Breach, Promise, Promises
 from loomyard_standins.programs.words import (
     HTTP_OK,
     PATHS,
@@ -25,7 +32,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
     from pathlib import Path
 
     from loomyard_standins.programs.fault_plan import Planned
@@ -39,6 +46,17 @@
 LOOK_SECONDS = 0.2
 # The notice of a suspension has to be heard before the stop.
 NOTICE_SECONDS = 0.3
+# How long a target stays cold and a data centre emptied.
+LONG_SECONDS = 8.0
+# What anybody may write.
+NONSENSE = (
+    "",
+    "{",
+    "[" * 100_000,
+    '{"service": ["plain"], "address": 7, "slots": 1e18, "state": "new"}',
+    '{"version": "no number", "routes": 3}',
+    '{"service": "plain", "address": "127.0.0.1:99999999", "state": "ready", "slots": 8}',
+)
 LINK_FAULTS = (LinkFault.SILENT, LinkFault.ONE_WAY, LinkFault.DELAYED, LinkFault.RESET)
 
 
@@ -62,9 +80,13 @@
             ProgramFault.SUSPEND_ROUTER: lambda one: self._pause_router(one, suspended=True),
             ProgramFault.CRASH_TARGET: lambda one: self._replace(one, crash=True),
             ProgramFault.LEAVE_TARGET: lambda one: self._replace(one, crash=False),
-            ProgramFault.PAUSE_TARGET: lambda one: self._pause(one, self._target(one).program),
+            ProgramFault.PAUSE_TARGET: self._pause_target,
+            ProgramFault.REBORN_TARGET: self._restart_target,
+            ProgramFault.COLD_TARGET: self._cool,
+            ProgramFault.EMPTY_DATA_CENTRE: self._empty,
+            ProgramFault.OTHER_WRITER: self._write_nonsense,
             ProgramFault.CUT_TARGET: self._cut_target,
-            ProgramFault.PAUSE_STORE: lambda one: self._pause(one, self._fleet.store),
+            ProgramFault.PAUSE_STORE: self._pause_store,
             ProgramFault.BUSY_STORE: self._refuse,
             ProgramFault.CUT_STORE: lambda one: self._cut_store(one, everyone=False),
             ProgramFault.MUTE_STORE: lambda one: self._cut_store(one, everyone=True),
@@ -117,10 +139,9 @@
     def _restart(self, planned: Planned, number: signal.Signals) -> None:
         router = self._router(planned)
         if self._take(router):
-            self._promises.disturb(router.address)
-            self._fleet.restart_router(router, number)
-            self._await_ready(router)
-            self._promises.calm(router.address, time.monotonic())
+            with self._disturbed(router.address):
+                self._fleet.restart_router(router, number)
+                self._await_ready(router)
             self._struck.remove(router)
 
     def _replace(self, planned: Planned, *, crash: bool) -> None:
@@ -147,9 +168,69 @@
         if suspended:
             router.program.signal(SUSPENDING)
             gevent.sleep(NOTICE_SECONDS)
-        self._promises.disturb(router.address)
-        self._pause(planned, router.program)
-        self._promises.calm(router.address, time.monotonic())
+        with self._disturbed(router.address):
+            self._pause(planned, router.program)
+
+    def _pause_target(self, planned: Planned) -> None:
+        target = self._target(planned)
+        with self._disturbed(target.id):
+            self._pause(planned, target.program)
+
+    def _pause_store(self, planned: Planned) -> None:
+        with self._disturbed(STORE):
+            self._pause(planned, self._fleet.store)
+
+    def _restart_target(self, planned: Planned) -> None:
+        target = self._target(planned)
+        if self._take(target):
+            self._fleet.restart_target(target)
+            self._struck.remove(target)
+
+    def _cool(self, planned: Planned) -> None:
+        target = self._target(planned)
+        if self._take((target, "cold")):
+            target.cold_seconds = LONG_SECONDS
+            self._fleet.announce(target)
+            self._promises.note_cold(target.id, time.monotonic())
+            self._stay(planned)
+            target.cold_seconds = 0.0
+            self._promises.note_cold(target.id, None)
+            if target in self._fleet.targets and target not in self._struck:
+                self._fleet.announce(target)
+            self._struck.remove((target, "cold"))
+
+    def _empty(self, planned: Planned) -> None:
+        # The other one is left to serve.
+        data_centre = DATA_CENTRES[-1]
+        if self._take(data_centre):
+            self._fleet.publish_order(data_centre, emptied=True)
+            self._stay(planned)
+            self._fleet.publish_order(data_centre, emptied=False)
+            self._struck.remove(data_centre)
+
+    def _write_nonsense(self, planned: Planned) -> None:
+        value = NONSENSE[planned.choice % len(NONSENSE)]
+        target = self._target(planned)
+        if self._take((target, "written")):
+            self._fleet.publish_entry(TARGETS_TOPIC, f"other-{planned.choice}", value)
+            self._fleet.publish_entry(CONFIGURATION_TOPIC, CONFIGURATION_KEY, value)
+            self._fleet.publish_entry(TARGETS_TOPIC, target.id, value)
+            gevent.sleep(planned.until - planned.at)
+            if target in self._fleet.targets and target not in self._struck:
+                self._fleet.announce(target)
+            self._struck.remove((target, "written"))
+
+    def _stay(self, planned: Planned) -> None:
+        """Wait for long enough to judge what has to hold after some seconds."""
+        gevent.sleep(min(LONG_SECONDS, max(0.0, self._seconds - planned.at - CHANGE_SECONDS)))
+
+    @contextmanager
+    def _disturbed(self, *who: str) -> Iterator[None]:
+        for one in who:
+            self._promises.disturb(one)
+        yield
+        for one in who:
+            self._promises.calm(one, time.monotonic())
 
     def _pause(self, planned: Planned, program: Program) -> None:
         # A router or target that is being replaced may end meanwhile; its signals go nowhere then.
@@ -161,27 +242,32 @@
 
     def _refuse(self, planned: Planned) -> None:
         if self._take(ProgramFault.BUSY_STORE):
-            self._fleet.store.tell(json.dumps({"busy": True}))
-            gevent.sleep(planned.until - planned.at)
-            self._fleet.store.tell(json.dumps({"busy": False}))
+            with self._disturbed(STORE):
+                self._fleet.store.tell(json.dumps({"busy": True}))
+                gevent.sleep(planned.until - planned.at)
+                self._fleet.store.tell(json.dumps({"busy": False}))
             self._struck.remove(ProgramFault.BUSY_STORE)
 
     def _cut_target(self, planned: Planned) -> None:
         target = self._target(planned)
         if self._take(target.link):
-            target.link.set_fault(LINK_FAULTS[planned.choice % len(LINK_FAULTS)])
-            gevent.sleep(planned.until - planned.at)
-            target.link.set_fault(LinkFault.NONE)
+            with self._disturbed(target.id):
+                target.link.set_fault(LINK_FAULTS[planned.choice % len(LINK_FAULTS)])
+                gevent.sleep(planned.until - planned.at)
+                target.link.set_fault(LinkFault.NONE)
             self._struck.remove(target.link)
 
     def _cut_store(self, planned: Planned, *, everyone: bool) -> None:
         routers = self._fleet.routers if everyone else [self._router(planned)]
         links = [router.store for router in routers if self._take(router.store)]
+        struck = [router.address for router in routers if router.store in links]
+        with self._disturbed(*struck):
+            for link in links:
+                link.set_fault(LINK_FAULTS[planned.choice % len(LINK_FAULTS)])
+            gevent.sleep(planned.until - planned.at)
+            for link in links:
+                link.set_fault(LinkFault.NONE)
         for link in links:
-            link.set_fault(LINK_FAULTS[planned.choice % len(LINK_FAULTS)])
-        gevent.sleep(planned.until - planned.at)
-        for link in links:
-            link.set_fault(LinkFault.NONE)
             self._struck.remove(link)
 
     def _await_service(self) -> None:
--- a/packages/loomyard-standins/src/loomyard_standins/programs/store_program.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/store_program.py
@@ -71,7 +71,7 @@
                 continue
             value = None if told["value"] is None else told["value"].encode()
             self.topics[told["topic"]].add(told["key"], value)
-            say(acked=told["key"], version=told.get("version"))
+            say(acked=told["key"], version=told.get("version"), dropped=value is None)
 
     def _read(self, topic: Topic, offset: int, wait: float) -> bytes:
         with gevent.Timeout(wait, False):
--- a/tests/test_loomyard_standins/test_programs/test_promises.py
+++ b/tests/test_loomyard_standins/test_programs/test_promises.py
@@ -5,10 +5,14 @@
 import unittest
 from typing import Any
 
+from loomyard_standins.programs.documents import EMPTYING
 from loomyard_standins.programs.promises import (
     KNOWN_ENDS,
     KNOWN_SECONDS,
     MORE_SENDS,
+    MOST_COLD_RUNS,
+    ORDER_SECONDS,
+    STORE,
     Promise,
     Promises,
 )
@@ -80,6 +84,41 @@
             [Promise.FEW_ENDS], self.broken(*[self.ending(n, later) for n in range(4)])
         )
 
+    def run_of(self, name: str, at: float, target: str = "t1") -> dict[str, Any]:
+        self.broken({"sent": name, "kind": REPEATABLE, "router": ROUTER})
+        return {"run": name, "target": target, "at": at}
+
+    def order(self, *, dropped: bool, at: float) -> dict[str, Any]:
+        return {"acked": f"{EMPTYING}b", "version": None, "dropped": dropped, "at": at}
+
+    def test_work_in_an_emptied_data_centre(self) -> None:
+        self.promises.note_target("t1", "b")
+        self.promises.note_target("t2", "a")
+        self.broken(self.order(dropped=False, at=1.0))
+        late = 1.1 + ORDER_SECONDS
+        self.assertEqual([], self.broken(self.run_of("early", 2.0)))
+        self.assertEqual([], self.broken(self.run_of("elsewhere", late, "t2")))
+        self.assertEqual([Promise.EMPTIED], self.broken(self.run_of("late", late)))
+        self.broken(self.order(dropped=True, at=late))
+        self.assertEqual([], self.broken(self.run_of("back", late + 9.0)))
+
+    def test_nobody_is_held_to_an_order_while_its_way_is_struck(self) -> None:
+        self.promises.note_target("t1", "b")
+        self.broken(self.order(dropped=False, at=1.0))
+        for who in (ROUTER, STORE, "t1"):
+            self.promises.disturb(who)
+            self.assertEqual([], self.broken(self.run_of(f"struck {who}", 20.0)))
+            self.promises.calm(who, 21.0)
+            self.assertEqual([], self.broken(self.run_of(f"just after {who}", 22.0)))
+
+    def test_a_cold_target_that_gets_more_than_it_bears(self) -> None:
+        self.promises.note_target("t1", "a")
+        self.promises.note_cold("t1", 0.0)
+        runs = [self.run_of(f"c{n}", 10.0 + n / 100) for n in range(MOST_COLD_RUNS + 1)]
+        self.assertEqual([Promise.COLD], self.broken(*runs))
+        self.promises.note_cold("t1", None)
+        self.assertEqual([], self.broken(*[self.run_of(f"w{n}", 11.0) for n in range(20)]))
+
     def test_what_nobody_sent(self) -> None:
         self.assertEqual([], self.broken({"run": "x", "target": "t1"}))
         self.assertEqual([Promise.ASKED], [one.promise for one in self.promises.unasked()])
