Give no place to a request that has to run apart while its keeper is silent

Only the keeper knows whether another one has just begun there; without its word such a request is refused now, not run, to come back (the test failed before).

--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -10,7 +10,7 @@
 from loomyard.errors import Fault, ResultCode
 from loomyard.rendezvous import rank
 from loomyard_router.admission.place import Place
-from loomyard_router.admission.place_client import Verdict
+from loomyard_router.admission.place_client import APART_LEVEL, Verdict
 from loomyard_router.admission.waiting_time import RetryHint, wait_until
 
 if TYPE_CHECKING:
@@ -195,8 +195,10 @@
         )
         if verdict is Verdict.FULL:
             return None
-        if verdict is Verdict.UNREACHABLE and not self._loads.spend_part(
-            target, cold_rate, self._clock.now()
+        if verdict is Verdict.UNREACHABLE and (
+            # Only the keeper knows whether another one of them has just begun there.
+            request.suspicion >= APART_LEVEL
+            or not self._loads.spend_part(target, cold_rate, self._clock.now())
         ):
             return None
         self._loads.enter(target)
--- a/tests/test_loomyard_router/test_admission/test_apart.py
+++ b/tests/test_loomyard_router/test_admission/test_apart.py
@@ -50,6 +50,20 @@
         for number in range(1, 2 * SLOTS):
             self.assertTrue(self.take(number, number % APART_LEVEL).is_ok())
 
+    def test_without_a_keeper_that_answers_none_of_them_finds_a_place(self) -> None:
+        """In the soak four of them took a router's own part of one engine, which one of them ended.
+
+        A harmless one had run at all three ends with the guilty one then, and was refused with it.
+        """
+        fleet = Fleet(1)
+        keeper = fleet.routers[0].client.keeper_of(fleet.targets[0].life)
+        router = next(one for one in fleet.routers if one.members.own.name != keeper)
+        fleet.network.cut({keeper}, {router.members.own.name})
+        for suspicion, placed in ((APART_LEVEL, False), (0, True)):
+            request = fleet.request(number=suspicion, objective=OBJECTIVE)
+            request.suspicion = suspicion
+            self.assertEqual(placed, router.gate.take(request, frozenset()).is_ok())
+
     def test_those_that_ran_together_go_different_ways_though_they_share_a_prompt(self) -> None:
         fleet = Fleet(6, slots=100)
         targets = set()
