--- a/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
@@ -216,6 +216,8 @@
             self._fleet.publish_entry(CONFIGURATION_TOPIC, CONFIGURATION_KEY, value)
             self._fleet.publish_entry(TARGETS_TOPIC, target.id, value)
             gevent.sleep(planned.until - planned.at)
+            # A router that starts now would know no configuration, however slowly versions come.
+            self._fleet.publish_configuration()
             if target in self._fleet.targets and target not in self._struck:
                 self._fleet.announce(target)
             self._struck.remove((target, "written"))
