--- a/packages/loomyard-router/src/loomyard_router/crashes/crash_exchange.py
+++ b/packages/loomyard-router/src/loomyard_router/crashes/crash_exchange.py
@@ -35,8 +35,8 @@
 # the others know after one or two; users excuse three seconds and more.
 QUESTION_SECONDS = 1.0
 ANSWER_SECONDS = 0.5
-# Routers among which one is asked, the same ones each time, so that links stay few in a large fleet.
-# On 19 routers that is not to be seen yet: 36.0 s of processor time in 40 s, 35.0 and 37.0 with any.
+# Routers among which one is asked, the same each time, so that links stay few in a large fleet. On
+# 19 routers that is not to be seen yet: 36.0 s of processor time in 40 s, 35.0 and 37.0 with any.
 NEIGHBOURS = 6
 SOON_SECONDS = 0.2
 
