--- a/packages/loomyard-router/src/loomyard_router/crashes/crash_memory.py
+++ b/packages/loomyard-router/src/loomyard_router/crashes/crash_memory.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 import gevent
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 from gevent.event import Event as GeventEvent
 from result import Err, Ok
 
@@ -86,11 +86,16 @@
         self._met = self._met or len(self._members.live()) > 1
         if not self._read or (alone and self._clock.now() >= self._read_at + ALONE_SECONDS):
             return self._read_all()
+        due = self._find_due()
+        return due is None or self._write(*due)
+
+    def _find_due(self) -> tuple[str, KeptRecord | None] | None:
+        """Return the next record that this router has to write, ``None`` in it to drop the key."""
         wanted = self._wanted()
         for key in sorted({*wanted, *self._kept}):
             if wanted.get(key) != self._kept.get(key) and self._is_own(key):
-                return self._write(key, wanted.get(key))
-        return True
+                return key, wanted.get(key)
+        return None
 
     def _read_all(self) -> bool:
         now = self._clock.now()
@@ -132,17 +137,13 @@
         wanted = {}
         for record in self._ledger.records():
             if self._ledger.level(record.fingerprint) >= BLOCKING_LEVEL:
-                kept = self._kept.get(record.fingerprint)
                 ends = sorted(record.ends.items())
-                same = kept is not None and (kept.cleared, kept.ends) == (record.cleared, ends)
+                new = KeptRecord(until=int(record.until + lag), cleared=record.cleared, ends=ends)
+                kept = self._kept.get(record.fingerprint)
                 # What says the same stays, however clocks moved.
-                wanted[record.fingerprint] = (
-                    kept
-                    if same and kept is not None
-                    else KeptRecord(
-                        until=int(record.until + lag), cleared=record.cleared, ends=ends
-                    )
-                )
+                if kept is not None and evolve(new, until=kept.until) == kept:
+                    new = kept
+                wanted[record.fingerprint] = new
         return wanted
 
     def _is_own(self, key: str) -> bool:
@@ -162,19 +163,12 @@
             self._due.clear()
             if self.step():
                 self._failures = 0
-                if not self._has_more():
+                if self._find_due() is None:
                     self._due.wait(timeout=ALONE_SECONDS)
             else:
                 pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2.0 ** min(self._failures, 8))
                 self._clock.sleep(pause)
 
-    def _has_more(self) -> bool:
-        wanted = self._wanted()
-        return any(
-            wanted.get(key) != self._kept.get(key) and self._is_own(key)
-            for key in {*wanted, *self._kept}
-        )
-
 
 def _decode(key: str, value: bytes) -> KeptRecord:
     match unpack(value, KeptRecord):
--- a/packages/loomyard-router/src/loomyard_router/routed/connection_pool.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/connection_pool.py
@@ -62,13 +62,10 @@
 
     def give_back(self, target: AnnouncedTarget, connection: TargetConnection) -> None:
         """Keep a connection if it may be used again, and close it otherwise."""
-        idle = self._idle.setdefault(target.life, [])
-        if not connection.reusable or len(idle) >= MOST_KEPT:
+        if connection.reusable:
+            self._keep(target, connection, _idle_seconds(connection.headers))
+        else:
             connection.close()
-            return
-        connection.rest()
-        now = self._clock.now()
-        idle.append(_Idle(connection, now, now + _idle_seconds(connection.headers)))
 
     def refuses(self, target: AnnouncedTarget) -> bool:
         """Tell whether a target's machine refuses connections; one that comes up is kept."""
@@ -80,12 +77,7 @@
             logger.debug("a target that broke an answer off can't be reached: %r", error)
             return False
         self.opened += 1
-        now = self._clock.now()
-        idle = self._idle.setdefault(target.life, [])
-        if len(idle) < MOST_KEPT:
-            idle.append(_Idle(connection, now, now + MOST_IDLE_SECONDS))
-        else:
-            connection.close()
+        self._keep(target, connection, MOST_IDLE_SECONDS)
         return False
 
     def forget(self, known: set[TargetLife]) -> None:
@@ -101,6 +93,16 @@
             else:
                 del self._idle[life]
 
+    def _keep(self, target: AnnouncedTarget, connection: TargetConnection, seconds: float) -> None:
+        """Keep a connection for up to some seconds, if few are kept."""
+        idle = self._idle.setdefault(target.life, [])
+        if len(idle) >= MOST_KEPT:
+            connection.close()
+            return
+        connection.rest()
+        now = self._clock.now()
+        idle.append(_Idle(connection, now, now + seconds))
+
 
 def _idle_seconds(headers: list[tuple[str, str]]) -> float:
     for name, value in headers:
--- a/packages/loomyard-router/src/loomyard_router/routed/stream_passing.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/stream_passing.py
@@ -80,9 +80,7 @@
         try:
             return self._exchange.connection.read_block(self._request.deadline)
         except ExchangeBrokenError as error:
-            if not self._request.presence.gone:
-                self._forwarder.note_cut(self._request, self._exchange.place)
-            self._break(str(error))
+            self._cut(str(error))
         raise AssertionError("a broken answer raises")
 
     def _resume(self, detail: str) -> bytes:
@@ -90,9 +88,7 @@
         exchange = self._exchange
         assert exchange is not None
         if request.presence.gone or not request.route.resumable or not self._left:
-            if not request.presence.gone:
-                self._forwarder.note_cut(request, exchange.place)
-            self._break(detail)
+            self._cut(detail)
         last_event = str(self._events.last_id) if self._events.last_id >= 0 else ""
         self._forwarder.note_broken(request, exchange.place, detail)
         self.close()
@@ -115,6 +111,12 @@
         )
         return first
 
+    def _cut(self, detail: str) -> None:
+        """End an answer that its target broke off, unless its caller left."""
+        if self._exchange is not None and not self._request.presence.gone:
+            self._forwarder.note_cut(self._request, self._exchange.place)
+        self._break(detail)
+
     def _break(self, detail: str) -> None:
         gone = self._request.presence.gone
         self._request.trace.broken = "the caller left" if gone else detail
