Speak websockets on the reading task, by the library's protocol without its own I/O

Cause: each link had a thread, locks, a selector and a pair of sockets of the library's connections.

--- a/packages/loomyard-router/src/loomyard_router/admission/place_book.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_book.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -35,6 +36,16 @@
 MOST_REFUSED = 4096
 
 
+class Objection(Enum):
+    """Why a request gets no place now."""
+
+    PLACES = "places"
+    COLD = "cold"
+    APART = "apart"
+    RETURNED = "returned"
+    READING = "reading"
+
+
 @define(eq=False)
 class Ask:
     """A wish for a place that is not met yet; ``granted`` tells its end."""
@@ -72,16 +83,24 @@
         """Return the tokens of prompts that are being read."""
         return sum(reading.tokens for reading in self._reading.values())
 
+    def by_level(self) -> list[Ask]:
+        """Return who waits, the account that got least first."""
+        return sorted(self.waiting, key=lambda ask: ask.request.level)
+
     def admits(self, request: PlaceRequest, now: float) -> bool:
-        """Tell whether a place is free and the prompts ahead leave the request its time."""
+        """Tell whether a request may have a place now."""
+        return self.object_to(request, now) is None
+
+    def object_to(self, request: PlaceRequest, now: float) -> Objection | None:
+        """Tell why no place is free, or the prompts ahead leave the request too little time."""
         if len(self.held) >= self.slots * (BEYOND_PART if request.beyond else 1.0):
-            return False
+            return Objection.PLACES
         if not self.cold.admits(now):
-            return False
+            return Objection.COLD
         if request.apart and any(now - since < APART_SECONDS for since in self._apart.values()):
-            return False
+            return Objection.APART
         if not request.patience or not self._reading:
-            return True
+            return None
         if request.beyond and (request.own, request.prompt) in self._refused:
             # Mostly its caller came back, so it is late already and takes no time of one that can
             # still be answered in time. The second ask of a first try here is taken for one too.
@@ -89,10 +108,11 @@
             # prompts may try answered 5 to 9 % more requests in time and half as many late, on
             # four days of 5,500 to 7,200 requests, one run each with and without, counted at the
             # callers.
-            return False
+            return Objection.RETURNED
         own = request.prompt - self.memory.kept(request.parts)
         patience = request.patience * (BEYOND_PATIENCE if request.beyond else 1.0)
-        return self.pace.seconds(self.unread + own) * MILLISECONDS <= patience
+        begins_in = self.pace.seconds(self.unread + own) * MILLISECONDS
+        return None if begins_in <= patience else Objection.READING
 
     def note_refused(self, request: PlaceRequest) -> None:
         """Remember a prompt whose caller may come back with it."""
--- a/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent import Timeout
 
-from loomyard_router.admission.place_book import Ask, PlaceBook, Ticket
+from loomyard_router.admission.place_book import Ask, PlaceBook
 from loomyard_router.admission.place_messages import (
     PlaceAnswer,
     PlaceRequest,
@@ -15,6 +15,7 @@
     PlacesReleased,
     PromptsRead,
 )
+from loomyard_router.admission.serving_order import GapForTheLeastServed, ServingOrder
 from loomyard_router.announced.cold_targets import WARM
 from loomyard_router.members.pause import PauseWatch
 
@@ -52,10 +53,12 @@
         members: Membership,
         peers: PeerLinks,
         cold: ColdTargets,
+        order: ServingOrder | None = None,
     ) -> None:
         self._clock = clock
         self._board = board
         self._cold = cold
+        self._order = order or GapForTheLeastServed()
         self._members = members
         self._books: dict[TargetLife, PlaceBook] = {}
         self._task: gevent.Greenlet | None = None
@@ -148,20 +151,15 @@
         return ask.granted.ready()
 
     def _serve(self, book: PlaceBook) -> None:
-        """Give free places to who waits, the neediest account first; who is not admitted waits."""
+        """Give free places to who waits; who is not admitted waits on."""
         while book.waiting:
-            waiting = sorted(book.waiting, key=lambda one: one.request.level)
-            now = self._clock.now()
-            admitted = next((ask for ask in waiting if book.admits(ask.request, now)), None)
+            admitted = self._order.choose(book, self._clock.now())
             if admitted is None:
                 return
             book.waiting.remove(admitted)
-            self._grant(book, admitted.ticket, admitted.request)
+            book.grant(admitted.ticket, admitted.request, self._clock.now())
             admitted.granted.set(True)
 
-    def _grant(self, book: PlaceBook, ticket: Ticket, request: PlaceRequest) -> None:
-        book.grant(ticket, request, self._clock.now())
-
     def _drop_dead(self) -> None:
         live = {(member.name, member.incarnation) for member in self._members.live()}
         for book in self._books.values():
--- a/packages/loomyard-router/src/loomyard_router/peers/acceptor.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/acceptor.py
@@ -8,17 +8,15 @@
 import gevent
 from gevent.pool import Pool
 from gevent.server import StreamServer
-from websockets.sync.server import serve
+from websockets.exceptions import WebSocketException
 
-from loomyard_router.peers.connections import AcceptedConnection
+from loomyard_router.peers.channel import WebSocketChannel, accept_channel
 
 if TYPE_CHECKING:
     import socket
     import ssl
     from collections.abc import Callable
 
-    from websockets.sync.connection import Connection
-
 # The library tells of each connection at INFO; the events of the links say what matters.
 library_logger = logging.getLogger("loomyard.websockets")
 library_logger.setLevel(logging.CRITICAL)
@@ -30,30 +28,16 @@
 
 
 class Acceptor:
-    """Listen and give each websocket connection to a handler, in its own task.
-
-    The library's own accept loop is not used: it leaves watchers of a closed listener behind.
-    """
+    """Listen and give each websocket connection to a handler, in its own task."""
 
     def __init__(
         self,
         listener: socket.socket,
-        handler: Callable[[Connection], None],
+        handler: Callable[[WebSocketChannel], None],
         context: ssl.SSLContext | None,
     ) -> None:
         self._context = context
-        self._library = serve(
-            handler,
-            sock=listener,
-            create_connection=AcceptedConnection,
-            compression=None,
-            ping_interval=None,
-            open_timeout=OPEN_TIMEOUT,
-            close_timeout=OPEN_TIMEOUT,
-            max_size=MAX_HANDSHAKE_BYTES,
-            server_header=None,
-            logger=library_logger,
-        )
+        self._handler = handler
         self._server = StreamServer(listener, self._take, spawn=Pool(MAX_CONNECTIONS))
 
     def start(self) -> None:
@@ -65,14 +49,18 @@
         self._server.stop_accepting()
         self._server.close()
 
-    def _take(self, connection: socket.socket, address: object) -> None:
-        if self._context is None:
-            self._library.handler(connection, address)
-            return
+    def _take(self, connection: socket.socket, _: object) -> None:
         try:
             with gevent.Timeout(OPEN_TIMEOUT, TimeoutError):
-                secured = self._context.wrap_socket(connection, server_side=True)
-        except (OSError, TimeoutError):
+                if self._context is not None:
+                    connection = self._context.wrap_socket(connection, server_side=True)
+                channel = accept_channel(
+                    connection, most=MAX_HANDSHAKE_BYTES, logger=library_logger
+                )
+        except (OSError, TimeoutError, EOFError, WebSocketException):
             connection.close()
             return
-        self._library.handler(secured, address)
+        try:
+            self._handler(channel)
+        finally:
+            channel.close_socket()
--- a/packages/loomyard-router/src/loomyard_router/peers/link.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/link.py
@@ -9,7 +9,6 @@
 import gevent
 from attrs import define
 from result import Err, Ok, Result
-from websockets.exceptions import ConnectionClosed
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
@@ -30,10 +29,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from websockets.sync.connection import Connection
-
     from loomyard.clock import Clock
     from loomyard_router.members.membership import Member
+    from loomyard_router.peers.channel import WebSocketChannel
     from loomyard_router.peers.handshake import Agreement
     from loomyard_router.peers.traffic import TrafficCounters
 
@@ -61,7 +59,7 @@
     def __init__(
         self,
         *,
-        connection: Connection,
+        channel: WebSocketChannel,
         agreement: Agreement,
         peer: Member,
         clock: Clock,
@@ -72,7 +70,7 @@
         self.peer = peer
         self.opener = opener
         self.used_at = clock.now()
-        self._connection = connection
+        self._channel = channel
         self._clock = clock
         self._traffic = traffic
         self._deliver = deliver
@@ -123,9 +121,9 @@
     def run(self) -> None:
         """Receive until the connection ends."""
         try:
-            while self._receive(self._connection.recv()):
+            while self._receive(self._channel.recv()):
                 pass
-        except (ConnectionClosed, OSError, EOFError):
+        except (OSError, EOFError):
             self._ended = not self._closed
         finally:
             self.close()
@@ -140,7 +138,7 @@
         for queued in self._queue:
             self._traffic.dropped(queued.kind)
         self._queue.clear()
-        self._connection.close_socket()
+        self._channel.close_socket()
 
     def _enqueue(self, name: str, message: Any, *, request: int = 0, answers: int = 0) -> bool:
         body = COMPACT.unstructure(message)
@@ -164,8 +162,8 @@
         """Write what is queued; a task for as long as there is something, so none idles."""
         try:
             while self._queue:
-                self._connection.send(self._sealer.seal(self._next_batch()))
-        except (ConnectionClosed, OSError):
+                self._channel.send(self._sealer.seal(self._next_batch()))
+        except (OSError, EOFError):
             self._ended = not self._closed
             self.close()
         finally:
--- a/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
@@ -10,14 +10,13 @@
 from gevent.lock import BoundedSemaphore
 from result import Err, Ok, Result
 from websockets.exceptions import WebSocketException
-from websockets.sync.client import connect
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard.util.tcp import disable_delay, end_if_silent
 from loomyard_router.members.membership import Member, MemberState
 from loomyard_router.peers.acceptor import Acceptor, library_logger
-from loomyard_router.peers.connections import OpenedConnection
+from loomyard_router.peers.channel import WebSocketChannel, connect_channel
 from loomyard_router.peers.frames import MAX_FRAME_BYTES
 from loomyard_router.peers.handshake import accept_link, open_link
 from loomyard_router.peers.link import PeerLink
@@ -29,8 +28,6 @@
     import socket
     from collections.abc import Callable
 
-    from websockets.sync.connection import Connection
-
     from loomyard.clock import Clock
     from loomyard_router.members.membership import Membership
     from loomyard_router.peers.fleet_secret import FleetSecret
@@ -147,38 +144,35 @@
             self._serve_link(link)
 
     def _connect(self, member: Member) -> PeerLink | None:
-        scheme = "wss" if self._tls else "ws"
-        connection = connect(
-            f"{scheme}://{member.address}/",
-            ssl=self._tls.client if self._tls else None,
-            create_connection=OpenedConnection,
-            legacy=True,  # a plain connection, which outlives this function
-            compression=None,
-            ping_interval=None,
-            proxy=None,
-            open_timeout=CONNECT_TIMEOUT,
-            max_size=MAX_FRAME_BYTES,
-            user_agent_header=None,
+        channel = connect_channel(
+            member.address,
+            context=self._tls.client if self._tls else None,
+            timeout=CONNECT_TIMEOUT,
+            most=MAX_FRAME_BYTES,
             logger=library_logger,
         )
-        outcome = open_link(connection, self._members.own, member.name, self._secret)
-        return self._keep(connection, outcome, member.address, own=True)
+        try:
+            outcome = open_link(channel, self._members.own, member.name, self._secret)
+        except BaseException:
+            channel.close_socket()
+            raise
+        return self._keep(channel, outcome, member.address, own=True)
 
-    def _accept(self, connection: Connection) -> None:
+    def _accept(self, channel: WebSocketChannel) -> None:
         if not self._handshakes.acquire(blocking=False):
             return
 
         def admit(peer: Identity) -> str:
-            connection.protocol.max_message_size = MAX_FRAME_BYTES
+            channel.allow(MAX_FRAME_BYTES)
             return self._objection(peer)
 
         try:
-            outcome = accept_link(connection, self._members.own, self._secret, admit)
+            outcome = accept_link(channel, self._members.own, self._secret, admit)
         except (OSError, WebSocketException, EOFError):
             return
         finally:
             self._handshakes.release()
-        link = self._keep(connection, outcome, str(connection.remote_address), own=False)
+        link = self._keep(channel, outcome, channel.remote_address, own=False)
         if link is not None:
             self._serve_link(link)
 
@@ -190,7 +184,7 @@
 
     def _keep(
         self,
-        connection: Connection,
+        channel: WebSocketChannel,
         outcome: Result[Agreement, Fault],
         address: str,
         *,
@@ -202,12 +196,12 @@
             case Err(fault):
                 emit(logger, Event.PEER_REFUSED, address=address, detail=fault.detail)
                 self.traffic.refused("handshake")
-                connection.close_socket()
+                channel.close_socket()
                 return None
-        limit_silence(connection.socket)
+        limit_silence(channel.socket)
         peer = _member_of(agreement.peer)
         link = PeerLink(
-            connection=connection,
+            channel=channel,
             agreement=agreement,
             peer=peer,
             clock=self._clock,
