--- a/packages/loomyard-standins/src/loomyard_standins/memory_store.py
+++ b/packages/loomyard-standins/src/loomyard_standins/memory_store.py
@@ -35,15 +35,26 @@
         self.clock = clock
         self.moved = Event()
         self.connections = 0
+        self.era = 0
         self._records: list[KeyedRecord] = []
+        self._written_at: list[float] = []
         self._outages: dict[str, Outage] = {}
 
-    def publish(self, key: str, value: bytes) -> float:
+    def publish(self, key: str, value: bytes | None) -> float:
         """Keep a record; return the time at which its writer is told so."""
         self._records.append(KeyedRecord(key=key, value=value, offset=len(self._records)))
+        self._written_at.append(self.clock.now())
         self._wake()
         return self.clock.now()
 
+    def fall_back(self, seconds: float) -> list[KeyedRecord]:
+        """Come back from a copy that is some seconds old; return the records that it lacks."""
+        kept = sum(at <= self.clock.now() - seconds for at in self._written_at)
+        lost = self._records[kept:]
+        del self._records[kept:], self._written_at[kept:]
+        self.era += 1
+        return lost
+
     def fail(self, routers: Iterable[str], outage: Outage) -> None:
         """Begin an outage for some routers."""
         self._outages |= dict.fromkeys(routers, outage)
@@ -69,7 +80,13 @@
 
     def newest(self) -> list[KeyedRecord]:
         """Return the newest record of each key."""
-        return list({record.key: record for record in self._records}.values())
+        newest = {record.key: record for record in self._records}
+        return [record for record in newest.values() if record.value is not None]
+
+    @property
+    def end(self) -> int:
+        """Return the offset of the next record."""
+        return len(self._records)
 
     def _wake(self) -> None:
         moved, self.moved = self.moved, Event()
@@ -94,7 +111,7 @@
         if outage is not None:
             return self._fail(outage, deadline)
         records = self._store.newest()
-        return Ok(Listing(records=records, next_offset=len(self._store.since(0))))
+        return Ok(Listing(records=records, next_offset=self._store.end))
 
     def read(self, offset: int, wait_until: float) -> Result[Batch, Fault]:
         self.calls += 1
@@ -109,6 +126,8 @@
                 return self._fail(Outage.RESET, clock.now())
         if store.outage(self._router) is not None or store.connections != connections:
             return self._fail(Outage.SILENT, wait_until + ANSWER_SECONDS)
+        if offset > store.end:
+            return Err(Fault(code=ResultCode.LOG_TRIMMED, detail="no such records"))
         records = store.since(offset)
         return Ok(Batch(records=records, next_offset=offset + len(records)))
 
