--- a/packages/loomyard-router/src/loomyard_router/announced/announced_target.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/announced_target.py
@@ -5,6 +5,7 @@
 from attrs import field, frozen
 
 from loomyard_router.announced.target_life import TargetLife, name_life
+from loomyard_router.feeds.feed_position import NOWHERE, FeedPosition
 
 
 @frozen(kw_only=True)
@@ -13,7 +14,7 @@
 
     ``born`` is when this life of it began, in Unix milliseconds, ``None`` where the target does not
     say so and its id is new at each start. ``cold_seconds`` is for how long it stays cold from the
-    announcement on, which stands at ``offset`` of the feed.
+    announcement on, which stands at ``position`` of the feed.
     """
 
     id: str
@@ -24,7 +25,7 @@
     draining: bool = False
     born: int | None = None
     cold_seconds: float = 0.0
-    offset: int = field(default=-1, eq=False)
+    position: FeedPosition = field(default=NOWHERE, eq=False)
     life: TargetLife = field(init=False, repr=False)
 
     @life.default
--- a/packages/loomyard-router/src/loomyard_router/announced/emptied_data_centres.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/emptied_data_centres.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from loomyard_router.feeds.feed_position import FeedPosition
     from loomyard_router.feeds.keyed_record import KeyedRecord
 
 logger = logging.getLogger(__name__)
@@ -25,12 +26,12 @@
 
     def __init__(self, find_name: Callable[[str], str | None]) -> None:
         self._find_name = find_name
-        self._offsets: dict[str, int] = {}
+        self._positions: dict[str, FeedPosition] = {}
         self._listeners: list[Callable[[frozenset[str]], None]] = []
 
     @property
     def names(self) -> frozenset[str]:
-        return frozenset(self._offsets)
+        return frozenset(self._positions)
 
     def subscribe(self, changed: Callable[[frozenset[str]], None]) -> None:
         """Call back with all emptied data centres after each change."""
@@ -40,7 +41,7 @@
         self._replace(self._follow({}, records))
 
     def take_records(self, records: list[KeyedRecord]) -> None:
-        self._replace(self._follow(self._offsets, records))
+        self._replace(self._follow(self._positions, records))
 
     def note_lost(self) -> None:
         pass
@@ -48,23 +49,29 @@
     def note_regained(self) -> None:
         pass
 
-    def _follow(self, before: dict[str, int], records: list[KeyedRecord]) -> dict[str, int]:
-        """Return the orders that stand after some records, with their offsets."""
-        offsets = dict(before)
+    def _follow(
+        self, before: dict[str, FeedPosition], records: list[KeyedRecord]
+    ) -> dict[str, FeedPosition]:
+        """Return the orders that stand after some records, with their positions."""
+        positions = dict(before)
         for record in records:
             name = self._find_name(record.key)
             if name is not None and record.value is None:
-                offsets.pop(name, None)
+                positions.pop(name, None)
             elif name is not None:
-                offsets[name] = record.offset
-        return offsets
-
-    def _replace(self, offsets: dict[str, int]) -> None:
-        before, self._offsets = self._offsets, offsets
-        for name in offsets.keys() - before.keys():
-            emit(logger, Event.DATA_CENTRE_EMPTIED, data_centre=name, offset=offsets[name])
-        for name in before.keys() - offsets.keys():
-            emit(logger, Event.DATA_CENTRE_TAKEN_BACK, data_centre=name, offset=before[name])
-        if before.keys() != offsets.keys():
+                positions[name] = record.position
+        return positions
+
+    def _replace(self, positions: dict[str, FeedPosition]) -> None:
+        before, self._positions = self._positions, positions
+        for name in positions.keys() - before.keys():
+            _tell(Event.DATA_CENTRE_EMPTIED, name, positions[name])
+        for name in before.keys() - positions.keys():
+            _tell(Event.DATA_CENTRE_TAKEN_BACK, name, before[name])
+        if before.keys() != positions.keys():
             for changed in self._listeners:
                 changed(self.names)
+
+
+def _tell(event: Event, name: str, position: FeedPosition) -> None:
+    emit(logger, event, data_centre=name, era=position.era, offset=position.offset)
--- a/packages/loomyard-router/src/loomyard_router/announced/target_board.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_board.py
@@ -158,7 +158,7 @@
         if before is not None and before.life != target.life:
             self.lives_replaced += 1
             emit(logger, Event.TARGET_REBORN, target=target.id, life=target.life, old=before.life)
-        if before is None or before != target or before.offset != target.offset:
+        if before is None or before != target or before.position != target.position:
             self._cold_until[target.id] = self._clock.now() + target.cold_seconds
         if known is None:
             event = Event.TARGET_ANNOUNCED if lapsed is None else Event.TARGET_REANNOUNCED
--- a/packages/loomyard-router/src/loomyard_router/announced/target_feed.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_feed.py
@@ -63,8 +63,8 @@
                 continue
             match self._decode(record.key, record.value):
                 case Ok(target):
-                    targets.append(evolve(target, offset=record.offset))
+                    targets.append(evolve(target, position=record.position))
                 case Err(entry):
-                    self._unreadable.note(FEED, record.key, record.offset, entry)
+                    self._unreadable.note(FEED, record.key, record.position, entry)
                     unreadable.append(record.key)
         return targets, unreadable
--- a/packages/loomyard-router/src/loomyard_router/crashes/crash_archive.py
+++ b/packages/loomyard-router/src/loomyard_router/crashes/crash_archive.py
@@ -15,6 +15,10 @@
 class CrashArchive(Protocol):
     """Keep a value by key on the platform. Errors: ``LOG_UNAVAILABLE``."""
 
+    @property
+    def era(self) -> int:
+        """Return the newest era of the store that was heard of; a later one may lack writes."""
+
     def read(self, deadline: float) -> Result[Mapping[str, bytes], Fault]:
         """Return all values."""
 
--- a/packages/loomyard-router/src/loomyard_router/crashes/crash_memory.py
+++ b/packages/loomyard-router/src/loomyard_router/crashes/crash_memory.py
@@ -64,6 +64,7 @@
         self._kept: dict[str, KeptRecord] = {}
         self._due = GeventEvent()
         self._read = False
+        self._era = 0
         self._read_at = clock.now()
         self._met = False
         self._failures = 0
@@ -82,6 +83,9 @@
 
     def step(self) -> bool:
         """Make one call if one is due; false where it failed."""
+        if self._archive.era > self._era:
+            # The copy may lack what was written: it is read, and what it lacks written again.
+            self._era, self._read = self._archive.era, False
         alone = self._met and len(self._members.live()) == 1
         self._met = self._met or len(self._members.live()) > 1
         if not self._read or (alone and self._clock.now() >= self._read_at + ALONE_SECONDS):
@@ -106,6 +110,7 @@
             case Ok(values):
                 pass
         self._read, self._read_at = True, now
+        self._kept.clear()
         for key, value in values.items():
             kept = self._kept[key] = _decode(key, value)
             word = CrashWord(
--- a/packages/loomyard-router/src/loomyard_router/feeds/exchange_messages.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/exchange_messages.py
@@ -4,6 +4,8 @@
 
 from attrs import field, frozen
 
+from loomyard_router.feeds.believed_records import HeldRecord
+from loomyard_router.feeds.feed_position import NOWHERE, FeedPosition
 from loomyard_router.feeds.keyed_record import KeyedRecord
 from loomyard_router.peers.message_types import peer_message
 
@@ -11,34 +13,42 @@
 @peer_message("fr")
 @frozen(kw_only=True)
 class FeedRequest:
-    """Ask for a feed, if the receiver has read beyond an offset."""
+    """Ask for a feed, if the receiver has read beyond a position.
+
+    ``era`` is the newest era of the store that the sender has heard of.
+    """
 
     feed: str
-    beyond: int
+    beyond: FeedPosition
+    era: int = 0
 
 
 @peer_message("fw")
 @frozen(kw_only=True)
 class FeedWait:
-    """Ask for a feed as soon as the receiver has read beyond an offset; ``wait`` in milliseconds.
+    """Ask for a feed as soon as the receiver has read beyond a position; ``wait`` in milliseconds.
 
     ``answering`` is what the sender believes of the store; a change of that is an answer, too.
     """
 
     feed: str
-    beyond: int
+    beyond: FeedPosition
     wait: int
     answering: bool = True
+    era: int = 0
 
 
 @peer_message("fa")
 @frozen(kw_only=True)
 class FeedAnswer:
-    """The newest record of each key up to an offset; no offset where nothing newer is known.
+    """The newest record of each key up to a position; none where nothing newer is known.
 
-    ``answering`` tells whether the store answers the sender.
+    ``answering`` tells whether the store answers the sender, ``held`` what the sender believes
+    against the store since that came back from an older copy.
     """
 
-    next_offset: int = -1
+    position: FeedPosition = NOWHERE
     records: list[KeyedRecord] = field(factory=list)
     answering: bool = True
+    era: int = 0
+    held: list[HeldRecord] = field(factory=list)
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed.py
@@ -6,6 +6,7 @@
 
 from attrs import field, frozen
 
+from loomyard_router.feeds.feed_position import FeedPosition
 from loomyard_router.feeds.keyed_record import KeyedRecord
 
 if TYPE_CHECKING:
@@ -19,18 +20,22 @@
 
 @frozen(kw_only=True)
 class Listing:
-    """The newest record of each key; changes since ``next_offset`` may be missing."""
+    """The newest record of each key; changes since ``position`` may be missing."""
 
     records: list[KeyedRecord] = field(factory=list)
-    next_offset: int
+    position: FeedPosition
 
 
 @frozen(kw_only=True)
 class Batch:
-    """Records in order, and the offset to read on from."""
+    """Records in order, and the position to read on from.
+
+    That of a later era than was asked for says that the store came back from an older copy: the
+    records are none of those that were asked for.
+    """
 
     records: list[KeyedRecord] = field(factory=list)
-    next_offset: int
+    position: FeedPosition
 
 
 class Feed(Protocol):
@@ -44,7 +49,7 @@
         """Return the name for logs."""
 
     def newest(self, deadline: float) -> Result[Listing, Fault]:
-        """Return the newest record of each key."""
+        """Return the newest record of each key, all of one era."""
 
     def read(self, offset: int, wait_until: float) -> Result[Batch, Fault]:
         """Return records from an offset on, waiting for the first until a time.
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_asker.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_asker.py
@@ -12,6 +12,7 @@
 from loomyard.events import Event, emit
 from loomyard_router.feeds.exchange_messages import FeedAnswer, FeedRequest, FeedWait
 from loomyard_router.feeds.feed_follower import LOG_DIGITS
+from loomyard_router.feeds.feed_position import NOWHERE, FeedPosition
 from loomyard_router.feeds.feed_readers import choose_readers
 from loomyard_router.feeds.feed_state import FeedState
 
@@ -19,6 +20,7 @@
     import random
 
     from loomyard.clock import Clock
+    from loomyard_router.feeds.believed_records import HeldRecord
     from loomyard_router.feeds.feed_follower import FeedFollower
     from loomyard_router.members.membership import Membership
     from loomyard_router.peers.links import PeerLinks
@@ -39,6 +41,8 @@
 # Others than readers that are asked, too: they read for themselves where no reader has the store.
 OTHERS = 3
 MILLISECONDS = 1000
+# A router that starts hears of others within so long, where there are any.
+MEET_SECONDS = 0.6
 
 
 class FeedAsker:
@@ -62,7 +66,7 @@
         self._peers = peers
         self._follower = follower
         self._random = source
-        self._announced = -1
+        self._announced = NOWHERE
         self._behind_since: float | None = None
         self._heard = GeventEvent()
         self._lost = GeventEvent()
@@ -77,14 +81,15 @@
         follower = self._follower
         return FeedState(
             name=follower.name,
-            next_offset=follower.next_offset,
-            announced_offset=self._announced,
+            position=follower.position,
+            announced=self._announced,
             silent=self._clock.now() - follower.answered_at,
+            dropped=follower.era.dropped,
         )
 
     @property
     def _is_behind(self) -> bool:
-        return self._announced > self._follower.next_offset
+        return self._announced > self._follower.position
 
     def start(self) -> None:
         """Start to ask."""
@@ -96,13 +101,27 @@
         for task in self._tasks:
             task.kill(block=False)
 
-    def note_announced(self, offset: int) -> None:
-        """Take in that some router has read up to an offset."""
-        self._announced = max(self._announced, offset)
+    def note_announced(self, position: FeedPosition) -> None:
+        """Take in that some router has read up to a position."""
+        self._announced = max(self._announced, position)
+        if position.era > self._follower.era.newest:
+            self._follower.era.note(position.era)
         if self._is_behind and self._behind_since is None:
             self._behind_since = self._clock.now()
             self._heard.set()
 
+    def ask_held(self) -> list[HeldRecord]:
+        """Ask some routers what they believe against the store, once any are known."""
+        until = self._clock.now() + MEET_SECONDS
+        while not self._others() and self._clock.now() < until:
+            self._clock.sleep(MEET_SECONDS / 10)
+        held: dict[str, HeldRecord] = {}
+        for peer in self._others()[:TRIES]:
+            answer = self._ask(peer, self._make_request(), self._clock.now() + REQUEST_SECONDS)
+            if answer is not None:
+                held |= {one.record.key: one for one in answer.held}
+        return list(held.values())
+
     def _run_behind(self) -> None:
         while True:
             self._heard.wait()
@@ -127,7 +146,7 @@
         for peer in self._others():
             if not self._is_behind:
                 return
-            request = FeedRequest(feed=self._follower.name, beyond=self._follower.next_offset)
+            request = self._make_request()
             self._ask(peer, request, self._clock.now() + REQUEST_SECONDS)
 
     def _wait_at_source(self) -> bool:
@@ -138,8 +157,9 @@
                 return False
             request = FeedWait(
                 feed=self._follower.name,
-                beyond=self._follower.next_offset,
+                beyond=self._follower.position,
                 wait=int(WAIT_SECONDS * MILLISECONDS),
+                era=self._follower.era.newest,
             )
             deadline = self._clock.now() + WAIT_SECONDS + REQUEST_SECONDS
             answer = self._ask(peer, request, deadline)
@@ -161,7 +181,7 @@
 
     def _take(self, peer: str, answer: FeedAnswer) -> None:
         follower = self._follower
-        if answer.next_offset <= follower.next_offset:
+        if answer.position <= follower.position or not follower.era.note(answer.position.era):
             self._in_vain += 1
             return
         since = self._behind_since
@@ -171,13 +191,18 @@
             Event.FEED_HEARD,
             feed=follower.name,
             peer=peer,
-            offset=answer.next_offset,
-            before=follower.next_offset,
+            offset=answer.position.offset,
+            before=follower.position.offset,
+            era=answer.position.era,
             behind=round(behind, LOG_DIGITS),
             in_vain=self._in_vain,
         )
         self._in_vain = 0
-        follower.take_over(answer.records, answer.next_offset)
+        follower.take_over(answer.records, answer.position, answer.held)
+
+    def _make_request(self) -> FeedRequest:
+        follower = self._follower
+        return FeedRequest(feed=follower.name, beyond=follower.position, era=follower.era.newest)
 
     def _next_untried(self) -> str:
         """Return the readers first, then some others, each once before one comes again."""
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_exchange.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_exchange.py
@@ -11,6 +11,7 @@
 from loomyard.util.waiting import wait_any
 from loomyard_router.feeds.exchange_messages import FeedAnswer, FeedRequest, FeedWait
 from loomyard_router.feeds.feed_asker import MILLISECONDS, REQUEST_SECONDS, FeedAsker
+from loomyard_router.feeds.feed_position import NOWHERE, read_position
 from loomyard_router.feeds.feed_readers import choose_readers
 
 if TYPE_CHECKING:
@@ -18,6 +19,7 @@
     from collections.abc import Iterable
 
     from loomyard.clock import Clock
+    from loomyard_router.feeds.believed_records import HeldRecord
     from loomyard_router.feeds.feed_follower import FeedFollower
     from loomyard_router.feeds.feed_state import FeedState
     from loomyard_router.members.membership import Member, Membership
@@ -93,21 +95,26 @@
         follower = self._followers.get(request.feed)
         if follower is None:
             return FeedAnswer(answering=False)
-        if follower.next_offset <= request.beyond:
-            return FeedAnswer(answering=_has_store(follower))
+        if request.era > follower.era.newest:
+            follower.era.note(request.era)
+        newer = follower.position > request.beyond
         return FeedAnswer(
-            next_offset=follower.next_offset,
-            records=follower.records,
+            position=follower.position if newer else NOWHERE,
+            records=follower.records if newer else [],
             answering=_has_store(follower),
+            era=follower.era.newest,
+            held=follower.held,
         )
 
     def give_news(self, sender: Member, request: FeedWait) -> FeedAnswer:
         """Answer a router that waits for news here."""
         follower = self._followers.get(request.feed)
         deadline = self._clock.now() + request.wait / MILLISECONDS
+        if follower is not None and request.era > follower.era.newest:
+            follower.era.note(request.era)
         while (
             follower is not None
-            and follower.next_offset <= request.beyond
+            and follower.position <= request.beyond
             and _has_store(follower) == request.answering
             and self._clock.now() < deadline
         ):
@@ -120,6 +127,10 @@
             wait_any([self._moved], until, self._clock)
         return self.give(sender, FeedRequest(feed=request.feed, beyond=request.beyond))
 
+    def ask_held(self, follower: FeedFollower) -> list[HeldRecord]:
+        """Ask other routers what they believe against the store."""
+        return self._askers[follower.name].ask_held()
+
     def _sends_to_look(self, follower: FeedFollower) -> bool:
         """Tell whether one that waits is to look for itself whether the store answers it."""
         if not follower.late_at <= self._clock.now() < follower.overdue_at:
@@ -141,14 +152,17 @@
             return None
         request = FeedWait(
             feed=follower.name,
-            beyond=follower.next_offset,
+            beyond=follower.position,
             wait=int(NEWS_SECONDS * MILLISECONDS),
             answering=follower.answering,
+            era=follower.era.newest,
         )
         reader = rank(own, readers)[0]
         deadline = self._clock.now() + NEWS_SECONDS + REQUEST_SECONDS
         match self._peers.request(reader, request, deadline):
             case Ok(FeedAnswer() as answer) if answer.answering:
+                if answer.era > follower.era.newest:
+                    follower.era.note(answer.era)
                 return answer
         # Trying a second reader would take this one past the bound on a configuration.
         self._own_until[follower.name] = self._clock.now() + OWN_SECONDS
@@ -161,12 +175,12 @@
     def _announce(self, follower: FeedFollower) -> None:
         self._wake()
         until = self._clock.now() + ANNOUNCED_SECONDS
-        self._members.announce(TOPIC, follower.name, follower.next_offset, until=until)
+        self._members.announce(TOPIC, follower.name, follower.position.number, until=until)
 
-    def _hear(self, name: str, offset: int) -> None:
+    def _hear(self, name: str, number: int) -> None:
         asker = self._askers.get(name)
         if asker is not None:
-            asker.note_announced(offset)
+            asker.note_announced(read_position(number))
 
 
 def _has_store(follower: FeedFollower) -> bool:
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
@@ -11,13 +11,18 @@
 
 from loomyard.errors import ResultCode
 from loomyard.events import Event, emit
+from loomyard_router.feeds.believed_records import BelievedRecords
+from loomyard_router.feeds.feed_position import NOWHERE, FeedPosition
+from loomyard_router.feeds.loss_policy import LossPolicy, StoreIsRight
+from loomyard_router.feeds.store_era import StoreEra
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from loomyard.clock import Clock
     from loomyard.errors import Fault
+    from loomyard_router.feeds.believed_records import HeldRecord, Loss
     from loomyard_router.feeds.exchange_messages import FeedAnswer
     from loomyard_router.feeds.feed import Batch, Feed
     from loomyard_router.feeds.keyed_record import KeyedRecord
@@ -40,6 +45,8 @@
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.8
 LOG_DIGITS = 3
+# Keys in the line of a loss.
+MOST_TOLD = 20
 STORE = "store"
 PEER = "peer"
 
@@ -69,6 +76,9 @@
     def wait_for_news(self, follower: FeedFollower) -> FeedAnswer | None:
         """Wait for news of a feed; ``None`` where the store is to be read."""
 
+    def ask_held(self, follower: FeedFollower) -> list[HeldRecord]:
+        """Ask others what they believe against a store that came back from an older copy."""
+
 
 class FeedFollower:
     """List a feed once, then read on; list again where records are gone."""
@@ -81,14 +91,18 @@
         source: random.Random,
         *,
         pace: float = 0.0,
+        era: StoreEra | None = None,
+        losses: LossPolicy | None = None,
     ) -> None:
         self._pace = pace
+        self._era = era or StoreEra()
+        self._records = BelievedRecords(clock, losses or StoreIsRight())
         self._feed = feed
         self._taker = taker
         self._clock = clock
         self._random = source
-        self._next_offset: int | None = None
-        self._records: dict[str, KeyedRecord] = {}
+        self._position: FeedPosition | None = None
+        self._listed = False
         self._listeners: list[Callable[[FeedFollower], None]] = []
         self._store_listeners: list[Callable[[], None]] = []
         self._news: NewsSource | None = None
@@ -103,18 +117,28 @@
         return self._feed.name
 
     @property
-    def next_offset(self) -> int:
-        """Return the offset of the first record that was not read, -1 before the first listing."""
-        return -1 if self._next_offset is None else self._next_offset
+    def position(self) -> FeedPosition:
+        """Return where the first record stands that was not read."""
+        return NOWHERE if self._position is None else self._position
+
+    @property
+    def era(self) -> StoreEra:
+        """Return what is known of the eras of the store."""
+        return self._era
 
     @property
     def records(self) -> list[KeyedRecord]:
-        """Return the newest record of each key."""
-        return list(self._records.values())
+        """Return the newest record of each key, as the store says."""
+        return self._records.said
+
+    @property
+    def held(self) -> list[HeldRecord]:
+        """Return what is believed against a store that came back from an older copy."""
+        return self._records.held
 
     @property
     def caught_up(self) -> bool:
-        return self._next_offset is not None
+        return self._position is not None
 
     @property
     def answering(self) -> bool:
@@ -159,14 +183,15 @@
         """Hear from others instead of the store where they say so."""
         self._news = news
 
-    def take_over(self, records: list[KeyedRecord], next_offset: int) -> None:
+    def take_over(
+        self,
+        records: list[KeyedRecord],
+        position: FeedPosition,
+        held: Iterable[HeldRecord] = (),
+    ) -> None:
         """Take over what another router read further than this one."""
-        if next_offset <= self.next_offset:
-            return
-        self._records = {record.key: record for record in records}
-        self._next_offset = next_offset
-        self._taker.take_listing(records, PEER)
-        self._tell()
+        if position > self.position and self._era.note(position.era):
+            self._adopt(records, position, PEER, held)
 
     def start(self) -> None:
         """Start to follow."""
@@ -179,18 +204,22 @@
 
     def step(self) -> float:
         """Make one call; return the seconds to wait before the next one."""
-        before = self._next_offset
+        before = self._position
+        self._end_held()
         if before is not None and self._news is not None:
             news = self._news.wait_for_news(self)
             if news is not None:
                 self._hear(news)
                 return 0.0
         self._asked_at = self._due_at = self._clock.now()
-        fault = self._list() if before is None else self._read(before)
+        if before is None or before.era < self._era.newest:
+            fault = self._list()
+        else:
+            fault = self._read(before)
         if fault is not None:
             return self._note_failure(fault)
         self._note_answer()
-        return 0.0 if self._next_offset == before else self._pace
+        return 0.0 if self._position == before else self._pace
 
     def _run(self) -> None:
         while True:
@@ -200,38 +229,57 @@
 
     def _hear(self, answer: FeedAnswer) -> None:
         self._note_answer()
-        self.take_over(answer.records, answer.next_offset)
+        if answer.position is not NOWHERE:
+            self.take_over(answer.records, answer.position, answer.held)
 
     def _list(self) -> Fault | None:
         match self._feed.newest(self._clock.now() + LIST_SECONDS):
             case Ok(listing):
-                if listing.next_offset < self.next_offset:
-                    # A router that read further told this one meanwhile.
-                    return None
-                self._next_offset = listing.next_offset
-                self._records = {record.key: record for record in listing.records}
-                self._taker.take_listing(listing.records, STORE)
-                self._tell()
+                held: list[HeldRecord] = []
+                if not self._listed and listing.position.era and self._news is not None:
+                    # This router may have started just after a loss, so others know more.
+                    held = self._news.ask_held(self)
+                # A router that read further may have told this one meanwhile.
+                if self._era.note(listing.position.era) and listing.position >= self.position:
+                    self._adopt(listing.records, listing.position, STORE, held)
                 return None
             case Err(fault):
                 return fault
         raise AssertionError("a result is a value or a fault")
 
-    def _read(self, offset: int) -> Fault | None:
+    def _adopt(
+        self,
+        records: list[KeyedRecord],
+        position: FeedPosition,
+        source: str,
+        held: Iterable[HeldRecord],
+    ) -> None:
+        """Take a whole listing over, with what stands against it since a loss."""
+        self._position = position
+        self._listed = True
+        loss = self._records.replace(records, position, held)
+        if loss is not None:
+            self._note_loss(loss, source)
+        self._taker.take_listing(self._records.believed, source)
+        self._tell()
+
+    def _read(self, position: FeedPosition) -> Fault | None:
         # A read that waits would not tell that a lost store is back before it has something to say.
         wait = 0.0 if self._failures else self._random.uniform(LEAST_WAIT, MOST_WAIT)
         self._due_at = self._clock.now() + wait
-        match self._feed.read(offset, self._due_at):
+        match self._feed.read(position.offset, self._due_at):
             case Ok(batch):
-                if batch.next_offset < offset:
+                if not self._era.note(batch.position.era):
+                    return None
+                if batch.position.era > position.era or batch.position < position:
                     # The store fell back; what it says from here on is listed anew.
                     return self._list_anew()
-                if batch.next_offset > self.next_offset:
+                if batch.position > self.position:
                     self._take(batch)
                 return None
             case Err(fault):
                 if fault.code is ResultCode.LOG_TRIMMED:
-                    emit(logger, Event.FEED_TRIMMED, feed=self._feed.name, offset=offset)
+                    emit(logger, Event.FEED_TRIMMED, feed=self._feed.name, offset=position.offset)
                     return self._list_anew()
                 return fault
         raise AssertionError("a result is a value or a fault")
@@ -239,22 +287,39 @@
     def _list_anew(self) -> Fault | None:
         # At once: in a pause another router that is behind too would say where to read on, and
         # reading there again finds the records gone.
-        self._next_offset = None
+        self._position = None
         return self._list()
 
     def _take(self, batch: Batch) -> None:
-        records = [record for record in batch.records if record.offset >= self.next_offset]
-        self._next_offset = batch.next_offset
+        records = [record for record in batch.records if record.position >= self.position]
+        self._position = batch.position
         if not records:
             return
-        for record in records:
-            if record.value is None:
-                self._records.pop(record.key, None)
-            else:
-                self._records[record.key] = record
-        self._taker.take_records(records)
+        changes = self._records.read_on(records, batch.position)
+        if changes:
+            self._taker.take_records(changes)
         self._tell()
 
+    def _end_held(self) -> None:
+        """Believe the store in what nobody wrote again for long enough."""
+        if self.answering and (changes := self._records.expire()):
+            self._taker.take_records(changes)
+
+    def _note_loss(self, loss: Loss, source: str) -> None:
+        emit(
+            logger,
+            Event.FEED_FELL_BACK,
+            feed=self._feed.name,
+            source=source,
+            era=loss.after.era,
+            offset=loss.after.offset,
+            era_before=loss.before.era,
+            offset_before=loss.before.offset,
+            lacked=loss.lacked[:MOST_TOLD],
+            older=loss.older[:MOST_TOLD],
+            held=len(self._records.held),
+        )
+
     def _tell_store(self) -> None:
         for changed in self._store_listeners:
             changed()
@@ -273,6 +338,7 @@
                 silent=self._seconds_since(self._answered_at),
             )
             self._failures = 0
+            self._records.postpone()
             self._taker.note_regained()
             self._tell_store()
         self._answered_at = self._clock.now()
--- a/packages/loomyard-router/src/loomyard_router/feeds/keyed_record.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/keyed_record.py
@@ -4,11 +4,21 @@
 
 from attrs import frozen
 
+from loomyard_router.feeds.feed_position import FeedPosition
+
 
 @frozen(kw_only=True)
 class KeyedRecord:
-    """The newest value of a key at an offset; ``None`` where the key was dropped."""
+    """The newest value of a key; ``None`` where the key was dropped.
+
+    It stands at ``offset`` of the ``era`` in which it was read; neither alone tells it from others.
+    """
 
     key: str
     value: bytes | None
     offset: int
+    era: int = 0
+
+    @property
+    def position(self) -> FeedPosition:
+        return FeedPosition(self.era, self.offset)
--- a/packages/loomyard-router/src/loomyard_router/feeds/unreadable_entries.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/unreadable_entries.py
@@ -9,6 +9,7 @@
 from loomyard.events import Event, emit
 
 if TYPE_CHECKING:
+    from loomyard_router.feeds.feed_position import FeedPosition
     from loomyard_router.feeds.unreadable_entry import Unreadable, UnreadableEntry
 
 logger = logging.getLogger(__name__)
@@ -23,13 +24,13 @@
 
     def __init__(self) -> None:
         self.counts: Counter[tuple[str, Unreadable]] = Counter()
-        self._told: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self._told: OrderedDict[tuple[str, str], FeedPosition] = OrderedDict()
 
-    def note(self, feed: str, key: str, offset: int, entry: UnreadableEntry) -> None:
-        """Take in that the record of a key at an offset can't be read."""
-        if self._told.get((feed, key)) == offset:
+    def note(self, feed: str, key: str, position: FeedPosition, entry: UnreadableEntry) -> None:
+        """Take in that the record of a key at a position can't be read."""
+        if self._told.get((feed, key)) == position:
             return
-        self._told[feed, key] = offset
+        self._told[feed, key] = position
         self._told.move_to_end((feed, key))
         if len(self._told) > MOST_TOLD:
             self._told.popitem(last=False)
@@ -39,7 +40,8 @@
             Event.ENTRY_UNREADABLE,
             feed=feed,
             key=key[:MOST_KEY],
-            offset=offset,
+            era=position.era,
+            offset=position.offset,
             reason=entry.reason.value,
             detail=entry.detail,
         )
--- a/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
@@ -107,11 +107,23 @@
             "seconds since the store last answered on a feed",
             labels=("feed",),
         )
+        era = GaugeMetricFamily(
+            "loomyard_feed_era",
+            "era of the store that a feed was read in; it rises when the store lost writes",
+            labels=("feed",),
+        )
+        dropped = CounterMetricFamily(
+            "loomyard_feed_answers_dropped",
+            "answers of the store and of routers that belong to an earlier era",
+            labels=("feed",),
+        )
         for state in self._feeds():
-            read.add_metric((state.name,), state.next_offset)
-            announced.add_metric((state.name,), state.announced_offset)
+            read.add_metric((state.name,), state.position.offset)
+            announced.add_metric((state.name,), state.announced.offset)
             silent.add_metric((state.name,), state.silent)
-        yield from (read, announced, silent)
+            era.add_metric((state.name,), state.position.era)
+            dropped.add_metric((state.name,), state.dropped)
+        yield from (read, announced, silent, era, dropped)
 
     def _announcements(self) -> Iterator[Metric]:
         figures = self._announced
--- a/packages/loomyard-router/src/loomyard_router/platform/__main__.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/__main__.py
@@ -19,6 +19,7 @@
 from loomyard.clock import SystemClock  # noqa: E402
 from loomyard.logs import JSON, use_handler  # noqa: E402
 from loomyard.util.collector import tune_collector  # noqa: E402
+from loomyard_router.feeds.store_era import StoreEra  # noqa: E402
 from loomyard_router.platform import names  # noqa: E402
 from loomyard_router.platform.callers import PlatformCallers  # noqa: E402
 from loomyard_router.platform.documents import (  # noqa: E402
@@ -50,20 +51,22 @@
     lines = BoundedLogHandler(sys.stdout.fileno(), clock)
     use_handler(lines, JSON)
     lines.start()
+    era = StoreEra()
     application = RoutedApplication(
         settings,
         RoutedPlatform(
             clock=clock,
-            tables=StoreFeed(settings.store, names.CONFIGURATION_TOPIC, clock),
+            era=era,
+            tables=StoreFeed(settings.store, names.CONFIGURATION_TOPIC, clock, era),
             table_key=names.CONFIGURATION_KEY,
             decode_table=decode_configuration,
             find_emptied_data_centre=find_emptied_data_centre,
-            targets=StoreFeed(settings.store, names.TARGETS_TOPIC, clock),
+            targets=StoreFeed(settings.store, names.TARGETS_TOPIC, clock, era),
             decode_target=decode_target,
             callers=PlatformCallers(),
             target_dialect=PlatformTargets(),
             ready_path=names.READY_PATH,
-            crashes=StoreArchive(settings.store, names.CRASHES_TOPIC, clock),
+            crashes=StoreArchive(settings.store, names.CRASHES_TOPIC, clock, era),
         ),
     )
     tune_collector()
--- a/packages/loomyard-router/src/loomyard_router/platform/names.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/names.py
@@ -20,6 +20,8 @@
 NOT_RUN = "Loomyard-Not-Executed"
 STAMP = "Loomyard-Server-Stamp"
 RETRY_AFTER = "Retry-After"
+# In all answers of the store; it rises by one each time that came back from an older copy.
+STORE_ERA = "Store-Era"
 AUTHORIZATION = "Authorization"
 KEY_SCHEME = "Bearer "
 
--- a/packages/loomyard-router/src/loomyard_router/platform/store_archive.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/store_archive.py
@@ -15,6 +15,7 @@
 
     from loomyard.clock import Clock
     from loomyard.errors import Fault
+    from loomyard_router.feeds.store_era import StoreEra
 
 _LENGTH = struct.Struct(">I")
 
@@ -22,10 +23,15 @@
 class StoreArchive:
     """The ``CrashArchive`` of the platform: the newest record of each key of a keyed topic."""
 
-    def __init__(self, address: str, topic: str, clock: Clock) -> None:
+    def __init__(self, address: str, topic: str, clock: Clock, era: StoreEra) -> None:
         self._topic = topic
-        self._records = StoreFeed(address, topic, clock)
-        self._calls = StoreCalls(address, clock)
+        self._era = era
+        self._records = StoreFeed(address, topic, clock, era)
+        self._calls = StoreCalls(address, clock, era)
+
+    @property
+    def era(self) -> int:
+        return self._era.newest
 
     def read(self, deadline: float) -> Result[Mapping[str, bytes], Fault]:
         return self._records.newest(deadline).map(
--- a/packages/loomyard-router/src/loomyard_router/platform/store_calls.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/store_calls.py
@@ -12,6 +12,7 @@
 from loomyard.errors import Fault, ResultCode
 from loomyard.util.addresses import split_address
 from loomyard.util.tcp import make_http_client
+from loomyard_router.platform import names
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -19,24 +20,33 @@
     from geventhttpclient import HTTPClient
 
     from loomyard.clock import Clock
+    from loomyard_router.feeds.store_era import StoreEra
 
 HTTP_OK = 200
 CONNECT_SECONDS = 0.5
 LEAST_SECONDS = 0.05
+# A store would lose writes a million times first; more would not travel as one number.
+MOST_ERA_DIGITS = 6
 
 
 @frozen
 class StoreAnswer:
-    """An answer that came whole."""
+    """An answer that came whole, and the era of the store that gave it."""
 
     status: int
     body: bytes
+    era: int = 0
 
 
 class StoreCalls:
-    """Make one call after the other; a connection of which an answer was lost is not used again."""
+    """Make one call after the other; a connection of which an answer was lost is not used again.
 
-    def __init__(self, address: str, clock: Clock) -> None:
+    Each answer tells ``era`` of the store's, also a refusal; one of an earlier era than the newest
+    that was heard of is none.
+    """
+
+    def __init__(self, address: str, clock: Clock, era: StoreEra) -> None:
+        self._era = era
         self._host, self._port = split_address(address)
         self._clock = clock
         self._client: HTTPClient | None = None
@@ -71,6 +81,7 @@
                 response = self._client.request(method, f"{path}?{urlencode(query)}", body=sent)
                 body = bytes(response.read())
             status = response.status_code
+            told = response.get(names.STORE_ERA)
             whole = response.message_complete
         except Timeout as expired:
             if expired is not timeout:
@@ -83,7 +94,13 @@
         if not whole:
             self._drop()
             return Err(unavailable("the answer broke off"))
-        return Ok(StoreAnswer(status, body))
+        era = read_era(told)
+        if era is None:
+            # A store that tells none has one for ever.
+            return Ok(StoreAnswer(status, body, self._era.newest))
+        if not self._era.note(era):
+            return Err(unavailable(f"an answer of era {era}, which is over"))
+        return Ok(StoreAnswer(status, body, era))
 
     def _drop(self) -> None:
         client, self._client = self._client, None
@@ -91,6 +108,18 @@
             client.close()
 
 
+def read_era(text: object) -> int | None:
+    """Read the era that an answer tells, ``None`` where it tells none that can be read."""
+    # The client gives a list where a header comes more than once.
+    if (
+        not isinstance(text, str)
+        or not (text.isascii() and text.isdigit())
+        or len(text) > MOST_ERA_DIGITS
+    ):
+        return None
+    return int(text)
+
+
 def unavailable(detail: str) -> Fault:
     """Make the fault of a store that did not do what was asked."""
     return Fault(code=ResultCode.LOG_UNAVAILABLE, detail=detail)
--- a/packages/loomyard-router/src/loomyard_router/platform/store_feed.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/store_feed.py
@@ -11,11 +11,13 @@
 
 from loomyard.errors import Fault, ResultCode
 from loomyard_router.feeds.feed import ANSWER_SECONDS, Batch, Listing
+from loomyard_router.feeds.feed_position import FeedPosition
 from loomyard_router.feeds.keyed_record import KeyedRecord
-from loomyard_router.platform.store_calls import HTTP_OK, StoreCalls, unavailable
+from loomyard_router.platform.store_calls import HTTP_OK, StoreAnswer, StoreCalls, unavailable
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
+    from loomyard_router.feeds.store_era import StoreEra
 
 HTTP_GONE = 410
 MILLISECONDS = 1000
@@ -26,8 +28,8 @@
 class StoreFeed:
     """Read the only partition of a keyed topic over one connection."""
 
-    def __init__(self, address: str, topic: str, clock: Clock) -> None:
-        self._calls = StoreCalls(address, clock)
+    def __init__(self, address: str, topic: str, clock: Clock, era: StoreEra) -> None:
+        self._calls = StoreCalls(address, clock, era)
         self._topic = topic
         self._clock = clock
 
@@ -37,35 +39,38 @@
 
     def newest(self, deadline: float) -> Result[Listing, Fault]:
         records: list[KeyedRecord] = []
-        first_end: int | None = None
+        first_end: FeedPosition | None = None
         after: str | None = None
         while True:
             query = {"topic": self._topic, "part": 0} | ({"after_rev": after} if after else {})
-            body = self._get("/log-newest", query, deadline)
-            if body.is_err():
-                return Err(body.unwrap_err())
+            answer = self._get("/log-newest", query, deadline)
+            if answer.is_err():
+                return Err(answer.unwrap_err())
+            era = answer.unwrap().era
+            if first_end is not None and era != first_end.era:
+                return Err(unavailable("pages of two eras are no listing"))
             try:
-                page = json.loads(body.unwrap())
+                page = json.loads(answer.unwrap().body)
                 items = page["items"]
-                records += [_decode_item(item) for item in items]
+                records += [_decode_item(item, era) for item in items]
                 # The pages are no snapshot: what changed since the first is read again.
-                first_end = int(page["end_offset"]) if first_end is None else first_end
+                first_end = first_end or FeedPosition(era, int(page["end_offset"]))
                 more = bool(page.get("truncated")) and bool(items)
                 after = items[-1]["tls_key"] if more else None
             except (ValueError, KeyError, TypeError, RecursionError) as error:
                 return Err(unavailable(f"an unreadable listing: {error!r}"))
             if not more:
-                return Ok(Listing(records=records, next_offset=first_end))
+                return Ok(Listing(records=records, position=first_end))
 
     def read(self, offset: int, wait_until: float) -> Result[Batch, Fault]:
         wait = max(0, int((wait_until - self._clock.now()) * MILLISECONDS))
         query = {"topic": self._topic, "part": 0, "from": offset, "wait_ms": wait}
-        body = self._get("/log-read", query, wait_until + ANSWER_SECONDS)
-        if body.is_err():
-            return Err(body.unwrap_err())
-        return _decode_batch(body.unwrap(), offset)
+        answer = self._get("/log-read", query, wait_until + ANSWER_SECONDS)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        return _decode_batch(answer.unwrap().body, offset, answer.unwrap().era)
 
-    def _get(self, path: str, query: dict, deadline: float) -> Result[bytes, Fault]:
+    def _get(self, path: str, query: dict, deadline: float) -> Result[StoreAnswer, Fault]:
         match self._calls.get(path, query, deadline):
             case Err(fault):
                 return Err(fault)
@@ -75,16 +80,16 @@
             return Err(Fault(code=ResultCode.LOG_TRIMMED, detail="the records are gone"))
         if answer.status != HTTP_OK:
             return Err(unavailable(f"status {answer.status}"))
-        return Ok(answer.body)
+        return Ok(answer)
 
 
-def _decode_item(item: dict) -> KeyedRecord:
+def _decode_item(item: dict, era: int) -> KeyedRecord:
     value = base64.b64decode(item["value"]) if item.get("value") else None
     # The platform's field for a record's key is named after a key of TLS.
-    return KeyedRecord(key=str(item["tls_key"]), value=value, offset=int(item["offset"]))
+    return KeyedRecord(key=str(item["tls_key"]), value=value, offset=int(item["offset"]), era=era)
 
 
-def _decode_batch(data: bytes, offset: int) -> Result[Batch, Fault]:
+def _decode_batch(data: bytes, offset: int, era: int) -> Result[Batch, Fault]:
     records = []
     try:
         end, first = _ENDS.unpack_from(data)
@@ -97,18 +102,18 @@
             if len(content) < length:
                 return Err(unavailable("a record that is cut off"))
             at += length
-            records.append(_decode_record(content, offset))
+            records.append(_decode_record(content, offset, era))
             offset += 1
     except struct.error as error:
         return Err(unavailable(f"an unreadable batch: {error!r}"))
     # The end before the offset asked for says that the store fell back.
-    return Ok(Batch(records=records, next_offset=min(offset, end)))
+    return Ok(Batch(records=records, position=FeedPosition(era, min(offset, end))))
 
 
-def _decode_record(content: bytes, offset: int) -> KeyedRecord:
+def _decode_record(content: bytes, offset: int, era: int) -> KeyedRecord:
     if not content:
         # Another writer may append anything; a record without a key says nothing.
-        return KeyedRecord(key="", value=None, offset=offset)
+        return KeyedRecord(key="", value=None, offset=offset, era=era)
     length = content[0]
     key = content[1 : 1 + length].decode(errors="replace")
-    return KeyedRecord(key=key, value=content[1 + length :] or None, offset=offset)
+    return KeyedRecord(key=key, value=content[1 + length :] or None, offset=offset, era=era)
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from attrs import frozen
+from attrs import field, frozen
 from result import Result
 
 from loomyard.clock import Clock
@@ -18,8 +18,10 @@
 from loomyard_router.announced.announced_figures import AnnouncedFigures
 from loomyard_router.announced.announced_target import AnnouncedTarget
 from loomyard_router.announced.emptied_data_centres import EmptiedDataCentres
+from loomyard_router.announced.order_losses import OrderLosses
 from loomyard_router.announced.target_board import TargetBoard
 from loomyard_router.announced.target_feed import TargetFeed
+from loomyard_router.announced.target_losses import TargetLosses
 from loomyard_router.callers.in_flight import InFlight
 from loomyard_router.crashes.crash_archive import CrashArchive
 from loomyard_router.crashes.crash_exchange import CrashExchange
@@ -31,6 +33,7 @@
 from loomyard_router.feeds.feed_exchange import FeedExchange
 from loomyard_router.feeds.feed_follower import FeedFollower
 from loomyard_router.feeds.joint_taker import JointTaker
+from loomyard_router.feeds.store_era import StoreEra
 from loomyard_router.feeds.unreadable_entries import UnreadableEntries
 from loomyard_router.feeds.unreadable_entry import UnreadableEntry
 from loomyard_router.fleet_parts import make_fleet_parts
@@ -82,6 +85,7 @@
     target_dialect: TargetDialect
     ready_path: str
     crashes: CrashArchive | None = None
+    era: StoreEra = field(factory=StoreEra)
 
 
 class RoutedApplication:
@@ -110,6 +114,8 @@
             clock,
             source,
             pace=settings.feed_pace,
+            era=platform.era,
+            losses=OrderLosses(platform.find_emptied_data_centre),
         )
         self._targets = FeedFollower(
             platform.targets,
@@ -117,6 +123,8 @@
             clock,
             source,
             pace=settings.feed_pace,
+            era=platform.era,
+            losses=TargetLosses(platform.decode_target),
         )
         self._pool = ConnectionPool(clock)
         self.fleet = make_fleet_parts(_fleet_settings(settings), clock)
--- a/packages/loomyard-router/src/loomyard_router/routes/table_feed.py
+++ b/packages/loomyard-router/src/loomyard_router/routes/table_feed.py
@@ -44,6 +44,6 @@
                 continue
             match self.holder.offer(record.value, source):
                 case Err(entry):
-                    self.unreadable.note(FEED, record.key, record.offset, entry)
+                    self.unreadable.note(FEED, record.key, record.position, entry)
                 case _:
                     return
--- a/packages/loomyard-standins/src/loomyard_standins/memory_store.py
+++ b/packages/loomyard-standins/src/loomyard_standins/memory_store.py
@@ -5,12 +5,14 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from attrs import evolve
 from gevent.event import Event
 from result import Err, Ok, Result
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.util.waiting import wait_any
 from loomyard_router.feeds.feed import ANSWER_SECONDS, Batch, Listing
+from loomyard_router.feeds.feed_position import FeedPosition
 from loomyard_router.feeds.keyed_record import KeyedRecord
 
 if TYPE_CHECKING:
@@ -42,7 +44,9 @@
 
     def publish(self, key: str, value: bytes | None) -> float:
         """Keep a record; return the time at which its writer is told so."""
-        self._records.append(KeyedRecord(key=key, value=value, offset=len(self._records)))
+        self._records.append(
+            KeyedRecord(key=key, value=value, offset=len(self._records), era=self.era)
+        )
         self._written_at.append(self.clock.now())
         self._wake()
         return self.clock.now()
@@ -76,12 +80,12 @@
 
     def since(self, offset: int) -> list[KeyedRecord]:
         """Return the records from an offset on."""
-        return self._records[offset:]
+        return [evolve(record, era=self.era) for record in self._records[offset:]]
 
     def newest(self) -> list[KeyedRecord]:
         """Return the newest record of each key."""
         newest = {record.key: record for record in self._records}
-        return [record for record in newest.values() if record.value is not None]
+        return [evolve(one, era=self.era) for one in newest.values() if one.value is not None]
 
     @property
     def end(self) -> int:
@@ -111,7 +115,7 @@
         if outage is not None:
             return self._fail(outage, deadline)
         records = self._store.newest()
-        return Ok(Listing(records=records, next_offset=self._store.end))
+        return Ok(Listing(records=records, position=FeedPosition(self._store.era, self._store.end)))
 
     def read(self, offset: int, wait_until: float) -> Result[Batch, Fault]:
         self.calls += 1
@@ -129,7 +133,7 @@
         if offset > store.end:
             return Err(Fault(code=ResultCode.LOG_TRIMMED, detail="no such records"))
         records = store.since(offset)
-        return Ok(Batch(records=records, next_offset=offset + len(records)))
+        return Ok(Batch(records=records, position=FeedPosition(store.era, store.end)))
 
     def _fail(self, outage: Outage, deadline: float) -> Err[Fault]:
         if outage is Outage.SILENT:
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -38,6 +38,7 @@
     FEED_REGAINED = (303, logging.INFO, "a feed of the platform's store answers again")
     FEED_TRIMMED = (304, logging.INFO, "records of a feed are gone; it is listed anew")
     FEED_HEARD = (305, logging.INFO, "another router has read further in a feed")
+    FEED_FELL_BACK = (306, logging.WARNING, "the store came back from a copy that lacks writes")
     MEMBER_CHANGED = (310, logging.INFO, "a router joined, left or changed its state")
     MEMBER_SUSPECTED = (311, logging.INFO, "a router did not answer probes")
     MEMBER_REFUTED = (312, logging.WARNING, "others doubted that this router is alive")
--- a/tests/test_loomyard_router/test_announced/test_cold_targets.py
+++ b/tests/test_loomyard_router/test_announced/test_cold_targets.py
@@ -8,6 +8,7 @@
 
 from loomyard_router.announced.announced_target import AnnouncedTarget
 from loomyard_router.announced.cold_targets import KEEPER_PART, WARM
+from loomyard_router.feeds.feed_position import FeedPosition
 from loomyard_router.peers.no_peers import NoPeers
 from test_loomyard_router.test_admission.places_case import (
     COLD_PER_SECOND,
@@ -25,7 +26,9 @@
 
 def make_cold(fleet: Fleet, *, offset: int = 1, seconds: float = COLD_SECONDS) -> None:
     """Announce to all routers that all targets are cold."""
-    targets = [evolve(one, cold_seconds=seconds, offset=offset) for one in fleet.targets]
+    targets = [
+        evolve(one, cold_seconds=seconds, position=FeedPosition(0, offset)) for one in fleet.targets
+    ]
     for router in fleet.routers:
         router.board.apply(targets, [])
 
--- a/tests/test_loomyard_router/test_announced/test_target_lives.py
+++ b/tests/test_loomyard_router/test_announced/test_target_lives.py
@@ -10,13 +10,16 @@
 from loomyard_router.admission.target_loads import LEAST_PLACES, TargetLoads
 from loomyard_router.announced.announced_target import AnnouncedTarget
 from loomyard_router.announced.target_board import TargetBoard
+from loomyard_router.feeds.feed_position import FeedPosition
 from loomyard_standins.fake_clock import FakeClock
 from test_loomyard_router.test_admission.places_case import SLOTS, Fleet
 from test_loomyard_router.test_routed.routed_case import RoutedCase, route
 from test_loomyard_router.test_routed.scripted_target import plain_script
 
-OLD = AnnouncedTarget(id="t", service="s", address="127.0.0.1:1", born=1_000, offset=5)
-NEW = evolve(OLD, born=2_000, offset=6)
+OLD = AnnouncedTarget(
+    id="t", service="s", address="127.0.0.1:1", born=1_000, position=FeedPosition(0, 5)
+)
+NEW = evolve(OLD, born=2_000, position=FeedPosition(0, 6))
 
 
 class LivesOnTheBoardTest(unittest.TestCase):
@@ -33,7 +36,7 @@
 
     def test_an_earlier_life_after_a_later_one_is_old_news(self) -> None:
         self.board.apply([NEW], [])
-        self.board.apply([evolve(OLD, offset=9, draining=True)], [])
+        self.board.apply([evolve(OLD, position=FeedPosition(0, 9), draining=True)], [])
         self.assertTrue(self.board.takes_work(NEW))
         self.board.replace_all([OLD])
         self.assertEqual([NEW], self.board.known())
@@ -45,7 +48,7 @@
         self.assertEqual((), self.board.usable("s"))
 
     def test_of_one_life_the_newest_record_counts(self) -> None:
-        moved = evolve(OLD, address="127.0.0.1:9", offset=7)
+        moved = evolve(OLD, address="127.0.0.1:9", position=FeedPosition(0, 7))
         self.board.apply([moved], [])
         self.assertEqual("127.0.0.1:9", self.board.usable("s")[0].address)
 
@@ -73,7 +76,7 @@
     def test_places_held_in_an_earlier_life_are_free_in_the_later_one(self) -> None:
         fleet = Fleet(1)
         for life in (1_000, 2_000):
-            reborn = evolve(fleet.targets[0], born=life, offset=life)
+            reborn = evolve(fleet.targets[0], born=life, position=FeedPosition(0, life))
             for router in fleet.routers:
                 router.board.apply([reborn], [])
             taken = [
--- a/tests/test_loomyard_router/test_crashing/test_crash_memory.py
+++ b/tests/test_loomyard_router/test_crashing/test_crash_memory.py
@@ -33,6 +33,7 @@
 
     values: dict[str, bytes] = field(factory=dict)
     calls: int = 0
+    era: int = 0
     down: bool = False
     late: bool = False
 
--- a/tests/test_loomyard_router/test_feeds/test_feed_exchange.py
+++ b/tests/test_loomyard_router/test_feeds/test_feed_exchange.py
@@ -12,6 +12,7 @@
 from loomyard_router.feeds.feed_asker import LOOK_SECONDS, READ_SECONDS, WAIT_SECONDS
 from loomyard_router.feeds.feed_exchange import FeedExchange
 from loomyard_router.feeds.feed_follower import PEER, FeedFollower
+from loomyard_router.feeds.feed_position import FeedPosition
 from loomyard_router.members.membership import Member
 from loomyard_standins.fake_clock import FakeClock
 from loomyard_standins.memory_network import MemoryNetwork
@@ -52,21 +53,21 @@
             )
             exchange.start()
             self.addCleanup(exchange.stop)
-            feed.listings.append(Ok(Listing(records=[record("a", 0)], next_offset=1)))
+            feed.listings.append(Ok(Listing(records=[record("a", 0)], position=FeedPosition(0, 1))))
             follower.step()
         self.readers = [name for name in self.followers if self.reads_itself(name)]
         self.level(100)
 
     def reads_itself(self, name: str) -> bool:
         # The others have something newer, so that nobody waits.
-        newest = max(follower.next_offset for follower in self.followers.values())
+        newest = max(follower.position.offset for follower in self.followers.values())
         self.level(newest + 1, but=name)
         return self.exchanges[name].wait_for_news(self.followers[name]) is None
 
     def level(self, offset: int, but: str = "") -> None:
         for name, follower in self.followers.items():
             if name != but:
-                follower.take_over([record("a", 0)], offset)
+                follower.take_over([record("a", 0)], FeedPosition(0, offset))
 
     def test_one_without_the_store_tries_the_readers_first(self) -> None:
         name = next(one for one in self.exchanges if one not in self.readers)
@@ -80,24 +81,26 @@
     def test_the_others_hear_what_the_readers_read(self) -> None:
         name = next(one for one in self.followers if one not in self.readers)
         for reader in self.readers:
-            self.followers[reader].take_over([record("c", 100)], 101)
+            self.followers[reader].take_over([record("c", 100)], FeedPosition(0, 101))
         self.followers[name].step()
-        self.assertEqual(101, self.followers[name].next_offset)
+        self.assertEqual(101, self.followers[name].position.offset)
         self.assertEqual([], self.feeds[name].asked)
 
     def test_without_readers_a_router_reads_the_store_itself(self) -> None:
         name = next(one for one in self.followers if one not in self.readers)
         self.network.cut({name}, set(self.readers))
-        self.feeds[name].batches.append(Ok(Batch(records=[record("c", 100)], next_offset=101)))
+        self.feeds[name].batches.append(
+            Ok(Batch(records=[record("c", 100)], position=FeedPosition(0, 101)))
+        )
         self.followers[name].step()
-        self.assertEqual(101, self.followers[name].next_offset)
+        self.assertEqual(101, self.followers[name].position.offset)
 
     def test_readers_without_the_store_are_passed_over(self) -> None:
         name = next(one for one in self.followers if one not in self.readers)
         for reader in self.readers:
             self.feeds[reader].batches.append(Err(DOWN))
             self.followers[reader].step()
-        self.feeds[name].batches.append(Ok(Batch(records=[], next_offset=100)))
+        self.feeds[name].batches.append(Ok(Batch(records=[], position=FeedPosition(0, 100))))
         self.followers[name].step()
         self.assertEqual([100], self.feeds[name].asked)
 
@@ -129,37 +132,43 @@
         for exchange in self.exchanges:
             exchange.start()
             self.addCleanup(exchange.stop)
-        self.feeds[0].listings.append(Ok(Listing(records=[record("a", 0)], next_offset=3)))
+        self.feeds[0].listings.append(
+            Ok(Listing(records=[record("a", 0)], position=FeedPosition(0, 3)))
+        )
         self.followers[0].step()
 
     def test_a_router_that_never_reached_the_store_hears_all(self) -> None:
         pass_time(self.clock, 0.0)
         self.assertEqual([(PEER, ["a"])], self.taken[1].told)
-        self.assertEqual(3, self.followers[1].next_offset)
+        self.assertEqual(3, self.followers[1].position.offset)
 
     def test_a_router_that_lost_the_store_hears_what_is_newer_at_once(self) -> None:
         pass_time(self.clock, 0.0)
         self.feeds[1].batches.append(Err(DOWN))
         self.followers[1].step()
         pass_time(self.clock, LOOK_SECONDS)
-        self.feeds[0].batches.append(Ok(Batch(records=[record("b", 3)], next_offset=4)))
+        self.feeds[0].batches.append(
+            Ok(Batch(records=[record("b", 3)], position=FeedPosition(0, 4)))
+        )
         self.followers[0].step()
         pass_time(self.clock, 0.0)
         self.assertEqual((PEER, ["a", "b"]), self.taken[1].told[-1])
 
     def test_a_router_whose_read_hangs_asks_once_it_hears_of_more(self) -> None:
         pass_time(self.clock, 0.0)
-        self.feeds[1].batches.append(Ok(Batch(records=[], next_offset=3)))
+        self.feeds[1].batches.append(Ok(Batch(records=[], position=FeedPosition(0, 3))))
         self.followers[1].step()
         pass_time(self.clock, WAIT_SECONDS)
-        self.feeds[0].batches.append(Ok(Batch(records=[record("b", 3)], next_offset=4)))
+        self.feeds[0].batches.append(
+            Ok(Batch(records=[record("b", 3)], position=FeedPosition(0, 4)))
+        )
         self.followers[0].step()
         self.assertIn(("feed", 4), self.members[0].announced)
         self.members[1].heard["feed"]("feed", 4)  # type: ignore[operator]
         pass_time(self.clock, READ_SECONDS / 2)
-        self.assertEqual(3, self.followers[1].next_offset)
+        self.assertEqual(3, self.followers[1].position.offset)
         pass_time(self.clock, READ_SECONDS)
-        self.assertEqual(4, self.followers[1].next_offset)
+        self.assertEqual(4, self.followers[1].position.offset)
 
     def test_a_router_that_hears_of_more_asks_all_until_one_has_it(self) -> None:
         members = [
@@ -171,7 +180,7 @@
             FeedFollower(ScriptedFeed(), Taken(), self.clock, random.Random(1)) for _ in members
         ]
         for follower in followers:
-            follower.take_over([record("a", 0)], 3)
+            follower.take_over([record("a", 0)], FeedPosition(0, 3))
         for view, member, follower in zip(views, members, followers, strict=True):
             exchange = FeedExchange(
                 clock=self.clock,
@@ -183,15 +192,17 @@
             exchange.start()
             self.addCleanup(exchange.stop)
         views[0].live = lambda: tuple(members)  # type: ignore[method-assign]
-        followers[5].take_over([record("b", 3)], 4)
+        followers[5].take_over([record("b", 3)], FeedPosition(0, 4))
         views[0].heard["feed"]("feed", 4)  # type: ignore[operator]
         pass_time(self.clock, 0.0)
         pass_time(self.clock, READ_SECONDS)
-        self.assertEqual(4, followers[0].next_offset)
+        self.assertEqual(4, followers[0].position.offset)
 
     def test_who_has_read_no_further_gives_nothing(self) -> None:
-        answer = self.exchanges[0].give(self.members[1].own, FeedRequest(feed="feed", beyond=3))
-        self.assertEqual((-1, []), (answer.next_offset, answer.records))
+        answer = self.exchanges[0].give(
+            self.members[1].own, FeedRequest(feed="feed", beyond=FeedPosition(0, 3))
+        )
+        self.assertEqual((-1, []), (answer.position.offset, answer.records))
 
 
 if __name__ == "__main__":
--- a/tests/test_loomyard_router/test_feeds/test_feed_sight.py
+++ b/tests/test_loomyard_router/test_feeds/test_feed_sight.py
@@ -14,6 +14,7 @@
 from loomyard_router.feeds.feed_asker import READ_SECONDS
 from loomyard_router.feeds.feed_exchange import FeedExchange
 from loomyard_router.feeds.feed_follower import FeedFollower
+from loomyard_router.feeds.feed_position import FeedPosition
 from loomyard_router.members.membership import Member
 from loomyard_router.metrics.exposition import MetersCollector, expose
 from loomyard_router.metrics.meters import Meters
@@ -50,13 +51,15 @@
         self.feed = HangingFeed()
         self.feed.clock = self.clock
         self.follower = FeedFollower(self.feed, Taken(), self.clock, random.Random(1))
-        self.feed.listings.append(Ok(Listing(records=[record("a", 0)], next_offset=1)))
+        self.feed.listings.append(
+            Ok(Listing(records=[record("a", 0)], position=FeedPosition(0, 1)))
+        )
         self.follower.step()
 
     def test_the_line_of_a_loss_tells_how_long_the_call_was_out(self) -> None:
         self.clock.advance(1.0)
         self.feed.hangs = 8.0
-        self.feed.batches = [Err(DOWN), Ok(Batch(records=[], next_offset=1))]
+        self.feed.batches = [Err(DOWN), Ok(Batch(records=[], position=FeedPosition(0, 1)))]
         with mock.patch("loomyard_router.feeds.feed_follower.emit") as emit:
             self.follower.step()
             self.feed.hangs = 0.5
@@ -95,7 +98,7 @@
         members.heard["feed"]("feed", 2)  # type: ignore[operator]
         pass_time(self.clock, 0.0)
         pass_time(self.clock, READ_SECONDS)
-        ahead.take_over([record("a", 1)], 2)
+        ahead.take_over([record("a", 1)], FeedPosition(0, 2))
         with mock.patch("loomyard_router.feeds.feed_asker.emit") as emit:
             pass_time(self.clock, READ_SECONDS)
         emit.assert_called_once()
@@ -104,7 +107,7 @@
         self.assertEqual(1, emit.call_args.kwargs["in_vain"])
         (state,) = exchange.states()
         self.assertEqual(
-            (2, 2, 2 * READ_SECONDS), (state.next_offset, state.announced_offset, state.silent)
+            (2, 2, 2 * READ_SECONDS), (state.position.offset, state.announced.offset, state.silent)
         )
 
     def test_metrics_show_a_feed_that_is_behind_and_silent(self) -> None:
--- a/tests/test_loomyard_router/test_platform/test_entries_of_others.py
+++ b/tests/test_loomyard_router/test_platform/test_entries_of_others.py
@@ -135,8 +135,8 @@
         contents = [b"", b"\xff", bytes([2]) + b"\xff\xfe" + b"{}", good]
         data = struct.pack(">QQ", 9, 5)
         data += b"".join(struct.pack(">I", len(one)) + one for one in contents)
-        batch = _decode_batch(data, 5).unwrap()
-        self.assertEqual(9, batch.next_offset)
+        batch = _decode_batch(data, 5, 0).unwrap()
+        self.assertEqual(9, batch.position.offset)
         self.feed.take_records(batch.records)
         self.assertEqual(["t0", "t1", "t2"], self.usable())
 
--- a/tests/test_loomyard_router/test_platform/test_store_archive.py
+++ b/tests/test_loomyard_router/test_platform/test_store_archive.py
@@ -7,6 +7,7 @@
 from loomyard.clock import SystemClock
 from loomyard.errors import ResultCode
 from loomyard.util.tcp import NoDelayServer
+from loomyard_router.feeds.store_era import StoreEra
 from loomyard_router.platform.store_archive import StoreArchive
 from loomyard_standins.programs.store_program import StoreProgram
 
@@ -21,7 +22,7 @@
         self.addCleanup(server.stop, timeout=0)
         self.clock = SystemClock()
         self.archive = StoreArchive(
-            f"127.0.0.1:{server.server_port}", "keyed.something", self.clock
+            f"127.0.0.1:{server.server_port}", "keyed.something", self.clock, StoreEra()
         )
 
     @property
--- a/tests/test_loomyard_router/test_routed/routed_case.py
+++ b/tests/test_loomyard_router/test_routed/routed_case.py
@@ -17,6 +17,7 @@
 from loomyard.clock import SystemClock
 from loomyard.errors import Fault, ResultCode
 from loomyard_router.feeds.feed import Batch, Listing
+from loomyard_router.feeds.feed_position import FeedPosition
 from loomyard_router.feeds.keyed_record import KeyedRecord
 from loomyard_router.platform.callers import PlatformCallers
 from loomyard_router.platform.documents import find_emptied_data_centre
@@ -66,7 +67,7 @@
             return self._fault()
         newest = {record.key: record for record in self.records}
         kept = [record for record in newest.values() if record.value is not None]
-        return Ok(Listing(records=kept, next_offset=len(self.records)))
+        return Ok(Listing(records=kept, position=FeedPosition(0, len(self.records))))
 
     def read(self, offset: int, wait_until: float) -> Result[Batch, Fault]:
         if self.down:
@@ -75,7 +76,7 @@
             self._changed.wait()
         if self.down:
             return self._fault()
-        return Ok(Batch(records=self.records[offset:], next_offset=len(self.records)))
+        return Ok(Batch(records=self.records[offset:], position=FeedPosition(0, len(self.records))))
 
     def _fault(self) -> Err[Fault]:
         return Err(Fault(code=ResultCode.LOG_UNAVAILABLE, detail="down"))
