Ask who lives at a target whose machine goes on accepting connections; join late verdicts

Change: after a break the router asks for the target's health, at most two such questions a second; another id, or 502 or 504 of what stands in front, tells the end. Silence, a closed connection, 503 and refusals tell nothing. Where the entry vanishes or names another life within 10 s, at least one later attempt ended without a byte and nothing was heard since, what broke together is blamed then. Measured: the new test in three routers fails without the question (the ends are not recognized), passes with it; all others unchanged.

--- a/packages/loomyard-router/src/loomyard_router/crashes/crash_guard.py
+++ b/packages/loomyard-router/src/loomyard_router/crashes/crash_guard.py
@@ -10,10 +10,12 @@
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard_router.crashes.crash_ledger import BLOCKING_LEVEL, MOST_RECORDS
+from loomyard_router.crashes.late_verdicts import BrokenRequest, LateVerdicts
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
     from loomyard_router.announced.announced_target import AnnouncedTarget
+    from loomyard_router.announced.target_life import TargetLife
     from loomyard_router.crashes.crash_ledger import CrashLedger
     from loomyard_router.crashes.crash_record import CrashRecord
     from loomyard_router.crashes.target_check import TargetCheck
@@ -32,6 +34,7 @@
 
     def __init__(self, clock: Clock, ledger: CrashLedger, check: TargetCheck) -> None:
         self._clock = clock
+        self._late = LateVerdicts(clock)
         self._ledger = ledger
         self._check = check
         self._told: set[str] = set()
@@ -61,7 +64,33 @@
         """Take in that a target broke a request off; return what finds out whether it ended."""
         began = request.began_at
         runs = began is not None and self._clock.now() - began >= RUNS_SECONDS
-        return gevent.spawn(self._find_out, request, target, request.send_rank, runs=runs)
+        return gevent.spawn(
+            self._find_out,
+            request,
+            target,
+            request.send_rank,
+            runs=runs,
+            answered=began is not None,
+        )
+
+    def note_heard(self, target: AnnouncedTarget) -> None:
+        """Take in that a target began an answer."""
+        self._late.note_heard(target.life)
+
+    def note_known(self, known: set[TargetLife]) -> None:
+        """Take in which lives of targets are known; one that is not any more has ended."""
+        for life, broken in self._late.take_ended(known):
+            self._ledger.note_end(broken.fingerprint, broken.rank, life)
+            emit(
+                logger,
+                Event.TARGET_ENDED,
+                target=life,
+                fingerprint=broken.fingerprint,
+                rank=broken.rank,
+                blamed=True,
+                late=True,
+                level=self._ledger.level(broken.fingerprint),
+            )
 
     def note_whole(self, request: RoutedRequest) -> None:
         """Take in that a target ran a request to its end, well or not."""
@@ -69,10 +98,20 @@
             self._ledger.clear(request.fingerprint)
 
     def _find_out(
-        self, request: RoutedRequest, target: AnnouncedTarget, rank: int, *, runs: bool
+        self,
+        request: RoutedRequest,
+        target: AnnouncedTarget,
+        rank: int,
+        *,
+        runs: bool,
+        answered: bool,
     ) -> None:
         if not self._check.has_ended(target):
+            if not runs:
+                broken = BrokenRequest(request.fingerprint, rank)
+                self._late.note_broken(target.life, broken, answered=answered)
             return
+        self._late.note_heard(target.life)
         if not runs:
             self._ledger.note_end(request.fingerprint, rank, target.life)
         emit(
--- a/packages/loomyard-router/src/loomyard_router/crashes/target_check.py
+++ b/packages/loomyard-router/src/loomyard_router/crashes/target_check.py
@@ -14,19 +14,19 @@
 
 
 class TargetCheck:
-    """Try a connection once for all that broke there together.
+    """Find out once for all that broke there together.
 
     An answer that was lost, spoiled or reset on its way says nothing of the request; the machine of
     a process that has ended refuses the next connection, and that is known within a millisecond.
     """
 
-    def __init__(self, refuses: Callable[[AnnouncedTarget], bool]) -> None:
-        self._refuses = refuses
+    def __init__(self, find_out: Callable[[AnnouncedTarget], bool]) -> None:
+        self._find_out = find_out
         self._ended: set[TargetLife] = set()
         self._asked: dict[TargetLife, AsyncResult] = {}
 
     def has_ended(self, target: AnnouncedTarget) -> bool:
-        """Return whether this life of a target has ended; waits for a connection."""
+        """Return whether this life of a target has ended; waits for its word."""
         life = target.life
         if life in self._ended:
             return True
@@ -36,7 +36,7 @@
         asked = self._asked[life] = AsyncResult()
         ended = False
         try:
-            ended = self._refuses(target)
+            ended = self._find_out(target)
         finally:
             del self._asked[life]
             asked.set(ended)
--- a/packages/loomyard-router/src/loomyard_router/platform/documents.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/documents.py
@@ -115,6 +115,7 @@
 def _make_service(entry: ServiceEntry) -> ServiceTerms:
     return ServiceTerms(
         name=entry.name,
+        health_path=entry.health_path or "",
         max_connections=entry.max_conns,
         engine=None if entry.engine is None else _make_engine(entry.engine),
         cold_seconds=entry.cold_start_s,
--- a/packages/loomyard-router/src/loomyard_router/platform/entries.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/entries.py
@@ -92,6 +92,7 @@
     """A service."""
 
     name: str = field(validator=check_name)
+    health_path: str | None = field(default=None, validator=optional(check_path))
     max_conns: int = field(default=0, validator=whole(0, MOST_RANK))
     engine: EngineEntry | None = field(default=None, metadata=table_of(EngineEntry))
     cold_start_s: float = field(default=0, validator=number(0, MOST_SECONDS))
--- a/packages/loomyard-router/src/loomyard_router/platform/names.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/names.py
@@ -16,6 +16,8 @@
 LAST_EVENT_ID = "Last-Event-Id"
 # The life of a target that alone may run the request.
 EXPECTED_TARGET = "Loomyard-Expect-Instance"
+# The id of the target that answers for its health.
+INSTANCE = "Loomyard-Instance-Id"
 # The target's word that it did not run the request.
 NOT_RUN = "Loomyard-Not-Executed"
 STAMP = "Loomyard-Server-Stamp"
--- a/packages/loomyard-router/src/loomyard_router/platform/targets.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/targets.py
@@ -31,6 +31,16 @@
             lines.append(f"Content-Length: {len(request.body)}")
         return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
+    def render_health(self, path: str, target: AnnouncedTarget) -> bytes:
+        return f"GET {path} HTTP/1.1\r\nHost: {target.address}\r\n\r\n".encode("latin-1")
+
+    def read_health(self, status: int, headers: list[tuple[str, str]]) -> str | None:
+        fields = {name.lower(): value for name, value in headers}
+        named = fields.get(names.INSTANCE.lower())
+        if named is None and status in (HTTPStatus.BAD_GATEWAY, HTTPStatus.GATEWAY_TIMEOUT):
+            return ""
+        return named
+
     def read_word(self, status: int, headers: list[tuple[str, str]]) -> AnswerWord:
         fields = {name.lower(): value for name, value in headers}
         attempt_id = fields.get(names.ATTEMPT_ID.lower(), "")
--- a/packages/loomyard-router/src/loomyard_router/routed/connection_pool.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/connection_pool.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import re
 from typing import TYPE_CHECKING
 
@@ -16,11 +15,7 @@
     from loomyard_router.announced.announced_target import AnnouncedTarget
     from loomyard_router.announced.target_life import TargetLife
 
-logger = logging.getLogger(__name__)
-
 CONNECT_SECONDS = 0.4
-# A machine refuses a connection to a process that has ended within a way there and back.
-CHECK_SECONDS = 0.15
 MOST_IDLE_SECONDS = 8.0
 # Closed this much before the target may do so itself.
 IDLE_MARGIN = 0.5
@@ -57,8 +52,12 @@
             if now < kept.until and (repeatable or young) and kept.connection.quiet:
                 return kept.connection
             kept.connection.close()
+        return self.open(target, CONNECT_SECONDS)
+
+    def open(self, target: AnnouncedTarget, seconds: float) -> TargetConnection:
+        """Return a new connection within some seconds. Errors: ``OSError``."""
         self.opened += 1
-        return connect(target.address, self._clock, CONNECT_SECONDS, self._watch)
+        return connect(target.address, self._clock, seconds, self._watch)
 
     def give_back(self, target: AnnouncedTarget, connection: TargetConnection) -> None:
         """Keep a connection if it may be used again, and close it otherwise."""
@@ -67,18 +66,9 @@
         else:
             connection.close()
 
-    def refuses(self, target: AnnouncedTarget) -> bool:
-        """Tell whether a target's machine refuses connections; one that comes up is kept."""
-        try:
-            connection = connect(target.address, self._clock, CHECK_SECONDS, self._watch)
-        except ConnectionRefusedError:
-            return True
-        except OSError as error:
-            logger.debug("a target that broke an answer off can't be reached: %r", error)
-            return False
-        self.opened += 1
+    def keep(self, target: AnnouncedTarget, connection: TargetConnection) -> None:
+        """Keep a connection on which nothing was sent."""
         self._keep(target, connection, MOST_IDLE_SECONDS)
-        return False
 
     def forget(self, known: set[TargetLife]) -> None:
         """Close what is kept to targets that are not known any more, and what is too old."""
--- a/packages/loomyard-router/src/loomyard_router/routed/dialects.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/dialects.py
@@ -63,3 +63,12 @@
 
     def read_word(self, status: int, headers: list[tuple[str, str]]) -> AnswerWord:
         """Read what the head of an answer says."""
+
+    def render_health(self, path: str, target: AnnouncedTarget) -> bytes:
+        """Return the head of a question who lives at a target's address."""
+
+    def read_health(self, status: int, headers: list[tuple[str, str]]) -> str | None:
+        """Return the id that the answer names, empty for an error of what stands in front.
+
+        ``None`` where the answer tells nothing of that.
+        """
--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -200,11 +200,13 @@
                 request.trace.answer(request.began_at)
                 place.note_answer()
                 self._health.note_answer(place.target)
+                self._guard.note_heard(place.target)
                 return Ok((exchange, first, False))
             first, whole = self._hold(request, exchange)
         except ExchangeBrokenError as error:
             self._sender.finish(request, exchange)
             return Err(_broken(request, error))
+        self._guard.note_heard(place.target)
         if not exchange.failed:
             self._health.note_answer(place.target)
         if whole:
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -28,6 +28,7 @@
 from loomyard_router.crashes.crash_guard import CrashGuard
 from loomyard_router.crashes.crash_ledger import CrashLedger
 from loomyard_router.crashes.crash_memory import CrashMemory
+from loomyard_router.crashes.life_probe import LifeProbe
 from loomyard_router.crashes.target_check import TargetCheck
 from loomyard_router.feeds.feed import Feed
 from loomyard_router.feeds.feed_exchange import FeedExchange
@@ -157,7 +158,14 @@
                 archive=platform.crashes,
                 members=self.members,
             )
-        self._check = TargetCheck(self._pool.refuses)
+        probe = LifeProbe(
+            clock=clock,
+            pool=self._pool,
+            dialect=platform.target_dialect,
+            holder=self.holder,
+        )
+        self._check = TargetCheck(probe.has_ended)
+        self._guard = CrashGuard(clock, self._crashes, self._check)
         self._lag = LoopLag(clock, most=settings.most_lag)
         forwarder = Forwarder(
             clock=clock,
@@ -165,7 +173,7 @@
             sender=Sender(clock, self._pool, platform.target_dialect),
             health=self._admission.health,
             board=self.board,
-            guard=CrashGuard(clock, self._crashes, self._check),
+            guard=self._guard,
             budget=RetryBudget(
                 per_request=settings.retries.ratio,
                 most=self._retry_slack,
@@ -323,6 +331,7 @@
         known = {target.life for target in self.board.known()}
         self._pool.forget(known)
         self._check.forget(known)
+        self._guard.note_known(known)
         self._admission.forget(known)
 
 
--- a/packages/loomyard-router/src/loomyard_router/routes/service_terms.py
+++ b/packages/loomyard-router/src/loomyard_router/routes/service_terms.py
@@ -18,10 +18,12 @@
     """A service; ``engine`` is ``None`` for a plain one.
 
     A target of it is cold for ``cold_seconds`` after its start and bears ``cold_per_second``
-    requests meanwhile; 0 where nothing bounds them.
+    requests meanwhile; 0 where nothing bounds them. Targets tell their health at ``health_path``,
+    empty where they do not.
     """
 
     name: str
+    health_path: str = ""
     max_connections: int = 0
     engine: EngineTerms | None = None
     cold_seconds: float = 0.0
--- a/tests/test_loomyard_router/test_crashing/routers_case.py
+++ b/tests/test_loomyard_router/test_crashing/routers_case.py
@@ -13,6 +13,7 @@
 
 from loomyard_router.routed_application import RoutedApplication
 from loomyard_router.routed_settings import RetryTerms, RoutedSettings
+from loomyard_router.routes.service_terms import EngineTerms, ServiceTerms
 from test_loomyard_router.test_routed.routed_case import WAIT, RoutedCase, request_bytes
 from test_loomyard_router.test_routed.scripted_target import (
     Received,
@@ -28,6 +29,7 @@
 
 # A body that begins so ends each target that begins to run it.
 ENDING = b"ends targets"
+ENGINES = ServiceTerms(name="engine", health_path="/health", engine=EngineTerms(slots=4))
 # How many targets stand at any time; one that ended is replaced under a new id.
 TARGETS = 4
 # By then news has reached every router in touch; the users allow three seconds and more.
@@ -40,11 +42,19 @@
     """A target that ends, with all that runs there, when it begins to run certain requests."""
 
     streams: bool = False
+    # Something in front goes on accepting connections after the end, and answers for the target.
+    fronted: bool = False
     ended: bool = False
     _open: set[socket.socket] = field(factory=set)
 
     def serve_one(self, request: Received, sock: socket.socket) -> bool:
         """Answer a request; work takes a moment, so that others run beside it."""
+        if self.ended:
+            self._answer_in_front(sock)
+            return True
+        if request.line.startswith("GET /health"):
+            sock.sendall(health(self.id))
+            return False
         self._open.add(sock)
         if self.streams:
             after = int(request.headers.get("last-event-id") or 0)
@@ -64,12 +74,21 @@
     def end(self) -> None:
         """End: break all connections and listen no longer."""
         self.ended = True
-        self.stop()
+        if not self.fronted:
+            self.stop()
         for sock in self._open:
             with suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
         self._open.clear()
 
+    def _answer_in_front(self, sock: socket.socket) -> None:
+        sock.sendall(b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n")
+
+
+def health(id_: str) -> bytes:
+    """Return the answer of a target that is asked for its health."""
+    return f"HTTP/1.1 200 OK\r\nLoomyard-Instance-Id: {id_}\r\nContent-Length: 0\r\n\r\n".encode()
+
 
 class RoutersCase(RoutedCase):
     """Some routers that share the feeds of ``RoutedCase``."""
@@ -109,17 +128,28 @@
         self.until(lambda: all(len(one.members.live()) == len(self.begun) for one in self.begun))
         return router
 
-    def serve(self, served: Route, *, service: str = "plain", streams: bool = False) -> None:
+    def serve(
+        self,
+        served: Route,
+        *,
+        service: str = "plain",
+        streams: bool = False,
+        fronted: bool = False,
+    ) -> None:
         """Put a route in force and start targets for it."""
         for _ in range(TARGETS):
-            self.add_target(service, streams=streams)
-        self.publish(served)
+            self.add_target(service, streams=streams, fronted=fronted)
+        self.publish(served, services=[ServiceTerms(name="plain", health_path="/health"), ENGINES])
         self.until(lambda: all(router.ready for router in self.routers))
 
-    def add_target(self, service: str, *, streams: bool = False) -> EndingTarget:
+    def add_target(
+        self, service: str, *, streams: bool = False, fronted: bool = False
+    ) -> EndingTarget:
         """Start a target under a new id."""
         number = len(self.all_targets)
-        target = EndingTarget(f"t{number}", service, lambda *_: None, streams=streams)
+        target = EndingTarget(
+            f"t{number}", service, lambda *_: None, streams=streams, fronted=fronted
+        )
         target.script = target.serve_one
         target.start()
         self.addCleanup(target.stop)
@@ -155,7 +185,7 @@
                 self.targets.put(target.id, None)
         for _ in range(TARGETS - len(standing)):
             some = self.all_targets[0]
-            self.add_target(some.service, streams=some.streams)
+            self.add_target(some.service, streams=some.streams, fronted=some.fronted)
 
     def forget_ended(self) -> None:
         """Wait until no router uses a target that ended; several that vanish at once may return."""
--- /dev/null
+++ b/tests/test_loomyard_router/test_crashing/test_life_probe.py
@@ -0,0 +1,137 @@
+"""Tests of the signs by which a target is known to have ended, or not to have."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from loomyard.clock import SystemClock
+from loomyard_router.announced.target_life import TargetLife
+from loomyard_router.crashes.late_verdicts import (
+    LATEST_SECONDS,
+    TOGETHER_SECONDS,
+    BrokenRequest,
+    LateVerdicts,
+)
+from loomyard_router.crashes.life_probe import LifeProbe
+from loomyard_router.platform.targets import PlatformTargets
+from loomyard_router.routed.connection_pool import ConnectionPool
+from loomyard_router.routes.route_table import make_route_table
+from loomyard_router.routes.service_terms import ServiceTerms
+from loomyard_router.routes.table_holder import TableHolder
+from loomyard_standins.fake_clock import FakeClock
+from test_loomyard_router.test_crashing.routers_case import health
+from test_loomyard_router.test_routed.scripted_target import Received, ScriptedTarget, refusal
+
+if TYPE_CHECKING:
+    import socket
+
+LIFE, OTHER = TargetLife("t"), TargetLife("u")
+ASKED = 20
+
+
+class LifeProbeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        holder = TableHolder(
+            lambda _: Ok(
+                make_route_table(
+                    version=1,
+                    routes=[],
+                    services=[ServiceTerms(name="plain", health_path="/health")],
+                    accounts=None,
+                )
+            )
+        )
+        holder.offer(b"", "store")
+        clock = SystemClock()
+        self.probe = LifeProbe(
+            clock=clock, pool=ConnectionPool(clock), dialect=PlatformTargets(), holder=holder
+        )
+
+    def start(self, data: bytes) -> ScriptedTarget:
+        """Start what answers each question with some bytes, and closes without any."""
+
+        def say(_: Received, sock: socket.socket) -> bool:
+            sock.sendall(data)
+            return not data
+
+        target = ScriptedTarget("t", "plain", say)
+        target.start()
+        self.addCleanup(target.stop)
+        return target
+
+    def has_ended(self, data: bytes) -> bool:
+        return self.probe.has_ended(self.start(data).announced())
+
+    def test_one_that_answers_by_its_id_lives(self) -> None:
+        self.assertFalse(self.has_ended(health("t")))
+
+    def test_another_life_or_an_error_of_what_stands_in_front_tells_the_end(self) -> None:
+        self.assertTrue(self.has_ended(health("another")))
+        for status in ("502 Bad Gateway", "504 Gateway Timeout"):
+            data = f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n".encode()
+            self.assertTrue(self.has_ended(data), status)
+
+    def test_a_full_one_a_closed_connection_and_silence_tell_nothing(self) -> None:
+        self.assertFalse(self.has_ended(refusal(Received("GET /health", {}, b""))))
+        self.assertFalse(self.has_ended(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"))
+        self.assertFalse(self.has_ended(b""))
+        self.assertFalse(self.has_ended(b"HTTP/1.1 200 "))
+
+    def test_a_refused_connection_tells_the_end(self) -> None:
+        target = self.start(b"")
+        announced = target.announced()
+        target.stop()
+        self.assertTrue(self.probe.has_ended(announced))
+
+    def test_questions_are_few_where_many_answers_are_lost(self) -> None:
+        target = self.start(health("t"))
+        for _ in range(ASKED):
+            self.assertFalse(self.probe.has_ended(target.announced()))
+        self.assertLess(len(target.received), ASKED / 2)
+
+
+class LateVerdictsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.late = LateVerdicts(self.clock)
+
+    def break_off(self, *names: str, answered: bool = True) -> None:
+        for name in names:
+            self.late.note_broken(LIFE, BrokenRequest(name, 1), answered=answered)
+
+    def blamed(self, known: set[TargetLife]) -> set[str]:
+        return {broken.fingerprint for _, broken in self.late.take_ended(known)}
+
+    def test_all_that_broke_together_is_blamed_once_the_entry_vanishes(self) -> None:
+        self.break_off("guilty", "beside")
+        self.clock.advance(2 * TOGETHER_SECONDS)
+        self.break_off("in vain", answered=False)
+        self.assertEqual(set(), self.blamed({LIFE, OTHER}))
+        self.assertEqual({"guilty", "beside"}, self.blamed({OTHER}))
+        self.assertEqual(set(), self.blamed({OTHER}), "once")
+
+    def test_a_target_that_only_lost_an_answer_is_not_blamed_on_anybody(self) -> None:
+        self.break_off("unlucky")
+        self.clock.advance(1.0)
+        self.late.note_heard(LIFE)
+        self.break_off("later", answered=False)
+        self.assertEqual(set(), self.blamed(set()))
+
+    def test_one_that_leaves_after_a_lost_answer_is_not_taken_for_ended(self) -> None:
+        self.break_off("unlucky")
+        self.clock.advance(1.0)
+        self.assertEqual(set(), self.blamed(set()), "no later attempt failed there")
+
+    def test_a_word_that_comes_much_later_is_of_another_end(self) -> None:
+        self.break_off("unlucky")
+        self.clock.advance(1.0)
+        self.break_off("in vain", answered=False)
+        self.clock.advance(LATEST_SECONDS)
+        self.assertEqual(set(), self.blamed(set()))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_loomyard_router/test_crashing/test_requests_that_end_targets.py
+++ b/tests/test_loomyard_router/test_crashing/test_requests_that_end_targets.py
@@ -78,6 +78,12 @@
         self.routers = [late]
         self.assertLessEqual(self.sent_later(), MORE)
 
+    def test_behind_what_goes_on_accepting_connections_it_is_sent_no_more(self) -> None:
+        self.serve(route(kind=RouteKind.IDEMPOTENT, max_attempts=2), fronted=True)
+        self.come_until_known()
+        self.assertLessEqual(self.ended, KNOWN_AFTER + MORE)
+        self.assertLessEqual(self.sent_later(), MORE)
+
     def test_what_is_refused_was_not_sent_and_says_when_to_come_back(self) -> None:
         self.serve(route(kind=RouteKind.IDEMPOTENT))
         self.come_until_known()
