--- a/packages/loomyard-router/src/loomyard_router/platform/__main__.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/__main__.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from gevent import monkey
+import gc
+
+# What is imported stays; to look for garbage in it meanwhile is an eighth of the processor time of
+# a start (0.352 to 0.307 s on a busy machine). ``tune_collector`` ends that.
+gc.disable()
+
+from gevent import monkey  # noqa: E402
 
 monkey.patch_all()
 
--- a/packages/loomyard/src/loomyard/util/collector.py
+++ b/packages/loomyard/src/loomyard/util/collector.py
@@ -39,7 +39,9 @@
 def tune_collector() -> None:
     """Let a process that relays streams collect rarely, and not what it imported.
 
-    A collection holds up every stream at once, and streams leave few cycles behind.
+    A collection holds up every stream at once, and streams leave few cycles behind. A process that
+    held the collector off while it started has it back from here on.
     """
+    gc.enable()
     gc.freeze()
     gc.set_threshold(*RARELY)
