--- a/packages/loomyard-router/src/loomyard_router/admission/parts.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/parts.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 
 from loomyard_router.admission.account_usage import AccountUsage
+from loomyard_router.admission.crowd_limit import FewWhileBehind
 from loomyard_router.admission.fleet_gate import FleetGate
 from loomyard_router.admission.gate import Gate
 from loomyard_router.admission.place_client import PlaceClient
@@ -23,6 +24,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from loomyard.clock import Clock
     from loomyard_router.announced.target_board import TargetBoard
@@ -74,8 +76,13 @@
     peers: PeerLinks,
     window: float,
     source: random.Random,
+    lag: Callable[[], float] = lambda: 0.0,
 ) -> AdmissionParts:
-    """Wire the gates; ``window`` is the time over which shares are compared, in seconds."""
+    """Wire the gates.
+
+    ``window`` is the time over which shares are compared, in seconds; ``lag`` tells for how long
+    what is ready waits for its turn in this process.
+    """
 
     ledger = ShareLedger(
         clock=clock,
@@ -91,7 +98,7 @@
     health = TargetHealth(clock)
     loads = TargetLoads(lambda: len(members.live()))
     hint = RetryHint(source)
-    waiting = WaitingAccounts(ledger)
+    waiting = WaitingAccounts(ledger, FewWhileBehind(lag))
     engines = FleetGate(
         clock=clock,
         board=board,
--- a/packages/loomyard-router/src/loomyard_router/admission/waiting_accounts.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/waiting_accounts.py
@@ -5,21 +5,23 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from loomyard_router.admission.crowd_limit import (
+    MOST_BEHIND,
+    MOST_WAITING,
+    CrowdLimit,
+    FewAlways,
+)
+
 if TYPE_CHECKING:
     from loomyard_router.admission.share_ledger import ShareLedger
 
-# Each waits a tenth of a second, so more would only make the router late for everybody, as one
-# account's burst of 300 a second did on half a core.
-MOST_WAITING = 48
-# An account far beyond its share does not wait, so these are on their way to keepers and back.
-MOST_FAR_BEYOND = 12
-
 
 class WaitingAccounts:
     """Count who waits; an account of which many wait is full."""
 
-    def __init__(self, ledger: ShareLedger) -> None:
+    def __init__(self, ledger: ShareLedger, limit: CrowdLimit | None = None) -> None:
         self._ledger = ledger
+        self._limit = limit or FewAlways()
         self._waiting: Counter[str] = Counter()
         self._crowded: set[str] = set()
 
@@ -32,18 +34,22 @@
         """Tell whether no more requests of an account may wait."""
         if account not in self._crowded:
             return False
-        return self._waiting[account] >= MOST_WAITING or self._ledger.far_beyond(account)
+        waiting = self._waiting[account]
+        if waiting >= MOST_WAITING:
+            return True
+        # An account far beyond its share does not wait: these are on their way to keepers and back.
+        return waiting >= self._limit.most and self._ledger.far_beyond(account)
 
     def enter(self, account: str) -> None:
         """Count a request that begins to wait."""
         self._waiting[account] += 1
-        if self._waiting[account] >= MOST_FAR_BEYOND:
+        if self._waiting[account] >= MOST_BEHIND:
             self._crowded.add(account)
 
     def leave(self, account: str) -> None:
         """Count a request that waits no more."""
         self._waiting[account] -= 1
-        if self._waiting[account] < MOST_FAR_BEYOND:
+        if self._waiting[account] < MOST_BEHIND:
             self._crowded.discard(account)
         if not self._waiting[account]:
             del self._waiting[account]
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -137,6 +137,7 @@
             followers=(self._tables, self._targets),
             source=source,
         )
+        self._lag = LoopLag(clock, most=settings.most_lag)
         self._admission = make_admission(
             clock=clock,
             board=self.board,
@@ -145,6 +146,7 @@
             peers=peers,
             window=settings.share_window,
             source=source,
+            lag=lambda: self._lag.seconds,
         )
         self._crashes = CrashLedger(clock)
         self._crash_exchange = CrashExchange(
@@ -166,7 +168,6 @@
         )
         self._check = TargetCheck(probe.has_ended)
         self._guard = CrashGuard(clock, self._crashes, self._check)
-        self._lag = LoopLag(clock, most=settings.most_lag)
         forwarder = Forwarder(
             clock=clock,
             gate=self._admission.gate,
--- a/tests/test_loomyard_router/test_routed/test_early_refusal.py
+++ b/tests/test_loomyard_router/test_routed/test_early_refusal.py
@@ -7,11 +7,13 @@
 from unittest.mock import patch
 
 from loomyard.events import Event
-from loomyard_router.admission.waiting_accounts import (
-    MOST_FAR_BEYOND,
+from loomyard_router.admission.crowd_limit import (
+    BEHIND_SECONDS,
+    MOST_BEHIND,
     MOST_WAITING,
-    WaitingAccounts,
+    FewWhileBehind,
 )
+from loomyard_router.admission.waiting_accounts import WaitingAccounts
 from loomyard_router.routed import early_refusal
 from test_loomyard_router.test_routed.routed_case import RoutedCase, request_bytes, route
 from test_loomyard_router.test_routed.scripted_target import plain_script
@@ -38,7 +40,7 @@
         self.waiting = WaitingAccounts(self.shares)  # type: ignore[arg-type]
 
     def test_an_account_far_beyond_its_share_is_full_sooner(self) -> None:
-        for _ in range(MOST_FAR_BEYOND):
+        for _ in range(MOST_BEHIND):
             self.assertFalse(self.waiting.crowded)
             self.waiting.enter("north")
         self.assertTrue(self.waiting.crowded)
@@ -50,6 +52,20 @@
         self.assertFalse(self.waiting.is_full("north"))
         self.assertFalse(self.waiting.crowded)
 
+    def test_while_the_router_has_time_one_far_beyond_its_share_asks_as_often_as_others(
+        self,
+    ) -> None:
+        lag = [0.0]
+        waiting = WaitingAccounts(self.shares, FewWhileBehind(lambda: lag[0]))  # type: ignore[arg-type]
+        self.shares.over.add("north")
+        for _ in range(MOST_WAITING):
+            self.assertFalse(waiting.is_full("north"))
+            waiting.enter("north")
+        self.assertTrue(waiting.is_full("north"))
+        waiting.leave("north")
+        lag[0] = 2 * BEHIND_SECONDS
+        self.assertTrue(waiting.is_full("north"))
+
     def test_otherwise_more_may_wait_but_not_all(self) -> None:
         for _ in range(MOST_WAITING):
             self.assertFalse(self.waiting.is_full("north"))
