--- a/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
@@ -12,6 +12,7 @@
 
 from loomyard_router.admission.account_usage import AccountUsage
 from loomyard_router.admission.fair_share import find_water_level
+from loomyard_router.admission.gap_bound import GapBound, LeastServedGap
 from loomyard_router.admission.share_messages import NO_SHARE, ShareReport, ShareWord
 from loomyard_router.admission.share_tree import find_parent
 
@@ -62,8 +63,10 @@
         window: float,
         rate: Callable[[], float],
         source: random.Random,
+        bound: GapBound | None = None,
     ) -> None:
         self._clock = clock
+        self._bound = bound or LeastServedGap()
         self._members = members
         self._peers = peers
         self._window = window
@@ -128,6 +131,12 @@
             return False
         return self.level(account) > FAR_BEYOND * self._word.reached
 
+    def outran(self, account: str) -> bool:
+        """Tell whether an account got so much more than another one that waits that it pauses."""
+        if self._stale or self._word.most == NO_SHARE:
+            return False
+        return self.level(account) > self._word.most
+
     def take_report(self, member: Member, report: ShareReport) -> ShareWord:
         """Take in the sums of another router; answer with what is known here."""
         self._heard[member.name] = _Heard(report, self._clock.now())
@@ -138,7 +147,12 @@
         told = {name: round(cost * decay) for name, cost in self._word.given.items()}
         # Who is beyond its share is told to all: its next request may come to any router.
         given = {name: cost for name, cost in told.items() if name in report.asked or cost > share}
-        return ShareWord(share=self._word.share, reached=self._word.reached, given=given)
+        return ShareWord(
+            share=self._word.share,
+            reached=self._word.reached,
+            most=self._word.most,
+            given=given,
+        )
 
     def step(self) -> None:
         """Report upwards and take the word from there; at the top judge."""
@@ -186,10 +200,12 @@
         capacity = self._rate() * self._window
         if not capacity:
             return ShareWord(given=report.given)
-        reached = max(capacity, sum(report.given.values()))
+        done = max(capacity, sum(report.given.values()))
+        reached = find_water_level(report.asked, done)
         return ShareWord(
             share=round(find_water_level(report.asked, capacity)),
-            reached=round(find_water_level(report.asked, reached)),
+            reached=round(reached),
+            most=self._bound.find_most(report.asked, report.given, reached),
             given=report.given,
         )
 
--- a/packages/loomyard-router/src/loomyard_router/admission/share_messages.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_messages.py
@@ -30,9 +30,11 @@
     """The max-min share of each account over the fleet, and what the accounts reported got there.
 
     All in tokens of the share window. ``share`` is of the stated rate, ``reached`` of what was
-    given in fact where that was more; both are ``NO_SHARE`` where none is known.
+    given in fact where that was more; ``most`` is what an account may have got to be admitted while
+    another one that got little waits. Each is ``NO_SHARE`` where none is known.
     """
 
     share: int = NO_SHARE
     reached: int = NO_SHARE
+    most: int = NO_SHARE
     given: dict[str, int] = field(factory=dict)
--- a/packages/loomyard-router/src/loomyard_router/admission/waiting_accounts.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/waiting_accounts.py
@@ -32,6 +32,8 @@
 
     def is_full(self, account: str) -> bool:
         """Tell whether no more requests of an account may wait."""
+        if self._ledger.outran(account):
+            return True
         if account not in self._crowded:
             return False
         waiting = self._waiting[account]
--- a/tests/test_loomyard_router/test_routed/test_early_refusal.py
+++ b/tests/test_loomyard_router/test_routed/test_early_refusal.py
@@ -29,10 +29,14 @@
 
     def __init__(self) -> None:
         self.over: set[str] = set()
+        self.ahead: set[str] = set()
 
     def far_beyond(self, account: str) -> bool:
         return account in self.over
 
+    def outran(self, account: str) -> bool:
+        return account in self.ahead
+
 
 class TestWaitingAccounts(unittest.TestCase):
     def setUp(self) -> None:
@@ -66,6 +70,11 @@
         lag[0] = 2 * BEHIND_SECONDS
         self.assertTrue(waiting.is_full("north"))
 
+    def test_an_account_that_outran_one_that_waits_is_full_at_once(self) -> None:
+        self.shares.ahead.add("north")
+        self.assertTrue(self.waiting.is_full("north"))
+        self.assertFalse(self.waiting.is_full("south"))
+
     def test_otherwise_more_may_wait_but_not_all(self) -> None:
         for _ in range(MOST_WAITING):
             self.assertFalse(self.waiting.is_full("north"))
