Remember earlier records by a hash; give takers and other sources of feeds files of their own

Cause: the memory of earlier records held their values, up to 4,096 of them, and a configuration may have hundreds of KB. Found by reading the diff.

--- a/packages/loomyard-router/src/loomyard_router/announced/emptied_data_centres.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/emptied_data_centres.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from loomyard.events import Event, emit
-from loomyard_router.feeds.feed_follower import STORE
+from loomyard_router.feeds.record_taker import STORE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/loomyard-router/src/loomyard_router/announced/target_feed.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_feed.py
@@ -7,7 +7,7 @@
 from attrs import evolve
 from result import Err, Ok
 
-from loomyard_router.feeds.feed_follower import PEER, STORE
+from loomyard_router.feeds.record_taker import PEER, STORE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/loomyard-router/src/loomyard_router/feeds/believed_records.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/believed_records.py
@@ -57,8 +57,9 @@
         self._complete_from = NOWHERE
         self._said: dict[str, KeyedRecord] = {}
         self._held: dict[str, _Held] = {}
-        # Records that later ones replaced, and the last word on keys that were dropped.
-        self._earlier: OrderedDict[tuple[str, int, bytes | None], None] = OrderedDict()
+        # Records that later ones replaced, by key, offset and the hash of their value, which may be
+        # long; and the last word on keys that were dropped.
+        self._earlier: OrderedDict[tuple[str, int, int], None] = OrderedDict()
         self._dropped: OrderedDict[str, KeyedRecord] = OrderedDict()
 
     @property
@@ -187,7 +188,7 @@
         return record
 
     def _is_earlier(self, record: KeyedRecord) -> bool:
-        return (record.key, record.offset, record.value) in self._earlier
+        return (record.key, record.offset, hash(record.value)) in self._earlier
 
     def _note_replaced(self, said: dict[str, KeyedRecord], position: FeedPosition) -> None:
         for key, record in self._said.items():
@@ -212,7 +213,7 @@
             self._said[record.key] = record
 
     def _note_earlier(self, record: KeyedRecord) -> None:
-        self._earlier[record.key, record.offset, record.value] = None
+        self._earlier[record.key, record.offset, hash(record.value)] = None
         if len(self._earlier) > MOST_EARLIER:
             self._earlier.popitem(last=False)
 
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
@@ -4,7 +4,7 @@
 
 import logging
 import math
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import gevent
 from result import Err, Ok
@@ -15,6 +15,7 @@
 from loomyard_router.feeds.feed import Batch
 from loomyard_router.feeds.feed_position import NOWHERE, FeedPosition
 from loomyard_router.feeds.loss_policy import LossPolicy, StoreIsRight
+from loomyard_router.feeds.record_taker import PEER, STORE, RecordTaker
 from loomyard_router.feeds.store_era import StoreEra
 
 if TYPE_CHECKING:
@@ -27,6 +28,7 @@
     from loomyard_router.feeds.exchange_messages import FeedAnswer
     from loomyard_router.feeds.feed import Feed
     from loomyard_router.feeds.keyed_record import KeyedRecord
+    from loomyard_router.feeds.news_source import NewsSource
 
 logger = logging.getLogger(__name__)
 
@@ -48,37 +50,6 @@
 LOG_DIGITS = 3
 # Keys in the line of a loss.
 MOST_TOLD = 20
-STORE = "store"
-PEER = "peer"
-
-
-class RecordTaker(Protocol):
-    """Take over what a feed says."""
-
-    def take_listing(self, records: list[KeyedRecord], source: str) -> None:
-        """Take the newest record of each key; a key that is not listed is gone.
-
-        ``source`` tells whether the store or another router says so.
-        """
-
-    def take_records(self, records: list[KeyedRecord], source: str = STORE) -> None:
-        """Take changes in order; ``source`` as for a listing."""
-
-    def note_lost(self) -> None:
-        """Take in that the store does not answer."""
-
-    def note_regained(self) -> None:
-        """Take in that the store answers again."""
-
-
-class NewsSource(Protocol):
-    """Another way to hear what the store says."""
-
-    def wait_for_news(self, follower: FeedFollower) -> FeedAnswer | None:
-        """Wait for news of a feed; ``None`` where the store is to be read."""
-
-    def ask_held(self, follower: FeedFollower) -> list[HeldRecord]:
-        """Ask others what they believe against a store that came back from an older copy."""
 
 
 class FeedFollower:
--- a/packages/loomyard-router/src/loomyard_router/feeds/joint_taker.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/joint_taker.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-from loomyard_router.feeds.feed_follower import STORE, RecordTaker
+from loomyard_router.feeds.record_taker import STORE, RecordTaker
 
 if TYPE_CHECKING:
     from loomyard_router.feeds.keyed_record import KeyedRecord
--- a/packages/loomyard-router/src/loomyard_router/routes/table_feed.py
+++ b/packages/loomyard-router/src/loomyard_router/routes/table_feed.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 from result import Err
 
-from loomyard_router.feeds.feed_follower import STORE
+from loomyard_router.feeds.record_taker import STORE
 from loomyard_router.feeds.unreadable_entries import UnreadableEntries
 from loomyard_router.routes.table_holder import TableHolder
 
--- a/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
@@ -170,9 +170,12 @@
 
     def write_again(self, source: random.Random) -> None:
         """Write what the copy lacks, in some order."""
-        lost = [said for at, said in self._written.values() if at >= self._lost_after]
+        lost = [key for key, (at, _) in self._written.items() if at >= self._lost_after]
         source.shuffle(lost)
-        for said in lost:
+        for key in lost:
+            _, said = self._written[key]
+            # The next loss may take it again.
+            self._written[key] = (time.monotonic(), said)
             self.store.tell(json.dumps(said))
 
     def end(self) -> None:
--- a/tests/test_loomyard_router/test_feeds/eras_fleet.py
+++ b/tests/test_loomyard_router/test_feeds/eras_fleet.py
@@ -22,8 +22,8 @@
 from test_loomyard_router.test_feeds.feed_fleet import FeedFleet
 
 if TYPE_CHECKING:
-    from loomyard_router.feeds.feed_follower import RecordTaker
     from loomyard_router.feeds.loss_policy import LossPolicy
+    from loomyard_router.feeds.record_taker import RecordTaker
 
 CONFIGURATION, TARGETS = "configuration", "targets"
 KEY = "config"
--- a/tests/test_loomyard_router/test_feeds/feed_case.py
+++ b/tests/test_loomyard_router/test_feeds/feed_case.py
@@ -10,8 +10,8 @@
 
 from loomyard.errors import Fault, ResultCode
 from loomyard_router.feeds.feed import Batch, Listing
-from loomyard_router.feeds.feed_follower import STORE
 from loomyard_router.feeds.keyed_record import KeyedRecord
+from loomyard_router.feeds.record_taker import STORE
 from loomyard_router.members.membership import Member, SoleMembership
 from loomyard_standins.stepped_clock import TURNS
 
--- a/tests/test_loomyard_router/test_feeds/feed_fleet.py
+++ b/tests/test_loomyard_router/test_feeds/feed_fleet.py
@@ -10,8 +10,9 @@
 
 from loomyard.clock import Clock
 from loomyard_router.feeds.feed_exchange import FeedExchange
-from loomyard_router.feeds.feed_follower import STORE, FeedFollower, RecordTaker
+from loomyard_router.feeds.feed_follower import FeedFollower
 from loomyard_router.feeds.loss_policy import LossPolicy, StoreIsRight
+from loomyard_router.feeds.record_taker import STORE, RecordTaker
 from loomyard_router.members.datagram_seal import DatagramSeal
 from loomyard_router.members.membership import Member
 from loomyard_router.members.swim import SwimMembership
