--- a/tests/test_loomyard_router/test_crashing/test_life_probe.py
+++ b/tests/test_loomyard_router/test_crashing/test_life_probe.py
@@ -9,6 +9,7 @@
 
 from loomyard.clock import SystemClock
 from loomyard_router.announced.target_life import TargetLife
+from loomyard_router.crashes import life_probe
 from loomyard_router.crashes.late_verdicts import (
     LATEST_SECONDS,
     TOGETHER_SECONDS,
@@ -29,11 +30,15 @@
     import socket
 
 LIFE, OTHER = TargetLife("t"), TargetLife("u")
+# No verdict may hang on how busy the machine is.
+PATIENCE = 10.0
 ASKED = 20
 
 
 class LifeProbeTest(unittest.TestCase):
     def setUp(self) -> None:
+        for name in ("CONNECT_SECONDS", "ANSWER_SECONDS"):
+            self.set(name, PATIENCE)
         holder = TableHolder(
             lambda _: Ok(
                 make_route_table(
@@ -50,6 +55,11 @@
             clock=clock, pool=ConnectionPool(clock), dialect=PlatformTargets(), holder=holder
         )
 
+    def set(self, name: str, seconds: float) -> None:
+        patch = mock.patch.object(life_probe, name, seconds)
+        patch.start()
+        self.addCleanup(patch.stop)
+
     def start(self, data: bytes) -> ScriptedTarget:
         """Start what answers each question with some bytes, and closes without any."""
 
@@ -78,6 +88,7 @@
         self.assertFalse(self.has_ended(refusal(Received("GET /health", {}, b""))))
         self.assertFalse(self.has_ended(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"))
         self.assertFalse(self.has_ended(b""))
+        self.set("ANSWER_SECONDS", 0.1)
         self.assertFalse(self.has_ended(b"HTTP/1.1 200 "))
 
     def test_a_refused_connection_tells_the_end(self) -> None:
--- a/tests/test_loomyard_router/test_crashing/test_requests_that_end_targets.py
+++ b/tests/test_loomyard_router/test_crashing/test_requests_that_end_targets.py
@@ -13,12 +13,14 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 import gevent
 
+from loomyard_router.crashes import life_probe
 from loomyard_router.routes.kind import RouteKind
 from test_loomyard_router.test_crashing.routers_case import ENDING, TOLD_SECONDS, RoutersCase
-from test_loomyard_router.test_routed.routed_case import route
+from test_loomyard_router.test_routed.routed_case import WAIT, route
 
 # So many targets may end before a request is known for it, and so often it may be sent later on.
 KNOWN_AFTER = 3
@@ -29,6 +31,13 @@
 
 
 class EndingRequestTest(RoutersCase):
+    def setUp(self) -> None:
+        # No verdict may hang on how busy the machine is.
+        patch = mock.patch.object(life_probe, "ANSWER_SECONDS", WAIT)
+        patch.start()
+        self.addCleanup(patch.stop)
+        super().setUp()
+
     def come_until_known(self, body: bytes = ENDING, **headers: str) -> None:
         """Come at one router after the other until enough targets ended, and news had its time."""
         for coming in range(COMINGS):
