--- a/tests/test_loomyard_router/test_crashing/test_life_probe.py
+++ b/tests/test_loomyard_router/test_crashing/test_life_probe.py
@@ -4,6 +4,7 @@
 
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from result import Ok
 
