Test that what routers wrote is written again after a loss, once, and that each answer's era is heard

Cause: both were built with the positions of feeds and had no test of their own. The first one fails without the look at the era in crash_memory (nothing stands there after the copy), the second without the note of a refusal's era; each was run so by hand before this commit? No: only the mended code was run.

--- a/tests/test_loomyard_router/test_crashing/test_crash_memory.py
+++ b/tests/test_loomyard_router/test_crashing/test_crash_memory.py
@@ -92,6 +92,21 @@
         self.block_everywhere()
         self.assertEqual(len(NAMES) + 1, self.archive.calls)
 
+    def test_what_a_later_era_lacks_is_written_again_by_one_router_once(self) -> None:
+        made = [self.make(name) for name in NAMES]
+        for ledger, memory, _ in made:
+            memory.step()
+            self.block(ledger)
+            self.steps(memory)
+        # The store comes back from a copy of before the write.
+        self.archive.values.clear()
+        self.archive.era += 1
+        before = self.archive.calls
+        for _, memory, _ in made:
+            self.steps(memory)
+        self.assertIn(GUILTY, self.archive.values)
+        self.assertEqual(len(NAMES) + 1, self.archive.calls - before, "a read each, one write")
+
     def test_what_only_may_end_targets_is_not_written(self) -> None:
         ledger, memory, _ = self.make("r0")
         ledger.note_end(GUILTY, 1, TargetLife("t1"))
--- a/tests/test_loomyard_router/test_platform/test_store_archive.py
+++ b/tests/test_loomyard_router/test_platform/test_store_archive.py
@@ -9,6 +9,7 @@
 from loomyard.util.tcp import NoDelayServer
 from loomyard_router.feeds.store_era import StoreEra
 from loomyard_router.platform.store_archive import StoreArchive
+from loomyard_router.platform.store_calls import read_era
 from loomyard_standins.programs.store_program import StoreProgram
 
 WAIT = 10.0
@@ -34,6 +35,22 @@
             self.assertTrue(self.archive.write(key, value, self.deadline).is_ok())
         self.assertEqual({"a": b"\x00\xff"}, self.archive.read(self.deadline).unwrap())
 
+    def test_the_era_of_each_answer_is_heard_and_earlier_ones_are_dropped(self) -> None:
+        self.store.era = 3
+        self.assertTrue(self.archive.write("a", b"1", self.deadline).is_ok())
+        self.assertEqual(3, self.archive.era)
+        self.store.busy, self.store.era = True, 4
+        self.assertTrue(self.archive.read(self.deadline).is_err())
+        self.assertEqual(4, self.archive.era, "also of a refusal")
+        self.store.busy, self.store.era = False, 3
+        self.assertTrue(self.archive.read(self.deadline).is_err())
+        self.assertTrue(self.archive.write("a", b"2", self.deadline).is_err())
+
+    def test_eras_that_can_not_be_read_are_none(self) -> None:
+        for text in (None, "", "-1", "1.0", "x", "9" * 40, ["1", "2"]):
+            self.assertIsNone(read_era(text), text)
+        self.assertEqual(7, read_era("7"))
+
     def test_a_store_that_refuses_is_a_fault(self) -> None:
         self.store.busy = True
         for outcome in (
