See what targets say of themselves in answers, without acting on it

What operators saw: targets that leave or ask for rest went on getting work, and no line told whether a router had heard them. Nothing is decided by it yet. Not heard: answers of whoever else has the address (421), dates, what is no number. Conclusion: these lines tell 'nobody reads it' from 'heard, but late or forgotten'.

--- a/packages/loomyard-router/src/loomyard_router/announced/announced_figures.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/announced_figures.py
@@ -11,7 +11,7 @@
 
 @frozen(kw_only=True)
 class AnnouncedFigures:
-    """Reads for metrics: states as they are, and two counts since the start.
+    """Reads for metrics: states as they are, and counts since the start.
 
     ``suspected`` and ``blocked`` are requests under which targets ended: all of them, and those
     that are refused for it.
@@ -22,4 +22,7 @@
     suspected: Callable[[], int] = lambda: 0
     blocked: Callable[[], int] = lambda: 0
     lives_replaced: Callable[[], int] = lambda: 0
+    resting: Callable[[], int] = lambda: 0
+    said_leaving: Callable[[], int] = lambda: 0
+    rests_asked: Callable[[], int] = lambda: 0
     unreadable: Callable[[], Mapping[tuple[str, Unreadable], int]] = dict
--- a/packages/loomyard-router/src/loomyard_router/announced/target_board.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_board.py
@@ -10,12 +10,14 @@
 
 from loomyard.events import Event, emit
 from loomyard_router.announced.announced_target import AnnouncedTarget
+from loomyard_router.announced.target_notices import TargetNotices
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from loomyard.clock import Clock
     from loomyard_router.announced.target_life import TargetLife
+    from loomyard_router.announced.target_notice import TargetNotice
 
 logger = logging.getLogger(__name__)
 
@@ -54,6 +56,7 @@
         self._taken_back_at: dict[str, float] = {}
         self._cold_until: dict[str, float] = {}
         self.lives_replaced = 0
+        self.notices = TargetNotices(clock)
         self._heard = False
         self._store_away = False
         self._store_back_at = clock.now() - RETURN_SECONDS
@@ -127,6 +130,10 @@
         if withdrawn:
             self._changed()
 
+    def hear(self, target: AnnouncedTarget, notice: TargetNotice) -> None:
+        """Take in what a target says of itself in an answer."""
+        self.notices.hear(target, notice)
+
     def note_emptied(self, data_centres: frozenset[str]) -> None:
         """Take in which data centres get no new work."""
         now = self._clock.now()
--- a/packages/loomyard-router/src/loomyard_router/crashes/life_probe.py
+++ b/packages/loomyard-router/src/loomyard_router/crashes/life_probe.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from loomyard.clock import Clock
     from loomyard_router.announced.announced_target import AnnouncedTarget
+    from loomyard_router.announced.target_board import TargetBoard
     from loomyard_router.routed.connection_pool import ConnectionPool
     from loomyard_router.routed.dialects import TargetDialect
     from loomyard_router.routed.target_connection import TargetConnection
@@ -36,9 +37,16 @@
     """
 
     def __init__(
-        self, *, clock: Clock, pool: ConnectionPool, dialect: TargetDialect, holder: TableHolder
+        self,
+        *,
+        clock: Clock,
+        board: TargetBoard,
+        pool: ConnectionPool,
+        dialect: TargetDialect,
+        holder: TableHolder,
     ) -> None:
         self._clock = clock
+        self._board = board
         self._pool = pool
         self._dialect = dialect
         self._holder = holder
@@ -73,9 +81,12 @@
             logger.debug("a target that broke an answer off does not say who it is: %r", error)
             connection.close()
             return False
-        lives = self._dialect.read_health(connection.status, connection.headers)
+        word = self._dialect.read_health(connection.status, connection.headers)
         self._pool.give_back(target, connection)
-        return lives is not None and lives != target.id
+        if word.lives is not None and word.lives != target.id:
+            return True
+        self._board.hear(target, word.notice)
+        return False
 
     def _health_path(self, target: AnnouncedTarget) -> str:
         table = self._holder.table
--- a/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
@@ -148,6 +148,21 @@
             "targets that started again under their id",
             value=figures.lives_replaced(),
         )
+        yield GaugeMetricFamily(
+            "loomyard_targets_resting",
+            "targets that this router leaves alone for a while, as they asked",
+            value=figures.resting(),
+        )
+        yield CounterMetricFamily(
+            "loomyard_targets_said_leaving",
+            "targets that said in an answer that they leave",
+            value=figures.said_leaving(),
+        )
+        yield CounterMetricFamily(
+            "loomyard_target_rests_asked",
+            "answers by which targets asked for rest",
+            value=figures.rests_asked(),
+        )
         unreadable = CounterMetricFamily(
             "loomyard_entries_unreadable",
             "records of a feed that could not be read",
--- a/packages/loomyard-router/src/loomyard_router/platform/names.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/names.py
@@ -22,6 +22,9 @@
 NOT_RUN = "Loomyard-Not-Executed"
 STAMP = "Loomyard-Server-Stamp"
 RETRY_AFTER = "Retry-After"
+# In all answers of a target that leaves.
+LEAVING = "Server-Leaving"
+IS_LEAVING = "1"
 # In all answers of the store; it rises by one each time that came back from an older copy.
 STORE_ERA = "Store-Era"
 AUTHORIZATION = "Authorization"
--- a/packages/loomyard-router/src/loomyard_router/platform/targets.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/targets.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
+import re
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from loomyard_router.announced.target_notice import NO_NOTICE, TargetNotice
 from loomyard_router.platform import names
-from loomyard_router.routed.dialects import AnswerWord
+from loomyard_router.routed.dialects import AnswerWord, HealthWord
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from loomyard_router.announced.announced_target import AnnouncedTarget
     from loomyard_router.routed.routed_request import RoutedRequest
 
+SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
+
 
 class PlatformTargets:
     """The ``TargetDialect`` of the platform."""
@@ -34,12 +40,12 @@
     def render_health(self, path: str, target: AnnouncedTarget) -> bytes:
         return f"GET {path} HTTP/1.1\r\nHost: {target.address}\r\n\r\n".encode("latin-1")
 
-    def read_health(self, status: int, headers: list[tuple[str, str]]) -> str | None:
+    def read_health(self, status: int, headers: list[tuple[str, str]]) -> HealthWord:
         fields = {name.lower(): value for name, value in headers}
         named = fields.get(names.INSTANCE.lower())
         if named is None and status in (HTTPStatus.BAD_GATEWAY, HTTPStatus.GATEWAY_TIMEOUT):
-            return ""
-        return named
+            named = ""
+        return HealthWord(lives=named, notice=_read_notice(status, fields))
 
     def read_word(self, status: int, headers: list[tuple[str, str]]) -> AnswerWord:
         fields = {name.lower(): value for name, value in headers}
@@ -51,4 +57,21 @@
             attempt_id=attempt_id,
             not_run=refused,
             vouched=not success or (names.STAMP.lower() in fields and not encoded),
+            notice=_read_notice(status, fields),
         )
+
+
+def _read_notice(status: int, fields: Mapping[str, str]) -> TargetNotice:
+    """Read what the target that was meant says of itself."""
+    if status == HTTPStatus.MISDIRECTED_REQUEST:
+        # Another target has the address by now, and speaks for itself.
+        return NO_NOTICE
+    leaving = fields.get(names.LEAVING.lower(), "").strip() == names.IS_LEAVING
+    turned_away = status == HTTPStatus.SERVICE_UNAVAILABLE
+    rest = _read_seconds(fields.get(names.RETRY_AFTER.lower(), "")) if turned_away else 0.0
+    return TargetNotice(leaving=leaving, rest_seconds=rest) if leaving or rest else NO_NOTICE
+
+
+def _read_seconds(text: str) -> float:
+    """Return a number of seconds, 0 for anything else; a date would need clocks that agree."""
+    return float(text) if SECONDS.fullmatch(text.strip()) else 0.0
--- a/packages/loomyard-router/src/loomyard_router/routed/dialects.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/dialects.py
@@ -6,6 +6,8 @@
 
 from attrs import frozen
 
+from loomyard_router.announced.target_notice import NO_NOTICE, TargetNotice
+
 if TYPE_CHECKING:
     from result import Result
 
@@ -43,7 +45,7 @@
 
 @frozen(kw_only=True)
 class AnswerWord:
-    """What a target's head says: for which attempt it is, and that it ran nothing.
+    """What a target's head says: for which attempt it is, that it ran nothing, and of itself.
 
     ``vouched`` is false for a success that lacks the mark by which callers know a target's answer.
     """
@@ -51,6 +53,18 @@
     attempt_id: str
     not_run: bool
     vouched: bool = True
+    notice: TargetNotice = NO_NOTICE
+
+
+@frozen(kw_only=True)
+class HealthWord:
+    """What the answer to a question for health says: who lives there, and of itself.
+
+    ``lives`` is empty for an error of what stands in front, ``None`` where it tells nothing.
+    """
+
+    lives: str | None
+    notice: TargetNotice = NO_NOTICE
 
 
 class TargetDialect(Protocol):
@@ -67,8 +81,5 @@
     def render_health(self, path: str, target: AnnouncedTarget) -> bytes:
         """Return the head of a question who lives at a target's address."""
 
-    def read_health(self, status: int, headers: list[tuple[str, str]]) -> str | None:
-        """Return the id that the answer names, empty for an error of what stands in front.
-
-        ``None`` where the answer tells nothing of that.
-        """
+    def read_health(self, status: int, headers: list[tuple[str, str]]) -> HealthWord:
+        """Read what the head of the answer to that question says."""
--- a/packages/loomyard-router/src/loomyard_router/routed/sender.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/sender.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
+    from loomyard_router.announced.target_board import TargetBoard
     from loomyard_router.routed.connection_pool import ConnectionPool
     from loomyard_router.routed.dialects import TargetDialect
     from loomyard_router.routed.routed_request import RoutedRequest
@@ -45,8 +46,11 @@
 class Sender:
     """Send requests; no attempt is ever sent twice here."""
 
-    def __init__(self, clock: Clock, pool: ConnectionPool, dialect: TargetDialect) -> None:
+    def __init__(
+        self, clock: Clock, board: TargetBoard, pool: ConnectionPool, dialect: TargetDialect
+    ) -> None:
         self._clock = clock
+        self._board = board
         self._pool = pool
         self._dialect = dialect
 
@@ -108,6 +112,7 @@
         connection.read_head(answer_by)
         headers = connection.headers
         word = self._dialect.read_word(connection.status, headers)
+        self._board.hear(place.target, word.notice)
         if word.attempt_id and word.attempt_id != request.head.attempt_id:
             connection.close()
             return Err(_maybe_run(ResultCode.ANSWER_INVALID, "the answer is to another attempt"))
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -162,6 +162,7 @@
             )
         probe = LifeProbe(
             clock=clock,
+            board=self.board,
             pool=self._pool,
             dialect=platform.target_dialect,
             holder=self.holder,
@@ -171,7 +172,7 @@
         forwarder = Forwarder(
             clock=clock,
             gate=self._admission.gate,
-            sender=Sender(clock, self._pool, platform.target_dialect),
+            sender=Sender(clock, self.board, self._pool, platform.target_dialect),
             health=self._admission.health,
             board=self.board,
             guard=self._guard,
@@ -224,6 +225,9 @@
                 suspected=self._crashes.suspected,
                 blocked=self._crashes.blocked,
                 lives_replaced=lambda: self.board.lives_replaced,
+                resting=lambda: self.board.notices.resting,
+                said_leaving=lambda: self.board.notices.leavings,
+                rests_asked=lambda: self.board.notices.rests,
                 unreadable=lambda: self._unreadable.counts,
             ),
         )
--- a/packages/loomyard-standins/src/loomyard_standins/wire_names.py
+++ b/packages/loomyard-standins/src/loomyard_standins/wire_names.py
@@ -16,6 +16,7 @@
 WIRE = re.compile(
     r"Loomyard-(?:Attempt-Id|Deadline-Ms|Tenant|Token-Usage|Prompt-Prefix|Length-Hint"
     r"|Expect-|Not-Executed|Server-Stamp|Instance-Id|Model|Weight-Versions|Pin-Ms|Hold|Kv-)"
+    r"|Server-Leaving"
     r"|/log-(?:read|newest|append|join|commit|owners|trim)|keyed\.(?:op|servers|status)"
     r"|\b(?:path_prefix|route_kind|timeout_ms|slo_ms|gap_slo_ms|max_conns|api_keys|tls_key"
     r"|kv_capacity|idle_timeout_ms|header_timeout_ms|max_header_bytes|tokens_per_s|node_name)\b",
--- a/tests/test_loomyard_router/test_crashing/test_life_probe.py
+++ b/tests/test_loomyard_router/test_crashing/test_life_probe.py
@@ -9,6 +9,7 @@
 from result import Ok
 
 from loomyard.clock import SystemClock
+from loomyard_router.announced.target_board import TargetBoard
 from loomyard_router.announced.target_life import TargetLife
 from loomyard_router.crashes import life_probe
 from loomyard_router.crashes.late_verdicts import (
@@ -52,8 +53,13 @@
         )
         holder.offer(b"", "store")
         clock = SystemClock()
+        self.board = TargetBoard(clock)
         self.probe = LifeProbe(
-            clock=clock, pool=ConnectionPool(clock), dialect=PlatformTargets(), holder=holder
+            clock=clock,
+            board=self.board,
+            pool=ConnectionPool(clock),
+            dialect=PlatformTargets(),
+            holder=holder,
         )
 
     def set(self, name: str, seconds: float) -> None:
--- /dev/null
+++ b/tests/test_loomyard_router/test_platform/test_targets.py
@@ -0,0 +1,50 @@
+"""Tests of what the heads of targets' answers say."""
+
+from __future__ import annotations
+
+import unittest
+
+from loomyard_router.announced.target_notice import NO_NOTICE, TargetNotice
+from loomyard_router.platform.targets import PlatformTargets
+
+
+class TargetNoticeTest(unittest.TestCase):
+    """Read what targets say of themselves."""
+
+    def read(self, status: int, **headers: str) -> TargetNotice:
+        """Return what an answer says; a question for health has to be heard alike."""
+        fields = [(name.replace("_", "-"), value) for name, value in headers.items()]
+        word = PlatformTargets().read_word(status, fields)
+        self.assertEqual(word.notice, PlatformTargets().read_health(status, fields).notice)
+        return word.notice
+
+    def test_a_target_says_that_it_leaves_in_answers_of_any_status(self) -> None:
+        for status in (200, 204, 400, 429, 500, 503, 504):
+            with self.subTest(status=status):
+                self.assertTrue(self.read(status, server_leaving=" 1 ").leaving)
+
+    def test_other_words_say_nothing_of_leaving(self) -> None:
+        for value in ("", "0", "no", "1, 0"):
+            with self.subTest(value=value):
+                self.assertIs(NO_NOTICE, self.read(200, Server_Leaving=value))
+
+    def test_whoever_else_has_the_address_speaks_for_itself(self) -> None:
+        notice = self.read(421, Server_Leaving="1", Retry_After="3")
+        self.assertIs(NO_NOTICE, notice)
+
+    def test_rest_is_a_number_of_seconds_with_a_503(self) -> None:
+        for text, seconds in (("3", 3.0), ("0.25", 0.25), (" 2 ", 2.0), ("0", 0.0)):
+            with self.subTest(text=text):
+                self.assertEqual(seconds, self.read(503, Retry_After=text).rest_seconds)
+        for status in (200, 429, 500):
+            with self.subTest(status=status):
+                self.assertIs(NO_NOTICE, self.read(status, Retry_After="3"))
+
+    def test_what_is_no_number_of_seconds_asks_for_nothing(self) -> None:
+        for text in ("-1", "nan", "inf", "1e9", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "1" * 20):
+            with self.subTest(text=text):
+                self.assertIs(NO_NOTICE, self.read(503, Retry_After=text))
+
+
+if __name__ == "__main__":
+    unittest.main()
