--- a/tests/test_loomyard_router/test_routed/test_targets_that_refuse.py
+++ b/tests/test_loomyard_router/test_routed/test_targets_that_refuse.py
@@ -11,6 +11,7 @@
 from unittest import mock
 
 from loomyard_router.admission import target_health
+from loomyard_router.routes.kind import RouteKind
 from loomyard_router.routes.service_terms import EngineTerms, ServiceTerms
 from test_loomyard_router.test_routed.routed_case import RoutedCase, route
 from test_loomyard_router.test_routed.scripted_target import (
@@ -52,7 +53,8 @@
         scripts: dict[str, Script] = {"failing": fail, "refusing": turn_away}
         for kind, terms in (("plain", None), ("engine", ENGINE)):
             services = [ServiceTerms(name=f"{kind}-{name}", engine=terms) for name in scripts]
-            routes = [route(f"/{service.name}/", service.name) for service in services]
+            kinds = {"kind": RouteKind.IDEMPOTENT}
+            routes = [route(f"/{service.name}/", service.name, **kinds) for service in services]
             self.publish(*routes, services=services, version=self.router.holder.version + 2)
             failing, refusing = (
                 self.count_calls(f"{kind}-{name}", script) for name, script in scripts.items()
