Count it against a target that it turns requests away

Callers saw: beside targets that work, others that turned all away drew a third of the arrivals, and what was refused twice there was refused to the caller. Cause: of outcomes only faults of connections and answers, and errors of repeatable requests, counted against a target. One that refuses at once counted as sound, had the fewest running and all places free, so both choices (fewest running, fewest taken) preferred it. Class: a choice by load takes what ends fast for what is idle.

--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -41,6 +41,8 @@
 MOST_UNREACHED = 3
 _FAULTS_OF_TARGET = (
     ResultCode.TARGET_UNREACHABLE,
+    # Who turns requests away at once has the fewest running and draws them, unless it counts.
+    ResultCode.TARGET_REFUSED,
     ResultCode.ANSWER_LOST,
     ResultCode.ANSWER_INVALID,
     ResultCode.ANSWER_LATE,
