Let the soak find a reader that goes by offsets alone, targets that say leaving in answers alone, and rest

Cause why it did not: the next version, a second later, hid the one that was passed over; and its store answered routers before its log had grown past the old end, so a read there found nothing and listed anew. Change: in 0.7 of the losses the writers reach the store before the routers do, with a version nobody has heard of, and its log grows past where it ended; no other version is published until every router has that one (60 s, which no machine takes). A held read is refused once the store is away. Targets say in answers alone that they leave, or turn all away and ask for rest; judged by what a caller saw of a router's answers and by what reaches the target, with the users' bounds. The other faults of a seed are drawn as before.

--- a/packages/loomyard-standins/src/loomyard_standins/programs/caller_program.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/caller_program.py
@@ -9,6 +9,7 @@
 import random  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
+from typing import TYPE_CHECKING  # noqa: E402
 
 import gevent  # noqa: E402
 from attrs import define, field  # noqa: E402
@@ -18,10 +19,12 @@
     ENDING_BODIES,
     HOST,
     HTTP_OK,
+    LEAVING,
     PATHS,
     PROBE_HOST,
     REPEATABLE,
     SAME_BODIES,
+    STAMP,
     STREAM,
     probe_path,
     request_headers,
@@ -31,6 +34,9 @@
     whole_stream,
 )
 
+if TYPE_CHECKING:
+    from geventhttpclient.response import HTTPResponse
+
 CALLERS = 6
 PAUSE_SECONDS = 0.05
 DEADLINE_SECONDS = 5.0
@@ -132,6 +138,7 @@
             with gevent.Timeout(max(0.0, until - time.monotonic()), False):
                 response = client.post(path, body=body, headers=headers)
                 status = response.status_code
+                self._note_leaving(router, response)
                 while block := response.read(4096):
                     got += bytes(block)
                 whole = response.message_complete
@@ -141,6 +148,12 @@
             client.close()
         return status, got, whole
 
+    def _note_leaving(self, router: str, response: HTTPResponse) -> None:
+        """Say that a router passed on an answer by which a target says that it leaves."""
+        if response.get(LEAVING):
+            target, _, _ = str(response.get(STAMP, "")).partition(".")
+            say(passed_leaving=target, router=router)
+
 
 def main() -> int:
     """Ask as ``SEED ROUTER...`` says until standard input ends; its lines are newest versions."""
--- a/packages/loomyard-standins/src/loomyard_standins/programs/fault_plan.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/fault_plan.py
@@ -28,11 +28,24 @@
     CUT_STORE = "connections of some routers to the store fail"
     MUTE_STORE = "connections of all routers to the store fail"
     LOSE_WRITES = "the store is away and comes back from a copy some seconds old"
+    SAY_LEAVING = "a target says in its answers alone that it leaves"
+    ASK_REST = "a target turns requests away and asks for rest"
 
 
-# Drawn apart, so that the other faults of a seed stay as they were.
-APART = (ProgramFault.LOSE_WRITES,)
-MOST_LOSSES = 3
+@frozen
+class Apart:
+    """A fault that is drawn apart: the name of its draw, and how many there are at most."""
+
+    name: str
+    most: int
+
+
+# So the other faults of a seed stay as they were.
+APART = {
+    ProgramFault.LOSE_WRITES: Apart("losses", 3),
+    ProgramFault.SAY_LEAVING: Apart("leavings", 1),
+    ProgramFault.ASK_REST: Apart("rests", 2),
+}
 
 
 @frozen(kw_only=True)
@@ -55,16 +68,18 @@
         fault = source.choice([one for one in ProgramFault if one not in APART])
         plan.append(Planned(at=at, until=until, fault=fault, choice=source.randrange(2**16)))
         at += every * source.uniform(0.3, 1.7)
-    plan += _draw_losses(seed, seconds=seconds, every=every)
+    for fault, apart in APART.items():
+        plan += _draw_apart(fault, apart, seed, seconds=seconds, every=every)
     return sorted(plan, key=lambda planned: planned.at)
 
 
-def _draw_losses(seed: int, *, seconds: float, every: float) -> list[Planned]:
-    source = random.Random(f"losses {seed}")
-    losses = []
-    for _ in range(source.randint(1, MOST_LOSSES)):
+def _draw_apart(
+    fault: ProgramFault, apart: Apart, seed: int, *, seconds: float, every: float
+) -> list[Planned]:
+    source = random.Random(f"{apart.name} {seed}")
+    drawn = []
+    for _ in range(source.randint(1, apart.most)):
         at = source.uniform(every, max(every, seconds - 4 * every))
         until = at + source.uniform(0.2, 2.0)
-        fault = ProgramFault.LOSE_WRITES
-        losses.append(Planned(at=at, until=until, fault=fault, choice=source.randrange(2**16)))
-    return losses
+        drawn.append(Planned(at=at, until=until, fault=fault, choice=source.randrange(2**16)))
+    return drawn
--- a/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import os
 import signal
 import sys
@@ -26,6 +27,8 @@
     from loomyard_standins.programs.program import Listener
     from loomyard_standins.programs.promises import Breach, Promises
 
+logger = logging.getLogger(__name__)
+
 MODULES = "loomyard_standins.programs"
 ROUTER_MODULE = f"{MODULES}.suspended_router"
 SECRET = "a secret of this run"
@@ -150,6 +153,14 @@
         self.targets.remove(target)
         target.link.stop()
 
+    def say_leaving(self, target: Target) -> None:
+        """Let a target say in its answers alone that it leaves; its entry stays as it was."""
+        _tell_target(target, leaving=True)
+
+    def ask_rest(self, target: Target, seconds: float) -> None:
+        """Let a target turn away all it gets and ask for rest; none ends that."""
+        _tell_target(target, rest=seconds)
+
     def announce(self, target: Target) -> None:
         """Let a target say what it is."""
         self._announce(target, draining=False)
@@ -168,6 +179,10 @@
         self._lost_after = time.monotonic() - seconds
         self.store.tell(json.dumps({"fall_back": seconds}))
 
+    def outgrow_lost(self) -> None:
+        """Let the log grow past where it ended before a loss, as busy writers do."""
+        self.store.tell(json.dumps({"outgrow": True}))
+
     def write_again(self, source: random.Random) -> None:
         """Write what the copy lacks, in some order."""
         lost = [key for key, (at, _) in self._written.items() if at >= self._lost_after]
@@ -260,8 +275,16 @@
         target = next((one for one in self.targets if one.id == id_), None)
         if target is not None:
             target.link.refuse()
-            target.program.tell("end")
+            target.program.tell(json.dumps({"end": True}))
             self.target_ended(target)
 
     def _settings(self, name: str) -> Path:
         return self._folder / f"{name}.conf"
+
+
+def _tell_target(target: Target, **said: float) -> None:
+    try:
+        target.program.tell(json.dumps(said))
+    except BrokenPipeError:
+        # It has ended under a request, and another one is about to take its place.
+        logger.debug("target %s has ended and hears nothing more", target.id)
--- a/packages/loomyard-standins/src/loomyard_standins/programs/promises.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/promises.py
@@ -22,6 +22,11 @@
 MORE_SENDS = 3
 # An order is in force 2.5 s after its acknowledgement; as long after faults of what it comes by.
 ORDER_SECONDS = 4.0
+# A target that leaves gets no new work two seconds after a router knew.
+LEAVING_SECONDS = 2.0
+# What was on its way when a target asked for rest; a busy machine holds it up.
+ON_ITS_WAY_SECONDS = 1.0
+MOST_IN_REST = 2
 COLD_WINDOW = 1.0
 MOST_COLD_RUNS = int(1.5 * COLD_PER_SECOND) + 5
 STORE = "store"
@@ -37,6 +42,9 @@
     NEVER_BACK = "the configuration that a router serves never goes back"
     EMPTIED = "a data centre that is emptied gets no new work after some seconds"
     COLD = "a cold target gets no more than it bears"
+    LEAVING = "a router that passed on that a target leaves sends it nothing some seconds later"
+    REST = "a target that asked a router for rest gets two requests more from it at most"
+    IN_FORCE = "what is written after the store lost writes comes into force at every router"
     FEW_ENDS = "a request under which three targets ended is sent to three more at most"
     SERVES_AGAIN = "once the faults are over every router serves every kind of request"
 
@@ -76,6 +84,12 @@
     _cold: dict[str, float] = field(factory=dict)
     _cold_runs: defaultdict[str, list[float]] = field(factory=lambda: defaultdict(list))
     _kinds: dict[str, str] = field(factory=dict)
+    _sent_at: dict[str, float] = field(factory=dict)
+    # When a router passed on first that a target leaves, and when targets turned routers away.
+    _passed_leaving: dict[tuple[str, str], float] = field(factory=dict)
+    _turned_away: defaultdict[tuple[str, str], list[float]] = field(
+        factory=lambda: defaultdict(list)
+    )
     _ran: defaultdict[str, list[str]] = field(factory=lambda: defaultdict(list))
     _statuses: dict[str, int] = field(factory=dict)
     _acked: dict[int, float] = field(factory=dict)
@@ -84,6 +98,16 @@
     _leaving: dict[str, float] = field(factory=dict)
     _left: dict[str, float] = field(factory=dict)
 
+    @property
+    def passed_leaving(self) -> int:
+        """Return how often a router came to know from an answer that a target leaves."""
+        return len(self._passed_leaving)
+
+    @property
+    def turned_away(self) -> int:
+        """Return how many requests reached targets that turned them away and asked for rest."""
+        return sum(map(len, self._turned_away.values()))
+
     def note_router(self, router: str, at: float) -> None:
         """Take in that a life of a router ended; a new one may know less."""
         self._started[router] = at
@@ -98,6 +122,8 @@
         self._data_centres[target] = data_centre
         self._leaving.pop(target, None)
         self._cold.pop(target, None)
+        for known in [known for known in self._passed_leaving if known[1] == target]:
+            del self._passed_leaving[known]
 
     def note_cold(self, target: str, at: float | None) -> None:
         """Take in that a target says that it is cold, or that it is not any more."""
@@ -125,6 +151,12 @@
         if "sent" in said:
             self.note_sent(said["sent"], said["kind"])
             self._routers[said["sent"]] = said.get("router", "")
+            self._sent_at[said["sent"]] = said["at"]
+        elif "passed_leaving" in said:
+            known = said["router"], said["passed_leaving"]
+            self._passed_leaving.setdefault(known, said["at"])
+        elif "turned_away" in said:
+            yield from self._take_turned_away(said)
         elif "run" in said:
             yield from self._take_run(said)
         elif "ends" in said:
@@ -156,6 +188,7 @@
         if attempt_id in self._left:
             self.after_caller.append(said["at"] - self._left[attempt_id])
         yield from self._take_heeded(said["target"], attempt_id, said["at"])
+        yield from self._take_leaving(said["target"], attempt_id)
         if attempt_id in self._statuses:
             detail = f"{attempt_id} got {self._statuses[attempt_id]}, then ran at {targets}"
             yield Breach(Promise.NOT_RUN, detail)
@@ -164,6 +197,35 @@
         if len(targets) > 1 and self._kinds.get(attempt_id) == ONCE:
             yield Breach(Promise.AT_MOST_ONCE, f"{attempt_id} ran at {targets}")
 
+    def _take_leaving(self, target: str, attempt_id: str) -> Iterator[Breach]:
+        """Judge a run by what its router passed on before, also where the store is struck."""
+        router = self._routers.get(attempt_id, "")
+        passed = self._passed_leaving.get((router, target))
+        if passed is None or router in self._disturbed:
+            return
+        # A router that stood still or started since is excused.
+        if max(self._started.get(router, 0.0), self._calm_since.get(router, 0.0)) > passed:
+            return
+        after = self._sent_at[attempt_id] - passed
+        if after > LEAVING_SECONDS:
+            detail = f"{attempt_id} ran at {target} though {router} knew {after:.2f} s earlier"
+            yield Breach(Promise.LEAVING, detail)
+
+    def _take_turned_away(self, said: dict[str, Any]) -> Iterator[Breach]:
+        """Judge a request that reached a target by the rest that it had asked for."""
+        router, now = self._routers.get(said["turned_away"], ""), said["at"]
+        times = self._turned_away[router, said["target"]]
+        times.append(now)
+        if not router or router in self._disturbed:
+            return
+        # A router that stood still or started since is excused.
+        calm = max(self._started.get(router, 0.0), self._calm_since.get(router, 0.0))
+        asked = next((at for at in times if now < at + said["rest"]), now)
+        late = sum(at > asked + ON_ITS_WAY_SECONDS for at in times)
+        if calm <= asked and late > MOST_IN_REST:
+            detail = f"{said['target']} asked {router} for rest and got {late} requests in it"
+            yield Breach(Promise.REST, detail)
+
     def _take_order(self, said: dict[str, Any]) -> None:
         data_centre = said["acked"].removeprefix(EMPTYING)
         if said["dropped"]:
--- a/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
@@ -11,26 +11,19 @@
 from typing import TYPE_CHECKING, Any
 
 import gevent
-from geventhttpclient import HTTPClient
 
 from loomyard_standins.programs.documents import (
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
     DATA_CENTRES,
-    READY_PORT,
     TARGETS_TOPIC,
 )
 from loomyard_standins.programs.fault_plan import ProgramFault, draw_plan
 from loomyard_standins.programs.fault_proxy import LinkFault
 from loomyard_standins.programs.program_fleet import ProgramFleet
 from loomyard_standins.programs.promises import STORE, Breach, Promise, Promises
-from loomyard_standins.programs.words import (
-    HTTP_OK,
-    PATHS,
-    SAME_BODIES,
-    SUSPENDING,
-    request_headers,
-)
+from loomyard_standins.programs.router_questions import RouterQuestions
+from loomyard_standins.programs.words import PATHS, SAME_BODIES, SUSPENDING
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -43,7 +36,6 @@
 CHANGE_SECONDS = 1.0
 # After the faults: by then every router has to serve every kind of request.
 SERVES_SECONDS = 60.0
-ASK_SECONDS = 5.0
 LOOK_SECONDS = 0.2
 # The notice of a suspension has to be heard before the stop.
 NOTICE_SECONDS = 0.3
@@ -52,6 +44,11 @@
 # How old a copy is that the store comes back from, and when its writers have heard of that.
 COPY_AGES = (0.5, 3.0, 6.0)
 WRITE_AGAIN_SECONDS = 0.4
+# Part of the losses in which writers reach the store before routers do, so that a reader which goes
+# by its old place finds records beyond it and none missing.
+WRITERS_FIRST_PART = 0.7
+# What a target asks for that turns requests away.
+REST_SECONDS = 3.0
 # What anybody may write.
 NONSENSE = (
     "",
@@ -75,6 +72,9 @@
         self._plan = draw_plan(seed, seconds=seconds, every=every)
         self._promises = Promises()
         self._fleet = ProgramFleet(folder, seed=seed, routers=routers, promises=self._promises)
+        self._questions = RouterQuestions(self._promises)
+        # How many losses of the store are being judged; no version hides them meanwhile.
+        self._judged = 0
         self._struck: set[object] = set()
         self._played = 0
         self._faults: dict[ProgramFault, Callable[[Planned], None]] = {
@@ -95,6 +95,8 @@
             ProgramFault.CUT_STORE: lambda one: self._cut_store(one, everyone=False),
             ProgramFault.MUTE_STORE: lambda one: self._cut_store(one, everyone=True),
             ProgramFault.LOSE_WRITES: self._lose_writes,
+            ProgramFault.SAY_LEAVING: self._say_leaving,
+            ProgramFault.ASK_REST: self._ask_rest,
         }
 
     @property
@@ -124,8 +126,9 @@
     def _change(self) -> None:
         while True:
             gevent.sleep(CHANGE_SECONDS)
-            self._fleet.publish_configuration()
-            self._fleet.tell_version()
+            if not self._judged:
+                self._fleet.publish_configuration()
+                self._fleet.tell_version()
 
     def _router(self, planned: Planned) -> Router:
         return self._fleet.routers[planned.choice % len(self._fleet.routers)]
@@ -158,7 +161,7 @@
     def _await_ready(self, router: Router) -> None:
         """Wait until a router serves; a busy machine takes seconds to start it."""
         until = time.monotonic() + SERVES_SECONDS
-        while not _is_ready(router) and time.monotonic() < until:
+        while not self._questions.is_ready(router) and time.monotonic() < until:
             gevent.sleep(LOOK_SECONDS)
 
     def _replace_ended(self, target: Target) -> None:
@@ -218,11 +221,13 @@
         target = self._target(planned)
         if self._take((target, "written")):
             self._fleet.publish_entry(TARGETS_TOPIC, f"other-{planned.choice}", value)
-            self._fleet.publish_entry(CONFIGURATION_TOPIC, CONFIGURATION_KEY, value)
+            if not self._judged:
+                self._fleet.publish_entry(CONFIGURATION_TOPIC, CONFIGURATION_KEY, value)
             self._fleet.publish_entry(TARGETS_TOPIC, target.id, value)
             gevent.sleep(planned.until - planned.at)
-            # A router that starts now would know no configuration, however slowly versions come.
-            self._fleet.publish_configuration()
+            if not self._judged:
+                # A router that starts now would know none, however slowly versions come.
+                self._fleet.publish_configuration()
             if target in self._fleet.targets and target not in self._struck:
                 self._fleet.announce(target)
             self._struck.remove((target, "written"))
@@ -256,16 +261,58 @@
             self._struck.remove(ProgramFault.BUSY_STORE)
 
     def _lose_writes(self, planned: Planned) -> None:
-        if self._take(ProgramFault.BUSY_STORE):
-            with self._disturbed(STORE):
-                self._fleet.store.tell(json.dumps({"busy": True}))
-                gevent.sleep(planned.until - planned.at)
-                self._fleet.lose_writes(COPY_AGES[planned.choice % len(COPY_AGES)])
+        if not self._take(ProgramFault.BUSY_STORE):
+            return
+        source = random.Random(planned.choice)
+        self._judged += 1
+        with self._disturbed(STORE):
+            self._fleet.store.tell(json.dumps({"busy": True}))
+            gevent.sleep(planned.until - planned.at)
+            self._fleet.lose_writes(COPY_AGES[planned.choice % len(COPY_AGES)])
+            if source.random() < WRITERS_FIRST_PART:
+                self._write_after_loss(source)
+                self._fleet.outgrow_lost()
+                self._fleet.store.tell(json.dumps({"busy": False}))
+            else:
                 self._fleet.store.tell(json.dumps({"busy": False}))
                 # Writers hear of it and write again, in another order.
                 gevent.sleep(WRITE_AGAIN_SECONDS)
-                self._fleet.write_again(random.Random(planned.choice))
-            self._struck.remove(ProgramFault.BUSY_STORE)
+                self._write_after_loss(source)
+        self._struck.remove(ProgramFault.BUSY_STORE)
+        self._await_version(self._fleet.version)
+        self._judged -= 1
+
+    def _write_after_loss(self, source: random.Random) -> None:
+        """Write what the copy lacks, and a version that nobody has heard of."""
+        self._fleet.publish_configuration()
+        self._fleet.write_again(source)
+
+    def _await_version(self, version: int) -> None:
+        """Let every router come to know a version before a later one hides it."""
+        until = time.monotonic() + SERVES_SECONDS
+        missing = [router.address for router in self._fleet.routers]
+        while missing and time.monotonic() < until:
+            missing = [one for one in missing if not self._questions.knows(one, version)]
+            gevent.sleep(LOOK_SECONDS)
+        for address in missing:
+            detail = f"{address} does not know version {version} after {SERVES_SECONDS} s"
+            self.breaches.append(Breach(Promise.IN_FORCE, detail))
+
+    def _say_leaving(self, planned: Planned) -> None:
+        target = self._target(planned)
+        if self._take(target):
+            self._fleet.say_leaving(target)
+            self._stay(planned)
+            self._fleet.replace_target(target, crash=False)
+            self._struck.remove(target)
+
+    def _ask_rest(self, planned: Planned) -> None:
+        target = self._target(planned)
+        if self._take((target, "rest")):
+            self._fleet.ask_rest(target, REST_SECONDS)
+            self._stay(planned)
+            self._fleet.ask_rest(target, 0.0)
+            self._struck.remove((target, "rest"))
 
     def _cut_target(self, planned: Planned) -> None:
         target = self._target(planned)
@@ -298,34 +345,13 @@
             for kind in PATHS
             for body in (b"", *SAME_BODIES)
         ]
-        asked = 0
         while missing and time.monotonic() < until:
-            asked += 1
-            missing = [
-                one
-                for number, one in enumerate(missing)
-                if not self._serves(*one, f"end-{asked}-{number}-{one[1]}")
-            ]
+            missing = [one for one in missing if not self._questions.serves(*one)]
             gevent.sleep(LOOK_SECONDS)
         for address, kind, body in missing:
             detail = f"{address} serves no {kind} {body!r} {SERVES_SECONDS} s after the last fault"
             self.breaches.append(Breach(Promise.SERVES_AGAIN, detail))
 
-    def _serves(self, address: str, kind: str, body: bytes, attempt: str) -> bool:
-        attempt_id = f"{attempt}-{address}"
-        self._promises.note_sent(attempt_id, kind)
-        client = HTTPClient.from_url(
-            f"http://{address}", connection_timeout=ASK_SECONDS, network_timeout=ASK_SECONDS
-        )
-        try:
-            headers = request_headers(attempt_id, ASK_SECONDS)
-            answer = client.post(f"{PATHS[kind]}x", body=body, headers=headers)
-            return answer.status_code == HTTP_OK
-        except Exception:  # the client raises many types on a broken connection
-            return False
-        finally:
-            client.close()
-
     def _report(self, seconds: float) -> dict[str, Any]:
         promises, lags = self._promises, self._promises.lags
         return {
@@ -337,6 +363,8 @@
             "runs": promises.runs,
             "targets_ended": promises.ended,
             "sent_after_known": promises.sent_later,
+            "passed_leaving": promises.passed_leaving,
+            "turned_away": promises.turned_away,
             "versions": self._fleet.version,
             "seen_after_p50": round(statistics.median(lags), 2) if lags else None,
             "seen_after_most": _most(lags),
@@ -347,17 +375,5 @@
         }
 
 
-def _is_ready(router: Router) -> bool:
-    client = HTTPClient(
-        router.host, READY_PORT, connection_timeout=ASK_SECONDS, network_timeout=ASK_SECONDS
-    )
-    try:
-        return client.get("/readyz").status_code == HTTP_OK
-    except Exception:  # the client raises many types on a broken connection
-        return False
-    finally:
-        client.close()
-
-
 def _most(seconds: list[float]) -> float | None:
     return round(max(seconds), 2) if seconds else None
--- a/packages/loomyard-standins/src/loomyard_standins/programs/store_program.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/store_program.py
@@ -26,13 +26,19 @@
     from collections.abc import Callable, Iterable
 
 ERA_HEADER = "Store-Era"
+# Stands for what busy writers write that no router looks for.
+NOBODYS_KEY = "nobody's"
 
 
 @define(eq=False)
 class Topic:
-    """Records by offset; a value of ``None`` drops its key."""
+    """Records by offset; a value of ``None`` drops its key.
+
+    ``ended`` is the offset at which it ended before the last loss.
+    """
 
     records: list[tuple[str, bytes | None]] = field(factory=list)
+    ended: int = 0
     written_at: list[float] = field(factory=list)
     grown: Event = field(factory=Event)
 
@@ -47,6 +53,7 @@
         """Lose what was written in the last seconds."""
         oldest = time.monotonic() - seconds
         kept = sum(at <= oldest for at in self.written_at)
+        self.ended = len(self.records)
         del self.records[kept:], self.written_at[kept:]
 
 
@@ -67,9 +74,11 @@
         if environ["PATH_INFO"] == "/log-append":
             body = _append(topic, environ["wsgi.input"].read())
         elif environ["PATH_INFO"] == "/log-read":
-            offset, era = int(query["from"]), self.era
+            offset = int(query["from"])
             body = self._read(topic, offset, int(query["wait_ms"]) / MILLISECONDS)
-            if offset > len(topic.records) or era != self.era:
+            if self.busy:
+                return self._answer(start_response, "503 Service Unavailable", b"")
+            if offset > len(topic.records):
                 gone = json.dumps({"first_offset": 0}).encode()
                 return self._answer(start_response, "410 Gone", gone)
         else:
@@ -91,6 +100,9 @@
             if "fall_back" in told:
                 self._fall_back(told["fall_back"])
                 continue
+            if "outgrow" in told:
+                self._outgrow()
+                continue
             value = None if told["value"] is None else told["value"].encode()
             self.topics[told["topic"]].add(told["key"], value)
             say(acked=told["key"], version=told.get("version"), dropped=value is None)
@@ -101,6 +113,12 @@
         for topic in self.topics.values():
             topic.fall_back(seconds)
 
+    def _outgrow(self) -> None:
+        """Let each topic grow past where it ended before the last loss."""
+        for topic in self.topics.values():
+            while len(topic.records) <= topic.ended:
+                topic.add(NOBODYS_KEY, None)
+
     def _read(self, topic: Topic, offset: int, wait: float) -> bytes:
         with gevent.Timeout(wait, False):
             while offset == len(topic.records):
