Heed what targets of manifests say of themselves, in any answer

The same cause elsewhere: with manifests the word that a target leaves was read in refusals and load reports only, not in an answer that it served; a wish for rest went to the caller as Retry-After and kept nobody from asking the target again. Change: leavings are heard in every answer; a refusal's seconds of rest are kept for this router until the latest end, also where no other target is left. One reader of seconds for both products. New standing 'resting by its own wish'. Not changed: there a refusal without rest is still neither a failure nor a success (slots bound what goes there).

--- a/packages/loomyard-router/src/loomyard_router/platform/targets.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/targets.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import re
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from loomyard.util.seconds import read_seconds
 from loomyard_router.announced.target_notice import NO_NOTICE, TargetNotice
 from loomyard_router.platform import names
 from loomyard_router.routed.dialects import AnswerWord, HealthWord
@@ -16,8 +16,6 @@
     from loomyard_router.announced.announced_target import AnnouncedTarget
     from loomyard_router.routed.routed_request import RoutedRequest
 
-SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
-
 
 class PlatformTargets:
     """The ``TargetDialect`` of the platform."""
@@ -68,10 +66,5 @@
         return NO_NOTICE
     leaving = fields.get(names.LEAVING.lower(), "").strip() == names.IS_LEAVING
     turned_away = status == HTTPStatus.SERVICE_UNAVAILABLE
-    rest = _read_seconds(fields.get(names.RETRY_AFTER.lower(), "")) if turned_away else 0.0
+    rest = read_seconds(fields.get(names.RETRY_AFTER.lower(), "")) if turned_away else 0.0
     return TargetNotice(leaving=leaving, rest_seconds=rest) if leaving or rest else NO_NOTICE
-
-
-def _read_seconds(text: str) -> float:
-    """Return a number of seconds, 0 for anything else; a date would need clocks that agree."""
-    return float(text) if SECONDS.fullmatch(text.strip()) else 0.0
--- a/packages/loomyard-router/src/loomyard_router/requests/answer_check.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/answer_check.py
@@ -7,6 +7,7 @@
 
 from loomyard.errors import Executed, Fault, ResultCode
 from loomyard.objects import ServiceType
+from loomyard.util.seconds import read_seconds
 
 if TYPE_CHECKING:
     from loomyard.outside.engine import TargetAnswer, TargetCall
@@ -47,6 +48,11 @@
     return headers.get(LEAVING_HEADER) == "1"
 
 
+def read_rest(headers: dict[str, str]) -> float:
+    """Return for how many seconds a target that refused wants nothing; 0 where it says nothing."""
+    return read_seconds(headers.get(RETRY_AFTER_HEADER, ""))
+
+
 def _check_model_answer(
     request: Request, answer: TargetAnswer, headers: dict[str, str]
 ) -> Fault | None:
--- a/packages/loomyard-router/src/loomyard_router/requests/sender.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/sender.py
@@ -11,7 +11,7 @@
 from loomyard.errors import Executed, Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard.outside.engine import TargetCall
-from loomyard_router.requests.answer_check import check_answer, is_leaving
+from loomyard_router.requests.answer_check import check_answer, is_leaving, read_rest
 from loomyard_router.requests.attempt import Attempt
 from loomyard_router.requests.journal import Step
 from loomyard_router.requests.settlement import Settlement
@@ -104,10 +104,10 @@
             return Err(self._fail(request, call, settlement, opened.unwrap_err()))
         answer = opened.unwrap()
         fault = check_answer(request, call, answer)
+        self._note_words(name, answer, fault)
         if fault is None or fault.code is not ResultCode.TARGET_REFUSED:
             self._targets.report_attempt(name, answered=fault is None)
         if fault is not None:
-            self._note_refusal(name, answer, fault)
             answer.close()
             return Err(self._fail(request, call, settlement, fault))
         attempt = Attempt(
@@ -115,10 +115,14 @@
         )
         return Ok(attempt)
 
-    def _note_refusal(self, name: str, answer: TargetAnswer, fault: Fault) -> None:
+    def _note_words(self, name: str, answer: TargetAnswer, fault: Fault | None) -> None:
+        """Take in what a target says of itself, which may stand in any answer."""
         headers = {header.lower(): value for header, value in answer.headers}
-        if fault.code is ResultCode.TARGET_REFUSED and is_leaving(headers):
+        if is_leaving(headers):
             self._targets.report_leaving(name)
+        rest = read_rest(headers)
+        if fault is not None and fault.code is ResultCode.TARGET_REFUSED and rest:
+            self._targets.report_rest(name, self._clock.now() + rest)
 
     def _fail(
         self, request: Request, call: TargetCall, settlement: Settlement, fault: Fault
--- a/packages/loomyard-router/src/loomyard_router/targets/directory.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/directory.py
@@ -32,6 +32,9 @@
     def report_leaving(self, name: str) -> None:
         """Take in that a target says, or a peer heard, that it is leaving."""
 
+    def report_rest(self, name: str, until: float) -> None:
+        """Take in that a target wants nothing from this router until then."""
+
     def report_attempt(self, name: str, *, answered: bool) -> None:
         """Take in whether a target answered an attempt."""
 
@@ -76,6 +79,9 @@
     def report_leaving(self, name: str) -> None:
         pass
 
+    def report_rest(self, name: str, until: float) -> None:
+        pass
+
     def report_attempt(self, name: str, *, answered: bool) -> None:
         pass
 
--- a/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
@@ -19,6 +19,7 @@
 from loomyard_router.targets.load_poller import LoadPoller
 from loomyard_router.targets.loaded_book import LoadedBook
 from loomyard_router.targets.prefix_index import PrefixIndex
+from loomyard_router.targets.resting_targets import RestingTargets
 from loomyard_router.targets.slot_book import SlotBook
 from loomyard_router.targets.spread import Spread
 from loomyard_router.targets.target_status import TargetStanding, TargetStatus
@@ -67,6 +68,7 @@
         self._listeners: list[Callable[[], None]] = []
         self._task: gevent.Greenlet | None = None
         self._health = TargetHealth(clock)
+        self._resting = RestingTargets(clock)
         self._slots = SlotBook(clock, members, peers, changed=self._tell)
         self._loaded = LoadedBook(clock, gossip, changed=self._tell)
         self._prefixes = PrefixIndex(clock)
@@ -104,6 +106,12 @@
         if name in self._targets:
             self._leaving.see_leaving(name, self._versions[name])
 
+    def report_rest(self, name: str, until: float) -> None:
+        if name in self._targets and self._resting.rest(name, until):
+            seconds = round(until - self._clock.now(), 3)
+            emit(logger, Event.TARGET_ASKS_FOR_REST, target=name, seconds=seconds)
+            self._refresh()
+
     def report_attempt(self, name: str, *, answered: bool) -> None:
         if name not in self._targets:
             return
@@ -133,6 +141,7 @@
         self._leaving.retain(names, routing.version)
         self._leaving_vms.retain(self._vm_names(), routing.version)
         self._health.retain(names)
+        self._resting.retain(names)
         self._prefixes.retain(names)
         self._slots.set_targets(self._targets)
         self._loaded.retain(names)
@@ -154,6 +163,8 @@
     def tick(self) -> None:
         """Start what is due."""
         self._leaving.expire(self._would_have_heard)
+        if self._resting.expire():
+            self._refresh()
         self._loads.run_due()
         for name in self._health.probes_due():
             if name in self._polled:
@@ -216,7 +227,8 @@
         for name in usable:
             for service in self._targets[name].services:
                 pools.setdefault(service, set()).add(name)
-        self._sendable = usable - self._health.ejected(pools)
+        # What a target asks for itself is heeded also where none is left.
+        self._sendable = usable - self._health.ejected(pools) - self._resting.names
         self._tell()
 
     def _is_usable(self, name: str) -> bool:
@@ -247,6 +259,8 @@
             return TargetStanding.LEAVING_TOLD
         if not self._is_usable(name):
             return TargetStanding.LEAVING_VM
+        if name in self._resting.names:
+            return TargetStanding.RESTING
         if name not in self._sendable:
             return TargetStanding.EJECTED
         half_open = self._health.is_half_open(name)
--- a/packages/loomyard-router/src/loomyard_router/targets/target_status.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/target_status.py
@@ -14,6 +14,7 @@
     LEAVING_CONFIGURED = "leaving by configuration"
     LEAVING_TOLD = "leaving by its own word"
     LEAVING_VM = "leaving by the VM list"
+    RESTING = "resting by its own wish"
     EJECTED = "ejected after failed attempts"
     PROBING = "half-open after failed attempts"
 
--- a/tests/test_loomyard_router/test_requests/serving_case.py
+++ b/tests/test_loomyard_router/test_requests/serving_case.py
@@ -71,6 +71,10 @@
         self.targets = make_configured_targets()
         self.left: list[str] = []
         self.targets.report_leaving = self.left.append  # type: ignore[method-assign]
+        self.rests: list[tuple[str, float]] = []
+        self.targets.report_rest = (  # type: ignore[method-assign]
+            lambda name, until: self.rests.append((name, until))
+        )
         self.policy = make_local_policy(self.clock)
         self.engines = [ScriptedTarget(answer_whole) for _ in range(2)]
         for engine in self.engines:
--- a/tests/test_loomyard_router/test_requests/test_serving.py
+++ b/tests/test_loomyard_router/test_requests/test_serving.py
@@ -23,6 +23,16 @@
 
 
 class ServingTest(ServingCase):
+    def test_what_a_target_says_of_itself_is_heard_in_any_answer(self) -> None:
+        self.script(lambda call, sock: sock.sendall(answer_bytes(call, b"{}", headers=LEAVING)))
+        self.serve(idempotent=False, key="k").unwrap()
+        self.assertEqual(1, len(self.left))
+        before = self.clock.now()
+        self.script(refuse(f"{NOT_RUN}Retry-After: 30\r\n"), refuse(NOT_RUN), answer_whole)
+        self.serve(idempotent=False, key="l").unwrap()
+        self.assertEqual(1, len(self.rests))
+        self.assertGreaterEqual(self.rests[0][1], before + 30.0)
+
     def test_a_refusal_that_ran_nothing_is_retried_and_a_run_is_recorded_once(self) -> None:
         self.script(refuse(NOT_RUN), refuse(LEAVING), answer_whole)
         answer = self.serve(idempotent=False, key="k").unwrap()
--- a/tests/test_loomyard_router/test_targets/test_known_targets.py
+++ b/tests/test_loomyard_router/test_targets/test_known_targets.py
@@ -209,6 +209,23 @@
         self.assertEqual(self.sendable(), "a")
 
 
+class RestTest(TargetsCase):
+    def test_a_target_rests_at_the_router_that_it_asked_until_the_latest_end(self) -> None:
+        router = self.routers[0]
+        router.report_rest("a", self.clock.now() + 3.0)
+        router.report_rest("a", self.clock.now() + 1.0)
+        self.assertEqual([False, True], self.views("a"))
+        self.pass_time(2.0)
+        self.assertEqual([False, True], self.views("a"))
+        self.pass_time(1.5)
+        self.assertEqual([True, True], self.views("a"))
+
+    def test_all_may_rest(self) -> None:
+        for name in "abcd":
+            self.routers[0].report_rest(name, self.clock.now() + 3.0)
+        self.assertEqual([False] * 4, [self.routers[0].may_send(name) for name in "abcd"])
+
+
 class LoadedTest(TargetsCase):
     def test_what_is_loaded_now_counts(self) -> None:
         tagger = Service(metadata=Metadata(name="tagger"))
--- a/tests/test_loomyard_standins/test_programs/test_promises.py
+++ b/tests/test_loomyard_standins/test_programs/test_promises.py
@@ -9,8 +9,11 @@
 from loomyard_standins.programs.promises import (
     KNOWN_ENDS,
     KNOWN_SECONDS,
+    LEAVING_SECONDS,
     MORE_SENDS,
     MOST_COLD_RUNS,
+    MOST_IN_REST,
+    ON_ITS_WAY_SECONDS,
     ORDER_SECONDS,
     STORE,
     Promise,
@@ -53,6 +56,51 @@
             runs = [{"run": kind, "target": target} for target in ("t1", "t2")]
             self.assertEqual(expected, self.broken({"sent": kind, "kind": kind}, *runs))
 
+    def run_after_leaving(self, name: str, sent_at: float) -> list[Promise]:
+        """Return what a run breaks whose request was sent after a router passed a leaving on."""
+        sent = {"sent": name, "kind": REPEATABLE, "router": ROUTER, "at": sent_at}
+        return self.broken(sent, {"run": name, "target": "t1", "at": sent_at + 0.1})
+
+    def test_a_target_that_leaves_gets_nothing_from_a_router_that_passed_that_on(self) -> None:
+        self.broken({"passed_leaving": "t1", "router": ROUTER, "at": 10.0})
+        self.assertEqual([], self.run_after_leaving("a", 10.0 + LEAVING_SECONDS))
+        self.assertEqual([Promise.LEAVING], self.run_after_leaving("b", 10.1 + LEAVING_SECONDS))
+        # The store says nothing of that, so its faults excuse nothing.
+        self.promises.disturb(STORE)
+        self.assertEqual([Promise.LEAVING], self.run_after_leaving("c", 10.2 + LEAVING_SECONDS))
+
+    def test_a_router_that_stood_still_or_started_since_may_have_forgotten_a_leaving(self) -> None:
+        late = 20.0 + LEAVING_SECONDS
+        for number, excuse in enumerate(
+            (
+                lambda: self.promises.disturb(ROUTER),
+                lambda: self.promises.calm(ROUTER, 11.0),
+                lambda: self.promises.note_router(ROUTER, 11.0),
+            )
+        ):
+            self.promises = Promises()
+            self.broken({"passed_leaving": "t1", "router": ROUTER, "at": 10.0})
+            excuse()
+            self.assertEqual([], self.run_after_leaving(f"a{number}", late))
+
+    def turn_away(self, name: str, at: float, router: str = ROUTER) -> list[Promise]:
+        """Return what a request breaks that a target turns away, asking for rest."""
+        sent = {"sent": name, "kind": REPEATABLE, "router": router, "at": at - 0.1}
+        return self.broken(sent, {"turned_away": name, "target": "t1", "rest": 5.0, "at": at})
+
+    def test_a_third_request_in_the_time_of_rest_is_too_many(self) -> None:
+        on_its_way = 10.0 + ON_ITS_WAY_SECONDS
+        for number in range(10):
+            self.assertEqual([], self.turn_away(f"a{number}", 10.0 + number / 100.0))
+        for number in range(MOST_IN_REST):
+            self.assertEqual([], self.turn_away(f"b{number}", on_its_way + 0.1))
+        self.assertEqual([], self.turn_away("c", on_its_way + 0.2, "127.0.0.1:2"))
+        self.assertEqual([Promise.REST], self.turn_away("d", on_its_way + 0.3))
+
+    def test_requests_after_each_rest_are_allowed(self) -> None:
+        for number in range(10):
+            self.assertEqual([], self.turn_away(f"a{number}", 10.0 + 5.0 * number))
+
     def ending(self, number: int, at: float) -> dict[str, Any]:
         name = f"e{number}-{at}"
         self.broken({"sent": name, "kind": REPEATABLE, "router": ROUTER})
