Give an account back what was turned away

Seen while tracing targets that turn requests away: what was sent there and did not run counted as given to its account, so an account that met such targets seemed served, was taken for beyond its share, and got less where engines had room. Cause: the share ledger counts a place when it is granted, whatever becomes of it. Change: a place whose request did not run is returned unused and taken out of the sums again, for engines and plain services.

--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -213,8 +213,11 @@
             if ticket:
                 self._client.note_read(ticket)
 
+        def unused() -> None:
+            self._ledger.take_back(account, request.cost)
+
         taken = self._client.taken(target) if ticket else -1
-        return Place(target, released, answered=answered, taken=taken, choice=choice)
+        return Place(target, released, answered=answered, unused=unused, taken=taken, choice=choice)
 
 
 def _worthwhile_wait(request: RoutedRequest) -> float:
--- a/packages/loomyard-router/src/loomyard_router/admission/gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/gate.py
@@ -127,7 +127,10 @@
             self._loads.leave(target)
             self._dispatch(target.service)
 
-        return Place(target, released)
+        def unused() -> None:
+            self._usage.add(request.account_name, -request.cost)
+
+        return Place(target, released, unused=unused)
 
     def _dispatch_all(self) -> None:
         for service in list(self._queues):
--- a/packages/loomyard-router/src/loomyard_router/admission/place.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place.py
@@ -23,6 +23,7 @@
         released: Callable[[], None],
         *,
         answered: Callable[[], None] | None = None,
+        unused: Callable[[], None] | None = None,
         taken: int = -1,
         choice: int = -1,
     ) -> None:
@@ -31,6 +32,7 @@
         self.choice = choice
         self._released: Callable[[], None] | None = released
         self._answered = answered
+        self._unused = unused
 
     def note_answer(self) -> None:
         """Take in that the answer began, so the prompt was read."""
@@ -42,3 +44,10 @@
         released, self._released = self._released, None
         if released is not None:
             released()
+
+    def return_unused(self) -> None:
+        """Give the place back; nothing ran there, so its account got nothing."""
+        self.release()
+        unused, self._unused = self._unused, None
+        if unused is not None:
+            unused()
--- a/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
@@ -103,6 +103,11 @@
         self._given.add(account, cost)
         self._since.add(account, cost)
 
+    def take_back(self, account: str, cost: float) -> None:
+        """Count work no more that an account did not get, as nothing ran."""
+        self._given.add(account, -cost)
+        self._since.add(account, -cost)
+
     def level(self, account: str) -> float:
         """Return what an account got lately in the whole fleet, in tokens."""
         if self._stale:
--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -113,17 +113,17 @@
                 return Err(evolve(fault, executed=executed) if attempts else fault)
             place = taken.unwrap()
             if not request.presence.look():
-                place.release()
+                place.return_unused()
                 fault = Fault(code=ResultCode.CALLER_GONE, detail="the caller left")
                 return Err(evolve(fault, executed=executed))
             if not self._board.takes_work(place.target):
                 # It began to leave while this request waited for the place or for its turn.
-                place.release()
+                place.return_unused()
                 avoided = avoided | {place.target.life}
                 continue
             if self._guard.judge(request) is not None:
                 # Another router learned of it while this request waited for its place.
-                place.release()
+                place.return_unused()
                 continue
             request.trace.place(place, self._clock.now())
             outcome = self._attempt(request, place, last_event)
@@ -138,8 +138,12 @@
                 self.close(request, exchange)
                 executed = Executed.YES
             else:
-                place.release()
                 fault = outcome.unwrap_err()
+                if fault.executed is Executed.NO:
+                    # Else an account whose requests are turned away would seem to be served.
+                    place.return_unused()
+                else:
+                    place.release()
                 checking = self._note(request, place, fault)
                 if fault.code in _UNREACHED:
                     unreached += 1
--- a/tests/test_loomyard_router/test_routed/test_targets_that_refuse.py
+++ b/tests/test_loomyard_router/test_routed/test_targets_that_refuse.py
@@ -62,6 +62,14 @@
             with self.subTest(kind=kind):
                 self.assertLessEqual(refusing, failing)
 
+    def test_what_is_turned_away_is_given_to_nobody(self) -> None:
+        self.target("t1", turn_away, "engine")
+        self.publish(route("/engine/", "engine"))
+        admission = self.router._admission
+        for number in range(CALLS):
+            self.call("/engine/x", Loomyard_Attempt_Id=f"{number}")
+        self.assertLess(admission.ledger.level("north"), 1.0)
+
     def count_calls(self, service: str, script: Script) -> int:
         """Return how many of some requests reach a target beside one that works."""
         target = self.target(f"{service}-1", script, service)
