--- a/packages/loomyard-standins/src/loomyard_standins/memory_store.py
+++ b/packages/loomyard-standins/src/loomyard_standins/memory_store.py
@@ -38,6 +38,8 @@
         self.moved = Event()
         self.connections = 0
         self.era = 0
+        # Records before this offset are gone for readers; listings still have the newest of a key.
+        self.first = 0
         self._records: list[KeyedRecord] = []
         self._written_at: list[float] = []
         self._outages: dict[str, Outage] = {}
@@ -57,8 +59,13 @@
         lost = self._records[kept:]
         del self._records[kept:], self._written_at[kept:]
         self.era += 1
+        self.first = min(self.first, len(self._records))
         return lost
 
+    def cut_short(self) -> None:
+        """Drop all records but the last one."""
+        self.first = max(0, self.end - 1)
+
     def fail(self, routers: Iterable[str], outage: Outage) -> None:
         """Begin an outage for some routers."""
         self._outages |= dict.fromkeys(routers, outage)
@@ -130,7 +137,7 @@
                 return self._fail(Outage.RESET, clock.now())
         if store.outage(self._router) is not None or store.connections != connections:
             return self._fail(Outage.SILENT, wait_until + ANSWER_SECONDS)
-        if offset > store.end:
+        if offset > store.end or offset < store.first:
             return Err(Fault(code=ResultCode.LOG_TRIMMED, detail="no such records"))
         records = store.since(offset)
         return Ok(Batch(records=records, position=FeedPosition(store.era, store.end)))
--- a/tests/test_loomyard_router/test_feeds/test_store_eras.py
+++ b/tests/test_loomyard_router/test_feeds/test_store_eras.py
@@ -45,6 +45,7 @@
         *,
         more: int = MORE,
         value: bytes = b"next",
+        cut: bool = False,
     ) -> float:
         """Let the store fall back while it is away; return the time of its return.
 
@@ -65,6 +66,8 @@
             for number in range(more):
                 store.publish(f"more-{number}", b"more")
         for store in fleet.stores.values():
+            if cut:
+                store.cut_short()
             store.heal()
         return fleet.clock.now()
 
@@ -73,10 +76,10 @@
         fleet.run(2 * BOUND)
         return max(fleet.last_arrival(feed, value) - since for feed in FEEDS)
 
-    def check(self, count: int, outage: Outage, *, more: int = MORE) -> None:
+    def check(self, count: int, outage: Outage, *, more: int = MORE, cut: bool = False) -> None:
         fleet = self.start(count)
         self.write_some(fleet)
-        back_at = self.lose(fleet, outage, more=more)
+        back_at = self.lose(fleet, outage, more=more, cut=cut)
         self.assertLessEqual(self.last_of(fleet, b"next", back_at), BOUND)
 
     def test_the_next_version_reaches_seven_routers_after_each_kind_of_outage(self) -> None:
@@ -90,6 +93,12 @@
             with self.subTest(count=count):
                 self.check(count, Outage.RESET)
 
+    def test_a_log_that_is_cut_short_in_the_same_moment_holds_nothing_up(self) -> None:
+        # Its first record stands below, at or above the place where routers read on.
+        for count, more in ((7, 0), (7, MORE), (7, 4 * MORE), (60, MORE)):
+            with self.subTest(count=count, more=more):
+                self.check(count, Outage.RESET, more=more, cut=True)
+
     def test_two_and_three_losses_within_seconds_hold_nothing_up(self) -> None:
         for losses in (2, 3):
             with self.subTest(losses=losses):
