--- a/packages/loomyard-standins/src/loomyard_standins/programs/documents.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/documents.py
@@ -29,6 +29,15 @@
 FRONT_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 8080, 8081, 8082, 7400
 GRACE_SECONDS = 4
 TERMS = {"timeout_ms": 5000, "slo_ms": 1000, "max_attempts": 3}
+# What anybody may write.
+NONSENSE = (
+    "",
+    "{",
+    "[" * 100_000,
+    '{"service": ["plain"], "address": 7, "slots": 1e18, "state": "new"}',
+    '{"version": "no number", "routes": 3}',
+    '{"service": "plain", "address": "127.0.0.1:99999999", "state": "ready", "slots": 8}',
+)
 
 
 def configuration(version: int) -> str:
