Tell of leavings for two minutes; say in the forwarder that a target may ask for rest meanwhile

Ten minutes would fill the room for announced items (512) where hundreds of targets are replaced one after the other; no target that leaves serves for as long as two. Behaviour as before else.

--- a/packages/loomyard-router/src/loomyard_router/announced/leaving_exchange.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/leaving_exchange.py
@@ -13,8 +13,8 @@
 
 TOPIC = "leaving"
 LEAVES = 1
-# Longer than a target that leaves goes on serving.
-TOLD_SECONDS = 600.0
+# Longer than a target that leaves goes on serving; few enough items at once where all are replaced.
+TOLD_SECONDS = 120.0
 
 
 class LeavingExchange:
--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -117,7 +117,8 @@
                 fault = Fault(code=ResultCode.CALLER_GONE, detail="the caller left")
                 return Err(evolve(fault, executed=executed))
             if not self._board.takes_work(place.target):
-                # It began to leave while this request waited for the place or for its turn.
+                # It began to leave, or asked for rest, while this request waited for the place or
+                # for its turn.
                 place.return_unused()
                 avoided = avoided | {place.target.life}
                 continue
