Send on who waits at a target that begins to leave

Suspected from reading, shown by a test: a request that waited at the keeper of a target which began to leave (by its entry, its own word or an emptied data centre) waited on until a place came free there, which its router then might not use, or until it was refused: 5.0 s with an objective of 1,000 s, up to half of the objective else, while other targets had time.

--- a/packages/loomyard-router/src/loomyard_router/admission/place_book.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_book.py
@@ -48,7 +48,7 @@
 
 @define(eq=False)
 class Ask:
-    """A wish for a place that is not met yet; ``granted`` tells its end."""
+    """A wish for a place that is not met yet; ``granted`` gets its end, true where it is met."""
 
     ticket: Ticket
     request: PlaceRequest
--- a/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
@@ -67,6 +67,7 @@
         peers.handle(PromptsRead, self.note_read)
         peers.handle(PlacesHeld, self.restate)
         members.subscribe(self._drop_dead)
+        board.subscribe(self._end_closed)
 
     def start(self) -> None:
         """Start to drop places of routers that fell silent."""
@@ -86,8 +87,9 @@
         # Whoever of both has heard that the target is cold is right: the other has not yet.
         book.cold.per_second = request.cold_rate or self._cold_rate(request.target)
         ticket = (member.name, member.incarnation, request.ticket)
-        granted = self._wait(book, Ask(ticket, request))
-        if not granted:
+        closed = self._board.is_closed(request.target)
+        granted = not closed and self._wait(book, Ask(ticket, request))
+        if not granted and not closed:
             book.note_refused(request)
         return PlaceAnswer(granted=granted, taken=len(book.held) + len(book.waiting))
 
@@ -148,7 +150,7 @@
         finally:
             if ask in book.waiting:
                 book.waiting.remove(ask)
-        return ask.granted.ready()
+        return bool(ask.granted.ready() and ask.granted.get())
 
     def _serve(self, book: PlaceBook) -> None:
         """Give free places to who waits; who is not admitted waits on."""
@@ -160,6 +162,14 @@
             book.grant(admitted.ticket, admitted.request, self._clock.now())
             admitted.granted.set(True)
 
+    def _end_closed(self) -> None:
+        """Send on who waits at targets that have begun to leave, while other targets have time."""
+        for life, book in self._books.items():
+            if book.waiting and self._board.is_closed(life):
+                waiting, book.waiting = book.waiting, []
+                for ask in waiting:
+                    ask.granted.set(False)
+
     def _drop_dead(self) -> None:
         live = {(member.name, member.incarnation) for member in self._members.live()}
         for book in self._books.values():
--- a/packages/loomyard-router/src/loomyard_router/announced/target_board.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_board.py
@@ -52,6 +52,7 @@
         self._lapsed: dict[str, _Lapsed] = {}
         self._usable: dict[str, tuple[AnnouncedTarget, ...]] = {}
         self._usable_lives: frozenset[TargetLife] = frozenset()
+        self._open_lives: frozenset[TargetLife] = frozenset()
         self._by_life: dict[TargetLife, AnnouncedTarget] = {}
         self._listeners: list[Callable[[], None]] = []
         self._emptied: frozenset[str] = frozenset()
@@ -84,6 +85,10 @@
         self.usable(target.service)
         return target.life in self._usable_lives
 
+    def is_closed(self, life: TargetLife) -> bool:
+        """Tell whether no router may send a life new work; one that rests here may serve others."""
+        return life in self._by_life and life not in self._open_lives
+
     def rests(self, target: AnnouncedTarget) -> bool:
         """Tell whether a target asked this router to leave it alone for now."""
         return self.notices.rests_until(target.life) > self._clock.now()
@@ -252,10 +257,11 @@
             if lapsed.usable_until > now:
                 candidates.append(lapsed.target)
                 waits.append(lapsed.usable_until)
+        candidates = [target for target in candidates if not self._is_barred(target)]
         for target in candidates:
             if self.rests(target):
                 waits.append(self.notices.rests_until(target.life))
-            elif not self._is_barred(target):
+            else:
                 usable.setdefault(target.service, []).append(target)
         self._next_check = min(waits, default=0.0)
         self._by_life = {target.life: target for target in self.known()}
@@ -263,6 +269,7 @@
             service: tuple(sorted(targets, key=lambda target: target.id))
             for service, targets in usable.items()
         }
+        self._open_lives = frozenset(target.life for target in candidates)
         self._usable_lives = frozenset(target.life for one in usable.values() for target in one)
 
     def _is_barred(self, target: AnnouncedTarget) -> bool:
--- a/tests/test_loomyard_router/test_admission/test_places.py
+++ b/tests/test_loomyard_router/test_admission/test_places.py
@@ -5,15 +5,20 @@
 import unittest
 
 import gevent
+from attrs import evolve
 
 from loomyard.errors import ResultCode
 from loomyard_router.admission.place_keeper import SILENCE_SECONDS
 from loomyard_router.admission.place_messages import PlacesHeld
 from loomyard_router.admission.target_loads import LEAST_PLACES
 from loomyard_router.admission.waiting_accounts import MOST_WAITING
+from loomyard_router.announced.target_notice import TargetNotice
 from loomyard_router.members.membership import Member
 from test_loomyard_router.test_admission.places_case import SLOTS, Fleet
 
+# Well before the request would be refused, and longer than a busy machine takes to send it on.
+WAIT = 3.0
+
 
 class TestPlaces(unittest.TestCase):
     def setUp(self) -> None:
@@ -46,6 +51,35 @@
         request = self.fleet.request(number=9, objective=2.0)
         self.assertTrue(router.gate.take(request, frozenset()).is_ok())
 
+    def test_who_waits_at_a_target_that_begins_to_leave_is_sent_on_at_once(self) -> None:
+        """Else it waits for a place that it may not use, while others have some."""
+        target = self.fleet.targets[0]
+        changes = {
+            "its entry says so": lambda board: board.apply([evolve(target, draining=True)], []),
+            "it said so": lambda board: board.hear(target, TargetNotice(leaving=True)),
+            "its data centre is emptied": lambda board: board.note_emptied(frozenset([""])),
+        }
+        for change, make in changes.items():
+            with self.subTest(change=change):
+                self.setUp()
+                for number in range(SLOTS):
+                    self.take(0, number=number)
+                waiting = gevent.spawn(self.take, 1, number=9, objective=1000.0)
+                gevent.sleep(0.01)
+                self.assertFalse(waiting.ready())
+                for router in self.fleet.routers:
+                    make(router.board)
+                self.assertTrue(waiting.get(timeout=WAIT).is_err())
+
+    def test_one_that_rests_at_its_keeper_s_router_serves_others(self) -> None:
+        target = self.fleet.targets[0]
+        keeper = self.keeper_name(target.id)
+        for router in self.fleet.routers:
+            if router.members.own.name == keeper:
+                router.board.hear(target, TargetNotice(rest_seconds=60.0))
+        taken = [self.take(number, number=number).is_ok() for number in range(3)]
+        self.assertEqual(2, sum(taken))
+
     def test_a_refusal_says_when_to_come_back(self) -> None:
         for number in range(SLOTS):
             self.take(0, number=number)
