End the wait for a program of the soak that is ended before it listens

Traced: a target was being replaced as the run ended; its successor was ended before it listened, and the task that waited for it went on for 60 s. Change: the wait ends with the program, and the task with it.

--- a/packages/loomyard-standins/src/loomyard_standins/programs/program.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program.py
@@ -50,6 +50,9 @@
         """Return the port at which the program said that it listens."""
         if not self._listening.wait(LISTEN_SECONDS):
             raise TimeoutError(f"a program does not listen; see {self._log.name}")
+        if not self._port:
+            # It was ended first, so whoever waits for it has nothing left to do.
+            raise gevent.GreenletExit
         return self._port
 
     def tell(self, line: str) -> None:
@@ -76,6 +79,7 @@
         self.signal(signal.SIGKILL)
         self.wait()
         self._reader.join(END_SECONDS)
+        self._listening.set()
         self._log.close()
 
     def _read(self) -> None:
