--- a/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
@@ -127,41 +127,39 @@
 
     def _announcements(self) -> Iterator[Metric]:
         figures = self._announced
-        yield GaugeMetricFamily(
-            "loomyard_data_centres_emptied",
-            "data centres that operators emptied",
-            value=figures.emptied(),
+        yield _gauge(
+            "loomyard_data_centres_emptied", "data centres that operators emptied", figures.emptied
         )
-        yield GaugeMetricFamily("loomyard_targets_cold", "targets that are cold", figures.cold())
-        yield GaugeMetricFamily(
+        yield _gauge("loomyard_targets_cold", "targets that are cold", figures.cold)
+        yield _gauge(
             "loomyard_requests_suspected",
             "requests under which targets ended lately",
-            value=figures.suspected(),
+            figures.suspected,
         )
-        yield GaugeMetricFamily(
+        yield _gauge(
             "loomyard_requests_blocked",
             "requests that are refused since targets end under them",
-            value=figures.blocked(),
+            figures.blocked,
         )
-        yield CounterMetricFamily(
-            "loomyard_target_lives_replaced",
-            "targets that started again under their id",
-            value=figures.lives_replaced(),
-        )
-        yield GaugeMetricFamily(
+        yield _gauge(
             "loomyard_targets_resting",
             "targets that this router leaves alone for a while, as they asked",
-            value=figures.resting(),
+            figures.resting,
         )
-        yield CounterMetricFamily(
+        yield _counter(
+            "loomyard_target_lives_replaced",
+            "targets that started again under their id",
+            figures.lives_replaced,
+        )
+        yield _counter(
             "loomyard_targets_said_leaving",
             "targets that said in an answer that they leave",
-            value=figures.said_leaving(),
+            figures.said_leaving,
         )
-        yield CounterMetricFamily(
+        yield _counter(
             "loomyard_target_rests_asked",
             "answers by which targets asked for rest",
-            value=figures.rests_asked(),
+            figures.rests_asked,
         )
         unreadable = CounterMetricFamily(
             "loomyard_entries_unreadable",
@@ -173,6 +171,14 @@
         yield unreadable
 
 
+def _gauge(name: str, meaning: str, read: Callable[[], int]) -> Metric:
+    return GaugeMetricFamily(name, meaning, value=read())
+
+
+def _counter(name: str, meaning: str, read: Callable[[], int]) -> Metric:
+    return CounterMetricFamily(name, meaning, value=read())
+
+
 def expose(collector: Collector) -> bytes:
     """Return the text of all metrics."""
     registry = CollectorRegistry(auto_describe=False)
--- a/tests/test_loomyard_router/test_routed/test_what_targets_say.py
+++ b/tests/test_loomyard_router/test_routed/test_what_targets_say.py
@@ -97,6 +97,21 @@
                 self.until(lambda target=target: self.leaves(target))
                 self.assertEqual(1, len(target.received))
 
+    def test_metrics_tell_who_was_heard(self) -> None:
+        self.target("t1", turn_away)
+        self.target("t2", leaving_script)
+        self.publish(*ROUTES)
+        for number in range(CALLS):
+            self.call("/plain/x", Loomyard_Attempt_Id=f"a{number}")
+        environ = {"PATH_INFO": "/metrics", "REQUEST_METHOD": "GET"}
+        text = b"".join(self.router._metrics._serve(environ, lambda *_: None)).decode()
+        for line in (
+            "loomyard_targets_resting 1.0",
+            "loomyard_targets_said_leaving_total 1.0",
+            "loomyard_target_rests_asked_total 1.0",
+        ):
+            self.assertIn(line, text)
+
     def test_whoever_else_has_the_address_is_not_heard(self) -> None:
         def misdirect(_: Received, sock: socket.socket) -> None:
             head = f"HTTP/1.1 421 Misdirected Request\r\n{LEAVING}Retry-After: 60\r\n"
