--- a/tests/test_loomyard_router/test_feeds/test_store_eras.py
+++ b/tests/test_loomyard_router/test_feeds/test_store_eras.py
@@ -99,6 +99,16 @@
             with self.subTest(count=count, more=more):
                 self.check(count, Outage.RESET, more=more, cut=True)
 
+    def test_routers_that_the_store_still_fails_hear_of_its_new_era_from_the_others(self) -> None:
+        for count, outage in ((7, Outage.SILENT), (7, Outage.BUSY), (19, Outage.SILENT)):
+            with self.subTest(count=count, outage=outage):
+                fleet = self.start(count)
+                self.write_some(fleet)
+                back_at = self.lose(fleet, Outage.RESET)
+                for store in fleet.stores.values():
+                    store.fail(list(fleet.routers)[: count // 2], outage)
+                self.assertLessEqual(self.last_of(fleet, b"next", back_at), BOUND)
+
     def test_two_and_three_losses_within_seconds_hold_nothing_up(self) -> None:
         for losses in (2, 3):
             with self.subTest(losses=losses):
