Judge what targets said of themselves in a file of its own

Promise and Breach stand apart, so that both judges use them. Behaviour as before; the tests of promises pass unchanged but for where names are imported from.

--- a/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
@@ -25,7 +25,8 @@
     from pathlib import Path
 
     from loomyard_standins.programs.program import Listener
-    from loomyard_standins.programs.promises import Breach, Promises
+    from loomyard_standins.programs.promise import Breach
+    from loomyard_standins.programs.promises import Promises
 
 logger = logging.getLogger(__name__)
 
--- a/packages/loomyard-standins/src/loomyard_standins/programs/promises.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/promises.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from enum import Enum
 from typing import TYPE_CHECKING, Any
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from loomyard_standins.programs.documents import COLD_PER_SECOND, EMPTYING
+from loomyard_standins.programs.promise import Breach, Promise
+from loomyard_standins.programs.said_by_targets import SaidByTargets
 from loomyard_standins.programs.words import HTTP_OK, NOT_RUN_STATUSES, ONCE
 
 if TYPE_CHECKING:
@@ -22,41 +23,11 @@
 MORE_SENDS = 3
 # An order is in force 2.5 s after its acknowledgement; as long after faults of what it comes by.
 ORDER_SECONDS = 4.0
-# A target that leaves gets no new work two seconds after a router knew.
-LEAVING_SECONDS = 2.0
-# What was on its way when a target asked for rest; a busy machine holds it up.
-ON_ITS_WAY_SECONDS = 1.0
-MOST_IN_REST = 2
 COLD_WINDOW = 1.0
 MOST_COLD_RUNS = int(1.5 * COLD_PER_SECOND) + 5
 STORE = "store"
 
 
-class Promise(Enum):
-    """What must hold."""
-
-    OWN_ANSWER = "a caller gets its own whole answer, or sees that it did not"
-    NOT_RUN = "what is refused as not run has not run and never will"
-    AT_MOST_ONCE = "a request that may not be repeated runs at most once"
-    ASKED = "a target runs what a caller sent and nothing else"
-    NEVER_BACK = "the configuration that a router serves never goes back"
-    EMPTIED = "a data centre that is emptied gets no new work after some seconds"
-    COLD = "a cold target gets no more than it bears"
-    LEAVING = "a router that passed on that a target leaves sends it nothing some seconds later"
-    REST = "a target that asked a router for rest gets two requests more from it at most"
-    IN_FORCE = "what is written after the store lost writes comes into force at every router"
-    FEW_ENDS = "a request under which three targets ended is sent to three more at most"
-    SERVES_AGAIN = "once the faults are over every router serves every kind of request"
-
-
-@frozen
-class Breach:
-    """A sighting against a promise."""
-
-    promise: Promise
-    detail: str
-
-
 @define(eq=False)
 class Promises:
     """Take in what programs say, and tell what breaks a promise as soon as it is seen."""
@@ -73,6 +44,7 @@
     # Targets that ended under requests, and sends of those that came when all routers had to know.
     ended: int = 0
     sent_later: int = 0
+    said: SaidByTargets = field(init=False)
     _ends: defaultdict[str, list[float]] = field(factory=lambda: defaultdict(list))
     _late_sends: Counter[str] = field(factory=Counter)
     # Routers that stand still or start, and since when the others run.
@@ -85,11 +57,6 @@
     _cold_runs: defaultdict[str, list[float]] = field(factory=lambda: defaultdict(list))
     _kinds: dict[str, str] = field(factory=dict)
     _sent_at: dict[str, float] = field(factory=dict)
-    # When a router passed on first that a target leaves, and when targets turned routers away.
-    _passed_leaving: dict[tuple[str, str], float] = field(factory=dict)
-    _turned_away: defaultdict[tuple[str, str], list[float]] = field(
-        factory=lambda: defaultdict(list)
-    )
     _ran: defaultdict[str, list[str]] = field(factory=lambda: defaultdict(list))
     _statuses: dict[str, int] = field(factory=dict)
     _acked: dict[int, float] = field(factory=dict)
@@ -98,15 +65,8 @@
     _leaving: dict[str, float] = field(factory=dict)
     _left: dict[str, float] = field(factory=dict)
 
-    @property
-    def passed_leaving(self) -> int:
-        """Return how often a router came to know from an answer that a target leaves."""
-        return len(self._passed_leaving)
-
-    @property
-    def turned_away(self) -> int:
-        """Return how many requests reached targets that turned them away and asked for rest."""
-        return sum(map(len, self._turned_away.values()))
+    def __attrs_post_init__(self) -> None:
+        self.said = SaidByTargets(self._may_have_forgotten)
 
     def note_router(self, router: str, at: float) -> None:
         """Take in that a life of a router ended; a new one may know less."""
@@ -122,8 +82,7 @@
         self._data_centres[target] = data_centre
         self._leaving.pop(target, None)
         self._cold.pop(target, None)
-        for known in [known for known in self._passed_leaving if known[1] == target]:
-            del self._passed_leaving[known]
+        self.said.forget(target)
 
     def note_cold(self, target: str, at: float | None) -> None:
         """Take in that a target says that it is cold, or that it is not any more."""
@@ -153,10 +112,13 @@
             self._routers[said["sent"]] = said.get("router", "")
             self._sent_at[said["sent"]] = said["at"]
         elif "passed_leaving" in said:
-            known = said["router"], said["passed_leaving"]
-            self._passed_leaving.setdefault(known, said["at"])
+            self.said.note_leaving(said["router"], said["passed_leaving"], said["at"])
         elif "turned_away" in said:
-            yield from self._take_turned_away(said)
+            router = self._routers.get(said["turned_away"], "")
+            if router:
+                yield from self.said.take_turned_away(
+                    router, said["target"], said["at"], rest=said["rest"]
+                )
         elif "run" in said:
             yield from self._take_run(said)
         elif "ends" in said:
@@ -188,7 +150,9 @@
         if attempt_id in self._left:
             self.after_caller.append(said["at"] - self._left[attempt_id])
         yield from self._take_heeded(said["target"], attempt_id, said["at"])
-        yield from self._take_leaving(said["target"], attempt_id)
+        router = self._routers.get(attempt_id, "")
+        sent_at = self._sent_at.get(attempt_id, said["at"])
+        yield from self.said.take_run(router, said["target"], attempt_id, sent_at)
         if attempt_id in self._statuses:
             detail = f"{attempt_id} got {self._statuses[attempt_id]}, then ran at {targets}"
             yield Breach(Promise.NOT_RUN, detail)
@@ -197,34 +161,10 @@
         if len(targets) > 1 and self._kinds.get(attempt_id) == ONCE:
             yield Breach(Promise.AT_MOST_ONCE, f"{attempt_id} ran at {targets}")
 
-    def _take_leaving(self, target: str, attempt_id: str) -> Iterator[Breach]:
-        """Judge a run by what its router passed on before, also where the store is struck."""
-        router = self._routers.get(attempt_id, "")
-        passed = self._passed_leaving.get((router, target))
-        if passed is None or router in self._disturbed:
-            return
-        # A router that stood still or started since is excused.
-        if max(self._started.get(router, 0.0), self._calm_since.get(router, 0.0)) > passed:
-            return
-        after = self._sent_at[attempt_id] - passed
-        if after > LEAVING_SECONDS:
-            detail = f"{attempt_id} ran at {target} though {router} knew {after:.2f} s earlier"
-            yield Breach(Promise.LEAVING, detail)
-
-    def _take_turned_away(self, said: dict[str, Any]) -> Iterator[Breach]:
-        """Judge a request that reached a target by the rest that it had asked for."""
-        router, now = self._routers.get(said["turned_away"], ""), said["at"]
-        times = self._turned_away[router, said["target"]]
-        times.append(now)
-        if not router or router in self._disturbed:
-            return
-        # A router that stood still or started since is excused.
-        calm = max(self._started.get(router, 0.0), self._calm_since.get(router, 0.0))
-        asked = next((at for at in times if now < at + said["rest"]), now)
-        late = sum(at > asked + ON_ITS_WAY_SECONDS for at in times)
-        if calm <= asked and late > MOST_IN_REST:
-            detail = f"{said['target']} asked {router} for rest and got {late} requests in it"
-            yield Breach(Promise.REST, detail)
+    def _may_have_forgotten(self, router: str, since: float) -> bool:
+        """Tell whether a router stood still or started, and may have forgotten what it knew."""
+        changed = max(self._started.get(router, 0.0), self._calm_since.get(router, 0.0))
+        return router in self._disturbed or changed > since
 
     def _take_order(self, said: dict[str, Any]) -> None:
         data_centre = said["acked"].removeprefix(EMPTYING)
--- a/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
@@ -10,7 +10,8 @@
 
 from loomyard_standins.programs.fault_plan import draw_plan
 from loomyard_standins.programs.program_fleet import ProgramFleet
-from loomyard_standins.programs.promises import Breach, Promise, Promises
+from loomyard_standins.programs.promise import Breach, Promise
+from loomyard_standins.programs.promises import Promises
 from loomyard_standins.programs.router_questions import RouterQuestions
 from loomyard_standins.programs.strikes import LOOK_SECONDS, SERVES_SECONDS, Strikes
 from loomyard_standins.programs.words import PATHS, SAME_BODIES
@@ -89,8 +90,8 @@
             "runs": promises.runs,
             "targets_ended": promises.ended,
             "sent_after_known": promises.sent_later,
-            "passed_leaving": promises.passed_leaving,
-            "turned_away": promises.turned_away,
+            "passed_leaving": promises.said.passed_leaving,
+            "turned_away": promises.said.turned_away,
             "versions": self._fleet.version,
             "seen_after_p50": round(statistics.median(lags), 2) if lags else None,
             "seen_after_most": _most(lags),
--- a/packages/loomyard-standins/src/loomyard_standins/programs/strikes.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/strikes.py
@@ -20,7 +20,8 @@
 )
 from loomyard_standins.programs.fault_plan import ProgramFault
 from loomyard_standins.programs.fault_proxy import LinkFault
-from loomyard_standins.programs.promises import STORE, Breach, Promise
+from loomyard_standins.programs.promise import Breach, Promise
+from loomyard_standins.programs.promises import STORE
 from loomyard_standins.programs.words import SUSPENDING
 
 if TYPE_CHECKING:
--- a/tests/test_loomyard_standins/test_programs/test_promises.py
+++ b/tests/test_loomyard_standins/test_programs/test_promises.py
@@ -6,19 +6,21 @@
 from typing import Any
 
 from loomyard_standins.programs.documents import EMPTYING
+from loomyard_standins.programs.promise import Promise
 from loomyard_standins.programs.promises import (
     KNOWN_ENDS,
     KNOWN_SECONDS,
-    LEAVING_SECONDS,
     MORE_SENDS,
     MOST_COLD_RUNS,
-    MOST_IN_REST,
-    ON_ITS_WAY_SECONDS,
     ORDER_SECONDS,
     STORE,
-    Promise,
     Promises,
 )
+from loomyard_standins.programs.said_by_targets import (
+    LEAVING_SECONDS,
+    MOST_IN_REST,
+    ON_ITS_WAY_SECONDS,
+)
 from loomyard_standins.programs.words import ONCE, REPEATABLE
 
 ROUTER = "127.0.0.1:1"
