--- a/tests/test_loomyard_router/test_admission/test_places.py
+++ b/tests/test_loomyard_router/test_admission/test_places.py
@@ -61,7 +61,7 @@
         }
         for change, make in changes.items():
             with self.subTest(change=change):
-                self.setUp()
+                self.fleet = Fleet(1)
                 for number in range(SLOTS):
                     self.take(0, number=number)
                 waiting = gevent.spawn(self.take, 1, number=9, objective=1000.0)
--- a/tests/test_loomyard_router/test_routed/test_what_targets_say.py
+++ b/tests/test_loomyard_router/test_routed/test_what_targets_say.py
@@ -5,8 +5,8 @@
 away and asked for 3 s of rest got up to 49 a second, more than those that worked.
 Cause: the adapter read of an answer only whose it was and whether the request ran. What a target
 says of itself came by the store's list alone, and rest was no state that a router had.
-Shown by: requests to such targets in the lines of a router whose figures told that it had heard
-nothing; 5 to 10 of 12 requests here before, 1 since.
+Shown by: with these words counted and nothing else changed, a router counted each leaving and each
+wish for rest here and went on sending, 5 to 10 of 12 requests; 1 since they decide.
 """
 
 from __future__ import annotations
