--- a/packages/loomyard-router/src/loomyard_router/announced/target_notices.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_notices.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from loomyard.events import Event, emit
+from loomyard_router.targets.resting_targets import RestingTargets
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,7 +34,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._leaving: OrderedDict[TargetLife, None] = OrderedDict()
-        self._rests_until: dict[TargetLife, float] = {}
+        self._resting = RestingTargets(clock)
         self._told: list[Callable[[TargetLife], None]] = []
         self.leavings = 0
         self.rests = 0
@@ -41,8 +42,7 @@
     @property
     def resting(self) -> int:
         """Return how many targets this router leaves alone, as they asked."""
-        now = self._clock.now()
-        return sum(now < until for until in self._rests_until.values())
+        return len(self._resting.names)
 
     def subscribe(self, told: Callable[[TargetLife], None]) -> None:
         """Call back with each life that told this router that it leaves; it must not wait."""
@@ -54,7 +54,7 @@
 
     def rests_until(self, life: TargetLife) -> float:
         """Return until when a life asked to be left alone; it may have passed."""
-        return self._rests_until.get(life, 0.0)
+        return self._resting.until(life)
 
     def hear(self, target: AnnouncedTarget, notice: TargetNotice) -> bool:
         """Take in what a target said; tell whether that changes who may get work."""
@@ -77,13 +77,9 @@
         return True
 
     def _note_rest(self, target: AnnouncedTarget, seconds: float) -> bool:
-        """Take in a wish for rest; an answer that was sent earlier does not shorten a later one."""
-        now = self._clock.now()
-        rests = {life: until for life, until in self._rests_until.items() if until > now}
-        before = rests.get(target.life, now)
-        self._rests_until = rests | {target.life: max(before, now + seconds)}
+        self._resting.expire()
         self.rests += 1
-        if before > now:
+        if not self._resting.rest(target.life, self._clock.now() + seconds):
             return False
         emit(
             logger,
--- a/packages/loomyard-router/src/loomyard_router/targets/resting_targets.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/resting_targets.py
@@ -11,7 +11,7 @@
 
 
 class RestingTargets:
-    """Targets by name, each until the latest time that it asked for."""
+    """Targets by name, or by the name of a life, each until the latest time that it asked for."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -23,8 +23,12 @@
         now = self._clock.now()
         return {name for name, until in self._until.items() if until > now}
 
+    def until(self, name: str) -> float:
+        """Return until when a target rests; it may have passed."""
+        return self._until.get(name, 0.0)
+
     def rest(self, name: str, until: float) -> bool:
-        """Take in a wish for rest; tell whether the target did not rest before."""
+        """Take in a wish for rest, which shortens no other; tell whether the target rests anew."""
         new = name not in self.names
         self._until[name] = max(until, self._until.get(name, until))
         return new
