Predict first events by a line for each target; tell paces; let the next router stand in for a silent keeper

Ruled out: decode pauses and queues at engines alone (those with a prediction are on time on the same engines). Change: FirstEventModel, PromptQueue at the keeper; TargetPaces told in answers and to the next keeper; ranks weighted; KeeperWatch with stand-ins; objection and prediction in line 405, events 624 and 625, metrics. Prompts beyond shares fill 0.22 of the time to the first event by reading alone, in place of 0.3 with delay.

--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from loomyard.errors import Fault, ResultCode
-from loomyard.rendezvous import rank
+from loomyard.rendezvous import rank_weighted
 from loomyard_router.admission.place import Place
 from loomyard_router.admission.place_client import APART_LEVEL, Verdict
 from loomyard_router.admission.waiting_time import RetryHint, wait_until
@@ -19,6 +19,7 @@
     from loomyard_router.admission.share_ledger import ShareLedger
     from loomyard_router.admission.target_health import TargetHealth
     from loomyard_router.admission.target_loads import TargetLoads
+    from loomyard_router.admission.target_paces import TargetPaces
     from loomyard_router.admission.waiting_accounts import WaitingAccounts
     from loomyard_router.announced.announced_target import AnnouncedTarget
     from loomyard_router.announced.cold_targets import ColdTargets
@@ -29,7 +30,8 @@
 # Seconds of waiting that a token is worth which another engine would read again: some fifteen times
 # its reading, since that also delays all that runs there (docs/DECISIONS.md, Places of engines).
 WAIT_PER_TOKEN = 100e-6
-# Prompts ahead may take this part of the objective, so that the first event is in time.
+# By this part of the objective a target has to begin the answer, so that it reaches its caller in
+# time.
 PATIENCE_PART = 0.75
 DEFAULT_OBJECTIVE = 0.4
 LEAST_WAIT = 0.002
@@ -59,8 +61,10 @@
         waiting: WaitingAccounts,
         hint: RetryHint,
         cold: ColdTargets,
+        paces: TargetPaces,
     ) -> None:
         self._clock = clock
+        self._paces = paces
         self._board = board
         self._health = health
         self._loads = loads
@@ -92,7 +96,8 @@
             return Err(self._hint.refuse(ResultCode.NO_TARGET, detail))
         beyond = self._ledger.beyond(request.account_name)
         until = wait_until(request, within_share=not beyond)
-        patience = PATIENCE_PART * (request.route.objective or DEFAULT_OBJECTIVE)
+        objective = request.route.objective or DEFAULT_OBJECTIVE
+        first_event_by = request.arrived_at + PATIENCE_PART * objective
         # What is beyond the share goes to those that got less, also if their callers all meet one
         # router; whoever got most would wait at all routers and take each place that comes free.
         waits_here = not self._ledger.far_beyond(request.account_name)
@@ -101,11 +106,12 @@
         waits = [(ranked[0], 0.0 if self._cold.rate(ranked[0]) else first)]
         waits += [(target, 0.0) for target in ranked[1 : 1 + _most_others(request, beyond=beyond)]]
         for choice, (target, wait) in enumerate(waits):
-            place = self._ask(request, target, wait, patience, choice)
+            place = self._ask(request, target, wait, first_event_by, choice)
             if place is not None or request.presence.gone:
                 return self._end(request, place)
         return self._end(
-            request, self._wait_longer(request, ranked, until, patience) if waits_here else None
+            request,
+            self._wait_longer(request, ranked, until, first_event_by) if waits_here else None,
         )
 
     def _wait_longer(
@@ -113,7 +119,7 @@
         request: RoutedRequest,
         ranked: list[AnnouncedTarget],
         until: float,
-        patience: float,
+        first_event_by: float,
     ) -> Place | None:
         """Wait at the first target that is warm; with its keeper silent, for this router's part.
 
@@ -126,27 +132,27 @@
         choice, target = next(warm, (-1, None))
         if target is None or left < LEAST_WAIT:
             return None
-        place = self._ask(request, target, left, patience, choice)
+        place = self._ask(request, target, left, first_event_by, choice)
         for _ in range(math.ceil(left / OWN_WAIT)):
             left = until - self._clock.now()
             silent = self._client.is_silent(target)
             if place is not None or request.presence.gone or not silent or left < LEAST_WAIT:
                 break
             if self._loads.wait(min(until, self._clock.now() + OWN_WAIT), self._clock):
-                place = self._ask_own(request, ranked, patience)
+                place = self._ask_own(request, ranked, first_event_by)
         return place
 
     def _ask_own(
         self,
         request: RoutedRequest,
         ranked: list[AnnouncedTarget],
-        patience: float,
+        first_event_by: float,
     ) -> Place | None:
         """Take a place of this router's part of a warm target whose keeper is silent."""
         for choice, target in enumerate(ranked):
             own = self._client.is_silent(target) and self._loads.has_place(target)
             if own and not self._cold.rate(target):
-                return self._ask(request, target, 0.0, patience, choice)
+                return self._ask(request, target, 0.0, first_event_by, choice)
         return None
 
     def _end(self, request: RoutedRequest, place: Place | None) -> Result[Place, Fault]:
@@ -168,7 +174,9 @@
         # What ran beside a request that ends targets often shares its prompt; after its target
         # ended it goes another way than that, so that it is not there again.
         key = request.fingerprint if request.suspicion else request.affinity
-        ids = rank(key or request.head.attempt_id, by_id)
+        weights = self._paces.weights(target.life for target in by_id.values())
+        capacities = {target.id: weights[target.life] for target in by_id.values()}
+        ids = rank_weighted(key or request.head.attempt_id, capacities)
         ranked = [by_id[target_id] for target_id in ids]
         if not key:
             ranked.sort(key=self._client.taken)
@@ -179,28 +187,30 @@
         request: RoutedRequest,
         target: AnnouncedTarget,
         wait: float,
-        patience: float,
+        first_event_by: float,
         choice: int,
     ) -> Place | None:
         account = request.account_name
         cold_rate = self._cold.rate(target)
-        verdict, ticket = self._client.ask(
+        outcome = self._client.ask(
             request,
             target,
             wait=wait,
-            patience=patience,
+            first_event_by=first_event_by,
             level=self._ledger.level(account),
             beyond=self._ledger.beyond(account),
             cold_rate=cold_rate,
         )
-        if verdict is Verdict.FULL:
+        request.trace.objection = outcome.objection
+        if outcome.verdict is Verdict.FULL:
             return None
-        if verdict is Verdict.UNREACHABLE and (
+        if outcome.verdict is Verdict.UNREACHABLE and (
             # Only the keeper knows whether another one of them has just begun there.
             request.suspicion >= APART_LEVEL
             or not self._loads.spend_part(target, cold_rate, self._clock.now())
         ):
             return None
+        ticket = outcome.ticket
         self._loads.enter(target)
         self._ledger.give(account, request.cost)
 
@@ -217,7 +227,15 @@
             self._ledger.take_back(account, request.cost)
 
         taken = self._client.taken(target) if ticket else -1
-        return Place(target, released, answered=answered, unused=unused, taken=taken, choice=choice)
+        return Place(
+            target,
+            released,
+            answered=answered,
+            unused=unused,
+            taken=taken,
+            choice=choice,
+            expected=outcome.expected,
+        )
 
 
 def _worthwhile_wait(request: RoutedRequest) -> float:
--- a/packages/loomyard-router/src/loomyard_router/admission/parts.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/parts.py
@@ -11,6 +11,7 @@
 from loomyard_router.admission.fleet_gate import FleetGate
 from loomyard_router.admission.gate import Gate
 from loomyard_router.admission.place_client import PlaceClient
+from loomyard_router.admission.place_figures import PlaceFigures
 from loomyard_router.admission.place_keeper import PlaceKeeper
 from loomyard_router.admission.place_source import PlaceSource
 from loomyard_router.admission.service_gates import ServiceGates
@@ -18,6 +19,7 @@
 from loomyard_router.admission.target_choice import TargetChoice
 from loomyard_router.admission.target_health import TargetHealth
 from loomyard_router.admission.target_loads import TargetLoads
+from loomyard_router.admission.target_paces import TargetPaces
 from loomyard_router.admission.waiting_accounts import WaitingAccounts
 from loomyard_router.admission.waiting_time import RetryHint
 from loomyard_router.announced.cold_targets import ColdTargets
@@ -44,10 +46,20 @@
     ledger: ShareLedger
     keeper: PlaceKeeper
     places: PlaceClient
+    paces: TargetPaces
     health: TargetHealth
     waiting: WaitingAccounts
     hint: RetryHint
 
+    @property
+    def figures(self) -> PlaceFigures:
+        """Return what operators see of places."""
+        return PlaceFigures(
+            paces=self.paces.all,
+            objections=lambda: self.places.objections,
+            silent=lambda: len(self.places.silent),
+        )
+
     def start(self) -> None:
         """Start to keep places, to state those held and to report what accounts got."""
         self.ledger.start()
@@ -65,6 +77,7 @@
         self.loads.forget(known)
         self.health.forget(known)
         self.places.forget(known)
+        self.paces.forget(known)
 
 
 def make_admission(
@@ -93,8 +106,11 @@
         source=source,
     )
     cold = ColdTargets(clock, board, holder)
-    keeper = PlaceKeeper(clock=clock, board=board, members=members, peers=peers, cold=cold)
-    places = PlaceClient(clock=clock, members=members, peers=peers, keeper=keeper)
+    paces = TargetPaces()
+    keeper = PlaceKeeper(
+        clock=clock, board=board, members=members, peers=peers, cold=cold, paces=paces
+    )
+    places = PlaceClient(clock=clock, members=members, peers=peers, keeper=keeper, paces=paces)
     health = TargetHealth(clock)
     loads = TargetLoads(lambda: len(members.live()))
     hint = RetryHint(source)
@@ -109,6 +125,7 @@
         waiting=waiting,
         hint=hint,
         cold=cold,
+        paces=paces,
     )
     plain = Gate(
         clock=clock,
@@ -128,6 +145,7 @@
         ledger=ledger,
         keeper=keeper,
         places=places,
+        paces=paces,
         health=health,
         waiting=waiting,
         hint=hint,
--- a/packages/loomyard-router/src/loomyard_router/admission/place.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place.py
@@ -14,7 +14,8 @@
     """A place at a target until it is released, which may be done more than once.
 
     ``taken`` is how many were in use with it, -1 where nobody counts them; ``choice`` is the rank
-    of the target for the prompt, -1 where there is no rank.
+    of the target for the prompt, -1 where there is no rank; ``expected`` is in how many seconds its
+    keeper expects the first event, 0 where nobody predicts it.
     """
 
     def __init__(
@@ -26,10 +27,12 @@
         unused: Callable[[], None] | None = None,
         taken: int = -1,
         choice: int = -1,
+        expected: float = 0.0,
     ) -> None:
         self.target = target
         self.taken = taken
         self.choice = choice
+        self.expected = expected
         self._released: Callable[[], None] | None = released
         self._answered = answered
         self._unused = unused
--- a/packages/loomyard-router/src/loomyard_router/admission/place_book.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_book.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -12,22 +13,19 @@
 from loomyard_router.admission.cold_rate import ColdRate
 from loomyard_router.admission.place_messages import PlaceRequest
 from loomyard_router.admission.prompt_memory import PromptMemory
-from loomyard_router.admission.reading_pace import ReadingPace
+from loomyard_router.admission.prompt_queue import PromptQueue
+from loomyard_router.admission.ticket import Ticket
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-
-# Holder of a place: router, incarnation of it, ticket.
-Ticket = tuple[str, int, int]
-
 # A grant may be on its way to the router while that states what it holds.
 STATEMENT_LAG = 0.5
+# Accounts beyond their share fill a target up to here; under half would leave it idle.
+LEAST_PLACES = 0.52
+# Their prompts fill this part of the time to the first event, and leave the rest to the others.
+LEAST_PATIENCE = 0.22
 MILLISECONDS = 1000.0
-# Accounts beyond their share fill an engine up to here; under half would leave it idle for nothing.
-BEYOND_PART = 0.52
-# Their prompts leave this part of the time to the first event to the prompts of the others.
-BEYOND_PATIENCE = 0.3
 # A request that ends its target does so soon after it began; one that may do so has a target to
 # itself, of its kind, for so long. Its prompt may wait behind others first.
 APART_SECONDS = 2.0
@@ -48,22 +46,19 @@
 
 @define(eq=False)
 class Ask:
-    """A wish for a place that is not met yet; ``granted`` gets its end, true where it is met."""
+    """A wish for a place that is not met yet; ``granted`` gets its end, true where it is met.
+
+    By ``first_event_by`` the answer has to begin; ``expected`` is in how many seconds it does, as
+    predicted with the grant.
+    """
 
     ticket: Ticket
     request: PlaceRequest
+    first_event_by: float = math.inf
+    expected: float = 0.0
     granted: AsyncResult = field(factory=AsyncResult)
 
 
-@define(eq=False)
-class _Reading:
-    """A prompt that is being read: its unread tokens, those ahead of it, and since when."""
-
-    tokens: float
-    ahead: float
-    since: float
-
-
 @define(eq=False)
 class PlaceBook:
     """Count places by ticket, so that a release or a statement may come twice or be lost."""
@@ -72,34 +67,29 @@
     held: dict[Ticket, float] = field(factory=dict)
     waiting: list[Ask] = field(factory=list)
     memory: PromptMemory = field(factory=PromptMemory)
-    pace: ReadingPace = field(factory=ReadingPace)
+    prompts: PromptQueue = field(factory=PromptQueue)
     cold: ColdRate = field(factory=ColdRate)
-    _reading: dict[Ticket, _Reading] = field(factory=dict)
     _apart: dict[Ticket, float] = field(factory=dict)
     _refused: OrderedDict[tuple[str, int], None] = field(factory=OrderedDict)
 
-    @property
-    def unread(self) -> float:
-        """Return the tokens of prompts that are being read."""
-        return sum(reading.tokens for reading in self._reading.values())
-
     def by_level(self) -> list[Ask]:
         """Return who waits, the account that got least first."""
         return sorted(self.waiting, key=lambda ask: ask.request.level)
 
-    def admits(self, request: PlaceRequest, now: float) -> bool:
+    def admits(self, ask: Ask, now: float) -> bool:
         """Tell whether a request may have a place now."""
-        return self.object_to(request, now) is None
+        return self.object_to(ask, now) is None
 
-    def object_to(self, request: PlaceRequest, now: float) -> Objection | None:
+    def object_to(self, ask: Ask, now: float) -> Objection | None:
         """Tell why no place is free, or the prompts ahead leave the request too little time."""
-        if len(self.held) >= self.slots * (BEYOND_PART if request.beyond else 1.0):
+        request = ask.request
+        if len(self.held) >= self.slots * (LEAST_PLACES if request.beyond else 1.0):
             return Objection.PLACES
         if not self.cold.admits(now):
             return Objection.COLD
         if request.apart and any(now - since < APART_SECONDS for since in self._apart.values()):
             return Objection.APART
-        if not request.patience or not self._reading:
+        if not request.patience or not self.prompts.is_reading(now):
             return None
         if request.beyond and (request.own, request.prompt) in self._refused:
             # Mostly its caller came back, so it is late already and takes no time of one that can
@@ -110,9 +100,10 @@
             # callers.
             return Objection.RETURNED
         own = request.prompt - self.memory.kept(request.parts)
-        patience = request.patience * (BEYOND_PATIENCE if request.beyond else 1.0)
-        begins_in = self.pace.seconds(self.unread + own) * MILLISECONDS
-        return None if begins_in <= patience else Objection.READING
+        if self.prompts.first_event_in(own, now) > ask.first_event_by - now:
+            return Objection.READING
+        most = (LEAST_PATIENCE if request.beyond else 1.0) * request.patience / MILLISECONDS
+        return None if self.prompts.reading_seconds(own, now) <= most else Objection.READING
 
     def note_refused(self, request: PlaceRequest) -> None:
         """Remember a prompt whose caller may come back with it."""
@@ -122,28 +113,26 @@
             if len(self._refused) > MOST_REFUSED:
                 self._refused.popitem(last=False)
 
-    def grant(self, ticket: Ticket, request: PlaceRequest, now: float) -> None:
+    def grant(self, ask: Ask, now: float) -> None:
         """Give a place."""
+        ticket, request = ask.ticket, ask.request
         self.held[ticket] = now
         if request.apart:
             self._apart[ticket] = now
         self.cold.spend()
         if request.prompt:
             own = max(0, request.prompt - self.memory.kept(request.parts))
-            self._reading[ticket] = _Reading(own, self.unread, now)
+            ask.expected = self.prompts.first_event_in(own, now)
+            self.prompts.begin(ticket, own, now)
             self.memory.use(request.parts)
 
     def note_read(self, ticket: Ticket, now: float) -> bool:
         """Take in that a prompt was read; false where that was known."""
-        reading = self._reading.pop(ticket, None)
-        if reading is None:
-            return False
-        self.pace.note(reading.ahead + reading.tokens, now - reading.since)
-        return True
+        return self.prompts.note_read(ticket, now)
 
     def release(self, ticket: Ticket) -> bool:
         """Take a place back; false where the ticket holds none."""
-        self._reading.pop(ticket, None)
+        self.prompts.drop(ticket)
         self._apart.pop(ticket, None)
         return self.held.pop(ticket, None) is not None
 
@@ -159,6 +148,7 @@
         """Give all holders more time to state what they hold."""
         for ticket in self.held:
             self.held[ticket] += seconds
+        self.prompts.postpone(seconds)
 
     def drop(self, condition: Callable[[Ticket, float], bool]) -> bool:
         """Take back all places that meet a condition; tell whether there were any."""
--- a/packages/loomyard-router/src/loomyard_router/admission/place_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_client.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import gevent
-from attrs import frozen
-from result import Ok
+from attrs import evolve, frozen
+from result import Err, Ok, Result
 
 from loomyard.rendezvous import choose
+from loomyard_router.admission.keeper_watch import REPLY_SECONDS, KeeperWatch
 from loomyard_router.admission.place_messages import (
     PlaceAnswer,
     PlaceRequest,
@@ -21,17 +23,15 @@
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
+    from loomyard.errors import Fault
     from loomyard_router.admission.place_keeper import PlaceKeeper
+    from loomyard_router.admission.target_paces import TargetPaces
     from loomyard_router.announced.announced_target import AnnouncedTarget
     from loomyard_router.members.membership import Membership
     from loomyard_router.peers.links import PeerLinks
     from loomyard_router.routed.routed_request import RoutedRequest
 
 MILLISECONDS = 1000
-# Two ways between data centres and a turn of the other router's loop take a few milliseconds.
-REPLY_SECONDS = 0.06
-# A keeper that did not answer is left alone until membership had time to judge it.
-SILENT_SECONDS = 0.5
 STATEMENT_SECONDS = 1.0
 # Requests under which so many targets ended run apart from each other: one of them ends the next
 # one too, and whoever runs beside it then would be blamed with it.
@@ -48,6 +48,20 @@
     UNREACHABLE = "unreachable"
 
 
+@frozen(kw_only=True)
+class AskOutcome:
+    """What came of an ask; ``ticket`` is the place where there is one, 0 else.
+
+    ``objection`` is why the keeper gave none; ``expected`` is in how many seconds after the grant
+    it expects the first event.
+    """
+
+    verdict: Verdict
+    ticket: int = 0
+    objection: str = ""
+    expected: float = 0.0
+
+
 @frozen(kw_only=True)
 class _Held:
     target: TargetLife
@@ -58,16 +72,25 @@
     """Hold places by tickets, and tell each keeper what is held there."""
 
     def __init__(
-        self, *, clock: Clock, members: Membership, peers: PeerLinks, keeper: PlaceKeeper
+        self,
+        *,
+        clock: Clock,
+        members: Membership,
+        peers: PeerLinks,
+        keeper: PlaceKeeper,
+        paces: TargetPaces,
     ) -> None:
         self._clock = clock
         self._members = members
         self._peers = peers
         self._keeper = keeper
+        self._paces = paces
         self._tickets = 0
         self._held: dict[int, _Held] = {}
         self._keepers: dict[TargetLife, str] = {}
-        self._silent_until: dict[str, float] = {}
+        self._watch = KeeperWatch(clock=clock, members=members, peers=peers)
+        self._watch.subscribe(self._move)
+        self.objections: Counter[str] = Counter()
         self._released: dict[str, list[int]] = {}
         self._read: dict[str, list[int]] = {}
         self._sending: set[str] = set()
@@ -81,6 +104,7 @@
 
     def stop(self) -> None:
         """End."""
+        self._watch.stop()
         if self._task is not None:
             self._task.kill(block=False)
 
@@ -88,10 +112,14 @@
         """Return how many places of a target were taken when its keeper answered last."""
         return self._taken.get(target.life, 0)
 
+    @property
+    def silent(self) -> frozenset[str]:
+        """Return the keepers that do not answer."""
+        return self._watch.silent
+
     def is_silent(self, target: AnnouncedTarget) -> bool:
-        """Tell whether the keeper of a target is left alone, since it did not answer."""
-        keeper = self.keeper_of(target.life)
-        return self._clock.now() < self._silent_until.get(keeper, 0.0)
+        """Tell whether no keeper of a target can be asked."""
+        return self.keeper_of(target.life) in self._watch.silent
 
     def ask(
         self,
@@ -99,20 +127,18 @@
         target: AnnouncedTarget,
         *,
         wait: float,
-        patience: float,
+        first_event_by: float,
         level: float,
         beyond: bool,
         cold_rate: float = 0.0,
-    ) -> tuple[Verdict, int]:
-        """Ask for a place, waiting for up to some seconds; return the ticket where there is one.
+    ) -> AskOutcome:
+        """Ask for a place, waiting for up to some seconds.
 
-        ``level`` is what the account got in the fleet, ``beyond`` whether it has had its share,
-        ``cold_rate`` the requests a second that a cold target bears, 0 for a warm one.
+        Where the keeper does not answer, whoever stands in for it is asked, without waiting.
+        By ``first_event_by`` the answer has to begin. ``level`` is what the account got in the
+        fleet, ``beyond`` whether it has had its share, ``cold_rate`` the requests a second that a
+        cold target bears, 0 for a warm one.
         """
-        keeper = self.keeper_of(target.life)
-        own = self._members.own
-        if self.is_silent(target):
-            return Verdict.UNREACHABLE, 0
         self._tickets += 1
         ticket = self._tickets
         message = PlaceRequest(
@@ -123,28 +149,24 @@
             prompt=request.head.prompt_tokens,
             own=request.head.prompt[-1].id if request.head.prompt else "",
             parts=[(part.id, part.tokens) for part in request.head.prompt[:-1]],
-            patience=int(max(0.0, patience) * MILLISECONDS),
+            # What is late already may still begin where nothing is ahead of it.
+            patience=max(1, int((first_event_by - self._clock.now()) * MILLISECONDS)),
             wait=int(max(0.0, wait) * MILLISECONDS),
             beyond=beyond,
             cold_rate=cold_rate,
             apart=request.suspicion >= APART_LEVEL,
         )
-        if keeper == own.name:
-            answer = self._keeper.ask(own, message)
-        else:
-            deadline = self._clock.now() + wait + REPLY_SECONDS
-            match self._peers.request(keeper, message, deadline):
-                case Ok(PlaceAnswer() as answer):
-                    pass
-                case _:
-                    self._silent_until[keeper] = self._clock.now() + SILENT_SECONDS
-                    self._queue_release(keeper, ticket)
-                    return Verdict.UNREACHABLE, 0
+        answer = self._request(message, wait) or self._request(evolve(message, wait=0), 0.0)
+        if answer is None:
+            return AskOutcome(verdict=Verdict.UNREACHABLE)
         self._taken[target.life] = answer.taken
+        if answer.pace is not None:
+            self._paces.hear(target.life, answer.pace)
         if not answer.granted:
-            return Verdict.FULL, 0
-        self._held[ticket] = _Held(target=target.life, keeper=keeper)
-        return Verdict.GRANTED, ticket
+            self.objections[answer.objection] += 1
+            return AskOutcome(verdict=Verdict.FULL, objection=answer.objection)
+        expected = answer.first_event / MILLISECONDS
+        return AskOutcome(verdict=Verdict.GRANTED, ticket=ticket, expected=expected)
 
     def note_read(self, ticket: int) -> None:
         """Say that the prompt behind a place was read."""
@@ -175,23 +197,52 @@
         """Return the router that keeps the places of a target."""
         keeper = self._keepers.get(life)
         if keeper is None:
-            keeper = choose(life, [member.name for member in self._members.live()])
+            keeper = choose(life, self._watch.candidates())
             self._keepers[life] = keeper
         return keeper
 
-    def state(self) -> None:
-        """State all places that are held to their keepers."""
+    def state(self, *, moved: bool = False) -> None:
+        """State all places that are held to their keepers; with paces where those are new."""
         own = self._members.own
         by_keeper: dict[str, dict[TargetLife, list[int]]] = {}
         for ticket, held in self._held.items():
             by_keeper.setdefault(held.keeper, {}).setdefault(held.target, []).append(ticket)
         for keeper, held_there in by_keeper.items():
-            statement = PlacesHeld(held=held_there)
+            paces = self._paces.among(held_there) if moved else {}
+            statement = PlacesHeld(held=held_there, paces=paces)
             if keeper == own.name:
                 self._keeper.restate(own, statement)
             else:
                 self._peers.send(keeper, statement)
 
+    def _request(self, message: PlaceRequest, wait: float) -> PlaceAnswer | None:
+        """Ask the keeper of a target; ``None`` where it does not answer."""
+        keeper = self.keeper_of(message.target)
+        own = self._members.own
+        if keeper in self._watch.silent:
+            return None
+        if message.apart and not self._is_rightful(message.target):
+            # Others may still reach the keeper, and only one can tell what begins beside what.
+            return None
+        if keeper == own.name:
+            answer = self._keeper.ask(own, message)
+        else:
+            deadline = self._clock.now() + wait + REPLY_SECONDS
+            match self._peers.request(keeper, message, deadline):
+                case Ok(PlaceAnswer() as answer):
+                    self._watch.note_heard()
+                case missed:
+                    self._queue_release(keeper, message.ticket)
+                    self._watch.note_silence(keeper, _detail(missed))
+                    return None
+        if answer.granted:
+            self._held[message.ticket] = _Held(target=message.target, keeper=keeper)
+        return answer
+
+    def _is_rightful(self, life: TargetLife) -> bool:
+        """Tell whether a target is kept by the router that would keep it if all answered."""
+        return self.keeper_of(life) == choose(life, [one.name for one in self._members.live()])
+
     def _queue_release(self, keeper: str, ticket: int) -> None:
         own = self._members.own
         if keeper == own.name:
@@ -219,9 +270,16 @@
             keeper = self.keeper_of(held.target)
             if keeper != held.keeper:
                 self._held[ticket] = _Held(target=held.target, keeper=keeper)
-        self.state()
+        self.state(moved=True)
 
     def _run(self) -> None:
         while True:
             self._clock.sleep(STATEMENT_SECONDS)
             self.state()
+
+
+def _detail(missed: Result[Any, Fault]) -> str:
+    match missed:
+        case Err(fault):
+            return fault.detail
+    return "it answered with another message"
--- a/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_keeper.py
@@ -21,6 +21,8 @@
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
+    from loomyard_router.admission.reading_pace import ReadingPace
+    from loomyard_router.admission.target_paces import TargetPaces
     from loomyard_router.announced.cold_targets import ColdTargets
     from loomyard_router.announced.target_board import TargetBoard
     from loomyard_router.announced.target_life import TargetLife
@@ -53,11 +55,13 @@
         members: Membership,
         peers: PeerLinks,
         cold: ColdTargets,
+        paces: TargetPaces,
         order: ServingOrder | None = None,
     ) -> None:
         self._clock = clock
         self._board = board
         self._cold = cold
+        self._paces = paces
         self._order = order or GapForTheLeastServed()
         self._members = members
         self._books: dict[TargetLife, PlaceBook] = {}
@@ -80,18 +84,17 @@
 
     def ask(self, member: Member, request: PlaceRequest) -> PlaceAnswer:
         """Give a place, waiting for one as long as the request says."""
-        book = self._books.get(request.target)
-        if book is None:
-            book = self._books[request.target] = PlaceBook(request.slots)
+        book = self._open(request.target, request.slots)
         book.slots = request.slots
         # Whoever of both has heard that the target is cold is right: the other has not yet.
         book.cold.per_second = request.cold_rate or self._cold_rate(request.target)
         ticket = (member.name, member.incarnation, request.ticket)
+        ask = Ask(ticket, request, self._clock.now() + request.patience / MILLISECONDS)
         closed = self._board.is_closed(request.target)
-        granted = not closed and self._wait(book, Ask(ticket, request))
+        granted = not closed and self._wait(book, ask)
         if not granted and not closed:
             book.note_refused(request)
-        return PlaceAnswer(granted=granted, taken=len(book.held) + len(book.waiting))
+        return self._answer(book, ask, granted=granted)
 
     def note_read(self, member: Member, read: PromptsRead) -> None:
         """Take in which prompts were read, and admit who waited for that."""
@@ -116,9 +119,7 @@
         """Take over all that a router holds here."""
         now = self._clock.now()
         for target, tickets in statement.held.items():
-            book = self._books.get(target)
-            if book is None:
-                book = self._books[target] = PlaceBook(slots=1)
+            book = self._open(target, 1, statement.paces.get(target))
             book.restate(member.name, member.incarnation, set(tickets), now)
         for target, book in self._books.items():
             if target not in statement.held:
@@ -135,6 +136,32 @@
             if not book.held and not book.waiting and life not in known:
                 del self._books[life]
 
+    def _open(self, life: TargetLife, slots: int, told: ReadingPace | None = None) -> PlaceBook:
+        """Return the book of a target, made with what is believed of its pace where it is new."""
+        book = self._books.get(life)
+        if book is None:
+            book = self._books[life] = PlaceBook(slots)
+            target = self._board.find(life)
+            others = () if target is None else self._board.usable(target.service)
+            book.prompts.model.believed = told or self._paces.believed(
+                life, (other.life for other in others)
+            )
+        return book
+
+    def _answer(self, book: PlaceBook, ask: Ask, *, granted: bool) -> PlaceAnswer:
+        now = self._clock.now()
+        objection = None if granted else book.object_to(ask, now)
+        pace = book.prompts.model.pace(now) if ask.request.prompt else None
+        if pace is not None:
+            self._paces.hear(ask.request.target, pace)
+        return PlaceAnswer(
+            granted=granted,
+            taken=len(book.held) + len(book.waiting),
+            objection="" if objection is None else objection.value,
+            first_event=round(ask.expected * MILLISECONDS),
+            pace=pace,
+        )
+
     def _cold_rate(self, life: TargetLife) -> float:
         target = self._board.find(life)
         return WARM if target is None else self._cold.rate(target)
@@ -159,7 +186,7 @@
             if admitted is None:
                 return
             book.waiting.remove(admitted)
-            book.grant(admitted.ticket, admitted.request, self._clock.now())
+            book.grant(admitted, self._clock.now())
             admitted.granted.set(True)
 
     def _end_closed(self) -> None:
--- a/packages/loomyard-router/src/loomyard_router/admission/place_messages.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_messages.py
@@ -4,6 +4,7 @@
 
 from attrs import field, frozen
 
+from loomyard_router.admission.reading_pace import ReadingPace
 from loomyard_router.announced.target_life import TargetLife
 from loomyard_router.peers.message_types import peer_message
 
@@ -14,13 +15,14 @@
     """Ask for a place; ``ticket`` is a number that the asking router never used before.
 
     ``level`` is what its client account got lately in the whole fleet, in tokens: of those that
-    wait, the least goes first. ``beyond`` says that the account has had its share, so that it finds
-    a part of the places only. ``prompt`` is in tokens; ``own`` is the part of it that no other
-    request has, by which it is known again when its caller comes back; ``parts`` are those that
-    others share, by id with their tokens. ``wait`` is in milliseconds; so is ``patience``, the time
-    that prompts ahead of this one may take to be read. ``target`` names the life of a target;
-    ``cold_rate`` is how many requests a second it may get while it is cold, 0 for a warm one.
-    ``apart`` asks for a place at a target where no other such request has just begun.
+    wait, the least goes first. ``beyond`` says that the account has had its
+    share, so that it finds a part of the room only. ``prompt`` is in tokens; ``own`` is the part
+    of it that no other request has, by which it is known again when its caller comes back;
+    ``parts`` are those that others share, by id with their tokens. ``wait`` is in milliseconds; so
+    is ``patience``, the time in which the answer has to begin, 0 where nothing bounds it.
+    ``target`` names the life of a target; ``cold_rate`` is how many requests a second it may get
+    while it is cold, 0 for a warm one. ``apart`` asks for a place at a target where no other such
+    request has just begun.
     """
 
     target: TargetLife
@@ -40,10 +42,17 @@
 @peer_message("pa")
 @frozen(kw_only=True)
 class PlaceAnswer:
-    """Whether the place was given, and how many are taken of the target."""
+    """Whether the place was given, how many are taken of the target, and what it is expected to do.
+
+    ``objection`` says why there was no place. The first event is expected after ``first_event``
+    milliseconds. ``pace`` is what the keeper believes of the target, ``None`` before any answer.
+    """
 
     granted: bool
     taken: int
+    objection: str = ""
+    first_event: int = 0
+    pace: ReadingPace | None = None
 
 
 @peer_message("pe")
@@ -65,6 +74,11 @@
 @peer_message("ph")
 @frozen(kw_only=True)
 class PlacesHeld:
-    """All places that the sender holds at targets of the receiver, by target."""
+    """All places that the sender holds at targets of the receiver, by target.
+
+    ``paces`` are what the sender last heard of the pace of targets of the receiver, which may have
+    become their keeper just now.
+    """
 
     held: dict[TargetLife, list[int]] = field(factory=dict)
+    paces: dict[TargetLife, ReadingPace] = field(factory=dict)
--- a/packages/loomyard-router/src/loomyard_router/admission/serving_order.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/serving_order.py
@@ -32,7 +32,7 @@
     """
 
     def choose(self, book: PlaceBook, now: float) -> Ask | None:
-        return next((ask for ask in book.by_level() if book.admits(ask.request, now)), None)
+        return next((ask for ask in book.by_level() if book.admits(ask, now)), None)
 
 
 @frozen
@@ -51,7 +51,7 @@
     def choose(self, book: PlaceBook, now: float) -> Ask | None:
         kept_for: Ask | None = None
         for ask in book.by_level():
-            objection = book.object_to(ask.request, now)
+            objection = book.object_to(ask, now)
             if objection is None:
                 takes_gap = kept_for is not None and ask.request.beyond
                 if takes_gap and self._got_more(ask, kept_for):
--- a/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
@@ -10,6 +10,7 @@
 from prometheus_client.exposition import generate_latest
 from prometheus_client.registry import Collector
 
+from loomyard_router.admission.place_figures import PlaceFigures
 from loomyard_router.announced.announced_figures import AnnouncedFigures
 from loomyard_router.metrics.key_histograms import UNITS_PER_SECOND
 
@@ -37,12 +38,14 @@
         in_flight: Callable[[], int],
         feeds: Callable[[], Iterable[FeedState]] = tuple,
         announced: AnnouncedFigures | None = None,
+        places: PlaceFigures | None = None,
     ) -> None:
         self._meters = meters
         self._traffic = traffic
         self._in_flight = in_flight
         self._feeds = feeds
         self._announced = announced or AnnouncedFigures()
+        self._places = places or PlaceFigures()
 
     def collect(self) -> Iterator[Metric]:
         yield from self._phases()
@@ -53,6 +56,7 @@
         )
         yield from self._feed_states()
         yield from self._announcements()
+        yield from self._place_states()
 
     def _phases(self) -> Iterator[Metric]:
         quantiles = GaugeMetricFamily(
@@ -170,6 +174,32 @@
             unreadable.add_metric((feed, reason.value), count)
         yield unreadable
 
+    def _place_states(self) -> Iterator[Metric]:
+        delay = GaugeMetricFamily(
+            "loomyard_target_delay_seconds",
+            "time to a first event besides reading, as last heard of a target",
+            labels=("target",),
+        )
+        pace = GaugeMetricFamily(
+            "loomyard_target_tokens_per_second",
+            "prompt tokens that a target reads a second, as last heard of it",
+            labels=("target",),
+        )
+        for life, heard in self._places.paces().items():
+            delay.add_metric((life,), heard.delay)
+            pace.add_metric((life,), heard.tokens_per_second)
+        objections = CounterMetricFamily(
+            "loomyard_places_refused", "places that keepers did not give", labels=("objection",)
+        )
+        for objection, count in self._places.objections().items():
+            objections.add_metric((objection,), count)
+        silent = _gauge(
+            "loomyard_keepers_silent",
+            "keepers of places that do not answer this router",
+            self._places.silent,
+        )
+        yield from (delay, pace, objections, silent)
+
 
 def _gauge(name: str, meaning: str, read: Callable[[], int]) -> Metric:
     return GaugeMetricFamily(name, meaning, value=read())
--- a/packages/loomyard-router/src/loomyard_router/metrics/lazy_server.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/lazy_server.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from loomyard_router.admission.place_figures import PlaceFigures
     from loomyard_router.announced.announced_figures import AnnouncedFigures
     from loomyard_router.feeds.feed_state import FeedState
     from loomyard_router.metrics.meters import Meters
@@ -45,6 +46,7 @@
     in_flight: Callable[[], int],
     feeds: Callable[[], Iterable[FeedState]],
     announced: AnnouncedFigures,
+    places: PlaceFigures,
 ) -> LazyMetricsServer:
     """Make the listener; without an address it does nothing."""
 
@@ -53,7 +55,7 @@
         from loomyard_router.metrics.server import MetricsServer
 
         return MetricsServer(
-            "", ready, MetersCollector(meters, traffic, in_flight, feeds, announced)
+            "", ready, MetersCollector(meters, traffic, in_flight, feeds, announced, places)
         )
 
     return LazyMetricsServer(address, make)
--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -240,6 +240,8 @@
             attempts=trace.attempts,
             taken=trace.taken,
             choice=trace.choice,
+            objection=trace.objection,
+            expected_ms=round(trace.expected * 1000),
             share_used=None if trace.share_used is None else round(trace.share_used, 2),
             prompt=request.head.prompt_tokens,
             shared=request.shared_tokens,
--- a/packages/loomyard-router/src/loomyard_router/routed/request_trace.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/request_trace.py
@@ -16,7 +16,9 @@
 
     ``choice`` is the rank of the target among those for the prompt, 0 for the preferred one.
     ``share_used`` is what the account got lately in the fleet in parts of its share, ``None``
-    where no share is known. ``broken`` says why an answer that had begun was broken off.
+    where no share is known. ``objection`` is why the keeper asked last gave no place, ``expected``
+    in how many seconds the other one expected the first event. ``broken`` says why an answer that
+    had begun was broken off.
     """
 
     target: str = ""
@@ -25,6 +27,8 @@
     choice: int = -1
     share_used: float | None = None
     broken: str = ""
+    objection: str = ""
+    expected: float = 0.0
     placed_at: float | None = None
     first_at: float | None = None
 
@@ -33,6 +37,7 @@
         self.target = place.target.id
         self.taken = place.taken
         self.choice = place.choice
+        self.expected = place.expected
         self.placed_at = now
         self.attempts += 1
 
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -232,6 +232,7 @@
                 rests_asked=lambda: self.board.notices.rests,
                 unreadable=lambda: self._unreadable.counts,
             ),
+            places=self._admission.figures,
         )
         self.board.subscribe(self._forget)
 
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -84,6 +84,8 @@
     DATA_CENTRE_TAKEN_BACK = (621, logging.INFO, "an emptied data centre is in use again")
     TARGET_SAYS_LEAVING = (622, logging.INFO, "a target says in an answer that it leaves")
     TARGET_ASKS_FOR_REST = (623, logging.WARNING, "a target asks this router for rest")
+    KEEPER_SILENT = (624, logging.WARNING, "a keeper of places did not answer in time")
+    KEEPER_ANSWERS = (625, logging.INFO, "a keeper of places that was silent answers again")
     TARGET_ENDED = (630, logging.WARNING, "a target ended while this request ran there")
     REQUEST_BLOCKED = (631, logging.ERROR, "a request ends targets; it is refused for a while")
     REQUEST_CLEARED = (632, logging.INFO, "a request that seemed to end targets ran to its end")
--- a/packages/loomyard/src/loomyard/rendezvous.py
+++ b/packages/loomyard/src/loomyard/rendezvous.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
 SCORE_BYTES = 8
 
@@ -21,6 +22,20 @@
     return sorted(names, key=lambda name: _score(key, name), reverse=True)
 
 
+def rank_weighted(key: str, weights: Mapping[str, float]) -> list[str]:
+    """Return the names in the order in which a key prefers them.
+
+    A name comes first for a part of all keys that is in proportion to its weight.
+    """
+    return sorted(weights, key=lambda name: (_distance(key, name, weights[name]), name))
+
+
+def _distance(key: str, name: str, weight: float) -> float:
+    digest, _ = _score(key, name)
+    part = (int.from_bytes(digest, "big") + 0.5) / (1 << 8 * SCORE_BYTES)
+    return -math.log(part) / weight
+
+
 def _score(key: str, name: str) -> tuple[bytes, str]:
     prefix = len(key).to_bytes(4, "big")
     data = prefix + key.encode() + name.encode()
--- a/tests/test_loomyard/test_rendezvous.py
+++ b/tests/test_loomyard/test_rendezvous.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from loomyard.rendezvous import choose, rank
+from loomyard.rendezvous import choose, rank, rank_weighted
 
 NAMES = [f"router-{number}" for number in range(8)]
 KEYS = [f"account-{number}" for number in range(400)]
@@ -27,6 +27,19 @@
         self.assertGreater(min(counts), 400 / 8 / 2)
         self.assertLess(max(counts), 400 / 8 * 2)
 
+    def test_a_name_comes_first_in_proportion_to_its_weight(self) -> None:
+        weights = dict.fromkeys(NAMES, 1.0) | {"router-3": 4.0}
+        first = [rank_weighted(key, weights)[0] for key in KEYS]
+        expected = len(KEYS) * 4 / 11
+        self.assertAlmostEqual(expected, first.count("router-3"), delta=expected / 4)
+
+    def test_only_keys_that_prefer_it_move_to_a_name_that_gains_weight(self) -> None:
+        before = dict.fromkeys(NAMES, 1.0)
+        after = before | {"router-3": 1.5}
+        for key in KEYS:
+            first = rank_weighted(key, after)[0]
+            self.assertIn(first, (rank_weighted(key, before)[0], "router-3"))
+
 
 if __name__ == "__main__":
     unittest.main()
