Let the room that an account finds fall gradually beyond its share

Change: all of the room at the share, falling to 0.52 of the places and 0.22 of the time at twice the share.

--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -198,7 +198,7 @@
             wait=wait,
             first_event_by=first_event_by,
             level=self._ledger.level(account),
-            beyond=self._ledger.beyond(account),
+            used=self._ledger.share_used(account),
             cold_rate=cold_rate,
         )
         request.trace.objection = outcome.objection
--- a/packages/loomyard-router/src/loomyard_router/admission/place_book.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_book.py
@@ -14,6 +14,7 @@
 from loomyard_router.admission.place_messages import PlaceRequest
 from loomyard_router.admission.prompt_memory import PromptMemory
 from loomyard_router.admission.prompt_queue import PromptQueue
+from loomyard_router.admission.room import find_part
 from loomyard_router.admission.ticket import Ticket
 
 if TYPE_CHECKING:
@@ -21,7 +22,7 @@
 
 # A grant may be on its way to the router while that states what it holds.
 STATEMENT_LAG = 0.5
-# Accounts beyond their share fill a target up to here; under half would leave it idle.
+# Accounts at twice their share fill a target up to here; under half would leave it idle.
 LEAST_PLACES = 0.52
 # Their prompts fill this part of the time to the first event, and leave the rest to the others.
 LEAST_PATIENCE = 0.22
@@ -83,7 +84,7 @@
     def object_to(self, ask: Ask, now: float) -> Objection | None:
         """Tell why no place is free, or the prompts ahead leave the request too little time."""
         request = ask.request
-        if len(self.held) >= self.slots * (LEAST_PLACES if request.beyond else 1.0):
+        if len(self.held) >= self.slots * find_part(request.used, LEAST_PLACES):
             return Objection.PLACES
         if not self.cold.admits(now):
             return Objection.COLD
@@ -102,7 +103,7 @@
         own = request.prompt - self.memory.kept(request.parts)
         if self.prompts.first_event_in(own, now) > ask.first_event_by - now:
             return Objection.READING
-        most = (LEAST_PATIENCE if request.beyond else 1.0) * request.patience / MILLISECONDS
+        most = find_part(request.used, LEAST_PATIENCE) * request.patience / MILLISECONDS
         return None if self.prompts.reading_seconds(own, now) <= most else Objection.READING
 
     def note_refused(self, request: PlaceRequest) -> None:
--- a/packages/loomyard-router/src/loomyard_router/admission/place_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_client.py
@@ -129,14 +129,14 @@
         wait: float,
         first_event_by: float,
         level: float,
-        beyond: bool,
+        used: float | None,
         cold_rate: float = 0.0,
     ) -> AskOutcome:
         """Ask for a place, waiting for up to some seconds.
 
         Where the keeper does not answer, whoever stands in for it is asked, without waiting.
         By ``first_event_by`` the answer has to begin. ``level`` is what the account got in the
-        fleet, ``beyond`` whether it has had its share, ``cold_rate`` the requests a second that a
+        fleet, ``used`` that in parts of its share, ``cold_rate`` the requests a second that a
         cold target bears, 0 for a warm one.
         """
         self._tickets += 1
@@ -152,7 +152,7 @@
             # What is late already may still begin where nothing is ahead of it.
             patience=max(1, int((first_event_by - self._clock.now()) * MILLISECONDS)),
             wait=int(max(0.0, wait) * MILLISECONDS),
-            beyond=beyond,
+            used=used or 0.0,
             cold_rate=cold_rate,
             apart=request.suspicion >= APART_LEVEL,
         )
--- a/packages/loomyard-router/src/loomyard_router/admission/place_messages.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_messages.py
@@ -15,8 +15,8 @@
     """Ask for a place; ``ticket`` is a number that the asking router never used before.
 
     ``level`` is what its client account got lately in the whole fleet, in tokens: of those that
-    wait, the least goes first. ``beyond`` says that the account has had its
-    share, so that it finds a part of the room only. ``prompt`` is in tokens; ``own`` is the part
+    wait, the least goes first. ``used`` is that in parts of its share, 0 where none is known;
+    beyond 1 the account finds a part of the room only. ``prompt`` is in tokens; ``own`` is the part
     of it that no other request has, by which it is known again when its caller comes back;
     ``parts`` are those that others share, by id with their tokens. ``wait`` is in milliseconds; so
     is ``patience``, the time in which the answer has to begin, 0 where nothing bounds it.
@@ -34,10 +34,15 @@
     parts: list[tuple[str, int]] = field(factory=list)
     patience: int = 0
     wait: int = 0
-    beyond: bool = False
+    used: float = 0.0
     cold_rate: float = 0.0
     apart: bool = False
 
+    @property
+    def beyond(self) -> bool:
+        """Tell whether the account has had its share."""
+        return self.used > 1.0
+
 
 @peer_message("pa")
 @frozen(kw_only=True)
