Bound the bytes of request bodies that a router holds

Cause: each body was read whole before anything else was judged; 60 of 4 MiB at once took 309 MB (issue), the smallest VM has 160. Change: BodyBudget lends 0.15 of the memory before a body is read, a quarter of it to small ones, half of the rest to one account at most; 503 with code 2009 and Retry-After else. Connections are bounded by the memory that is left: of 160 MB and 4,100 descriptors 1,375 in place of 1,950, by calculation. Tests: test_body_budget, the sums and over sockets (20 uploads of 4 MiB at once beside small requests, which are served). Not built: answers that are not read, frames to peers, what targets hold.

--- a/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
@@ -13,6 +13,7 @@
 from loomyard_router.admission.place_figures import PlaceFigures
 from loomyard_router.announced.announced_figures import AnnouncedFigures
 from loomyard_router.metrics.key_histograms import UNITS_PER_SECOND
+from loomyard_router.routed.body_figures import BodyFigures
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -39,6 +40,7 @@
         feeds: Callable[[], Iterable[FeedState]] = tuple,
         announced: AnnouncedFigures | None = None,
         places: PlaceFigures | None = None,
+        bodies: BodyFigures | None = None,
     ) -> None:
         self._meters = meters
         self._traffic = traffic
@@ -46,6 +48,7 @@
         self._feeds = feeds
         self._announced = announced or AnnouncedFigures()
         self._places = places or PlaceFigures()
+        self._bodies = bodies or BodyFigures()
 
     def collect(self) -> Iterator[Metric]:
         yield from self._phases()
@@ -57,6 +60,7 @@
         yield from self._feed_states()
         yield from self._announcements()
         yield from self._place_states()
+        yield from self._body_states()
 
     def _phases(self) -> Iterator[Metric]:
         quantiles = GaugeMetricFamily(
@@ -200,6 +204,21 @@
         )
         yield from (delay, pace, objections, silent)
 
+    def _body_states(self) -> Iterator[Metric]:
+        yield _gauge(
+            "loomyard_body_bytes_held", "bytes of request bodies held now", self._bodies.lent
+        )
+        yield _gauge(
+            "loomyard_body_bytes_held_most",
+            "bytes of request bodies held at the most since the start",
+            self._bodies.peak,
+        )
+        yield _counter(
+            "loomyard_bodies_refused",
+            "requests refused since their bodies found no room",
+            self._bodies.refused,
+        )
+
 
 def _gauge(name: str, meaning: str, read: Callable[[], int]) -> Metric:
     return GaugeMetricFamily(name, meaning, value=read())
--- a/packages/loomyard-router/src/loomyard_router/metrics/lazy_server.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/lazy_server.py
@@ -18,6 +18,7 @@
     from loomyard_router.feeds.feed_state import FeedState
     from loomyard_router.metrics.meters import Meters
     from loomyard_router.peers.traffic import TrafficCounters
+    from loomyard_router.routed.body_figures import BodyFigures
 
 
 class LazyMetricsServer(OptionalListener):
@@ -47,6 +48,7 @@
     feeds: Callable[[], Iterable[FeedState]],
     announced: AnnouncedFigures,
     places: PlaceFigures,
+    bodies: BodyFigures,
 ) -> LazyMetricsServer:
     """Make the listener; without an address it does nothing."""
 
@@ -55,7 +57,7 @@
         from loomyard_router.metrics.server import MetricsServer
 
         return MetricsServer(
-            "", ready, MetersCollector(meters, traffic, in_flight, feeds, announced, places)
+            "", ready, MetersCollector(meters, traffic, in_flight, feeds, announced, places, bodies)
         )
 
     return LazyMetricsServer(address, make)
--- a/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
@@ -29,6 +29,9 @@
 CONNECTION_MB = 0.032
 DEFAULT_MEMORY_MB = 256.0
 MEMORY_PART = 0.8
+# Of the whole memory, for bodies of requests.
+BODIES_PART = 0.15
+MEGABYTE = 1 << 20
 LEAST_CONNECTIONS = 100
 
 
@@ -81,12 +84,17 @@
         ),
         most_connections=_most_connections(fields),
         share_window=float(fields.get("bounds.quota_window_s", 4.0)),
+        body_bytes=int(BODIES_PART * _memory_mb(fields) * MEGABYTE),
         event_seconds=float(fields.get("bounds.pass_ms", 0.0)) / MILLISECONDS,
     )
 
 
 def _most_connections(fields: Mapping[str, str]) -> int:
     descriptors = int(fields.get("limits.max_fds", DEFAULT_DESCRIPTORS)) - FILE_DESCRIPTORS
-    memory = MEMORY_PART * float(fields.get("limits.memory_mb", DEFAULT_MEMORY_MB)) - BASE_MB
+    memory = (MEMORY_PART - BODIES_PART) * _memory_mb(fields) - BASE_MB
     bound = min(CALLERS_PART * descriptors, memory / CONNECTION_MB)
     return max(LEAST_CONNECTIONS, int(bound))
+
+
+def _memory_mb(fields: Mapping[str, str]) -> float:
+    return float(fields.get("limits.memory_mb", DEFAULT_MEMORY_MB))
--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -15,7 +15,7 @@
 from loomyard_router.metrics.phase import Phase
 from loomyard_router.requests.presence import CallerPresence
 from loomyard_router.routed.reported_body import ReportedBody
-from loomyard_router.routed.routed_request import RoutedRequest
+from loomyard_router.routed.routed_request import PUBLIC_ACCOUNT, RoutedRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -23,6 +23,7 @@
     from loomyard.clock import Clock
     from loomyard_router.metrics.meters import Meters
     from loomyard_router.requests.answer import Answer
+    from loomyard_router.routed.body_budget import BodyBudget, BodyLease
     from loomyard_router.routed.dialects import CallerDialect
     from loomyard_router.routed.forwarder import Forwarder
     from loomyard_router.routed.request_head import RequestHead
@@ -62,8 +63,10 @@
         ending: Callable[[], bool],
         closing: Callable[[], bool] = lambda: False,
         overloaded: Callable[[], bool] = lambda: False,
+        bodies: BodyBudget,
     ) -> None:
         self._clock = clock
+        self._bodies = bodies
         self._holder = holder
         self._dialect = dialect
         self._forwarder = forwarder
@@ -83,8 +86,13 @@
         if read.is_err():
             return self._refuse(environ, start_response, read.unwrap_err(), None)
         request = read.unwrap()
-        outcome = self._forwarder.forward(request)
+        try:
+            outcome = self._forwarder.forward(request)
+        except BaseException:
+            request.release_body()
+            raise
         if outcome.is_err():
+            request.release_body()
             return self._refuse(environ, start_response, outcome.unwrap_err(), request)
         return self._answer(start_response, outcome.unwrap(), request)
 
@@ -107,11 +115,19 @@
         account = self._authenticate(table, route, head.unwrap())
         if account.is_err():
             return Err(account.unwrap_err())
-        body = _read_body(environ, table.limits.body_bytes)
+        terms = account.unwrap()
+        lease = self._bodies.open(PUBLIC_ACCOUNT if terms is None else terms.name)
+        try:
+            body = _read_body(environ, table.limits.body_bytes, lease)
+        except BaseException:
+            lease.end()
+            raise
         if body.is_err():
+            lease.end()
             return Err(body.unwrap_err())
-        request = self._make(environ, head.unwrap(), route, account.unwrap(), body.unwrap(), now)
+        request = self._make(environ, head.unwrap(), route, terms, body.unwrap(), now)
         request.table_version = table.version
+        request.release_body = lease.end
         return Ok(request)
 
     def _authenticate(
@@ -159,6 +175,7 @@
         start_response(status_line(answer.status), headers)
 
         def ended() -> None:
+            request.release_body()
             broken = request.trace.broken
             code = ResultCode.ANSWER_INCOMPLETE if broken else 0
             more = {"why": broken} if broken else {}
@@ -263,11 +280,14 @@
     return name if colon and port.isdigit() else host
 
 
-def _read_body(environ: Environ, most: int) -> Result[bytes, Fault]:
+def _read_body(environ: Environ, most: int, lease: BodyLease) -> Result[bytes, Fault]:
     too_large = Fault(code=ResultCode.BODY_TOO_LARGE, detail=f"the body is over {most} bytes")
     length = environ.get("CONTENT_LENGTH")
     if length and int(length) > most:
         return Err(too_large)
+    lent = lease.grow_to(int(length or 0))
+    if lent.is_err():
+        return Err(lent.unwrap_err())
     blocks: list[bytes] = []
     size = 0
     try:
@@ -276,6 +296,9 @@
             size += len(block)
             if size > most:
                 return Err(too_large)
+            lent = lease.grow_to(size)
+            if lent.is_err():
+                return Err(lent.unwrap_err())
     except (OSError, ValueError) as error:
         detail = f"the body did not come whole: {error}"
         return Err(Fault(code=ResultCode.MALFORMED_REQUEST, detail=detail))
--- a/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from attrs import define, field
 
 from loomyard_router.requests.presence import CallerPresence
@@ -22,7 +24,7 @@
 
     ``suspicion`` is how many targets are known to have ended under it. Of the send under way
     ``send_rank`` is its place in the sends under which targets may end, and ``began_at`` when the
-    first event came.
+    first event came. ``release_body`` gives back the bytes of the body.
     """
 
     head: RequestHead
@@ -40,6 +42,7 @@
     suspicion: int = 0
     send_rank: int = 1
     began_at: float | None = None
+    release_body: Callable[[], None] = lambda: None
     _fingerprint: str = ""
 
     @property
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -44,6 +44,7 @@
 from loomyard_router.ready_listener import ReadyListener
 from loomyard_router.requests.retry_budget import RetryBudget
 from loomyard_router.routed.app import RoutedApp
+from loomyard_router.routed.body_budget import BodyBudget
 from loomyard_router.routed.connection_pool import ConnectionPool
 from loomyard_router.routed.dialects import CallerDialect, TargetDialect
 from loomyard_router.routed.early_refusal import EarlyRefusal
@@ -185,6 +186,7 @@
             pace=EventPace(clock=clock, most=settings.event_seconds, lag=lambda: self._lag.seconds),
         )
         meters = Meters(clock)
+        self.bodies = BodyBudget(settings.body_bytes, source)
         self.app = RoutedApp(
             clock=clock,
             meters=meters,
@@ -194,6 +196,7 @@
             ending=lambda: self.stopping or self._listener.crowded,
             closing=lambda: self.closing,
             overloaded=lambda: self._lag.overloaded,
+            bodies=self.bodies,
         )
         self._in_flight = InFlight(clock)
         self._listener = RoutedListener(
@@ -233,6 +236,7 @@
                 unreadable=lambda: self._unreadable.counts,
             ),
             places=self._admission.figures,
+            bodies=self.bodies.figures,
         )
         self.board.subscribe(self._forget)
 
--- a/packages/loomyard-router/src/loomyard_router/routed_settings.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_settings.py
@@ -27,7 +27,7 @@
     the open connections of callers; beyond it those that rest are closed. While what is ready waits
     for longer than ``most_lag``, what comes is refused: an objective is a few hundred milliseconds.
     ``event_seconds`` is how long an event of a stream may take from its target to its caller, 0
-    where users do not say.
+    where users do not say. ``body_bytes`` bounds the request bodies that are held at once.
     """
 
     name: str
@@ -46,3 +46,4 @@
     most_connections: int = 2000
     most_lag: float = 0.08
     event_seconds: float = 0.0
+    body_bytes: int = 64 << 20
--- a/packages/loomyard/src/loomyard/errors.py
+++ b/packages/loomyard/src/loomyard/errors.py
@@ -50,6 +50,7 @@
     RETRY_BUDGET_SPENT = 2005, "the budget for retries is spent"
     NOT_READY = 2006, "the router has no configuration yet"
     ROUTER_OVERLOADED = 2007, "the router is behind with its work"
+    BODIES_HELD = 2009, "the router holds as many bytes of request bodies as its memory bears"
     ENDS_TARGETS = 2008, "targets ended when they ran this request; it is not sent for a while"
 
     NO_TARGET = 3001, "the route selects no target that may get work"
--- /dev/null
+++ b/tests/test_loomyard_router/test_place_metrics.py
@@ -0,0 +1,44 @@
+"""What metrics tell of places, of targets' paces and of bodies."""
+
+from __future__ import annotations
+
+import unittest
+
+from loomyard.clock import SystemClock
+from loomyard_router.admission.place_figures import PlaceFigures
+from loomyard_router.admission.reading_pace import ReadingPace
+from loomyard_router.announced.target_life import TargetLife
+from loomyard_router.metrics.exposition import MetersCollector, expose
+from loomyard_router.metrics.meters import Meters
+from loomyard_router.peers.traffic import TrafficCounters
+from loomyard_router.routed.body_figures import BodyFigures
+
+
+class PlaceMetricsTest(unittest.TestCase):
+    def test_places_and_bodies_are_told(self) -> None:
+        collector = MetersCollector(
+            Meters(SystemClock()),
+            TrafficCounters(),
+            lambda: 0,
+            places=PlaceFigures(
+                paces=lambda: {TargetLife("e0"): ReadingPace(0.5, 40_000.0)},
+                objections=lambda: {"reading": 7},
+                silent=lambda: 2,
+            ),
+            bodies=BodyFigures(lent=lambda: 11, peak=lambda: 12, refused=lambda: 13),
+        )
+        lines = expose(collector).decode().splitlines()
+        for line in (
+            'loomyard_target_delay_seconds{target="e0"} 0.5',
+            'loomyard_target_tokens_per_second{target="e0"} 40000.0',
+            'loomyard_places_refused_total{objection="reading"} 7.0',
+            "loomyard_keepers_silent 2.0",
+            "loomyard_body_bytes_held 11.0",
+            "loomyard_body_bytes_held_most 12.0",
+            "loomyard_bodies_refused_total 13.0",
+        ):
+            self.assertIn(line, lines)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_loomyard_router/test_routed/routed_case.py
+++ b/tests/test_loomyard_router/test_routed/routed_case.py
@@ -87,6 +87,7 @@
 
     grace = 8.0
     most_connections = 100
+    body_bytes = 64 << 20
 
     def setUp(self) -> None:
         self.objects: list[object] = []
@@ -102,6 +103,7 @@
                 grace=self.grace,
                 feed_pace=0.0,
                 most_connections=self.most_connections,
+                body_bytes=self.body_bytes,
                 # No verdict may hang on how busy the machine is.
                 most_lag=math.inf,
                 retries=RetryTerms(ratio=0.2, window=10.0, slack=20.0),
--- /dev/null
+++ b/tests/test_loomyard_router/test_routed/test_body_budget.py
@@ -0,0 +1,124 @@
+"""How many bytes of request bodies a router holds, and who finds room.
+
+Load: 60 callers of one account send bodies of 4 MiB at once to the smallest VM, of 160 MB, while
+another account sends small requests. Without a bound the router grew by 309 MB, and is killed.
+"""
+
+from __future__ import annotations
+
+import random
+import unittest
+from typing import TYPE_CHECKING
+
+import gevent
+
+from loomyard.errors import ResultCode
+from loomyard_router.platform.settings_file import BODIES_PART
+from loomyard_router.routed.body_budget import ACCOUNT_PART, SMALL_BYTES, SMALL_PART, BodyBudget
+from loomyard_router.routes.account_terms import AccountTerms
+from loomyard_router.routes.caller_limits import CallerLimits
+from test_loomyard_router.test_routed.routed_case import RoutedCase, request_bytes, route
+from test_loomyard_router.test_routed.scripted_target import Received, answer
+
+if TYPE_CHECKING:
+    import socket
+
+MEGABYTE = 1 << 20
+LARGE = 4 * MEGABYTE
+SMALLEST_VM = 160 * MEGABYTE
+MOST = int(BODIES_PART * SMALLEST_VM)
+
+
+def answer_late(request: Received, sock: socket.socket) -> None:
+    gevent.sleep(0.3)
+    sock.sendall(answer(request))
+
+
+class BodyBudgetTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.budget = BodyBudget(MOST, random.Random(3))
+
+    def hold(self, account: str, size: int) -> bool:
+        return self.budget.open(account).grow_to(size).is_ok()
+
+    def test_large_bodies_leave_a_part_to_small_ones(self) -> None:
+        held = sum(self.hold(f"a{n}", LARGE) for n in range(60))
+        self.assertLessEqual(held * LARGE, MOST * (1.0 - SMALL_PART))
+        small = sum(self.hold("b", SMALL_BYTES) for _ in range(60))
+        self.assertEqual(60, small)
+
+    def test_no_account_takes_all_of_the_room_of_large_ones(self) -> None:
+        held = sum(self.hold("a", LARGE) for _ in range(60))
+        self.assertGreater(held, 0)
+        self.assertLessEqual(held * LARGE, ACCOUNT_PART * MOST * (1.0 - SMALL_PART))
+        self.assertTrue(self.hold("b", LARGE))
+
+    def test_one_body_of_an_account_may_take_more_than_its_part(self) -> None:
+        budget = BodyBudget(6 * MEGABYTE, random.Random(3))
+        self.assertTrue(budget.open("a").grow_to(LARGE).is_ok())
+
+    def test_a_body_without_a_length_grows_until_it_finds_no_room(self) -> None:
+        lease = self.budget.open("a")
+        sizes = iter(range(SMALL_BYTES, 2 * MOST, SMALL_BYTES))
+        refused = next(size for size in sizes if lease.grow_to(size).is_err())
+        self.assertLessEqual(refused - SMALL_BYTES, MOST * (1.0 - SMALL_PART))
+        lease.end()
+        lease.end()
+        self.assertEqual(0, self.budget.lent)
+        self.assertTrue(self.hold("a", LARGE))
+
+    def test_a_refusal_says_when_to_come_back_and_what_is_held(self) -> None:
+        while self.hold("a", LARGE):
+            pass
+        fault = self.budget.open("a").grow_to(LARGE).unwrap_err()
+        self.assertIs(ResultCode.BODIES_HELD, fault.code)
+        self.assertGreater(fault.retry_after or 0.0, 0.0)
+        self.assertIn(str(LARGE), fault.detail)
+
+
+class UploadsTest(RoutedCase):
+    """The same over sockets."""
+
+    body_bytes = MOST
+
+    def setUp(self) -> None:
+        super().setUp()
+        target = self.target("t-1", answer_late)
+        self.announce(target.announced(slots=100))
+        accounts = [
+            AccountTerms(name="north", keys=("key-n",)),
+            AccountTerms(name="south", keys=("key-s",)),
+        ]
+        limits = CallerLimits(body_bytes=LARGE)
+        self.publish(route(objective=10.0), accounts=accounts, limits=limits)
+
+    def upload(self, number: int) -> int:
+        return self.call(body=b"x" * LARGE, Loomyard_Attempt_Id=f"large-{number}").status
+
+    def test_uploads_that_find_no_room_are_refused_and_small_requests_served(self) -> None:
+        uploads = [gevent.spawn(self.upload, number) for number in range(20)]
+        small = [
+            gevent.spawn(self.call, Loomyard_Attempt_Id=f"s-{n}", Authorization="Bearer key-s")
+            for n in range(4)
+        ]
+        gevent.joinall(uploads + small)
+        statuses = [one.get() for one in uploads]
+        self.assertEqual({200, 503}, set(statuses))
+        self.assertEqual([200] * 4, [one.get().status for one in small])
+        self.assertLessEqual(self.router.bodies.peak, MOST)
+        self.assertEqual(statuses.count(503), self.router.bodies.refused)
+
+    def test_what_was_held_is_given_back(self) -> None:
+        self.upload(1)
+        self.until(lambda: self.router.bodies.lent == 0)
+
+    def test_a_caller_that_leaves_while_it_sends_gives_it_back(self) -> None:
+        sock = self.connect()
+        sock.sendall(request_bytes("/p/x", body=b"x" * LARGE)[:MEGABYTE])
+        self.until(lambda: self.router.bodies.lent == LARGE)
+        sock.close()
+        self.until(lambda: self.router.bodies.lent == 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
