--- a/packages/loomyard-router/src/loomyard_router/admission/keeper_watch.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/keeper_watch.py
@@ -48,9 +48,9 @@
     """Leave silent keepers alone until they answer a probe, or membership takes them for dead.
 
     Membership takes some seconds to judge a router of a large fleet. Meanwhile the next one in the
-    rank of a target stands in for its keeper, as it will once the keeper is taken for dead. Nobody
-    stands in for the keepers that a router misses which hears nobody else either: it would count
-    its own requests alone.
+    rank of a target is the standby of its keeper, as it will keep the target once the keeper is
+    taken for dead. A router that hears nobody else either uses no standby: that would count the
+    requests of this router alone.
     """
 
     def __init__(self, *, clock: Clock, members: Membership, peers: PeerLinks) -> None:
--- a/packages/loomyard-router/src/loomyard_router/admission/place_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_client.py
@@ -134,7 +134,7 @@
     ) -> AskOutcome:
         """Ask for a place, waiting for up to some seconds.
 
-        Where the keeper does not answer, whoever stands in for it is asked, without waiting.
+        Where the keeper does not answer, its standby is asked, without waiting.
         By ``first_event_by`` the answer has to begin. ``level`` is what the account got in the
         fleet, ``used`` that in parts of its share, ``cold_rate`` the requests a second that a
         cold target bears, 0 for a warm one.
