--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -14,6 +14,7 @@
 from loomyard_router.callers.problems import status_line
 from loomyard_router.metrics.phase import Phase
 from loomyard_router.requests.presence import CallerPresence
+from loomyard_router.routed.body_reading import read_body
 from loomyard_router.routed.reported_body import ReportedBody
 from loomyard_router.routed.routed_request import PUBLIC_ACCOUNT, RoutedRequest
 
@@ -23,7 +24,7 @@
     from loomyard.clock import Clock
     from loomyard_router.metrics.meters import Meters
     from loomyard_router.requests.answer import Answer
-    from loomyard_router.routed.body_budget import BodyBudget, BodyLease
+    from loomyard_router.routed.body_budget import BodyBudget
     from loomyard_router.routed.dialects import CallerDialect
     from loomyard_router.routed.forwarder import Forwarder
     from loomyard_router.routed.request_head import RequestHead
@@ -43,7 +44,6 @@
     code=ResultCode.ROUTER_OVERLOADED, detail="this router is behind with its work", retry_after=0.6
 )
 STOPPING = Fault(code=ResultCode.STOPPING, detail="this router is being stopped", retry_after=0.05)
-READ_BYTES = 65536
 
 
 class RoutedApp:
@@ -118,7 +118,7 @@
         terms = account.unwrap()
         lease = self._bodies.open(PUBLIC_ACCOUNT if terms is None else terms.name)
         try:
-            body = _read_body(environ, table.limits.body_bytes, lease)
+            body = read_body(environ, table.limits.body_bytes, lease)
         except BaseException:
             lease.end()
             raise
@@ -278,30 +278,3 @@
     host = environ.get("HTTP_HOST", "").lower()
     name, colon, port = host.rpartition(":")
     return name if colon and port.isdigit() else host
-
-
-def _read_body(environ: Environ, most: int, lease: BodyLease) -> Result[bytes, Fault]:
-    too_large = Fault(code=ResultCode.BODY_TOO_LARGE, detail=f"the body is over {most} bytes")
-    length = environ.get("CONTENT_LENGTH")
-    if length and int(length) > most:
-        return Err(too_large)
-    lent = lease.grow_to(int(length or 0))
-    if lent.is_err():
-        return Err(lent.unwrap_err())
-    blocks: list[bytes] = []
-    size = 0
-    try:
-        while block := environ["wsgi.input"].read(READ_BYTES):
-            blocks.append(block)
-            size += len(block)
-            if size > most:
-                return Err(too_large)
-            lent = lease.grow_to(size)
-            if lent.is_err():
-                return Err(lent.unwrap_err())
-    except (OSError, ValueError) as error:
-        detail = f"the body did not come whole: {error}"
-        return Err(Fault(code=ResultCode.MALFORMED_REQUEST, detail=detail))
-    if length and size < int(length):
-        return Err(Fault(code=ResultCode.MALFORMED_REQUEST, detail="the body did not come whole"))
-    return Ok(b"".join(blocks))
