End a kept answer with an error whatever ends the task that reads it

Cause, found by reading: an error other than a broken answer would have left the caller waiting for a block that never comes. Tests of unread answers pass; nothing else changes.

--- a/packages/loomyard-router/src/loomyard_router/routed/unread_answers.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/unread_answers.py
@@ -126,18 +126,21 @@
 
     def _read_all(self) -> None:
         size = 0
+        outcome: AnswerBrokenError | None = AnswerBrokenError("the answer was not read to its end")
         detail = ""
         try:
             for block in self._source:
                 size += len(block)
                 if not self._find_room(size):
                     detail = self._give_up(size)
+                    outcome = AnswerBrokenError(detail)
                     return
                 self._kept.put(block)
-            self._kept.put(None)
+            outcome = None
         except AnswerBrokenError as error:
-            self._kept.put(error)
+            outcome = error
         finally:
+            self._kept.put(outcome)
             self._source.close()
             self._ended(detail)
 
@@ -154,5 +157,4 @@
         self._unread.given_up += 1
         detail = f"the caller does not read, and {size} bytes of the answer find no room here"
         emit(logger, Event.ANSWER_GIVEN_UP, request=self._request_id, detail=detail)
-        self._kept.put(AnswerBrokenError(detail))
         return detail
