Ask whether one keeper is silent without making a set; remove what nothing reads

Cause, found by reading the change again: each ask for a place built a set of all silent keepers to look one up, and FirstEventModel.confidence was called by nothing. Behaviour as before.

--- a/packages/loomyard-router/src/loomyard_router/admission/first_event_model.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/first_event_model.py
@@ -62,10 +62,6 @@
         """Return the time beyond which a first event is taken for an outlier."""
         return OUTLIER_RATIO * self.pace(now).seconds(tokens) + OUTLIER_SLACK
 
-    def confidence(self, now: float) -> float:
-        """Return how many first events the estimate rests on; older ones count for less."""
-        return self._weight * self._kept(now)
-
     def pace(self, now: float) -> ReadingPace:
         """Return the estimate."""
         if self._pace is None or now - self._pace_at > FRESH_SECONDS:
--- a/packages/loomyard-router/src/loomyard_router/admission/keeper_watch.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/keeper_watch.py
@@ -68,6 +68,10 @@
         """Return the routers that do not answer."""
         return frozenset(self._probes)
 
+    def is_silent(self, keeper: str) -> bool:
+        """Tell whether a router does not answer."""
+        return keeper in self._probes
+
     def subscribe(self, changed: Callable[[], None]) -> None:
         """Call back after each change of who is silent; the call must not wait."""
         self._listeners.append(changed)
--- a/packages/loomyard-router/src/loomyard_router/admission/place_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/place_client.py
@@ -119,7 +119,7 @@
 
     def is_silent(self, target: AnnouncedTarget) -> bool:
         """Tell whether no keeper of a target can be asked."""
-        return self.keeper_of(target.life) in self._watch.silent
+        return self._watch.is_silent(self.keeper_of(target.life))
 
     def ask(
         self,
@@ -219,7 +219,7 @@
         """Ask the keeper of a target; ``None`` where it does not answer."""
         keeper = self.keeper_of(message.target)
         own = self._members.own
-        if keeper in self._watch.silent:
+        if self._watch.is_silent(keeper):
             return None
         if message.apart and not self._is_rightful(message.target):
             # Others may still reach the keeper, and only one can tell what begins beside what.
