State in logs and metrics that no slot owner replied

Of those refusals the line 405 had an empty `objection`, and the counter of refusals left them out, so that full engines, a full account and owners that do not reply in time looked alike. Change: `no_reply` in the line and as a label of loomyard_places_refused; logic as before. Test: test_a_refusal_without_a_reply_states_so; there is no name to assert before.

--- a/packages/loomyard-router/src/loomyard_router/admission/slot_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/slot_client.py
@@ -38,6 +38,8 @@
 ISOLATION_THRESHOLD = 2
 # Releases and first tokens to the same slot owner are batched for this time.
 BATCH_SECONDS = 0.002
+# Stated in place of a refusal reason where no slot owner replied.
+NO_REPLY = "no_reply"
 
 
 class SlotStatus(Enum):
@@ -52,7 +54,7 @@
 class SlotOutcome:
     """Result of a request for a slot; ``permit`` is its number where it was granted, else 0.
 
-    ``refusal_reason`` is that of the slot owner; ``ttft`` is the time to first token in seconds,
+    ``refusal_reason`` is that of the slot owner, or ``NO_REPLY``; ``ttft`` is the time to first token in seconds,
     as predicted with the grant.
     """
 
@@ -160,7 +162,8 @@
             evolve(message, wait_ms=0), 0.0
         )
         if reply is None:
-            return SlotOutcome(status=SlotStatus.UNREACHABLE)
+            self.refusals[NO_REPLY] += 1
+            return SlotOutcome(status=SlotStatus.UNREACHABLE, refusal_reason=NO_REPLY)
         self._slots_in_use[target.incarnation] = reply.slots_in_use
         if reply.estimate is not None:
             self._estimates.record(target.incarnation, reply.estimate)
--- a/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
@@ -200,7 +200,9 @@
             delay.add_metric((incarnation,), estimate.delay)
             prefill_speed.add_metric((incarnation,), estimate.tokens_per_second)
         refusals = CounterMetricFamily(
-            "loomyard_places_refused", "slots refused by their owners", labels=("objection",)
+            "loomyard_places_refused",
+            "requests for a slot that were refused, or got no reply, by reason",
+            labels=("objection",),
         )
         for reason, count in self._slots.refusals().items():
             refusals.add_metric((reason,), count)
--- a/packages/loomyard-router/src/loomyard_router/routed/request_trace.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/request_trace.py
@@ -17,8 +17,9 @@
     ``slots_in_use`` is the count at the target that the slot owner reported. ``target_rank`` is the
     rank of the target among those for the prompt, 0 for the preferred one. ``share_used`` is the
     recent usage of the account in the fleet divided by its share, ``None`` where no share is known.
-    ``refusal_reason`` is that of the last slot owner that refused, ``expected_ttft`` the time to
-    first token in seconds predicted by the one that granted. ``broken`` is why an answer broke off.
+    ``refusal_reason`` is that of the last slot owner that refused, or ``no_reply`` where none
+    replied last; ``expected_ttft`` is the time to first token in seconds predicted by the one that
+    granted. ``broken`` is why an answer broke off.
     """
 
     target: str = ""
--- a/tests/test_loomyard_router/test_admission/test_unresponsive_owners.py
+++ b/tests/test_loomyard_router/test_admission/test_unresponsive_owners.py
@@ -12,6 +12,7 @@
 import gevent
 
 from loomyard_router.admission.owner_health import PROBE_SECONDS
+from loomyard_router.admission.slot_client import NO_REPLY
 from loomyard_router.admission.target_loads import MIN_SLOTS
 from test_loomyard_router.test_admission.slots_case import SLOTS, Fleet, Router
 
@@ -76,6 +77,17 @@
         self.fleet.network.cut({partitioned.members.own.name}, rest)
         self.assertEqual(MIN_SLOTS, sum(self.acquire(partitioned, n) for n in range(2 * SLOTS)))
 
+    def test_a_refusal_without_a_reply_states_so(self) -> None:
+        partitioned = self.others[0]
+        rest = {one.name for one in self.fleet.members} - {partitioned.members.own.name}
+        self.fleet.network.cut({partitioned.members.own.name}, rest)
+        for number in range(2 * SLOTS):
+            request = self.fleet.request(number=number, objective=0.01)
+            acquired = partitioned.gate.acquire(request, frozenset())
+            self.assertEqual(NO_REPLY, request.trace.refusal_reason)
+        self.assertTrue(acquired.is_err())
+        self.assertGreater(partitioned.client.refusals[NO_REPLY], 0)
+
 
 if __name__ == "__main__":
     unittest.main()
