Cap the accounts with the most usage while engines lack room for another one

Cause: neither waits, so a free slot goes to the request that comes just then, whatever its account got. The bound that was tried before capped all at 0.9 of the share of what engines serve, whatever kept the least served account back, so it idled engines, and what was served, and with it the cap, fell further. Change: routers report what engines lately had no room for (a second's sum; what a router refuses itself, or got no reply to, is left out). The root caps the others while an account is in that state and gets under 1/1.5 of the most, at the level that leaves it the room to get there and no lower. The cap ends with the refusals. Requests over it are refused by their first bytes, at all routers. Why 1.5: users compare six seconds; one second without a cap and five at 1.5 make two.

--- a/packages/loomyard-router/src/loomyard_router/admission/account_backlog.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/account_backlog.py
@@ -30,6 +30,11 @@
         """Tell whether an account has enough waiting requests that it may be full."""
         return bool(self._near_limit)
 
+    @property
+    def any_over_cap(self) -> bool:
+        """Tell whether an account may be over the usage cap."""
+        return self._ledger.has_usage_cap
+
     def is_full(self, account: str) -> bool:
         """Tell whether no more requests of an account may wait."""
         if self._ledger.exceeds_usage_cap(account):
--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -12,6 +12,7 @@
 from loomyard.rendezvous import rank_weighted
 from loomyard_router.admission.slot_client import ISOLATION_THRESHOLD, SlotStatus
 from loomyard_router.admission.slot_permit import SlotPermit
+from loomyard_router.admission.target_slots import RefusalReason
 from loomyard_router.admission.waiting_time import RetryHint, find_wait_deadline
 from loomyard_router.announced.target_incarnation import TargetLife
 
@@ -51,6 +52,10 @@
 WEIGHTS_CACHE_SECONDS = 0.25
 # A prompt counts as mostly unshared from this ratio of unshared to shared tokens on.
 UNSHARED_RATIO = 2.0
+# Refusal reasons that say that the engines lack room.
+NO_ROOM = frozenset(
+    reason.value for reason in (RefusalReason.SLOTS, RefusalReason.PREFILL, RefusalReason.RETRY)
+)
 
 
 @frozen
@@ -101,13 +106,18 @@
             self._ledger.record_demand(account, request.cost)
         request.trace.share_used = self._ledger.share_used(account)
         if self._backlog.is_full(account):
+            if not excluded:
+                self._ledger.exclude_unmet(account, request.cost)
             detail = "too many requests of the account wait for a slot at this router"
             return Err(self._hint.make_refusal(ResultCode.QUEUE_FULL, detail))
         self._backlog.add_waiting(account)
         try:
-            return self._find_slot(request, excluded)
+            acquired = self._find_slot(request, excluded)
         finally:
             self._backlog.remove_waiting(account)
+        if acquired.is_err() and not excluded and request.trace.refusal_reason not in NO_ROOM:
+            self._ledger.exclude_unmet(account, request.cost)
+        return acquired
 
     def _find_slot(
         self, request: RoutedRequest, excluded: frozenset[TargetLife]
--- a/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
@@ -12,7 +12,7 @@
 
 from loomyard_router.admission.account_usage import AccountUsage
 from loomyard_router.admission.fair_share import find_max_min_share
-from loomyard_router.admission.gap_bound import GapBound, NoGapBound
+from loomyard_router.admission.gap_bound import GapBound, RoomForLeastServed
 from loomyard_router.admission.share_messages import NO_SHARE, UsageReply, UsageReport
 from loomyard_router.admission.share_tree import find_parent
 
@@ -33,6 +33,10 @@
 REPLY_EXPIRY_SECONDS = 2.0
 # An account over its share is among those with the largest demand, so the others need no entry.
 MAX_ACCOUNTS = 64
+# Unmet demand counts for about this time, so that a cap ends soon after the lack of room does.
+UNMET_SECONDS = 1.0
+# An account is backlogged if engines have no room for this fraction of what they serve it.
+UNMET_RATIO = 0.25
 # A usage below this multiple of the share may be due to the delay of reports: 0.75 s of a burst in
 # a window of 4 s.
 FAR_OVER_RATIO = 1.2
@@ -67,7 +71,7 @@
         bound: GapBound | None = None,
     ) -> None:
         self._clock = clock
-        self._bound = bound or NoGapBound()
+        self._bound = bound or RoomForLeastServed()
         self._members = members
         self._peers = peers
         self._window = window
@@ -77,6 +81,7 @@
         self._usage = AccountUsage(clock, window)
         # Usage since the last report, which the last reply does not include.
         self._unreported = AccountUsage(clock, window)
+        self._unmet = AccountUsage(clock, UNMET_SECONDS)
         self._reports: dict[str, _ReceivedReport] = {}
         self._reply = UsageReply()
         self._reply_at = -math.inf
@@ -98,22 +103,29 @@
     def record_demand(self, account: str, cost: float) -> None:
         """Count work that an account asks for, granted or not; in tokens."""
         self._demand.add(account, cost)
+        self._unmet.add(account, cost)
 
     def record_usage(self, account: str, cost: float) -> None:
         """Count work that an account is granted, in tokens."""
         self._usage.add(account, cost)
+        self._unmet.add(account, -cost)
         self._unreported.add(account, cost)
 
+    def exclude_unmet(self, account: str, cost: float) -> None:
+        """Leave out demand that engines did not refuse from what they lack room for, in tokens."""
+        self._unmet.add(account, -cost)
+
     def refund(self, account: str, cost: float) -> None:
         """Take back the usage of a request that did not run, in tokens."""
         self._usage.add(account, -cost)
+        self._unmet.add(account, cost)
         self._unreported.add(account, -cost)
 
     def usage(self, account: str) -> float:
         """Return the recent usage of an account in the whole fleet, in tokens."""
         if self._is_stale:
             return self._usage.tokens(account)
-        replied = self._reply.usage.get(account, 0) * self._decay(self._reply_at)
+        replied = self._reply.usage.get(account, 0) * self._decay(self._reply_at, self._window)
         return max(self._usage.tokens(account), replied + self._unreported.tokens(account))
 
     def share_used(self, account: str) -> float | None:
@@ -138,23 +150,28 @@
             return False
         return self.usage(account) > FAR_OVER_RATIO * self._reply.served_share
 
+    @property
+    def has_usage_cap(self) -> bool:
+        """Tell whether a cap is in force."""
+        return not self._is_stale and self._reply.usage_cap != NO_SHARE
+
     def exceeds_usage_cap(self, account: str) -> bool:
         """Tell whether an account is over the cap set for a backlogged one with less usage."""
-        if self._is_stale or self._reply.usage_cap == NO_SHARE:
-            return False
-        return self.usage(account) > self._reply.usage_cap
+        return self.has_usage_cap and self.usage(account) > self._reply.usage_cap
 
     def handle_report(self, member: Member, report: UsageReport) -> UsageReply:
         """Store the sums of another router and reply with what is known here."""
         self._reports[member.name] = _ReceivedReport(report, self._clock.now())
         if self._is_stale:
             return UsageReply()
-        decay = self._decay(self._reply_at)
-        share = math.inf if self._reply.share == NO_SHARE else self._reply.share
+        decay = self._decay(self._reply_at, self._window)
+        limits = [self._reply.share, self._reply.usage_cap]
+        limit = min((one for one in limits if one != NO_SHARE), default=math.inf)
         known = {name: round(cost * decay) for name, cost in self._reply.usage.items()}
-        # All routers get the accounts over their shares: their next request may come to any router.
+        # All routers get the accounts over their shares or the cap: their next request may come to
+        # any router.
         usage = {
-            name: cost for name, cost in known.items() if name in report.demand or cost > share
+            name: cost for name, cost in known.items() if name in report.demand or cost > limit
         }
         return UsageReply(
             share=self._reply.share,
@@ -183,11 +200,12 @@
     def _is_stale(self) -> bool:
         return self._clock.now() - self._reply_at > REPLY_EXPIRY_SECONDS
 
-    def _decay(self, since: float) -> float:
-        return math.exp(-max(0.0, self._clock.now() - since) / self._window)
+    def _decay(self, since: float, window: float) -> float:
+        return math.exp(-max(0.0, self._clock.now() - since) / window)
 
     def _aggregate(self) -> UsageReport:
         demand, usage = Counter(self._demand.all_tokens()), Counter(self._usage.all_tokens())
+        unmet = Counter(self._unmet.all_tokens())
         oldest = self._clock.now() - REPORT_EXPIRY_SECONDS
         live = {member.name for member in self._members.live()}
         aggregated = False
@@ -198,11 +216,12 @@
                 # Below the root only reports without those of others count: while the routers'
                 # views of the members differ, two of them may report to each other.
                 aggregated = True
-                decay = self._decay(received.at)
-                for sums, reported in (
-                    (demand, received.report.demand),
-                    (usage, received.report.usage),
+                for sums, reported, window in (
+                    (demand, received.report.demand, self._window),
+                    (usage, received.report.usage, self._window),
+                    (unmet, received.report.unmet, UNMET_SECONDS),
                 ):
+                    decay = self._decay(received.at, window)
                     sums.update({account: cost * decay for account, cost in reported.items()})
         limit = len(demand) if self._parent is None else MAX_ACCOUNTS
         named = [account for account, _ in demand.most_common(limit)]
@@ -210,6 +229,7 @@
             demand={account: round(demand[account]) for account in named},
             usage={account: round(usage[account]) for account in named if account in usage},
             aggregated=aggregated,
+            unmet={account: round(unmet[account]) for account in named if unmet[account] >= 1},
         )
 
     def _compute_shares(self, report: UsageReport) -> UsageReply:
@@ -221,10 +241,20 @@
         return UsageReply(
             share=round(find_max_min_share(report.demand, capacity)),
             served_share=round(served_share),
-            usage_cap=self._bound.find_cap(report.demand, report.usage, served_share),
+            usage_cap=self._bound.find_cap(
+                report.demand, report.usage, served_share, self._find_backlogged(report)
+            ),
             usage=report.usage,
         )
 
+    def _find_backlogged(self, report: UsageReport) -> list[str]:
+        ratio = UNMET_RATIO * UNMET_SECONDS / self._window
+        return [
+            account
+            for account, tokens in report.unmet.items()
+            if tokens > ratio * report.usage.get(account, 0)
+        ]
+
     def _send_report(self, parent: str, report: UsageReport) -> UsageReply | None:
         match self._peers.request(parent, report, self._clock.now() + REPLY_SECONDS):
             case Ok(UsageReply() as reply):
--- a/packages/loomyard-router/src/loomyard_router/admission/slot_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/slot_client.py
@@ -54,8 +54,8 @@
 class SlotOutcome:
     """Result of a request for a slot; ``permit`` is its number where it was granted, else 0.
 
-    ``refusal_reason`` is that of the slot owner, or ``NO_REPLY``; ``ttft`` is the time to first token in seconds,
-    as predicted with the grant.
+    ``refusal_reason`` is that of the slot owner, or ``NO_REPLY``; ``ttft`` is the time to first
+    token in seconds, as predicted with the grant.
     """
 
     status: SlotStatus
--- a/packages/loomyard-router/src/loomyard_router/routed/early_refusal.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/early_refusal.py
@@ -71,7 +71,8 @@
     @property
     def enabled(self) -> bool:
         """Tell whether any request could be refused early now."""
-        return self._backlog.any_near_limit or self._overloaded()
+        backlog = self._backlog
+        return backlog.any_near_limit or backlog.any_over_cap or self._overloaded()
 
     def check(self, first: bytes) -> RefusedEarly | None:
         """Return the refusal of the request that begins with ``first``, ``None`` to decode it."""
--- a/tests/test_loomyard_router/test_admission/test_gap_bound.py
+++ b/tests/test_loomyard_router/test_admission/test_gap_bound.py
@@ -10,9 +10,14 @@
 
 import unittest
 
-from loomyard_router.admission.gap_bound import MAX_RATIO, LeastServedBound
+from loomyard_router.admission.gap_bound import (
+    MAX_RATIO,
+    TARGET_RATIO,
+    LeastServedBound,
+    RoomForLeastServed,
+)
 from loomyard_router.admission.share_messages import NO_SHARE
-from test_loomyard_router.test_admission.test_share_ledger import LedgerCase
+from test_loomyard_router.test_admission.test_share_ledger import WINDOW, LedgerCase
 
 # The users' bound on the ratio of the usage of two backlogged accounts.
 BOUND = 2.0
@@ -58,6 +63,73 @@
         self.assertLessEqual(max(usage.values()), BOUND * min(usage.values()), usage)
 
 
+class GapBoundInSmallFleetTest(GapBoundTest):
+    routers = SPREAD
+
+
+class GapBoundInLargeFleetTest(GapBoundTest):
+    routers = 63
+
+
+class LiftedCapTest(LedgerCase):
+    """A cap must not idle engines that have room for the less served account."""
+
+    routers = 20
+
+    def use_unequally(self) -> None:
+        for router in range(self.routers):
+            self.use(router, "spread", 500.0)
+            self.ledgers[router].record_demand("spread", 500.0)
+        self.use(0, "alone", 500.0)
+
+    def capped(self) -> set[bool]:
+        return {ledger.exceeds_usage_cap("spread") for ledger in self.ledgers}
+
+    def test_all_routers_cap_an_account_while_engines_lack_room_for_another(self) -> None:
+        self.use_unequally()
+        self.ledgers[0].record_demand("alone", 2000.0)
+        self.report()
+        self.assertEqual({True}, self.capped())
+        self.assertFalse(self.ledgers[0].exceeds_usage_cap("alone"))
+
+    def test_demand_that_engines_did_not_refuse_sets_no_cap(self) -> None:
+        self.use_unequally()
+        self.ledgers[0].record_demand("alone", 2000.0)
+        self.ledgers[0].exclude_unmet("alone", 2000.0)
+        self.report()
+        self.assertEqual({False}, self.capped())
+
+    def test_the_cap_ends_within_a_share_window_after_the_last_refusal(self) -> None:
+        self.use_unequally()
+        self.ledgers[0].record_demand("alone", 2000.0)
+        self.report()
+        for _ in range(16):
+            self.clock.advance(WINDOW / 16)
+            self.use(0, "alone", 100.0)
+            self.report(rounds=1)
+        self.assertEqual({False}, self.capped())
+
+
+class RoomForLeastServedTest(unittest.TestCase):
+    def find(self, usage: dict[str, float], served_share: float, backlogged: set[str]) -> int:
+        demand = dict.fromkeys(usage, 10_000.0)
+        return RoomForLeastServed().find_cap(demand, usage, served_share, backlogged)
+
+    def test_the_cap_leaves_the_least_served_account_the_other_end_of_the_ratio(self) -> None:
+        usage = {"a": 900.0, "b": 900.0, "c": 300.0}
+        cap = self.find(usage, 700.0, {"c"})
+        self.assertAlmostEqual(cap / TARGET_RATIO, 2100 - 2 * cap, delta=2)
+
+    def test_the_cap_is_never_below_the_share(self) -> None:
+        self.assertGreaterEqual(self.find({"a": 1000.0, "b": 0.0}, 500.0, {"b"}), 500)
+
+    def test_accounts_that_engines_have_room_for_set_no_cap(self) -> None:
+        self.assertEqual(NO_SHARE, self.find({"a": 900.0, "b": 100.0}, 500.0, set()))
+
+    def test_accounts_within_the_ratio_set_no_cap(self) -> None:
+        self.assertEqual(NO_SHARE, self.find({"a": 500.0, "b": 400.0}, 450.0, {"b"}))
+
+
 class LeastServedBoundTest(unittest.TestCase):
     def find(self, demand: dict[str, float], usage: dict[str, float], served_share: float) -> int:
         return LeastServedBound().find_cap(demand, usage, served_share)
