Let the stand-in of a plain service answer bodies of any bytes

Seen: test_fuzz's test_requests fails with other draws than those of make test, since the stand-in broke the connection on a body that is no UTF-8 (b"\x80"); no caller of the product is concerned. Cause: generate_plain decoded the body strictly.

--- a/packages/loomyard-standins/src/loomyard_standins/faults/generated.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/generated.py
@@ -23,8 +23,8 @@
 
 
 def generate_plain(call: TargetCall) -> GeneratedAnswer:
-    """Return the answer of a plain service to a call."""
-    marker = call.body.decode()
+    """Return the answer of a plain service to a call, whatever the bytes of its body."""
+    marker = call.body.decode(errors="backslashreplace")
     return GeneratedAnswer(marker, 0, [plain_body(marker).encode()])
 
 
