Let the stand-in of an engine answer requests without a usable prompt

Seen: test_fuzz's test_requests fails with other draws ({"model":"assistant"}): the stand-in broke the connection. No caller of the product is concerned: the router checks the model's name and leaves the rest to the engine. Cause: generate took the prompt and the number of tokens as given. Test: GenerateTest, failed before with KeyError 'prompt'.

--- a/packages/loomyard-standins/src/loomyard_standins/faults/generated.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/generated.py
@@ -11,6 +11,7 @@
     from loomyard.external.engine import TargetCall
 
 DEFAULT_TOKENS = 6
+MAX_TOKENS = 4096
 
 
 @frozen
@@ -31,7 +32,7 @@
 def generate(call: TargetCall) -> GeneratedAnswer:
     """Return the answer of a model engine to a call, streamed if the call asks for it."""
     body = json.loads(call.body)
-    marker, tokens = body["prompt"], int(body.get("max_tokens", DEFAULT_TOKENS))
+    marker, tokens = _read_marker(body.get("prompt")), _read_tokens(body.get("max_tokens"))
     if body.get("stream"):
         return GeneratedAnswer(marker, tokens, _stream_chunks(call.attempt_id, marker, tokens))
     return GeneratedAnswer(marker, tokens, [_whole_chunk(call.attempt_id, marker, tokens)])
@@ -47,6 +48,14 @@
     return json.dumps({"echo": marker})
 
 
+def _read_marker(prompt: Any) -> str:
+    return prompt if isinstance(prompt, str) else json.dumps(prompt)
+
+
+def _read_tokens(value: Any) -> int:
+    return value if type(value) is int and 0 <= value <= MAX_TOKENS else DEFAULT_TOKENS
+
+
 def _stream_chunks(attempt_id: str, marker: str, tokens: int) -> list[bytes]:
     data: list[Any] = [
         {"id": attempt_id, "choices": [{"index": 0, "text": f"{marker}.{number} "}]}
--- a/tests/test_loomyard_standins/test_generated.py
+++ b/tests/test_loomyard_standins/test_generated.py
@@ -6,7 +6,12 @@
 import unittest
 
 from loomyard.external.engine import TargetCall
-from loomyard_standins.faults.generated import generate_plain
+from loomyard_standins.faults.generated import (
+    DEFAULT_TOKENS,
+    expected_text,
+    generate,
+    generate_plain,
+)
 
 
 def call(body: bytes) -> TargetCall:
@@ -24,5 +29,15 @@
         self.assertEqual(len(bodies), len({generate_plain(call(body)).marker for body in bodies}))
 
 
+class GenerateTest(unittest.TestCase):
+    def test_a_request_without_a_usable_prompt_or_number_of_tokens_is_answered(self) -> None:
+        # The router checks the model's name alone, so fuzzed requests get here.
+        for document in ({}, {"prompt": 3}, {"prompt": "a", "max_tokens": "many"}):
+            generated = generate(call(json.dumps(document).encode()))
+            self.assertEqual(DEFAULT_TOKENS, generated.tokens)
+            text = json.loads(generated.chunks[0])["choices"][0]["text"]
+            self.assertEqual(expected_text(generated.marker, DEFAULT_TOKENS), text)
+
+
 if __name__ == "__main__":
     unittest.main()
