Refuse a Content-Length that is no number where the body is read

Callers are not known to have met it: the connection handler refuses such heads before (test_bad_input). Cause: read_body converted the length unchecked and relied on the handler; a length of over 4,300 digits is not converted at all. The same elsewhere: the operators' interface checks it; body_reading of routed requests relies on the handler as well, and was left.

--- a/packages/loomyard-router/src/loomyard_router/callers/fields.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/fields.py
@@ -23,6 +23,8 @@
 MAX_TIMEOUT = 24 * 3600.0
 MAX_COST_HINT = 1e9
 MAX_KEY_LENGTH = 255
+# Python refuses to convert much longer numbers.
+MAX_LENGTH_DIGITS = 18
 DEADLINE_HEADER = "HTTP_LOOMYARD_DEADLINE"
 COST_HEADER = "HTTP_LOOMYARD_COST_HINT"
 IDEMPOTENT_HEADER = "HTTP_LOOMYARD_IDEMPOTENT"
@@ -36,7 +38,10 @@
 
     Errors: ``BODY_TOO_LARGE``, ``MALFORMED_REQUEST``.
     """
-    if int(environ.get("CONTENT_LENGTH") or 0) > MAX_BODY:
+    length = environ.get("CONTENT_LENGTH") or "0"
+    if not (length.isascii() and length.isdigit()):
+        return Err(malformed("the content length is not a whole number"))
+    if len(length) > MAX_LENGTH_DIGITS or int(length) > MAX_BODY:
         return Err(_too_large())
     blocks: list[bytes] = []
     size = 0
