Let an account whose callers use one router wait there as others do at all routers

Cause: a router lets 48 requests of an account wait, whether its event loop lags or not. One router's 48 are few beside 140 engines, 63 routers' are not; what came beyond was refused by its first bytes and counted nowhere, so its demand seemed met, its share went to others, and no cap was set for it. Requests refused unread count as demand, at the mean cost of their account, and as work that engines lack room for unless lag or a cap refused them. Tests: test_an_account_that_uses_one_router_may_wait_there_while_it_does_not_lag and test_the_demand_of_requests_refused_unread_counts failed before.

--- a/packages/loomyard-router/src/loomyard_router/admission/account_backlog.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/account_backlog.py
@@ -8,6 +8,7 @@
 from loomyard_router.admission.backlog_limit import (
     MAX_WAITING,
     MAX_WAITING_LAGGING,
+    MAX_WAITING_LAGGING_WITHIN,
     AlwaysLowLimit,
     BacklogLimit,
 )
@@ -42,12 +43,23 @@
         if account not in self._near_limit:
             return False
         waiting = self._waiting[account]
-        if waiting >= MAX_WAITING:
+        if waiting >= (MAX_WAITING_LAGGING_WITHIN if self._limit.lagging else MAX_WAITING):
             return True
         # Requests of an account far over its share don't wait for a slot; those counted are being
         # answered by slot owners.
         return waiting >= self._limit.max_waiting and self._ledger.is_far_over_share(account)
 
+    def lacks_room(self, account: str) -> bool:
+        """Tell whether the backlog of a full account is due to engines that lack room for it.
+
+        Otherwise it is due to the lag of this router, or to a cap on the account.
+        """
+        return not (self._limit.lagging or self._ledger.exceeds_usage_cap(account))
+
+    def record_refused(self, account: str) -> None:
+        """Count the demand of a request that was refused unread."""
+        self._ledger.record_unread_demand(account, lacks_room=self.lacks_room(account))
+
     def add_waiting(self, account: str) -> None:
         """Count a request that begins to wait."""
         self._waiting[account] += 1
--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -106,7 +106,7 @@
             self._ledger.record_demand(account, request.cost)
         request.trace.share_used = self._ledger.share_used(account)
         if self._backlog.is_full(account):
-            if not excluded:
+            if not excluded and not self._backlog.lacks_room(account):
                 self._ledger.exclude_unmet(account, request.cost)
             detail = "too many requests of the account wait for a slot at this router"
             return Err(self._hint.make_refusal(ResultCode.QUEUE_FULL, detail))
--- a/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
@@ -37,6 +37,8 @@
 UNMET_SECONDS = 1.0
 # An account is backlogged if engines have no room for this fraction of what they serve it.
 UNMET_RATIO = 0.25
+# Weight of the latest request in the mean cost of an account.
+MEAN_COST_WEIGHT = 1 / 8
 # A usage below this multiple of the share may be due to the delay of reports: 0.75 s of a burst in
 # a window of 4 s.
 FAR_OVER_RATIO = 1.2
@@ -82,6 +84,7 @@
         # Usage since the last report, which the last reply does not include.
         self._unreported = AccountUsage(clock, window)
         self._unmet = AccountUsage(clock, UNMET_SECONDS)
+        self._mean_costs: dict[str, float] = {}
         self._reports: dict[str, _ReceivedReport] = {}
         self._reply = UsageReply()
         self._reply_at = -math.inf
@@ -104,6 +107,18 @@
         """Count work that an account asks for, granted or not; in tokens."""
         self._demand.add(account, cost)
         self._unmet.add(account, cost)
+        mean = self._mean_costs.get(account, cost)
+        self._mean_costs[account] = mean + MEAN_COST_WEIGHT * (cost - mean)
+
+    def record_unread_demand(self, account: str, *, lacks_room: bool) -> None:
+        """Count a request that was refused before its prompt was read, at the account's mean cost.
+
+        ``lacks_room`` tells that engines have too little room for the account.
+        """
+        cost = self._mean_costs.get(account, 0.0)
+        self._demand.add(account, cost)
+        if lacks_room:
+            self._unmet.add(account, cost)
 
     def record_usage(self, account: str, cost: float) -> None:
         """Count work that an account is granted, in tokens."""
@@ -206,6 +221,7 @@
     def _aggregate(self) -> UsageReport:
         demand, usage = Counter(self._demand.all_tokens()), Counter(self._usage.all_tokens())
         unmet = Counter(self._unmet.all_tokens())
+        self._mean_costs = {name: cost for name, cost in self._mean_costs.items() if name in demand}
         oldest = self._clock.now() - REPORT_EXPIRY_SECONDS
         live = {member.name for member in self._members.live()}
         aggregated = False
--- a/packages/loomyard-router/src/loomyard_router/routed/early_refusal.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/early_refusal.py
@@ -110,6 +110,7 @@
             fault = self._retry_hint.make_refusal(
                 ResultCode.QUEUE_FULL, "too many of the account's requests wait"
             )
+            self._backlog.record_refused(name)
         else:
             return None
         self._record(fault, name, preview.attempt_id)
--- a/tests/test_loomyard_router/test_admission/test_share_ledger.py
+++ b/tests/test_loomyard_router/test_admission/test_share_ledger.py
@@ -85,6 +85,24 @@
         self.assertEqual([True] * 3, [one.is_far_over_share("flood") for one in self.ledgers])
         self.assertEqual([False] * 3, [one.is_far_over_share("single") for one in self.ledgers])
 
+    def test_unread_demand_counts_at_the_mean_cost_of_the_account(self) -> None:
+        ledger = self.ledgers[0]
+        for _ in range(20):
+            ledger.record_demand("large", 50.0)
+            ledger.record_unread_demand("large", lacks_room=True)
+        ledger.record_unread_demand("unknown", lacks_room=True)
+        report = ledger._aggregate()
+        self.assertEqual({"large": 2000}, report.demand)
+        self.assertEqual({"large": 2000}, report.unmet)
+
+    def test_unread_demand_that_engines_have_room_for_is_not_unmet(self) -> None:
+        ledger = self.ledgers[0]
+        ledger.record_demand("large", 50.0)
+        ledger.record_usage("large", 50.0)
+        ledger.record_unread_demand("large", lacks_room=False)
+        report = ledger._aggregate()
+        self.assertEqual(({"large": 100}, {}), (report.demand, report.unmet))
+
     def test_usage_since_the_last_reply_counts(self) -> None:
         self.use(0, "large", 100.0)
         self.ledgers[0].record_demand("large", 900.0)
--- a/tests/test_loomyard_router/test_routed/test_early_refusal.py
+++ b/tests/test_loomyard_router/test_routed/test_early_refusal.py
@@ -30,6 +30,7 @@
     def __init__(self) -> None:
         self.over_share: set[str] = set()
         self.over_cap: set[str] = set()
+        self.unread_demand: list[tuple[str, bool]] = []
 
     def is_far_over_share(self, account: str) -> bool:
         return account in self.over_share
@@ -37,6 +38,9 @@
     def exceeds_usage_cap(self, account: str) -> bool:
         return account in self.over_cap
 
+    def record_unread_demand(self, account: str, *, lacks_room: bool) -> None:
+        self.unread_demand.append((account, lacks_room))
+
 
 class TestAccountBacklog(unittest.TestCase):
     def setUp(self) -> None:
@@ -68,6 +72,32 @@
         lag[0] = 2 * LAG_THRESHOLD_SECONDS
         self.assertTrue(backlog.is_full("north"))
 
+    def test_an_account_that_uses_one_router_may_wait_there_while_it_does_not_lag(self) -> None:
+        # 48 were let wait: engines with 140 times 12 slots had room, and the account got 1.6 of
+        # 3.7 million tokens beside 5.6 of an account whose callers use 63 routers.
+        lag = [0.0]
+        backlog = AccountBacklog(self.ledger, LagAwareLimit(lambda: lag[0]))  # type: ignore[arg-type]
+        for _ in range(3 * 48):
+            backlog.add_waiting("north")
+        self.assertFalse(backlog.is_full("north"))
+        lag[0] = 2 * LAG_THRESHOLD_SECONDS
+        self.assertTrue(backlog.is_full("north"))
+
+    def test_unread_demand_lacks_room_at_engines_unless_the_router_or_a_cap_refuses_it(
+        self,
+    ) -> None:
+        lag = [0.0]
+        backlog = AccountBacklog(self.ledger, LagAwareLimit(lambda: lag[0]))  # type: ignore[arg-type]
+        backlog.record_refused("north")
+        lag[0] = 2 * LAG_THRESHOLD_SECONDS
+        backlog.record_refused("north")
+        lag[0] = 0.0
+        self.ledger.over_cap.add("north")
+        backlog.record_refused("north")
+        self.assertEqual(
+            [("north", True), ("north", False), ("north", False)], self.ledger.unread_demand
+        )
+
     def test_an_account_over_the_usage_cap_is_at_its_limit_at_once(self) -> None:
         self.ledger.over_cap.add("north")
         self.assertTrue(self.backlog.is_full("north"))
@@ -118,6 +148,13 @@
         self.router.app._read_request = self.fail
         self.assert_refused(self.call(**PROMPT))
 
+    def test_the_demand_of_requests_refused_unread_counts(self) -> None:
+        ledger = self.router._admission.ledger
+        ledger.record_demand("north", 1000.0)
+        self.fill("north")
+        self.assert_refused(self.call(**PROMPT))
+        self.assertAlmostEqual(2000.0, ledger._demand.tokens("north"), delta=100.0)
+
     def test_requests_without_prompt_and_of_other_accounts_are_served(self) -> None:
         self.fill("somebody")
         self.assertEqual(200, self.call(**PROMPT).status)
