Keep the parent of the share tree, and who replaces it, in a class of its own

Behaviour as before; tests read the parent's name in its new place, test_share_ledger and test_gap_bound pass.

--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/admission/report_parent.py
@@ -0,0 +1,65 @@
+"""The router that this one reports usage to."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from loomyard.events import Event, emit
+from loomyard_router.admission.share_tree import find_parent
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard_router.members.membership import Membership
+
+logger = logging.getLogger(__name__)
+
+# A parent that misses this many replies in a row is replaced, before the last reply expires.
+MAX_MISSED_REPLIES = 2
+# Membership declares a dead router dead within this time; a live one is tried again.
+EXCLUSION_SECONDS = 4.0
+
+
+class ReportParent:
+    """Parent of this router in the share tree, without routers that do not reply.
+
+    Membership takes some seconds to declare a router dead. Without a parent until then the routers
+    below it would know no shares.
+    """
+
+    def __init__(self, clock: Clock, members: Membership) -> None:
+        self._clock = clock
+        self._members = members
+        self._missed_replies = 0
+        # Routers that did not reply, with the time until which they are left out.
+        self._excluded: dict[str, float] = {}
+        self.name: str | None = None
+        members.subscribe(self._update)
+        self._update()
+
+    def refresh(self) -> str | None:
+        """Return the name of the parent, ``None`` at the root."""
+        now = self._clock.now()
+        if any(until <= now for until in self._excluded.values()):
+            self._excluded = {name: until for name, until in self._excluded.items() if until > now}
+            self._update()
+        return self.name
+
+    def record_reply(self) -> None:
+        """Record that the parent replied."""
+        self._missed_replies = 0
+
+    def record_missed_reply(self) -> None:
+        """Record that the parent did not reply; after several times, replace it for a while."""
+        self._missed_replies += 1
+        if self.name is None or self._missed_replies < MAX_MISSED_REPLIES:
+            return
+        self._missed_replies = 0
+        silent = self.name
+        self._excluded[silent] = self._clock.now() + EXCLUSION_SECONDS
+        self._update()
+        emit(logger, Event.SHARE_PARENT_SILENT, parent=silent, instead=self.name)
+
+    def _update(self) -> None:
+        names = [one.name for one in self._members.live() if one.name not in self._excluded]
+        self.name = find_parent(self._members.own.name, names)
--- a/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import math
 from collections import Counter
 from typing import TYPE_CHECKING
@@ -11,12 +10,11 @@
 from attrs import frozen
 from result import Ok
 
-from loomyard.events import Event, emit
 from loomyard_router.admission.account_usage import AccountUsage
 from loomyard_router.admission.fair_share import find_max_min_share
 from loomyard_router.admission.gap_bound import GapBound, RoomForLeastServed
+from loomyard_router.admission.report_parent import ReportParent
 from loomyard_router.admission.share_messages import NO_SHARE, UsageReply, UsageReport
-from loomyard_router.admission.share_tree import find_parent
 
 if TYPE_CHECKING:
     import random
@@ -26,17 +24,11 @@
     from loomyard_router.members.membership import Member, Membership
     from loomyard_router.peers.links import PeerLinks
 
-logger = logging.getLogger(__name__)
-
 # A sixteenth of the share window of 4 s: a burst is known everywhere after two or three reports.
 REPORT_SECONDS = 0.25
 REPLY_SECONDS = 0.2
 # After four missed reports: that router is cut off, or reports to another one.
 REPORT_EXPIRY_SECONDS = 1.0
-# A parent that misses this many replies in a row is replaced, before the last reply expires.
-MAX_MISSED_REPLIES = 2
-# Membership declares a dead router dead within this time; a live one is tried again.
-PARENT_EXCLUSION_SECONDS = 4.0
 # An older reply says nothing of a burst that has begun since.
 REPLY_EXPIRY_SECONDS = 2.0
 # An account over its share is among those with the largest demand, so the others need no entry.
@@ -97,14 +89,9 @@
         self._reports: dict[str, _ReceivedReport] = {}
         self._reply = UsageReply()
         self._reply_at = -math.inf
-        self._parent: str | None = None
-        self._missed_replies = 0
-        # Parents that did not reply, with the time until which they are replaced.
-        self._excluded: dict[str, float] = {}
+        self._parent = ReportParent(clock, members)
         self._task: gevent.Greenlet | None = None
         peers.handle(UsageReport, self.handle_report)
-        members.subscribe(self._update_parent)
-        self._update_parent()
 
     def start(self) -> None:
         """Start to report periodically."""
@@ -209,14 +196,11 @@
 
     def step(self) -> None:
         """Report to the parent and store its reply; at the root compute the shares."""
-        if any(until <= self._clock.now() for until in self._excluded.values()):
-            self._update_parent()
+        parent = self._parent.refresh()
         report = self._aggregate()
         reported, self._unreported = self._unreported, AccountUsage(self._clock, self._window)
         reply = (
-            self._compute_shares(report)
-            if self._parent is None
-            else self._send_report(self._parent, report)
+            self._compute_shares(report) if parent is None else self._send_report(parent, report)
         )
         if reply is None:
             for account, cost in reported.all_tokens().items():
@@ -242,7 +226,7 @@
         for name, received in list(self._reports.items()):
             if received.at < oldest or name not in live:
                 del self._reports[name]
-            elif self._parent is None or not received.report.aggregated:
+            elif self._parent.name is None or not received.report.aggregated:
                 # Below the root only reports without those of others count: while the routers'
                 # views of the members differ, two of them may report to each other.
                 aggregated = True
@@ -253,7 +237,7 @@
                 ):
                     decay = self._decay(received.at, window)
                     sums.update({account: cost * decay for account, cost in reported.items()})
-        limit = len(demand) if self._parent is None else MAX_ACCOUNTS
+        limit = len(demand) if self._parent.name is None else MAX_ACCOUNTS
         named = [account for account, _ in demand.most_common(limit)]
         return UsageReport(
             demand={account: round(demand[account]) for account in named},
@@ -288,26 +272,11 @@
     def _send_report(self, parent: str, report: UsageReport) -> UsageReply | None:
         match self._peers.request(parent, report, self._clock.now() + REPLY_SECONDS):
             case Ok(UsageReply() as reply):
-                self._missed_replies = 0
+                self._parent.record_reply()
                 return reply
-        self._missed_replies += 1
-        if self._missed_replies >= MAX_MISSED_REPLIES:
-            self._exclude(parent)
+        self._parent.record_missed_reply()
         return None
 
-    def _exclude(self, parent: str) -> None:
-        """Report to another router instead of a parent that does not reply."""
-        self._missed_replies = 0
-        self._excluded[parent] = self._clock.now() + PARENT_EXCLUSION_SECONDS
-        self._update_parent()
-        emit(logger, Event.SHARE_PARENT_SILENT, parent=parent, instead=self._parent)
-
-    def _update_parent(self) -> None:
-        now = self._clock.now()
-        self._excluded = {name: until for name, until in self._excluded.items() if until > now}
-        names = [one.name for one in self._members.live() if one.name not in self._excluded]
-        self._parent = find_parent(self._members.own.name, names)
-
     def _run(self) -> None:
         while True:
             self._clock.sleep(REPORT_SECONDS * self._rng.uniform(0.8, 1.2))
--- a/tests/test_loomyard_router/test_admission/test_share_ledger.py
+++ b/tests/test_loomyard_router/test_admission/test_share_ledger.py
@@ -6,10 +6,9 @@
 import unittest
 from collections import Counter
 
+from loomyard_router.admission.report_parent import EXCLUSION_SECONDS, MAX_MISSED_REPLIES
 from loomyard_router.admission.share_ledger import (
     MAX_ACCOUNTS,
-    MAX_MISSED_REPLIES,
-    PARENT_EXCLUSION_SECONDS,
     REPLY_EXPIRY_SECONDS,
     REPORT_SECONDS,
     ShareLedger,
@@ -190,7 +189,7 @@
         names = {name: find_parent(name, ["r0", "r1", "r2"]) for name in ("r0", "r1", "r2")}
         root = next(name for name, parent in names.items() if parent is None)
         for ledger in self.ledgers:
-            ledger._parent = ledger._parent or next(n for n in names if n != root)
+            ledger._parent.name = ledger._parent.name or next(n for n in names if n != root)
         self.report(8)
         for ledger in self.ledgers:
             self.assertLessEqual(ledger.usage("large"), 203.0)
@@ -210,7 +209,7 @@
         self.assertIn(f"a{MAX_ACCOUNTS + 49}", reports[0].demand)
 
     def is_root(self, ledger: ShareLedger) -> bool:
-        return ledger._parent is None
+        return ledger._parent.name is None
 
 
 class TestShareTree(LedgerCase):
@@ -269,16 +268,16 @@
         self.assertEqual(0, self.count_unknown_after_death_of(root, 4.0))
 
     def test_a_parent_that_replies_again_is_used_again(self) -> None:
-        ledger = next(one for one in self.ledgers if one._parent is not None)
-        parent, own = ledger._parent, ledger._members.own.name
+        ledger = next(one for one in self.ledgers if one._parent.name is not None)
+        parent, own = ledger._parent.name, ledger._members.own.name
         self.network.cut({own}, {parent})
         for _ in range(MAX_MISSED_REPLIES):
             ledger.step()
-        self.assertNotEqual(parent, ledger._parent)
+        self.assertNotEqual(parent, ledger._parent.name)
         self.network.heal()
-        self.clock.advance(PARENT_EXCLUSION_SECONDS)
+        self.clock.advance(EXCLUSION_SECONDS)
         ledger.step()
-        self.assertEqual(parent, ledger._parent)
+        self.assertEqual(parent, ledger._parent.name)
 
     def test_a_router_that_joins_changes_the_parents_of_few_others(self) -> None:
         names = [f"r{n}" for n in range(59)]
