--- a/packages/loomyard-router/src/loomyard_router/announced/announced_target.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/announced_target.py
@@ -13,14 +13,16 @@
     """A target as it last announced itself; ``address`` is ``host:port``.
 
     ``born`` is the start of this incarnation in Unix milliseconds, ``None`` for targets that don't
-    announce it and have a new id at each start. ``cold_seconds`` is how long the target stays cold
-    after the announcement, whose place in the feed is ``position``.
+    announce it and have a new id at each start. ``software_version`` is empty for targets that
+    announce none. ``cold_seconds`` is how long the target stays cold after the announcement, whose
+    place in the feed is ``position``.
     """
 
     id: str
     service: str
     address: str
     data_centre: str = ""
+    software_version: str = ""
     slots: int = 1
     draining: bool = False
     born: int | None = None
--- a/packages/loomyard-router/src/loomyard_router/announced/target_registry.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_registry.py
@@ -208,6 +208,7 @@
                 target=target.id,
                 service=target.service,
                 address=target.address,
+                software=target.software_version,
                 draining=target.draining,
             )
         elif target.draining and not known.draining:
--- a/packages/loomyard-router/src/loomyard_router/platform/callers.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/callers.py
@@ -133,6 +133,7 @@
             max_output_tokens=int(max_output or 0),
             output_hint=None if hint is None else int(float(hint)),
             last_event_id=fields.get(names.LAST_EVENT_ID.lower(), ""),
+            resumed_attempt_id=fields.get(names.RESUMED_ATTEMPT.lower(), ""),
         )
 
 
--- a/packages/loomyard-router/src/loomyard_router/platform/documents.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/documents.py
@@ -89,6 +89,7 @@
         service=entry.service,
         address=entry.address,
         data_centre=entry.zone or "",
+        software_version=entry.version,
         slots=entry.slots,
         draining=entry.state == DRAINING,
         born=entry.born,
--- a/packages/loomyard-router/src/loomyard_router/platform/entries.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/entries.py
@@ -19,6 +19,7 @@
     number,
     object_of,
     one_of,
+    text,
 )
 
 READY = "ready"
@@ -43,6 +44,7 @@
     address: str = field(validator=check_address)
     state: str = field(validator=one_of(READY, DRAINING))
     zone: str | None = field(default=None, validator=optional(check_name))
+    version: str = field(default="", metadata=text())
     slots: int = field(default=1, validator=integer(1, MAX_SLOTS))
     cold_left_ms: float = field(default=0, validator=DURATION_MS)
     born: int | None = field(default=None, validator=optional(integer(0, MAX_VERSION)))
--- a/packages/loomyard-router/src/loomyard_router/platform/entry_fields.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/entry_fields.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import json
 import math
 import re
 from typing import TYPE_CHECKING, Any
@@ -21,6 +22,7 @@
 _NAME = re.compile(r"[\x21-\x7e]{1,256}")
 MAX_PORT = 65535
 MAX_ITEMS = 100_000
+MAX_TEXT_CHARS = 256
 DECODER = "reader"
 
 
@@ -47,6 +49,20 @@
     return {DECODER: lambda value: read_fields(kind, value)}
 
 
+def text() -> dict[str, Decoder]:
+    """Return the metadata of a field of any JSON value, read as text; equal values read alike."""
+
+    def decode(value: Any) -> str:
+        is_plain = isinstance(value, str) and value.isascii()
+        # JSON escapes what could not be encoded in messages between routers.
+        read = value if is_plain else json.dumps(value, sort_keys=True)
+        if len(read) > MAX_TEXT_CHARS:
+            raise ValueError(f"a text of {len(read)} characters")
+        return read
+
+    return {DECODER: decode}
+
+
 def list_of(kind: type) -> dict[str, Decoder]:
     """Return the metadata of a field that holds a list of JSON objects of a class."""
 
--- a/packages/loomyard-router/src/loomyard_router/platform/names.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/names.py
@@ -14,6 +14,8 @@
 PROMPT_PARTS = "Loomyard-Prompt-Prefix"
 LENGTH_HINT = "Loomyard-Length-Hint"
 LAST_EVENT_ID = "Last-Event-Id"
+# The id of the attempt that brought the first event of the stream which a request continues.
+RESUMED_ATTEMPT = "Resumes"
 # The id of the only target that may run the request; another target at the address refuses it.
 EXPECTED_TARGET = "Loomyard-Expect-Instance"
 # The id of the target that answers a health check.
--- a/packages/loomyard-router/src/loomyard_router/routed/answer_relay.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/answer_relay.py
@@ -116,6 +116,9 @@
             Event.STREAM_RESUMED,
             request=request.head.attempt_id,
             target=resumed.permit.target.id,
+            service=request.service,
+            software=resumed.permit.target.software_version,
+            began=exchange.permit.target.software_version,
             after=last_event,
             detail=detail,
         )
--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -233,7 +233,9 @@
         **extra: object,
     ) -> None:
         """Record the metrics of a finished request and write its log line."""
-        trace = request.trace
+        trace, head = request.trace, request.head
+        if head.resumed_attempt_id or head.last_event_id:
+            extra |= {"resumes": head.resumed_attempt_id, "after": head.last_event_id}
         now = self._clock.now()
         self._meters.count(ResultCode(code) if code else None)
         measured = (
@@ -257,6 +259,7 @@
             code=int(code),
             executed=executed.value,
             target=trace.target,
+            software=trace.software_version,
             attempts=trace.attempts,
             taken=trace.slots_in_use,
             choice=trace.target_rank,
--- a/packages/loomyard-router/src/loomyard_router/routed/request_head.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/request_head.py
@@ -18,7 +18,8 @@
     """Decoded headers of a request.
 
     ``deadline`` is in seconds of the monotonic clock; ``forwarded_headers`` go to the target in
-    this order; ``last_event`` is the id of the event after which a stream is resumed.
+    this order. Of a request that continues a stream, ``last_event_id`` is the id of the last event
+    that its caller has, and ``resumed_attempt_id`` the id of the attempt that brought the first.
     """
 
     attempt_id: str
@@ -30,3 +31,4 @@
     max_output_tokens: int = 0
     output_hint: int | None = None
     last_event_id: str = ""
+    resumed_attempt_id: str = ""
--- a/packages/loomyard-router/src/loomyard_router/routed/request_trace.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/request_trace.py
@@ -12,8 +12,9 @@
 
 @define(eq=False)
 class RequestTrace:
-    """Values of the log line; times are in seconds of the monotonic clock.
+    """Values of the log line of a request; those of an attempt are of the last one.
 
+    Times are in seconds of the monotonic clock. ``software_version`` is that of the target.
     ``slots_in_use`` is the count at the target that the slot owner reported. ``target_rank`` is the
     rank of the target among those for the prompt, 0 for the preferred one. ``share_used`` is the
     recent usage of the account in the fleet divided by its share, ``None`` where no share is known.
@@ -23,6 +24,7 @@
     """
 
     target: str = ""
+    software_version: str = ""
     attempts: int = 0
     slots_in_use: int = -1
     target_rank: int = -1
@@ -36,6 +38,7 @@
     def record_slot(self, permit: SlotPermit, now: float) -> None:
         """Record that a slot was granted for the next attempt."""
         self.target = permit.target.id
+        self.software_version = permit.target.software_version
         self.slots_in_use = permit.slots_in_use
         self.target_rank = permit.target_rank
         self.expected_ttft = permit.expected_ttft
--- a/tests/test_loomyard_router/test_platform/test_callers.py
+++ b/tests/test_loomyard_router/test_platform/test_callers.py
@@ -60,5 +60,12 @@
         self.assertEqual(forwarded(*named), ALLOWED)
 
 
+class ContinuedStreamTest(unittest.TestCase):
+    def test_the_last_event_and_the_first_attempt_are_decoded(self) -> None:
+        headers = [*ALLOWED, ("last-event-id", "12"), ("resumes", "9c40")]
+        head = PlatformCallers().decode_request_head(headers, 0.0).unwrap()
+        self.assertEqual(("12", "9c40"), (head.last_event_id, head.resumed_attempt_id))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_loomyard_router/test_platform/test_documents.py
+++ b/tests/test_loomyard_router/test_platform/test_documents.py
@@ -85,6 +85,22 @@
         leaving = decode_target("i-1", json.dumps(data | {"state": "draining"}).encode())
         self.assertTrue(leaving.unwrap().draining)
 
+    def test_a_software_version_is_any_text_and_may_be_missing(self) -> None:
+        data = {"service": "one", "address": "10.0.0.1:80", "state": "ready"}
+        for value, read in (
+            ("v1.2", "v1.2"),
+            ("1.2 beta", "1.2 beta"),
+            (None, ""),
+            (7, "7"),
+            ("\ud800", '"\\ud800"'),
+            ({"b": 1, "a": 2}, '{"a": 2, "b": 1}'),
+        ):
+            target = decode_target("i-1", json.dumps(data | {"version": value}).encode()).unwrap()
+            self.assertEqual(read, target.software_version)
+        self.assertEqual(
+            "", decode_target("i-1", json.dumps(data).encode()).unwrap().software_version
+        )
+
     def test_an_unreadable_announcement_is_an_error(self) -> None:
         for data in (b"", b"{}", b"[]", b'{"service": "one"}'):
             self.assertTrue(decode_target("i-1", data).is_err())
--- a/tests/test_loomyard_router/test_platform/test_malformed_entries.py
+++ b/tests/test_loomyard_router/test_platform/test_malformed_entries.py
@@ -45,6 +45,7 @@
     "slots": ("48", 1e18, 10**18, -1, 0, 48.5, True, float("nan"), []),
     "zone": (7, ["north"], "nor th", {}),
     "cold_left_ms": ("3", -1, float("inf"), True, []),
+    "version": ("x" * 300, ["x"] * 300),
     "born": ("1", -1, 1.5, 10**30, True),
 }
 INVALID_KEYS = ("", "a\r\nX: y", "ä", "x" * 300)
--- a/tests/test_loomyard_router/test_routed/test_answers.py
+++ b/tests/test_loomyard_router/test_routed/test_answers.py
@@ -133,6 +133,27 @@
         self.assertEqual("stamp-0", response.headers["Loomyard-Server-Stamp"])
         self.assertEqual([1, 1], [len(target.received) for target in targets])
 
+    def test_lines_tell_the_software_that_began_a_stream_and_that_goes_on(self) -> None:
+        def stream(request: Received, sock: socket.socket) -> bool:
+            resumed = "last-event-id" in request.headers
+            sock.sendall(stream_head(request) + chunk(event(1 if resumed else 0)))
+            sock.sendall(b"0\r\n\r\n" if resumed else chunk(event(1)[:6]))
+            return not resumed
+
+        targets = [self.target(f"t{n}", stream, "engine") for n in range(2)]
+        for target in targets:
+            self.announce(target.announced(software_version="v1"))
+        self.publish(route(service="engine", **RESUMABLE))
+        with (
+            mock.patch("loomyard_router.routed.answer_relay.emit") as resumed,
+            mock.patch("loomyard_router.routed.app.emit") as ended,
+        ):
+            self.call(Resumes="attempt-0")
+        self.assertEqual("v1", resumed.call_args.kwargs["began"])
+        self.assertEqual("v1", resumed.call_args.kwargs["software"])
+        self.assertEqual("v1", ended.call_args.kwargs["software"])
+        self.assertEqual("attempt-0", ended.call_args.kwargs["resumes"])
+
     def test_a_broken_stream_that_may_not_resume_does_not_look_complete(self) -> None:
         def stream(request: Received, sock: socket.socket) -> bool:
             sock.sendall(stream_head(request) + chunk(event(0) + event(1)[:6]))
