--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -123,8 +123,7 @@
     ) -> Result[SlotPermit, Fault]:
         ranked = self._rank(request, excluded)
         if not ranked:
-            detail = "no target of the service accepts new requests"
-            return Err(self._hint.make_refusal(ResultCode.NO_TARGET, detail))
+            return Err(self._hint.make_refusal(ResultCode.NO_TARGET, request.lack_of_targets))
         over_share = self._ledger.is_over_share(request.account_name)
         until = find_wait_deadline(request, within_share=not over_share)
         objective = request.route.objective or DEFAULT_OBJECTIVE
@@ -211,7 +210,9 @@
         self, request: RoutedRequest, excluded: frozenset[TargetLife]
     ) -> list[AnnouncedTarget]:
         usable = [
-            one for one in self._registry.usable(request.service) if one.incarnation not in excluded
+            one
+            for one in self._registry.usable(request.service)
+            if one.incarnation not in excluded and request.may_run_at(one)
         ]
         if not usable:
             return []
--- a/packages/loomyard-router/src/loomyard_router/admission/local_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/local_gate.py
@@ -64,11 +64,7 @@
         Errors: ``NO_TARGET``, ``QUEUE_TIMEOUT``, ``CALLER_GONE``; nothing ran.
         """
         if not self._candidates(request, excluded):
-            return Err(
-                self._hint.make_refusal(
-                    ResultCode.NO_TARGET, "no target of the service accepts new requests"
-                )
-            )
+            return Err(self._hint.make_refusal(ResultCode.NO_TARGET, request.lack_of_targets))
         waiter = Waiter(request, excluded)
         if not self._queues.get(request.service):
             permit = self._try_acquire(waiter)
@@ -117,7 +113,9 @@
         usable = [
             one
             for one in self._registry.usable(request.service)
-            if one.incarnation not in excluded and not self._cold.rate_limit(one)
+            if one.incarnation not in excluded
+            and request.may_run_at(one)
+            and not self._cold.rate_limit(one)
         ]
         return self._health.healthy(usable) if usable else []
 
--- a/packages/loomyard-router/src/loomyard_router/announced/target_registry.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_registry.py
@@ -54,7 +54,7 @@
         self._targets: dict[str, AnnouncedTarget] = {}
         self._lapsed: dict[str, _Lapsed] = {}
         self._usable: dict[str, tuple[AnnouncedTarget, ...]] = {}
-        self._usable_incarnations: frozenset[TargetLife] = frozenset()
+        self._usable_by_incarnation: dict[TargetLife, AnnouncedTarget] = {}
         self._open_incarnations: frozenset[TargetLife] = frozenset()
         self._by_incarnation: dict[TargetLife, AnnouncedTarget] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -84,9 +84,13 @@
         return self._usable.get(service, ())
 
     def is_usable(self, target: AnnouncedTarget) -> bool:
-        """Return whether this router may send new requests to this incarnation of a target."""
+        """Return whether this router may send new requests to this incarnation of a target.
+
+        A target whose entry was rewritten with another version is not the one that was chosen.
+        """
         self.usable(target.service)
-        return target.incarnation in self._usable_incarnations
+        known = self._usable_by_incarnation.get(target.incarnation)
+        return known is not None and known.software_version == target.software_version
 
     def is_withdrawn(self, incarnation: TargetLife) -> bool:
         """Return whether no router may use an incarnation; back-offs bind single routers."""
@@ -286,9 +290,9 @@
             for service, targets in usable.items()
         }
         self._open_incarnations = frozenset(target.incarnation for target in candidates)
-        self._usable_incarnations = frozenset(
-            target.incarnation for one in usable.values() for target in one
-        )
+        self._usable_by_incarnation = {
+            target.incarnation: target for one in usable.values() for target in one
+        }
 
     def _is_excluded(self, target: AnnouncedTarget) -> bool:
         return target.data_centre in self._evacuated or self.notices.is_leaving(target.incarnation)
--- a/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from attrs import define, field
 
@@ -12,6 +13,10 @@
 from loomyard_router.routed.request_trace import RequestTrace
 from loomyard_router.routes.account_config import AccountConfig
 from loomyard_router.routes.route import Route
+from loomyard_router.streams.stream_origin import StreamOrigin
+
+if TYPE_CHECKING:
+    from loomyard_router.announced.announced_target import AnnouncedTarget
 
 # Cost of an output token in prompt tokens, as the platform accounts for engine time.
 OUTPUT_WEIGHT = 2
@@ -22,6 +27,7 @@
 class RoutedRequest:
     """A decoded request; ``deadline`` is the earlier one of the caller and of the route's timeout.
 
+    ``origin`` is what began the stream of which the caller has events, ``None`` without one.
     ``crash_count`` is the number of targets known to have crashed under it. Of the attempt under
     way, ``send_rank`` is its number among those under which targets may crash, and
     ``first_event_at`` the time of its first event. ``release_body`` frees the memory of the body.
@@ -38,6 +44,7 @@
     arrived_at: float
     deadline: float
     table_version: int = -1
+    origin: StreamOrigin | None = None
     trace: RequestTrace = field(factory=RequestTrace)
     crash_count: int = 0
     send_rank: int = 1
@@ -62,6 +69,14 @@
     def account_name(self) -> str:
         return PUBLIC_ACCOUNT if self.account is None else self.account.name
 
+    @property
+    def lack_of_targets(self) -> str:
+        """Return the detail of a refusal for want of a target that may run this request."""
+        if self.origin is None:
+            return "no target of the service accepts new requests"
+        version = self.origin.software_version
+        return f"no target of version {version!r}, which began the stream, accepts new requests"
+
     @property
     def cost(self) -> float:
         """Return the expected work in tokens, output counted double; at least 1."""
@@ -86,3 +101,7 @@
             return ""
         # The last part belongs to this request alone.
         return prompt[-2].id if len(prompt) > 1 else prompt[0].id
+
+    def may_run_at(self, target: AnnouncedTarget) -> bool:
+        """Tell whether a target of the service has the version that began the stream, if any."""
+        return self.origin is None or target.software_version == self.origin.software_version
--- a/tests/test_loomyard_router/test_streams/streams_case.py
+++ b/tests/test_loomyard_router/test_streams/streams_case.py
@@ -32,9 +32,13 @@
 
 @define(eq=False)
 class StreamingTarget(ScriptedTarget):
-    """A target whose events name it; it breaks off each stream that does not continue another."""
+    """A target whose events name it.
+
+    It breaks off each stream that does not continue another, unless ``breaks_off`` is false.
+    """
 
     software_version: str = ""
+    breaks_off: bool = True
 
     def announced(self, **changes: object) -> AnnouncedTarget:
         return super().announced(software_version=self.software_version, slots=64, **changes)
@@ -46,11 +50,12 @@
             return False
         after = request.headers.get("last-event-id")
         first = 0 if after is None else int(after) + 1
-        last = 0 if after is None else EVENTS - 1
+        cut = after is None and self.breaks_off
+        last = 0 if cut else EVENTS - 1
         sock.sendall(stream_head(request))
         for number in range(first, last + 1):
             sock.sendall(chunk(f"id: {number}\ndata: {self.id}\n\n".encode()))
-        if after is None:
+        if cut:
             return True
         sock.sendall(b"0\r\n\r\n")
         return False
--- a/tests/test_loomyard_router/test_streams/test_one_version.py
+++ b/tests/test_loomyard_router/test_streams/test_one_version.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
 
 from loomyard_router.routes.weighted_service import WeightedService
-from test_loomyard_router.test_streams.streams_case import EVENTS, StreamsCase
+from test_loomyard_router.test_routed.scripted_target import Received, chunk, stream_head
+from test_loomyard_router.test_streams.streams_case import EVENTS, NEW, OLD, StreamsCase
+
+if TYPE_CHECKING:
+    import socket
 
 STREAMS = 24
 
@@ -43,6 +48,37 @@
             self.assertEqual(EVENTS, len(first.targets | rest.targets))
             self.assertEqual(1, len(self.versions(first, rest)))
 
+    def test_a_broken_stream_without_another_target_of_its_version_ends(self) -> None:
+        self.add("engine", OLD)
+        self.add("engine", NEW)
+        self.publish_streams()
+        for number in range(STREAMS // 4):
+            seen = self.stream(self.routers[number % 3], events=EVENTS + 1)
+            self.assertEqual((1, False), (len(seen.targets), seen.whole))
+
+    def test_before_its_first_event_a_stream_may_go_to_another_version(self) -> None:
+        def break_off(request: Received, sock: socket.socket) -> bool:
+            sock.sendall(stream_head(request) + chunk(b"id: 0\nda"))
+            return True
+
+        self.add("engine", OLD).script = break_off
+        target = self.add("engine", NEW)
+        target.breaks_off = False
+        self.publish_streams()
+        for number in range(STREAMS // 4):
+            seen = self.stream(self.routers[number % 3], events=EVENTS + 1)
+            self.assertEqual((EVENTS, True), (len(seen.targets), seen.whole))
+
+    def test_a_target_that_announces_another_version_under_its_id_is_not_used(self) -> None:
+        targets = [self.add("engine", OLD), self.add("engine", OLD)]
+        self.publish_streams()
+        chosen = targets[0].announced()
+        self.assertTrue(self.router.registry.is_usable(chosen))
+        targets[0].software_version = NEW
+        self.announce(targets[0].announced())
+        self.assertFalse(self.router.registry.is_usable(chosen))
+        self.assertTrue(self.router.registry.is_usable(targets[0].announced()))
+
 
 if __name__ == "__main__":
     unittest.main()
