--- a/packages/loomyard-router/src/loomyard_router/announced/target_registry.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_registry.py
@@ -47,10 +47,14 @@
     other target is left: a request that did not run is safe to refuse. Nor does one whose entry
     vanished. Only if the store may have lost it, in an outage or together with half of the entries
     of its service, the target stays usable for a grace period in which it may write it again.
+
+    ``first_start`` says that no target served before this router started.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, *, first_start: bool = False) -> None:
         self._clock = clock
+        self._first_start = first_start
+        self._gapless_since = math.inf
         self._targets: dict[str, AnnouncedTarget] = {}
         self._lapsed: dict[str, _Lapsed] = {}
         self._usable: dict[str, tuple[AnnouncedTarget, ...]] = {}
@@ -73,6 +77,11 @@
         """Return whether a complete listing has been received."""
         return self._was_listed
 
+    @property
+    def gapless_since(self) -> float:
+        """Return since when no announcement can have been missed, infinity without the store."""
+        return math.inf if self._store_down else self._gapless_since
+
     def subscribe(self, changed: Callable[[], None]) -> None:
         """Call back after each change; the callback must not block."""
         self._listeners.append(changed)
@@ -123,6 +132,8 @@
         it lacks are gone even while the store does not answer this router.
         """
         listed = {target.id: target for target in targets}
+        if not self._was_listed:
+            self._gapless_since = -math.inf if self._first_start else self._clock.now()
         self._was_listed = True
         gone = [target for id_, target in self._targets.items() if id_ not in listed]
         for target in listed.values():
@@ -178,7 +189,7 @@
         """Record that the store answers again; targets in grace have ``RETURN_SECONDS`` left."""
         self._store_down = False
         now = self._clock.now()
-        self._store_back_at = now
+        self._store_back_at = self._gapless_since = now
         for lapsed in self._lapsed.values():
             if lapsed.usable_until > now:
                 lapsed.usable_until = now + GRACE_SECONDS
--- a/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
@@ -16,6 +16,7 @@
 from loomyard_router.metrics.key_histograms import UNITS_PER_SECOND
 from loomyard_router.routed.body_metrics import BodyMetrics
 from loomyard_router.routed.unread_answer_metrics import UnreadAnswerMetrics
+from loomyard_router.streams.stream_metrics import StreamMetrics
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -45,6 +46,7 @@
         bodies: BodyMetrics | None = None,
         unread: UnreadAnswerMetrics | None = None,
         shares: ShareMetrics | None = None,
+        streams: StreamMetrics | None = None,
     ) -> None:
         self._meters = requests
         self._traffic = traffic
@@ -55,6 +57,7 @@
         self._bodies = bodies or BodyMetrics()
         self._unread = unread or UnreadAnswerMetrics()
         self._shares = shares or ShareMetrics()
+        self._streams = streams or StreamMetrics()
 
     def collect(self) -> Iterator[Metric]:
         yield from self._collect_phases()
@@ -68,6 +71,7 @@
         yield from self._collect_slots()
         yield from self._collect_bodies()
         yield from self._collect_shares()
+        yield from self._collect_streams()
 
     def _collect_phases(self) -> Iterator[Metric]:
         quantiles = GaugeMetricFamily(
@@ -265,6 +269,26 @@
             known.add_metric((kind,), tokens)
         yield from (sums, known)
 
+    def _collect_streams(self) -> Iterator[Metric]:
+        yield _make_gauge(
+            "loomyard_stream_records",
+            "records of what began a stream that this router holds",
+            self._streams.records,
+        )
+        yield _make_counter(
+            "loomyard_stream_records_evicted",
+            "records of streams that were dropped for lack of room before their expiry",
+            self._streams.evicted,
+        )
+        lookups = CounterMetricFamily(
+            "loomyard_stream_lookups",
+            "lookups of what began a stream that a caller takes up, by result",
+            labels=("result",),
+        )
+        for result, count in self._streams.lookups().items():
+            lookups.add_metric((result,), count)
+        yield lookups
+
 
 def _make_gauge(name: str, description: str, read: Callable[[], int]) -> Metric:
     return GaugeMetricFamily(name, description, value=read())
--- a/packages/loomyard-router/src/loomyard_router/metrics/lazy_server.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/lazy_server.py
@@ -21,6 +21,7 @@
     from loomyard_router.peers.traffic import TrafficCounters
     from loomyard_router.routed.body_metrics import BodyMetrics
     from loomyard_router.routed.unread_answer_metrics import UnreadAnswerMetrics
+    from loomyard_router.streams.stream_metrics import StreamMetrics
 
 
 class LazyMetricsServer(OptionalListener):
@@ -53,6 +54,7 @@
     bodies: BodyMetrics,
     unread: UnreadAnswerMetrics,
     shares: ShareMetrics,
+    streams: StreamMetrics,
 ) -> LazyMetricsServer:
     """Make the metrics listener; without an address it does not listen."""
 
@@ -64,7 +66,7 @@
             "",
             ready,
             RouterCollector(
-                requests, traffic, in_flight, feeds, targets, slots, bodies, unread, shares
+                requests, traffic, in_flight, feeds, targets, slots, bodies, unread, shares, streams
             ),
         )
 
--- a/packages/loomyard-router/src/loomyard_router/routed/answer_relay.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/answer_relay.py
@@ -9,7 +9,6 @@
 from loomyard_router.relays.event_stream import EventStream
 from loomyard_router.requests.whole_answers import AnswerBrokenError
 from loomyard_router.routed.target_connection import ExchangeBrokenError
-from loomyard_router.streams.stream_origin import StreamOrigin
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -40,6 +39,7 @@
         self._exchange: Exchange | None = exchange
         after = request.head.last_event_id
         self._event_stream = EventStream(after=int(after) if after.isdigit() else -1)
+        self._has_begun = False
         self._resumes_left = max(0, request.route.max_attempts - 1)
 
     def close(self) -> None:
@@ -74,20 +74,14 @@
             if events is None:
                 self._fail("events are missing or too long")
             if events:
-                self._record_origin()
+                if not self._has_begun:
+                    self._has_begun = True
+                    assert self._exchange is not None
+                    self._forwarder.record_first_event(self._request, self._exchange.permit)
                 yield events
                 self._coalescer.delay_read()
             block = self._read_or_resume()
 
-    def _record_origin(self) -> None:
-        """Record what began the stream, before its caller gets the first event."""
-        if self._request.origin is None:
-            assert self._exchange is not None
-            self._request.origin = StreamOrigin(
-                service=self._request.service,
-                software_version=self._exchange.permit.target.software_version,
-            )
-
     def _read_or_resume(self) -> bytes:
         """Read the next block, from another target where this one broke off."""
         assert self._exchange is not None
--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -16,6 +16,7 @@
 from loomyard_router.routed.answer_relay import AnswerRelay
 from loomyard_router.routed.target_connection import ExchangeBrokenError, ExchangeTimeoutError
 from loomyard_router.routed.unread_answers import BufferedAnswer, UnreadAnswers
+from loomyard_router.streams.stream_origin import StreamOrigin
 
 if TYPE_CHECKING:
     import gevent
@@ -31,6 +32,7 @@
     from loomyard_router.routed.attempt_sender import AttemptSender, Exchange
     from loomyard_router.routed.event_coalescer import EventCoalescer
     from loomyard_router.routed.routed_request import RoutedRequest
+    from loomyard_router.streams.stream_origins import StreamOrigins
 
 logger = logging.getLogger(__name__)
 
@@ -71,6 +73,7 @@
         retry_budget: RetryBudget,
         coalescer: EventCoalescer,
         unread_answers: UnreadAnswers,
+        origins: StreamOrigins,
     ) -> None:
         self._clock = clock
         self._gate = gate
@@ -81,13 +84,19 @@
         self._retry_budget = retry_budget
         self._coalescer = coalescer
         self._unread_answers = unread_answers
+        self._origins = origins
 
     def forward(self, request: RoutedRequest) -> Result[Answer, Fault]:
         """Return the answer to a request; a long body or a stream is relayed as it is read.
 
-        Errors: those of ``AdmissionGate.acquire`` and ``AttemptSender.send``; ``executed`` tells
-        whether it may have run at any target.
+        Errors: those of ``StreamOrigins.find``, ``AdmissionGate.acquire`` and
+        ``AttemptSender.send``; ``executed`` tells whether it may have run at any target.
         """
+        if request.continues_stream:
+            found = self._origins.find(request)
+            if found.is_err():
+                return Err(found.unwrap_err())
+            request.origin = found.unwrap()
         self._retry_budget.record_request(request.service)
         opened = self.open(request, excluded=frozenset(), last_event=request.head.last_event_id)
         if opened.is_err():
@@ -192,9 +201,20 @@
         """Record that a target broke off an answer that is not resumed elsewhere."""
         self._guard.investigate_failure(request, permit.target)
 
+    def record_first_event(self, request: RoutedRequest, permit: SlotPermit) -> None:
+        """Record what began a stream, before its caller gets the first event."""
+        if request.origin is None:
+            request.origin = StreamOrigin(
+                service=request.service, software_version=permit.target.software_version
+            )
+        if request.route.resumable:
+            self._origins.record(request)
+
     def record_completion(self, request: RoutedRequest) -> None:
         """Record that a target answered a request to the end."""
         self._guard.record_completion(request)
+        if request.origin is not None:
+            self._origins.release(request)
 
     def _attempt(
         self, request: RoutedRequest, permit: SlotPermit, last_event: str
--- a/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
@@ -69,6 +69,17 @@
     def account_name(self) -> str:
         return PUBLIC_ACCOUNT if self.account is None else self.account.name
 
+    @property
+    def continues_stream(self) -> bool:
+        """Return whether the caller has events of the stream from an earlier attempt."""
+        named = self.head.resumed_attempt_id or self.head.last_event_id
+        return self.route.is_stream and bool(named)
+
+    @property
+    def stream_id(self) -> str:
+        """Return the id of the attempt that brought the first event, or is to bring it."""
+        return self.head.resumed_attempt_id or self.head.attempt_id
+
     @property
     def lack_of_targets(self) -> str:
         """Return the detail of a refusal for want of a target that may run this request."""
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -60,6 +60,7 @@
 from loomyard_router.routes.route_table_consumer import RouteTableConsumer
 from loomyard_router.routes.route_table_holder import RouteTableHolder
 from loomyard_router.settings import EXAMPLE_SECRET, FLEET_SECRET_VARIABLE, Settings
+from loomyard_router.streams.stream_origins import make_stream_origins
 
 if TYPE_CHECKING:
 
@@ -104,7 +105,7 @@
         self.refusing = False
         rng = random.Random()
         self.holder = RouteTableHolder(platform.decode_table)
-        self.registry = TargetRegistry(clock)
+        self.registry = TargetRegistry(clock, first_start=settings.first_start)
         self._evacuated = EvacuatedDataCentres(platform.find_evacuated_data_centre)
         self._evacuated.subscribe(self.registry.set_evacuated)
         self._unreadable = UnreadableEntries()
@@ -174,6 +175,14 @@
         )
         self._probe = CoalescedProbe(liveness_probe.has_ended)
         self._crash_guard = CrashGuard(clock, self._crash_ledger, self._probe)
+        self._origins = make_stream_origins(
+            clock=clock,
+            registry=self.registry,
+            holder=self.holder,
+            members=self.members,
+            peers=peers,
+            hint=self._admission.retry_hint,
+        )
         self.body_budget = BodyBudget(settings.body_bytes, rng)
         self.unread_answers = UnreadAnswers(clock, self.body_budget)
         forwarder = Forwarder(
@@ -191,6 +200,7 @@
                 clock=clock, max_delay=settings.event_seconds, lag=lambda: self._loop_lag.seconds
             ),
             unread_answers=self.unread_answers,
+            origins=self._origins,
         )
         meters = RequestMetrics(clock)
         self.app = RoutedApp(
@@ -248,6 +258,7 @@
                 aborted=lambda: self.unread_answers.aborted,
             ),
             shares=self._admission.ledger.metrics,
+            streams=self._origins.metrics,
         )
         self.registry.subscribe(self._retain_listed)
 
@@ -278,6 +289,7 @@
             self._feed_exchange,
             self._leaving_exchange,
             self._crash_exchange,
+            self._origins,
         )
         for component in components:
             component.start()
@@ -310,6 +322,7 @@
         self.stopping = True
         emit(logger, Event.ROUTER_STOPPING, in_flight=len(self._in_flight))
         self.members.leave()
+        self._origins.hand_over()
         self._clock.sleep(max(0.0, unlisted_at - self._clock.now()))
         # Running requests may end within the grace; new ones are refused, to be sent elsewhere.
         self.refusing = True
@@ -332,6 +345,7 @@
         if self._crash_persister is not None:
             self._crash_persister.stop()
         components = (
+            self._origins,
             self._crash_exchange,
             self._feed_exchange,
             self._admission,
--- a/packages/loomyard-router/src/loomyard_router/routed_settings.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_settings.py
@@ -28,7 +28,7 @@
     the event loop exceeds ``most_lag``, new requests are refused, because latency objectives are a
     few hundred milliseconds. ``event_seconds`` is how long an event of a stream may take from its
     target to its caller, 0 if users set no limit. ``body_bytes`` bounds the request bodies in
-    memory.
+    memory. ``first_start`` is true for routers that start together with the whole system.
     """
 
     name: str
@@ -48,3 +48,4 @@
     most_lag: float = 0.08
     event_seconds: float = 0.0
     body_bytes: int = 64 << 20
+    first_start: bool = False
--- a/packages/loomyard-router/src/loomyard_router/routes/route.py
+++ b/packages/loomyard-router/src/loomyard_router/routes/route.py
@@ -45,6 +45,10 @@
     def is_stream(self) -> bool:
         return self.kind is RouteKind.STREAM
 
+    def leads_to(self, service: str) -> bool:
+        """Tell whether requests of this route may go to a service."""
+        return any(one.service == service and one.weight > 0 for one in self.weighted_services)
+
     def choose_service(self, key: str) -> str:
         """Return the service of a request, by weighted hash of ``key``."""
         shares = self.weighted_services
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_history.py
@@ -0,0 +1,109 @@
+"""The origins that streams of a route may have, by what there was lately."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from loomyard_router.streams.stream_origin import StreamOrigin
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from loomyard.clock import Clock
+    from loomyard_router.announced.target_registry import TargetRegistry
+    from loomyard_router.members.membership import Membership
+    from loomyard_router.routes.route_table import RouteTable
+    from loomyard_router.routes.route_table_holder import RouteTableHolder
+
+# Longer than a stream runs on at a target whose entry is gone and its caller then waits, for
+# routes without a longer timeout.
+HISTORY_SECONDS = 30.0
+TIMEOUTS = 2.0
+# How long anything that is gone is remembered.
+MAX_HISTORY_SECONDS = 600.0
+
+
+class OriginHistory:
+    """The services of each route of streams, and the versions of each service, with those gone.
+
+    Where there was only one for longer than a stream lasts, a stream of which no record is found
+    can have begun nowhere else.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        registry: TargetRegistry,
+        holder: RouteTableHolder,
+        members: Membership,
+    ) -> None:
+        self._clock = clock
+        self._registry = registry
+        self._paused_at = -math.inf
+        # When each was last there, infinity for what is there now.
+        self._services: dict[str, dict[str, float]] = {}
+        self._versions: dict[str, dict[str, float]] = {}
+        self._seconds: dict[str, float] = {}
+        registry.subscribe(self._update_versions)
+        holder.subscribe(self._update_services)
+        members.subscribe_pause(self._on_pause)
+
+    @property
+    def observed_seconds(self) -> float:
+        """Return for how long no announcement can have been missed."""
+        since = max(self._registry.gapless_since, self._paused_at)
+        return max(0.0, self._clock.now() - since)
+
+    def required_seconds(self, route: str) -> float:
+        """Return for how long a route must have had one origin only, so that its streams had it."""
+        return self._seconds.get(route, HISTORY_SECONDS)
+
+    def possible(self, route: str) -> frozenset[StreamOrigin]:
+        """Return what streams of a route may have begun at."""
+        since = self._clock.now() - self.required_seconds(route)
+        return frozenset(
+            StreamOrigin(service=service, software_version=version)
+            for service in _seen_since(self._services.get(route, {}), since)
+            for version in _seen_since(self._versions.get(service, {}), since)
+        )
+
+    def _update_versions(self) -> None:
+        current: dict[str, set[str]] = {}
+        for target in self._registry.listed():
+            current.setdefault(target.service, set()).add(target.software_version)
+        self._merge(self._versions, current)
+
+    def _update_services(self, table: RouteTable) -> None:
+        current: dict[str, set[str]] = {}
+        for routes in table.routes_by_host.values():
+            for route in routes.values():
+                if route.is_stream:
+                    current[route.name] = {one.service for one in route.weighted_services}
+                    seconds = max(HISTORY_SECONDS, TIMEOUTS * (route.timeout or 0.0))
+                    self._seconds[route.name] = max(seconds, self._seconds.get(route.name, 0.0))
+        self._merge(self._services, current)
+        self._seconds = {name: self._seconds[name] for name in self._services}
+
+    def _merge(self, known: dict[str, dict[str, float]], current: Mapping[str, set[str]]) -> None:
+        """Mark what is gone with the time, and forget what is gone for long."""
+        now = self._clock.now()
+        for name in {*known, *current}:
+            seen = known.setdefault(name, {})
+            present = current.get(name, set())
+            for value, at in list(seen.items()):
+                if at == math.inf and value not in present:
+                    seen[value] = now
+                elif at < now - MAX_HISTORY_SECONDS:
+                    del seen[value]
+            seen.update(dict.fromkeys(present, math.inf))
+            if not seen:
+                del known[name]
+
+    def _on_pause(self, _: float) -> None:
+        self._paused_at = self._clock.now()
+
+
+def _seen_since(seen: Mapping[str, float], since: float) -> Iterable[str]:
+    return (value for value, at in seen.items() if at >= since)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
@@ -0,0 +1,195 @@
+"""Records of what began the streams of a router, and of those that their callers take up."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from loomyard.errors import Fault, ResultCode
+from loomyard.events import Event, emit
+from loomyard_router.streams.origin_history import OriginHistory
+from loomyard_router.streams.origin_lookup import OWN, SOLE, FoundOrigin, OriginLookup
+from loomyard_router.streams.origin_record import OriginRecord
+from loomyard_router.streams.origin_replicator import OriginReplicator
+from loomyard_router.streams.origin_table import OriginTable
+from loomyard_router.streams.stream_metrics import StreamMetrics
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard_router.admission.waiting_time import RetryHint
+    from loomyard_router.announced.target_registry import TargetRegistry
+    from loomyard_router.members.membership import Membership
+    from loomyard_router.peers.links import PeerLinks
+    from loomyard_router.routed.routed_request import RoutedRequest
+    from loomyard_router.routes.route_table_holder import RouteTableHolder
+    from loomyard_router.streams.stream_origin import StreamOrigin
+
+logger = logging.getLogger(__name__)
+
+# Fraction of the objective that a lookup may take, for the case that hosts do not reply.
+LOOKUP_FRACTION = 0.25
+MIN_LOOKUP_SECONDS = 0.05
+DEFAULT_OBJECTIVE = 0.4
+# How long after the deadline of an attempt its caller may take the stream up, and the longest
+# time for which a record is kept.
+TAKE_UP_SECONDS = 30.0
+MAX_RECORD_SECONDS = 600.0
+PEER, UNKNOWN, SILENT = "peer", "unknown", "silent"
+
+
+class StreamOrigins:
+    """Record the origin of each stream that may be resumed, and find those of other routers."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        table: OriginTable,
+        replicator: OriginReplicator,
+        lookup: OriginLookup,
+        members: Membership,
+        hint: RetryHint,
+    ) -> None:
+        self._clock = clock
+        self._table = table
+        self._replicator = replicator
+        self._lookup = lookup
+        self._members = members
+        self._hint = hint
+        self._lookups: Counter[str] = Counter()
+
+    @property
+    def metrics(self) -> StreamMetrics:
+        """Return the callables that are read when metrics are scraped."""
+        return StreamMetrics(
+            records=lambda: len(self._table),
+            evicted=lambda: self._table.evicted,
+            lookups=lambda: self._lookups,
+        )
+
+    def start(self) -> None:
+        """Start to replicate records."""
+        self._replicator.start()
+
+    def stop(self) -> None:
+        """Stop replicating records."""
+        self._replicator.stop()
+
+    def hand_over(self) -> None:
+        """Hand over records that no other router would send again, before a planned stop."""
+        self._replicator.hand_over()
+
+    def find(self, request: RoutedRequest) -> Result[StreamOrigin, Fault]:
+        """Return the origin of the stream that a request continues.
+
+        Errors: ``ORIGIN_UNKNOWN``, ``NO_TARGET``; nothing ran.
+        """
+        now = self._clock.now()
+        objective = request.route.objective or DEFAULT_OBJECTIVE
+        seconds = max(MIN_LOOKUP_SECONDS, LOOKUP_FRACTION * objective)
+        outcome = self._lookup.find(
+            request.head.resumed_attempt_id,
+            request.route.name,
+            key=request.head.attempt_id,
+            deadline=min(now + seconds, request.deadline),
+        )
+        if not isinstance(outcome, FoundOrigin):
+            return self._refuse_unknown(request, outcome.silent)
+        self._lookups[outcome.told_by if outcome.told_by in (OWN, SOLE) else PEER] += 1
+        origin = outcome.origin
+        emit(
+            logger,
+            Event.CALLER_RESUMED,
+            request=request.head.attempt_id,
+            resumes=request.head.resumed_attempt_id,
+            after=request.head.last_event_id,
+            service=origin.service,
+            software=origin.software_version,
+            told_by=outcome.told_by,
+        )
+        return Ok(origin)
+
+    def record(self, request: RoutedRequest) -> None:
+        """Record the origin of a stream before its caller gets the first event."""
+        assert request.origin is not None
+        now = self._clock.now()
+        seconds = max(0.0, request.head.deadline - now) + TAKE_UP_SECONDS
+        own = self._members.own
+        record = OriginRecord(
+            attempt_id=request.stream_id,
+            origin=request.origin,
+            router=own.name,
+            incarnation=own.incarnation,
+            until=now + min(seconds, MAX_RECORD_SECONDS),
+        )
+        self._replicator.publish(record)
+        emit(
+            logger,
+            Event.STREAM_BEGAN,
+            request=request.head.attempt_id,
+            stream=request.stream_id,
+            service=request.origin.service,
+            software=request.origin.software_version,
+            target=request.trace.target,
+            hosts=self._replicator.find_hosts(request.stream_id),
+        )
+
+    def release(self, request: RoutedRequest) -> None:
+        """Record that a stream is complete."""
+        self._replicator.release(request.stream_id)
+
+    def _refuse_unknown(
+        self, request: RoutedRequest, silent: tuple[str, ...]
+    ) -> Result[StreamOrigin, Fault]:
+        self._lookups[SILENT if silent else UNKNOWN] += 1
+        detail = "no router that was asked knows what began the stream"
+        if silent:
+            detail = f"{detail}; no reply from {', '.join(silent)}"
+        fault = self._refuse(request, ResultCode.ORIGIN_UNKNOWN, detail)
+        if not silent:
+            return Err(Fault(code=fault.code, detail=fault.detail))
+        return Err(fault)
+
+    def _refuse(self, request: RoutedRequest, code: ResultCode, detail: str) -> Fault:
+        emit(
+            logger,
+            Event.STREAM_NOT_RESUMED,
+            request=request.head.attempt_id,
+            resumes=request.head.resumed_attempt_id,
+            after=request.head.last_event_id,
+            detail=detail,
+        )
+        return self._hint.make_refusal(code, detail)
+
+
+def make_stream_origins(
+    *,
+    clock: Clock,
+    registry: TargetRegistry,
+    holder: RouteTableHolder,
+    members: Membership,
+    peers: PeerLinks,
+    hint: RetryHint,
+) -> StreamOrigins:
+    """Create and wire the components."""
+    table = OriginTable(clock)
+    replicator = OriginReplicator(clock=clock, table=table, members=members, peers=peers)
+    history = OriginHistory(clock=clock, registry=registry, holder=holder, members=members)
+    lookup = OriginLookup(
+        clock=clock,
+        table=table,
+        replicator=replicator,
+        history=history,
+        peers=peers,
+    )
+    return StreamOrigins(
+        clock=clock,
+        table=table,
+        replicator=replicator,
+        lookup=lookup,
+        members=members,
+        hint=hint,
+    )
--- a/packages/loomyard/src/loomyard/errors.py
+++ b/packages/loomyard/src/loomyard/errors.py
@@ -63,6 +63,7 @@
     ORDER_FENCED = 3008, "the engine refused an order with an old fencing number"
     TARGET_FAILED = 3009, "the engine answered with an internal error"
     ANSWER_LATE = 3010, "the request was sent and not answered in time"
+    ORIGIN_UNKNOWN = 3011, "it is not known which service and version began the stream"
 
     KEY_REUSED = 4001, "the idempotency key was used for another request"
     KEY_EXPIRED = 4002, "the idempotency key is older than the window"
--- a/tests/test_loomyard_router/test_routed/test_answers.py
+++ b/tests/test_loomyard_router/test_routed/test_answers.py
@@ -148,11 +148,13 @@
             mock.patch("loomyard_router.routed.answer_relay.emit") as resumed,
             mock.patch("loomyard_router.routed.app.emit") as ended,
         ):
-            self.call(Resumes="attempt-0")
-        self.assertEqual("v1", resumed.call_args.kwargs["began"])
-        self.assertEqual("v1", resumed.call_args.kwargs["software"])
-        self.assertEqual("v1", ended.call_args.kwargs["software"])
-        self.assertEqual("attempt-0", ended.call_args.kwargs["resumes"])
+            self.call()
+            self.assertEqual("v1", resumed.call_args.kwargs["began"])
+            self.assertEqual("v1", resumed.call_args.kwargs["software"])
+            self.assertEqual("v1", ended.call_args.kwargs["software"])
+            self.call(Resumes="attempt-0", Last_Event_Id="7")
+            self.assertEqual("attempt-0", ended.call_args.kwargs["resumes"])
+            self.assertEqual("7", ended.call_args.kwargs["after"])
 
     def test_a_broken_stream_that_may_not_resume_does_not_look_complete(self) -> None:
         def stream(request: Received, sock: socket.socket) -> bool:
--- a/tests/test_loomyard_router/test_streams/test_one_version.py
+++ b/tests/test_loomyard_router/test_streams/test_one_version.py
@@ -69,6 +69,26 @@
             seen = self.stream(self.routers[number % 3], events=EVENTS + 1)
             self.assertEqual((EVENTS, True), (len(seen.targets), seen.whole))
 
+    def test_a_stream_of_which_nothing_is_known_is_refused_at_once_and_not_run(self) -> None:
+        self.add_two_of_each()
+        self.publish_streams()
+        for headers in ({"Resumes": "attempt-x", "Last_Event_Id": "0"}, {"Last_Event_Id": "0"}):
+            response = self.call(**headers)
+            self.assertEqual((503, b""), (response.status, response.data))
+        self.assertEqual([], [one for t in self.streaming.values() for one in t.received])
+
+    def test_a_stream_whose_version_has_no_target_left_is_refused_and_not_run(self) -> None:
+        old = self.add("engine", OLD)
+        self.publish_streams()
+        first = self.stream(self.routers[0], events=1)
+        new = self.add("engine", NEW)
+        self.targets.put(old.id, None)
+        self.until(lambda: all(not r.registry.is_usable(old.announced()) for r in self.routers))
+        self.until(lambda: all(r.registry.usable("engine") for r in self.routers))
+        sent = len(new.received)
+        self.assertEqual(503, self.take_up(self.routers[1], first).status)
+        self.assertEqual(sent, len(new.received))
+
     def test_a_target_that_announces_another_version_under_its_id_is_not_used(self) -> None:
         targets = [self.add("engine", OLD), self.add("engine", OLD)]
         self.publish_streams()
