--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -97,6 +97,7 @@
             if found.is_err():
                 return Err(found.unwrap_err())
             request.origin = found.unwrap()
+            request.service = request.origin.service
         self._retry_budget.record_request(request.service)
         opened = self.open(request, excluded=frozenset(), last_event=request.head.last_event_id)
         if opened.is_err():
--- a/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
@@ -110,6 +110,9 @@
             software=origin.software_version,
             told_by=outcome.told_by,
         )
+        if not request.route.leads_to(origin.service):
+            detail = f"route {request.route.name} does not lead to {origin.service}, which began it"
+            return Err(self._refuse(request, ResultCode.NO_TARGET, detail))
         return Ok(origin)
 
     def record(self, request: RoutedRequest) -> None:
--- a/tests/test_loomyard_router/test_streams/test_one_version.py
+++ b/tests/test_loomyard_router/test_streams/test_one_version.py
@@ -48,6 +48,15 @@
             self.assertEqual(EVENTS, len(first.targets | rest.targets))
             self.assertEqual(1, len(self.versions(first, rest)))
 
+    def test_a_stream_whose_service_has_left_the_route_is_refused_and_not_run(self) -> None:
+        self.add("engine", OLD)
+        other = self.add("other", OLD)
+        self.publish_streams()
+        first = self.stream(self.routers[0], events=1)
+        self.publish_streams(version=2, service="other")
+        self.assertEqual(503, self.take_up(self.routers[1], first).status)
+        self.assertEqual([], other.received)
+
     def test_a_broken_stream_without_another_target_of_its_version_ends(self) -> None:
         self.add("engine", OLD)
         self.add("engine", NEW)
