--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -182,6 +182,7 @@
             members=self.members,
             peers=peers,
             hint=self._admission.retry_hint,
+            rng=rng,
         )
         self.body_budget = BodyBudget(settings.body_bytes, rng)
         self.unread_answers = UnreadAnswers(clock, self.body_budget)
--- a/packages/loomyard-router/src/loomyard_router/streams/origin_history.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_history.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from loomyard_router.streams.origin_messages import PastOrigins
 from loomyard_router.streams.stream_origin import StreamOrigin
 
 if TYPE_CHECKING:
@@ -42,6 +43,8 @@
         self._clock = clock
         self._registry = registry
         self._paused_at = -math.inf
+        # When the history of another router was adopted, and how far back it reaches.
+        self._adopted_at = self._adopted_since = -math.inf
         # When each was last there, infinity for what is there now.
         self._services: dict[str, dict[str, float]] = {}
         self._versions: dict[str, dict[str, float]] = {}
@@ -53,9 +56,20 @@
     @property
     def observed_seconds(self) -> float:
         """Return for how long no announcement can have been missed."""
-        since = max(self._registry.gapless_since, self._paused_at)
+        since = self._gapless_since
+        if self._adopted_at >= since:
+            since = min(since, self._adopted_since)
         return max(0.0, self._clock.now() - since)
 
+    @property
+    def is_long_enough(self) -> bool:
+        """Tell whether it reaches back as far as any route requires."""
+        return self.observed_seconds >= max(self._seconds.values(), default=HISTORY_SECONDS)
+
+    @property
+    def _gapless_since(self) -> float:
+        return max(self._registry.gapless_since, self._paused_at)
+
     def required_seconds(self, route: str) -> float:
         """Return for how long a route must have had one origin only, so that its streams had it."""
         return self._seconds.get(route, HISTORY_SECONDS)
@@ -69,6 +83,26 @@
             for version in _seen_since(self._versions.get(service, {}), since)
         )
 
+    def past(self) -> PastOrigins:
+        """Return what another router may not see now: all versions, and services that are gone."""
+        now = self._clock.now()
+        return PastOrigins(
+            observed_seconds=int(min(self.observed_seconds, MAX_HISTORY_SECONDS)),
+            services=[one for one in _list_ages(self._services, now) if one[2]],
+            versions=_list_ages(self._versions, now),
+        )
+
+    def adopt(self, past: PastOrigins) -> None:
+        """Add what another router observed before this one could."""
+        now = self._clock.now()
+        if self._gapless_since > now:
+            return
+        for known, ages in ((self._services, past.services), (self._versions, past.versions)):
+            for name, value, seconds in ages:
+                seen = known.setdefault(name, {})
+                seen[value] = max(seen.get(value, -math.inf), now - seconds)
+        self._adopted_at, self._adopted_since = now, now - past.observed_seconds
+
     def _update_versions(self) -> None:
         current: dict[str, set[str]] = {}
         for target in self._registry.listed():
@@ -105,5 +139,13 @@
         self._paused_at = self._clock.now()
 
 
+def _list_ages(known: Mapping[str, dict[str, float]], now: float) -> list[tuple[str, str, int]]:
+    return [
+        (name, value, 0 if at == math.inf else math.ceil(now - at))
+        for name, seen in known.items()
+        for value, at in seen.items()
+    ]
+
+
 def _seen_since(seen: Mapping[str, float], since: float) -> Iterable[str]:
     return (value for value, at in seen.items() if at >= since)
--- a/packages/loomyard-router/src/loomyard_router/streams/origin_messages.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_messages.py
@@ -58,6 +58,25 @@
     observed_seconds: int = 0
 
 
+@peer_message("og")
+@frozen(kw_only=True)
+class PastOriginsQuery:
+    """Request for what the receiver has observed; answered by ``PastOrigins``."""
+
+
+@peer_message("ob")
+@frozen(kw_only=True)
+class PastOrigins:
+    """Services of routes and versions of services, each with the seconds since it was last there.
+
+    The sender knows all of those that there were in the last ``observed_seconds``.
+    """
+
+    observed_seconds: int = 0
+    services: list[tuple[str, str, int]] = field(factory=list)
+    versions: list[tuple[str, str, int]] = field(factory=list)
+
+
 def encode_record(record: OriginRecord, now: float) -> OriginEntry:
     """Encode a record for sending at clock time ``now``."""
     return OriginEntry(
--- a/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
@@ -10,6 +10,7 @@
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
+from loomyard_router.streams.history_exchange import HistoryExchange
 from loomyard_router.streams.origin_history import OriginHistory
 from loomyard_router.streams.origin_lookup import OWN, SOLE, FoundOrigin, OriginLookup
 from loomyard_router.streams.origin_record import OriginRecord
@@ -18,6 +19,8 @@
 from loomyard_router.streams.stream_metrics import StreamMetrics
 
 if TYPE_CHECKING:
+    import random
+
     from loomyard.clock import Clock
     from loomyard_router.admission.waiting_time import RetryHint
     from loomyard_router.announced.target_registry import TargetRegistry
@@ -50,9 +53,11 @@
         table: OriginTable,
         replicator: OriginReplicator,
         lookup: OriginLookup,
+        exchange: HistoryExchange,
         members: Membership,
         hint: RetryHint,
     ) -> None:
+        self._exchange = exchange
         self._clock = clock
         self._table = table
         self._replicator = replicator
@@ -71,11 +76,13 @@
         )
 
     def start(self) -> None:
-        """Start to replicate records."""
+        """Start to replicate records, and to ask for what this router could not observe."""
         self._replicator.start()
+        self._exchange.start()
 
     def stop(self) -> None:
-        """Stop replicating records."""
+        """End the tasks."""
+        self._exchange.stop()
         self._replicator.stop()
 
     def hand_over(self) -> None:
@@ -133,10 +140,8 @@
             logger,
             Event.STREAM_BEGAN,
             request=request.head.attempt_id,
-            stream=request.stream_id,
             service=request.origin.service,
             software=request.origin.software_version,
-            target=request.trace.target,
             hosts=self._replicator.find_hosts(request.stream_id),
         )
 
@@ -176,6 +181,7 @@
     members: Membership,
     peers: PeerLinks,
     hint: RetryHint,
+    rng: random.Random,
 ) -> StreamOrigins:
     """Create and wire the components."""
     table = OriginTable(clock)
@@ -193,6 +199,9 @@
         table=table,
         replicator=replicator,
         lookup=lookup,
+        exchange=HistoryExchange(
+            clock=clock, history=history, members=members, peers=peers, rng=rng
+        ),
         members=members,
         hint=hint,
     )
--- a/packages/loomyard/src/loomyard/bounded_log.py
+++ b/packages/loomyard/src/loomyard/bounded_log.py
@@ -98,7 +98,10 @@
             gevent.sleep(0.005)
 
     def _rate_limit_of(self, record: logging.LogRecord) -> ByteRateLimit | None:
-        if event_of(record) is not Event.REQUEST_ENDED:
+        event = event_of(record)
+        if event is Event.STREAM_BEGAN:
+            return self._successes
+        if event is not Event.REQUEST_ENDED:
             return None
         fields = getattr(record, "fields", {})
         if not fields.get("code"):
--- a/tests/test_loomyard/test_bounded_log.py
+++ b/tests/test_loomyard/test_bounded_log.py
@@ -86,6 +86,16 @@
             self.assertLess(ended[code], 10)
         self.assertEqual(60 - ended.total(), self.handler.dropped)
 
+    def test_lines_of_streams_that_begin_share_the_limit_of_successes(self) -> None:
+        self.handler.start()
+        for number in range(20):
+            self.log(Event.STREAM_BEGAN, number=number)
+            self.log(Event.REQUEST_ENDED, number=number, code=0, executed="yes")
+        written = [line for line in self.lines() if line["event"] in (405, 411)]
+        self.assertGreater(len(written), 2)
+        self.assertLess(len(written), 10)
+        self.assertEqual(40 - len(written), self.handler.dropped)
+
     def test_a_dropped_line_is_not_formatted(self) -> None:
         formatted: list[logging.LogRecord] = []
         format_line = self.handler.format
--- a/tests/test_loomyard_router/test_streams/streams_fleet.py
+++ b/tests/test_loomyard_router/test_streams/streams_fleet.py
@@ -94,6 +94,7 @@
             members=members,
             peers=self.network.join(own),
             hint=RetryHint(random.Random(self._seed)),
+            rng=random.Random(f"{self._seed} {name}"),
         )
         holder.offer(b"", "store")
         registry.replace_all(make_targets(self.versions))
--- a/tests/test_loomyard_router/test_streams/test_origin_fleet.py
+++ b/tests/test_loomyard_router/test_streams/test_origin_fleet.py
@@ -229,12 +229,26 @@
         fleet.start("r3")
         self.assertEqual("v1", fleet.find("r3", "lost").unwrap().software_version)
 
+    def test_what_was_observed_outlives_the_restart_of_all_routers_in_turn(self) -> None:
+        for versions, expected in ((("v1",), "v1"), (("v1", "v2"), UNKNOWN)):
+            fleet = self.start(3, versions=versions)
+            fleet.run(2 * HISTORY_SECONDS)
+            for router in fleet.routers.values():
+                router.registry.replace_all(make_targets(("v1",)))
+            fleet.versions = ("v1",)
+            for number in range(3):
+                fleet.kill(f"r{number}")
+                fleet.start(f"r{number}")
+                fleet.run(3.0)
+            self.assertEqual({expected}, fleet.find_everywhere("lost"))
+
     def test_routers_that_all_started_just_now_refuse_unless_the_whole_system_did(self) -> None:
         fleet = self.start(0, versions=("v1",))
         fleet.start("r0")
         fleet.start("r1")
         self.assertEqual({UNKNOWN}, fleet.find_everywhere("lost"))
         fleet.start("r2", first=True)
+        fleet.run(5.0)
         self.assertEqual({"v1"}, fleet.find_everywhere("lost"))
 
     def test_a_paused_router_or_one_without_the_store_may_have_missed_a_version(self) -> None:
