--- a/packages/loomyard-standins/src/loomyard_standins/programs/caller_program.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/caller_program.py
@@ -20,21 +20,26 @@
     HOST,
     HTTP_OK,
     IDEMPOTENT,
+    LAST_EVENT_HEADER,
     LEAVING_HEADER,
     PATHS,
     PROBE_HOST,
     REPEATED_BODIES,
+    RESUMES_HEADER,
     STAMP_HEADER,
     STREAM,
+    STREAM_EVENTS,
     emit,
     expected_answer,
-    expected_stream,
     input_lines,
     probe_path,
+    read_stream,
     request_headers,
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from geventhttpclient.response import HTTPResponse
 
 CALLERS = 6
@@ -47,6 +52,14 @@
 # Fraction of the requests whose caller disconnects after DISCONNECT_SECONDS without an answer.
 DISCONNECT_FRACTION = 0.05
 DISCONNECT_SECONDS = 0.1
+# Fraction of the streams whose caller closes the connection after the first event, to take them
+# up at once at another router; and how often each caller takes up one that breaks off.
+CLOSE_FRACTION = 0.3
+MAX_TAKE_UPS = 3
+BLOCK_BYTES = 4096
+EVENT_BLOCK_BYTES = 8
+# Pause after an attempt that brought nothing.
+RETRY_SECONDS = 0.3
 # Fraction of the requests with one of the bodies that are sent again and again.
 REPEATED_FRACTION = 0.3
 # Mean time in seconds between two sends of a poison request.
@@ -94,11 +107,12 @@
         return f"{self.name}-{self._sent_count}".encode() * self.rng.randint(1, 40)
 
     def _request(self, router: str, kind: str, body: bytes) -> None:
+        if kind == STREAM:
+            self._stream(router, body)
+            return
         attempt_id = f"{self.name}-{self._sent_count}"
         disconnects = self.rng.random() < DISCONNECT_FRACTION
-        expected = (
-            expected_stream(attempt_id) if kind == STREAM else expected_answer(attempt_id, body)
-        )
+        expected = expected_answer(attempt_id, body)
         emit(sent=attempt_id, kind=kind, router=router)
         seconds = DISCONNECT_SECONDS if disconnects else DEADLINE_SECONDS + CONNECT_SECONDS
         status, received, completed = self._post(
@@ -118,6 +132,70 @@
             ),
         )
 
+    def _stream(self, router: str, body: bytes) -> None:
+        """Send a request for a stream, and take it up at other routers where it breaks off."""
+        first_id = f"{self.name}-{self._sent_count}"
+        disconnects = self.rng.random() < DISCONNECT_FRACTION
+        closes = self.rng.random() < CLOSE_FRACTION
+        after, attempt_id = 0, first_id
+        for number in range(1 + MAX_TAKE_UPS):
+            if number:
+                attempt_id = f"{first_id}-{number}"
+                router = self.rng.choice([one for one in self.routers if one != router] or [router])
+            last, whole = self._stream_part(
+                router,
+                body,
+                first_id,
+                attempt_id,
+                after=after,
+                seconds=DISCONNECT_SECONDS if disconnects else DEADLINE_SECONDS + CONNECT_SECONDS,
+                most_events=1 if closes and not number else None,
+            )
+            if whole or disconnects or last in (0, STREAM_EVENTS):
+                return
+            if last == after:
+                gevent.sleep(RETRY_SECONDS)
+            after = last
+
+    def _stream_part(
+        self,
+        router: str,
+        body: bytes,
+        first_id: str,
+        attempt_id: str,
+        *,
+        after: int,
+        seconds: float,
+        most_events: int | None,
+    ) -> tuple[int, bool]:
+        """Make one attempt; return the last event that has come and whether the stream is whole."""
+        emit(sent=attempt_id, kind=STREAM, router=router)
+        headers = {LAST_EVENT_HEADER: str(after), RESUMES_HEADER: first_id} if after else {}
+        status, received, completed = self._post(
+            router,
+            HOST,
+            f"{PATHS[STREAM]}x",
+            attempt_id,
+            body,
+            time.monotonic() + seconds,
+            headers=headers,
+            most_events=most_events,
+        )
+        read = read_stream(attempt_id, after, received if status == HTTP_OK else b"")
+        whole = status == HTTP_OK and completed
+        if seconds == DISCONNECT_SECONDS and not completed:
+            emit(left=attempt_id)
+        emit(
+            saw=attempt_id,
+            status=status,
+            whole=whole,
+            own=read.is_own and (read.is_whole or not whole),
+            stream=first_id,
+            harmless=body not in CRASHING_BODIES.values(),
+            versions=read.versions,
+        )
+        return read.last, whole
+
     def _probe(self, router: str) -> None:
         """Probe the route that a version added; only the status counts."""
         version = self.rng.randint(max(1, self.newest[0] - PROBED_VERSIONS), self.newest[0])
@@ -130,24 +208,41 @@
             emit(probe=version, router=router, status=status, began=started_at)
 
     def _post(
-        self, router: str, host: str, path: str, attempt_id: str, body: bytes, until: float
+        self,
+        router: str,
+        host: str,
+        path: str,
+        attempt_id: str,
+        body: bytes,
+        until: float,
+        *,
+        headers: Mapping[str, str] = {},
+        most_events: int | None = None,
     ) -> tuple[int, bytes, bool]:
-        """Return status (0 if none came), the bytes received and whether the answer is complete."""
+        """Return status (0 if none came), the bytes received and whether the answer is complete.
+
+        The connection is closed after ``most_events`` events.
+        """
         client = HTTPClient.from_url(
             f"http://{router}",
             connection_timeout=CONNECT_SECONDS,
             network_timeout=DEADLINE_SECONDS,
         )
-        headers = request_headers(attempt_id, DEADLINE_SECONDS) | {"Host": host}
+        fields = request_headers(attempt_id, DEADLINE_SECONDS) | {"Host": host} | {**headers}
         status, received, whole = 0, b"", False
         try:
             with gevent.Timeout(max(0.0, until - time.monotonic()), False):
-                response = client.post(path, body=body, headers=headers)
+                response = client.post(path, body=body, headers=fields)
                 status = response.status_code
                 self._report_leaving(router, response)
-                while block := response.read(4096):
+                # A read returns only once its block is full.
+                size = BLOCK_BYTES if most_events is None else EVENT_BLOCK_BYTES
+                while block := response.read(size):
                     received += bytes(block)
-                whole = response.message_complete
+                    if most_events is not None and received.count(b"\n\n") >= most_events:
+                        break
+                else:
+                    whole = response.message_complete
         except Exception as error:  # the client raises many types on a broken connection
             emit(broken=attempt_id, detail=repr(error))
         finally:
--- a/packages/loomyard-standins/src/loomyard_standins/programs/documents.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/documents.py
@@ -21,8 +21,10 @@
 PLAIN_SERVICE, ENGINE_SERVICE = "plain", "engine"
 SERVICES = {NON_IDEMPOTENT: PLAIN_SERVICE, IDEMPOTENT: PLAIN_SERVICE, STREAM: ENGINE_SERVICE}
 SLOTS = 8
-# Each service has one target in each; all routers are in the first.
+# Each service has one target of each of its versions in each; all routers are in the first.
 DATA_CENTRES = ("a", "b")
+# Engines announce one of these, plain targets the first.
+SOFTWARE_VERSIONS = ("v1", "v2")
 EVACUATION_PREFIX = "evacuate/"
 # Requests a second that a cold target can serve.
 COLD_REQUESTS_PER_SECOND = 4
@@ -86,13 +88,21 @@
 
 
 def announcement(
-    service: str, address: str, *, data_centre: str, born: int, draining: bool, cold_seconds: float
+    service: str,
+    address: str,
+    *,
+    data_centre: str,
+    software_version: str,
+    born: int,
+    draining: bool,
+    cold_seconds: float,
 ) -> str:
     """Return the entry of a target; ``born`` orders its incarnations."""
     document = {
         "service": service,
         "address": address,
         "zone": data_centre,
+        "version": software_version,
         "slots": SLOTS,
         "state": "draining" if draining else "ready",
         "born": born,
--- a/packages/loomyard-standins/src/loomyard_standins/programs/invariant_checker.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/invariant_checker.py
@@ -10,6 +10,7 @@
 from loomyard_standins.programs.documents import COLD_REQUESTS_PER_SECOND, EVACUATION_PREFIX
 from loomyard_standins.programs.invariant import Invariant, Violation
 from loomyard_standins.programs.soak_protocol import HTTP_OK, NON_IDEMPOTENT, NOT_EXECUTED_STATUSES
+from loomyard_standins.programs.stream_checker import StreamChecker
 from loomyard_standins.programs.target_notice_checker import TargetNoticeChecker
 
 if TYPE_CHECKING:
@@ -28,6 +29,8 @@
 COLD_WINDOW_SECONDS = 1.0
 MAX_COLD_RUNS = int(1.5 * COLD_REQUESTS_PER_SECOND) + 5
 STORE = "store"
+# Components count as under a fault for so long after it.
+CONTACT_SECONDS = 3.0
 
 
 @define(eq=False)
@@ -51,6 +54,7 @@
     crashes: int = 0
     late_send_count: int = 0
     notices: TargetNoticeChecker = field(init=False)
+    streams: StreamChecker = field(init=False)
     _crashed_at: defaultdict[str, list[float]] = field(factory=lambda: defaultdict(list))
     _late_sends: Counter[str] = field(factory=Counter)
     # Components under a fault, and the time at which the last fault of the others ended.
@@ -70,9 +74,11 @@
     _started: dict[str, float] = field(factory=dict)
     _leaving_since: dict[str, float] = field(factory=dict)
     _caller_left_at: dict[str, float] = field(factory=dict)
+    _refusing_until: dict[str, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.notices = TargetNoticeChecker(self._may_have_lost_state)
+        self.streams = StreamChecker(self._is_in_touch, self._is_usable)
 
     def record_router_end(self, router: str, at: float) -> None:
         """Record that an incarnation of a router ended; the next may know less."""
@@ -120,6 +126,7 @@
         elif "passed_leaving" in message:
             self.notices.record_leaving(message["router"], message["passed_leaving"], message["at"])
         elif "turned_away" in message:
+            self._refusing_until[message["target"]] = message["at"] + message["rest"]
             router = self._routers.get(message["turned_away"], "")
             if router:
                 yield from self.notices.check_refusal(
@@ -177,6 +184,26 @@
         changed = max(self._started.get(router, 0.0), self._recovered_at.get(router, 0.0))
         return router in self._disturbed or changed > since
 
+    def _is_in_touch(self, router: str, at: float) -> bool:
+        """Return whether neither a router nor the store was under a fault for some time."""
+        for component in (router, STORE):
+            changed = max(self._started.get(component, 0.0), self._recovered_at.get(component, 0.0))
+            if component in self._disturbed or at < changed + CONTACT_SECONDS:
+                return False
+        return True
+
+    def _is_usable(self, target: str, at: float) -> bool:
+        """Return whether nothing keeps requests from a target, or lately did."""
+        ended = self._recovered_at.get(target, 0.0)
+        return not (
+            target in self._disturbed
+            or target in self._leaving_since
+            or target in self._cold
+            or at < self._refusing_until.get(target, 0.0)
+            or self._evacuated_at
+            or at < ended + CONTACT_SECONDS
+        )
+
     def _record_evacuation(self, message: dict[str, Any]) -> None:
         data_centre = message["acked"].removeprefix(EVACUATION_PREFIX)
         if message["dropped"]:
@@ -228,6 +255,8 @@
             yield Violation(
                 Invariant.OWN_ANSWER, f"{attempt_id} got a wrong body with status {status}"
             )
+        if "stream" in message:
+            yield from self.streams.check(message, self._routers.get(attempt_id, ""))
         if status in NOT_EXECUTED_STATUSES:
             self.refused += 1
             self._statuses[attempt_id] = status
--- a/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
@@ -61,6 +61,7 @@
     id: str
     kind: str
     data_centre: str
+    software_version: str
     born: int
     proxy: FaultProxy
     program: Program
@@ -93,9 +94,13 @@
         self._store_host = f"{self._base}.1"
         self.store = self._start("store", "store_program", f"{self._store_host}:0")
         self.targets = [
-            self._start_target(kind, data_centre)
-            for kind in (NON_IDEMPOTENT, STREAM)
+            self._start_target(kind, data_centre, software_version)
+            for kind, versions in (
+                (NON_IDEMPOTENT, documents.SOFTWARE_VERSIONS[:1]),
+                (STREAM, documents.SOFTWARE_VERSIONS),
+            )
             for data_centre in documents.DATA_CENTRES
+            for software_version in versions
         ]
         self.publish_configuration()
         hosts = [f"{self._base}.{FIRST_HOST + number}" for number in range(routers)]
@@ -129,6 +134,7 @@
 
     def replace_target(self, target: Target, *, crash: bool) -> None:
         """Replace a target by a new one, after a crash or after it announced that it leaves."""
+        self._checker.streams.record_engine_end(target.id)
         if crash:
             target.proxy.stop_listening()
             target.program.kill()
@@ -138,7 +144,9 @@
             self._checker.record_leaving(target.id, time.monotonic())
             gevent.sleep(SERVE_WHILE_LEAVING_SECONDS)
         self._publish(documents.TARGETS_TOPIC, target.id, None)
-        self.targets.append(self._start_target(target.kind, target.data_centre))
+        self.targets.append(
+            self._start_target(target.kind, target.data_centre, self._next_version(target))
+        )
         self.targets.remove(target)
         if not crash:
             gevent.sleep(ENTRY_LINGER_SECONDS)
@@ -147,11 +155,14 @@
 
     def restart_target(self, target: Target) -> None:
         """Kill a target and start a new incarnation under the same id."""
+        self._checker.streams.record_engine_end(target.id)
         target.proxy.stop_listening()
         target.program.kill()
         gevent.sleep(ENTRY_LINGER_SECONDS)
         self.targets.append(
-            self._start_target(target.kind, target.data_centre, target_id=target.id)
+            self._start_target(
+                target.kind, target.data_centre, self._next_version(target), target_id=target.id
+            )
         )
         self.targets.remove(target)
         target.proxy.stop()
@@ -219,16 +230,31 @@
         }
         return self._launch(name, ROUTER_MODULE, lambda _: None, environment=environment)
 
-    def _start_target(self, kind: str, data_centre: str, *, target_id: str = "") -> Target:
+    def _next_version(self, target: Target) -> str:
+        """Return the version that replaces a target: another one for every second engine."""
+        versions = documents.SOFTWARE_VERSIONS
+        if target.kind != STREAM or self._incarnations % 2:
+            return target.software_version
+        return versions[1 - versions.index(target.software_version)]
+
+    def _start_target(
+        self, kind: str, data_centre: str, software_version: str, *, target_id: str = ""
+    ) -> Target:
         self._incarnations += 1
         target_id = target_id or f"t{self._incarnations}"
         seed = f"{self._seed} {self._incarnations}"
-        program = self._start(target_id, "target_program", target_id, kind, self._store_host, seed)
+        program = self._start(
+            target_id, "target_program", target_id, kind, software_version, self._store_host, seed
+        )
         proxy = FaultProxy(self._store_host, (self._store_host, program.port), self.clock)
         proxy.start()
         # The count of incarnations serves as ``born``; only its order matters.
-        target = Target(target_id, kind, data_centre, self._incarnations, proxy, program)
+        target = Target(
+            target_id, kind, data_centre, software_version, self._incarnations, proxy, program
+        )
         self._checker.record_target_start(target_id, data_centre)
+        if kind == STREAM:
+            self._checker.streams.record_engine_start(target_id, software_version)
         self._announce(target, draining=False)
         return target
 
@@ -238,6 +264,7 @@
             service,
             target.proxy.address,
             data_centre=target.data_centre,
+            software_version=target.software_version,
             born=target.born,
             draining=draining,
             cold_seconds=target.cold_seconds,
--- a/packages/loomyard-standins/src/loomyard_standins/programs/soak_protocol.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/soak_protocol.py
@@ -8,11 +8,13 @@
 
 import hashlib
 import json
+import re
 import signal
 import sys
 import time
 from typing import TYPE_CHECKING, Any
 
+from attrs import frozen
 from gevent.fileobject import FileObject
 
 if TYPE_CHECKING:
@@ -21,12 +23,15 @@
 # Sent to the process of a router before a SIGSTOP that stands for a suspension of its VM.
 SUSPEND_SIGNAL = signal.SIGUSR1
 STREAM_EVENTS = 12
+EVENT_PATTERN = re.compile(rb"id: \d+\ndata: (\S+) (\d+) (\S*)")
 MILLISECONDS_PER_SECOND = 1000
 HTTP_OK = 200
 # Statuses that guarantee that the request was not executed and never will be.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 STAMP_HEADER = "Loomyard-Server-Stamp"
 ATTEMPT_ID_HEADER = "Loomyard-Attempt-Id"
+# A caller that takes a stream up names its last event and the attempt that brought the first.
+LAST_EVENT_HEADER, RESUMES_HEADER = "Last-Event-Id", "Resumes"
 DEADLINE_HEADER = "Loomyard-Deadline-Ms"
 NOT_EXECUTED_HEADER = "Loomyard-Not-Executed"
 # Notices of targets: that it leaves, in all answers; seconds of back-off, in refusals.
@@ -68,14 +73,39 @@
     return f"{attempt_id} {digest} ".encode() * 20
 
 
-def stream_event(attempt_id: str, number: int) -> bytes:
-    """Return an event of a stream; the first has number 1."""
-    return f"id: {number}\ndata: {attempt_id} {number}\n\n".encode()
+def stream_event(attempt_id: str, number: int, software_version: str) -> bytes:
+    """Return an event of a stream as a version writes it; the first has number 1."""
+    return f"id: {number}\ndata: {attempt_id} {number} {software_version}\n\n".encode()
 
 
-def expected_stream(attempt_id: str) -> bytes:
-    """Return all events of a stream."""
-    return b"".join(stream_event(attempt_id, n) for n in range(1, STREAM_EVENTS + 1))
+@frozen
+class ReceivedStream:
+    """What a caller got of one attempt: the last event, the versions, and whether all is its own.
+
+    ``versions`` is a list without duplicates.
+    """
+
+    last: int
+    versions: list[str]
+    is_own: bool
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the last event of the stream has come."""
+        return self.last == STREAM_EVENTS
+
+
+def read_stream(attempt_id: str, after: int, received: bytes) -> ReceivedStream:
+    """Read the events that came after a number; an incomplete one at the end is left out."""
+    last, versions, is_own = after, [], True
+    for event in received.split(b"\n\n")[:-1]:
+        found = EVENT_PATTERN.fullmatch(event)
+        if found is None or (found[1].decode(), int(found[2])) != (attempt_id, last + 1):
+            is_own = False
+            break
+        last += 1
+        versions.append(found[3].decode())
+    return ReceivedStream(last, sorted(set(versions)), is_own)
 
 
 def probe_path(version: int) -> str:
--- a/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/soak_run.py
@@ -58,6 +58,7 @@
         finally:
             self._fleet.stop()
         self.violations.extend(self._checker.find_unsent_runs())
+        self.violations.extend(self._checker.streams.find_lost())
         return self._report(time.monotonic() - started_at)
 
     def _publish_versions(self) -> None:
@@ -94,6 +95,8 @@
             "runs": checker.runs,
             "targets_ended": checker.crashes,
             "sent_after_known": checker.late_send_count,
+            "streams_begun": checker.streams.begun.as_text,
+            "streams_taken_up": checker.streams.taken_up.as_text,
             "passed_leaving": checker.notices.forwarded_notices,
             "turned_away": checker.notices.refused_with_backoff,
             "versions": self._fleet.version,
--- a/packages/loomyard-standins/src/loomyard_standins/programs/target_program.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/target_program.py
@@ -52,6 +52,7 @@
 
     id: str
     kind: str
+    software_version: str
     rng: random.Random
     # Notices in its answers: that it leaves, and the back-off in seconds that its refusals ask for.
     leaving: bool = False
@@ -148,7 +149,7 @@
         last = STREAM_EVENTS if complete else self.rng.randint(after, STREAM_EVENTS - 1)
         sock.sendall(self._head("200 OK", attempt_id, stamp, None))
         for number in range(after + 1, last + 1):
-            event = stream_event(attempt_id, number)
+            event = stream_event(attempt_id, number, self.software_version)
             sock.sendall(b"%x\r\n%b\r\n" % (len(event), event))
             gevent.sleep(EVENT_SECONDS)
         if complete:
@@ -169,9 +170,9 @@
 
 
 def main() -> int:
-    """Serve with the arguments ``ID KIND HOST SEED`` until the process is killed."""
-    target_id, kind, host, seed = sys.argv[1:5]
-    target = TargetProgram(target_id, kind, random.Random(seed))
+    """Serve with the arguments ``ID KIND VERSION HOST SEED`` until the process is killed."""
+    target_id, kind, software_version, host, seed = sys.argv[1:6]
+    target = TargetProgram(target_id, kind, software_version, random.Random(seed))
     server = StreamServer((host, 0), target.serve)
     server.start()
     emit(listening=server.server_port)
