--- a/packages/loomyard-router/src/loomyard_router/admission/fallbacks.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fallbacks.py
@@ -26,6 +26,9 @@
 
 
 def _find_max_in_time(request: RoutedRequest, *, over_share: bool) -> int:
+    if request.origin is not None:
+        # The engines of its version may be few, and it may go on nowhere else.
+        return MAX_FALLBACKS_UNSHARED
     mostly_unshared = request.head.prompt_tokens - request.shared_prompt_tokens >= (
         UNSHARED_RATIO * request.shared_prompt_tokens
     )
--- a/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/fleet_gate.py
@@ -10,11 +10,15 @@
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.rendezvous import rank_weighted
-from loomyard_router.admission.fallbacks import find_max_fallbacks
 from loomyard_router.admission.slot_client import ISOLATION_THRESHOLD, SlotStatus
 from loomyard_router.admission.slot_permit import SlotPermit
+from loomyard_router.admission.slot_terms import (
+    DEFAULT_OBJECTIVE,
+    FIRST_TOKEN_FRACTION,
+    SlotTerms,
+    make_slot_terms,
+)
 from loomyard_router.admission.target_slots import RefusalReason
-from loomyard_router.admission.waiting_time import RetryHint, find_wait_deadline
 from loomyard_router.announced.target_incarnation import TargetLife
 
 if TYPE_CHECKING:
@@ -25,6 +29,7 @@
     from loomyard_router.admission.slot_client import SlotClient
     from loomyard_router.admission.target_estimates import TargetEstimates
     from loomyard_router.admission.target_loads import TargetLoads
+    from loomyard_router.admission.waiting_time import RetryHint
     from loomyard_router.announced.announced_target import AnnouncedTarget
     from loomyard_router.announced.cold_targets import ColdTargets
     from loomyard_router.announced.target_registry import TargetRegistry
@@ -34,10 +39,6 @@
 # That is some fifteen times the time to read it, as reading also delays all that runs there
 # (docs/DECISIONS.md, Places of engines).
 WAIT_SECONDS_PER_TOKEN = 100e-6
-# The first token is due after this fraction of the objective, so that it reaches the caller in
-# time.
-FIRST_TOKEN_FRACTION = 0.75
-DEFAULT_OBJECTIVE = 0.4
 # A request that lost more than this fraction of the time to its first token comes late.
 LATE_FRACTION = 0.25
 MIN_WAIT = 0.002
@@ -124,27 +125,19 @@
         ranked = self._rank(request, excluded)
         if not ranked:
             return Err(self._hint.make_refusal(ResultCode.NO_TARGET, request.lack_of_targets))
-        over_share = self._ledger.is_over_share(request.account_name)
-        until = find_wait_deadline(request, within_share=not over_share)
-        objective = request.route.objective or DEFAULT_OBJECTIVE
-        first_token_by = request.arrived_at + FIRST_TOKEN_FRACTION * objective
-        # An account far over its share does not wait: it would wait at all routers and take each
-        # slot that becomes free, before accounts with less usage whose callers use one router.
-        may_wait = not self._ledger.is_far_over_share(request.account_name)
-        first = min(until - self._clock.now(), _worthwhile_wait(request)) if may_wait else 0.0
-        fallbacks = find_max_fallbacks(
-            request, over_share=over_share, lagging=self._backlog.is_router_lagging
-        )
+        terms = make_slot_terms(request, self._ledger, self._backlog)
+        left = terms.wait_until - self._clock.now()
+        first = min(left, _worthwhile_wait(request)) if terms.may_wait else 0.0
         # A cold target is tried without a wait: it can take only a few requests a second.
         waits = [(ranked[0], 0.0 if self._cold.rate_limit(ranked[0]) else first)]
-        waits += [(target, 0.0) for target in ranked[1 : 1 + fallbacks]]
+        waits += [(target, 0.0) for target in ranked[1 : 1 + terms.fallbacks]]
         for choice, (target, wait) in enumerate(waits):
-            permit = self._request_slot(request, target, wait, first_token_by, choice)
+            permit = self._request_slot(request, target, wait, terms, choice)
             if permit is not None or request.presence.gone:
                 return self._finish(request, permit)
         return self._finish(
             request,
-            self._wait_longer(request, ranked, until, first_token_by) if may_wait else None,
+            self._wait_longer(request, ranked, terms) if terms.may_wait else None,
         )
 
     def _comes_late(self, request: RoutedRequest) -> bool:
@@ -157,40 +150,40 @@
         self,
         request: RoutedRequest,
         ranked: list[AnnouncedTarget],
-        until: float,
-        first_token_by: float,
+        terms: SlotTerms,
     ) -> SlotPermit | None:
         """Wait at the first warm target; while its owner is unresponsive, for this router's quota.
 
         Refusing at once while owners are unresponsive would send callers away though targets have
         free slots.
         """
+        until = terms.wait_until
         left = until - self._clock.now()
         warm = (one for one in enumerate(ranked) if not self._cold.rate_limit(one[1]))
         choice, target = next(warm, (-1, None))
         if target is None or left < MIN_WAIT:
             return None
-        permit = self._request_slot(request, target, left, first_token_by, choice)
+        permit = self._request_slot(request, target, left, terms, choice)
         for _ in range(math.ceil(left / QUOTA_RECHECK_SECONDS)):
             left = until - self._clock.now()
             unresponsive = self._client.is_unresponsive(target)
             if permit is not None or request.presence.gone or not unresponsive or left < MIN_WAIT:
                 break
             if self._loads.wait(min(until, self._clock.now() + QUOTA_RECHECK_SECONDS), self._clock):
-                permit = self._use_quota(request, ranked, first_token_by)
+                permit = self._use_quota(request, ranked, terms)
         return permit
 
     def _use_quota(
         self,
         request: RoutedRequest,
         ranked: list[AnnouncedTarget],
-        first_token_by: float,
+        terms: SlotTerms,
     ) -> SlotPermit | None:
         """Use this router's quota of the first warm target whose slot owner is unresponsive."""
         for choice, target in enumerate(ranked):
             has_quota = self._client.is_unresponsive(target) and self._loads.has_free_slot(target)
             if has_quota and not self._cold.rate_limit(target):
-                return self._request_slot(request, target, 0.0, first_token_by, choice)
+                return self._request_slot(request, target, 0.0, terms, choice)
         return None
 
     def _finish(
@@ -245,7 +238,7 @@
         request: RoutedRequest,
         target: AnnouncedTarget,
         wait: float,
-        first_token_by: float,
+        terms: SlotTerms,
         choice: int,
     ) -> SlotPermit | None:
         account = request.account_name
@@ -254,9 +247,9 @@
             request,
             target,
             wait=wait,
-            first_token_by=first_token_by,
+            first_token_by=terms.first_token_by,
             usage=self._ledger.usage(account),
-            share_used=self._ledger.share_used(account),
+            share_used=terms.share_used,
             cold_rate=cold_rate,
         )
         request.trace.refusal_reason = outcome.refusal_reason
--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -186,6 +186,7 @@
             detail = "the retry budget is spent"
             return Err(Fault(code=ResultCode.RETRY_BUDGET_SPENT, detail=detail))
         self._retry_budget.spend(request.service)
+        request.slot_wanted_at = self._clock.now()
         return self.open(
             request, excluded=frozenset([broken.target.incarnation]), last_event=last_event
         )
--- a/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
@@ -27,7 +27,8 @@
 class RoutedRequest:
     """A decoded request; ``deadline`` is the earlier one of the caller and of the route's timeout.
 
-    ``origin`` is what began the stream of which the caller has events, ``None`` without one.
+    ``origin`` is what began the stream of which the caller has events, ``None`` without one;
+    ``slot_wanted_at`` is when it arrived, or when its stream last broke off at a target.
     ``crash_count`` is the number of targets known to have crashed under it. Of the attempt under
     way, ``send_rank`` is its number among those under which targets may crash, and
     ``first_event_at`` the time of its first event. ``release_body`` frees the memory of the body.
@@ -45,6 +46,7 @@
     deadline: float
     table_version: int = -1
     origin: StreamOrigin | None = None
+    slot_wanted_at: float = field(init=False)
     trace: RequestTrace = field(factory=RequestTrace)
     crash_count: int = 0
     send_rank: int = 1
@@ -52,6 +54,10 @@
     release_body: Callable[[], None] = lambda: None
     _fingerprint: str = ""
 
+    @slot_wanted_at.default
+    def _use_arrival(self) -> float:
+        return self.arrived_at
+
     @property
     def fingerprint(self) -> str:
         """Return the fingerprint by which a repeat is recognized, computed on first use."""
