--- a/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
@@ -13,6 +13,7 @@
 from loomyard_router.routed.request_trace import RequestTrace
 from loomyard_router.routes.account_config import AccountConfig
 from loomyard_router.routes.route import Route
+from loomyard_router.streams.stream_id import make_stream_id
 from loomyard_router.streams.stream_origin import StreamOrigin
 
 if TYPE_CHECKING:
@@ -83,8 +84,11 @@
 
     @property
     def stream_id(self) -> str:
-        """Return the id of the attempt that brought the first event, or is to bring it."""
-        return self.head.resumed_attempt_id or self.head.attempt_id
+        """Return the id of the attempt that brought the first event, or is to bring it.
+
+        Callers choose the ids, so a long one is replaced by a digest.
+        """
+        return make_stream_id(self.head.resumed_attempt_id or self.head.attempt_id)
 
     @property
     def lack_of_targets(self) -> str:
--- a/packages/loomyard-router/src/loomyard_router/streams/origin_replicator.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_replicator.py
@@ -10,6 +10,7 @@
 from loomyard_router.streams.host_ring import HostRing
 from loomyard_router.streams.origin_messages import OriginUpdate, decode_entry, encode_record
 from loomyard_router.streams.origin_record import OriginRecord
+from loomyard_router.streams.origin_table import MAX_RECORDS
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -87,6 +88,8 @@
         """Keep the record of a stream that this router serves, and send it to its hosts."""
         own = _OwnRecord(self._table.add(record))
         self._own[record.attempt_id] = own
+        if len(self._own) > MAX_RECORDS:
+            del self._own[next(iter(self._own))]
         self._queue_missing(own)
 
     def release(self, attempt_id: str) -> None:
--- a/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
@@ -98,9 +98,9 @@
         objective = request.route.objective or DEFAULT_OBJECTIVE
         seconds = max(MIN_LOOKUP_SECONDS, LOOKUP_FRACTION * objective)
         outcome = self._lookup.find(
-            request.head.resumed_attempt_id,
+            request.stream_id if request.head.resumed_attempt_id else "",
             request.route.name,
-            key=request.head.attempt_id,
+            key=request.stream_id,
             deadline=min(now + seconds, request.deadline),
         )
         if not isinstance(outcome, FoundOrigin):
--- a/tests/test_loomyard_router/test_streams/test_origin_fleet.py
+++ b/tests/test_loomyard_router/test_streams/test_origin_fleet.py
@@ -8,6 +8,7 @@
 from loomyard_router.streams.origin_history import HISTORY_SECONDS
 from loomyard_router.streams.origin_messages import OriginEntry, OriginUpdate
 from loomyard_router.streams.origin_replicator import HOSTS
+from loomyard_router.streams.stream_id import MAX_ID_CHARS
 from test_loomyard_router.test_streams.streams_fleet import (
     NEW,
     OLD,
@@ -184,6 +185,18 @@
         self.assertEqual({UNKNOWN}, fleet.find_everywhere("a"))
         self.assertEqual({0}, {one.origins.metrics.records() for one in fleet.routers.values()})
 
+    def test_ids_of_any_length_are_found_and_kept_short(self) -> None:
+        fleet = self.start(3)
+        fleet.begin("x" * 16_000, OLD)
+        fleet.begin("x" * 15_999, NEW)
+        fleet.run(SENT_SECONDS)
+        fleet.kill("r0")
+        self.assertEqual({"v1"}, fleet.find_everywhere("x" * 16_000))
+        self.assertEqual({"v2"}, fleet.find_everywhere("x" * 15_999))
+        for router in fleet.routers.values():
+            ids = [record.attempt_id for record in router.origins._table.records()]
+            self.assertLessEqual(max(map(len, ids)), MAX_ID_CHARS)
+
     def test_invalid_entries_are_ignored(self) -> None:
         fleet = self.start(2)
         router = fleet.routers["r0"]
