--- a/packages/loomyard-router/src/loomyard_router/streams/host_ring.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/host_ring.py
@@ -29,10 +29,12 @@
         self._points: list[int] = []
         self._names: list[str] = []
         self._data_centres: dict[str, str] = {}
+        self._data_centre_count = 0
 
     def update(self, members: Iterable[Member]) -> None:
         """Replace the routers."""
         self._data_centres = {member.name: member.data_centre for member in members}
+        self._data_centre_count = len(set(self._data_centres.values()))
         ring = sorted((point, name) for name in self._data_centres for point in _points_of(name))
         self._points = [point for point, _ in ring]
         self._names = [name for _, name in ring]
@@ -42,7 +44,7 @@
 
         The choice of fewer routers is the beginning of that of more.
         """
-        wanted = min(count, len(set(self._data_centres.values())))
+        wanted = min(count, self._data_centre_count)
         spread: dict[str, str] = {}
         others: list[str] = []
         for name in self._walk(key):
