--- a/packages/loomyard-router/src/loomyard_router/streams/origin_history.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_history.py
@@ -88,8 +88,8 @@
         now = self._clock.now()
         return PastOrigins(
             observed_seconds=int(min(self.observed_seconds, MAX_HISTORY_SECONDS)),
-            services=[one for one in _list_ages(self._services, now) if one[2]],
-            versions=_list_ages(self._versions, now),
+            services=_list_ages(self._services, now, with_present=False),
+            versions=_list_ages(self._versions, now, with_present=True),
         )
 
     def adopt(self, past: PastOrigins) -> None:
@@ -139,11 +139,14 @@
         self._paused_at = self._clock.now()
 
 
-def _list_ages(known: Mapping[str, dict[str, float]], now: float) -> list[tuple[str, str, int]]:
+def _list_ages(
+    known: Mapping[str, dict[str, float]], now: float, *, with_present: bool
+) -> list[tuple[str, str, int]]:
     return [
-        (name, value, 0 if at == math.inf else math.ceil(now - at))
+        (name, value, 0 if at == math.inf else int(now - at))
         for name, seen in known.items()
         for value, at in seen.items()
+        if with_present or at != math.inf
     ]
 
 
--- a/packages/loomyard-router/src/loomyard_router/streams/origin_lookup.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_lookup.py
@@ -115,11 +115,13 @@
         return None
 
     def _ask_one(self, name: str, query: OriginQuery, deadline: float, received: Queue) -> None:
-        match self._peers.request(name, query, deadline):
-            case Ok(OriginReply() as reply):
-                received.put((name, reply))
-            case _:
-                received.put((name, None))
+        reply: OriginReply | None = None
+        try:
+            match self._peers.request(name, query, deadline):
+                case Ok(OriginReply() as reply):
+                    pass
+        finally:
+            received.put((name, reply))
 
     def _find_sole(
         self, route: str, hosts: list[str], replies: dict[str, OriginReply]
--- a/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
@@ -6,9 +6,10 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from attrs import evolve
 from result import Err, Ok, Result
 
-from loomyard.errors import Fault, ResultCode
+from loomyard.errors import ResultCode
 from loomyard.events import Event, emit
 from loomyard_router.streams.history_exchange import HistoryExchange
 from loomyard_router.streams.origin_history import OriginHistory
@@ -22,6 +23,7 @@
     import random
 
     from loomyard.clock import Clock
+    from loomyard.errors import Fault
     from loomyard_router.admission.waiting_time import RetryHint
     from loomyard_router.announced.target_registry import TargetRegistry
     from loomyard_router.members.membership import Membership
@@ -107,12 +109,9 @@
             return self._refuse_unknown(request, outcome.silent)
         self._lookups[outcome.told_by if outcome.told_by in (OWN, SOLE) else PEER] += 1
         origin = outcome.origin
-        emit(
-            logger,
+        _log_take_up(
             Event.CALLER_RESUMED,
-            request=request.head.attempt_id,
-            resumes=request.head.resumed_attempt_id,
-            after=request.head.last_event_id,
+            request,
             service=origin.service,
             software=origin.software_version,
             told_by=outcome.told_by,
@@ -157,22 +156,25 @@
         if silent:
             detail = f"{detail}; no reply from {', '.join(silent)}"
         fault = self._refuse(request, ResultCode.ORIGIN_UNKNOWN, detail)
-        if not silent:
-            return Err(Fault(code=fault.code, detail=fault.detail))
-        return Err(fault)
+        # Where all replied, another attempt would learn no more.
+        return Err(fault if silent else evolve(fault, retry_after=None))
 
     def _refuse(self, request: RoutedRequest, code: ResultCode, detail: str) -> Fault:
-        emit(
-            logger,
-            Event.STREAM_NOT_RESUMED,
-            request=request.head.attempt_id,
-            resumes=request.head.resumed_attempt_id,
-            after=request.head.last_event_id,
-            detail=detail,
-        )
+        _log_take_up(Event.STREAM_NOT_RESUMED, request, detail=detail)
         return self._hint.make_refusal(code, detail)
 
 
+def _log_take_up(event: Event, request: RoutedRequest, **fields: str) -> None:
+    emit(
+        logger,
+        event,
+        request=request.head.attempt_id,
+        resumes=request.head.resumed_attempt_id,
+        after=request.head.last_event_id,
+        **fields,
+    )
+
+
 def make_stream_origins(
     *,
     clock: Clock,
