--- a/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
@@ -34,9 +34,9 @@
 
 logger = logging.getLogger(__name__)
 
-# Fraction of the objective that a lookup may take, for the case that hosts do not reply.
-LOOKUP_FRACTION = 0.25
-MIN_LOOKUP_SECONDS = 0.05
+# Fraction of the objective that a lookup may take where hosts reply late, as lagging ones do.
+LOOKUP_FRACTION = 0.5
+MIN_LOOKUP_SECONDS = 0.1
 DEFAULT_OBJECTIVE = 0.4
 # How long after the deadline of an attempt its caller may take the stream up, and the longest
 # time for which a record is kept.
