--- a/packages/loomyard-router/src/loomyard_router/streams/origin_history.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_history.py
@@ -9,7 +9,7 @@
 from loomyard_router.streams.stream_origin import StreamOrigin
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Collection, Iterable, Mapping
 
     from loomyard.clock import Clock
     from loomyard_router.announced.target_registry import TargetRegistry
@@ -49,6 +49,7 @@
         self._services: dict[str, dict[str, float]] = {}
         self._versions: dict[str, dict[str, float]] = {}
         self._seconds: dict[str, float] = {}
+        self._listeners: list[Callable[[], None]] = []
         registry.subscribe(self._update_versions)
         holder.subscribe(self._update_services)
         members.subscribe_pause(self._on_pause)
@@ -70,6 +71,25 @@
     def _gapless_since(self) -> float:
         return max(self._registry.gapless_since, self._paused_at)
 
+    def subscribe(self, changed: Callable[[], None]) -> None:
+        """Call back when routes may have got or lost an origin; the callback must not block."""
+        self._listeners.append(changed)
+
+    def find_sole(self, route: str) -> StreamOrigin | None:
+        """Return the only origin that streams of a route can have, by what this router observed."""
+        return self.choose_sole(route, self.possible(route), self.observed_seconds)
+
+    def choose_sole(
+        self, route: str, possible: Collection[StreamOrigin], observed_seconds: float
+    ) -> StreamOrigin | None:
+        """Return the only one of some origins, if they were observed for long enough."""
+        if len(possible) != 1:
+            return None
+        (origin,) = possible
+        # Without an announced version there is no other to confuse it with.
+        required = self.required_seconds(route) if origin.software_version else 0.0
+        return origin if observed_seconds >= required else None
+
     def required_seconds(self, route: str) -> float:
         """Return for how long a route must have had one origin only, so that its streams had it."""
         return self._seconds.get(route, HISTORY_SECONDS)
@@ -108,6 +128,7 @@
         for target in self._registry.listed():
             current.setdefault(target.service, set()).add(target.software_version)
         self._merge(self._versions, current)
+        self._notify()
 
     def _update_services(self, table: RouteTable) -> None:
         current: dict[str, set[str]] = {}
@@ -119,6 +140,7 @@
                     self._seconds[route.name] = max(seconds, self._seconds.get(route.name, 0.0))
         self._merge(self._services, current)
         self._seconds = {name: self._seconds[name] for name in self._services}
+        self._notify()
 
     def _merge(self, known: dict[str, dict[str, float]], current: Mapping[str, set[str]]) -> None:
         """Mark what is gone with the time, and forget what is gone for long."""
@@ -137,6 +159,11 @@
 
     def _on_pause(self, _: float) -> None:
         self._paused_at = self._clock.now()
+        self._notify()
+
+    def _notify(self) -> None:
+        for changed in self._listeners:
+            changed()
 
 
 def _list_ages(
--- a/packages/loomyard-router/src/loomyard_router/streams/origin_lookup.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_lookup.py
@@ -137,11 +137,5 @@
         for reply in replies.values():
             possible |= {StreamOrigin(service=s, software_version=v) for s, v in reply.possible}
             observed = max(observed, reply.observed_seconds)
-        if len(possible) != 1:
-            return missing
-        (origin,) = possible
-        # Without an announced version there is no other to confuse it with.
-        required = self._history.required_seconds(route) if origin.software_version else 0.0
-        if observed < required:
-            return missing
-        return FoundOrigin(origin=origin, told_by=SOLE)
+        origin = self._history.choose_sole(route, possible, observed)
+        return missing if origin is None else FoundOrigin(origin=origin, told_by=SOLE)
--- a/packages/loomyard-router/src/loomyard_router/streams/origin_replicator.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_replicator.py
@@ -16,6 +16,7 @@
     from loomyard.clock import Clock
     from loomyard_router.members.membership import Member, Membership
     from loomyard_router.peers.links import PeerLinks
+    from loomyard_router.streams.origin_history import OriginHistory
     from loomyard_router.streams.origin_table import OriginTable
 
 # Hosts of a record besides the router that serves the stream: where that one and another end at
@@ -27,6 +28,8 @@
 MEMBERS_BATCH_SECONDS = 0.05
 SWEEP_SECONDS = 1.0
 MAX_ENTRIES = 2000
+# Records that are sent again at a time.
+RESEND_COUNT = 8
 
 
 @define(eq=False)
@@ -34,6 +37,7 @@
     """A record of this router, and the incarnations of hosts to which it was sent."""
 
     record: OriginRecord
+    route: str
     sent_to: set[tuple[str, int]] = field(factory=set)
 
 
@@ -42,13 +46,21 @@
 
     The hosts follow from the attempt id, so any router finds them. When routers join, restart or
     end, the records that concerns are sent again; a router that stops hands over those of streams
-    whose router has ended.
+    whose router has ended. While streams of a route can have one origin only, their records stay
+    here, until that changes.
     """
 
     def __init__(
-        self, *, clock: Clock, table: OriginTable, members: Membership, peers: PeerLinks
+        self,
+        *,
+        clock: Clock,
+        table: OriginTable,
+        history: OriginHistory,
+        members: Membership,
+        peers: PeerLinks,
     ) -> None:
         self._clock = clock
+        self._history = history
         self._table = table
         self._members = members
         self._peers = peers
@@ -57,6 +69,7 @@
         self._own: dict[str, _OwnRecord] = {}
         self._queued: dict[str, list[OriginRecord]] = {}
         self._has_failed = False
+        self._is_resending = False
         self._members_changed = True
         self._task: gevent.Greenlet | None = None
         peers.handle(OriginUpdate, self.receive)
@@ -64,6 +77,7 @@
     def start(self) -> None:
         """Start to send again what hosts lack, and to drop what has expired."""
         self._members.subscribe(self._on_members_changed)
+        self._history.subscribe(self._schedule_resend)
         self._task = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -84,21 +98,29 @@
         names = self._ring.choose(attempt_id, HOSTS + 1)
         return [name for name in names if name != self._members.own.name]
 
-    def publish(self, record: OriginRecord) -> None:
-        """Keep the record of a stream that this router serves, and send it to its hosts."""
-        own = _OwnRecord(self._table.add(record))
+    def publish(self, record: OriginRecord, route: str) -> list[str]:
+        """Keep the record of a stream that this router serves; return the hosts it is sent to."""
+        own = _OwnRecord(self._table.add(record), route)
         self._own[record.attempt_id] = own
         if len(self._own) > MAX_RECORDS:
             del self._own[next(iter(self._own))]
+        if self._history.find_sole(route) is not None:
+            return []
         self._queue_missing(own)
+        return self.find_hosts(record.attempt_id)
 
     def release(self, attempt_id: str) -> None:
         """Record that a stream is complete; its record only expires from now on."""
         self._own.pop(attempt_id, None)
 
     def hand_over(self) -> None:
-        """Send the records of streams whose router has ended to their hosts, before a stop."""
+        """Send records to hosts that no other router would send them, before a planned stop.
+
+        These are the own ones, and those of streams whose router has ended.
+        """
         self._refresh_ring()
+        for own in self._own.values():
+            self._queue_missing(own)
         for record in self._table.records():
             has_ended = self._incarnations.get(record.router) != record.incarnation
             if has_ended and record.attempt_id not in self._own:
@@ -122,11 +144,24 @@
                 del self._own[own.record.attempt_id]
         if self._has_failed:
             self._has_failed = False
-            self._queue_all_missing()
+            self._schedule_resend()
 
-    def _queue_all_missing(self) -> None:
-        for own in self._own.values():
-            self._queue_missing(own)
+    def _schedule_resend(self) -> None:
+        if not self._is_resending:
+            self._is_resending = True
+            gevent.spawn(self._resend)
+
+    def _resend(self) -> None:
+        """Send the records that hosts lack, a few at a time, as links may have to be opened."""
+        self._clock.sleep(BATCH_SECONDS)
+        self._is_resending = False
+        routes = {own.route for own in self._own.values()}
+        sole = {route for route in routes if self._history.find_sole(route) is not None}
+        missing = [own for own in self._own.values() if own.route not in sole]
+        for first in range(0, len(missing), RESEND_COUNT):
+            for own in missing[first : first + RESEND_COUNT]:
+                self._queue_missing(own)
+            self._clock.sleep(BATCH_SECONDS)
 
     def _queue_missing(self, own: _OwnRecord) -> None:
         for name in self.find_hosts(own.record.attempt_id):
@@ -176,7 +211,7 @@
         if incarnations != self._incarnations:
             self._incarnations = incarnations
             self._ring.update(live)
-            self._queue_all_missing()
+            self._schedule_resend()
 
     def _run(self) -> None:
         while True:
--- a/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
@@ -134,15 +134,16 @@
             incarnation=own.incarnation,
             until=now + min(seconds, MAX_RECORD_SECONDS),
         )
-        self._replicator.publish(record)
-        emit(
-            logger,
-            Event.STREAM_BEGAN,
-            request=request.head.attempt_id,
-            service=request.origin.service,
-            software=request.origin.software_version,
-            hosts=self._replicator.find_hosts(request.stream_id),
-        )
+        hosts = self._replicator.publish(record, request.route.name)
+        if hosts:
+            emit(
+                logger,
+                Event.STREAM_BEGAN,
+                request=request.head.attempt_id,
+                service=request.origin.service,
+                software=request.origin.software_version,
+                hosts=hosts,
+            )
 
     def release(self, request: RoutedRequest) -> None:
         """Record that a stream is complete."""
@@ -187,8 +188,10 @@
 ) -> StreamOrigins:
     """Create and wire the components."""
     table = OriginTable(clock)
-    replicator = OriginReplicator(clock=clock, table=table, members=members, peers=peers)
     history = OriginHistory(clock=clock, registry=registry, holder=holder, members=members)
+    replicator = OriginReplicator(
+        clock=clock, table=table, history=history, members=members, peers=peers
+    )
     lookup = OriginLookup(
         clock=clock,
         table=table,
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -62,7 +62,7 @@
     ANSWER_UNREAD = (408, logging.INFO, "a caller does not read; its answer is buffered")
     ANSWER_GIVEN_UP = (409, logging.WARNING, "an answer was aborted; its caller does not read")
     STREAM_NOT_RESUMED = (410, logging.INFO, "a caller's stream can't be resumed; nothing ran")
-    STREAM_BEGAN = (411, logging.INFO, "the first event of a stream is relayed to its caller")
+    STREAM_BEGAN = (411, logging.INFO, "a stream begins; its record is sent to its hosts")
     CLAIM_OUTCOME_UNKNOWN = (550, logging.WARNING, "a request was sent; its outcome is unknown")
     CLAIMS_TRIMMED = (551, logging.WARNING, "unread claim records were trimmed")
     CLAIM_END_DROPPED = (552, logging.ERROR, "the record of a claim's end was dropped")
--- a/tests/test_loomyard_router/test_streams/test_origin_fleet.py
+++ b/tests/test_loomyard_router/test_streams/test_origin_fleet.py
@@ -260,6 +260,29 @@
                 fleet.run(3.0)
             self.assertEqual({expected}, fleet.find_everywhere("lost"))
 
+    def test_while_there_is_one_version_records_cost_no_messages(self) -> None:
+        fleet = self.start(7, versions=("v1",))
+        fleet.run(2 * HISTORY_SECONDS)
+        before = fleet.network.sent_messages
+        for number in range(STREAMS):
+            fleet.begin(f"s{number}", OLD)
+        fleet.run(1.0)
+        self.assertEqual(before, fleet.network.sent_messages)
+
+    def test_running_streams_are_known_once_a_second_version_comes(self) -> None:
+        for count in SIZES:
+            fleet = self.start(count, versions=("v1",))
+            fleet.run(2 * HISTORY_SECONDS)
+            for number in range(STREAMS):
+                fleet.begin(f"s{number}", OLD)
+            for router in fleet.routers.values():
+                router.registry.replace_all(make_targets(("v1", "v2")))
+            fleet.run(0.5)
+            fleet.kill("r0")
+            for number in range(STREAMS):
+                found = fleet.find(f"r{1 + number % (count - 1)}", f"s{number}", seconds=0.1)
+                self.assertEqual(OLD, found.unwrap())
+
     def test_routers_that_all_started_just_now_refuse_unless_the_whole_system_did(self) -> None:
         fleet = self.start(0, versions=("v1",))
         fleet.start("r0")
