--- a/packages/loomyard-standins/src/loomyard_standins/programs/program.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program.py
@@ -10,6 +10,7 @@
 import gevent
 from gevent import subprocess
 from gevent.event import Event
+from gevent.lock import BoundedSemaphore
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -31,6 +32,8 @@
         self._log = log.open("ab")
         self._listener = listener
         self._listening = Event()
+        # A write of more than the pipe holds waits for the reader, and another may not begin then.
+        self._writing = BoundedSemaphore()
         self._port = 0
         self._process = subprocess.Popen(
             command,
@@ -59,9 +62,10 @@
         return self._port
 
     def send_line(self, line: str) -> None:
-        """Write a line to the standard input of the process."""
-        self._process.stdin.write(line.encode() + b"\n")
-        self._process.stdin.flush()
+        """Write a line to the standard input of the process, after those of other tasks."""
+        with self._writing:
+            self._process.stdin.write(line.encode() + b"\n")
+            self._process.stdin.flush()
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to this process and no other."""
