--- a/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
@@ -18,6 +18,7 @@
 from loomyard_standins.programs.fault_proxy import FaultProxy
 from loomyard_standins.programs.program import Program
 from loomyard_standins.programs.soak_protocol import NON_IDEMPOTENT, STREAM, SUSPEND_SIGNAL
+from loomyard_standins.programs.written_records import WrittenRecords
 
 if TYPE_CHECKING:
     import random
@@ -82,8 +83,7 @@
         self._checker = checker
         self._stopping = False
         self._incarnations = 0
-        # Newest record by topic and key, with the time of its writing.
-        self._newest_records: dict[tuple[str, str], tuple[float, dict[str, Any]]] = {}
+        self._records = WrittenRecords()
         self._lost_since = 0.0
         self._programs: list[Program] = []
         # Programs inherit this: the suspend signal must not end one that has no handler yet.
@@ -199,13 +199,11 @@
 
     def rewrite_lost(self, rng: random.Random) -> None:
         """Write the records again that the rollback lost, in random order."""
-        lost = [key for key, (at, _) in self._newest_records.items() if at >= self._lost_since]
+        lost = self._records.find_lost(self._lost_since)
         rng.shuffle(lost)
-        for key in lost:
-            _, message = self._newest_records[key]
+        for message in lost:
             # The next rollback may lose it again.
-            self._newest_records[key] = (time.monotonic(), message)
-            self.store.send_line(json.dumps(message))
+            self._write(message)
 
     def stop(self) -> None:
         """Kill every process that this fleet started; none can start from now on."""
@@ -272,8 +270,10 @@
         self._publish(documents.TARGETS_TOPIC, target.id, value)
 
     def _publish(self, topic: str, key: str, value: str | None, **fields: int) -> None:
-        message = {"topic": topic, "key": key, "value": value, **fields}
-        self._newest_records[topic, key] = (time.monotonic(), message)
+        self._write({"topic": topic, "key": key, "value": value, **fields})
+
+    def _write(self, message: dict[str, Any]) -> None:
+        self._records.record_write(message["topic"], message["key"], message, time.monotonic())
         self.store.send_line(json.dumps(message))
 
     def _start(self, name: str, module: str, *arguments: str) -> Program:
@@ -298,6 +298,8 @@
 
     def _handle_message(self, message: dict[str, Any]) -> None:
         self.violations += self._checker.check(message)
+        if "acked" in message:
+            self._records.record_ack(message["acked"], message["at"])
         if "ends" in message:
             self._allow_exit(message["target"])
 
