--- a/packages/loomyard-router/src/loomyard_router/admission/slot_terms.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/slot_terms.py
@@ -70,11 +70,11 @@
     first, and what was generated is lost with it. So it waits longer, and an account over its share
     may use all slots for it. Its usage and the cap on the usage of accounts count as always.
     """
-    began = request.slot_wanted_at
+    since = request.slot_wanted_at
     share_used = ledger.share_used(request.account_name)
     return SlotTerms(
-        wait_until=min(began + PATIENCE_WAIT_FRACTION * PATIENCE_SECONDS, request.deadline),
-        first_token_by=began + FIRST_TOKEN_FRACTION * PATIENCE_SECONDS,
+        wait_until=min(since + PATIENCE_WAIT_FRACTION * PATIENCE_SECONDS, request.deadline),
+        first_token_by=since + FIRST_TOKEN_FRACTION * PATIENCE_SECONDS,
         fallbacks=find_max_fallbacks(request, over_share=False, lagging=backlog.is_router_lagging),
         may_wait=True,
         share_used=None if share_used is None else min(share_used, FULL_SHARE),
--- a/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/stream_origins.py
@@ -11,6 +11,7 @@
 
 from loomyard.errors import ResultCode
 from loomyard.events import Event, emit
+from loomyard_router.admission.slot_terms import DEFAULT_OBJECTIVE
 from loomyard_router.streams.history_exchange import HistoryExchange
 from loomyard_router.streams.origin_history import OriginHistory
 from loomyard_router.streams.origin_lookup import OWN, SOLE, FoundOrigin, OriginLookup
@@ -37,7 +38,6 @@
 # Fraction of the objective that a lookup may take where hosts reply late, as lagging ones do.
 LOOKUP_FRACTION = 0.5
 MIN_LOOKUP_SECONDS = 0.1
-DEFAULT_OBJECTIVE = 0.4
 # How long after the deadline of an attempt its caller may take the stream up, and the longest
 # time for which a record is kept.
 TAKE_UP_SECONDS = 30.0
--- a/tests/test_loomyard_router/test_streams/streams_fleet.py
+++ b/tests/test_loomyard_router/test_streams/streams_fleet.py
@@ -32,6 +32,7 @@
     from result import Result
 
     from loomyard.errors import Fault
+    from loomyard_router.routes.route import Route
 
 SERVICE = "engine"
 OLD = StreamOrigin(service=SERVICE, software_version="v1")
@@ -186,7 +187,7 @@
         self.run(0.0)
 
 
-def make_route():  # noqa: ANN201
+def make_route() -> Route:
     """Return the route of all streams."""
     return route(service=SERVICE, kind=RouteKind.STREAM, resumable=True, timeout=SECONDS)
 
--- a/tests/test_loomyard_router/test_streams/test_origin_fleet.py
+++ b/tests/test_loomyard_router/test_streams/test_origin_fleet.py
@@ -25,7 +25,9 @@
 
 
 class FleetCase(unittest.TestCase):
-    def start(self, count: int, *, seed: int = 1, versions: tuple[str, ...] = ("v1", "v2")):
+    def start(
+        self, count: int, *, seed: int = 1, versions: tuple[str, ...] = ("v1", "v2")
+    ) -> StreamsFleet:
         fleet = StreamsFleet(count, seed=seed, versions=versions)
         self.addCleanup(fleet.stop)
         fleet.run(1.0)
