--- a/packages/loomyard-router/src/loomyard_router/streams/origin_lookup.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_lookup.py
@@ -84,7 +84,7 @@
         which origins are possible.
         """
         query = OriginQuery(attempt_id=attempt_id, route=route)
-        hosts = self._replicator.find_askable(attempt_id or key)
+        hosts = self._replicator.find_candidates(attempt_id or key)
         replies: dict[str, OriginReply] = {}
         for _ in range(2):
             record = self._table.find(attempt_id)
--- a/packages/loomyard-router/src/loomyard_router/streams/origin_replicator.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_replicator.py
@@ -87,9 +87,9 @@
 
     def find_hosts(self, attempt_id: str) -> list[str]:
         """Return the routers to which this one sends the record of a stream."""
-        return self.find_askable(attempt_id)[:HOSTS]
+        return self.find_candidates(attempt_id)[:HOSTS]
 
-    def find_askable(self, attempt_id: str) -> list[str]:
+    def find_candidates(self, attempt_id: str) -> list[str]:
         """Return the other routers that may have the record of a stream.
 
         The router that serves the stream may be among the first ones itself, so there is one more.
--- a/tests/test_loomyard_router/test_streams/test_origin_fleet.py
+++ b/tests/test_loomyard_router/test_streams/test_origin_fleet.py
@@ -180,7 +180,7 @@
                     fleet.begin(f"s{number}", OLD)
                     fleet.run(SENT_SECONDS)
                 self.assertLessEqual(fleet.network.sent_messages - before, HOSTS * STREAMS)
-                asked = fleet.routers["r1"].origins._replicator.find_askable("s0")
+                asked = fleet.routers["r1"].origins._replicator.find_candidates("s0")
                 self.assertLessEqual(len(asked), HOSTS + 1)
 
     def test_records_expire_some_time_after_the_deadline_of_the_caller(self) -> None:
