--- a/review/standins.py
+++ b/review/standins.py
@@ -301,7 +301,7 @@
 
 
 async def start_routers(count: int, store: Store, folder: Path) -> list[Router]:
-    ports = tuple(free_port(loopback(10)) for _ in range(3)) + (7400,)
+    ports = tuple(free_port(loopback(10)) for _ in range(4))
     routers = [
         Router(f"edge-zone-a-{n + 1}", loopback(10 + n), ports, store.address, folder)
         for n in range(count)
