--- a/review/standins.py
+++ b/review/standins.py
@@ -165,7 +165,7 @@
         self.address = address
         self.log = log
         self._output = log.open("a", encoding="utf-8")
-        command = [sys.executable, str(ROOT / "review" / "runner.py")]
+        command = [sys.executable, "-B", str(ROOT / "review" / "runner.py")]
         command += [self.id, address, json.dumps(options)]
         self.process = subprocess.Popen(command, stdout=self._output, stdin=subprocess.DEVNULL)
 
