End the grace of vanished targets when they end if they have left

Cause: half of a service's entries vanishing together may be live targets that lost the store, so they stayed in use for 2 s, counted from the moment at which a router read it. It reads up to 0.5 s late, and later after an outage or a pause.

Why this works: a router knows a time up to which it has read everything, whatever it slept or waited since; a record read now was accepted later than that. Chosen until that time plus drain_ms, less the way, no request arrives late. Only after a failed call does contact_ms count from when the store was in reach, which the users' rule grants.

--- a/packages/loomyard-router/src/loomyard_router/announced/target_registry.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_registry.py
@@ -10,7 +10,9 @@
 
 from loomyard.events import Event, emit
 from loomyard_router.announced.announced_target import AnnouncedTarget
+from loomyard_router.announced.departure_terms import DepartureTerms
 from loomyard_router.announced.target_notices import TargetNotices
+from loomyard_router.feeds.store_times import StoreTimes
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -21,22 +23,27 @@
 
 logger = logging.getLogger(__name__)
 
-# Targets whose entries expired during a store outage write them again within two seconds after it.
+# Live targets whose entries expired write them again within so many seconds after they reach the
+# store; one whose entry is still missing after that is gone.
 GRACE_SECONDS = 2.0
-# When at least this fraction and number of a service's entries vanish within the window (s), the
-# store is presumed to have lost them: the targets would not leave all at once.
+# When at least this fraction and number of a service's entries, or all of them, vanish within the
+# grace, their targets may live and not reach the store.
 MASS_LOSS_FRACTION = 0.5
 MASS_LOSS_MIN = 2
-MASS_LOSS_WINDOW = 0.5
+LOG_DIGITS = 3
 
 
 @define(eq=False)
 class _Lapsed:
-    """A target whose entry vanished; usable until the grace ends, which may be at once."""
+    """A target whose entry vanished; usable until the grace ends, which may be at once.
+
+    ``latest_use`` bounds the grace: if the target left, it may take no more requests after that.
+    """
 
     target: AnnouncedTarget
     vanished_at: float
     usable_until: float
+    latest_use: float
 
 
 class TargetRegistry:
@@ -45,14 +52,25 @@
     A target gets no new requests while it drains, is in an evacuated data centre, said in an answer
     that it leaves or asked to back off (the store may learn of that late or never), even if no
     other target is left: a request that did not run is safe to refuse. Nor does one whose entry
-    vanished. Only if the store may have lost it, in an outage or together with half of the entries
-    of its service, the target stays usable for a grace period in which it may write it again.
+    vanished. Only if the target may live and not have reached the store, in an outage or together
+    with half of its service, it stays usable for a grace period in which it may write its entry
+    again, but no longer than it would serve if it had left when the store dropped the entry.
 
-    ``first_start`` says that no target served before this router started.
+    ``first_start`` says that no target served before this router started; ``times`` are those of
+    the feed of announcements.
     """
 
-    def __init__(self, clock: Clock, *, first_start: bool = False) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        *,
+        first_start: bool = False,
+        times: StoreTimes | None = None,
+        departures: DepartureTerms | None = None,
+    ) -> None:
         self._clock = clock
+        self._times = times or StoreTimes()
+        self._departures = departures or DepartureTerms()
         self._first_start = first_start
         self._gapless_since = math.inf
         self._targets: dict[str, AnnouncedTarget] = {}
@@ -77,6 +95,12 @@
         """Return whether a complete listing has been received."""
         return self._was_listed
 
+    @property
+    def awaits_returns(self) -> bool:
+        """Return whether targets are in their grace, whose entries may be written at any moment."""
+        now = self._clock.now()
+        return any(lapsed.usable_until > now for lapsed in self._lapsed.values())
+
     @property
     def gapless_since(self) -> float:
         """Return since when no announcement can have been missed, infinity without the store."""
@@ -186,13 +210,15 @@
         self._store_down = True
 
     def on_store_recovered(self) -> None:
-        """Record that the store answers again; targets in grace have ``RETURN_SECONDS`` left."""
+        """Record that the store answers again; targets in grace have ``GRACE_SECONDS`` left."""
         self._store_down = False
         now = self._clock.now()
         self._store_back_at = self._gapless_since = now
+        latest_use = self._departures.latest_use(self._times, now)
         for lapsed in self._lapsed.values():
             if lapsed.usable_until > now:
-                lapsed.usable_until = now + GRACE_SECONDS
+                lapsed.latest_use = max(lapsed.latest_use, latest_use)
+                lapsed.usable_until = min(now + GRACE_SECONDS, lapsed.latest_use)
         self._changed()
 
     def _put(self, target: AnnouncedTarget) -> None:
@@ -231,9 +257,10 @@
 
     def _drop(self, gone: list[AnnouncedTarget], *, by_peer: bool = False) -> None:
         now = self._clock.now()
+        latest_use = self._departures.latest_use(self._times, now)
         for target in gone:
             del self._targets[target.id]
-            self._lapsed[target.id] = _Lapsed(target, now, now)
+            self._lapsed[target.id] = _Lapsed(target, now, now, latest_use)
         for service in {target.service for target in gone}:
             self._grant_grace(service, now, by_peer=by_peer)
         for target in gone:
@@ -243,31 +270,38 @@
                 target=target.id,
                 service=target.service,
                 used_on=self._lapsed[target.id].usable_until > now,
+                used_for=_seconds(self._lapsed[target.id].usable_until - now),
+                listed_ago=_seconds(now - self._times.read_up_to),
             )
 
     def _grant_grace(self, service: str, now: float, *, by_peer: bool) -> None:
-        """Keep targets usable whose entries the store may have lost until they can be rewritten."""
+        """Keep targets usable that may live, until they can have written their entries again."""
         recent = [
             lapsed
             for lapsed in self._lapsed.values()
             if lapsed.target.service == service
             and not lapsed.target.draining
-            and now - lapsed.vanished_at <= MASS_LOSS_WINDOW
+            and now - lapsed.vanished_at <= GRACE_SECONDS
         ]
-        left = sum(target.service == service for target in self._targets.values())
-        together = len(recent) >= MASS_LOSS_MIN and len(recent) >= MASS_LOSS_FRACTION * (
-            len(recent) + left
-        )
         if self._store_down and not by_peer:
-            until = math.inf  # shortened when the store answers again
-        elif now - self._store_back_at < GRACE_SECONDS:
+            for lapsed in recent:
+                lapsed.usable_until = math.inf  # shortened when the store answers again
+            return
+        if now - self._store_back_at < GRACE_SECONDS:
             until = self._store_back_at + GRACE_SECONDS
-        elif together:
+        elif self._are_lost_together(len(recent), service):
             until = now + GRACE_SECONDS
         else:
             return
         for lapsed in recent:
-            lapsed.usable_until = max(lapsed.usable_until, until)
+            until_then = min(until, lapsed.vanished_at + GRACE_SECONDS, lapsed.latest_use)
+            lapsed.usable_until = max(lapsed.usable_until, until_then)
+
+    def _are_lost_together(self, lost: int, service: str) -> bool:
+        left = sum(target.service == service for target in self._targets.values())
+        if not left:
+            return True
+        return lost >= MASS_LOSS_MIN and lost >= MASS_LOSS_FRACTION * (lost + left)
 
     def _changed(self) -> None:
         self._refresh()
@@ -309,6 +343,11 @@
         return target.data_centre in self._evacuated or self.notices.is_leaving(target.incarnation)
 
 
+def _seconds(value: float) -> float | None:
+    """Return seconds for the log, ``None`` where they are unknown or without end."""
+    return round(value, LOG_DIGITS) if math.isfinite(value) else None
+
+
 def _is_earlier_incarnation(target: AnnouncedTarget, known: AnnouncedTarget) -> bool:
     """Return whether an announcement is of an earlier incarnation than the known one."""
     return target.born is not None and known.born is not None and target.born < known.born
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed.py
@@ -16,6 +16,9 @@
 
 # Seconds an answer may take beyond the end of a long poll; a slow store takes 0.4.
 ANSWER_MARGIN_SECONDS = 1.0
+# A call uses no connection that has been idle for longer: it may have broken at any time since, so
+# that a failed call would not show that the store was out of reach a moment ago.
+MAX_IDLE_SECONDS = 0.75
 
 
 @frozen(kw_only=True)
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_exchange.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_exchange.py
@@ -13,6 +13,7 @@
 from loomyard_router.feeds.feed_position import NO_POSITION, decode_position
 from loomyard_router.feeds.feed_readers import choose_readers
 from loomyard_router.feeds.peer_fetcher import MILLISECONDS, REQUEST_SECONDS, PeerFetcher
+from loomyard_router.feeds.peer_source import READER_POLL_SECONDS
 
 if TYPE_CHECKING:
     import random
@@ -27,9 +28,6 @@
 
 TOPIC = "feed"
 ANNOUNCEMENT_SECONDS = 60.0
-# A poll of a reader is short, so that a paused reader is noticed within the bound on the time until
-# a configuration is in force everywhere.
-READER_POLL_SECONDS = 1.0
 # For how long a router reads the store itself after its reader failed.
 DIRECT_READ_SECONDS = 5.0
 # Of the routers that poll a reader whose read is late, so many are sent to the store at once, and
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
@@ -12,11 +12,13 @@
 from loomyard.errors import ResultCode
 from loomyard.events import Event, emit
 from loomyard_router.feeds.effective_records import EffectiveRecords
-from loomyard_router.feeds.feed import Batch
+from loomyard_router.feeds.feed import MAX_IDLE_SECONDS, Batch
 from loomyard_router.feeds.feed_position import NO_POSITION, FeedPosition
+from loomyard_router.feeds.peer_source import READER_POLL_SECONDS
 from loomyard_router.feeds.record_consumer import PEER, STORE, RecordConsumer
 from loomyard_router.feeds.rollback_policy import PreferStore, RollbackPolicy
 from loomyard_router.feeds.store_era import StoreEra
+from loomyard_router.feeds.store_times import StoreTimes
 
 if TYPE_CHECKING:
     import random
@@ -45,9 +47,15 @@
 # A store that is not slow answers a few milliseconds after the poll, so that a read which takes
 # this much longer is a first sign of an outage.
 LATE_SECONDS = 0.15
+# Seconds between looks at an outstanding read, and how late a look may come: a later one does not
+# show that this process was awake, and the answer may have lain unread since before a pause.
+LOOK_SECONDS = 0.25
+MAX_LOOK_DELAY_SECONDS = 0.1
 LISTING_TIMEOUT = 1.5
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.8
+# The pause after a read that returned changes while more of them are expected at any moment.
+HURRIED_READ_INTERVAL = 0.1
 LOG_DIGITS = 3
 # Keys in the log line of a rollback.
 MAX_KEYS_LOGGED = 20
@@ -56,7 +64,9 @@
 class FeedFollower:
     """Keep the records of a feed up to date; list it again where unread records were trimmed.
 
-    ``min_read_interval`` is the pause in seconds after a read that returned changes.
+    ``min_read_interval`` is the pause in seconds after a read that returned changes, which is cut
+    short while ``is_hurried`` says that more are expected. ``times`` is kept up to date with when
+    the store accepted what is read.
     """
 
     def __init__(
@@ -69,7 +79,12 @@
         min_read_interval: float = 0.0,
         era: StoreEra | None = None,
         rollback_policy: RollbackPolicy | None = None,
+        times: StoreTimes | None = None,
+        is_hurried: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._times = times or StoreTimes()
+        self._has_looks = times is not None
+        self._is_hurried = is_hurried
         self._min_read_interval = min_read_interval
         self._era = era or StoreEra()
         self._records = EffectiveRecords(clock, rollback_policy or PreferStore())
@@ -86,7 +101,12 @@
         self._call_started_at = clock.now()
         self._poll_ends_at = self._call_started_at
         self._answered_at = self._call_started_at
-        self._task: gevent.Greenlet | None = None
+        self._next_read_at = math.inf
+        self._looked_up_to = -math.inf
+        # When the store answered this router itself, and when it was in reach before a call.
+        self._store_answered_at = -math.inf
+        self._in_reach_at = -math.inf
+        self._tasks: list[gevent.Greenlet] = []
 
     @property
     def name(self) -> str:
@@ -127,9 +147,12 @@
 
     @property
     def overdue_at(self) -> float:
-        """Return from when on the outstanding read takes longer than with a slow store."""
+        """Return from when on the outstanding read takes longer than with a slow store.
+
+        During the pause before a read, return from when on that read should have ended.
+        """
         if self._answered_at >= self._call_started_at:
-            return math.inf
+            return self._next_read_at + OVERDUE_SECONDS
         return self._poll_ends_at + OVERDUE_SECONDS
 
     @property
@@ -188,24 +211,31 @@
             self._apply_listing(records, position, PEER, retained)
 
     def start(self) -> None:
-        """Start the task that follows the feed."""
-        self._task = gevent.spawn(self._run)
+        """Start to follow the feed."""
+        self._tasks.append(gevent.spawn(self._run))
+        if self._has_looks:
+            self._tasks.append(gevent.spawn(self._run_looks, self._times))
 
     def stop(self) -> None:
-        """End the task."""
-        if self._task is not None:
-            self._task.kill(block=False)
+        """End the tasks."""
+        for task in self._tasks:
+            task.kill(block=False)
 
     def step(self) -> float:
         """Make one call to a peer or the store; return the seconds to wait before the next one."""
         before = self._position
+        self._next_read_at = math.inf
         self._expire_retained()
         if before is not None and self._peer_source is not None:
+            polled_at = self._clock.now()
             answer = self._peer_source.poll(self)
             if answer is not None:
-                self._apply_polled(answer)
+                self._apply_polled(answer, polled_at)
                 return 0.0
         self._call_started_at = self._poll_ends_at = self._clock.now()
+        # A connection that was idle for longer is not used again, and a new one is tried now.
+        is_reused = self._call_started_at - self._store_answered_at <= MAX_IDLE_SECONDS
+        self._in_reach_at = self._store_answered_at if is_reused else self._call_started_at
         if before is None or before.era < self._era.newest:
             fault = self._list()
         else:
@@ -213,7 +243,12 @@
         if fault is not None:
             return self._record_failure(fault)
         self._record_answer()
-        return 0.0 if self._position == before else self._min_read_interval
+        self._store_answered_at = self._answered_at
+        if self._position == before:
+            return 0.0
+        pause = HURRIED_READ_INTERVAL if self._is_hurried() else self._min_read_interval
+        self._next_read_at = self._clock.now() + pause
+        return pause
 
     def _run(self) -> None:
         while True:
@@ -221,9 +256,31 @@
             if pause:
                 self._clock.sleep(pause)
 
-    def _apply_polled(self, answer: FeedAnswer) -> None:
+    def _run_looks(self, times: StoreTimes) -> None:
+        """Look whether the store has nothing new while a read is outstanding."""
+        while True:
+            due = self._clock.now() + LOOK_SECONDS
+            self._clock.sleep(LOOK_SECONDS)
+            now = self._clock.now()
+            is_awake = now - due <= MAX_LOOK_DELAY_SECONDS
+            if is_awake and times.reading_since + LATE_SECONDS <= now <= self._poll_ends_at:
+                # Holds if the read is answered in the end.
+                self._looked_up_to = now - LATE_SECONDS
+
+    def _apply_polled(self, answer: FeedAnswer, polled_at: float) -> None:
         self._record_answer()
+        position = self._position
         self.apply_answer(answer)
+        has_waited = self._clock.now() >= polled_at + READER_POLL_SECONDS
+        if position == self._position and has_waited:
+            # Nothing new by the end of the poll.
+            polled_at += READER_POLL_SECONDS
+        self._times.record_read(polled_at - self._reader_lag)
+
+    @property
+    def _reader_lag(self) -> float:
+        """Return how long ago at most a reader whose read is not overdue read everything."""
+        return self._min_read_interval + OVERDUE_SECONDS + LATE_SECONDS
 
     def _list(self) -> Fault | None:
         match self._feed.fetch_listing(self._clock.now() + LISTING_TIMEOUT):
@@ -235,6 +292,7 @@
                 # A peer may have sent records of a later position meanwhile.
                 if self._era.accept(listing.position.era) and listing.position >= self.position:
                     self._apply_listing(listing.records, listing.position, STORE, retained)
+                    self._times.record_read(self._call_started_at)
                 return None
             case Err(fault):
                 return fault
@@ -260,15 +318,24 @@
         # No long poll during an outage: it would notice the store's return only at the next record.
         wait = 0.0 if self._failures else self._rng.uniform(MIN_POLL_SECONDS, MAX_POLL_SECONDS)
         self._poll_ends_at = self._clock.now() + wait
-        match self._feed.read(position.offset, self._poll_ends_at):
+        self._looked_up_to = -math.inf
+        self._times.begin_read(self._call_started_at, self._in_reach_at)
+        result = self._feed.read(position.offset, self._poll_ends_at)
+        self._times.end_read()
+        match result:
             case Ok(batch):
                 if not self._era.accept(batch.position.era):
                     return None
+                self._times.record_read(self._looked_up_to)
                 if batch.position.era > position.era or batch.position < position:
                     # The store was rolled back, so a read from here on would skip records.
                     return self._relist()
                 if batch.position > self.position:
                     self._apply_batch(batch)
+                    self._times.record_read(self._call_started_at)
+                elif self._clock.now() >= self._poll_ends_at:
+                    # The store answers without records only at the end of a poll.
+                    self._times.record_read(self._poll_ends_at)
                 return None
             case Err(fault):
                 if fault.code is ResultCode.LOG_TRIMMED:
@@ -338,6 +405,7 @@
 
     def _record_failure(self, fault: Fault) -> float:
         self._failures += 1
+        self._times.record_failure(self._in_reach_at)
         if self._failures == 1:
             emit(
                 logger,
@@ -351,7 +419,10 @@
             self._notify_store_listeners()
         pause = min(MAX_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2.0 ** min(self._failures, 8))
         # Routers that lost the store together must not retry together.
-        return pause * self._rng.uniform(0.5, 1.0)
+        spread = self._rng.uniform(0.5, 1.0)
+        # A call that timed out has paused for the store already.
+        waited = self._clock.now() - self._call_started_at
+        return max(FIRST_RETRY_SECONDS, pause - waited) * spread
 
     def _elapsed_since(self, moment: float) -> float:
         return round(self._clock.now() - moment, LOG_DIGITS)
--- a/packages/loomyard-router/src/loomyard_router/feeds/peer_source.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/peer_source.py
@@ -4,6 +4,10 @@
 
 from typing import TYPE_CHECKING, Protocol
 
+# A poll of a reader is short, so that a paused reader is noticed within the bound on the time until
+# a configuration is in force everywhere.
+READER_POLL_SECONDS = 1.0
+
 if TYPE_CHECKING:
     from loomyard_router.feeds.effective_records import RetainedRecord
     from loomyard_router.feeds.exchange_messages import FeedAnswer
--- a/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
@@ -8,6 +8,7 @@
 from attrs import evolve
 from result import Err, Ok, Result
 
+from loomyard_router.announced.departure_terms import DepartureTerms
 from loomyard_router.platform import names
 from loomyard_router.routed_settings import RetryTerms, RoutedSettings
 from loomyard_router.settings import FLEET_SECRET_VARIABLE, MAX_SECRETS, split_list
@@ -82,6 +83,7 @@
             window=float(fields.get("bounds.retry_window_s", 10.0)),
             slack=float(fields.get("bounds.retry_slack", 0.0)),
         ),
+        departures=_departures(fields),
         most_connections=_max_connections(fields),
         share_window=float(fields.get("bounds.quota_window_s", 4.0)),
         body_bytes=int(BODIES_FRACTION * _memory_mb(fields) * MEGABYTE),
@@ -90,6 +92,13 @@
     )
 
 
+def _departures(fields: Mapping[str, str]) -> DepartureTerms:
+    known = DepartureTerms()
+    drain = float(fields.get("bounds.drain_ms", known.drain * MILLISECONDS))
+    contact = float(fields.get("bounds.contact_ms", known.contact * MILLISECONDS))
+    return DepartureTerms(drain=drain / MILLISECONDS, contact=contact / MILLISECONDS)
+
+
 def _max_connections(fields: Mapping[str, str]) -> int:
     descriptors = int(fields.get("limits.max_fds", DEFAULT_DESCRIPTORS)) - RESERVED_DESCRIPTORS
     memory = (MEMORY_FRACTION - BODIES_FRACTION) * _memory_mb(fields) - BASE_MB
--- a/packages/loomyard-router/src/loomyard_router/platform/store_client.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/store_client.py
@@ -12,6 +12,7 @@
 from loomyard.errors import Fault, ResultCode
 from loomyard.util.addresses import split_address
 from loomyard.util.tcp import make_http_client
+from loomyard_router.feeds.feed import MAX_IDLE_SECONDS
 from loomyard_router.platform import names
 
 if TYPE_CHECKING:
@@ -51,6 +52,7 @@
         self._host, self._port = split_address(address)
         self._clock = clock
         self._client: HTTPClient | None = None
+        self._used_at = clock.now()
 
     def get(
         self, path: str, query: Mapping[str, object], deadline: float
@@ -67,6 +69,8 @@
     def _call(
         self, method: str, path: str, query: Mapping[str, object], content: bytes, deadline: float
     ) -> Result[StoreAnswer, Fault]:
+        if self._clock.now() - self._used_at > MAX_IDLE_SECONDS:
+            self._close()
         if self._client is None:
             self._client = make_http_client(
                 self._host,
@@ -84,6 +88,7 @@
             status = response.status_code
             era_header = response.get(names.STORE_ERA)
             complete = response.message_complete
+            self._used_at = self._clock.now()
         except Timeout as expired:
             if expired is not timeout:
                 raise
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -38,6 +38,7 @@
 from loomyard_router.feeds.feed_exchange import FeedExchange
 from loomyard_router.feeds.feed_follower import FeedFollower
 from loomyard_router.feeds.store_era import StoreEra
+from loomyard_router.feeds.store_times import StoreTimes
 from loomyard_router.feeds.unreadable_entries import UnreadableEntries
 from loomyard_router.feeds.unreadable_entry import UnreadableEntry
 from loomyard_router.fleet_components import make_fleet_components
@@ -108,7 +109,13 @@
         self.refusing = False
         rng = random.Random()
         self.holder = RouteTableHolder(platform.decode_table)
-        self.registry = TargetRegistry(clock, first_start=settings.first_start)
+        target_times = StoreTimes()
+        self.registry = TargetRegistry(
+            clock,
+            first_start=settings.first_start,
+            times=target_times,
+            departures=settings.departures,
+        )
         self._evacuated = EvacuatedDataCentres(platform.find_evacuated_data_centre)
         self._evacuated.subscribe(self.registry.set_evacuated)
         self._unreadable = UnreadableEntries()
@@ -134,6 +141,8 @@
             min_read_interval=settings.feed_pace,
             era=platform.era,
             rollback_policy=TargetRollbackPolicy(platform.decode_target),
+            times=target_times,
+            is_hurried=lambda: self.registry.awaits_returns,
         )
         self._pool = ConnectionPool(clock)
         self.fleet = make_fleet_components(_fleet_settings(settings), clock)
--- a/packages/loomyard-router/src/loomyard_router/routed_settings.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_settings.py
@@ -4,6 +4,8 @@
 
 from attrs import field, frozen
 
+from loomyard_router.announced.departure_terms import DepartureTerms
+
 
 @frozen(kw_only=True)
 class RetryTerms:
@@ -42,6 +44,7 @@
     fleet_secret: tuple[str, ...] = field(default=(), repr=False)
     grace: float = 8.0
     retries: RetryTerms = RetryTerms()
+    departures: DepartureTerms = DepartureTerms()
     share_window: float = 4.0
     feed_pace: float = 0.5
     most_connections: int = 2000
--- a/packages/loomyard-standins/src/loomyard_standins/stepped_clock.py
+++ b/packages/loomyard-standins/src/loomyard_standins/stepped_clock.py
@@ -36,11 +36,16 @@
         """Run tasks until a time on this clock; they may block on nothing else."""
         self._run_ready_tasks()
         while self._sleepers and self._sleepers[0][0] <= until:
-            self._now, _, woken = heapq.heappop(self._sleepers)
+            due, _, woken = heapq.heappop(self._sleepers)
+            self._now = max(self._now, due)
             woken.set()
             self._run_ready_tasks()
         self._now = until
 
+    def pause(self, seconds: float) -> None:
+        """Let time pass in which no task runs, as if all processes were paused."""
+        self._now += seconds
+
     def _run_ready_tasks(self) -> None:
         for _ in range(PASSES_PER_STEP):
             gevent.sleep(0)
--- a/tests/test_loomyard_router/test_feeds/feed_fleet.py
+++ b/tests/test_loomyard_router/test_feeds/feed_fleet.py
@@ -13,6 +13,7 @@
 from loomyard_router.feeds.feed_follower import FeedFollower
 from loomyard_router.feeds.record_consumer import STORE, RecordConsumer
 from loomyard_router.feeds.rollback_policy import PreferStore, RollbackPolicy
+from loomyard_router.feeds.store_times import StoreTimes
 from loomyard_router.members.datagram_seal import DatagramSeal
 from loomyard_router.members.membership import Member
 from loomyard_router.members.swim import SwimMembership
@@ -24,9 +25,12 @@
 from loomyard_standins.stepped_clock import SteppedClock
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from loomyard_router.feeds.keyed_record import KeyedRecord
 
 FEEDS = ("configuration", "targets")
+TIMED_FEED = "targets"
 # Seconds between reads that return records, as on the platform.
 MIN_READ_INTERVAL = 0.5
 # Seconds after the start until all routers know each other.
@@ -138,6 +142,10 @@
         """Make the policy of a feed for a rollback of the store."""
         return PreferStore()
 
+    def make_hurry(self, feed: str) -> Callable[[], bool]:
+        """Make the function that tells whether more changes of a feed are expected."""
+        return lambda: False
+
     def router_made(self, name: str) -> None:
         """Learn that the components of a router were made."""
 
@@ -169,6 +177,7 @@
             incarnation=self._starts[name],
         )
         feeds = {feed: MemoryStoreFeed(store, name) for feed, store in self.stores.items()}
+        self.newest_times = StoreTimes()
         consumers = {feed: self.make_consumer(feed) for feed in feeds}
         followers = {
             feed: FeedFollower(
@@ -178,6 +187,8 @@
                 rng,
                 min_read_interval=MIN_READ_INTERVAL,
                 rollback_policy=self.make_rollback_policy(feed),
+                times=self.newest_times if feed == TIMED_FEED else None,
+                is_hurried=self.make_hurry(feed),
             )
             for feed in feeds
         }
--- a/tests/test_loomyard_router/test_feeds/rollback_fleet.py
+++ b/tests/test_loomyard_router/test_feeds/rollback_fleet.py
@@ -26,6 +26,9 @@
 from test_loomyard_router.test_feeds.feed_fleet import FeedFleet
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard_router.announced.departure_terms import DepartureTerms
     from loomyard_router.feeds.record_consumer import RecordConsumer
     from loomyard_router.feeds.rollback_policy import RollbackPolicy
 
@@ -76,7 +79,10 @@
 class RollbackFleet(FeedFleet):
     """Three routers unless said otherwise; a restarted router has no state."""
 
-    def __init__(self, count: int = 3, *, seed: int = 1) -> None:
+    def __init__(
+        self, count: int = 3, *, seed: int = 1, departures: DepartureTerms | None = None
+    ) -> None:
+        self._departures = departures
         super().__init__(count, seed=seed)
 
     def state_of(self, name: str) -> RouterState:
@@ -91,7 +97,9 @@
 
     def make_consumer(self, feed: str) -> RecordConsumer:
         if feed == CONFIGURATION:
-            registry = TargetRegistry(self.clock)
+            registry = TargetRegistry(
+                self.clock, times=self.newest_times, departures=self._departures
+            )
             evacuated = EvacuatedDataCentres(find_evacuated)
             evacuated.subscribe(registry.set_evacuated)
             self._newest = RouterState(RouteTableHolder(decode_table), evacuated, registry)
@@ -104,5 +112,9 @@
             return OrderRollbackPolicy(find_evacuated)
         return TargetRollbackPolicy(decode_target)
 
+    def make_hurry(self, feed: str) -> Callable[[], bool]:
+        registry = self._newest.registry
+        return lambda: feed == TARGETS and registry.awaits_returns
+
     def router_made(self, name: str) -> None:
         self._by_name[name] = self._newest
--- a/tests/test_loomyard_router/test_platform/test_settings_file.py
+++ b/tests/test_loomyard_router/test_platform/test_settings_file.py
@@ -20,6 +20,8 @@
 bounds.retry_ratio=0.2
 bounds.retry_window_s=10
 bounds.retry_slack=54
+bounds.drain_ms=4000
+bounds.contact_ms=5000
 platform.address=10.200.1.7:8781
 added.later=x=y
 """
@@ -34,6 +36,7 @@
         self.assertEqual(("10.2.0.18:7400",), settings.seeds)
         self.assertEqual("10.200.1.7:8781", settings.store)
         self.assertEqual((0.2, 54.0), (settings.retries.ratio, settings.retries.slack))
+        self.assertEqual((4.0, 5.0), (settings.departures.drain, settings.departures.contact))
 
     def test_a_missing_field_is_named(self) -> None:
         text = TEXT.replace("platform.address", "elsewhere")
