Resume streams by whole events, whatever the order of their fields

Cause: the relay dropped what a resumed answer repeats up to the first new id line, not up to the start of its event. The same class, a line taken for the event that holds it, made an event of over 4,096 bytes come twice, dropped or invented ids for events without one, counted comments, and missed a final event with its id at the end.

Why this works: bytes are split into whole events, fields are read in any order, and the position of the caller is the last id and the events after it. A run that leaves a gap, or differs where no id tells, breaks off visibly.

The soak sends events in four orders of lines, LF and CRLF.

--- a/packages/loomyard-router/src/loomyard_router/routed/answer_relay.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/answer_relay.py
@@ -124,7 +124,9 @@
         assert exchange is not None
         if request.presence.gone or not request.route.resumable or not self._resumes_left:
             self._fail_broken_off(detail)
-        last_event = str(self._event_stream.last_id) if self._event_stream.last_id >= 0 else ""
+        if not self._event_stream.is_resumable:
+            self._fail_broken_off(f"{detail}; no event has an id after which to resume")
+        last_event = self._find_last_event()
         self._forwarder.record_broken(request, exchange.permit, detail)
         self.close()
         self._resumes_left -= 1
@@ -150,6 +152,11 @@
         )
         return first
 
+    def _find_last_event(self) -> str:
+        """Return the id after which to resume: of the last event, or what the caller named."""
+        known_id = self._event_stream.known_id
+        return str(known_id) if known_id >= 0 else self._request.head.last_event_id
+
     def _fail_broken_off(self, detail: str) -> None:
         """Report a broken answer to the crash guard, unless its caller has gone, and raise."""
         if self._exchange is not None and not self._request.presence.gone:
--- a/packages/loomyard-standins/src/loomyard_standins/programs/soak_protocol.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/soak_protocol.py
@@ -23,7 +23,10 @@
 # Sent to the process of a router before a SIGSTOP that stands for a suspension of its VM.
 SUSPEND_SIGNAL = signal.SIGUSR1
 STREAM_EVENTS = 12
-EVENT_PATTERN = re.compile(rb"id: \d+\ndata: (\S+) (\d+) (\S*)")
+_DATA_FIELD = re.compile(rb"^data: (\S+) (\d+) (\S*)$", re.MULTILINE)
+_ID_FIELD = re.compile(rb"^id: (\d+)$", re.MULTILINE)
+# Orders of the lines of events; the fields of an event may come in any.
+_EVENT_LINES = ("{id}|{data}", "{data}|{id}", "event: token|{data}|{id}", ": alive|{data}|{id}|:")
 MILLISECONDS_PER_SECOND = 1000
 HTTP_OK = 200
 # Statuses that guarantee that the request was not executed and never will be.
@@ -76,7 +79,11 @@
 
 def stream_event(attempt_id: str, number: int, software_version: str) -> bytes:
     """Return an event of a stream as a version writes it; the first has number 1."""
-    return f"id: {number}\ndata: {attempt_id} {number} {software_version}\n\n".encode()
+    lines = _EVENT_LINES[number % len(_EVENT_LINES)].format(
+        id=f"id: {number}", data=f"data: {attempt_id} {number} {software_version}"
+    )
+    line_end = "\r\n" if sum(attempt_id.encode()) % 2 else "\n"
+    return (lines + "||").replace("|", line_end).encode()
 
 
 @frozen
@@ -99,13 +106,14 @@
 def read_stream(attempt_id: str, after: int, received: bytes) -> ReceivedStream:
     """Read the events that came after a number; an incomplete one at the end is left out."""
     last, versions, is_own = after, [], True
-    for event in received.split(b"\n\n")[:-1]:
-        found = EVENT_PATTERN.fullmatch(event)
-        if found is None or (found[1].decode(), int(found[2])) != (attempt_id, last + 1):
+    for event in received.replace(b"\r\n", b"\n").split(b"\n\n")[:-1]:
+        ids, data = _ID_FIELD.findall(event), _DATA_FIELD.findall(event)
+        expected = (b"%d" % (last + 1), attempt_id.encode(), b"%d" % (last + 1))
+        if len(ids) != 1 or len(data) != 1 or (ids[0], *data[0][:2]) != expected:
             is_own = False
             break
         last += 1
-        versions.append(found[3].decode())
+        versions.append(data[0][2].decode())
     return ReceivedStream(last, sorted(set(versions)), is_own)
 
 
--- /dev/null
+++ b/tests/test_loomyard_router/test_relays/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of relays."""
--- a/tests/test_loomyard_router/test_requests/test_serving_streams.py
+++ b/tests/test_loomyard_router/test_requests/test_serving_streams.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from loomyard.errors import ResultCode
-from loomyard_router.relays.event_stream import MAX_EVENT_LENGTH
+from loomyard_router.relays.event_framing import MAX_EVENT_LENGTH
 from loomyard_router.requests.retries import MAX_ATTEMPTS
 from loomyard_standins.scripted_target import answer_bytes, stream_head
 from test_loomyard_router.test_requests.serving_case import ServingCase
--- a/tests/test_loomyard_router/test_routed/test_answers.py
+++ b/tests/test_loomyard_router/test_routed/test_answers.py
@@ -189,6 +189,73 @@
         self.publish(route(service="engine", **RESUMABLE))
         self.assertEqual(event(8), self.call(Last_Event_Id="7").data)
 
+    def test_a_resumed_stream_keeps_the_lines_before_the_ids_of_its_events(self) -> None:
+        # Guards against a first event without its data after a resumption.
+        def stream(request: Received, sock: socket.socket) -> bool:
+            after = request.headers.get("last-event-id")
+            first = 0 if after is None else int(after) + 1
+            events = [b"event: e\r\ndata: %d\r\nid: %d\r\n\r\n" % (n, n) for n in range(4)]
+            sock.sendall(stream_head(request) + chunk(b"".join(events[first : first + 2])))
+            if first < 2:
+                sock.sendall(chunk(events[first + 2][:20]))
+                return True
+            sock.sendall(b"0\r\n\r\n")
+            return False
+
+        for number in range(3):
+            self.target(f"t{number}", stream, "engine")
+        self.publish(route(service="engine", **RESUMABLE, max_attempts=3))
+        whole = b"".join(b"event: e\r\ndata: %d\r\nid: %d\r\n\r\n" % (n, n) for n in range(4))
+        self.assertEqual(whole, self.call().data)
+
+    def test_a_second_crash_in_one_stream_leaves_it_whole(self) -> None:
+        # Guards against a gap or a repeat where a stream is resumed twice.
+        def piece(number: int) -> bytes:
+            return b"data: %d\ndata: id: 0\n: c\nid: %d\n\n" % (number, number)
+
+        def stream(request: Received, sock: socket.socket) -> bool:
+            first = int(request.headers.get("last-event-id", -1)) + 1
+            sock.sendall(stream_head(request) + chunk(piece(first)))
+            if first < 2:
+                sock.sendall(chunk(piece(first + 1)[:-1]))
+                return True
+            sock.sendall(b"0\r\n\r\n")
+            return False
+
+        for number in range(4):
+            self.target(f"t{number}", stream, "engine")
+        self.publish(route(service="engine", **RESUMABLE, max_attempts=3))
+        self.assertEqual(piece(0) + piece(1) + piece(2), self.call().data)
+
+    def test_a_broken_stream_without_any_id_is_not_joined_to_another_run(self) -> None:
+        # Guards against pieces that come twice because no id says where to resume.
+        def stream(request: Received, sock: socket.socket) -> bool:
+            sock.sendall(stream_head(request) + chunk(b"data: a\n\ndata: b"))
+            return True
+
+        targets = [self.target(f"t{n}", stream, "engine") for n in range(2)]
+        self.publish(route(service="engine", **RESUMABLE))
+        data = self.cut("/p/x")
+        self.assertEqual(1, data.count(b"data: a\n\n"))
+        self.assertFalse(data.endswith(b"0\r\n\r\n"))
+        self.assertEqual(1, sum(len(target.received) for target in targets))
+
+    def test_a_stream_taken_up_after_an_id_that_is_no_number_is_resumed_after_it(self) -> None:
+        # Guards against a second run from the beginning where the caller named another position.
+        def stream(request: Received, sock: socket.socket) -> bool:
+            sock.sendall(stream_head(request))
+            is_first = not any(target.received[1:] for target in targets)
+            if is_first and sum(len(target.received) for target in targets) == 1:
+                return True
+            sock.sendall(chunk(event(8)) + b"0\r\n\r\n")
+            return False
+
+        targets = [self.target(f"t{n}", stream, "engine") for n in range(2)]
+        self.publish(route(service="engine", **RESUMABLE))
+        self.assertEqual(event(8), self.call(Last_Event_Id="a-7").data)
+        named = [one.headers["last-event-id"] for target in targets for one in target.received]
+        self.assertEqual(["a-7", "a-7"], named)
+
 
 if __name__ == "__main__":
     unittest.main()
