Give the bounds on the store's times and the lapsed targets files of their own

ReadWatch keeps what each call tells about the store's times, LapsedTargets decides how long a vanished target stays in use; neither rule changed.

--- a/packages/loomyard-router/src/loomyard_router/announced/target_registry.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_registry.py
@@ -6,11 +6,9 @@
 import math
 from typing import TYPE_CHECKING
 
-from attrs import define
-
 from loomyard.events import Event, emit
-from loomyard_router.announced.announced_target import AnnouncedTarget
 from loomyard_router.announced.departure_terms import DepartureTerms
+from loomyard_router.announced.lapsed_targets import LapsedTargets
 from loomyard_router.announced.target_notices import TargetNotices
 from loomyard_router.feeds.store_times import StoreTimes
 
@@ -18,33 +16,12 @@
     from collections.abc import Callable, Iterable
 
     from loomyard.clock import Clock
+    from loomyard_router.announced.announced_target import AnnouncedTarget
     from loomyard_router.announced.target_incarnation import TargetLife
     from loomyard_router.announced.target_notice import TargetNotice
 
 logger = logging.getLogger(__name__)
 
-# Live targets whose entries expired write them again within so many seconds after they reach the
-# store; one whose entry is still missing after that is gone.
-GRACE_SECONDS = 2.0
-# When at least this fraction and number of a service's entries, or all of them, vanish within the
-# grace, their targets may live and not reach the store.
-MASS_LOSS_FRACTION = 0.5
-MASS_LOSS_MIN = 2
-LOG_DIGITS = 3
-
-
-@define(eq=False)
-class _Lapsed:
-    """A target whose entry vanished; usable until the grace ends, which may be at once.
-
-    ``latest_use`` bounds the grace: if the target left, it may take no more requests after that.
-    """
-
-    target: AnnouncedTarget
-    vanished_at: float
-    usable_until: float
-    latest_use: float
-
 
 class TargetRegistry:
     """The targets of each service by their entries in the feed and by their own notices.
@@ -52,9 +29,7 @@
     A target gets no new requests while it drains, is in an evacuated data centre, said in an answer
     that it leaves or asked to back off (the store may learn of that late or never), even if no
     other target is left: a request that did not run is safe to refuse. Nor does one whose entry
-    vanished. Only if the target may live and not have reached the store, in an outage or together
-    with half of its service, it stays usable for a grace period in which it may write its entry
-    again, but no longer than it would serve if it had left when the store dropped the entry.
+    vanished, but for a grace period in which it may live (``LapsedTargets``).
 
     ``first_start`` says that no target served before this router started; ``times`` are those of
     the feed of announcements.
@@ -69,12 +44,10 @@
         departures: DepartureTerms | None = None,
     ) -> None:
         self._clock = clock
-        self._times = times or StoreTimes()
-        self._departures = departures or DepartureTerms()
         self._first_start = first_start
         self._gapless_since = math.inf
         self._targets: dict[str, AnnouncedTarget] = {}
-        self._lapsed: dict[str, _Lapsed] = {}
+        self._lapsed = LapsedTargets(clock, times or StoreTimes(), departures or DepartureTerms())
         self._usable: dict[str, tuple[AnnouncedTarget, ...]] = {}
         self._usable_by_incarnation: dict[TargetLife, AnnouncedTarget] = {}
         self._open_incarnations: frozenset[TargetLife] = frozenset()
@@ -86,8 +59,6 @@
         self.restarts = 0
         self.notices = TargetNotices(clock)
         self._was_listed = False
-        self._store_down = False
-        self._store_back_at = clock.now() - GRACE_SECONDS
         self._next_check = 0.0
 
     @property
@@ -98,13 +69,12 @@
     @property
     def awaits_returns(self) -> bool:
         """Return whether targets are in their grace, whose entries may be written at any moment."""
-        now = self._clock.now()
-        return any(lapsed.usable_until > now for lapsed in self._lapsed.values())
+        return self._lapsed.await_returns
 
     @property
     def gapless_since(self) -> float:
         """Return since when no announcement can have been missed, infinity without the store."""
-        return math.inf if self._store_down else self._gapless_since
+        return math.inf if self._lapsed.store_down else self._gapless_since
 
     def subscribe(self, changed: Callable[[], None]) -> None:
         """Call back after each change; the callback must not block."""
@@ -147,7 +117,7 @@
 
     def listed(self) -> list[AnnouncedTarget]:
         """Return all targets that are listed, or whose entries vanished a moment ago."""
-        return [*self._targets.values(), *(lapsed.target for lapsed in self._lapsed.values())]
+        return [*self._targets.values(), *self._lapsed.targets]
 
     def replace_all(self, targets: Iterable[AnnouncedTarget], *, by_peer: bool = False) -> None:
         """Apply a complete listing.
@@ -179,7 +149,7 @@
         """Remove targets without grace because their entries in the store are unreadable."""
         withdrawn = [id_ for id_ in ids if id_ in self._targets or id_ in self._lapsed]
         for id_ in withdrawn:
-            self._lapsed.pop(id_, None)
+            self._lapsed.pop(id_)
             self._cold_until.pop(id_, None)
             target = self._targets.pop(id_, None)
             if target is not None:
@@ -207,28 +177,22 @@
 
     def on_store_lost(self) -> None:
         """Record that the store does not answer this router."""
-        self._store_down = True
+        self._lapsed.on_store_lost()
 
     def on_store_recovered(self) -> None:
-        """Record that the store answers again; targets in grace have ``GRACE_SECONDS`` left."""
-        self._store_down = False
-        now = self._clock.now()
-        self._store_back_at = self._gapless_since = now
-        latest_use = self._departures.latest_use(self._times, now)
-        for lapsed in self._lapsed.values():
-            if lapsed.usable_until > now:
-                lapsed.latest_use = max(lapsed.latest_use, latest_use)
-                lapsed.usable_until = min(now + GRACE_SECONDS, lapsed.latest_use)
+        """Record that the store answers again."""
+        self._gapless_since = self._clock.now()
+        self._lapsed.on_store_recovered()
         self._changed()
 
     def _put(self, target: AnnouncedTarget) -> None:
         known = self._targets.get(target.id)
         lapsed = self._lapsed.get(target.id)
-        before = known if lapsed is None else lapsed.target
+        before = known if lapsed is None else lapsed
         if before is not None and _is_earlier_incarnation(target, before):
             emit(logger, Event.OLD_LIFE_IGNORED, target=target.id, life=target.incarnation)
             return
-        self._lapsed.pop(target.id, None)
+        self._lapsed.pop(target.id)
         self._targets[target.id] = target
         if before is not None and before.incarnation != target.incarnation:
             self.restarts += 1
@@ -256,52 +220,9 @@
             emit(logger, Event.TARGET_DRAINS, target=target.id, service=target.service)
 
     def _drop(self, gone: list[AnnouncedTarget], *, by_peer: bool = False) -> None:
-        now = self._clock.now()
-        latest_use = self._departures.latest_use(self._times, now)
         for target in gone:
             del self._targets[target.id]
-            self._lapsed[target.id] = _Lapsed(target, now, now, latest_use)
-        for service in {target.service for target in gone}:
-            self._grant_grace(service, now, by_peer=by_peer)
-        for target in gone:
-            emit(
-                logger,
-                Event.TARGET_VANISHED,
-                target=target.id,
-                service=target.service,
-                used_on=self._lapsed[target.id].usable_until > now,
-                used_for=_seconds(self._lapsed[target.id].usable_until - now),
-                listed_ago=_seconds(now - self._times.read_up_to),
-            )
-
-    def _grant_grace(self, service: str, now: float, *, by_peer: bool) -> None:
-        """Keep targets usable that may live, until they can have written their entries again."""
-        recent = [
-            lapsed
-            for lapsed in self._lapsed.values()
-            if lapsed.target.service == service
-            and not lapsed.target.draining
-            and now - lapsed.vanished_at <= GRACE_SECONDS
-        ]
-        if self._store_down and not by_peer:
-            for lapsed in recent:
-                lapsed.usable_until = math.inf  # shortened when the store answers again
-            return
-        if now - self._store_back_at < GRACE_SECONDS:
-            until = self._store_back_at + GRACE_SECONDS
-        elif self._are_lost_together(len(recent), service):
-            until = now + GRACE_SECONDS
-        else:
-            return
-        for lapsed in recent:
-            until_then = min(until, lapsed.vanished_at + GRACE_SECONDS, lapsed.latest_use)
-            lapsed.usable_until = max(lapsed.usable_until, until_then)
-
-    def _are_lost_together(self, lost: int, service: str) -> bool:
-        left = sum(target.service == service for target in self._targets.values())
-        if not left:
-            return True
-        return lost >= MASS_LOSS_MIN and lost >= MASS_LOSS_FRACTION * (lost + left)
+        self._lapsed.add(gone, self._targets.values(), by_peer=by_peer)
 
     def _changed(self) -> None:
         self._refresh()
@@ -309,19 +230,14 @@
             changed()
 
     def _refresh(self) -> None:
-        now = self._clock.now()
-        for id_, lapsed in list(self._lapsed.items()):
-            expired = lapsed.usable_until <= now and not self._store_down
-            if expired and now - lapsed.vanished_at > GRACE_SECONDS:
-                del self._lapsed[id_]
-                self._cold_until.pop(id_, None)
+        for id_ in self._lapsed.expire():
+            self._cold_until.pop(id_, None)
         usable: dict[str, list[AnnouncedTarget]] = {}
         waits: list[float] = []
         candidates = [target for target in self._targets.values() if not target.draining]
-        for lapsed in self._lapsed.values():
-            if lapsed.usable_until > now:
-                candidates.append(lapsed.target)
-                waits.append(lapsed.usable_until)
+        for target, until in self._lapsed.usable():
+            candidates.append(target)
+            waits.append(until)
         candidates = [target for target in candidates if not self._is_excluded(target)]
         for target in candidates:
             if self.is_backing_off(target):
@@ -343,11 +259,6 @@
         return target.data_centre in self._evacuated or self.notices.is_leaving(target.incarnation)
 
 
-def _seconds(value: float) -> float | None:
-    """Return seconds for the log, ``None`` where they are unknown or without end."""
-    return round(value, LOG_DIGITS) if math.isfinite(value) else None
-
-
 def _is_earlier_incarnation(target: AnnouncedTarget, known: AnnouncedTarget) -> bool:
     """Return whether an announcement is of an earlier incarnation than the known one."""
     return target.born is not None and known.born is not None and target.born < known.born
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
@@ -12,9 +12,10 @@
 from loomyard.errors import ResultCode
 from loomyard.events import Event, emit
 from loomyard_router.feeds.effective_records import EffectiveRecords
-from loomyard_router.feeds.feed import MAX_IDLE_SECONDS, Batch
+from loomyard_router.feeds.feed import Batch
 from loomyard_router.feeds.feed_position import NO_POSITION, FeedPosition
 from loomyard_router.feeds.peer_source import READER_POLL_SECONDS
+from loomyard_router.feeds.read_watch import ReadWatch
 from loomyard_router.feeds.record_consumer import PEER, STORE, RecordConsumer
 from loomyard_router.feeds.rollback_policy import PreferStore, RollbackPolicy
 from loomyard_router.feeds.store_era import StoreEra
@@ -47,10 +48,6 @@
 # A store that is not slow answers a few milliseconds after the poll, so that a read which takes
 # this much longer is a first sign of an outage.
 LATE_SECONDS = 0.15
-# Seconds between looks at an outstanding read, and how late a look may come: a later one does not
-# show that this process was awake, and the answer may have lain unread since before a pause.
-LOOK_SECONDS = 0.25
-MAX_LOOK_DELAY_SECONDS = 0.1
 LISTING_TIMEOUT = 1.5
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.8
@@ -82,8 +79,8 @@
         times: StoreTimes | None = None,
         is_hurried: Callable[[], bool] = lambda: False,
     ) -> None:
-        self._times = times or StoreTimes()
-        self._has_looks = times is not None
+        self._watch = ReadWatch(clock, times or StoreTimes())
+        self._is_watched = times is not None
         self._is_hurried = is_hurried
         self._min_read_interval = min_read_interval
         self._era = era or StoreEra()
@@ -102,11 +99,7 @@
         self._poll_ends_at = self._call_started_at
         self._answered_at = self._call_started_at
         self._next_read_at = math.inf
-        self._looked_up_to = -math.inf
-        # When the store answered this router itself, and when it was in reach before a call.
-        self._store_answered_at = -math.inf
-        self._in_reach_at = -math.inf
-        self._tasks: list[gevent.Greenlet] = []
+        self._task: gevent.Greenlet | None = None
 
     @property
     def name(self) -> str:
@@ -212,14 +205,15 @@
 
     def start(self) -> None:
         """Start to follow the feed."""
-        self._tasks.append(gevent.spawn(self._run))
-        if self._has_looks:
-            self._tasks.append(gevent.spawn(self._run_looks, self._times))
+        self._task = gevent.spawn(self._run)
+        if self._is_watched:
+            self._watch.start()
 
     def stop(self) -> None:
         """End the tasks."""
-        for task in self._tasks:
-            task.kill(block=False)
+        if self._task is not None:
+            self._task.kill(block=False)
+        self._watch.stop()
 
     def step(self) -> float:
         """Make one call to a peer or the store; return the seconds to wait before the next one."""
@@ -233,9 +227,7 @@
                 self._apply_polled(answer, polled_at)
                 return 0.0
         self._call_started_at = self._poll_ends_at = self._clock.now()
-        # A connection that was idle for longer is not used again, and a new one is tried now.
-        is_reused = self._call_started_at - self._store_answered_at <= MAX_IDLE_SECONDS
-        self._in_reach_at = self._store_answered_at if is_reused else self._call_started_at
+        self._watch.begin_call()
         if before is None or before.era < self._era.newest:
             fault = self._list()
         else:
@@ -243,7 +235,7 @@
         if fault is not None:
             return self._record_failure(fault)
         self._record_answer()
-        self._store_answered_at = self._answered_at
+        self._watch.end_call()
         if self._position == before:
             return 0.0
         pause = HURRIED_READ_INTERVAL if self._is_hurried() else self._min_read_interval
@@ -256,17 +248,6 @@
             if pause:
                 self._clock.sleep(pause)
 
-    def _run_looks(self, times: StoreTimes) -> None:
-        """Look whether the store has nothing new while a read is outstanding."""
-        while True:
-            due = self._clock.now() + LOOK_SECONDS
-            self._clock.sleep(LOOK_SECONDS)
-            now = self._clock.now()
-            is_awake = now - due <= MAX_LOOK_DELAY_SECONDS
-            if is_awake and times.reading_since + LATE_SECONDS <= now <= self._poll_ends_at:
-                # Holds if the read is answered in the end.
-                self._looked_up_to = now - LATE_SECONDS
-
     def _apply_polled(self, answer: FeedAnswer, polled_at: float) -> None:
         self._record_answer()
         position = self._position
@@ -275,12 +256,9 @@
         if position == self._position and has_waited:
             # Nothing new by the end of the poll.
             polled_at += READER_POLL_SECONDS
-        self._times.record_read(polled_at - self._reader_lag)
-
-    @property
-    def _reader_lag(self) -> float:
-        """Return how long ago at most a reader whose read is not overdue read everything."""
-        return self._min_read_interval + OVERDUE_SECONDS + LATE_SECONDS
+        # How long ago at most a reader whose read is not overdue read everything.
+        reader_lag = self._min_read_interval + OVERDUE_SECONDS + LATE_SECONDS
+        self._watch.record_polled(polled_at - reader_lag)
 
     def _list(self) -> Fault | None:
         match self._feed.fetch_listing(self._clock.now() + LISTING_TIMEOUT):
@@ -292,7 +270,7 @@
                 # A peer may have sent records of a later position meanwhile.
                 if self._era.accept(listing.position.era) and listing.position >= self.position:
                     self._apply_listing(listing.records, listing.position, STORE, retained)
-                    self._times.record_read(self._call_started_at)
+                    self._watch.record_applied()
                 return None
             case Err(fault):
                 return fault
@@ -318,24 +296,22 @@
         # No long poll during an outage: it would notice the store's return only at the next record.
         wait = 0.0 if self._failures else self._rng.uniform(MIN_POLL_SECONDS, MAX_POLL_SECONDS)
         self._poll_ends_at = self._clock.now() + wait
-        self._looked_up_to = -math.inf
-        self._times.begin_read(self._call_started_at, self._in_reach_at)
+        self._watch.begin_read(self._poll_ends_at)
         result = self._feed.read(position.offset, self._poll_ends_at)
-        self._times.end_read()
+        self._watch.end_read()
         match result:
             case Ok(batch):
                 if not self._era.accept(batch.position.era):
                     return None
-                self._times.record_read(self._looked_up_to)
+                self._watch.record_answer()
                 if batch.position.era > position.era or batch.position < position:
                     # The store was rolled back, so a read from here on would skip records.
                     return self._relist()
                 if batch.position > self.position:
                     self._apply_batch(batch)
-                    self._times.record_read(self._call_started_at)
-                elif self._clock.now() >= self._poll_ends_at:
-                    # The store answers without records only at the end of a poll.
-                    self._times.record_read(self._poll_ends_at)
+                    self._watch.record_applied()
+                elif not batch.records:
+                    self._watch.record_empty()
                 return None
             case Err(fault):
                 if fault.code is ResultCode.LOG_TRIMMED:
@@ -405,7 +381,7 @@
 
     def _record_failure(self, fault: Fault) -> float:
         self._failures += 1
-        self._times.record_failure(self._in_reach_at)
+        self._watch.record_failure()
         if self._failures == 1:
             emit(
                 logger,
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/feeds/read_watch.py
@@ -0,0 +1,96 @@
+"""What the calls of a follower tell about the times of the store."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import gevent
+
+from loomyard_router.feeds.feed import MAX_IDLE_SECONDS
+
+if TYPE_CHECKING:
+    from loomyard.clock import Clock
+    from loomyard_router.feeds.store_times import StoreTimes
+
+# A store in reach answers an outstanding read within so many seconds after it accepted a record.
+ANSWER_SECONDS = 0.15
+# Seconds between looks at an outstanding read, and how late a look may come: a later one does not
+# show that this process was awake, and the answer may have lain unread since before a pause.
+LOOK_SECONDS = 0.25
+MAX_LOOK_DELAY_SECONDS = 0.1
+
+
+class ReadWatch:
+    """Keep the ``StoreTimes`` of a feed up to date; one call to the store is made at a time."""
+
+    def __init__(self, clock: Clock, times: StoreTimes) -> None:
+        self._clock = clock
+        self._times = times
+        self._task: gevent.Greenlet | None = None
+        self._answered_at = -math.inf
+        self._call_started_at = clock.now()
+        self._in_reach_at = -math.inf
+        self._poll_ends_at = -math.inf
+        self._looked_up_to = -math.inf
+
+    def start(self) -> None:
+        """Start to look at outstanding reads."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """End the task."""
+        if self._task is not None:
+            self._task.kill(block=False)
+
+    def begin_call(self) -> None:
+        """Record that a call to the store begins."""
+        now = self._call_started_at = self._clock.now()
+        # A connection that was idle for longer is not used again, and a new one is tried now.
+        is_reused = now - self._answered_at <= MAX_IDLE_SECONDS
+        self._in_reach_at = self._answered_at if is_reused else now
+
+    def begin_read(self, poll_ends_at: float) -> None:
+        """Record that the call is a read, which the store may hold until a time."""
+        self._poll_ends_at = poll_ends_at
+        self._looked_up_to = -math.inf
+        self._times.begin_read(self._call_started_at, self._in_reach_at)
+
+    def end_read(self) -> None:
+        """Record that the read was answered or failed."""
+        self._times.end_read()
+
+    def record_answer(self) -> None:
+        """Record that the read was answered, before what it returned is applied."""
+        self._times.record_read(self._looked_up_to)
+
+    def record_empty(self) -> None:
+        """Record that a read returned nothing, which the store does at the end of its poll."""
+        if self._clock.now() >= self._poll_ends_at:
+            self._times.record_read(self._poll_ends_at)
+
+    def record_applied(self) -> None:
+        """Record that what the call returned was applied."""
+        self._times.record_read(self._call_started_at)
+
+    def end_call(self) -> None:
+        """Record that the call was answered."""
+        self._answered_at = self._clock.now()
+
+    def record_failure(self) -> None:
+        """Record that the call failed."""
+        self._times.record_failure(self._in_reach_at)
+
+    def record_polled(self, up_to: float) -> None:
+        """Record that another router had read everything accepted before a time."""
+        self._times.record_read(up_to)
+
+    def _run(self) -> None:
+        while True:
+            due = self._clock.now() + LOOK_SECONDS
+            self._clock.sleep(LOOK_SECONDS)
+            now = self._clock.now()
+            is_awake = now - due <= MAX_LOOK_DELAY_SECONDS
+            if is_awake and self._times.reading_since + ANSWER_SECONDS <= now <= self._poll_ends_at:
+                # Holds if the read is answered in the end.
+                self._looked_up_to = now - ANSWER_SECONDS
--- a/tests/test_loomyard_router/test_feeds/test_target_registry.py
+++ b/tests/test_loomyard_router/test_feeds/test_target_registry.py
@@ -6,7 +6,8 @@
 
 from loomyard_router.announced.announced_target import AnnouncedTarget
 from loomyard_router.announced.departure_terms import SEND_SECONDS
-from loomyard_router.announced.target_registry import GRACE_SECONDS, TargetRegistry
+from loomyard_router.announced.lapsed_targets import GRACE_SECONDS
+from loomyard_router.announced.target_registry import TargetRegistry
 from loomyard_router.feeds.store_times import StoreTimes
 from loomyard_standins.fake_clock import FakeClock
 
