Take a call that failed while this process slept for no sign of an outage

After a failed call to the store a router counts the users' contact_ms, in which it is not bound by departures. A call that runs out of time because this process was paused, or far behind, shows nothing of the store, so targets that had left could stay in use after a lag without any disturbance.

--- a/packages/loomyard-router/src/loomyard_router/feeds/read_watch.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/read_watch.py
@@ -33,6 +33,7 @@
         self._in_reach_at = -math.inf
         self._poll_ends_at = -math.inf
         self._looked_up_to = -math.inf
+        self._awake_at = -math.inf
 
     def start(self) -> None:
         """Start to look at outstanding reads."""
@@ -78,8 +79,10 @@
         self._answered_at = self._clock.now()
 
     def record_failure(self) -> None:
-        """Record that the call failed."""
-        self._times.record_failure(self._in_reach_at)
+        """Record that the call failed, unless this process may have slept through its answer."""
+        awake_at = max(self._call_started_at, self._awake_at)
+        if self._clock.now() - awake_at <= 2 * LOOK_SECONDS:
+            self._times.record_failure(self._in_reach_at)
 
     def record_polled(self, up_to: float) -> None:
         """Record that another router had read everything accepted before a time."""
@@ -90,7 +93,9 @@
             due = self._clock.now() + LOOK_SECONDS
             self._clock.sleep(LOOK_SECONDS)
             now = self._clock.now()
-            is_awake = now - due <= MAX_LOOK_DELAY_SECONDS
-            if is_awake and self._times.reading_since + ANSWER_SECONDS <= now <= self._poll_ends_at:
+            if now - due > MAX_LOOK_DELAY_SECONDS:
+                continue
+            self._awake_at = now
+            if self._times.reading_since + ANSWER_SECONDS <= now <= self._poll_ends_at:
                 # Holds if the read is answered in the end.
                 self._looked_up_to = now - ANSWER_SECONDS
