Name what an unanswered read tells of a departure

Two constants had the same name and text, one for how soon the store answers and one for how long a read is outstanding before its silence counts. Names and a comment only.

--- a/packages/loomyard-router/src/loomyard_router/announced/departure_terms.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/departure_terms.py
@@ -11,8 +11,9 @@
 
 # Seconds that a request may take from the choice of its target until it arrives there.
 SEND_SECONDS = 0.25
-# A store in reach answers a read within so many seconds after it accepted a record.
-ANSWER_SECONDS = 0.25
+# An own read that is outstanding for so many seconds would have been answered with a record that
+# the store accepted before, were the store in reach.
+UNANSWERED_SECONDS = 0.25
 
 
 @frozen(kw_only=True)
@@ -29,9 +30,9 @@
     def latest_use(self, times: StoreTimes, now: float) -> float:
         """Return until when a target may be chosen whose departure was read just now."""
         latest = max(times.read_up_to + self.drain, times.failed_after + self.contact)
-        if now - times.reading_since >= ANSWER_SECONDS:
+        if now - times.reading_since >= UNANSWERED_SECONDS:
             # Another router reported it. Either the store accepted it just now, or the own read
             # is cut off from the store.
-            accepted_at = now - ANSWER_SECONDS
+            accepted_at = now - UNANSWERED_SECONDS
             latest = max(latest, min(accepted_at + self.drain, times.in_reach_at + self.contact))
         return latest - SEND_SECONDS
