Look once more whether a target may be used after opening a connection to it

The sender asks the registry again before the first byte; such a request did not run and goes to another target. The test gets 200 from the leaving target without the check, and 503 with no request there with it.

--- a/packages/loomyard-router/src/loomyard_router/routed/attempt_sender.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/attempt_sender.py
@@ -66,6 +66,10 @@
             connection = self._pool.acquire(permit.target, repeatable=request.route.repeatable)
         except OSError as error:
             return Err(self._connect_fault(error))
+        if not self._registry.is_usable(permit.target):
+            self._pool.release_unused(permit.target, connection)
+            detail = "the target left while a connection to it was opened"
+            return Err(Fault(code=ResultCode.TARGET_UNREACHABLE, detail=detail))
         request.presence.subscribe(connection.close)
         try:
             return self._exchange(request, permit, connection, last_event, answer_by)
--- a/tests/test_loomyard_router/test_routed/test_connections.py
+++ b/tests/test_loomyard_router/test_routed/test_connections.py
@@ -28,9 +28,29 @@
 if TYPE_CHECKING:
     import socket
 
+    from loomyard_router.announced.announced_target import AnnouncedTarget
+    from loomyard_router.routed.target_connection import TargetConnection
+
 REPEATABLE = {"kind": RouteKind.IDEMPOTENT}
 
 
+class TestTargetsThatLeave(RoutedCase):
+    def test_a_target_that_leaves_while_a_connection_opens_gets_no_request(self) -> None:
+        # Guards against a request that is sent late to a target that was chosen in time.
+        target = self.target("t1", plain_script)
+        self.publish(route(**REPEATABLE))
+        opened = self.router._pool.open
+
+        def leave_and_open(announced: AnnouncedTarget, seconds: float) -> TargetConnection:
+            connection = opened(announced, seconds)
+            self.router.registry.apply([attrs.evolve(announced, draining=True)], [])
+            return connection
+
+        with mock.patch.object(self.router._pool, "open", leave_and_open):
+            response = self.call()
+        self.assertEqual((503, []), (response.status, target.received))
+
+
 class TestCallersThatDisconnect(RoutedCase):
     def test_a_disconnect_cancels_the_work_at_the_target(self) -> None:
         for kind in ({"kind": RouteKind.STREAM}, REPEATABLE):
