--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -54,7 +54,7 @@
 }
 
 
-class Unfit(Exception):
+class UnfitError(Exception):
     """The case could not run."""
 
 
@@ -182,7 +182,7 @@
         if path == "/log-read":
             offset, wait = int(query["from"]), int(query.get("wait_ms", "0")) / 1000
             if offset >= len(records) and wait:
-                with contextlib.suppress(TimeoutError, asyncio.TimeoutError):
+                with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._grown[name].wait(), wait)
             out = [struct.pack(">QQ", len(records), 0)]
             for key, value in records[offset:]:
@@ -229,7 +229,7 @@
         """Work for so long; false where the channel was closed before, which ends the work."""
         try:
             await asyncio.wait_for(self.closed.wait(), seconds)
-        except (TimeoutError, asyncio.TimeoutError):
+        except TimeoutError:
             return True
         return False
 
@@ -415,7 +415,9 @@
     def start(self) -> None:
         self.write_settings()
         self.bootstrap = False
-        environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
+        environment = {
+            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+        }
         environment |= {
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "LOOMYARD_NODE_FILE": str(self._conf),
@@ -453,7 +455,7 @@
             if time.monotonic() > until:
                 lines = self.log.read_text(encoding="utf-8", errors="replace").splitlines()
                 status = self.process.poll()
-                raise Unfit(f"{self.name} is not ready, exit status {status}: {lines[-1:]}")
+                raise UnfitError(f"{self.name} is not ready, exit status {status}: {lines[-1:]}")
             await asyncio.sleep(0.1)
 
 
@@ -720,12 +722,14 @@
         try:
             async with asyncio.timeout(115):
                 return await case(fleet)
-        except (Unfit, TimeoutError) as error:
+        except (UnfitError, TimeoutError) as error:
             print(f"could not run: {error!r}")
             return UNFIT
         finally:
             fleet.end()
 
+    # A script that is told to stop ends its processes first.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         status = asyncio.run(main())
     except Exception as error:  # a fault of the script is no verdict
