--- a/review/7/run.py
+++ b/review/7/run.py
@@ -9,7 +9,6 @@
 import asyncio
 import random
 import sys
-import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
