--- a/review/8/run.py
+++ b/review/8/run.py
@@ -1,6 +1,6 @@
 """A stream whose ids rise in steps can't be taken up: the channel is closed without an answer.
 
-Three routers before three runners whose events hold six tokens each and bear the number of tokens
+Seven routers before three runners whose events hold six tokens each and bear the number of tokens
 made so far as their id: 6, 12, 18. One router is killed while clients read streams there. Each takes
 its stream up at another router, on a channel that it keeps there, with the id of its last event. The
 runner goes on after that event; the router drops what it says and closes the channel.
@@ -53,10 +53,12 @@
         await fleet.add_runner(f"i-llm-{number}", "loom-llm", 48, draft)
     await fleet.add_runner("i-api-0", "swap-api", 6, look_up)
     terms = {"max_attempts": 2, "timeout_ms": 15000, "slo_ms": 400, "gap_slo_ms": 200}
-    drafts = route("draft", "/draft/", "loom-llm", "streaming", resumable=True, sticky=True, **terms)
+    drafts = route(
+        "draft", "/draft/", "loom-llm", "streaming", resumable=True, sticky=True, **terms
+    )
     looks = route("bay", "/bay/", "swap-api", "idempotent", max_attempts=2, timeout_ms=1500)
     fleet.publish([drafts, looks], [engine("loom-llm"), plain("swap-api")], tokens_per_s=10_000_000)
-    await fleet.start_routers(3)
+    await fleet.start_routers(7)
     killed, calm = fleet.routers[0], fleet.routers[1]
     client = fleet.client
     unanswered, completed, resumed = [], 0, 0
@@ -75,9 +77,9 @@
             completed += first.status == 200
         elif first.status == 200 and last_id(first.body):
             resumed += 1
-            lines = (*prompt, f"Last-Event-Id: {last_id(first.body)}")
+            named = (f"Last-Event-Id: {last_id(first.body)}", f"Resumes: {first.id}")
             again = await client.send(
-                calm, "POST", "/draft/new", body=b"p" * 146, lines=lines, channel=kept
+                calm, "POST", "/draft/new", body=b"p" * 146, lines=(*prompt, *named), channel=kept
             )
             completed += again.complete and again.status == 200
             if not again.status and any(again.id == run[0] for run in fleet.runs):
