Keep the history of origins for routes that only another router knew

Callers saw: after a version took a route of streams away and the routers were restarted in turn, no router followed the configuration any more.

Cause: a started router asks another one for its past. OriginHistory.adopt put a route that was gone into _services but not into _seconds, and the next version looked each route of _services up in _seconds. The KeyError left RouteTableHolder.offer and ended the task that follows the feed.

Fix: durations are kept for the routes that have one; a route without one has the default that required_seconds already gives.

test_origin_history failed before: KeyError 'gone' and, with drawn changes of routes and services beside routers that start and pause, KeyError 'b'.

--- a/packages/loomyard-router/src/loomyard_router/streams/origin_history.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_history.py
@@ -139,7 +139,10 @@
                     seconds = max(HISTORY_SECONDS, TIMEOUTS * (route.timeout or 0.0))
                     self._seconds[route.name] = max(seconds, self._seconds.get(route.name, 0.0))
         self._merge(self._services, current)
-        self._seconds = {name: self._seconds[name] for name in self._services}
+        # A route that another router told of has no duration here, as it may be gone.
+        self._seconds = {
+            name: seconds for name, seconds in self._seconds.items() if name in self._services
+        }
         self._notify()
 
     def _merge(self, known: dict[str, dict[str, float]], current: Mapping[str, set[str]]) -> None:
