--- a/packages/loomyard-router/src/loomyard_router/__main__.py
+++ b/packages/loomyard-router/src/loomyard_router/__main__.py
@@ -19,6 +19,7 @@
 from loomyard.util.collector import tune_collector  # noqa: E402
 from loomyard_router.application import make_application  # noqa: E402
 from loomyard_router.settings import parse_settings  # noqa: E402
+from loomyard_router.supervision.uncaught import record_uncaught  # noqa: E402
 
 EXIT_SETTINGS = 2
 
@@ -34,6 +35,7 @@
             pass
     configure_logs(settings.log_format)
     tune_collector()
+    record_uncaught()
     application = make_application(settings)
     stopping = GeventEvent()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/loomyard-router/src/loomyard_router/admission/owner_health.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/owner_health.py
@@ -11,6 +11,8 @@
 
 from loomyard.events import Event, emit
 from loomyard_router.peers.message_types import peer_message
+from loomyard_router.supervision.listeners import Listeners
+from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -58,7 +60,7 @@
         self._members = members
         self._peers = peers
         self._probes: dict[str, gevent.Greenlet] = {}
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners = Listeners("owner health")
         self._last_reply_at = -math.inf
         self._is_partitioned = False
         peers.handle(OwnerProbe, self._reply)
@@ -74,7 +76,7 @@
 
     def subscribe(self, on_change: Callable[[], None]) -> None:
         """Call back when a router becomes unresponsive or answers again; it must not block."""
-        self._listeners.append(on_change)
+        self._listeners.subscribe(on_change)
 
     def candidates(self) -> list[str]:
         """Return the routers that may own slots: all live ones while this router is partitioned."""
@@ -95,7 +97,7 @@
         """Record that a slot owner did not reply in time, and start to probe it."""
         if owner in self._probes:
             return
-        self._probes[owner] = gevent.spawn(self._probe, owner)
+        self._probes[owner] = start_task("owner health", self._probe, owner)
         self._is_partitioned = not self._reaches_a_peer()
         emit(
             logger,
@@ -112,12 +114,15 @@
         gevent.killall(list(self._probes.values()), block=False)
 
     def _probe(self, owner: str) -> None:
-        while any(member.name == owner for member in self._members.live()):
-            self._clock.sleep(PROBE_SECONDS)
-            if self._answers(owner):
-                emit(logger, Event.KEEPER_ANSWERS, keeper=owner)
-                break
-        del self._probes[owner]
+        try:
+            while any(member.name == owner for member in self._members.live()):
+                self._clock.sleep(PROBE_SECONDS)
+                if self._answers(owner):
+                    emit(logger, Event.KEEPER_ANSWERS, keeper=owner)
+                    break
+        finally:
+            # An owner without a probe would stay excluded.
+            del self._probes[owner]
         self._notify()
 
     def _reaches_a_peer(self) -> bool:
@@ -139,5 +144,4 @@
         return OwnerProbeReply()
 
     def _notify(self) -> None:
-        for on_change in self._listeners:
-            on_change()
+        self._listeners.notify()
--- a/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
@@ -6,7 +6,6 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-import gevent
 from result import Ok
 
 from loomyard_router.admission.account_usage import AccountUsage
@@ -17,11 +16,14 @@
 from loomyard_router.admission.share_metrics import ShareMetrics
 from loomyard_router.admission.share_tree import ranks_above
 from loomyard_router.admission.usage_growth import UsageGrowth
+from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard_router.admission.gap_bound import GapBound
     from loomyard_router.members.membership import Member, Membership
@@ -96,7 +98,7 @@
 
     def start(self) -> None:
         """Start to report periodically."""
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised("share reports", self._clock, self._run)
 
     def stop(self) -> None:
         """Stop reporting."""
--- a/packages/loomyard-router/src/loomyard_router/admission/slot_client.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/slot_client.py
@@ -6,7 +6,6 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
-import gevent
 from attrs import evolve, frozen
 from result import Err, Ok, Result
 
@@ -20,8 +19,11 @@
     SlotsReleased,
 )
 from loomyard_router.announced.target_incarnation import TargetLife
+from loomyard_router.supervision.tasks import start_supervised, start_task_later
 
 if TYPE_CHECKING:
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard.errors import Fault
     from loomyard_router.admission.slot_owner import SlotOwner
@@ -102,7 +104,7 @@
 
     def start(self) -> None:
         """Start to renew the held permits periodically."""
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised("slot permits", self._clock, self._run)
 
     def stop(self) -> None:
         """Stop renewals and probes."""
@@ -262,7 +264,7 @@
     def _send_soon(self, owner: str) -> None:
         if owner not in self._sending:
             self._sending.add(owner)
-            gevent.spawn_later(BATCH_SECONDS, self._send, owner)
+            start_task_later(BATCH_SECONDS, "slot permits", self._send, owner)
 
     def _send(self, owner: str) -> None:
         self._sending.discard(owner)
--- a/packages/loomyard-router/src/loomyard_router/admission/slot_owner.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/slot_owner.py
@@ -18,6 +18,7 @@
 from loomyard_router.admission.target_slots import PendingRequest, TargetSlots
 from loomyard_router.announced.cold_targets import UNLIMITED
 from loomyard_router.members.pause_detector import PauseDetector
+from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -76,7 +77,7 @@
 
     def start(self) -> None:
         """Start to expire the permits of routers that stopped renewing them."""
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised("slot owner", self._clock, self._run)
 
     def stop(self) -> None:
         """Stop expiring permits."""
--- a/packages/loomyard-router/src/loomyard_router/announced/evacuated_data_centres.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/evacuated_data_centres.py
@@ -7,6 +7,7 @@
 
 from loomyard.events import Event, emit
 from loomyard_router.feeds.record_consumer import STORE
+from loomyard_router.supervision.listeners import Listeners
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,7 +29,7 @@
     def __init__(self, find_data_centre: Callable[[str], str | None]) -> None:
         self._find_data_centre = find_data_centre
         self._positions: dict[str, FeedPosition] = {}
-        self._listeners: list[Callable[[frozenset[str]], None]] = []
+        self._listeners = Listeners("evacuations")
 
     @property
     def names(self) -> frozenset[str]:
@@ -36,7 +37,7 @@
 
     def subscribe(self, changed: Callable[[frozenset[str]], None]) -> None:
         """Call back with all evacuated data centres after each change."""
-        self._listeners.append(changed)
+        self._listeners.subscribe(changed)
 
     def apply_listing(self, records: list[KeyedRecord], source: str) -> None:
         self._replace(self._apply({}, records))
@@ -70,8 +71,7 @@
         for name in before.keys() - positions.keys():
             _log_change(Event.DATA_CENTRE_TAKEN_BACK, name, before[name])
         if before.keys() != positions.keys():
-            for changed in self._listeners:
-                changed(self.names)
+            self._listeners.notify(self.names)
 
 
 def _log_change(event: Event, name: str, position: FeedPosition) -> None:
--- a/packages/loomyard-router/src/loomyard_router/announced/target_feed.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_feed.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from loomyard_router.feeds.record_consumer import PEER, STORE
+from loomyard_router.feeds.unreadable_entry import decode_entry
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -63,7 +64,7 @@
         for record in records:
             if record.value is None:
                 continue
-            match self._decode(record.key, record.value):
+            match decode_entry(self._decode, record.key, record.value):
                 case Ok(target):
                     targets.append(evolve(target, position=record.position))
                 case Err(entry):
--- a/packages/loomyard-router/src/loomyard_router/announced/target_notices.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_notices.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from loomyard.events import Event, emit
+from loomyard_router.supervision.listeners import Listeners
 from loomyard_router.targets.target_backoffs import TargetBackoffs
 
 if TYPE_CHECKING:
@@ -35,7 +36,7 @@
         self._clock = clock
         self._leaving: OrderedDict[TargetLife, None] = OrderedDict()
         self._backoffs = TargetBackoffs(clock)
-        self._listeners: list[Callable[[TargetLife], None]] = []
+        self._listeners = Listeners("target notices")
         self.leaving_count = 0
         self.backoff_requests = 0
 
@@ -46,7 +47,7 @@
 
     def subscribe(self, listener: Callable[[TargetLife], None]) -> None:
         """Call back with each incarnation that told this router it leaves; must not block."""
-        self._listeners.append(listener)
+        self._listeners.subscribe(listener)
 
     def is_leaving(self, incarnation: TargetLife) -> bool:
         """Return whether an incarnation said that it leaves."""
@@ -62,8 +63,7 @@
         if leaves:
             self.leaving_count += 1
             emit(logger, Event.TARGET_SAYS_LEAVING, target=target.id, service=target.service)
-            for listener in self._listeners:
-                listener(target.incarnation)
+            self._listeners.notify(target.incarnation)
         backs_off = notice.backoff_seconds > 0.0 and self._record_backoff(
             target, notice.backoff_seconds
         )
--- a/packages/loomyard-router/src/loomyard_router/announced/target_registry.py
+++ b/packages/loomyard-router/src/loomyard_router/announced/target_registry.py
@@ -11,6 +11,7 @@
 from loomyard_router.announced.lapsed_targets import LapsedTargets
 from loomyard_router.announced.target_notices import TargetNotices
 from loomyard_router.feeds.store_times import StoreTimes
+from loomyard_router.supervision.listeners import Listeners
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -52,7 +53,7 @@
         self._usable_by_incarnation: dict[TargetLife, AnnouncedTarget] = {}
         self._open_incarnations: frozenset[TargetLife] = frozenset()
         self._by_incarnation: dict[TargetLife, AnnouncedTarget] = {}
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners = Listeners("targets")
         self._evacuated: frozenset[str] = frozenset()
         self._reinstated_at: dict[str, float] = {}
         self._cold_until: dict[str, float] = {}
@@ -78,7 +79,7 @@
 
     def subscribe(self, changed: Callable[[], None]) -> None:
         """Call back after each change; the callback must not block."""
-        self._listeners.append(changed)
+        self._listeners.subscribe(changed)
 
     def usable(self, service: str) -> tuple[AnnouncedTarget, ...]:
         """Return the targets of a service that may get new requests, sorted by id."""
@@ -226,8 +227,7 @@
 
     def _changed(self) -> None:
         self._refresh()
-        for changed in self._listeners:
-            changed()
+        self._listeners.notify()
 
     def _refresh(self) -> None:
         for id_ in self._lapsed.expire():
--- a/packages/loomyard-router/src/loomyard_router/application.py
+++ b/packages/loomyard-router/src/loomyard_router/application.py
@@ -37,6 +37,7 @@
 from loomyard_router.shares.fifo import make_fifo_policy
 from loomyard_router.shares.fleet import FleetPolicy, make_fleet_policy
 from loomyard_router.shares.local import make_local_policy
+from loomyard_router.supervision.listeners import Listeners
 from loomyard_router.targets.http_engine import make_http_engine
 from loomyard_router.targets.known_targets import make_known_targets
 
@@ -91,7 +92,7 @@
             stopping=lambda: pipeline.stopping,
             begin_stop=self.request_stop,
         )
-        self._stop_listeners: list[Callable[[], None]] = []
+        self._stop_listeners = Listeners("stop")
 
     @property
     def port(self) -> int:
@@ -99,12 +100,11 @@
 
     def on_stop_request(self, listener: Callable[[], None]) -> None:
         """Call back when an operator requests a graceful shutdown."""
-        self._stop_listeners.append(listener)
+        self._stop_listeners.subscribe(listener)
 
     def request_stop(self) -> None:
         """Request a graceful shutdown, as a signal to the process does."""
-        for listener in self._stop_listeners:
-            listener()
+        self._stop_listeners.notify()
 
     def start(self) -> None:
         """Start following the configuration and serving callers."""
--- a/packages/loomyard-router/src/loomyard_router/callers/handler.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/handler.py
@@ -20,6 +20,7 @@
 from loomyard_router.callers.problems import problem_document
 from loomyard_router.requests.caller_presence import CallerPresence
 from loomyard_router.requests.whole_answers import AnswerBrokenError
+from loomyard_router.supervision.failures import record_failure
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -114,9 +115,11 @@
         if isinstance(v, OSError | GreenletExit):
             # The connection was lost, or the router is stopping.
             return
-        emit(logger, Event.HANDLER_FAILED, error=f"{t.__name__}: {v}")
         super().handle_error(t, v, tb)
 
+    def _log_error(self, t: Any, v: Any, tb: Any) -> None:
+        record_failure("callers", v)
+
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         self._discard_input()
         detail = str(ex) or type(ex).__name__
--- a/packages/loomyard-router/src/loomyard_router/callers/presence_watch.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/presence_watch.py
@@ -7,6 +7,8 @@
 
 import gevent
 
+from loomyard_router.supervision.tasks import start_task
+
 if TYPE_CHECKING:
     from gevent.socket import socket
 
@@ -47,7 +49,7 @@
             return
         self._timer.stop()
         self._readable.stop()
-        gevent.spawn(self._presence.mark_gone)
+        start_task("caller presence", self._presence.mark_gone)
 
 
 def _is_connected(sock: socket) -> bool:
--- a/packages/loomyard-router/src/loomyard_router/claims/claim_settler.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/claim_settler.py
@@ -12,6 +12,7 @@
 from loomyard_router.claims.keys import PARTITIONS, partition_of
 from loomyard_router.claims.messages import SettleClaims, Settled
 from loomyard_router.claims.records import Abandoned, Finished
+from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -46,7 +47,7 @@
             emit(logger, Event.CLAIM_END_DROPPED, claim=records.pop(0).claim_id.hex())
         task = self._tasks.get(partition)
         if task is None or task.dead:
-            self._tasks[partition] = gevent.spawn(self._settle, partition)
+            self._tasks[partition] = start_task("claims", self._settle, partition)
 
     def stop(self) -> None:
         """Wait ``STOP_SECONDS`` for pending records, then drop them."""
--- a/packages/loomyard-router/src/loomyard_router/claims/hosting.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/hosting.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING, Any
 
-import gevent
 from result import Err, Ok
 
 from loomyard.rendezvous import rank
@@ -21,10 +20,13 @@
 from loomyard_router.claims.partition import ClaimPartition
 from loomyard_router.claims.unknown_outcomes import MAX_CLOCK_SKEW, UnknownOutcomeReporter
 from loomyard_router.claims.verdict import Verdict
+from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard.external.log_service import LogService
     from loomyard_router.claims.key_state import KeyState
@@ -72,7 +74,7 @@
             self._peers.handle(kind, self._answer_peer)
         self._members.subscribe(self._update_hosts)
         self._update_hosts()
-        self._sweep_task = gevent.spawn(self._sweep_unknown)
+        self._sweep_task = start_supervised("claims", self._clock, self._sweep_unknown)
 
     def stop(self) -> None:
         """Stop hosting."""
--- a/packages/loomyard-router/src/loomyard_router/claims/partition.py
+++ b/packages/loomyard-router/src/loomyard_router/claims/partition.py
@@ -22,6 +22,7 @@
 from loomyard_router.claims.records import Abandoned, Begun, ClaimBatch, Finished
 from loomyard_router.claims.verdict import Verdict
 from loomyard_router.peers.compact_codec import pack, unpack
+from loomyard_router.supervision.failures import record_failure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -153,7 +154,7 @@
             try:
                 task()
             except Exception as error:
-                emit(logger, LogEvent.HANDLER_FAILED, stream=self._stream, error=repr(error))
+                record_failure("claims", error)
                 self._append_started = None
                 self._clock.sleep(RESTART_SECONDS)
 
--- a/packages/loomyard-router/src/loomyard_router/configuration/replica.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/replica.py
@@ -24,6 +24,7 @@
 from loomyard.util.collector import exempt_from_collection
 from loomyard_router.configuration.record_tail import RecordTail
 from loomyard_router.configuration.settled_change import SettledChange
+from loomyard_router.supervision.listeners import Listeners
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -50,7 +51,7 @@
         self._snapshot_notice: SnapshotNotice | None = None
         self._settled: OrderedDict[str, SettledChange] = OrderedDict()
         self._digests: OrderedDict[int, str] = OrderedDict()
-        self._listeners: list[Callable[[Routing], None]] = []
+        self._listeners = Listeners("configuration")
         self._lock = RLock()
         self._updated = GeventEvent()
 
@@ -69,7 +70,7 @@
 
     def subscribe(self, listener: Callable[[Routing], None]) -> None:
         """Register a callback for each configuration that comes into force."""
-        self._listeners.append(listener)
+        self._listeners.subscribe(listener)
 
     def settled(self, change_id: str) -> SettledChange | None:
         """Return a change with its decision, or ``None`` if it was not read or is too old."""
@@ -160,18 +161,10 @@
         if routing is not None:
             self._routing = routing
             emit(logger, Event.CONFIGURATION_ADOPTED, version=state.version)
-            for listener in self._listeners:
-                self._notify(listener, routing)
+            self._listeners.notify(routing)
         updated, self._updated = self._updated, GeventEvent()
         updated.set()
 
-    def _notify(self, listener: Callable[[Routing], None], routing: Routing) -> None:
-        try:
-            listener(routing)
-        except Exception as error:  # a failing listener must not stop the others
-            emit(logger, Event.HANDLER_FAILED, handler=repr(listener), error=repr(error))
-            logger.exception("listener failed")
-
 
 def _changed_refs(folded: FoldedRecord) -> set[ObjectRef]:
     if not isinstance(folded.record, Change):
--- a/packages/loomyard-router/src/loomyard_router/configuration/task_loop.py
+++ b/packages/loomyard-router/src/loomyard_router/configuration/task_loop.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-import logging
 from typing import TYPE_CHECKING
 
-from loomyard.events import Event, emit
+from loomyard_router.supervision.failures import record_failure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from loomyard.clock import Clock
 
-logger = logging.getLogger(__name__)
-
 FAILURE_PAUSE_SECONDS = 1.0
 
 
@@ -23,8 +20,7 @@
         try:
             pause = step()
         except Exception as error:  # if the task ended, the configuration would never be updated
-            emit(logger, Event.HANDLER_FAILED, part="configuration", error=repr(error))
-            logger.exception("a step of the configuration failed")
+            record_failure("configuration", error)
             pause = FAILURE_PAUSE_SECONDS
         if pause:
             clock.sleep(pause)
--- a/packages/loomyard-router/src/loomyard_router/crashes/crash_exchange.py
+++ b/packages/loomyard-router/src/loomyard_router/crashes/crash_exchange.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import gevent
 from result import Ok
 
 from loomyard.rendezvous import rank
@@ -18,11 +17,14 @@
     encode_record,
 )
 from loomyard_router.crashes.suspect import is_part
+from loomyard_router.supervision.tasks import start_supervised, start_task
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterable
 
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard_router.crashes.crash_ledger import CrashLedger
     from loomyard_router.crashes.crash_record import CrashRecord
@@ -81,7 +83,7 @@
         """Start the periodic queries."""
         self._members.subscribe(self._on_members_changed)
         self._members.subscribe_pause(lambda _: self._schedule_query())
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised("crash exchange", self._clock, self._run)
 
     def stop(self) -> None:
         """Stop the periodic queries."""
@@ -134,7 +136,7 @@
         self._updates[record.suspect] = record
         if not self._send_scheduled:
             self._send_scheduled = True
-            gevent.spawn(self._send)
+            start_task("crash exchange", self._send)
 
     def _send(self) -> None:
         self._clock.sleep(BATCH_SECONDS)
@@ -173,7 +175,7 @@
     def _schedule_query(self) -> None:
         if not self._query_scheduled:
             self._query_scheduled = True
-            gevent.spawn(self._query_joined)
+            start_task("crash exchange", self._query_joined)
 
     def _query_joined(self) -> None:
         self._clock.sleep(self._rng.uniform(0.0, QUERY_JITTER_SECONDS))
--- a/packages/loomyard-router/src/loomyard_router/crashes/crash_guard.py
+++ b/packages/loomyard-router/src/loomyard_router/crashes/crash_guard.py
@@ -5,8 +5,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-import gevent
-
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard_router.crashes.attribution import BLOCKING_COUNT
@@ -14,11 +12,14 @@
 from loomyard_router.crashes.completed_parts import CompletedParts
 from loomyard_router.crashes.late_crash_detector import BrokenAttempt, LateCrashDetector
 from loomyard_router.crashes.suspect import is_part
+from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterable
 
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard_router.announced.announced_target import AnnouncedTarget
     from loomyard_router.announced.target_incarnation import TargetLife
@@ -94,7 +95,8 @@
     ) -> gevent.Greenlet:
         """Start to find out whether the target of a failed attempt crashed; return the task."""
         began = request.first_event_at
-        return gevent.spawn(
+        return start_task(
+            "crash guard",
             self._investigate,
             request,
             target,
@@ -149,7 +151,7 @@
         elif suspected - self._settling:
             self._settling |= suspected
             attempt = BrokenAttempt(request.fingerprint, request.part_names, request.send_ranks)
-            gevent.spawn(self._settle, target, attempt, suspected)
+            start_task("crash guard", self._settle, target, attempt, suspected)
 
     def record_established(self, request: RoutedRequest) -> None:
         """Record that a target has answered a request for so long that it will not crash on it."""
@@ -204,7 +206,7 @@
         if is_part(part) and self._completed.take(part) and record.incarnations:
             self._disproved.add(part)
             if len(self._disproved) == 1:
-                gevent.spawn(self._clear_disproved)
+                start_task("crash guard", self._clear_disproved)
 
     def _clear_disproved(self) -> None:
         # Most other routers need not do it as well once the first one has.
--- a/packages/loomyard-router/src/loomyard_router/crashes/crash_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/crashes/crash_ledger.py
@@ -18,6 +18,7 @@
 from loomyard_router.crashes.crash_record import CrashRecord
 from loomyard_router.crashes.suspect import is_part
 from loomyard_router.members.digests import unordered_digest
+from loomyard_router.supervision.listeners import Listeners
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -61,7 +62,7 @@
         self._candidates: set[str] = set()
         self._attribution: Attribution | None = None
         self._exonerate_at = math.inf
-        self._listeners: list[Callable[[CrashRecord], None]] = []
+        self._listeners = Listeners("crash records")
         self._digest: int | None = None
 
     @property
@@ -85,7 +86,7 @@
 
     def subscribe(self, changed: Callable[[CrashRecord], None]) -> None:
         """Call back with each record that is new or changed; the callback must not block."""
-        self._listeners.append(changed)
+        self._listeners.subscribe(changed)
 
     def records(self) -> list[CrashRecord]:
         """Return all records that have not expired."""
@@ -182,8 +183,7 @@
         self._store(merged)
         if self._attribute().poison - known_poison:
             self._exonerate_at = self._clock.now() + SETTLE_SECONDS
-        for changed in self._listeners:
-            changed(merged)
+        self._listeners.notify(merged)
         return True
 
     def expire(self) -> None:
--- a/packages/loomyard-router/src/loomyard_router/crashes/crash_persister.py
+++ b/packages/loomyard-router/src/loomyard_router/crashes/crash_persister.py
@@ -5,7 +5,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-import gevent
 from attrs import evolve, field, frozen
 from gevent.event import Event as GeventEvent
 from result import Err, Ok
@@ -18,10 +17,13 @@
 from loomyard_router.crashes.suspect import is_request
 from loomyard_router.feeds.unreadable_entry import MAX_DETAIL_CHARS
 from loomyard_router.peers.compact_codec import pack, unpack
+from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard_router.crashes.crash_archive import CrashArchive
     from loomyard_router.crashes.crash_ledger import CrashLedger
@@ -86,7 +88,7 @@
         """Start the task that reads and writes."""
         self._ledger.subscribe(self._wake)
         self._members.subscribe(self._wakeup.set)
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised("crash records", self._clock, self._run)
 
     def stop(self) -> None:
         """Stop the task."""
--- a/packages/loomyard-router/src/loomyard_router/feeds/fan_out_consumer.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/fan_out_consumer.py
@@ -9,6 +9,8 @@
 from loomyard_router.feeds.record_consumer import STORE, RecordConsumer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from loomyard_router.feeds.keyed_record import KeyedRecord
 
 
@@ -19,17 +21,23 @@
     consumers: tuple[RecordConsumer, ...]
 
     def apply_listing(self, records: list[KeyedRecord], source: str) -> None:
-        for consumer in self.consumers:
-            consumer.apply_listing(records, source)
+        self._call_each(lambda consumer: consumer.apply_listing(records, source))
 
     def apply_records(self, records: list[KeyedRecord], source: str = STORE) -> None:
-        for consumer in self.consumers:
-            consumer.apply_records(records, source)
+        self._call_each(lambda consumer: consumer.apply_records(records, source))
 
     def on_store_lost(self) -> None:
-        for consumer in self.consumers:
-            consumer.on_store_lost()
+        self._call_each(lambda consumer: consumer.on_store_lost())
 
     def on_store_recovered(self) -> None:
+        self._call_each(lambda consumer: consumer.on_store_recovered())
+
+    def _call_each(self, call: Callable[[RecordConsumer], None]) -> None:
+        errors = []
         for consumer in self.consumers:
-            consumer.on_store_recovered()
+            try:
+                call(consumer)
+            except Exception as error:  # raised below, once the others have what is theirs
+                errors.append(error)
+        if errors:
+            raise errors[0] if len(errors) == 1 else ExceptionGroup("consumers failed", errors)
--- a/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/feed_follower.py
@@ -4,9 +4,9 @@
 
 import logging
 import math
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
-import gevent
 from result import Err, Ok
 
 from loomyard.errors import ResultCode
@@ -20,10 +20,15 @@
 from loomyard_router.feeds.rollback_policy import PreferStore, RollbackPolicy
 from loomyard_router.feeds.store_era import StoreEra
 from loomyard_router.feeds.store_times import StoreTimes
+from loomyard_router.supervision.failures import record_failure
+from loomyard_router.supervision.listeners import Listeners
+from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Iterator
+
+    import gevent
 
     from loomyard.clock import Clock
     from loomyard.errors import Fault
@@ -49,6 +54,8 @@
 # this much longer is a first sign of an outage.
 LATE_SECONDS = 0.15
 LISTING_TIMEOUT = 1.5
+# The pause before the feed is listed again, where its records could not be applied.
+RELIST_SECONDS = 0.5
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.8
 # The pause after a read that returned changes while more of them are expected at any moment.
@@ -91,8 +98,10 @@
         self._rng = rng
         self._position: FeedPosition | None = None
         self._has_listed = False
-        self._listeners: list[Callable[[FeedFollower], None]] = []
-        self._store_listeners: list[Callable[[], None]] = []
+        # Whether records were read that could not be applied.
+        self._must_relist = False
+        self._listeners = Listeners("feed")
+        self._store_listeners = Listeners("feed")
         self._peer_source: PeerSource | None = None
         self._failures = 0
         self._call_started_at = clock.now()
@@ -165,11 +174,11 @@
 
     def subscribe(self, advanced: Callable[[FeedFollower], None]) -> None:
         """Call back when records were read or received from a peer."""
-        self._listeners.append(advanced)
+        self._listeners.subscribe(advanced)
 
     def subscribe_store(self, changed: Callable[[], None]) -> None:
         """Call back when the store stops answering or answers again."""
-        self._store_listeners.append(changed)
+        self._store_listeners.subscribe(changed)
 
     def set_peer_source(self, peer_source: PeerSource) -> None:
         """Poll a peer instead of the store whenever the peer source has one to poll."""
@@ -205,7 +214,7 @@
 
     def start(self) -> None:
         """Start to follow the feed."""
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised(f"feed {self.name}", self._clock, self._run)
         if self._is_watched:
             self._watch.start()
 
@@ -220,7 +229,7 @@
         before = self._position
         self._next_read_at = math.inf
         self._expire_retained()
-        if before is not None and self._peer_source is not None:
+        if before is not None and self._peer_source is not None and not self._must_relist:
             polled_at = self._clock.now()
             answer = self._peer_source.poll(self)
             if answer is not None:
@@ -228,7 +237,7 @@
                 return 0.0
         self._call_started_at = self._poll_ends_at = self._clock.now()
         self._watch.begin_call()
-        if before is None or before.era < self._era.newest:
+        if before is None or before.era < self._era.newest or self._must_relist:
             fault = self._list()
         else:
             fault = self._read(before)
@@ -236,6 +245,8 @@
             return self._record_failure(fault)
         self._record_answer()
         self._watch.end_call()
+        if self._must_relist:
+            return RELIST_SECONDS
         if self._position == before:
             return 0.0
         pause = HURRIED_READ_INTERVAL if self._is_hurried() else self._min_read_interval
@@ -243,6 +254,8 @@
         return pause
 
     def _run(self) -> None:
+        # After an exception the last records may have been read but not applied.
+        self._must_relist = self._has_listed
         while True:
             pause = self.step()
             if pause:
@@ -286,11 +299,13 @@
         """Replace all records by a listing, with the overrides that peers retain."""
         self._position = position
         self._has_listed = True
-        rollback = self._records.replace(records, position, retained)
-        if rollback is not None:
-            self._log_rollback(rollback, source)
-        self._consumer.apply_listing(self._records.effective, source)
-        self._notify_listeners()
+        with self._relist_on_failure():
+            rollback = self._records.replace(records, position, retained)
+            if rollback is not None:
+                self._log_rollback(rollback, source)
+            self._consumer.apply_listing(self._records.effective, source)
+            self._must_relist = False
+        self._listeners.notify(self)
 
     def _read(self, position: FeedPosition) -> Fault | None:
         # No long poll during an outage: it would notice the store's return only at the next record.
@@ -331,16 +346,26 @@
         self._position = batch.position
         if not records:
             return
-        changes = self._records.apply_changes(records, batch.position)
-        if changes:
-            self._consumer.apply_records(changes, source)
-        self._notify_listeners()
+        with self._relist_on_failure():
+            changes = self._records.apply_changes(records, batch.position)
+            if changes:
+                self._consumer.apply_records(changes, source)
+        self._listeners.notify(self)
 
     def _expire_retained(self) -> None:
         """Apply the store's records of keys whose overrides expired."""
         if self.store_available and (changes := self._records.expire()):
             self._consumer.apply_records(changes)
 
+    @contextmanager
+    def _relist_on_failure(self) -> Iterator[None]:
+        """Record an exception of the consumer, and list again what it has not applied."""
+        try:
+            yield
+        except Exception as error:  # the task of the feed, or the peer's, goes on
+            record_failure(f"feed {self.name}", error)
+            self._must_relist = True
+
     def _log_rollback(self, rollback: Rollback, source: str) -> None:
         emit(
             logger,
@@ -356,14 +381,6 @@
             held=len(self._records.retained),
         )
 
-    def _notify_store_listeners(self) -> None:
-        for changed in self._store_listeners:
-            changed()
-
-    def _notify_listeners(self) -> None:
-        for advanced in self._listeners:
-            advanced(self)
-
     def _record_answer(self) -> None:
         if self._failures:
             emit(
@@ -376,7 +393,7 @@
             self._failures = 0
             self._records.restart_retention()
             self._consumer.on_store_recovered()
-            self._notify_store_listeners()
+            self._store_listeners.notify()
         self._answered_at = self._clock.now()
 
     def _record_failure(self, fault: Fault) -> float:
@@ -392,7 +409,7 @@
                 silent=self._elapsed_since(self._answered_at),
             )
             self._consumer.on_store_lost()
-            self._notify_store_listeners()
+            self._store_listeners.notify()
         pause = min(MAX_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2.0 ** min(self._failures, 8))
         # Routers that lost the store together must not retry together.
         spread = self._rng.uniform(0.5, 1.0)
--- a/packages/loomyard-router/src/loomyard_router/feeds/peer_fetcher.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/peer_fetcher.py
@@ -5,7 +5,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-import gevent
 from gevent.event import Event as GeventEvent
 from result import Ok
 
@@ -15,10 +14,13 @@
 from loomyard_router.feeds.feed_position import NO_POSITION, FeedPosition
 from loomyard_router.feeds.feed_readers import choose_readers
 from loomyard_router.feeds.feed_state import FeedState
+from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
     import random
 
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard_router.feeds.effective_records import RetainedRecord
     from loomyard_router.feeds.feed_follower import FeedFollower
@@ -95,7 +97,10 @@
     def start(self) -> None:
         """Start the tasks."""
         self._follower.subscribe_store(self._store_changed.set)
-        self._tasks = [gevent.spawn(self._run_catch_up), gevent.spawn(self._run_without_store)]
+        self._tasks = [
+            start_supervised(f"fetch of {self._follower.name}", self._clock, run)
+            for run in (self._run_catch_up, self._run_without_store)
+        ]
 
     def stop(self) -> None:
         """End the tasks."""
--- a/packages/loomyard-router/src/loomyard_router/feeds/read_watch.py
+++ b/packages/loomyard-router/src/loomyard_router/feeds/read_watch.py
@@ -5,11 +5,12 @@
 import math
 from typing import TYPE_CHECKING
 
-import gevent
-
 from loomyard_router.feeds.feed import MAX_IDLE_SECONDS
+from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard_router.feeds.store_times import StoreTimes
 
@@ -37,7 +38,7 @@
 
     def start(self) -> None:
         """Start to look at outstanding reads."""
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised("read watch", self._clock, self._run)
 
     def stop(self) -> None:
         """End the task."""
--- a/packages/loomyard-router/src/loomyard_router/members/datagrams.py
+++ b/packages/loomyard-router/src/loomyard_router/members/datagrams.py
@@ -5,14 +5,17 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, Protocol
 
-import gevent
-
+from loomyard.clock import SystemClock
 from loomyard.util.addresses import split_address
+from loomyard_router.supervision.guard import call_guarded
+from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
     import socket
     from collections.abc import Callable
 
+    import gevent
+
 MAX_DATAGRAM_BYTES = 1200
 RECEIVE_BYTES = 2048
 HEADER_BYTES = 28  # of IPv4 and UDP
@@ -44,7 +47,7 @@
             self._socket.sendto(data, split_address(address))
 
     def start(self, receive: Callable[[bytes], None]) -> None:
-        self._task = gevent.spawn(self._run, receive)
+        self._task = start_supervised("datagrams", SystemClock(), self._run, receive)
 
     def stop(self) -> None:
         if self._task is not None:
@@ -57,6 +60,4 @@
                 data = self._socket.recv(RECEIVE_BYTES)
             except ConnectionError:
                 continue  # an ICMP error for an earlier datagram
-            except OSError:
-                return
-            receive(data)
+            call_guarded("datagrams", receive, data)
--- a/packages/loomyard-router/src/loomyard_router/members/swim.py
+++ b/packages/loomyard-router/src/loomyard_router/members/swim.py
@@ -13,13 +13,11 @@
 import random
 from typing import TYPE_CHECKING
 
-import gevent
 from attrs import frozen
 
 from loomyard.events import Event, emit
 from loomyard_router.members.digest_monitor import DigestMonitor
 from loomyard_router.members.gossip_exchange import GossipExchange
-from loomyard_router.members.listeners import Listeners
 from loomyard_router.members.member_states import MemberStates
 from loomyard_router.members.membership import Member, MemberState
 from loomyard_router.members.messages import Datagram, DatagramKind, Liveness, MemberUpdate
@@ -28,10 +26,14 @@
 from loomyard_router.members.seeds import Seeds
 from loomyard_router.members.table import MemberTable
 from loomyard_router.members.topics import Topics
+from loomyard_router.supervision.listeners import Listeners
+from loomyard_router.supervision.tasks import start_supervised, start_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard.external.vm_list import Vm
     from loomyard_router.members.datagram_seal import DatagramSeal
@@ -115,8 +117,8 @@
             slack=self._times.tick, bound=self._times.pause_bound, due=now
         )
         self._digest_monitor = DigestMonitor()
-        self._changed = Listeners()
-        self._paused = Listeners()
+        self._changed = Listeners("membership")
+        self._paused = Listeners("membership")
         self._seen: tuple[Member, ...] = ()
         self._seen_revision = -1
         self._live: tuple[Member, ...] = ()
@@ -161,7 +163,7 @@
 
     def start(self) -> None:
         self._datagrams.start(self.receive)
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised("membership", self._clock, self._run)
 
     def stop(self) -> None:
         """End the tasks; a leaving router declares itself dead, which saves others the probes."""
@@ -235,7 +237,7 @@
         """Gossip an item at once in a fleet that probes alone would reach too slowly."""
         if not self._gossiping and len(self._live) > MAX_FLEET_PROBES_ALONE:
             self._gossiping = True
-            gevent.spawn(self._run_gossip)
+            start_task("membership", self._run_gossip)
 
     def _run_gossip(self) -> None:
         self._prober.gossip()
--- a/packages/loomyard-router/src/loomyard_router/members/table_sync.py
+++ b/packages/loomyard-router/src/loomyard_router/members/table_sync.py
@@ -8,14 +8,16 @@
 
 from typing import TYPE_CHECKING
 
-import gevent
 from attrs import field, frozen
 from result import Ok
 
 from loomyard_router.members.messages import MemberUpdate
 from loomyard_router.peers.message_types import peer_message
+from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard_router.members.swim import SwimMembership
     from loomyard_router.peers.links import PeerLinks
@@ -50,7 +52,7 @@
 
     def start(self) -> None:
         """Start to compare periodically."""
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised("member table", self._clock, self._run)
 
     def stop(self) -> None:
         """End the task."""
--- a/packages/loomyard-router/src/loomyard_router/members/topics.py
+++ b/packages/loomyard-router/src/loomyard_router/members/topics.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -10,9 +9,10 @@
 from loomyard.clock import Clock
 from loomyard_router.members.digests import unordered_digest
 from loomyard_router.members.messages import Item
+from loomyard_router.supervision.listeners import Listeners
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 
 MAX_ITEMS = 512
@@ -36,7 +36,7 @@
     clock: Clock
     _items: dict[tuple[str, str], _StoredItem] = field(factory=dict)
     _digest: int | None = None
-    _listeners: dict[str, list[Callable[[str, int], None]]] = field(factory=dict)
+    _listeners: dict[str, Listeners] = field(factory=dict)
 
     @property
     def digest(self) -> int:
@@ -49,7 +49,7 @@
 
     def subscribe(self, topic: str, received: Callable[[str, int], None]) -> None:
         """Call back with key and value of the items of a topic, known ones first."""
-        self._listeners.setdefault(topic, []).append(received)
+        self._listeners.setdefault(topic, Listeners(f"topic {topic}")).subscribe(received)
         for (name, key), stored in list(self._items.items()):
             if name == topic:
                 received(key, stored.value)
@@ -63,8 +63,8 @@
         until = self.clock.now() + item.tenths / TENTHS
         if not self._put(item.topic, item.key, item.value, until):
             return False
-        for received in self._listeners.get(item.topic, []):
-            received(item.key, item.value)
+        if item.topic in self._listeners:
+            self._listeners[item.topic].notify(item.key, item.value)
         return True
 
     def item(self, topic: str, key: str) -> Item | None:
--- a/packages/loomyard-router/src/loomyard_router/members/vm_list_poller.py
+++ b/packages/loomyard-router/src/loomyard_router/members/vm_list_poller.py
@@ -5,14 +5,17 @@
 import logging
 from typing import TYPE_CHECKING
 
-import gevent
 from result import Err, Ok
 
 from loomyard.events import Event, emit
+from loomyard_router.supervision.listeners import Listeners
+from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard.external.vm_list import Vm, VmList
 
@@ -27,17 +30,17 @@
     def __init__(self, vm_list: VmList, clock: Clock) -> None:
         self._vm_list = vm_list
         self._clock = clock
-        self._listeners: list[Callable[[list[Vm]], None]] = []
+        self._listeners = Listeners("VM list")
         self._available = True
         self._task: gevent.Greenlet | None = None
 
     def subscribe(self, listed: Callable[[list[Vm]], None]) -> None:
         """Call back with the VMs of each successful read."""
-        self._listeners.append(listed)
+        self._listeners.subscribe(listed)
 
     def start(self) -> None:
         """Start to read periodically."""
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised("VM list", self._clock, self._run)
 
     def stop(self) -> None:
         """End the task."""
@@ -49,8 +52,7 @@
         match self._vm_list.read():
             case Ok(vms):
                 self._record_availability(available=True)
-                for listener in self._listeners:
-                    listener(vms)
+                self._listeners.notify(vms)
             case Err(fault):
                 self._record_availability(available=False, detail=fault.detail)
 
--- a/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
@@ -17,6 +17,7 @@
 from loomyard_router.routed.body_metrics import BodyMetrics
 from loomyard_router.routed.unread_answer_metrics import UnreadAnswerMetrics
 from loomyard_router.streams.stream_metrics import StreamMetrics
+from loomyard_router.supervision.failures import failure_counts
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -66,6 +67,7 @@
         yield GaugeMetricFamily(
             "loomyard_requests_in_flight", "requests in flight", value=self._in_flight()
         )
+        yield _collect_failures()
         yield from self._collect_feeds()
         yield from self._collect_targets()
         yield from self._collect_slots()
@@ -295,6 +297,17 @@
         yield lookups
 
 
+def _collect_failures() -> Metric:
+    family = CounterMetricFamily(
+        "loomyard_task_failures",
+        "unexpected errors of tasks, callbacks and listeners, by part of the router",
+        labels=("part",),
+    )
+    for part, count in failure_counts().items():
+        family.add_metric((part,), count)
+    return family
+
+
 def _make_gauge(name: str, description: str, read: Callable[[], int]) -> Metric:
     return GaugeMetricFamily(name, description, value=read())
 
--- a/packages/loomyard-router/src/loomyard_router/orders/local_backlog.py
+++ b/packages/loomyard-router/src/loomyard_router/orders/local_backlog.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from loomyard_router.supervision.listeners import Listeners
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -22,7 +24,7 @@
         self._clock = clock
         self._waiting: Counter[str] = Counter()
         self._refused_until: dict[str, float] = {}
-        self._listeners: list[Callable[[str], None]] = []
+        self._listeners = Listeners("orders")
 
     def waiting(self, service: str) -> int:
         """Return the number of waiting requests of a service, plus one after a recent refusal."""
@@ -39,13 +41,12 @@
 
     def subscribe(self, refused: Callable[[str], None]) -> None:
         """Call ``refused`` with the service of each refusal by this router."""
-        self._listeners.append(refused)
+        self._listeners.subscribe(refused)
 
     def record_refusal(self, service: str) -> None:
         """Record that this router refused a request for lack of a target, and call subscribers."""
         self.record_remote_refusal(service)
-        for listener in self._listeners:
-            listener(service)
+        self._listeners.notify(service)
 
     def record_remote_refusal(self, service: str) -> None:
         """Record that any router refused a request of a service; subscribers are not called."""
--- a/packages/loomyard-router/src/loomyard_router/orders/order_controller.py
+++ b/packages/loomyard-router/src/loomyard_router/orders/order_controller.py
@@ -5,7 +5,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-import gevent
 from result import Ok
 
 from loomyard.events import Event, emit
@@ -16,8 +15,11 @@
 from loomyard_router.orders.order_sender import OrderSender
 from loomyard_router.orders.target_view import TargetView
 from loomyard_router.shares.allocator_selection import find_allocator
+from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard.external.engine import Engine
     from loomyard.external.log_service import LogService
@@ -71,7 +73,7 @@
 
     def start(self) -> None:
         """Start the control loop."""
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised("orders", self._clock, self._run)
 
     def stop(self) -> None:
         """Stop the control loop; the lease expires."""
--- a/packages/loomyard-router/src/loomyard_router/peers/link.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/link.py
@@ -6,7 +6,6 @@
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
-import gevent
 from attrs import define
 from result import Err, Ok, Result
 
@@ -25,6 +24,8 @@
     encode_envelope,
 )
 from loomyard_router.peers.message_types import kind_of, name_of
+from loomyard_router.supervision.failures import record_failure
+from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -155,7 +156,7 @@
         self._queued_bytes += len(data)
         if not self._flushing:
             self._flushing = True
-            gevent.spawn(self._flush)
+            start_task("peer link", self._flush)
         return True
 
     def _flush(self) -> None:
@@ -166,6 +167,11 @@
         except (OSError, EOFError):
             self._failed = not self._closed
             self.close()
+        except Exception:
+            # Messages are lost, which the peer learns of only by the end of the link.
+            self._failed = not self._closed
+            self.close()
+            raise
         finally:
             self._flushing = False
 
@@ -233,7 +239,7 @@
         elif self._requests_running < MAX_REQUESTS_RUNNING:
             # A handler may block, for example on the log service, and must not stall the link.
             self._requests_running += 1
-            gevent.spawn(self._answer_request, envelope.request, message)
+            start_task("peer link", self._answer_request, envelope.request, message)
         else:
             self._traffic.record_refused(envelope.kind)
 
@@ -259,7 +265,7 @@
             if answer is not None:
                 name_of(type(answer))
         except Exception as error:  # a faulty handler must not close the link
-            emit(logger, Event.HANDLER_FAILED, detail=repr(error), kind=type(message).__name__)
+            record_failure(f"peer message {name_of(type(message))}", error)
             return Err(repr(error))
         return Ok(answer)
 
--- a/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
@@ -5,7 +5,6 @@
 import logging
 from typing import TYPE_CHECKING, Any, TypeVar
 
-import gevent
 from gevent.event import Event as GeventEvent
 from gevent.lock import BoundedSemaphore
 from result import Err, Ok, Result
@@ -23,11 +22,14 @@
 from loomyard_router.peers.link_table import LinkTable
 from loomyard_router.peers.message_types import name_of, register_message
 from loomyard_router.peers.pending import PendingMessages
+from loomyard_router.supervision.tasks import start_supervised, start_task
 
 if TYPE_CHECKING:
     import socket
     from collections.abc import Callable
 
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard_router.members.membership import Membership
     from loomyard_router.peers.fleet_secret import FleetSecret
@@ -101,7 +103,7 @@
         """Start to accept links and to close idle ones."""
         self._members.subscribe(self._close_dead_links)
         self._acceptor.start()
-        self._idle_closer = gevent.spawn(self._close_idle_links)
+        self._idle_closer = start_supervised("peer links", self._clock, self._close_idle_links)
 
     def stop(self) -> None:
         """Close all links at once."""
@@ -122,7 +124,7 @@
             return None
         opened = GeventEvent()
         self._opening[to] = opened
-        gevent.spawn(self._open, member, opened)
+        start_task("peer links", self._open, member, opened)
         return opened
 
     def _await_link(self, to: str, deadline: float) -> PeerLink | None:
--- a/packages/loomyard-router/src/loomyard_router/platform/__main__.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/__main__.py
@@ -39,6 +39,7 @@
 from loomyard_router.platform.store_feed import StoreFeed  # noqa: E402
 from loomyard_router.platform.targets import PlatformTargets  # noqa: E402
 from loomyard_router.routed_application import RoutedApplication, RoutedPlatform  # noqa: E402
+from loomyard_router.supervision.uncaught import record_uncaught  # noqa: E402
 
 EXIT_SETTINGS = 2
 # Fits into the margin that a graceful shutdown leaves of the grace (``GRACE_MARGIN_SECONDS``).
@@ -57,6 +58,7 @@
     log_handler = BoundedLogHandler(sys.stdout.fileno(), clock)
     install_handler(log_handler, JSON)
     log_handler.start()
+    record_uncaught()
     era = StoreEra()
     application = RoutedApplication(
         settings,
--- a/packages/loomyard-router/src/loomyard_router/platform/settings_watch.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/settings_watch.py
@@ -6,12 +6,12 @@
 import os
 from typing import TYPE_CHECKING
 
-import gevent
 from result import Err, Ok
 
 from loomyard.events import Event, emit
 from loomyard_router.platform import names
 from loomyard_router.platform.settings_file import read_settings
+from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -40,16 +40,18 @@
 
     def start(self) -> None:
         """Start polling every ``POLL_SECONDS`` in the background."""
-        gevent.spawn(self._run)
+        start_supervised("settings", self._clock, self._run)
 
     def reload(self) -> None:
         """Read the file now, changed or not."""
-        self._read_signature = self._file_signature()
+        signature = self._file_signature()
         match read_settings(self._environment):
             case Ok(settings):
                 self._on_change(settings)
             case Err(detail):
                 emit(logger, Event.SETTINGS_UNREADABLE, detail=detail)
+        # Last, so that changes which could not be adopted are read again.
+        self._read_signature = signature
 
     def reload_if_changed(self) -> None:
         """Read the file if its inode, size or modification time changed since the last read."""
--- a/packages/loomyard-router/src/loomyard_router/requests/caller_presence.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/caller_presence.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from loomyard_router.supervision.guard import call_guarded
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -49,4 +51,4 @@
         self._gone = True
         listeners, self._listeners = self._listeners, []
         for listener in listeners:
-            listener()
+            call_guarded("caller presence", listener)
--- a/packages/loomyard-router/src/loomyard_router/requests/pending_resumes.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/pending_resumes.py
@@ -5,9 +5,8 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
-import gevent
-
 from loomyard_router.requests.stream_taken import StreamTaken
+from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,7 +35,7 @@
             end(True)
             return
         self._pending[attempt_id] = end
-        gevent.spawn(self._expire, attempt_id)
+        start_task("pending resumes", self._expire, attempt_id)
 
     def record_resumed(self, attempt_id: str) -> None:
         """Record that the caller resumed a stream, here or at another router."""
--- a/packages/loomyard-router/src/loomyard_router/requests/sender.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/sender.py
@@ -5,7 +5,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-import gevent
 from result import Err, Ok, Result
 
 from loomyard.errors import Executed, Fault, ResultCode
@@ -16,6 +15,7 @@
 from loomyard_router.requests.journal import Step
 from loomyard_router.requests.settlement import Settlement
 from loomyard_router.requests.slot_queue import deadline_fault, gone_fault
+from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -132,7 +132,7 @@
         else:
             settlement.settle_uncertain()
             if request.idempotent:
-                gevent.spawn(self._engine.cancel, call.url, call.attempt_id)
+                start_task("cancellation", self._engine.cancel, call.url, call.attempt_id)
         emit(
             logger,
             Event.ATTEMPT_FAILED,
@@ -160,7 +160,7 @@
         self._request.presence.unsubscribe(self._cancel)
 
     def _cancel(self) -> None:
-        gevent.spawn(self._engine.cancel, self._call.url, self._call.attempt_id)
+        start_task("cancellation", self._engine.cancel, self._call.url, self._call.attempt_id)
 
 
 def _make_call(request: Request, admission: Admission, number: int) -> TargetCall:
--- a/packages/loomyard-router/src/loomyard_router/requests/stream_answers.py
+++ b/packages/loomyard-router/src/loomyard_router/requests/stream_answers.py
@@ -5,7 +5,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-import gevent
 from result import Err, Ok, Result
 
 from loomyard.errors import Fault, ResultCode
@@ -19,6 +18,7 @@
 from loomyard_router.requests.answer_check import EVENT_STREAM_TYPE
 from loomyard_router.requests.body import Body
 from loomyard_router.requests.slot_queue import gone_fault
+from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -174,4 +174,4 @@
 
     def _cancel(self) -> None:
         call = self._attempt.call
-        gevent.spawn(self._engine.cancel, call.url, call.attempt_id)
+        start_task("cancellation", self._engine.cancel, call.url, call.attempt_id)
--- a/packages/loomyard-router/src/loomyard_router/routed/deadline_watch.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/deadline_watch.py
@@ -4,9 +4,12 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-import gevent
+from loomyard_router.supervision.guard import call_guarded
+from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
+    import gevent
+
     from loomyard.clock import Clock
 
 # Seconds between checks while there are exchanges; callers must learn of a passed deadline within
@@ -34,7 +37,7 @@
         """Set a deadline, replacing an earlier one."""
         self._deadlines[exchange] = deadline
         if self._task is None:
-            self._task = gevent.spawn(self._run)
+            self._task = start_task("deadlines", self._run)
 
     def clear_deadline(self, exchange: Expirable) -> None:
         """Remove a deadline, as the exchange has ended."""
@@ -46,10 +49,12 @@
         passed = [one for one, deadline in self._deadlines.items() if deadline <= now]
         for exchange in passed:
             del self._deadlines[exchange]
-            exchange.expire()
+            call_guarded("deadlines", exchange.expire)
 
     def _run(self) -> None:
-        while self._deadlines:
-            self._clock.sleep(CHECK_SECONDS)
-            self.check()
-        self._task = None
+        try:
+            while self._deadlines:
+                self._clock.sleep(CHECK_SECONDS)
+                self.check()
+        finally:
+            self._task = None
--- a/packages/loomyard-router/src/loomyard_router/routed/early_refusal.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/early_refusal.py
@@ -7,12 +7,12 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-import gevent
 from attrs import frozen
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard_router.callers.problems import status_line
+from loomyard_router.supervision.tasks import start_task_later
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -122,7 +122,7 @@
     def _record(self, fault: Fault, account: str, attempt_id: str) -> None:
         if not self._counts:
             self._first_attempt_id = attempt_id
-            gevent.spawn_later(LOG_SECONDS, self._write_log)
+            start_task_later(LOG_SECONDS, "early refusals", self._write_log)
         self._counts[account] += 1
         self._overload_count += fault.code is ResultCode.ROUTER_OVERLOADED
 
--- a/packages/loomyard-router/src/loomyard_router/routed/loop_lag.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/loop_lag.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-import gevent
+from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -44,7 +44,7 @@
         overloaded = self.seconds > self._max_lag
         if self._started_at is None:
             self._started_at = self._clock.now()
-            gevent.spawn(self._measure, self._started_at)
+            start_task("loop lag", self._measure, self._started_at)
         return overloaded
 
     def _measure(self, started_at: float) -> None:
--- a/packages/loomyard-router/src/loomyard_router/routed/target_connection.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/target_connection.py
@@ -11,6 +11,7 @@
 from loomyard.util.addresses import split_address
 from loomyard.util.tcp import disable_nagle, set_keepalive
 from loomyard_router.routed.answer_parser import AnswerParser
+from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -85,7 +86,9 @@
         if len(body) <= SMALL_BODY_BYTES:
             self._send_all(head + body, deadline)
         else:
-            self._sender = gevent.spawn(self._send_in_background, head + body, deadline)
+            self._sender = start_task(
+                "target connection", self._send_in_background, head + body, deadline
+            )
 
     def read_head(self, deadline: float) -> None:
         """Wait for the head of the final answer."""
--- a/packages/loomyard-router/src/loomyard_router/routed/unread_answers.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/unread_answers.py
@@ -5,15 +5,18 @@
 import logging
 from typing import TYPE_CHECKING
 
-import gevent
 from gevent.queue import Queue
 
 from loomyard.events import Event, emit
 from loomyard_router.requests.whole_answers import AnswerBrokenError
+from loomyard_router.supervision.guard import call_guarded
+from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Generator
 
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard_router.routed.body_budget import BodyBudget
 
@@ -47,7 +50,7 @@
         """Record that a block was handed to a caller."""
         self._waiting[answer] = self.clock.now()
         if self._task is None:
-            self._task = gevent.spawn(self._run)
+            self._task = start_task("unread answers", self._run)
 
     def remove_waiting(self, answer: BufferedAnswer) -> None:
         """Record that the caller took the block, or has gone."""
@@ -60,13 +63,15 @@
             if since <= oldest:
                 self.remove_waiting(answer)
                 self.buffered += 1
-                answer.start_buffering()
+                call_guarded("unread answers", answer.start_buffering)
 
     def _run(self) -> None:
-        while self._waiting:
-            self.clock.sleep(CHECK_SECONDS)
-            self.check()
-        self._task = None
+        try:
+            while self._waiting:
+                self.clock.sleep(CHECK_SECONDS)
+                self.check()
+        finally:
+            self._task = None
 
 
 class BufferedAnswer:
@@ -115,7 +120,7 @@
     def start_buffering(self) -> None:
         """Read the rest of the answer without waiting for the caller."""
         emit(logger, Event.ANSWER_UNREAD, request=self._request_id, seconds=UNREAD_SECONDS)
-        self._reader = gevent.spawn(self._read_all)
+        self._reader = start_task("unread answers", self._read_all)
 
     def _yield_buffered(self) -> Generator[bytes, None, None]:
         while True:
--- a/packages/loomyard-router/src/loomyard_router/routes/route_table_holder.py
+++ b/packages/loomyard-router/src/loomyard_router/routes/route_table_holder.py
@@ -9,6 +9,8 @@
 from result import Err, Ok, Result
 
 from loomyard.events import Event, emit
+from loomyard_router.feeds.unreadable_entry import decode_entry
+from loomyard_router.supervision.listeners import Listeners
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,7 +38,7 @@
         self._decode = decode
         self._table: RouteTable | None = None
         self._document: TableDocument | None = None
-        self._listeners: list[Callable[[RouteTable], None]] = []
+        self._listeners = Listeners("configuration")
 
     @property
     def table(self) -> RouteTable | None:
@@ -53,14 +55,14 @@
 
     def subscribe(self, changed: Callable[[RouteTable], None]) -> None:
         """Register a callback for each version that comes into force."""
-        self._listeners.append(changed)
+        self._listeners.subscribe(changed)
 
     def offer(self, data: bytes, source: str) -> Result[bool, UnreadableEntry]:
         """Put a published document in force if it is newer; return whether it is now in force.
 
         Error: the reason why the document can't be decoded; the version in force stays.
         """
-        decoded = self._decode(data)
+        decoded = decode_entry(self._decode, data)
         if decoded.is_err():
             return Err(decoded.unwrap_err())
         table = decoded.unwrap()
@@ -86,6 +88,5 @@
             routes=table.route_count,
             tokens_per_second=table.limits.tokens_per_second,
         )
-        for changed in self._listeners:
-            changed(table)
+        self._listeners.notify(table)
         return Ok(True)
--- a/packages/loomyard-router/src/loomyard_router/shares/fleet.py
+++ b/packages/loomyard-router/src/loomyard_router/shares/fleet.py
@@ -5,9 +5,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-import gevent
-
-from loomyard.events import Event, emit
 from loomyard_router.members.membership import SoleMembership
 from loomyard_router.shares.account_levels import AccountLevels
 from loomyard_router.shares.admission import Admission
@@ -26,6 +23,8 @@
 from loomyard_router.shares.slot_choice import SlotChoice
 from loomyard_router.shares.slot_return_limiter import SlotReturnLimiter
 from loomyard_router.shares.starvation_tracker import StarvationTracker
+from loomyard_router.supervision.guard import call_guarded
+from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
     from gevent import Greenlet
@@ -165,7 +164,7 @@
         self._admit()
 
     def start(self) -> None:
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised("shares", self._clock, self._run)
 
     def stop(self) -> None:
         if self._task is not None:
@@ -186,10 +185,7 @@
     def _run(self) -> None:
         while True:
             self._clock.sleep(IDLE_INTERVAL if self._idle else POLL_INTERVAL)
-            try:
-                self.poll()
-            except Exception as error:  # one failed round must not stop the policy
-                emit(logger, Event.HANDLER_FAILED, task="shares", error=repr(error))
+            call_guarded("shares", self.poll)
 
     def _exchange(self) -> None:
         """Send due messages, unless called while doing so by a message to this router itself."""
--- a/packages/loomyard-router/src/loomyard_router/streams/history_exchange.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/history_exchange.py
@@ -4,14 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-import gevent
 from result import Ok
 
 from loomyard_router.streams.origin_messages import PastOrigins, PastOriginsQuery
+from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
     import random
 
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard_router.members.membership import Member, Membership
     from loomyard_router.peers.links import PeerLinks
@@ -48,7 +50,7 @@
 
     def start(self) -> None:
         """Start to ask."""
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised("stream history", self._clock, self._run)
 
     def stop(self) -> None:
         """Stop asking."""
--- a/packages/loomyard-router/src/loomyard_router/streams/origin_history.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_history.py
@@ -7,6 +7,7 @@
 
 from loomyard_router.streams.origin_messages import PastOrigins
 from loomyard_router.streams.stream_origin import StreamOrigin
+from loomyard_router.supervision.listeners import Listeners
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable, Mapping
@@ -49,7 +50,7 @@
         self._services: dict[str, dict[str, float]] = {}
         self._versions: dict[str, dict[str, float]] = {}
         self._seconds: dict[str, float] = {}
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners = Listeners("stream history")
         registry.subscribe(self._update_versions)
         holder.subscribe(self._update_services)
         members.subscribe_pause(self._on_pause)
@@ -73,7 +74,7 @@
 
     def subscribe(self, changed: Callable[[], None]) -> None:
         """Call back when routes may have got or lost an origin; the callback must not block."""
-        self._listeners.append(changed)
+        self._listeners.subscribe(changed)
 
     def find_sole(self, route: str) -> StreamOrigin | None:
         """Return the only origin that streams of a route can have, by what this router observed."""
@@ -165,8 +166,7 @@
         self._notify()
 
     def _notify(self) -> None:
-        for changed in self._listeners:
-            changed()
+        self._listeners.notify()
 
 
 def _list_ages(
--- a/packages/loomyard-router/src/loomyard_router/streams/origin_lookup.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_lookup.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import gevent
 from attrs import frozen
 from gevent.queue import Queue
 from result import Ok
@@ -16,6 +15,7 @@
     make_origin,
 )
 from loomyard_router.streams.stream_origin import StreamOrigin
+from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
     from loomyard.clock import Clock
@@ -104,7 +104,7 @@
         """Ask all hosts at once; return the first origin, and add the other replies."""
         received: Queue = Queue()
         for name in hosts:
-            gevent.spawn(self._ask_one, name, query, deadline, received)
+            start_task("stream lookup", self._ask_one, name, query, deadline, received)
         for _ in hosts:
             name, reply = received.get()
             if reply is None:
--- a/packages/loomyard-router/src/loomyard_router/streams/origin_replicator.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_replicator.py
@@ -4,15 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-import gevent
 from attrs import define, field
 
 from loomyard_router.streams.host_ring import HostRing
 from loomyard_router.streams.origin_messages import OriginUpdate, decode_entry, encode_record
 from loomyard_router.streams.origin_record import OriginRecord
 from loomyard_router.streams.origin_table import MAX_RECORDS
+from loomyard_router.supervision.tasks import start_supervised, start_task
 
 if TYPE_CHECKING:
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard_router.members.membership import Member, Membership
     from loomyard_router.peers.links import PeerLinks
@@ -78,7 +80,7 @@
         """Start to send again what hosts lack, and to drop what has expired."""
         self._members.subscribe(self._on_members_changed)
         self._history.subscribe(self._schedule_resend)
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised("stream records", self._clock, self._run)
 
     def stop(self) -> None:
         """End the tasks."""
@@ -149,7 +151,7 @@
     def _schedule_resend(self) -> None:
         if not self._is_resending:
             self._is_resending = True
-            gevent.spawn(self._resend)
+            start_task("stream records", self._resend)
 
     def _resend(self) -> None:
         """Send the records that hosts lack, a few at a time, as links may have to be opened."""
@@ -173,7 +175,7 @@
     def _queue(self, name: str, record: OriginRecord) -> None:
         if name not in self._queued:
             self._queued[name] = []
-            gevent.spawn(self._send, name)
+            start_task("stream records", self._send, name)
         self._queued[name].append(record)
 
     def _send(self, name: str) -> None:
@@ -196,7 +198,7 @@
     def _on_members_changed(self) -> None:
         if not self._members_changed:
             self._members_changed = True
-            gevent.spawn(self._adopt_members)
+            start_task("stream records", self._adopt_members)
 
     def _adopt_members(self) -> None:
         self._clock.sleep(MEMBERS_BATCH_SECONDS)
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/supervision/__init__.py
@@ -0,0 +1,1 @@
+"""Supervision of tasks, callbacks and listeners, so that an exception in one ends no other."""
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/supervision/tasks.py
@@ -0,0 +1,69 @@
+"""Background tasks that are restarted or recorded when an exception ends them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import gevent
+
+from loomyard_router.supervision.failures import record_failure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard.clock import Clock
+
+MIN_RESTART_SECONDS = 0.1
+MAX_RESTART_SECONDS = 1.0
+
+
+def start_supervised(
+    part: str, clock: Clock, run: Callable[..., None], *arguments: Any
+) -> gevent.Greenlet:
+    """Start a task that has a duty as long as the router runs; restart it after an exception.
+
+    Pauses between restarts double from ``MIN_RESTART_SECONDS`` to ``MAX_RESTART_SECONDS``.
+    """
+    return gevent.spawn(_run_supervised, part, clock, run, arguments)
+
+
+def start_task(
+    part: str, run: Callable[..., Any], *arguments: Any, **options: Any
+) -> gevent.Greenlet:
+    """Start a task that ends by itself; record an exception that ends it."""
+    return gevent.spawn(_run_once, part, run, arguments, options)
+
+
+def start_task_later(
+    seconds: float, part: str, run: Callable[..., Any], *arguments: Any
+) -> gevent.Greenlet:
+    """Start such a task after some seconds."""
+    return gevent.spawn_later(seconds, _run_once, part, run, arguments, {})
+
+
+def _run_supervised(
+    part: str, clock: Clock, run: Callable[..., None], arguments: tuple[Any, ...]
+) -> None:
+    pause = MIN_RESTART_SECONDS
+    while True:
+        started_at = clock.now()
+        try:
+            run(*arguments)
+        except Exception as error:  # the duty goes on
+            record_failure(part, error)
+        else:
+            return
+        if clock.now() - started_at > MAX_RESTART_SECONDS:
+            pause = MIN_RESTART_SECONDS
+        clock.sleep(pause)
+        pause = min(MAX_RESTART_SECONDS, 2.0 * pause)
+
+
+def _run_once(
+    part: str, run: Callable[..., Any], arguments: tuple[Any, ...], options: dict[str, Any]
+) -> Any:
+    try:
+        return run(*arguments, **options)
+    except Exception as error:  # otherwise the event loop would print it and nothing count it
+        record_failure(part, error)
+        return None
--- a/packages/loomyard-router/src/loomyard_router/targets/cache_follower.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/cache_follower.py
@@ -5,10 +5,13 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-import gevent
 from result import Ok
 
+from loomyard_router.supervision.tasks import start_task
+
 if TYPE_CHECKING:
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard.external.engine import Engine
     from loomyard.objects import Target
@@ -49,7 +52,7 @@
         for name in self._skipped_until:
             del sends[name]
         followed = [targets[name] for name, _ in sends.most_common(FOLLOWED_TARGETS)]
-        self._task = gevent.spawn(self._poll, followed)
+        self._task = start_task("cache events", self._poll, followed)
 
     def stop(self) -> None:
         """Kill the poll in progress."""
--- a/packages/loomyard-router/src/loomyard_router/targets/directory.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/directory.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from loomyard.objects import TargetState
+from loomyard_router.supervision.listeners import Listeners
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -59,7 +60,7 @@
 
     def __init__(self) -> None:
         self._targets: dict[str, Target] = {}
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners = Listeners("targets")
 
     def may_send(self, name: str, service: str = "") -> bool:
         target = self._targets.get(name)
@@ -90,11 +91,10 @@
 
     def reconfigure(self, routing: Routing) -> None:
         self._targets = dict(routing.targets)
-        for listener in self._listeners:
-            listener()
+        self._listeners.notify()
 
     def subscribe(self, changed: Callable[[], None]) -> None:
-        self._listeners.append(changed)
+        self._listeners.subscribe(changed)
 
     def start(self) -> None:
         pass
--- a/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/known_targets.py
@@ -5,12 +5,14 @@
 import logging
 from typing import TYPE_CHECKING
 
-import gevent
 from result import Err, Ok, Result
 
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard.objects import ServiceType, Target, TargetState
+from loomyard_router.supervision.guard import call_guarded
+from loomyard_router.supervision.listeners import Listeners
+from loomyard_router.supervision.tasks import start_supervised
 from loomyard_router.targets.cache_follower import CacheFollower
 from loomyard_router.targets.health import TargetHealth
 from loomyard_router.targets.leaving_broadcast import LeavingBroadcast
@@ -27,6 +29,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import gevent
+
     from loomyard.clock import Clock
     from loomyard.external.engine import Engine, LoadReport
     from loomyard.external.vm_list import Vm
@@ -65,7 +69,7 @@
         self._versions: dict[str, int] = {}
         self._polled: set[str] = set()
         self._sendable: set[str] = set()
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners = Listeners("targets")
         self._task: gevent.Greenlet | None = None
         self._health = TargetHealth(clock)
         self._backoffs = TargetBackoffs(clock)
@@ -152,10 +156,10 @@
         self._refresh()
 
     def subscribe(self, changed: Callable[[], None]) -> None:
-        self._listeners.append(changed)
+        self._listeners.subscribe(changed)
 
     def start(self) -> None:
-        self._task = gevent.spawn(self._run)
+        self._task = start_supervised("targets", self._clock, self._run)
 
     def stop(self) -> None:
         if self._task is not None:
@@ -179,11 +183,7 @@
 
     def _run(self) -> None:
         while True:
-            try:
-                self.tick()
-            except Exception:
-                logger.exception("periodic work of the target directory failed")
-                emit(logger, Event.HANDLER_FAILED, part="targets")
+            call_guarded("targets", self.tick)
             self._clock.sleep(TICK_SECONDS)
 
     def _handle_load(self, target: Target, result: Result[LoadReport, Fault]) -> None:
@@ -273,8 +273,7 @@
         return {target.vm for target in self._targets.values() if target.vm}
 
     def _notify(self) -> None:
-        for listener in self._listeners:
-            listener()
+        self._listeners.notify()
 
 
 def make_known_targets(
--- a/packages/loomyard-router/src/loomyard_router/targets/load_poller.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/load_poller.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from loomyard_router.supervision.tasks import start_task
 from loomyard_router.targets.poll_assignment import PollAssignment
 
 if TYPE_CHECKING:
@@ -65,7 +66,7 @@
         """Start a poll of a target unless one is in progress."""
         target = self._targets.get(name)
         if target is not None and name not in self._running:
-            self._running[name] = gevent.spawn(self._poll, name, target)
+            self._running[name] = start_task("load reports", self._poll, name, target)
 
     def stop(self) -> None:
         """Kill the polls in progress."""
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -95,7 +95,7 @@
     ORDER_SENT = (612, logging.INFO, "an engine accepted an order")
     ORDER_FAILED = (613, logging.WARNING, "an order was refused or not acknowledged")
     ORDER_CONFIRMED = (614, logging.INFO, "a target reports the ordered state")
-    HANDLER_FAILED = (900, logging.ERROR, "a task ended with an unexpected error")
+    HANDLER_FAILED = (900, logging.ERROR, "a task or callback failed unexpectedly")
 
     @property
     def number(self) -> int:
--- a/tests/test_loomyard_router/test_streams/test_origin_history.py
+++ b/tests/test_loomyard_router/test_streams/test_origin_history.py
@@ -14,6 +14,7 @@
 from loomyard_router.routes.route_table_holder import RouteTableHolder
 from loomyard_router.routes.weighted_service import WeightedService
 from loomyard_router.streams.origin_history import HISTORY_SECONDS, OriginHistory
+from loomyard_router.supervision.failures import failure_counts
 from loomyard_standins.stepped_clock import SteppedClock
 from test_loomyard_router.test_routed.routed_case import route
 from test_loomyard_router.test_streams.streams_fleet import PausableMembers, make_targets
@@ -68,11 +69,13 @@
         old.publish(1, {"draft": "engine", "gone": "engine"})
         old.publish(2, {"draft": "engine"})
         new = Observer(self.clock)
+        before = failure_counts()
         new.publish(2, {"draft": "engine"})
         new.history.adopt(old.history.past())
         for version in (3, 4):
             new.publish(version, {"draft": "engine", "added": "engine"})
             self.assertEqual(version, new.holder.version)
+        self.assertEqual(before, failure_counts())
         self.assertEqual(HISTORY_SECONDS, new.history.required_seconds("gone"))
 
     # Guards against any other sequence of routes, services and adopted pasts that does the same.
@@ -80,6 +83,7 @@
         for seed in range(SEEDS):
             rng = random.Random(seed)
             observers = [Observer(self.clock)]
+            before = failure_counts()
             for version in range(1, STEPS + 1):
                 streams = {
                     name: rng.choice(SERVICES) for name in rng.sample(NAMES, rng.randrange(4))
@@ -98,6 +102,7 @@
                         possible = {one.service for one in observer.history.possible(name)}
                         self.assertIn("engine", possible, f"seed {seed}")
                 self.clock.run(self.clock.now() + rng.choice((0.1, 5.0, 400.0)))
+            self.assertEqual(before, failure_counts(), f"seed {seed}")
 
 
 if __name__ == "__main__":
