Watch callers from the end of their body, and for hang-ups behind a next request

Cause: PresenceWatch began with the head. Where a part of the body came later, the connection became readable, the watch took that for the next request, stopped and asked for the TCP state once a second for the rest of the request.

Fix: the watch begins when the body was read to its end; until then nothing is sent to a target and the reader sees the end of the connection. Where a next request lies unread, one epoll for all such connections reports the hang-up, edge-triggered and for hang-ups alone, in place of a timer a request. So the notice takes one turn of the event loop, at any number of requests, and a next request marks nobody gone.

--- a/packages/loomyard-router/src/loomyard_router/callers/handler.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/handler.py
@@ -15,6 +15,7 @@
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard.util.tcp import NoDelayServer
+from loomyard_router.callers.body_input import BodyInput
 from loomyard_router.callers.header_fields import HeaderFields, read_header_fields
 from loomyard_router.callers.presence_watch import PresenceWatch
 from loomyard_router.callers.problems import problem_document
@@ -76,6 +77,10 @@
 
     def run_application(self) -> None:
         watch = PresenceWatch(self.socket, self.environ[PRESENCE_KEY])
+        if self.content_length or self.wsgi_input.chunked_input:
+            self.environ["wsgi.input"] = BodyInput(self.wsgi_input, watch.start)
+        else:
+            watch.start()
         self.server.in_flight.record_start()
         try:
             super().run_application()
--- a/packages/loomyard-router/src/loomyard_router/callers/presence_watch.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/presence_watch.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import socket as sockets
+from functools import cache
 from typing import TYPE_CHECKING
 
 import gevent
 
+from loomyard_router.callers.hangup_watch import READABLE, HangupWatch
 from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
@@ -14,44 +16,57 @@
 
     from loomyard_router.requests.caller_presence import CallerPresence
 
-READABLE = 1
 ESTABLISHED = 1
-CHECK_SECONDS = 1.0
 
 
 class PresenceWatch:
     """Watch the connection of a caller while its request is served.
 
-    A connection becomes readable when it is closed or when the next request arrives; the TCP state
-    tells which without reading a byte. After the next request arrives, the state is polled every
-    ``CHECK_SECONDS``, because the connection stays readable.
+    Once the body has been read, a connection becomes readable when it is closed or when the next
+    request arrives; the TCP state tells which without reading a byte. With a next request it stays
+    readable, and is watched for a hang-up alone from then on.
     """
 
     def __init__(self, sock: socket, presence: CallerPresence) -> None:
-        self._sock = sock
+        self._socket = sock
+        self._descriptor = sock.fileno()
         self._presence = presence
-        loop = gevent.get_hub().loop
-        self._readable = loop.io(sock.fileno(), READABLE)
-        self._timer = loop.timer(CHECK_SECONDS, CHECK_SECONDS)
-        self._readable.start(self._check)
+        self._hangups: HangupWatch | None = None
+        self._readable = gevent.get_hub().loop.io(self._descriptor, READABLE)
         presence.set_probe(lambda: _is_connected(sock))
 
+    def start(self) -> None:
+        """Start to watch, as the whole request has been read.
+
+        Before, its reader sees the end of the connection, and bytes that arrive are its body.
+        """
+        self._readable.start(self._check)
+
     def stop(self) -> None:
-        """Stop watching and release the event-loop watchers."""
-        for watcher in (self._readable, self._timer):
-            watcher.stop()
-            watcher.close()
+        """Stop to watch, before the next request is read or the socket is closed."""
+        self._readable.stop()
+        self._readable.close()
+        if self._hangups is not None:
+            self._hangups.remove(self._descriptor)
 
     def _check(self) -> None:
-        if _is_connected(self._sock):
-            self._readable.stop()
-            self._timer.start(self._check)
-            return
-        self._timer.stop()
         self._readable.stop()
+        if _is_connected(self._socket):
+            self._hangups = _hangup_watch(gevent.get_hub())
+            self._hangups.add(self._descriptor, self._mark_gone)
+        else:
+            self._mark_gone()
+
+    def _mark_gone(self) -> None:
         start_task("caller presence", self._presence.mark_gone)
 
 
+@cache
+def _hangup_watch(_hub: gevent.hub.Hub) -> HangupWatch:
+    """Return the watch of an event loop."""
+    return HangupWatch()
+
+
 def _is_connected(sock: socket) -> bool:
     try:
         info = sock.getsockopt(sockets.IPPROTO_TCP, sockets.TCP_INFO, 1)
