Take up streams whose ids rise by any step

Cause: StreamPosition took the first id of a resumed run for a gap wherever it was not the next whole number, unless it had seen a gap before. A stream that a caller takes up has seen nothing. That rule is of our own interface, where an engine numbers its events one by one; on the users' page ids only rise, and an event may hold several tokens.

Fix: whether ids are consecutive is a property of the interface; the platform's are not. There a step is no evidence of a missing piece. A run that repeats events and passes over the last one that the caller has is refused now, as its next event holds a part twice or lacks one. Ids may have up to 24 digits. The tests of consecutive ids are unchanged, test_a_gap_after_a_resumption_is_refused among them.

--- a/packages/loomyard-router/src/loomyard_router/relays/event_fields.py
+++ b/packages/loomyard-router/src/loomyard_router/relays/event_fields.py
@@ -4,10 +4,11 @@
 
 import re
 
-MAX_ID_DIGITS = 18
+# More than any integer of 64 bits has; longer ones would be slow to convert.
+MAX_ID_DIGITS = 24
 # A field is the name at the start of a line; a line without a colon is a field with an empty value.
 _ID_LINE = re.compile(rb"^id(?:: ?([^\r\n]*))?\r?$", re.MULTILINE)
-_ID_FIELD = re.compile(rb"id: ?(\d{1,18})\r?\n")
+_ID_FIELD = re.compile(rb"id: ?(\d{1,24})\r?\n")
 _DATA_LINE = re.compile(rb"^data(?::|\r?$)", re.MULTILINE)
 _DONE_LINE = re.compile(rb"^data: ?\[DONE\]\r?$", re.MULTILINE)
 
--- a/packages/loomyard-router/src/loomyard_router/relays/event_stream.py
+++ b/packages/loomyard-router/src/loomyard_router/relays/event_stream.py
@@ -28,14 +28,17 @@
     ``done`` is set after the final one. ``after`` is the
     number of the last event that the caller has, -1 for none: a resumed stream may repeat events
     up to it. ``drop_usage`` removes usage events that the caller did not request.
+    ``consecutive_ids`` tells that the target numbers its events one by one.
     """
 
-    def __init__(self, *, drop_usage: bool = False, after: int = -1) -> None:
+    def __init__(
+        self, *, drop_usage: bool = False, after: int = -1, consecutive_ids: bool = True
+    ) -> None:
         self.done = False
         self._drop_usage = drop_usage
         self._after = after
         self._framing = EventFraming()
-        self._position = StreamPosition(after=after)
+        self._position = StreamPosition(after=after, consecutive=consecutive_ids)
         self._tails: deque[bytes] = deque(maxlen=MAX_TAILS)
 
     @property
--- a/packages/loomyard-router/src/loomyard_router/relays/stream_position.py
+++ b/packages/loomyard-router/src/loomyard_router/relays/stream_position.py
@@ -21,10 +21,15 @@
 
     ``events`` counts the new ones. A resumed stream goes on after the numbered one and may repeat
     events. What has neither a number nor data is a comment and may come at any place.
+
+    Numbers rise. Where they are ``consecutive``, events without one use up a number each, and a gap
+    shows that events are missing. Where they are not, a number says nothing of how many events or
+    tokens lie before it, and another target may group them otherwise.
     """
 
-    def __init__(self, *, after: int) -> None:
+    def __init__(self, *, after: int, consecutive: bool) -> None:
         self.last_id = after
+        self._consecutive = consecutive
         self.events = 0
         self._after_last: list[int] = []
         self._has_unnumbered = False
@@ -59,8 +64,10 @@
             self._seen_id = number
             self._seen_after_last = 0
             return Verdict.REPEATED
+        if self._is_resuming and self._straddles_last:
+            return Verdict.MISMATCH
         # Events without an id may have used up a number each.
-        if 0 <= self.last_id < number - 1 - len(self._after_last):
+        if self._consecutive and 0 <= self.last_id < number - 1 - len(self._after_last):
             if self._is_resuming and not self._has_gaps:
                 return Verdict.MISMATCH
             self._has_gaps = True
@@ -71,9 +78,17 @@
             self._after_last.clear()
         return Verdict.NEW
 
+    @property
+    def _straddles_last(self) -> bool:
+        """Tell whether a run repeated events without the last one that the caller has.
+
+        Its next event then holds a part that the caller has, or lacks one that the caller needs.
+        """
+        return self._seen_id is not None and self._seen_id < self.last_id
+
     def _admit_unnumbered(self, event: bytes) -> Verdict:
         if self._is_resuming:
-            if self._seen_id is not None and self._seen_id < self.last_id:
+            if self._straddles_last:
                 return Verdict.REPEATED
             if self._seen_after_last < len(self._after_last):
                 known = self._after_last[self._seen_after_last]
--- a/packages/loomyard-router/src/loomyard_router/routed/answer_relay.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/answer_relay.py
@@ -40,7 +40,9 @@
         self._request = request
         self._exchange: Exchange | None = exchange
         after = request.head.last_event_id
-        self._event_stream = EventStream(after=int(after) if after.isdigit() else -1)
+        self._event_stream = EventStream(
+            after=int(after) if after.isascii() and after.isdigit() else -1, consecutive_ids=False
+        )
         self._has_begun = False
         # Whether the answer of the present target has gone on for so long that it is no crash.
         self._is_established = False
