Answer a stream that breaks before its first event, in place of closing

Callers saw: the connection closed without a status line, also a kept one, where the run of a stream that they took up did not fit to what they had, or where it broke off inside its first event.

Cause: the head is written with the first block of the body. AnswerRelay raises while the first event is awaited, and CallerHandler then closes the connection; nothing had been sent on it.

Evidence: test_a_run_that_fits_nowhere_is_answered_before_its_first_event gets RemoteDisconnected on the code before, also with the steps of ids allowed.

Fix: Body.read_first awaits the first event before the head is begun, so that a failure until then is answered with 502, which promises nothing.

--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -13,7 +13,9 @@
 from loomyard_router.callers.handler import PRESENCE_KEY, TARGET_KEY
 from loomyard_router.callers.problems import status_line
 from loomyard_router.metrics.phase import Phase
+from loomyard_router.requests.body import Body
 from loomyard_router.requests.caller_presence import CallerPresence
+from loomyard_router.requests.whole_answers import AnswerBrokenError
 from loomyard_router.routed.body_reading import read_body
 from loomyard_router.routed.reported_body import ReportedBody
 from loomyard_router.routed.routed_request import PUBLIC_ACCOUNT, RoutedRequest
@@ -95,7 +97,11 @@
         if outcome.is_err():
             request.release_body()
             return self._refuse(environ, start_response, outcome.unwrap_err(), request)
-        return self._answer(start_response, outcome.unwrap(), request)
+        answer = outcome.unwrap()
+        begun = self._begin_body(answer.body, request)
+        if begun.is_err():
+            return self._refuse(environ, start_response, begun.unwrap_err(), request)
+        return self._answer(start_response, answer, request)
 
     def _read_request(
         self, environ: Environ, headers: list[tuple[str, str]], now: float
@@ -167,6 +173,23 @@
             deadline=deadline,
         )
 
+    def _begin_body(self, body: Iterable[bytes], request: RoutedRequest) -> Result[None, Fault]:
+        """Wait for the first bytes to relay. Errors: ``ANSWER_INCOMPLETE``; it may have run."""
+        if not isinstance(body, Body):
+            return Ok(None)
+        try:
+            body.read_first()
+        except AnswerBrokenError as error:
+            body.close()
+            request.release_body()
+            code = ResultCode.ANSWER_INCOMPLETE
+            return Err(Fault(code=code, detail=str(error), executed=Executed.UNKNOWN))
+        except BaseException:
+            body.close()
+            request.release_body()
+            raise
+        return Ok(None)
+
     def _answer(
         self, start_response: StartResponse, answer: Answer, request: RoutedRequest
     ) -> Iterable[bytes]:
