Bound what is read of answers, and let others run meanwhile

Cause: a read of a socket that has bytes does not wait, so a loop that reads on until a part is complete keeps the event loop from its turn; the parser keeps all bytes of heads and trailers; the body of a refusal was awaited until the deadline; the timeout of a call to the store could not fire.

Fix: bytes that are no body, fields and interim answers are bounded, then the connection closes. Reading tasks give way after 256 KiB or half a millisecond of work, and read less at a time where parsing takes long. What is held of answers beyond 64 KiB shares the memory for bodies. Refusals and health checks are drained for 64 KiB and 0.1 s at most. Bytes on an idle connection close it. Answers that are read whole (store, VM list, log, own engine interface) end at 8 MiB and 256 fields.

--- a/packages/loomyard-router/src/loomyard_router/crashes/liveness_probe.py
+++ b/packages/loomyard-router/src/loomyard_router/crashes/liveness_probe.py
@@ -87,13 +87,12 @@
         try:
             connection.send(self._codec.encode_health_check(path, target), b"", "GET", deadline)
             connection.read_head(deadline)
-            while connection.read_block(deadline):
-                pass
         except ExchangeBrokenError as error:
             logger.debug("health check failed after a failed answer: %r", error)
             connection.close()
             return False
         answer = self._codec.decode_health_answer(connection.status, connection.headers)
+        connection.drain(deadline)
         self._pool.release(target, connection)
         if answer.instance_id is not None and answer.instance_id != target.id:
             return True
--- a/packages/loomyard-router/src/loomyard_router/relays/event_framing.py
+++ b/packages/loomyard-router/src/loomyard_router/relays/event_framing.py
@@ -14,26 +14,33 @@
     """Split bytes that arrive in any parts into complete events, without changing a byte."""
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._partial = bytearray()
 
     @property
     def pending(self) -> bool:
         """Return whether an incomplete event has been received."""
         return bool(self._partial.strip(b"\r\n"))
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._partial)
+
     def feed(self, data: bytes) -> list[bytes] | None:
         """Add received bytes; return the events that are complete, ``None`` if one is too long."""
         if not self._partial and 0 <= data.find(b"\n\n") == len(data) - 2 and b"\r" not in data:
             return [data]
-        buffer = self._partial + data if self._partial else data
+        buffer = self._partial
+        searched = max(0, len(buffer) - _PARTIAL_END)
+        buffer += data
         events = []
         start = 0
-        for end in _EVENT_END.finditer(buffer, max(0, len(self._partial) - _PARTIAL_END)):
-            events.append(buffer[start : end.end()])
-            start = end.end()
-        self._partial = buffer[start:]
-        return events if len(self._partial) <= MAX_EVENT_LENGTH else None
+        for end in [found.end() for found in _EVENT_END.finditer(buffer, searched)]:
+            events.append(bytes(buffer[start:end]))
+            start = end
+        del buffer[:start]
+        return events if len(buffer) <= MAX_EVENT_LENGTH else None
 
     def reset(self) -> None:
         """Drop an incomplete event."""
-        self._partial = b""
+        self._partial.clear()
--- a/packages/loomyard-router/src/loomyard_router/relays/event_stream.py
+++ b/packages/loomyard-router/src/loomyard_router/relays/event_stream.py
@@ -46,6 +46,11 @@
         """Return whether an incomplete event has been received."""
         return self._framing.pending
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return self._framing.pending_bytes
+
     @property
     def events(self) -> int:
         """Return how many events were forwarded, without comments."""
--- a/packages/loomyard-router/src/loomyard_router/routed/answer_parser.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/answer_parser.py
@@ -5,10 +5,10 @@
 from geventhttpclient._parser import HTTPParseError
 from geventhttpclient.response import HTTPResponse
 
-FIRST_FINAL_STATUS = 200
+from loomyard.util.answer_bounds import FIRST_FINAL_STATUS, BoundedFraming
 
 
-class AnswerParser(HTTPResponse):
+class AnswerParser(BoundedFraming, HTTPResponse):
     """Parse one answer; ``ended`` is set at its end, ``excess`` where more bytes follow.
 
     ``ended_by_close`` is set where the end of the connection was the end of the answer, which has
--- a/packages/loomyard-router/src/loomyard_router/routed/answer_relay.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/answer_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from time import perf_counter
 from typing import TYPE_CHECKING
 
 from loomyard.events import Event, emit
@@ -82,9 +83,14 @@
                     return
                 block = self._resume(broken)
                 continue
+            began_at = perf_counter()
             events = self._event_stream.feed(block)
+            assert self._exchange is not None
+            self._exchange.connection.record_work(perf_counter() - began_at)
             if events is None:
                 self._fail("events are missing or too long")
+            if not self._request.reserve_answer(self._event_stream.pending_bytes):
+                self._fail("no memory is left for an event of this size")
             if events:
                 if not self._has_begun:
                     self._has_begun = True
--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -134,7 +134,14 @@
             return Err(body.unwrap_err())
         request = self._make_request(environ, head.unwrap(), route, terms, body.unwrap(), now)
         request.table_version = table.version
-        request.release_body = reservation.release
+        answer_memory = self._bodies.make_reservation(request.account_name)
+
+        def release() -> None:
+            reservation.release()
+            answer_memory.release()
+
+        request.answer_memory = answer_memory
+        request.release_body = release
         return Ok(request)
 
     def _authenticate(
--- a/packages/loomyard-router/src/loomyard_router/routed/attempt_sender.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/attempt_sender.py
@@ -26,6 +26,8 @@
 
 MILLISECONDS = 1000
 SERVER_ERROR = 500
+# The body of a refusal comes with its head; the request can be sent elsewhere meanwhile.
+DRAIN_SECONDS = 0.1
 
 
 @define(eq=False)
@@ -123,7 +125,7 @@
                 _uncertain_fault(ResultCode.ANSWER_INVALID, "the answer is for another attempt")
             )
         if answer.not_executed:
-            self._drain(connection, answer_by)
+            connection.drain(min(answer_by, self._clock.now() + DRAIN_SECONDS))
             request.presence.unsubscribe(connection.close)
             self._pool.release(permit.target, connection)
             detail = f"the target did not run the request: status {connection.status}"
@@ -144,14 +146,6 @@
             )
         )
 
-    def _drain(self, connection: TargetConnection, deadline: float) -> None:
-        """Read the short body of a refusal, so that the connection can be reused."""
-        try:
-            while connection.read_block(deadline):
-                pass
-        except ExchangeBrokenError:
-            connection.close()
-
 
 def _uncertain_fault(code: ResultCode, detail: str) -> Fault:
     return Fault(code=code, detail=detail, executed=Executed.UNKNOWN)
--- a/packages/loomyard-router/src/loomyard_router/routed/connection_pool.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/connection_pool.py
@@ -86,6 +86,8 @@
     def _keep(self, target: AnnouncedTarget, connection: TargetConnection, seconds: float) -> None:
         """Keep a connection for up to ``seconds``, or close it where the target has enough."""
         idle = self._idle.setdefault(target.incarnation, [])
+        if len(idle) >= MAX_IDLE_PER_TARGET:
+            idle[:] = [one for one in idle if not one.connection.closed]
         if len(idle) >= MAX_IDLE_PER_TARGET:
             connection.close()
             return
--- a/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/forwarder.py
@@ -275,6 +275,8 @@
                 return b"".join(blocks), True
             blocks.append(block)
             size += len(block)
+            if not request.reserve_answer(size):
+                break
         return b"".join(blocks), False
 
     def _check_end(self, exchange: Exchange) -> None:
--- a/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/routed_request.py
@@ -10,6 +10,7 @@
 from loomyard_router.crashes.attribution import PartGroup
 from loomyard_router.crashes.suspect import make_part_name
 from loomyard_router.requests.caller_presence import CallerPresence
+from loomyard_router.routed.body_budget import BodyReservation
 from loomyard_router.routed.fingerprint import make_fingerprint
 from loomyard_router.routed.request_head import PromptPart, RequestHead
 from loomyard_router.routed.request_trace import RequestTrace
@@ -32,6 +33,8 @@
 # After a pause of this process events that were sent before it come as if long after each other.
 MAX_EVENT_GAP_SECONDS = 0.25
 PUBLIC_ACCOUNT = ""
+# So much of an answer may be held without a reservation.
+FREE_ANSWER_BYTES = 1 << 16
 
 
 @define(kw_only=True, eq=False)
@@ -67,6 +70,8 @@
     first_event_at: float | None = None
     answering_seconds: float = 0.0
     release_body: Callable[[], None] = lambda: None
+    # Memory for what is held of its answer; without it, there is no limit.
+    answer_memory: BodyReservation | None = None
     _fingerprint: str = ""
     _part_names: frozenset[str] | None = None
     _last_event_at: float = 0.0
@@ -75,6 +80,12 @@
     def _use_arrival(self) -> float:
         return self.arrived_at
 
+    def reserve_answer(self, size: int) -> bool:
+        """Reserve memory for so much of the answer; tell whether there is any."""
+        if size <= FREE_ANSWER_BYTES or self.answer_memory is None:
+            return True
+        return self.answer_memory.grow_to(size).is_ok()
+
     @property
     def fingerprint(self) -> str:
         """Return the fingerprint by which a repeat is recognized, computed on first use."""
--- a/packages/loomyard-router/src/loomyard_router/routed/target_connection.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/target_connection.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import socket as sockets
+from time import perf_counter
 from typing import TYPE_CHECKING
 
 import gevent
 from gevent import socket
 
 from loomyard.util.addresses import split_address
+from loomyard.util.answer_bounds import ReadPacer
 from loomyard.util.tcp import disable_nagle, set_keepalive
 from loomyard_router.routed.answer_parser import AnswerParser
 from loomyard_router.supervision.tasks import start_task
@@ -17,9 +19,11 @@
     from loomyard.clock import Clock
     from loomyard_router.routed.deadline_watch import DeadlineWatch
 
-READ_BYTES = 65536
+READABLE = 1
 # A longer body is sent by a task of its own, as the target may answer before it has read it.
 SMALL_BODY_BYTES = 8192
+# The longest body that is read without being relayed.
+MAX_DRAINED_BYTES = 1 << 16
 
 
 class ExchangeBrokenError(OSError):
@@ -41,6 +45,8 @@
         self._parser: AnswerParser | None = None
         self._sender: gevent.Greenlet | None = None
         self._sent = False
+        self._pacer = ReadPacer()
+        self._unexpected = gevent.get_hub().loop.io(sock.fileno(), READABLE)
         self.closed = False
         self.used_at = clock.now()
 
@@ -82,6 +88,7 @@
         """Send a request; a long body is sent in the background."""
         self._parser = AnswerParser(method)
         self._sent = False
+        self._unexpected.stop()
         self._watch.set_deadline(self, deadline)
         if len(body) <= SMALL_BODY_BYTES:
             self._send_all(head + body, deadline)
@@ -107,9 +114,32 @@
                 return data
             self._read(deadline)
 
+    def record_work(self, seconds: float) -> None:
+        """Record the time that the last block took; wait for a turn of the event loop if due."""
+        self._pacer.record(0, seconds)
+
+    def drain(self, deadline: float) -> None:
+        """Read and drop a short body, so that the connection can be reused; close it otherwise."""
+        self._watch.set_deadline(self, deadline)
+        size = 0
+        try:
+            while data := self.read_block(deadline):
+                size += len(data)
+                if size > MAX_DRAINED_BYTES:
+                    break
+            else:
+                return
+        except ExchangeBrokenError:
+            pass
+        self.close()
+
     def mark_idle(self) -> None:
-        """Remove the deadline, as the exchange has ended and the connection is kept."""
+        """Remove the deadline, as the exchange has ended and the connection is kept.
+
+        Whatever arrives from now on belongs to no exchange, so it closes the connection.
+        """
         self._watch.clear_deadline(self)
+        self._unexpected.start(self.close)
 
     def expire(self) -> None:
         """Close, as the deadline of the exchange has passed."""
@@ -119,6 +149,8 @@
     def close(self) -> None:
         """Close the socket at once and stop sending."""
         self.closed = True
+        self._unexpected.stop()
+        self._unexpected.close()
         self._watch.clear_deadline(self)
         sender, self._sender = self._sender, None
         if sender is not None:
@@ -129,19 +161,21 @@
         if self._expired or self._clock.now() >= deadline:
             raise ExchangeTimeoutError("the deadline passed")
         try:
-            data = self._socket.recv(READ_BYTES)
+            data = self._socket.recv(self._pacer.read_bytes)
         except OSError as error:
             if self._expired:
                 raise ExchangeTimeoutError("no data before the deadline") from error
             raise ExchangeBrokenError(str(error)) from error
         parser = self._parser
         assert parser is not None
+        received_at = perf_counter()
         try:
             parser.feed(data)
         except Exception as error:  # the parser raises many types on malformed answers
             raise ExchangeBrokenError(f"malformed answer: {error}") from error
         if not data and not parser.ended:
             raise ExchangeBrokenError("closed before the end of the answer")
+        self._pacer.record(len(data), perf_counter() - received_at)
 
     def _send_in_background(self, data: bytes, deadline: float) -> None:
         try:
--- a/packages/loomyard-router/src/loomyard_router/targets/http_answer.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/http_answer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from time import perf_counter
 from typing import TYPE_CHECKING, Any
 
 from gevent import get_hub
@@ -9,6 +10,7 @@
 from result import Err, Ok, Result
 
 from loomyard.errors import Executed, Fault, ResultCode
+from loomyard.util.answer_bounds import BoundedFraming, ReadPacer
 
 if TYPE_CHECKING:
     from gevent.socket import socket
@@ -19,7 +21,7 @@
 READABLE = 1
 
 
-class BlockResponse(HTTPSocketPoolResponse):
+class BlockResponse(BoundedFraming, HTTPSocketPoolResponse):
     """A response whose body is read in blocks of whatever has arrived.
 
     One timer per answer detects stalls, which is cheaper than a timeout for each read.
@@ -32,6 +34,7 @@
         self._readable: Any = None
         # Over TLS, decrypted bytes may wait in the library while the socket is not readable.
         self._pending_bytes: Any = None
+        self._pacer = ReadPacer()
         super().__init__(sock, pool, **options)  # type: ignore[arg-type]
 
     def start_stall_timer(self, stall_seconds: float) -> None:
@@ -58,7 +61,10 @@
             if not (self._pending_bytes and self._pending_bytes()):
                 get_hub().wait(self._readable)
             self._reads += 1
-            self.feed(sock.recv(BLOCK_SIZE))
+            data = sock.recv(self._pacer.read_bytes)
+            received_at = perf_counter()
+            self.feed(data)
+            self._pacer.record(len(data), perf_counter() - received_at)
         block = bytes(buffer)
         buffer.clear()
         return block
--- a/packages/loomyard-router/src/loomyard_router/targets/http_engine.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/http_engine.py
@@ -22,6 +22,7 @@
 from loomyard.codec import CODEC
 from loomyard.errors import Executed, Fault, ResultCode
 from loomyard.external.engine import CacheEvent, EngineOrder, LoadReport, TargetCall
+from loomyard.util.answer_bounds import MAX_WHOLE_ANSWER_BYTES
 from loomyard_router.targets.http_answer import ATTEMPT_HEADER, HttpAnswer, read_response
 from loomyard_router.targets.http_connections import ConnectionPools
 
@@ -159,7 +160,8 @@
 
 def _read_all(answer: HttpAnswer) -> Result[bytes, Fault]:
     blocks: list[bytes] = []
-    while True:
+    size = 0
+    while size <= MAX_WHOLE_ANSWER_BYTES:
         match answer.read():
             case Err(fault):
                 return Err(fault)
@@ -167,6 +169,10 @@
                 return Ok(b"".join(blocks))
             case Ok(block):
                 blocks.append(block)
+                size += len(block)
+    answer.close()
+    detail = f"the answer is over {MAX_WHOLE_ANSWER_BYTES} bytes"
+    return Err(Fault(code=ResultCode.ANSWER_INVALID, detail=detail, executed=Executed.UNKNOWN))
 
 
 def _parse(body: bytes, kind: type) -> Result:
--- /dev/null
+++ b/packages/loomyard/src/loomyard/util/answer_bounds.py
@@ -0,0 +1,133 @@
+"""Bounds on what is read of an answer, for peers that send bytes without end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from gevent import socket
+from geventhttpclient._parser import HTTPParseError
+from geventhttpclient.header import Headers
+
+if TYPE_CHECKING:
+    from geventhttpclient.connectionpool import ConnectionPool
+
+# Bytes of an answer that are no body: its head, interim answers, sizes and extensions of chunks,
+# trailers. Each byte of a body allows some more, as the smallest chunk has five beside its byte.
+MAX_FRAMING_BYTES = 1 << 16
+FRAMING_BYTES_PER_BODY_BYTE = 16
+FIRST_FINAL_STATUS = 200
+MAX_FIELDS = 256
+MAX_INTERIM_ANSWERS = 32
+# After so many bytes or so much work without a wait a reading task lets others run.
+BYTES_PER_TURN = 1 << 18
+SECONDS_PER_TURN = 0.0005
+MAX_READ_BYTES = 1 << 16
+FIRST_READ_BYTES = 1 << 13
+MIN_READ_BYTES = 1 << 12
+# The longest answer that is read whole into memory.
+MAX_WHOLE_ANSWER_BYTES = 8 << 20
+
+
+class BoundedFraming:
+    """Mixin of a response parser that raises ``HTTPParseError`` where too much is no body."""
+
+    message_complete: bool
+    _body_buffer: bytearray
+    _framing_bytes = 0
+    _fields = 0
+    _messages = 0
+
+    def feed(self, data: str | bytes) -> None:
+        """Parse received bytes. Errors: ``HTTPParseError``."""
+        known = len(self._body_buffer)
+        super().feed(data)  # type: ignore[misc]
+        body = len(self._body_buffer) - known
+        framing = self._framing_bytes + len(data) - body * (1 + FRAMING_BYTES_PER_BODY_BYTE)
+        self._framing_bytes = max(0, framing)
+        if framing > MAX_FRAMING_BYTES and not self._is_complete:
+            raise HTTPParseError(f"over {MAX_FRAMING_BYTES} bytes that belong to no body")
+
+    @property
+    def _is_complete(self) -> bool:
+        code = self.get_code()  # type: ignore[attr-defined]
+        return self.message_complete and code >= FIRST_FINAL_STATUS
+
+    def _on_message_begin(self) -> None:
+        self._messages += 1
+        if self._messages > 1 + MAX_INTERIM_ANSWERS:
+            raise HTTPParseError(f"over {MAX_INTERIM_ANSWERS} interim answers")
+        super()._on_message_begin()  # type: ignore[misc]
+
+    def _on_header_field(self, string: str) -> None:
+        # Called once or more for each field of heads and trailers.
+        self._fields += 1
+        if self._fields > MAX_FIELDS:
+            raise HTTPParseError(f"over {MAX_FIELDS} fields")
+        super()._on_header_field(string)  # type: ignore[misc]
+
+
+class BoundedHeaders(Headers):
+    """The fields of an answer that is read by an ``HTTPClient``."""
+
+    def add(self, key: str, value: Any) -> None:
+        if len(self) >= MAX_FIELDS:
+            raise HTTPParseError(f"over {MAX_FIELDS} fields")
+        super().add(key, value)
+
+
+class ReadPacer:
+    """Let other tasks run while one reads from a peer that always has more.
+
+    A read of a socket that has bytes does not wait, so the event loop would not get its turn.
+    ``read_bytes`` is how much to read next: less where the bytes take long to parse.
+    """
+
+    def __init__(self) -> None:
+        self.read_bytes = FIRST_READ_BYTES
+        self._bytes = 0
+        self._seconds = 0.0
+
+    def record(self, size: int, seconds: float) -> None:
+        """Record a read and its processing; wait for a turn of the event loop if it is due."""
+        self._bytes += size
+        self._seconds += seconds
+        if seconds > SECONDS_PER_TURN:
+            self.read_bytes = MIN_READ_BYTES
+        elif seconds < SECONDS_PER_TURN / 4:
+            self.read_bytes = min(MAX_READ_BYTES, 2 * self.read_bytes)
+        if self._bytes >= BYTES_PER_TURN or self._seconds >= SECONDS_PER_TURN:
+            self._bytes = 0
+            self._seconds = 0.0
+            gevent.sleep(0)
+
+
+class BoundedSocket(socket.socket):
+    """A socket that reads at most ``MAX_WHOLE_ANSWER_BYTES`` after what it sent last."""
+
+    _received = 0
+    _unpaced = 0
+
+    def sendall(self, *arguments: Any, **options: Any) -> Any:
+        self._received = 0
+        return super().sendall(*arguments, **options)
+
+    def recv(self, *arguments: Any) -> bytes:
+        data = super().recv(*arguments)
+        self._received += len(data)
+        if self._received > MAX_WHOLE_ANSWER_BYTES:
+            raise OSError(f"the answer is over {MAX_WHOLE_ANSWER_BYTES} bytes")
+        self._unpaced += len(data)
+        if self._unpaced >= BYTES_PER_TURN:
+            self._unpaced = 0
+            gevent.sleep(0)
+        return data
+
+
+def bound_answers(pool: ConnectionPool) -> None:
+    """Let a pool open connections that bound each answer, as all are read whole."""
+
+    def create_socket(family: int, kind: int, protocol: int) -> socket.socket:
+        return BoundedSocket(family, kind, protocol)
+
+    pool._create_tcp_socket = create_socket  # type: ignore[method-assign,assignment]
--- a/packages/loomyard/src/loomyard/util/tcp.py
+++ b/packages/loomyard/src/loomyard/util/tcp.py
@@ -12,6 +12,8 @@
 from gevent.pywsgi import WSGIServer
 from geventhttpclient import HTTPClient
 
+from loomyard.util.answer_bounds import BoundedHeaders, bound_answers
+
 if TYPE_CHECKING:
     from geventhttpclient.connectionpool import ConnectionPool
 
@@ -35,8 +37,12 @@
 
 
 def make_http_client(host: str, port: int, **options: Any) -> HTTPClient:
-    """Make an ``HTTPClient`` with TCP_NODELAY and keepalive; ``options`` are passed on to it."""
-    client = HTTPClient(host, port, **options)
+    """Make an ``HTTPClient`` with TCP_NODELAY, keepalive and bounded answers.
+
+    ``options`` are passed on to it.
+    """
+    client = HTTPClient(host, port, headers_type=BoundedHeaders, **options)
+    bound_answers(client._connection_pool)
     set_connection_options(client._connection_pool)
     return client
 
--- /dev/null
+++ b/tests/test_loomyard_standins/test_programs/test_endless_bytes.py
@@ -0,0 +1,237 @@
+"""Tests of a router program in front of targets that send bytes without end."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import re
+import socket
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent.server import StreamServer
+
+from loomyard_standins.programs import documents
+from loomyard_standins.programs.endless_target import FORMS, HEALTH_PATH
+from loomyard_standins.programs.program import Program
+from loomyard_standins.programs.soak_protocol import API_KEY, ATTEMPT_ID_HEADER, HOST, STAMP_HEADER
+
+logger = logging.getLogger(__name__)
+
+MODULES = "loomyard_standins.programs"
+# What users accept while some targets send bytes without end.
+MAX_GROWTH_BYTES = 64 << 20
+MIN_SERVED = 0.95
+# Callers learn of a passed deadline within half a second.
+DEADLINE_SECONDS, LATE_SECONDS = 1.5, 0.5
+ENDLESS_REQUESTS = 24
+SOUND_INTERVAL_SECONDS = 0.02
+SOUND_SECONDS = 0.5
+WAVE_SECONDS = 1.0
+ENDED_AT_ONCE = {"past-length", "past-chunks"}
+
+
+class EndlessBytesTest(unittest.TestCase):
+    """One router, a sound target, and a program that answers without end."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        number = os.getpid()
+        # Other test programs take addresses with a last number below 200.
+        self.host = f"127.{1 + number // 250 % 250}.{number % 250}.201"
+        self.router_host = f"{self.host[:-1]}2"
+        self.events: list[dict[str, Any]] = []
+        self.sound = StreamServer((self.host, 0), self.serve_sound)
+        self.sound.start()
+        self.addCleanup(self.sound.stop, 0)
+        self.store = self.launch("store_program", f"{self.host}:0")
+        self.endless = self.launch("endless_target", self.host)
+        self.publish()
+        settings = documents.settings(
+            "r1", self.router_host, [self.router_host], f"{self.host}:{self.store.port}"
+        )
+        file = self.folder / "r1.conf"
+        file.write_text(settings + "limits.memory_mb=300\n", encoding="utf-8")
+        self.router = self.launch(
+            "suspended_router",
+            environment={"LOOMYARD_NODE_FILE": str(file), "LOOMYARD_FLEET_SECRET": "a secret"},
+        )
+        with gevent.Timeout(30.0):
+            while self.call("/sound/x", seconds=2.0)[0] != 200:
+                gevent.sleep(0.1)
+
+    def launch(self, module: str, *arguments: str, environment: dict[str, str] = None) -> Program:
+        if environment is None:
+            environment = {}
+        command = [sys.executable, "-m", f"{MODULES}.{module}", *arguments]
+        listener = (lambda _: None) if module == "suspended_router" else self.events.append
+        program = Program(command, self.folder / f"{module}.log", listener, environment)
+        self.addCleanup(program.kill)
+        return program
+
+    def publish(self) -> None:
+        """Publish routes to both targets, as streams, idempotent and other requests."""
+        kinds = {"i": "idempotent", "n": "non_idempotent", "s": "streaming"}
+        names = {"sound": "sound"} | {letter: "endless" for letter in kinds}
+        routes = [
+            {
+                "name": name,
+                "host": HOST,
+                "path_prefix": f"/{name}/",
+                "route_kind": kinds.get(name, "idempotent"),
+                "service": service,
+                "resumable": name == "s",
+                "timeout_ms": 5000,
+                "slo_ms": 1000,
+                "max_attempts": 2,
+            }
+            for name, service in names.items()
+        ]
+        services = [
+            {"name": name, "max_conns": 500, "health_path": HEALTH_PATH}
+            for name in {*names.values()}
+        ]
+        document = {
+            "version": 1,
+            "routes": routes,
+            "services": services,
+            "tenants": [{"name": "soak", "api_keys": [API_KEY]}],
+            "limits": {"tokens_per_s": 100_000},
+        }
+        self.put(documents.CONFIGURATION_TOPIC, documents.CONFIGURATION_KEY, document)
+        for name, port in (("sound", self.sound.server_port), ("endless", self.endless.port)):
+            entry = json.loads(
+                documents.announcement(
+                    name,
+                    f"{self.host}:{port}",
+                    data_centre="a",
+                    software_version="v1",
+                    born=1,
+                    draining=False,
+                    cold_seconds=0.0,
+                )
+            )
+            self.put(documents.TARGETS_TOPIC, f"t-{name}", entry | {"slots": 200})
+
+    def put(self, topic: str, key: str, value: dict[str, Any]) -> None:
+        self.store.send_line(json.dumps({"topic": topic, "key": key, "value": json.dumps(value)}))
+
+    def serve_sound(self, sock: socket.socket, _: object) -> None:
+        data = b""
+        while block := sock.recv(65536):
+            data += block
+            while b"\r\n\r\n" in data:
+                head, _, data = data.partition(b"\r\n\r\n")
+                found = re.search(rb"Loomyard-Attempt-Id: (\S+)", head)
+                attempt_id = found[1].decode() if found else ""
+                own = f"{ATTEMPT_ID_HEADER}: {attempt_id}\r\n{STAMP_HEADER}: s.{attempt_id}\r\n"
+                sock.sendall(f"HTTP/1.1 200 OK\r\n{own}Content-Length: 2\r\n\r\nok".encode())
+
+    def call(self, path: str, *, seconds: float, attempt_id: str = "a") -> tuple[int, int, float]:
+        """Send a request and read all of its answer: its status, bytes and seconds."""
+        began = time.monotonic()
+        status, size = 0, 0
+        try:
+            with (
+                gevent.Timeout(seconds + 4.0, TimeoutError),
+                socket.create_connection((self.router_host, documents.FRONT_PORT)) as sock,
+            ):
+                sock.sendall(
+                    f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT_ID_HEADER}: {attempt_id}\r\n"
+                    f"Loomyard-Deadline-Ms: {round(seconds * 1000)}\r\nConnection: close\r\n"
+                    f"Authorization: Bearer {API_KEY}\r\n\r\n".encode()
+                )
+                while block := sock.recv(262_144):
+                    status = status or int(block.split(b" ")[1])
+                    size += len(block)
+        except OSError:
+            pass
+        return status, size, time.monotonic() - began
+
+    def memory(self, name: str) -> int:
+        """Return a figure of the router's memory in bytes, as the kernel states it."""
+        text = Path(f"/proc/{self.router._process.pid}/status").read_text(encoding="utf-8")
+        found = re.search(rf"{name}:\s+(\d+) kB", text)
+        assert found is not None
+        return int(found[1]) << 10
+
+    def endless_requests(self, form: str) -> list[tuple[int, int, float]]:
+        """Send requests whose answers have no end, in all kinds, for a while."""
+        until = time.monotonic() + WAVE_SECONDS
+        answers: list[tuple[int, int, float]] = []
+
+        def send(number: int) -> None:
+            while time.monotonic() < until:
+                path, name = f"/{'ins'[number % 3]}/{form}", f"{form}-{number}-{len(answers)}"
+                answers.append(self.call(path, seconds=DEADLINE_SECONDS, attempt_id=name))
+                gevent.sleep(0.02)
+
+        tasks = [gevent.spawn(send, number) for number in range(ENDLESS_REQUESTS)]
+        gevent.joinall(tasks, raise_error=True)
+        return answers
+
+    def sound_requests(self, until: gevent.Greenlet) -> list[bool]:
+        """Send sound requests until a task has ended; tell which were served in time."""
+        tasks = []
+        while not until.ready():
+            tasks.append(gevent.spawn(self.call, "/sound/x", seconds=3.0))
+            gevent.sleep(SOUND_INTERVAL_SECONDS)
+        gevent.joinall(tasks, raise_error=True)
+        return [task.value[0] == 200 and task.value[2] <= SOUND_SECONDS for task in tasks]
+
+    def open_at_target(self) -> int:
+        """Return how many answers without end the target is still sending."""
+        began = sum("began" in event for event in self.events)
+        return began - sum("closed" in event for event in self.events)
+
+    # Guards against a router that grows, or serves nobody, while a target sends bytes without end.
+    def test_answers_without_end_neither_grow_a_router_nor_keep_it_from_others(self) -> None:
+        for form in FORMS:
+            with self.subTest(form=form):
+                self.check(form)
+
+    def check(self, form: str) -> None:
+        """Send requests of one form beside sound ones, and check what users ask for."""
+        before = self.memory("VmRSS")
+        self.reset_peak()
+        task = gevent.spawn(self.endless_requests, form)
+        served = self.sound_requests(task)
+        answers = task.get()
+        growth = self.memory("VmHWM") - before
+        late = max(seconds for _, _, seconds in answers)
+        share = sum(served) / len(served)
+        logger.info(
+            "%s: grew by %d kB, served %.3f of %d, last of %d after %.2f s",
+            form,
+            growth >> 10,
+            share,
+            len(served),
+            len(answers),
+            late,
+        )
+        self.assertLess(growth, MAX_GROWTH_BYTES)
+        self.assertGreaterEqual(share, MIN_SERVED)
+        self.assertLessEqual(late, DEADLINE_SECONDS + LATE_SECONDS)
+        if form in ENDED_AT_ONCE:
+            # An answer ends where its framing says.
+            self.assertIn(200, {status for status, _, _ in answers})
+            self.assertLess(late, DEADLINE_SECONDS)
+        with gevent.Timeout(2.0, AssertionError(f"{self.open_at_target()} still open")):
+            while self.open_at_target():
+                gevent.sleep(0.02)
+
+    def reset_peak(self) -> None:
+        """Let the kernel state the peak of the memory from now on."""
+        Path(f"/proc/{self.router._process.pid}/clear_refs").write_text("5", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    unittest.main()
