Enforce the configured limit on heads of requests, and end endless trailers

Callers saw: nothing, but a caller could hold a task and the event loop with trailers that do not end, and heads of up to 6 MB were read where the configuration allows a few KiB.

Cause: max_header_bytes was read from the configuration and used nowhere; gevent bounds each line of the trailers, not their number.

--- a/packages/loomyard-router/src/loomyard_router/callers/handler.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import logging
 import secrets
 from contextlib import suppress
@@ -16,7 +17,14 @@
 from loomyard.events import Event, emit
 from loomyard.util.tcp import NoDelayServer
 from loomyard_router.callers.body_input import BodyInput
-from loomyard_router.callers.header_fields import HeaderFields, read_header_fields
+from loomyard_router.callers.caller_stream import CallerStream
+from loomyard_router.callers.fields import MAX_BODY
+from loomyard_router.callers.header_fields import (
+    MAX_HEAD_BYTES,
+    HeaderFields,
+    HeadTooLargeError,
+    read_header_fields,
+)
 from loomyard_router.callers.presence_watch import PresenceWatch
 from loomyard_router.callers.problems import problem_document
 from loomyard_router.requests.caller_presence import CallerPresence
@@ -49,8 +57,24 @@
 
     server: CallerServer
 
+    def __init__(self, sock: Any, address: Any, server: CallerServer) -> None:
+        self._stream = CallerStream(sock)
+        super().__init__(sock, address, server, rfile=io.BufferedReader(self._stream))
+
+    @property
+    def max_head_bytes(self) -> int:
+        return MAX_HEAD_BYTES
+
+    @property
+    def max_body_bytes(self) -> int:
+        return MAX_BODY
+
+    def read_requestline(self) -> str:
+        self._stream.begin_request(head_bytes=self.max_head_bytes, body_bytes=self.max_body_bytes)
+        return super().read_requestline()
+
     def MessageClass(self, file: BinaryIO, *_: object) -> HeaderFields:  # noqa: N802
-        return read_header_fields(file)
+        return read_header_fields(file, self.max_head_bytes)
 
     def _headers(self) -> Iterator[tuple[str, str]]:
         for name, value in self.headers.items():
@@ -132,6 +156,8 @@
         emit(logger, Event.REQUEST_REFUSED, code=int(fault.code), detail=detail)
         kind, body = problem_document(fault, f"req-{secrets.token_hex(8)}", openai=False)
         status = HTTPStatus.BAD_REQUEST
+        if isinstance(ex, HeadTooLargeError):
+            status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
         head = (
             f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Type: {kind}\r\n"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
--- a/packages/loomyard-router/src/loomyard_router/callers/header_fields.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/header_fields.py
@@ -9,6 +9,7 @@
 
 MAX_FIELDS = 100
 MAX_LINE_BYTES = 65536
+MAX_HEAD_BYTES = 1 << 18
 END_OF_HEADERS = (b"\r\n", b"\n", b"")
 # Characters of a token by the grammar of HTTP (RFC 9110).
 NAME_CHARACTERS = frozenset(
@@ -57,18 +58,27 @@
         self._fields = [(other, value) for other, value in self._fields if other.lower() != lowered]
 
 
-def read_header_fields(file: BinaryIO) -> HeaderFields:
+class HeadTooLargeError(ValueError):
+    """The fields of a request have more bytes than are allowed."""
+
+
+def read_header_fields(file: BinaryIO, max_bytes: int = MAX_HEAD_BYTES) -> HeaderFields:
     """Read fields up to and including the empty line.
 
-    A line over ``MAX_LINE_BYTES`` sets ``status``, which gevent reports. Errors: ``ValueError``.
+    A line over ``MAX_LINE_BYTES`` sets ``status``, which gevent reports. Errors: ``ValueError``,
+    and ``HeadTooLargeError`` for more than ``max_bytes``.
     """
     fields: list[tuple[str, str]] = []
+    size = 0
     while True:
         line = file.readline(MAX_LINE_BYTES + 1)
         if line in END_OF_HEADERS:
             return HeaderFields(fields)
         if len(line) > MAX_LINE_BYTES:
             return HeaderFields([], "Line too long")
+        size += len(line)
+        if size > max_bytes:
+            raise HeadTooLargeError(f"the head is over {max_bytes} bytes")
         text = line.decode("latin-1").rstrip("\r\n")
         if text[0] in " \t" and fields:
             # A folded line (obsolete syntax) continues the field before it.
--- a/packages/loomyard-router/src/loomyard_router/routed/listener.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/listener.py
@@ -29,6 +29,14 @@
     server: RoutedListener
     _first = True
 
+    @property
+    def max_head_bytes(self) -> int:
+        return self.server.limits().head_bytes
+
+    @property
+    def max_body_bytes(self) -> int:
+        return self.server.limits().body_bytes
+
     def read_requestline(self) -> str:
         self.socket.settimeout(self.server.limits().idle_seconds)
         task = gevent.getcurrent()
