--- a/tests/test_loomyard_standins/test_programs/test_endless_bytes.py
+++ b/tests/test_loomyard_standins/test_programs/test_endless_bytes.py
@@ -2,29 +2,23 @@
 
 from __future__ import annotations
 
-import json
 import logging
-import os
 import re
 import socket
-import sys
-import tempfile
 import time
 import unittest
 from pathlib import Path
-from typing import Any
 
 import gevent
 from gevent.server import StreamServer
 
 from loomyard_standins.programs import documents
 from loomyard_standins.programs.endless_target import FORMS, HEALTH_PATH
-from loomyard_standins.programs.program import Program
 from loomyard_standins.programs.soak_protocol import API_KEY, ATTEMPT_ID_HEADER, HOST, STAMP_HEADER
+from test_loomyard_standins.test_programs.program_case import ProgramCase
 
 logger = logging.getLogger(__name__)
 
-MODULES = "loomyard_standins.programs"
 # What users accept while some targets send bytes without end.
 MAX_GROWTH_BYTES = 64 << 20
 MIN_SERVED = 0.95
@@ -37,92 +31,44 @@
 ENDED_AT_ONCE = {"past-length", "past-chunks"}
 
 
-class EndlessBytesTest(unittest.TestCase):
+class EndlessBytesTest(ProgramCase):
     """One router, a sound target, and a program that answers without end."""
 
     def setUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.folder = Path(folder.name)
-        number = os.getpid()
-        # Other test programs take addresses with a last number below 200.
-        self.host = f"127.{1 + number // 250 % 250}.{number % 250}.201"
-        self.router_host = f"{self.host[:-1]}2"
-        self.events: list[dict[str, Any]] = []
+        super().setUp()
+        self.router_host = self.find_host(1)
         self.sound = StreamServer((self.host, 0), self.serve_sound)
         self.sound.start()
         self.addCleanup(self.sound.stop, 0)
-        self.store = self.launch("store_program", f"{self.host}:0")
         self.endless = self.launch("endless_target", self.host)
-        self.publish()
-        settings = documents.settings(
-            "r1", self.router_host, [self.router_host], f"{self.host}:{self.store.port}"
-        )
-        file = self.folder / "r1.conf"
-        file.write_text(settings + "limits.memory_mb=300\n", encoding="utf-8")
-        self.router = self.launch(
-            "suspended_router",
-            environment={"LOOMYARD_NODE_FILE": str(file), "LOOMYARD_FLEET_SECRET": "a secret"},
-        )
+        self.publish_routes()
+        self.router = self.start_router(self.router_host, [self.router_host])
         with gevent.Timeout(30.0):
             while self.call("/sound/x", seconds=2.0)[0] != 200:
                 gevent.sleep(0.1)
 
-    def launch(self, module: str, *arguments: str, environment: dict[str, str] = None) -> Program:
-        if environment is None:
-            environment = {}
-        command = [sys.executable, "-m", f"{MODULES}.{module}", *arguments]
-        listener = (lambda _: None) if module == "suspended_router" else self.events.append
-        program = Program(command, self.folder / f"{module}.log", listener, environment)
-        self.addCleanup(program.kill)
-        return program
-
-    def publish(self) -> None:
+    def publish_routes(self) -> None:
         """Publish routes to both targets, as streams, idempotent and other requests."""
-        kinds = {"i": "idempotent", "n": "non_idempotent", "s": "streaming"}
-        names = {"sound": "sound"} | {letter: "endless" for letter in kinds}
+        kinds = {"i": "idempotent", "n": "non_idempotent", "s": "streaming", "sound": "idempotent"}
         routes = [
             {
                 "name": name,
-                "host": HOST,
                 "path_prefix": f"/{name}/",
-                "route_kind": kinds.get(name, "idempotent"),
-                "service": service,
+                "route_kind": kind,
+                "service": "sound" if name == "sound" else "endless",
                 "resumable": name == "s",
                 "timeout_ms": 5000,
-                "slo_ms": 1000,
                 "max_attempts": 2,
             }
-            for name, service in names.items()
-        ]
-        services = [
-            {"name": name, "max_conns": 500, "health_path": HEALTH_PATH}
-            for name in {*names.values()}
+            for name, kind in kinds.items()
         ]
-        document = {
-            "version": 1,
-            "routes": routes,
-            "services": services,
-            "tenants": [{"name": "soak", "api_keys": [API_KEY]}],
-            "limits": {"tokens_per_s": 100_000},
-        }
-        self.put(documents.CONFIGURATION_TOPIC, documents.CONFIGURATION_KEY, document)
-        for name, port in (("sound", self.sound.server_port), ("endless", self.endless.port)):
-            entry = json.loads(
-                documents.announcement(
-                    name,
-                    f"{self.host}:{port}",
-                    data_centre="a",
-                    software_version="v1",
-                    born=1,
-                    draining=False,
-                    cold_seconds=0.0,
-                )
-            )
-            self.put(documents.TARGETS_TOPIC, f"t-{name}", entry | {"slots": 200})
-
-    def put(self, topic: str, key: str, value: dict[str, Any]) -> None:
-        self.store.send_line(json.dumps({"topic": topic, "key": key, "value": json.dumps(value)}))
+        ports = {"sound": self.sound.server_port, "endless": self.endless.port}
+        self.publish(
+            routes,
+            [{"name": name, "max_conns": 500, "health_path": HEALTH_PATH} for name in ports],
+        )
+        for name, port in ports.items():
+            self.announce(f"t-{name}", name, port)
 
     def serve_sound(self, sock: socket.socket, _: object) -> None:
         data = b""
