--- a/packages/loomyard-router/src/loomyard_router/supervision/listeners.py
+++ b/packages/loomyard-router/src/loomyard_router/supervision/listeners.py
@@ -21,11 +21,6 @@
         """Register a function, which must not block."""
         self._functions.append(function)
 
-    def unsubscribe(self, function: Callable[..., None]) -> None:
-        """Remove a function, if it is registered."""
-        if function in self._functions:
-            self._functions.remove(function)
-
     def notify(self, *arguments: Any) -> None:
         """Call all functions in the order of their registration."""
         for function in list(self._functions):
--- a/packages/loomyard-standins/src/loomyard_standins/programs/invariant.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/invariant.py
@@ -24,6 +24,7 @@
     FEW_PART_ENDS = "requests with a part on which five targets crashed are sent at most three more"
     ONE_VERSION = "the events of a stream are of one version, over all attempts of its caller"
     TAKEN_UP = "streams that are taken up go on at least half as often as new ones begin"
+    NO_FAILURE = "no task, callback or listener of a router fails unexpectedly"
     SERVES_AGAIN = "after the last fault every router serves every kind of request"
 
 
--- a/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program_fleet.py
@@ -14,8 +14,10 @@
 from attrs import define
 
 from loomyard.clock import SystemClock
+from loomyard.events import Event
 from loomyard_standins.programs import documents
 from loomyard_standins.programs.fault_proxy import FaultProxy
+from loomyard_standins.programs.invariant import Invariant, Violation
 from loomyard_standins.programs.program import Program
 from loomyard_standins.programs.soak_protocol import NON_IDEMPOTENT, STREAM, SUSPEND_SIGNAL
 from loomyard_standins.programs.written_records import WrittenRecords
@@ -25,7 +27,6 @@
     from collections.abc import Callable, Mapping
     from pathlib import Path
 
-    from loomyard_standins.programs.invariant import Violation
     from loomyard_standins.programs.invariant_checker import InvariantChecker
     from loomyard_standins.programs.program import Listener
 
@@ -229,7 +230,13 @@
             "LOOMYARD_NODE_FILE": str(self._settings(name)),
             "LOOMYARD_FLEET_SECRET": SECRET,
         }
-        return self._launch(name, ROUTER_MODULE, lambda _: None, environment=environment)
+
+        def read_log(line: dict[str, Any]) -> None:
+            if line.get("event") == Event.HANDLER_FAILED.number:
+                detail = f"{name}: {line['fields']}"
+                self.violations.append(Violation(Invariant.NO_FAILURE, detail))
+
+        return self._launch(name, ROUTER_MODULE, read_log, environment=environment)
 
     def _next_version(self, target: Target) -> str:
         """Return the version that replaces a target: another one for every second engine."""
--- a/packages/loomyard/src/loomyard/util/answer_bounds.py
+++ b/packages/loomyard/src/loomyard/util/answer_bounds.py
@@ -105,8 +105,10 @@
 class BoundedSocket(socket.socket):
     """A socket that reads at most ``MAX_WHOLE_ANSWER_BYTES`` after what it sent last."""
 
-    _received = 0
-    _unpaced = 0
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._received = 0
+        self._pacer = ReadPacer()
 
     def sendall(self, *arguments: Any, **options: Any) -> Any:
         self._received = 0
@@ -117,10 +119,7 @@
         self._received += len(data)
         if self._received > MAX_WHOLE_ANSWER_BYTES:
             raise OSError(f"the answer is over {MAX_WHOLE_ANSWER_BYTES} bytes")
-        self._unpaced += len(data)
-        if self._unpaced >= BYTES_PER_TURN:
-            self._unpaced = 0
-            gevent.sleep(0)
+        self._pacer.record(len(data), 0.0)
         return data
 
 
