Keep the task of share reports when no router is left to report to

Callers saw nothing yet: the router that fails is leaving. Its reports of usage ended for good with an exception that only the event loop printed.

Cause: a router that leaves is not among the live ones of its own membership. When the only other one did not reply and was left out, find_parent ranked an empty list and took its first element.

Fix: without routers there is no parent. test_report_parent failed before (IndexError).

--- a/packages/loomyard-router/src/loomyard_router/admission/share_tree.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_tree.py
@@ -31,11 +31,14 @@
 
 
 def find_parent(own: str, names: Sequence[str]) -> str | None:
-    """Return the router that this one reports to, ``None`` for the root."""
+    """Return the router that this one reports to, ``None`` for the root or without routers.
+
+    A router that leaves is not among them itself.
+    """
     ranked = rank(KEY, names)
-    root = ranked[0]
-    if own == root:
+    if not ranked or own == ranked[0]:
         return None
+    root = ranked[0]
     if len(ranked) <= MAX_FLAT_ROUTERS:
         return root
     middle = ranked[1 : 1 + math.ceil(math.sqrt(len(ranked)))]
