Keep the writer of the log alive, and count failures of orders

Callers saw nothing; an exception in the task that writes the log would have silenced the router for good, the events of the supervision included, and a failed step of the orders was logged but counted nowhere.

The writer lives in the shared package, which the supervision does not reach.

Fix: the writer goes on after an exception, counts a dropped line and prints the exception to standard error, which is all that is left to tell of it. Steps of the orders are guarded like those of the other tasks.

--- a/packages/loomyard-router/src/loomyard_router/orders/order_controller.py
+++ b/packages/loomyard-router/src/loomyard_router/orders/order_controller.py
@@ -7,7 +7,6 @@
 
 from result import Ok
 
-from loomyard.events import Event, emit
 from loomyard.objects import Target, TargetState
 from loomyard_router.orders.fixed_rate_weight_store import FixedRateWeightStore
 from loomyard_router.orders.order_lease_manager import OrderLeaseManager
@@ -15,6 +14,7 @@
 from loomyard_router.orders.order_sender import OrderSender
 from loomyard_router.orders.target_view import TargetView
 from loomyard_router.shares.allocator_selection import find_allocator
+from loomyard_router.supervision.guard import call_guarded
 from loomyard_router.supervision.tasks import start_supervised
 
 if TYPE_CHECKING:
@@ -105,11 +105,7 @@
 
     def _run(self) -> None:
         while True:
-            try:
-                self.step()
-            except Exception:
-                logger.exception("a step of the order control loop failed")
-                emit(logger, Event.HANDLER_FAILED, part="orders")
+            call_guarded("orders", self.step)
             self._clock.sleep(STEP_SECONDS)
 
     def _is_candidate(self) -> bool:
--- a/packages/loomyard/src/loomyard/bounded_log.py
+++ b/packages/loomyard/src/loomyard/bounded_log.py
@@ -4,6 +4,7 @@
 
 import logging
 import os
+import traceback
 from collections import deque
 from contextlib import suppress
 from typing import TYPE_CHECKING
@@ -111,10 +112,17 @@
     def _run(self) -> None:
         while True:
             self._has_lines.wait()
-            while self._lines:
-                self._write(self._lines.popleft())
-            self._has_lines.clear()
-            self._report()
+            try:
+                self._write_queued()
+            except Exception:  # without this task nothing would be logged any more
+                self.dropped += 1
+                traceback.print_exc()
+
+    def _write_queued(self) -> None:
+        while self._lines:
+            self._write(self._lines.popleft())
+        self._has_lines.clear()
+        self._report()
 
     def _write(self, data: bytes) -> None:
         while data:
--- a/tests/test_loomyard/test_bounded_log.py
+++ b/tests/test_loomyard/test_bounded_log.py
@@ -8,6 +8,7 @@
 import os
 import unittest
 from collections import Counter
+from unittest import mock
 
 import gevent
 
@@ -52,6 +53,17 @@
                     return [json.loads(line) for line in data.splitlines()]
         raise AssertionError("the writer task did not write all lines")
 
+    # Guards against a log that stays silent after one exception of its writer.
+    def test_lines_are_written_after_a_failure_of_the_writer_task(self) -> None:
+        self.handler.start()
+        failing = mock.patch.object(self.handler, "_report", side_effect=KeyError("missing"))
+        with failing, mock.patch("traceback.print_exc") as printed:
+            self.log(Event.TARGET_DRAINS, target="t1")
+            self.assertEqual(1, len(self.lines()))
+        printed.assert_called_once()
+        self.log(Event.TARGET_DRAINS, target="t2")
+        self.assertIn("t2", [line["fields"].get("target") for line in self.lines()])
+
     def test_a_line_has_wall_time_and_monotonic_time(self) -> None:
         self.handler.start()
         self.log(Event.TARGET_DRAINS, target="t1")
