--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,14 @@
 BIN := $(VENV)/bin
 PACKAGES := packages/loomyard packages/loomyard-router packages/loomyardctl packages/loomyard-standins
 SOURCES := packages tests
+# Libraries with compiled parts serve one kind of processor.
+READY := $(VENV)/.ready-$(shell uname -m)
 
 .PHONY: setup demo serve test soak soak-programs lint format tables clean
-setup: $(VENV)/.ready
+setup: $(READY)
 
-$(VENV)/.ready: constraints.txt $(PACKAGES:%=%/pyproject.toml)
-	$(PYTHON) -m venv $(VENV)
+$(READY): constraints.txt $(PACKAGES:%=%/pyproject.toml)
+	$(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/pip install --quiet -c constraints.txt --upgrade setuptools wheel black ruff mypy types-PyYAML matplotlib
 	$(BIN)/pip install --quiet -c constraints.txt --no-build-isolation $(PACKAGES:%=-e %)
 	touch $@
