Read large log records a few at a time where they exceed the bound together

Found by reading what passes through the new bound.

Fix: where an answer is too large, a quarter as many records are asked for, down to one. test_http_log failed before.

--- a/packages/loomyard/src/loomyard/external/http_log.py
+++ b/packages/loomyard/src/loomyard/external/http_log.py
@@ -14,6 +14,7 @@
     LogBatch,
 )
 from loomyard.util.addresses import split_address
+from loomyard.util.answer_bounds import AnswerTooLargeError
 from loomyard.util.tcp import make_http_client
 
 if TYPE_CHECKING:
@@ -27,6 +28,8 @@
 MAX_CONNECTIONS = 64
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
+# By so much fewer records are asked for where they have too many bytes together.
+SMALLER_PAGE_FACTOR = 4
 
 
 class HttpLogService:
@@ -60,6 +63,10 @@
         try:
             response = self._read_client.get(f"/streams/{stream}/records?{query}")
             body = bytes(response.read())
+        except AnswerTooLargeError as error:
+            if limit == 1:
+                return Err(_unavailable(str(error)))
+            return self.read(stream, offset, limit=max(1, limit // SMALLER_PAGE_FACTOR))
         except Exception as error:
             return Err(_unavailable(str(error)))
         if response.status_code != HTTP_OK:
--- a/packages/loomyard/src/loomyard/util/answer_bounds.py
+++ b/packages/loomyard/src/loomyard/util/answer_bounds.py
@@ -102,6 +102,10 @@
             gevent.sleep(0)
 
 
+class AnswerTooLargeError(OSError):
+    """An answer that is read whole has more bytes than that allows."""
+
+
 class BoundedSocket(socket.socket):
     """A socket that reads at most ``MAX_WHOLE_ANSWER_BYTES`` after what it sent last."""
 
@@ -118,7 +122,7 @@
         data = super().recv(*arguments)
         self._received += len(data)
         if self._received > MAX_WHOLE_ANSWER_BYTES:
-            raise OSError(f"the answer is over {MAX_WHOLE_ANSWER_BYTES} bytes")
+            raise AnswerTooLargeError(f"the answer is over {MAX_WHOLE_ANSWER_BYTES} bytes")
         self._pacer.record(len(data), 0.0)
         return data
 
