Show the lag of routers, the age of reports and the wait of refusals

The lines did not tell whether a report was late or dropped, who lagged, or how long a refused connection waited. Events 628 and 629 tell that a router lags and for how long, 627 the routers summed up and the age of the oldest report, 407 the longest wait from accept to refusal. No logic changes.

--- a/packages/loomyard-router/src/loomyard_router/admission/received_reports.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/received_reports.py
@@ -36,6 +36,12 @@
         """Return how many routers the reports sum up."""
         return sum(received.report.routers for received in self._received.values())
 
+    @property
+    def oldest_seconds(self) -> float:
+        """Return the age of the oldest report, 0 without any."""
+        oldest = min((received.at for received in self._received.values()), default=None)
+        return 0.0 if oldest is None else self.clock.now() - oldest
+
     def store(self, sender: str, report: UsageReport) -> None:
         """Replace the report of a router."""
         self._received[sender] = _ReceivedReport(report, self.clock.now())
--- a/packages/loomyard-router/src/loomyard_router/admission/share_calculator.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_calculator.py
@@ -32,6 +32,7 @@
 CAPACITY_SECONDS = 10.0
 LOG_SECONDS = 1.0
 MAX_ACCOUNTS_LOGGED = 12
+MILLISECONDS = 1000
 
 
 class ShareCalculator:
@@ -56,8 +57,11 @@
         self._most_served = DecayingMaximum(CAPACITY_SECONDS)
         self._logged_at = -math.inf
 
-    def compute(self, report: UsageReport) -> UsageReply:
-        """Return the shares that follow from the sums of all routers."""
+    def compute(self, report: UsageReport, *, oldest: float = 0.0) -> UsageReply:
+        """Return the shares that follow from the sums of all routers.
+
+        ``oldest`` is the age in seconds of the oldest report among them, for the log.
+        """
         stated = self._rate() * self._window
         usage = sum(report.usage.values())
         self._most_served.add(usage, self._clock.now())
@@ -77,7 +81,7 @@
             usage=report.usage,
         )
         if backlogged:
-            self._log(report, reply, stated, observed)
+            self._log(report, reply, stated, observed, oldest)
         return reply
 
     def _observe_capacity(self, report: UsageReport, backlogged: list[str]) -> float | None:
@@ -112,7 +116,12 @@
         ]
 
     def _log(
-        self, report: UsageReport, reply: UsageReply, stated: float, observed: float | None
+        self,
+        report: UsageReport,
+        reply: UsageReply,
+        stated: float,
+        observed: float | None,
+        oldest: float,
     ) -> None:
         """Log the sums behind the shares, at most once in ``LOG_SECONDS``."""
         now = self._clock.now()
@@ -130,6 +139,8 @@
             share=reply.share,
             served_share=reply.served_share,
             cap=reply.usage_cap,
+            routers=report.routers,
+            oldest_ms=round(oldest * MILLISECONDS),
             accounts={
                 name: [report.demand[name], report.usage.get(name, 0), report.unmet.get(name, 0)]
                 for name in largest[:MAX_ACCOUNTS_LOGGED]
--- a/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
@@ -211,7 +211,7 @@
         report = self._aggregate()
         reported, self._unreported = self._unreported, AccountUsage(self._clock, self._window)
         reply = (
-            self._calculator.compute(report)
+            self._calculator.compute(report, oldest=self._reports.oldest_seconds)
             if self._is_root
             else self._send_report(self._parent.name or self._parent.other_root, report)
         )
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/lag/__init__.py
@@ -0,0 +1,1 @@
+"""Routers whose event loop lags: what tells so, and what the others then do for them."""
--- a/packages/loomyard-router/src/loomyard_router/routed/early_refusal.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/early_refusal.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from loomyard.clock import Clock
     from loomyard_router.admission.account_backlog import AccountBacklog
     from loomyard_router.admission.waiting_time import RetryHint
     from loomyard_router.metrics.request_metrics import RequestMetrics
@@ -28,6 +29,7 @@
 # Seconds of refusals that one log line sums up; a line for each would double the cost of refusing.
 LOG_SECONDS = 1.0
 MAX_ACCOUNTS_LOGGED = 8
+MILLISECONDS = 1000
 HEAD_END = b"\r\n\r\n"
 LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*(\d{1,18})[ \t]*\r\n", re.IGNORECASE)
 BODILESS = (b"GET ", b"HEAD ")
@@ -51,6 +53,7 @@
     def __init__(
         self,
         *,
+        clock: Clock,
         holder: RouteTableHolder,
         codec: CallerCodec,
         backlog: AccountBacklog,
@@ -58,6 +61,7 @@
         retry_hint: RetryHint,
         meters: RequestMetrics,
     ) -> None:
+        self._clock = clock
         self._holder = holder
         self._codec = codec
         self._backlog = backlog
@@ -67,6 +71,7 @@
         self._counts: Counter[str] = Counter()
         self._overload_count = 0
         self._cap_count = 0
+        self._longest_wait = 0.0
         self._first_attempt_id = ""
 
     @property
@@ -75,8 +80,11 @@
         backlog = self._backlog
         return backlog.any_near_limit or backlog.any_over_cap or self._overloaded()
 
-    def check(self, first: bytes) -> RefusedEarly | None:
-        """Return the refusal of the request that begins with ``first``, ``None`` to decode it."""
+    def check(self, first: bytes, accepted_at: float) -> RefusedEarly | None:
+        """Return the refusal of the request that begins with ``first``, ``None`` to decode it.
+
+        Its connection was accepted at ``accepted_at``.
+        """
         end = first.find(HEAD_END)
         if end < 0:
             return None
@@ -88,6 +96,7 @@
         if fault is None:
             return None
         self._meters.count(fault.code)
+        self._longest_wait = max(self._longest_wait, self._clock.now() - accepted_at)
         status, headers = self._codec.encode_refusal(fault)
         lines = [f"{name}: {value}\r\n" for name, value in headers]
         answer = (
@@ -130,6 +139,7 @@
         counts, self._counts = self._counts, Counter()
         overload_count, self._overload_count = self._overload_count, 0
         cap_count, self._cap_count = self._cap_count, 0
+        longest_wait, self._longest_wait = self._longest_wait, 0.0
         emit(
             logger,
             Event.REFUSED_EARLY,
@@ -137,6 +147,7 @@
             behind=overload_count,
             capped=cap_count,
             full=counts.total() - overload_count - cap_count,
+            longest_wait_ms=round(longest_wait * MILLISECONDS),
             accounts=dict(counts.most_common(MAX_ACCOUNTS_LOGGED)),
             first=self._first_attempt_id,
         )
--- a/packages/loomyard-router/src/loomyard_router/routed/listener.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/listener.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from loomyard.clock import Clock
     from loomyard_router.routed.early_refusal import EarlyRefusal
     from loomyard_router.routes.caller_limits import CallerLimits
 
@@ -27,6 +28,7 @@
     """Serve one connection, within the configured limits on idle time and on reading a head."""
 
     server: RoutedListener
+    accepted_at = 0.0
     _first = True
 
     @property
@@ -53,7 +55,8 @@
 
     def _refuse_early(self) -> bool:
         """Send a refusal that the first bytes of a request decide; tell whether there was one."""
-        refused = self.server.early_refusal.check(self.socket.recv(PEEK_BYTES, sockets.MSG_PEEK))
+        first = self.socket.recv(PEEK_BYTES, sockets.MSG_PEEK)
+        refused = self.server.early_refusal.check(first, self.accepted_at)
         if refused is None:
             return False
         self.socket.sendall(refused.answer)
@@ -86,12 +89,14 @@
     def __init__(
         self,
         *arguments: Any,
+        clock: Clock,
         limits: Callable[[], CallerLimits],
         early_refusal: EarlyRefusal,
         max_connections: int,
         **options: Any,
     ) -> None:
         super().__init__(*arguments, **options)
+        self._clock = clock
         self.limits = limits
         self.early_refusal = early_refusal
         # Tasks of idle connections, the longest idle first.
@@ -103,12 +108,18 @@
     def over_connection_limit(self) -> bool:
         return self._open_count > self._max_connections
 
-    def handle(self, sock: Any, address: Any) -> None:
+    def do_handle(self, sock: Any, address: Any) -> None:
+        super().do_handle(sock, address, self._clock.now())
+
+    def handle(self, sock: Any, address: Any, accepted_at: float) -> None:
         self._open_count += 1
         if self.over_connection_limit:
             self._close_longest_idle()
+        sock.settimeout(CONNECTION_TIMEOUT)
+        handler = self.handler_class(sock, address, self)
+        handler.accepted_at = accepted_at
         try:
-            super().handle(sock, address)
+            handler.handle()
         finally:
             self._open_count -= 1
 
--- a/packages/loomyard-router/src/loomyard_router/routed/loop_lag.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/loop_lag.py
@@ -4,9 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from loomyard_router.supervision.listeners import Listeners
 from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from loomyard.clock import Clock
 
 # Seconds for which a measurement counts; an older one says nothing about the tasks ready now.
@@ -29,6 +32,7 @@
         self._started_at: float | None = None
         self._measured = 0.0
         self._measured_at = 0.0
+        self._listeners = Listeners("loop lag")
 
     @property
     def seconds(self) -> float:
@@ -47,8 +51,13 @@
             start_task("loop lag", self._measure, self._started_at)
         return overloaded
 
+    def subscribe(self, on_measured: Callable[[float], None]) -> None:
+        """Call back with each measured lag in seconds; it must not block."""
+        self._listeners.subscribe(on_measured)
+
     def _measure(self, started_at: float) -> None:
         """Record the wait of this task, which has got its turn now."""
         self._measured_at = self._clock.now()
         self._measured = self._measured_at - started_at
         self._started_at = None
+        self._listeners.notify(self._measured)
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -42,6 +42,7 @@
 from loomyard_router.feeds.unreadable_entries import UnreadableEntries
 from loomyard_router.feeds.unreadable_entry import UnreadableEntry
 from loomyard_router.fleet_components import make_fleet_components
+from loomyard_router.lag.lag_monitor import LagMonitor
 from loomyard_router.metrics.lazy_server import make_lazy_metrics
 from loomyard_router.metrics.request_metrics import RequestMetrics
 from loomyard_router.ready_listener import ReadyListener
@@ -155,6 +156,8 @@
             rng=rng,
         )
         self._loop_lag = LoopLag(clock, max_lag=settings.most_lag)
+        self._lag_monitor = LagMonitor(clock, threshold=settings.most_lag)
+        self._loop_lag.subscribe(self._lag_monitor.record)
         self._admission = make_admission(
             clock=clock,
             registry=self.registry,
@@ -246,8 +249,10 @@
             log=None,
             error_log=logger,
             in_flight=self._in_flight,
+            clock=clock,
             limits=self._limits,
             early_refusal=EarlyRefusal(
+                clock=clock,
                 holder=self.holder,
                 codec=platform.caller_codec,
                 backlog=self._admission.backlog,
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -84,6 +84,8 @@
     KEEPER_ANSWERS = (625, logging.INFO, "an unresponsive slot owner answers again")
     SHARE_PARENT_SILENT = (626, logging.WARNING, "reports of usage go to another router")
     SHARES_COMPUTED = (627, logging.INFO, "engines lack room for an account; sums of the fleet")
+    ROUTER_LAGS = (628, logging.WARNING, "the event loop of this router lags")
+    ROUTER_RECOVERED = (629, logging.INFO, "the event loop of this router no longer lags")
     TARGET_ENDED = (630, logging.WARNING, "a target crashed while running this request")
     REQUEST_BLOCKED = (631, logging.ERROR, "a request crashes targets; it is blocked for a while")
     REQUEST_CLEARED = (632, logging.INFO, "a request suspected of crashes completed")
--- a/tests/test_loomyard_router/test_routed/test_early_refusal.py
+++ b/tests/test_loomyard_router/test_routed/test_early_refusal.py
@@ -180,8 +180,8 @@
         head = request_bytes("/p/x")
         end = head.index(b"\r\n\r\n")
         for first in (b"", head[:20], head[: end + 2], head.replace(b"Content-Length", b"X-Not")):
-            self.assertIsNone(self.early.check(first))
-        self.assertIsNotNone(self.early.check(head))
+            self.assertIsNone(self.early.check(first, 0.0))
+        self.assertIsNotNone(self.early.check(head, 0.0))
 
     def test_an_unknown_key_still_gets_401(self) -> None:
         self.fill("north")
