--- a/tests/test_loomyard_router/test_admission/test_share_ledger.py
+++ b/tests/test_loomyard_router/test_admission/test_share_ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import unittest
 from collections import Counter
@@ -374,6 +375,94 @@
         after = {name: find_parent(name, [*names, "r59"]) for name in names}
         self.assertLessEqual(sum(before[name] != after[name] for name in names), 20)
 
+class SilentRouterTest(LedgerCase):
+    """Routers of which one sends no reports for a while, as it lags or as its parent is gone."""
+
+    routers = 60
+    silent_seconds = 3.0
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rate = 1e9
+        self.ranked = rank(KEY, [member.name for member in self.members])
+        self.names = [member.name for member in self.members]
+
+    def ledger(self, name: str) -> ShareLedger:
+        return self.ledgers[int(name[1:])]
+
+    def leaf(self) -> str:
+        """Return a router that nobody reports to."""
+        parents = {find_parent(name, self.names) for name in self.names}
+        return next(name for name in self.ranked if name not in parents)
+
+    def request_at(self, name: str, seconds: float, without: set[str] = frozenset()) -> None:
+        """Let an account ask at one router and others at all, for some seconds.
+
+        The routers ``without`` do not report.
+        """
+        for _ in range(round(seconds / REPORT_SECONDS)):
+            self.clock.advance(REPORT_SECONDS)
+            for number, ledger in enumerate(self.ledgers):
+                ledger.record_demand("spread", 10.0)
+                ledger.record_usage("spread", 10.0)
+                if f"r{number}" == name and name not in without:
+                    ledger.record_demand("alone", 900.0)
+                    ledger.record_usage("alone", 100.0)
+                if f"r{number}" not in without:
+                    ledger.step()
+
+    def sums(self) -> ShareLedger:
+        return self.ledger(self.ranked[0])
+
+    def check_silent(self, name: str) -> None:
+        self.request_at(name, 4.0)
+        self.assertTrue(self.sums().has_usage_cap)
+        told = self.sums()._reply.usage["alone"]
+        for _ in range(round(self.silent_seconds / REPORT_SECONDS)):
+            self.request_at(name, REPORT_SECONDS, without={name})
+            self.assertIn("alone", self.sums()._reply.usage)
+            self.assertTrue(self.sums().has_usage_cap, "the cap is gone")
+        decay = math.exp(-self.silent_seconds / WINDOW)
+        self.assertGreaterEqual(self.sums()._reply.usage["alone"], 0.9 * decay * told)
+
+    # Guards against sums that forget a lagging router, with its account and the cap set for it.
+    def test_a_silent_router_stays_in_the_sums(self) -> None:
+        self.check_silent(self.leaf())
+
+    # Guards against the same where others report to the silent router.
+    def test_what_a_silent_router_of_the_middle_told_of_itself_stays_in_the_sums(self) -> None:
+        self.check_silent(self.ranked[1])
+
+    def test_a_dead_router_is_not_in_the_sums(self) -> None:
+        name = self.leaf()
+        self.request_at(name, 4.0)
+        self.network.leave(name)
+        left = [member for member in self.members if member.name != name]
+        for view in self.views:
+            view.change(left)
+        self.request_at(name, 2 * REPORT_SECONDS, without={name})
+        self.assertNotIn("alone", self.sums()._reply.usage)
+        self.assertFalse(self.sums().has_usage_cap)
+
+    def test_a_router_that_reports_to_another_parent_counts_once(self) -> None:
+        name = self.leaf()
+        self.request_at(name, 4.0)
+        parent = find_parent(name, self.names)
+        assert parent is not None
+        self.network.cut({name}, {parent})
+        self.request_at(name, REPORT_SECONDS * (MAX_MISSED_REPLIES + 1))
+        self.network.heal()
+        self.request_at(name, EXCLUSION_SECONDS / 2)
+        own = self.ledger(name)._usage.tokens("alone")
+        self.assertLessEqual(self.sums()._reply.usage["alone"], 1.1 * own)
+        self.assertGreaterEqual(self.sums()._reply.usage["alone"], 0.8 * own)
+
+
+class SilentRouterOfASmallFleetTest(SilentRouterTest):
+    """The same where all routers report to the root."""
+
+    routers = 7
+
 
 if __name__ == "__main__":
     unittest.main()
