Refuse connections as they are accepted, without a task

Cause: an accepted connection gets a task, which waits behind all ready tasks; the first bytes were looked at only then. Now Arrivals looks at them in the callback of the socket, answers, drops the rest of the request and closes; a task is started only for a connection that is served or whose first bytes are missing after 0.1 s.

--- a/packages/loomyard-router/src/loomyard_router/routed/early_refusal.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/early_refusal.py
@@ -76,9 +76,16 @@
 
     @property
     def enabled(self) -> bool:
-        """Tell whether any request could be refused early now."""
+        """Tell whether any request could be refused or passed on early now."""
+        # Each read also starts a measurement of the lag.
+        overloaded = self._overloaded()
         backlog = self._backlog
-        return backlog.any_near_limit or backlog.any_over_cap or self._overloaded()
+        return overloaded or self.is_lagging or backlog.any_near_limit or backlog.any_over_cap
+
+    @property
+    def is_lagging(self) -> bool:
+        """Tell whether the event loop of this router lags, if not so much that it refuses."""
+        return self._backlog.is_router_lagging
 
     def check(self, first: bytes, accepted_at: float) -> RefusedEarly | None:
         """Return the refusal of the request that begins with ``first``, ``None`` to decode it.
--- a/packages/loomyard-router/src/loomyard_router/routed/listener.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/listener.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket as sockets
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -10,26 +9,21 @@
 
 from loomyard_router.callers.handler import CONNECTION_TIMEOUT, CallerHandler, CallerServer
 from loomyard_router.routed.app import HEADERS_KEY
+from loomyard_router.routed.arrivals import Arrivals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from loomyard.clock import Clock
+    from loomyard_router.routed.arrivals import OffloadsConnections
     from loomyard_router.routed.early_refusal import EarlyRefusal
     from loomyard_router.routes.caller_limits import CallerLimits
 
 
-PEEK_BYTES = 65536
-# For so long the rest of a refused request is read and dropped; most callers have sent it by then.
-DISCARD_SECONDS = 1.0
-
-
 class RoutedHandler(CallerHandler):
     """Serve one connection, within the configured limits on idle time and on reading a head."""
 
     server: RoutedListener
-    accepted_at = 0.0
-    _first = True
 
     @property
     def max_head_bytes(self) -> int:
@@ -43,30 +37,13 @@
         self.socket.settimeout(self.server.limits().idle_seconds)
         task = gevent.getcurrent()
         self.server.idle_tasks[task] = None
-        first, self._first = self._first, False
         try:
-            if first and self.server.early_refusal.enabled and self._refuse_early():
-                return ""
             return super().read_requestline()
         finally:
             self.server.idle_tasks.pop(task, None)
             if self.socket is not None:
                 self.socket.settimeout(CONNECTION_TIMEOUT)
 
-    def _refuse_early(self) -> bool:
-        """Send a refusal that the first bytes of a request decide; tell whether there was one."""
-        first = self.socket.recv(PEEK_BYTES, sockets.MSG_PEEK)
-        refused = self.server.early_refusal.check(first, self.accepted_at)
-        if refused is None:
-            return False
-        self.socket.sendall(refused.answer)
-        # A close with unread data resets the connection, which can destroy the answer in flight.
-        remaining = refused.size
-        self.socket.settimeout(DISCARD_SECONDS)
-        while remaining > 0 and (data := self.socket.recv(min(remaining, PEEK_BYTES))):
-            remaining -= len(data)
-        return True
-
     def read_request(self, raw_requestline: str) -> bool:
         with Timeout(self.server.limits().head_seconds, ValueError("the head took too long")):
             return super().read_request(raw_requestline)
@@ -81,7 +58,8 @@
     """Accept connections of callers; ``limits`` is called for each request.
 
     While more than ``max_connections`` are open, answers close theirs, and each new connection
-    closes the one that has been idle longest.
+    closes the one that has been idle longest. While this router lags, or an account may be at its
+    limit, ``Arrivals`` decides on new connections before a task is started for them.
     """
 
     handler_class = RoutedHandler
@@ -93,6 +71,7 @@
         limits: Callable[[], CallerLimits],
         early_refusal: EarlyRefusal,
         max_connections: int,
+        offloader: OffloadsConnections | None = None,
         **options: Any,
     ) -> None:
         super().__init__(*arguments, **options)
@@ -102,6 +81,12 @@
         # Tasks of idle connections, the longest idle first.
         self.idle_tasks: dict[gevent.Greenlet, None] = {}
         self._open_count = 0
+        self._arrivals = Arrivals(
+            refusal=early_refusal,
+            offloader=offloader,
+            serve=super().do_handle,
+            closed=self._count_closed,
+        )
         self._max_connections = max_connections
 
     @property
@@ -109,19 +94,21 @@
         return self._open_count > self._max_connections
 
     def do_handle(self, sock: Any, address: Any) -> None:
-        super().do_handle(sock, address, self._clock.now())
-
-    def handle(self, sock: Any, address: Any, accepted_at: float) -> None:
         self._open_count += 1
         if self.over_connection_limit:
             self._close_longest_idle()
-        sock.settimeout(CONNECTION_TIMEOUT)
-        handler = self.handler_class(sock, address, self)
-        handler.accepted_at = accepted_at
-        try:
-            handler.handle()
-        finally:
-            self._open_count -= 1
+        if self.early_refusal.enabled:
+            self._arrivals.take(sock, address, self._clock.now())
+        else:
+            super().do_handle(sock, address)
+
+    def do_close(self, sock: Any, *arguments: Any) -> None:
+        super().do_close(sock, *arguments)
+        self._count_closed()
+
+    def stop(self, timeout: float | None = 0) -> None:
+        self._arrivals.stop()
+        super().stop(timeout)
 
     def close_listener(self) -> None:
         """Close the listener; open connections go on."""
@@ -132,6 +119,9 @@
         for task in list(self.idle_tasks):
             _kill_idle(task)
 
+    def _count_closed(self) -> None:
+        self._open_count -= 1
+
     def _close_longest_idle(self) -> None:
         oldest = next(iter(self.idle_tasks), None)
         if oldest is not None:
--- a/packages/loomyard-router/src/loomyard_router/routes/route_table_holder.py
+++ b/packages/loomyard-router/src/loomyard_router/routes/route_table_holder.py
@@ -10,6 +10,7 @@
 
 from loomyard.events import Event, emit
 from loomyard_router.feeds.unreadable_entry import decode_entry
+from loomyard_router.routes.caller_limits import CallerLimits
 from loomyard_router.supervision.listeners import Listeners
 
 if TYPE_CHECKING:
@@ -53,6 +54,10 @@
         """Return the version in force, or -1 if there is none."""
         return -1 if self._table is None else self._table.version
 
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits on callers that are in force, the defaults without a configuration."""
+        return CallerLimits() if self._table is None else self._table.limits
+
     def subscribe(self, changed: Callable[[RouteTable], None]) -> None:
         """Register a callback for each version that comes into force."""
         self._listeners.subscribe(changed)
--- a/tests/test_loomyard_router/test_admission/test_share_ledger.py
+++ b/tests/test_loomyard_router/test_admission/test_share_ledger.py
@@ -375,6 +375,7 @@
         after = {name: find_parent(name, [*names, "r59"]) for name in names}
         self.assertLessEqual(sum(before[name] != after[name] for name in names), 20)
 
+
 class SilentRouterTest(LedgerCase):
     """Routers of which one sends no reports for a while, as it lags or as its parent is gone."""
 
