Pass connections on to routers of the data centre that do not lag

Cause: nothing but the balancer chose the router of a connection, and callers come back to the same one (883 of 883). Copying in callbacks costs a part of serving, so the core goes further.

--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/offload/caller_listeners.py
@@ -0,0 +1,91 @@
+"""The listeners for callers of this router, and for those that other routers pass on."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from loomyard.util.addresses import split_address
+from loomyard_router.offload.offload_listener import OffloadListener
+from loomyard_router.offload.offloader import Offloader
+from loomyard_router.routed.listener import RoutedListener
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard.clock import Clock
+    from loomyard_router.callers.in_flight import InFlight
+    from loomyard_router.offload.offload_candidates import OffloadCandidates
+    from loomyard_router.routed.app import RoutedApp
+    from loomyard_router.routed.early_refusal import EarlyRefusal
+    from loomyard_router.routed_settings import RoutedSettings
+    from loomyard_router.routes.route_table_holder import RouteTableHolder
+
+logger = logging.getLogger(__name__)
+
+# One of so many connections of callers may be passed on; each of these takes two descriptors.
+OFFLOADED_DIVISOR = 4
+
+
+class CallerListeners:
+    """Accept connections at both addresses; without ``offload_listen`` none is passed on."""
+
+    def __init__(
+        self,
+        settings: RoutedSettings,
+        app: RoutedApp,
+        *,
+        clock: Clock,
+        holder: RouteTableHolder,
+        in_flight: InFlight,
+        early_refusal: EarlyRefusal,
+        candidates: OffloadCandidates,
+        pause: Callable[[], float],
+    ) -> None:
+        options: dict[str, Any] = {
+            "log": None,
+            "error_log": logger,
+            "clock": clock,
+            "in_flight": in_flight,
+            "early_refusal": early_refusal,
+            "limits": holder.caller_limits,
+            "max_connections": settings.most_connections,
+        }
+        self.offloader = Offloader(
+            candidates=candidates,
+            in_flight=in_flight,
+            max_connections=settings.most_connections // OFFLOADED_DIVISOR,
+            table_version=lambda: holder.version,
+            pause=pause,
+        )
+        self.offloaded: OffloadListener | None = None
+        if settings.offload_listen:
+            address = split_address(settings.offload_listen)
+            self.offloaded = OffloadListener(address, app, **options)
+            options["offloader"] = self.offloader
+        self.front = RoutedListener(split_address(settings.listen), app, **options)
+
+    @property
+    def _all(self) -> list[RoutedListener]:
+        return [self.front] if self.offloaded is None else [self.front, self.offloaded]
+
+    def start(self) -> None:
+        """Start to accept."""
+        for listener in self._all:
+            listener.start()
+
+    def close_listeners(self) -> None:
+        """Accept no more connections; open ones go on."""
+        for listener in self._all:
+            listener.close_listener()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is in progress."""
+        for listener in self._all:
+            listener.close_idle()
+
+    def stop(self) -> None:
+        """Close everything at once."""
+        for listener in self._all:
+            listener.stop()
+        self.offloader.stop()
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/offload/offloader.py
@@ -0,0 +1,173 @@
+"""Pass connections of callers on to other routers while this one lags."""
+
+from __future__ import annotations
+
+import errno
+import logging
+import socket as sockets
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.socket import socket
+
+from loomyard.events import Event, emit
+from loomyard.util.tcp import disable_nagle, set_keepalive
+from loomyard_router.offload.preamble import encode_preamble
+from loomyard_router.offload.splice import PART, WRITABLE, Splice
+from loomyard_router.supervision.guard import call_guarded
+from loomyard_router.supervision.tasks import start_task_later
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from loomyard_router.callers.in_flight import InFlight
+    from loomyard_router.offload.offload_candidates import OffloadAddress, OffloadCandidates
+
+logger = logging.getLogger(__name__)
+
+CONNECT_SECONDS = 0.1
+LOG_SECONDS = 1.0
+
+
+class Offloader:
+    """Join connections of callers with connections to routers that do not lag.
+
+    The other router serves the request as if its caller had come there; this one copies bytes, at
+    a fraction of the work. ``table_version`` returns the version of the configuration in force
+    here, not positive for none; ``pause`` is that of ``Splice``.
+    """
+
+    def __init__(
+        self,
+        *,
+        candidates: OffloadCandidates,
+        in_flight: InFlight,
+        max_connections: int,
+        table_version: Callable[[], int],
+        pause: Callable[[], float],
+    ) -> None:
+        self._candidates = candidates
+        self._in_flight = in_flight
+        self._max_connections = max_connections
+        self._table_version = table_version
+        self._pause = pause
+        self._splices: set[Splice] = set()
+        self._connecting: set[_Connect] = set()
+        self._counts: Counter[str] = Counter()
+        self.total = 0
+
+    def __len__(self) -> int:
+        return len(self._splices) + len(self._connecting)
+
+    def offer(
+        self, caller: socket, *, ended: Callable[[], None], failed: Callable[[], None]
+    ) -> bool:
+        """Pass on a connection of which nothing was read; false where no router can take it.
+
+        It must not block. Later, ``ended`` tells that both connections are closed, or ``failed``
+        that the other router did not accept and that the connection is as before.
+        """
+        if self._table_version() <= 0 or len(self) >= self._max_connections:
+            return False
+        chosen = self._candidates.choose()
+        if chosen is None:
+            return False
+
+        def connected(router: socket) -> None:
+            self._connecting.discard(connect)
+            self._join(caller, router, chosen, ended)
+
+        def refused() -> None:
+            self._connecting.discard(connect)
+            self._candidates.exclude(chosen.name)
+            failed()
+
+        connect = _Connect(chosen.address, connected, refused)
+        self._connecting.add(connect)
+        connect.start()
+        return True
+
+    def stop(self) -> None:
+        """Close all connections at once."""
+        for connect in list(self._connecting):
+            connect.stop()
+        for splice in list(self._splices):
+            splice.close()
+
+    def _join(
+        self, caller: socket, router: socket, chosen: OffloadAddress, ended: Callable[[], None]
+    ) -> None:
+        self._record(chosen.name)
+        self._in_flight.record_start()
+
+        def end(splice: Splice) -> None:
+            self._splices.discard(splice)
+            self._in_flight.record_end()
+            ended()
+
+        splice = Splice(caller, router, pause=self._pause, on_end=end)
+        self._splices.add(splice)
+        splice.start(encode_preamble(self._table_version()))
+
+    def _record(self, name: str) -> None:
+        if not self._counts:
+            start_task_later(LOG_SECONDS, "offload", self._write_log)
+        self._counts[name] += 1
+        self.total += 1
+
+    def _write_log(self) -> None:
+        counts, self._counts = self._counts, Counter()
+        emit(
+            logger,
+            Event.CONNECTIONS_OFFLOADED,
+            connections=counts.total(),
+            open=len(self._splices),
+            routers=dict(counts),
+        )
+
+
+class _Connect:
+    """Open a connection in callbacks of the event loop."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        connected: Callable[[socket], None],
+        refused: Callable[[], None],
+    ) -> None:
+        self._address = address
+        self._connected, self._refused = connected, refused
+        self._socket = socket(sockets.AF_INET, sockets.SOCK_STREAM)
+        self._socket.settimeout(0.0)
+        disable_nagle(self._socket)
+        # A VM that vanishes sends no reset.
+        set_keepalive(self._socket)
+        loop = gevent.get_hub().loop
+        self._writable = loop.io(self._socket.fileno(), WRITABLE)
+        self._timer = loop.timer(CONNECT_SECONDS)
+
+    def start(self) -> None:
+        """Begin to connect; exactly one of the callbacks is called later."""
+        self._socket.connect_ex(self._address)
+        self._writable.start(call_guarded, PART, self._finish)
+        self._timer.start(call_guarded, PART, self._finish, errno.ETIMEDOUT)
+
+    def stop(self) -> None:
+        """Give up without a callback."""
+        self._close_watchers()
+        self._socket.close()
+
+    def _finish(self, error: int = 0) -> None:
+        error = error or self._socket.getsockopt(sockets.SOL_SOCKET, sockets.SO_ERROR)
+        self._close_watchers()
+        if error:
+            self._socket.close()
+            self._refused()
+        else:
+            self._connected(self._socket)
+
+    def _close_watchers(self) -> None:
+        for watcher in (self._writable, self._timer):
+            watcher.stop()
+            watcher.close()
--- /dev/null
+++ b/packages/loomyard-router/src/loomyard_router/offload/splice.py
@@ -0,0 +1,166 @@
+"""Two connections joined to one, without tasks."""
+
+from __future__ import annotations
+
+import socket as sockets
+import struct
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import gevent
+
+from loomyard_router.supervision.guard import call_guarded
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+PART = "splice"
+READABLE, WRITABLE = 1, 2
+BLOCK_BYTES = 65536
+# A receiver that takes nothing for so long is given up.
+STALL_SECONDS = 60.0
+RESET = struct.pack("ii", 1, 0)
+
+
+class _Flow:
+    """Copy the bytes of one socket to another, holding one block at most."""
+
+    def __init__(
+        self,
+        source: sockets.socket,
+        sink: sockets.socket,
+        *,
+        pause: Callable[[], float],
+        source_ended: Callable[[bool], None],
+        sink_failed: Callable[[], None],
+    ) -> None:
+        loop = gevent.get_hub().loop
+        self._source, self._sink = source, sink
+        self._pause = pause
+        self._source_ended, self._sink_failed = source_ended, sink_failed
+        self._readable = loop.io(source.fileno(), READABLE)
+        self._writable = loop.io(sink.fileno(), WRITABLE)
+        self._timer = loop.timer(0.0)
+        self._pending = memoryview(b"")
+
+    def start(self) -> None:
+        """Begin to copy."""
+        self._readable.start(call_guarded, PART, self._read)
+
+    def stop(self) -> None:
+        """Cease to copy, before either socket is closed."""
+        for watcher in (self._readable, self._writable, self._timer):
+            watcher.stop()
+            watcher.close()
+
+    def write(self, data: bytes) -> None:
+        """Send bytes, or keep those that the sink does not take yet."""
+        try:
+            sent = self._sink.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self._sink_failed()
+            return
+        self._pending = memoryview(data)[sent:]
+        if self._pending:
+            self._readable.stop()
+            self._writable.start(call_guarded, PART, self._flush)
+            self._start_timer(STALL_SECONDS, self._sink_failed)
+        elif seconds := self._pause():
+            self._readable.stop()
+            self._start_timer(seconds, self.start)
+
+    def _read(self) -> None:
+        try:
+            data = self._source.recv(BLOCK_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self._source_ended(False)
+            return
+        if data:
+            self.write(data)
+        else:
+            self._source_ended(True)
+
+    def _flush(self) -> None:
+        self._writable.stop()
+        self._timer.stop()
+        self.start()
+        self.write(bytes(self._pending))
+
+    def _start_timer(self, seconds: float, due: Callable[[], None]) -> None:
+        self._timer.stop()
+        self._timer.close()
+        self._timer = gevent.get_hub().loop.timer(seconds)
+        self._timer.start(call_guarded, PART, due)
+
+
+class Splice:
+    """Copy between a caller and another router until either closes; then close both.
+
+    It runs in callbacks of the sockets, as a task would wait for its turn behind all ready tasks of
+    a router that lags. Both sockets must not block. ``pause`` returns the seconds to wait after
+    each block of the answer, so that the next one holds more.
+    """
+
+    def __init__(
+        self,
+        caller: sockets.socket,
+        router: sockets.socket,
+        *,
+        pause: Callable[[], float],
+        on_end: Callable[[Splice], None],
+    ) -> None:
+        self._caller, self._router = caller, router
+        self._on_end = on_end
+        self._is_closed = False
+        self._request = _Flow(
+            caller,
+            router,
+            pause=lambda: 0.0,
+            source_ended=lambda _: self.close(),
+            sink_failed=self._stop_request,
+        )
+        self._answer = _Flow(
+            router,
+            caller,
+            pause=pause,
+            source_ended=self._end_answer,
+            sink_failed=self.close,
+        )
+        self._is_requesting = True
+
+    def start(self, preamble: bytes) -> None:
+        """Begin to copy; the other router gets the preamble first."""
+        self._answer.start()
+        self._request.start()
+        self._request.write(preamble)
+
+    def close(self) -> None:
+        """Close both connections at once."""
+        self._close(is_whole=True)
+
+    def _stop_request(self) -> None:
+        # The other router may have answered before it closed; the rest of the answer counts.
+        if self._is_requesting:
+            self._is_requesting = False
+            self._request.stop()
+
+    def _end_answer(self, is_whole: bool) -> None:
+        self._close(is_whole=is_whole)
+
+    def _close(self, *, is_whole: bool) -> None:
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._stop_request()
+        self._answer.stop()
+        if not is_whole:
+            # An answer whose connection was reset must not look complete.
+            with suppress(OSError):
+                self._caller.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, RESET)
+        self._router.close()
+        self._caller.close()
+        self._on_end(self)
--- a/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/settings_file.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from loomyard_router.announced.departure_terms import DepartureTerms
+from loomyard_router.offload.offload_candidates import PORT_OFFSET
 from loomyard_router.platform import names
 from loomyard_router.routed_settings import RetryTerms, RoutedSettings
 from loomyard_router.settings import FLEET_SECRET_VARIABLE, MAX_SECRETS, split_list
@@ -74,6 +75,7 @@
         listen=fields["listen.frontend"],
         ready_listen=fields["listen.readiness"],
         peer_listen=f"{own_ip}:{ports[0]}",
+        offload_listen=f"{own_ip}:{ports[0] + PORT_OFFSET}" if ports[0] < ports[-1] else "",
         metrics_listen=f"{own_ip}:{METRICS_PORT}",
         seeds=seeds,
         store=fields["platform.address"],
--- a/packages/loomyard-router/src/loomyard_router/routed/app.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/app.py
@@ -41,6 +41,8 @@
 logger = logging.getLogger(__name__)
 
 HEADERS_KEY = "loomyard.headers"
+# Where another router passed the request on: the version of the configuration in force there.
+TABLE_VERSION_KEY = "loomyard.table-version"
 NOT_READY_RETRY_AFTER = 0.5
 OVERLOADED = Fault(
     code=ResultCode.ROUTER_OVERLOADED, detail="the event loop of this router lags", retry_after=0.6
@@ -101,7 +103,8 @@
         begun = self._begin_body(answer.body, request)
         if begun.is_err():
             return self._refuse(environ, start_response, begun.unwrap_err(), request)
-        return self._answer(start_response, answer, request)
+        is_last = TABLE_VERSION_KEY in environ or self._closing_connections()
+        return self._answer(start_response, answer, request, is_last=is_last)
 
     def _read_request(
         self, environ: Environ, headers: list[tuple[str, str]], now: float
@@ -111,6 +114,11 @@
             detail = "this router has not received a configuration yet"
             code = ResultCode.NOT_READY
             return Err(Fault(code=code, detail=detail, retry_after=NOT_READY_RETRY_AFTER))
+        if environ.get(TABLE_VERSION_KEY, table.version) != table.version:
+            # Callers of one router must not meet an older version after a newer one.
+            detail = "another configuration version is in force at the router that took the request"
+            code = ResultCode.NOT_READY
+            return Err(Fault(code=code, detail=detail, retry_after=NOT_READY_RETRY_AFTER))
         head = self._codec.decode_request_head(headers, now)
         if head.is_err():
             return Err(head.unwrap_err())
@@ -198,10 +206,15 @@
         return Ok(None)
 
     def _answer(
-        self, start_response: StartResponse, answer: Answer, request: RoutedRequest
+        self,
+        start_response: StartResponse,
+        answer: Answer,
+        request: RoutedRequest,
+        *,
+        is_last: bool,
     ) -> Iterable[bytes]:
         headers = [(n, v) for n, v in answer.headers if n.lower() not in DROPPED_HEADERS]
-        if self._closing_connections():
+        if is_last:
             headers.append(("Connection", "close"))
         start_response(status_line(answer.status), headers)
 
--- a/packages/loomyard-router/src/loomyard_router/routed/event_coalescer.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/event_coalescer.py
@@ -29,7 +29,14 @@
     max_delay: float
     lag: Callable[[], float]
 
+    @property
+    def seconds(self) -> float:
+        """Return for how long the next read is to wait, 0 while this router does not lag."""
+        if self.max_delay and self.lag() > LAG_THRESHOLD_SECONDS:
+            return DELAY_FRACTION * self.max_delay
+        return 0.0
+
     def delay_read(self) -> None:
         """Wait before the next read of a stream if this router lags."""
-        if self.max_delay and self.lag() > LAG_THRESHOLD_SECONDS:
-            self.clock.sleep(DELAY_FRACTION * self.max_delay)
+        if seconds := self.seconds:
+            self.clock.sleep(seconds)
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -13,7 +13,6 @@
 
 from loomyard.clock import Clock
 from loomyard.events import Event, emit
-from loomyard.util.addresses import split_address
 from loomyard_router.admission.assembly import make_admission
 from loomyard_router.announced.announced_target import AnnouncedTarget
 from loomyard_router.announced.evacuated_data_centres import EvacuatedDataCentres
@@ -43,8 +42,11 @@
 from loomyard_router.feeds.unreadable_entry import UnreadableEntry
 from loomyard_router.fleet_components import make_fleet_components
 from loomyard_router.lag.lag_monitor import LagMonitor
+from loomyard_router.lag.lagging_routers import LaggingRouters
 from loomyard_router.metrics.lazy_server import make_lazy_metrics
 from loomyard_router.metrics.request_metrics import RequestMetrics
+from loomyard_router.offload.caller_listeners import CallerListeners
+from loomyard_router.offload.offload_candidates import OffloadCandidates
 from loomyard_router.ready_listener import ReadyListener
 from loomyard_router.requests.retry_budget import RetryBudget
 from loomyard_router.routed.app import RoutedApp
@@ -55,11 +57,9 @@
 from loomyard_router.routed.event_coalescer import EventCoalescer
 from loomyard_router.routed.forwarder import Forwarder
 from loomyard_router.routed.http_codecs import CallerCodec, TargetCodec
-from loomyard_router.routed.listener import RoutedListener
 from loomyard_router.routed.loop_lag import LoopLag
 from loomyard_router.routed.unread_answer_metrics import UnreadAnswerMetrics
 from loomyard_router.routed.unread_answers import UnreadAnswers
-from loomyard_router.routes.caller_limits import CallerLimits
 from loomyard_router.routes.route_table import RouteTable
 from loomyard_router.routes.route_table_consumer import RouteTableConsumer
 from loomyard_router.routes.route_table_holder import RouteTableHolder
@@ -158,6 +158,7 @@
         self._loop_lag = LoopLag(clock, max_lag=settings.most_lag)
         self._lag_monitor = LagMonitor(clock, threshold=settings.most_lag)
         self._loop_lag.subscribe(self._lag_monitor.record)
+        self._lagging_routers = LaggingRouters(clock, self.members, self._lag_monitor)
         self._admission = make_admission(
             clock=clock,
             registry=self.registry,
@@ -213,6 +214,9 @@
         )
         self.body_budget = BodyBudget(settings.body_bytes, rng)
         self.unread_answers = UnreadAnswers(clock, self.body_budget)
+        coalescer = EventCoalescer(
+            clock=clock, max_delay=settings.event_seconds, lag=lambda: self._loop_lag.seconds
+        )
         forwarder = Forwarder(
             clock=clock,
             gate=self._admission.gate,
@@ -224,9 +228,7 @@
                 per_request=settings.retries.ratio,
                 max_tokens=self._retry_slack,
             ),
-            coalescer=EventCoalescer(
-                clock=clock, max_delay=settings.event_seconds, lag=lambda: self._loop_lag.seconds
-            ),
+            coalescer=coalescer,
             unread_answers=self.unread_answers,
             origins=self._origins,
         )
@@ -243,14 +245,12 @@
             body_budget=self.body_budget,
         )
         self._in_flight = InFlight(clock)
-        self._listener = RoutedListener(
-            split_address(settings.listen),
+        self.listeners = CallerListeners(
+            settings,
             self.app,
-            log=None,
-            error_log=logger,
-            in_flight=self._in_flight,
             clock=clock,
-            limits=self._limits,
+            holder=self.holder,
+            in_flight=self._in_flight,
             early_refusal=EarlyRefusal(
                 clock=clock,
                 holder=self.holder,
@@ -260,8 +260,12 @@
                 retry_hint=self._admission.retry_hint,
                 meters=meters,
             ),
-            max_connections=settings.most_connections,
+            candidates=OffloadCandidates(
+                clock=clock, members=self.members, fitness=self._lagging_routers, rng=rng
+            ),
+            pause=lambda: coalescer.seconds,
         )
+        self._listener = self.listeners.front
         self._ready = ReadyListener(settings.ready_listen, platform.ready_path, lambda: self.ready)
         self._metrics = make_lazy_metrics(
             settings.metrics_listen,
@@ -316,6 +320,7 @@
         components = (
             self.fleet.peers,
             self.members,
+            self._lagging_routers,
             self._admission,
             self._feed_exchange,
             self._leaving_exchange,
@@ -332,7 +337,7 @@
         self._targets.start()
         self._ready.start()
         self._metrics.start()
-        self._listener.start()
+        self.listeners.start()
         emit(logger, Event.ROUTER_STARTED, name=self._settings.name, listen=self._settings.listen)
 
     def adopt(self, settings: RoutedSettings) -> None:
@@ -357,16 +362,16 @@
         self._clock.sleep(max(0.0, unlisted_at - self._clock.now()))
         # Running requests may end within the grace; new ones are refused, to be sent elsewhere.
         self.refusing = True
-        self._listener.close_listener()
-        self._listener.close_idle()
+        self.listeners.close_listeners()
+        self.listeners.close_idle()
         self._in_flight.wait_idle(deadline)
-        self._listener.close_idle()
+        self.listeners.close_idle()
         emit(logger, Event.ROUTER_STOPPED, in_flight=len(self._in_flight))
         self.stop()
 
     def stop(self) -> None:
         """Stop at once, without waiting for requests in flight."""
-        self._listener.stop()
+        self.listeners.stop()
         self._ready.stop()
         self._metrics.stop()
         self._tables.stop()
@@ -380,6 +385,7 @@
             self._crash_exchange,
             self._feed_exchange,
             self._admission,
+            self._lagging_routers,
             self.members,
             self.fleet.peers,
         )
@@ -389,10 +395,6 @@
     def _retry_slack(self) -> float:
         return 1.0 + SLACK_FRACTION * self._settings.retries.slack / self._live_routers()
 
-    def _limits(self) -> CallerLimits:
-        table = self.holder.table
-        return CallerLimits() if table is None else table.limits
-
     def _live_routers(self) -> int:
         return len(self.members.live())
 
--- a/packages/loomyard-router/src/loomyard_router/routed_settings.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_settings.py
@@ -30,7 +30,8 @@
     the event loop exceeds ``most_lag``, new requests are refused, because latency objectives are a
     few hundred milliseconds. ``event_seconds`` is how long an event of a stream may take from its
     target to its caller, 0 if users set no limit. ``body_bytes`` bounds the request bodies in
-    memory. ``first_start`` is true for routers that start together with the whole system.
+    memory. At ``offload_listen`` other routers pass on connections of callers; without it none is
+    passed on. ``first_start`` is true for routers that start together with the system.
     """
 
     name: str
@@ -39,6 +40,7 @@
     store: str
     data_centre: str = ""
     peer_listen: str = ""
+    offload_listen: str = ""
     metrics_listen: str = ""
     seeds: tuple[str, ...] = ()
     fleet_secret: tuple[str, ...] = field(default=(), repr=False)
--- a/packages/loomyard/src/loomyard/events.py
+++ b/packages/loomyard/src/loomyard/events.py
@@ -63,6 +63,7 @@
     ANSWER_GIVEN_UP = (409, logging.WARNING, "an answer was aborted; its caller does not read")
     STREAM_NOT_RESUMED = (410, logging.INFO, "a caller's stream can't be resumed; nothing ran")
     STREAM_BEGAN = (411, logging.INFO, "a stream begins; its record is sent to its hosts")
+    CONNECTIONS_OFFLOADED = (412, logging.INFO, "connections were passed on to other routers")
     CLAIM_OUTCOME_UNKNOWN = (550, logging.WARNING, "a request was sent; its outcome is unknown")
     CLAIMS_TRIMMED = (551, logging.WARNING, "unread claim records were trimmed")
     CLAIM_END_DROPPED = (552, logging.ERROR, "the record of a claim's end was dropped")
--- /dev/null
+++ b/tests/test_loomyard_router/test_offload/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of connections passed on to other routers."""
