Keep what a silent router told in the sums of usage until it is dead or back

Cause: a report expires after a second, and a router whose tasks wait 0.3 s reports less often than that. Now the part of a report that its sender measured itself counts on, decaying with the window, until membership declares the sender dead, it reports again, or it says that it reports elsewhere (um). A router that sums up others sends its own part beside the sum (uo), as those below it report to another router meanwhile and must not count twice.

--- a/packages/loomyard-router/src/loomyard_router/admission/share_calculator.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_calculator.py
@@ -21,6 +21,7 @@
     from collections.abc import Callable
 
     from loomyard.clock import Clock
+    from loomyard_router.admission.received_reports import ReceivedReports
 
 logger = logging.getLogger(__name__)
 
@@ -57,10 +58,10 @@
         self._most_served = DecayingMaximum(CAPACITY_SECONDS)
         self._logged_at = -math.inf
 
-    def compute(self, report: UsageReport, *, oldest: float = 0.0) -> UsageReply:
+    def compute(self, report: UsageReport, reports: ReceivedReports | None = None) -> UsageReply:
         """Return the shares that follow from the sums of all routers.
 
-        ``oldest`` is the age in seconds of the oldest report among them, for the log.
+        ``reports`` are what the sums are of, for the log.
         """
         stated = self._rate() * self._window
         usage = sum(report.usage.values())
@@ -81,7 +82,7 @@
             usage=report.usage,
         )
         if backlogged:
-            self._log(report, reply, stated, observed, oldest)
+            self._log(report, reply, stated, observed, reports)
         return reply
 
     def _observe_capacity(self, report: UsageReport, backlogged: list[str]) -> float | None:
@@ -121,7 +122,7 @@
         reply: UsageReply,
         stated: float,
         observed: float | None,
-        oldest: float,
+        reports: ReceivedReports | None,
     ) -> None:
         """Log the sums behind the shares, at most once in ``LOG_SECONDS``."""
         now = self._clock.now()
@@ -140,7 +141,8 @@
             served_share=reply.served_share,
             cap=reply.usage_cap,
             routers=report.routers,
-            oldest_ms=round(oldest * MILLISECONDS),
+            silent=0 if reports is None else reports.silent,
+            oldest_ms=0 if reports is None else round(reports.oldest_seconds * MILLISECONDS),
             accounts={
                 name: [report.demand[name], report.usage.get(name, 0), report.unmet.get(name, 0)]
                 for name in largest[:MAX_ACCOUNTS_LOGGED]
--- a/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
@@ -6,13 +6,18 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from result import Ok
-
 from loomyard_router.admission.account_usage import AccountUsage
 from loomyard_router.admission.received_reports import ReceivedReports
 from loomyard_router.admission.report_parent import ReportParent
+from loomyard_router.admission.report_sender import ReportSender
 from loomyard_router.admission.share_calculator import UNMET_SECONDS, ShareCalculator
-from loomyard_router.admission.share_messages import NO_SHARE, UsageReply, UsageReport
+from loomyard_router.admission.share_messages import (
+    NO_SHARE,
+    OwnUsage,
+    ReportsMoved,
+    UsageReply,
+    UsageReport,
+)
 from loomyard_router.admission.share_metrics import ShareMetrics
 from loomyard_router.admission.share_tree import ranks_above
 from loomyard_router.admission.usage_growth import UsageGrowth
@@ -31,7 +36,6 @@
 
 # A sixteenth of the share window of 4 s: a burst is known everywhere after two or three reports.
 REPORT_SECONDS = 0.25
-REPLY_SECONDS = 0.2
 # An older reply says nothing of a burst that has begun since.
 REPLY_EXPIRY_SECONDS = 2.0
 # An account over its share is among those with the largest demand, so the others need no entry.
@@ -79,12 +83,15 @@
         self._unmet = AccountUsage(clock, UNMET_SECONDS)
         self._growth = UsageGrowth(window)
         self._mean_costs: dict[str, float] = {}
-        self._reports = ReceivedReports(clock)
+        self._reports = ReceivedReports(clock, window)
         self._reply = UsageReply()
         self._reply_at = -math.inf
         self._parent = ReportParent(clock, members)
+        self._sender = ReportSender(clock=clock, members=members, peers=peers, parent=self._parent)
         self._task: gevent.Greenlet | None = None
         peers.handle(UsageReport, self.handle_report)
+        peers.handle(OwnUsage, self.handle_own)
+        peers.handle(ReportsMoved, self.handle_moved)
 
     @property
     def metrics(self) -> ShareMetrics:
@@ -205,16 +212,24 @@
             usage=usage,
         )
 
+    def handle_own(self, member: Member, own: OwnUsage) -> None:
+        """Store the part of another router's sums that counts on if it falls silent."""
+        self._reports.store_own(member.name, own)
+
+    def handle_moved(self, member: Member, _: ReportsMoved) -> None:
+        """Drop the sums of a router that reports to another one."""
+        self._reports.forget(member.name)
+
     def step(self) -> None:
         """Report to the parent and store its reply; at the root compute the shares."""
         self._parent.refresh()
         report = self._aggregate()
         reported, self._unreported = self._unreported, AccountUsage(self._clock, self._window)
-        reply = (
-            self._calculator.compute(report, oldest=self._reports.oldest_seconds)
-            if self._is_root
-            else self._send_report(self._parent.name or self._parent.other_root, report)
-        )
+        if self._is_root:
+            self._sender.leave_all()
+            reply: UsageReply | None = self._calculator.compute(report, self._reports)
+        else:
+            reply = self._sender.send(report, self._own_usage() if report.routers > 1 else None)
         if reply is None:
             for account, cost in reported.all_tokens().items():
                 self._unreported.add(account, cost)
@@ -245,8 +260,8 @@
     def _aggregate(self) -> UsageReport:
         self._drop_reports()
         reports = self._reports
-        demand = Counter(self._demand.all_tokens())
-        usage, unmet = Counter(self._usage.all_tokens()), Counter(self._unmet.all_tokens())
+        own = self._own_usage()
+        demand, usage, unmet = Counter(own.demand), Counter(own.usage), Counter(own.unmet)
         self._mean_costs = {name: cost for name, cost in self._mean_costs.items() if name in demand}
         demand.update(reports.sum_up(lambda one: one.demand, self._window))
         usage.update(reports.sum_up(lambda one: one.usage, self._window))
@@ -260,6 +275,13 @@
             unmet={account: round(unmet[account]) for account in named if unmet[account] >= 1},
         )
 
+    def _own_usage(self) -> OwnUsage:
+        return OwnUsage(
+            demand=_round_all(self._demand.all_tokens()),
+            usage=_round_all(self._usage.all_tokens()),
+            unmet=_round_all(self._unmet.all_tokens()),
+        )
+
     def _store_reply(self, reply: UsageReply) -> None:
         self._reply = reply
         self._reply_at = self._clock.now()
@@ -270,7 +292,8 @@
         self._growth.record(elsewhere, self._reply_at)
 
     def _drop_reports(self) -> None:
-        """Drop reports that are old, or of dead routers, or that may include the own one."""
+        """Drop reports of dead routers, and those that may include the own one."""
+        self._reports.expire()
         live = {member.name for member in self._members.live()}
         self._reports.drop_unless(live.__contains__)
         if not self._is_root:
@@ -278,17 +301,11 @@
             # Of these the lower one leaves out the report of the other.
             self._reports.drop_unless(lambda name: ranks_above(self._members.own.name, name))
 
-    def _send_report(self, parent: str | None, report: UsageReport) -> UsageReply | None:
-        if parent is None:
-            return None
-        match self._peers.request(parent, report, self._clock.now() + REPLY_SECONDS):
-            case Ok(UsageReply() as reply):
-                self._parent.record_reply(parent)
-                return reply
-        self._parent.record_missed_reply()
-        return None
-
     def _run(self) -> None:
         while True:
             self._clock.sleep(REPORT_SECONDS * self._rng.uniform(0.8, 1.2))
             self.step()
+
+
+def _round_all(tokens: dict[str, float]) -> dict[str, int]:
+    return {account: round(value) for account, value in tokens.items()}
--- a/packages/loomyard-router/src/loomyard_router/admission/share_messages.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_messages.py
@@ -26,6 +26,25 @@
     unmet: dict[str, int] = field(factory=dict)
 
 
+@peer_message("uo")
+@frozen(kw_only=True)
+class OwnUsage:
+    """The part of a report that the sender measured itself, where others report to it.
+
+    It counts on if the sender falls silent.
+    """
+
+    demand: dict[str, int]
+    usage: dict[str, int]
+    unmet: dict[str, int] = field(factory=dict)
+
+
+@peer_message("um")
+@frozen
+class ReportsMoved:
+    """Tell a router that the sender reports to another one from now on."""
+
+
 @peer_message("uw")
 @frozen(kw_only=True)
 class UsageReply:
--- a/tests/test_loomyard_router/test_admission/test_share_ledger.py
+++ b/tests/test_loomyard_router/test_admission/test_share_ledger.py
@@ -24,6 +24,8 @@
 
 WINDOW = 4.0
 RATE = 100.0
+# Tokens between two reports of an account whose callers use all routers.
+SPREAD_TOKENS = 600.0
 
 
 class LedgerCase(unittest.TestCase):
@@ -404,8 +406,8 @@
         for _ in range(round(seconds / REPORT_SECONDS)):
             self.clock.advance(REPORT_SECONDS)
             for number, ledger in enumerate(self.ledgers):
-                ledger.record_demand("spread", 10.0)
-                ledger.record_usage("spread", 10.0)
+                ledger.record_demand("spread", SPREAD_TOKENS / self.routers)
+                ledger.record_usage("spread", SPREAD_TOKENS / self.routers)
                 if f"r{number}" == name and name not in without:
                     ledger.record_demand("alone", 900.0)
                     ledger.record_usage("alone", 100.0)
--- /dev/null
+++ b/tests/test_loomyard_router/test_lag/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of routers that lag."""
