Send reports of usage without waiting for a task

A router that lags reported late: the task that writes queued messages to a link waits for its turn behind all ready tasks, 0.28 s there, and the next report waits for the reply of this one. An urgent request is now written by the task that asks, which a timer wakes. test_an_urgent_request_waits_for_no_task: without it the message stays in the queue.

--- a/packages/loomyard-router/src/loomyard_router/admission/report_sender.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/report_sender.py
@@ -49,7 +49,8 @@
             return None
         if own is not None:
             self._peers.send(parent, own)
-        match self._peers.request(parent, report, self._clock.now() + REPLY_SECONDS):
+        deadline = self._clock.now() + REPLY_SECONDS
+        match self._peers.request(parent, report, deadline, urgent=True):
             case Ok(UsageReply() as reply):
                 self._parent.record_reply(parent)
                 return reply
--- a/packages/loomyard-router/src/loomyard_router/peers/link.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/link.py
@@ -104,8 +104,11 @@
         """Queue a message; false where the link is closed or its queue is full."""
         return self._enqueue(name_of(type(message)), message)
 
-    def request(self, message: Any, deadline: float) -> Result[Any, Fault]:
-        """Send a request and wait for its answer until a deadline, as ``AnswerWait`` does."""
+    def request(self, message: Any, deadline: float, *, urgent: bool = False) -> Result[Any, Fault]:
+        """Send a request and wait for its answer until a deadline, as ``AnswerWait`` does.
+
+        The task that writes queued messages waits for its turn; one that is ``urgent`` does not.
+        """
         self._requests += 1
         number = self._requests
         wait = AnswerWait(self._clock, deadline)
@@ -113,6 +116,8 @@
         try:
             if not self._enqueue(name_of(type(message)), message, request=number):
                 return _unreachable(f"the link to {self.peer.name} is closed or full")
+            if urgent:
+                self._flush()
             if not wait.wait():
                 return _unreachable(f"{self.peer.name} did not answer in time")
             return wait.answer.get_nowait()
--- a/packages/loomyard-router/src/loomyard_router/peers/links.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/links.py
@@ -25,9 +25,13 @@
     def send(self, to: str, message: Any) -> bool:
         """Send without waiting for an answer; false where no link can be used now."""
 
-    def request(self, to: str, message: Any, deadline: float) -> Result[Any, Fault]:
+    def request(
+        self, to: str, message: Any, deadline: float, *, urgent: bool = False
+    ) -> Result[Any, Fault]:
         """Send a request and return the answer.
 
+        One that is ``urgent`` leaves before this returns to the event loop, however much that lags.
+
         Errors: ``PEER_UNREACHABLE`` (the peer may have received it), ``PEER_FAILED``.
         """
 
--- a/packages/loomyard-router/src/loomyard_router/peers/no_peers.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/no_peers.py
@@ -18,7 +18,9 @@
     def send(self, to: str, message: Any) -> bool:
         return False
 
-    def request(self, to: str, message: Any, deadline: float) -> Result[Any, Fault]:
+    def request(
+        self, to: str, message: Any, deadline: float, *, urgent: bool = False
+    ) -> Result[Any, Fault]:
         return Err(Fault(code=ResultCode.PEER_UNREACHABLE, detail=f"no link to {to}"))
 
     def handle(self, kind: type, handler: Callable) -> None:
--- a/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
+++ b/packages/loomyard-router/src/loomyard_router/peers/websocket_links.py
@@ -85,12 +85,14 @@
             return False
         return self._pending.add(to, message)
 
-    def request(self, to: str, message: Any, deadline: float) -> Result[Any, Fault]:
+    def request(
+        self, to: str, message: Any, deadline: float, *, urgent: bool = False
+    ) -> Result[Any, Fault]:
         """Send a request and wait for the answer, opening a link where there is none."""
         link = self._links.find(to) or self._await_link(to, deadline)
         if link is None:
             return Err(Fault(code=ResultCode.PEER_UNREACHABLE, detail=f"no link to {to}"))
-        outcome = link.request(message, deadline)
+        outcome = link.request(message, deadline, urgent=urgent)
         if outcome.is_err():
             self._members.suspect(to)
         return outcome
--- a/packages/loomyard-standins/src/loomyard_standins/faults/instrumented_platform.py
+++ b/packages/loomyard-standins/src/loomyard_standins/faults/instrumented_platform.py
@@ -182,9 +182,11 @@
         self._points.reach(f"peer.send {type(message).__name__}")
         return self._peers.send(to, message)
 
-    def request(self, to: str, message: Any, deadline: float) -> Result[Any, Fault]:
+    def request(
+        self, to: str, message: Any, deadline: float, *, urgent: bool = False
+    ) -> Result[Any, Fault]:
         self._points.reach(f"peer.request {type(message).__name__}")
-        pending = gevent.spawn(self._peers.request, to, message, deadline)
+        pending = gevent.spawn(self._peers.request, to, message, deadline, urgent=urgent)
         timer = gevent.spawn(self._clock.sleep, max(0.0, deadline - self._clock.now()))
         gevent.wait([pending, timer], count=1)
         timer.kill(block=False)
--- a/packages/loomyard-standins/src/loomyard_standins/memory_network.py
+++ b/packages/loomyard-standins/src/loomyard_standins/memory_network.py
@@ -93,7 +93,9 @@
     def send(self, to: str, message: Any) -> bool:
         return self._network.deliver(self._member, to, message)
 
-    def request(self, to: str, message: Any, deadline: float) -> Result[Any, Fault]:
+    def request(
+        self, to: str, message: Any, deadline: float, *, urgent: bool = False
+    ) -> Result[Any, Fault]:
         if self._network.delay:
             gevent.sleep(2 * self._network.delay)
         links = self._network.find(self._member.name, to)
--- a/packages/loomyard-standins/src/loomyard_standins/virtual_time.py
+++ b/packages/loomyard-standins/src/loomyard_standins/virtual_time.py
@@ -111,7 +111,9 @@
     def send(self, to: str, message: Any) -> bool:
         return self._network.deliver(self._member, to, message)
 
-    def request(self, to: str, message: Any, deadline: float) -> Result[Any, Fault]:
+    def request(
+        self, to: str, message: Any, deadline: float, *, urgent: bool = False
+    ) -> Result[Any, Fault]:
         return Err(Fault(code=ResultCode.PEER_UNREACHABLE, detail="no requests in virtual time"))
 
     def handle(self, kind: type, handler: Callable[[Member, Any], Any]) -> None:
--- a/tests/test_loomyard_router/test_peers/test_websocket_links.py
+++ b/tests/test_loomyard_router/test_peers/test_websocket_links.py
@@ -7,6 +7,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest.mock import patch
 
 import gevent
 from attrs import frozen
@@ -140,6 +141,19 @@
         )
         self.assertEqual(len(a.links._links.all()), 1)
 
+    # Guards against reports of a lagging router that come so late that they count as missing.
+    def test_an_urgent_request_waits_for_no_task(self) -> None:
+        a, _ = self.router("a"), self.router("b")
+        a.request("b", 1).unwrap()
+        waiting: list[object] = []
+        with patch.object(link_module, "start_task", lambda *task: waiting.append(task)):
+            deadline = a.clock.now() + TIMEOUT
+            asked = gevent.spawn(a.links.request, "b", Question(number=5), deadline, urgent=True)
+            # The answer needs a task at the other router, which has none here.
+            self.wait(lambda: len(waiting) == 2)
+            asked.kill()
+        self.assertEqual(2, a.traffic.kinds["test-question"].sent_messages)
+
     def test_of_two_links_opened_at_once_both_sides_choose_the_same(self) -> None:
         a, b = self.router("a"), self.router("b")
         requests = [gevent.spawn(a.request, "b", 1), gevent.spawn(b.request, "a", 1)]
