Pass on a share of connections that follows the lag, before refusing any

Cause: it served again whenever its lag was below 15 ms, refused over 80 ms, and passed on only between, while serving costs several times what passing on does. A connection to another router that takes over 30 ms to open shows that the sockets alone fill the core: then it refuses.

--- a/packages/loomyard-router/src/loomyard_router/offload/caller_listeners.py
+++ b/packages/loomyard-router/src/loomyard_router/offload/caller_listeners.py
@@ -16,6 +16,7 @@
     from loomyard.clock import Clock
     from loomyard_router.callers.in_flight import InFlight
     from loomyard_router.offload.offload_candidates import OffloadCandidates
+    from loomyard_router.offload.offload_share import OffloadShare
     from loomyard_router.routed.app import RoutedApp
     from loomyard_router.routed.early_refusal import EarlyRefusal
     from loomyard_router.routed_settings import RoutedSettings
@@ -40,6 +41,7 @@
         in_flight: InFlight,
         early_refusal: EarlyRefusal,
         candidates: OffloadCandidates,
+        share: OffloadShare,
         pause: Callable[[], float],
     ) -> None:
         options: dict[str, Any] = {
@@ -52,6 +54,8 @@
             "max_connections": settings.most_connections,
         }
         self.offloader = Offloader(
+            clock=clock,
+            share=share,
             candidates=candidates,
             in_flight=in_flight,
             max_connections=settings.most_connections // OFFLOADED_DIVISOR,
--- a/packages/loomyard-router/src/loomyard_router/offload/offloader.py
+++ b/packages/loomyard-router/src/loomyard_router/offload/offloader.py
@@ -4,6 +4,7 @@
 
 import errno
 import logging
+import math
 import socket as sockets
 from collections import Counter
 from typing import TYPE_CHECKING
@@ -21,12 +22,19 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from loomyard.clock import Clock
     from loomyard_router.callers.in_flight import InFlight
     from loomyard_router.offload.offload_candidates import OffloadAddress, OffloadCandidates
+    from loomyard_router.offload.offload_share import OffloadShare
 
 logger = logging.getLogger(__name__)
 
 CONNECT_SECONDS = 0.1
+# A connection within the data centre that takes longer than this to open waits for this router,
+# whose sockets alone fill its core. Then more connections would only delay those it has.
+SLOW_CONNECT_SECONDS = 0.03
+# For so long a slow one counts.
+SLOW_SECONDS = 0.25
 LOG_SECONDS = 1.0
 
 
@@ -41,12 +49,16 @@
     def __init__(
         self,
         *,
+        clock: Clock,
+        share: OffloadShare,
         candidates: OffloadCandidates,
         in_flight: InFlight,
         max_connections: int,
         table_version: Callable[[], int],
         pause: Callable[[], float],
     ) -> None:
+        self._clock = clock
+        self._share = share
         self._candidates = candidates
         self._in_flight = in_flight
         self._max_connections = max_connections
@@ -54,12 +66,22 @@
         self._pause = pause
         self._splices: set[Splice] = set()
         self._connecting: set[_Connect] = set()
+        self._full_until = -math.inf
         self._counts: Counter[str] = Counter()
         self.total = 0
 
     def __len__(self) -> int:
         return len(self._splices) + len(self._connecting)
 
+    @property
+    def is_active(self) -> bool:
+        """Tell whether any new connection may be passed on now."""
+        return self._share.share > 0.0
+
+    def draw(self) -> bool:
+        """Tell whether the next connection is better passed on than served here."""
+        return self._share.draw()
+
     def offer(
         self, caller: socket, *, ended: Callable[[], None], failed: Callable[[], None]
     ) -> bool:
@@ -68,14 +90,20 @@
         It must not block. Later, ``ended`` tells that both connections are closed, or ``failed``
         that the other router did not accept and that the connection is as before.
         """
+        if self._clock.now() < self._full_until:
+            return False
         if self._table_version() <= 0 or len(self) >= self._max_connections:
             return False
         chosen = self._candidates.choose()
         if chosen is None:
             return False
 
+        started_at = self._clock.now()
+
         def connected(router: socket) -> None:
             self._connecting.discard(connect)
+            if self._clock.now() - started_at > SLOW_CONNECT_SECONDS:
+                self._full_until = self._clock.now() + SLOW_SECONDS
             self._join(caller, router, chosen, ended)
 
         def refused() -> None:
--- a/packages/loomyard-router/src/loomyard_router/routed/arrivals.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/arrivals.py
@@ -29,6 +29,13 @@
 class OffloadsConnections(Protocol):
     """Pass connections on to other routers."""
 
+    @property
+    def is_active(self) -> bool:
+        """Tell whether any new connection may be passed on now."""
+
+    def draw(self) -> bool:
+        """Tell whether the next connection is better passed on than served here."""
+
     def offer(
         self, caller: socket, *, ended: Callable[[], None], failed: Callable[[], None]
     ) -> bool:
@@ -58,6 +65,12 @@
         self._closed = closed
         self._waiting: set[_Wait] = set()
 
+    @property
+    def are_watched(self) -> bool:
+        """Tell whether any new connection may be refused or passed on now."""
+        offloader = self._offloader
+        return self._refusal.enabled or (offloader is not None and offloader.is_active)
+
     def take(self, sock: socket, address: Any, accepted_at: float) -> None:
         """Decide on a connection, now or as soon as its first bytes are there."""
         sock.settimeout(0.0)
@@ -87,21 +100,27 @@
         if not first:
             self._close(sock)
             return True
-        refused = self._refusal.check(first, accepted_at)
-        if refused is not None:
-            self._refuse(sock, refused)
-        elif not self._pass_on(sock, address):
-            self._serve(sock, address)
+
+        def decide_here() -> None:
+            refused = self._refusal.check(first, accepted_at)
+            if refused is None:
+                self._serve(sock, address)
+            else:
+                self._refuse(sock, refused)
+
+        if not self._pass_on(sock, first, decide_here):
+            decide_here()
         return True
 
-    def _pass_on(self, sock: socket, address: Any) -> bool:
-        return (
-            self._offloader is not None
-            and self._refusal.is_lagging
-            and self._offloader.offer(
-                sock, ended=self._closed, failed=lambda: self._serve(sock, address)
-            )
-        )
+    def _pass_on(self, sock: socket, first: bytes, failed: Callable[[], None]) -> bool:
+        offloader, refusal = self._offloader, self._refusal
+        if offloader is None or not refusal.may_be_passed_on(first):
+            return False
+        # Drawn in any case, which keeps the share up to date.
+        is_drawn = offloader.draw()
+        if not (is_drawn or refusal.is_refused_for_lag(first)):
+            return False
+        return offloader.offer(sock, ended=self._closed, failed=failed)
 
     def _refuse(self, sock: socket, refused: RefusedEarly) -> None:
         try:
--- a/packages/loomyard-router/src/loomyard_router/routed/early_refusal.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/early_refusal.py
@@ -21,7 +21,7 @@
     from loomyard_router.admission.account_backlog import AccountBacklog
     from loomyard_router.admission.waiting_time import RetryHint
     from loomyard_router.metrics.request_metrics import RequestMetrics
-    from loomyard_router.routed.http_codecs import CallerCodec
+    from loomyard_router.routed.http_codecs import CallerCodec, HeadPreview
     from loomyard_router.routes.route_table_holder import RouteTableHolder
 
 logger = logging.getLogger(__name__)
@@ -87,6 +87,29 @@
         """Tell whether the event loop of this router lags, if not so much that it refuses."""
         return self._backlog.is_router_lagging
 
+    def may_be_passed_on(self, first: bytes) -> bool:
+        """Tell whether another router could serve the request that begins with ``first``.
+
+        Every router refuses what is over a cap.
+        """
+        if HEAD_END not in first:
+            return False
+        if not self._backlog.any_over_cap:
+            return True
+        account = self._find_account(self._codec.preview_head(first))
+        return not (account and self._backlog.is_capped(account))
+
+    def is_refused_for_lag(self, first: bytes) -> bool:
+        """Tell whether this router is about to refuse a request that another one may serve."""
+        if not self.is_lagging:
+            return False
+        if self._overloaded():
+            return True
+        if not self._backlog.any_near_limit:
+            return False
+        account = self._find_account(self._codec.preview_head(first))
+        return bool(account) and self._backlog.is_full(account)
+
     def check(self, first: bytes, accepted_at: float) -> RefusedEarly | None:
         """Return the refusal of the request that begins with ``first``, ``None`` to decode it.
 
@@ -113,12 +136,10 @@
         return RefusedEarly(answer.encode(), len(head) + int(length[1] if length else 0))
 
     def _find_fault(self, head: bytes) -> Fault | None:
-        table = self._holder.table
-        if table is None:
+        if self._holder.table is None:
             return None
         preview = self._codec.preview_head(head)
-        account = table.authenticate(preview.key) if preview.key else None
-        name = "" if account is None else account.name
+        name = self._find_account(preview)
         if self._overloaded():
             fault = self._retry_hint.make_refusal(
                 ResultCode.ROUTER_OVERLOADED, "the event loop lags"
@@ -135,6 +156,12 @@
         self._record(fault, name, preview.attempt_id)
         return fault
 
+    def _find_account(self, preview: HeadPreview) -> str:
+        """Return the name of the account with the key of a request, empty without one."""
+        table = self._holder.table
+        account = table.authenticate(preview.key) if table is not None and preview.key else None
+        return "" if account is None else account.name
+
     def _record(self, fault: Fault, account: str, attempt_id: str) -> None:
         if not self._counts:
             self._first_attempt_id = attempt_id
--- a/packages/loomyard-router/src/loomyard_router/routed/listener.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/listener.py
@@ -97,7 +97,7 @@
         self._open_count += 1
         if self.over_connection_limit:
             self._close_longest_idle()
-        if self.early_refusal.enabled:
+        if self._arrivals.are_watched:
             self._arrivals.take(sock, address, self._clock.now())
         else:
             super().do_handle(sock, address)
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -47,6 +47,7 @@
 from loomyard_router.metrics.request_metrics import RequestMetrics
 from loomyard_router.offload.caller_listeners import CallerListeners
 from loomyard_router.offload.offload_candidates import OffloadCandidates
+from loomyard_router.offload.offload_share import OffloadShare
 from loomyard_router.ready_listener import ReadyListener
 from loomyard_router.requests.retry_budget import RetryBudget
 from loomyard_router.routed.app import RoutedApp
@@ -265,6 +266,7 @@
             candidates=OffloadCandidates(
                 clock=clock, members=self.members, fitness=self._lagging_routers, rng=rng
             ),
+            share=OffloadShare(clock, lambda: self._admission.backlog.is_router_lagging, rng),
             pause=lambda: coalescer.seconds,
         )
         self._listener = self.listeners.front
--- a/tests/test_loomyard_router/test_offload/offload_case.py
+++ b/tests/test_loomyard_router/test_offload/offload_case.py
@@ -62,7 +62,8 @@
         self.until(lambda: all(one.holder.version >= version and one.ready for one in self.routers))
 
     def let_lag(self, router: RoutedApplication) -> None:
-        """Let a router lag, though not so much that it refuses."""
+        """Let a router lag for a while, though not so much that it refuses."""
+        router.listeners.offloader._share.share = 1.0
         router._admission.backlog._limit = LagAwareLimit(lambda: 2 * LAG_THRESHOLD_SECONDS)
 
     def ended(self, router: RoutedApplication) -> int:
