Refuse streams without a record at a router that takes all others for dead

Reported by other operators: streams went on at another version, taken up at a router that was out of step during a release. Cause here: a router that is cut off takes all others for dead after some seconds, then asked nobody and took its own past for proof that there was one version only. Now a router that has known others and knows none any more refuses what it has no record of; its own streams have records.

--- a/packages/loomyard-router/src/loomyard_router/streams/origin_history.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_history.py
@@ -30,7 +30,7 @@
     """The services of each route of streams, and the versions of each service, with those gone.
 
     Where there was only one for longer than a stream lasts, a stream of which no record is found
-    can have begun nowhere else.
+    can have begun nowhere else. ``had_others`` tells that this router has known other routers.
     """
 
     def __init__(
@@ -51,9 +51,13 @@
         self._versions: dict[str, dict[str, float]] = {}
         self._seconds: dict[str, float] = {}
         self._listeners = Listeners("stream history")
+        self._members = members
+        self.had_others = False
         registry.subscribe(self._update_versions)
         holder.subscribe(self._update_services)
+        members.subscribe(self._update_members)
         members.subscribe_pause(self._on_pause)
+        self._update_members()
 
     @property
     def observed_seconds(self) -> float:
@@ -161,6 +165,10 @@
             if not seen:
                 del known[name]
 
+    def _update_members(self) -> None:
+        own = self._members.own.name
+        self.had_others |= any(member.name != own for member in self._members.live())
+
     def _on_pause(self, _: float) -> None:
         self._paused_at = self._clock.now()
         self._notify()
--- a/packages/loomyard-router/src/loomyard_router/streams/origin_lookup.py
+++ b/packages/loomyard-router/src/loomyard_router/streams/origin_lookup.py
@@ -129,8 +129,9 @@
         """Return the only origin that streams of a route can have, if there is just one."""
         silent = tuple(name for name in hosts if name not in replies)
         missing = MissingOrigin(silent=silent)
-        if hosts and not replies:
-            # Others may know of an origin that this router does not.
+        if not replies and (hosts or self._history.had_others):
+            # Others may know of an origin that this router does not. If it takes them all for dead,
+            # it may be cut off from them; the streams that it began itself have records.
             return missing
         possible = set(self._history.possible(route))
         observed = self._history.observed_seconds
--- a/tests/test_loomyard_router/test_streams/test_origin_fleet.py
+++ b/tests/test_loomyard_router/test_streams/test_origin_fleet.py
@@ -243,6 +243,41 @@
             fleet.routers[name].registry.replace_all(make_targets(("v1", "v2")))
         self.assertEqual({UNKNOWN}, fleet.find_everywhere("lost"))
 
+    # Guards against a stream that goes on at another version, taken up at a router out of step.
+    def test_a_router_cut_off_from_all_others_takes_its_own_past_for_no_proof(self) -> None:
+        for count in SIZES:
+            fleet = self.start(count, versions=("v1",))
+            fleet.run(2 * HISTORY_SECONDS)
+            others = set(fleet.routers) - {"r0"}
+            alone = fleet.routers["r0"].members
+            everyone = list(alone.live())
+            fleet.network.cut({"r0"}, others)
+            fleet.run(6.0)
+            # It takes the others for dead, and learns of the new version later than they do.
+            alone.change([alone.own])
+            for name in others:
+                fleet.routers[name].registry.replace_all(make_targets(("v1", "v2")))
+            fleet.begin("s", NEW, "r1")
+            fleet.run(0.5)
+            self.assertEqual(UNKNOWN, fleet.find("r0", "s").unwrap_err().code.name)
+            fleet.network.heal()
+            alone.change(everyone)
+            fleet.run(0.5)
+            self.assertEqual(NEW, fleet.find("r0", "s").unwrap())
+
+    def test_the_last_router_of_a_fleet_goes_on_with_streams_of_its_own(self) -> None:
+        fleet = self.start(2, versions=("v1",))
+        fleet.run(2 * HISTORY_SECONDS)
+        fleet.begin("s", OLD, "r0")
+        fleet.kill("r1")
+        self.assertEqual({UNKNOWN}, fleet.find_everywhere("lost"))
+        self.assertEqual({"v1"}, fleet.find_everywhere("s"))
+
+    def test_a_router_that_never_had_others_vouches_alone(self) -> None:
+        fleet = self.start(1, versions=("v1",))
+        fleet.run(HISTORY_SECONDS + 1.0)
+        self.assertEqual({"v1"}, fleet.find_everywhere("lost"))
+
     def test_a_router_that_started_just_now_is_told_by_the_others(self) -> None:
         fleet = self.start(3, versions=("v1",))
         fleet.run(2 * HISTORY_SECONDS)
