Take a number that no float holds for an unreadable entry

Reported by other operators: one odd entry among those of the targets ended machines that read the list, or they stopped following it. Forms tried here before held; one does not: an integer of 310 to 4,300 digits (10**400) in cold_left_ms, timeout_ms, slo_ms or a weight raised OverflowError, which no decoder caught, so the batch with it was not applied (routers live on since tasks are supervised). Integers are now compared without a float, and arithmetic and recursion errors of any field make an entry unreadable. The new test of test_malformed_entries failed before.

--- a/packages/loomyard-router/src/loomyard_router/platform/documents.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/documents.py
@@ -69,7 +69,7 @@
         )
     try:
         return Ok(read_fields(kind, document))
-    except (ValueError, TypeError) as error:
+    except (ValueError, TypeError, ArithmeticError, RecursionError) as error:
         return Err(make_unreadable_entry(UnreadableReason.FIELDS, error))
 
 
--- a/packages/loomyard-router/src/loomyard_router/platform/entry_fields.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/entry_fields.py
@@ -121,7 +121,8 @@
     """Return the validator of a finite integer or float in an inclusive range."""
 
     def check(_: Any, field: Attribute, value: Any) -> None:
-        if type(value) not in (int, float) or not math.isfinite(value):
+        # An integer may be larger than any float.
+        if type(value) not in (int, float) or (type(value) is float and not math.isfinite(value)):
             raise ValueError(f"{field.name} is not a finite number: {value!r}")
         if not min_value <= value <= max_value:
             raise ValueError(f"{field.name} is not from {min_value} to {max_value}: {value!r}")
--- a/tests/test_loomyard_router/test_platform/test_malformed_entries.py
+++ b/tests/test_loomyard_router/test_platform/test_malformed_entries.py
@@ -60,6 +60,8 @@
     3.5,
     1e18,
     10**40,
+    # More than a float holds, and fewer digits than Python refuses to read.
+    10**400,
     float("nan"),
     float("inf"),
     "",
@@ -106,6 +108,22 @@
         self.assertEqual(["t0", "t1"], self.usable())
         self.assertEqual(len(INVALID_KEYS), self.unreadable.counts["targets", UnreadableReason.KEY])
 
+    # Guards against routers that stop following the targets because of one number.
+    def test_a_number_that_no_float_holds_stops_no_feed(self) -> None:
+        data = json.dumps(GOOD | {"cold_left_ms": 10**400}).encode()
+        self.feed.apply_records([record(10, "t-bad", data), record(11, "t0", None)])
+        self.assertEqual(["t1"], self.usable())
+        for name in ("timeout_ms", "slo_ms", "gap_slo_ms"):
+            route = {"name": "r", "host": "h", "path_prefix": "/", "service": "one", name: 10**400}
+            document = {"version": 1, "routes": [route], "services": []}
+            self.assertTrue(decode_configuration(json.dumps(document).encode()).is_err())
+
+    def test_nesting_that_can_be_read_but_not_shown_does_not_raise(self) -> None:
+        for depth in range(100, 1000, 10):
+            value = b"[" * depth + b"]" * depth
+            data = json.dumps(GOOD | {"service": "SERVICE"}).encode().replace(b'"SERVICE"', value)
+            self.assertTrue(decode_target("t", data).is_err())
+
     def test_malformed_json_does_not_raise(self) -> None:
         for number, data in enumerate((b"", b"\xff\xfe", DEEP, b'{"a":' * 100_000, b"1" * 9_000)):
             self.assertTrue(decode_target("t", data).is_err())
