--- a/packages/loomyard-router/src/loomyard_router/platform/callers.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -85,7 +86,7 @@
             return Err(_malformed("the request has no id"))
         try:
             return Ok(self._decode(attempt_id, fields, headers, now))
-        except ValueError as error:
+        except (ValueError, OverflowError) as error:
             return Err(_malformed(f"unreadable header: {error}"))
 
     def preview_head(self, head: bytes) -> HeadPreview:
@@ -118,6 +119,8 @@
         seconds = (
             DEFAULT_DEADLINE_SECONDS if milliseconds is None else float(milliseconds) / MILLISECONDS
         )
+        if not math.isfinite(seconds):
+            raise ValueError(f"a deadline of {milliseconds} ms")
         prompt_tokens, _, max_output = fields.get(names.TOKEN_USAGE.lower(), "").partition(",")
         hint = fields.get(names.LENGTH_HINT.lower())
         hop_by_hop = _named_by_connection(headers)
--- a/tests/test_loomyard_router/test_platform/test_callers.py
+++ b/tests/test_loomyard_router/test_platform/test_callers.py
@@ -22,6 +22,17 @@
     )
 
 
+class OddNumbersTest(unittest.TestCase):
+    # Guards against requests that end with an error of the router because of one number.
+    def test_a_header_without_a_finite_number_makes_the_request_malformed(self) -> None:
+        names = ("Loomyard-Deadline-Ms", "Loomyard-Length-Hint", "Loomyard-Token-Usage")
+        for name in names:
+            for value in ("nan", "inf", "-inf", "1e999", "9" * 5000, "x"):
+                with self.subTest(name=name, value=value[:10]):
+                    headers = [("Loomyard-Attempt-Id", "9c41"), (name, value)]
+                    self.assertTrue(PlatformCallers().decode_request_head(headers, 0.0).is_err())
+
+
 class ForwardedHeadersTest(unittest.TestCase):
     """Targets obey platform headers, so callers may set only those meant for callers."""
 
