--- a/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/exposition.py
@@ -13,6 +13,7 @@
 from loomyard_router.admission.share_metrics import ShareMetrics
 from loomyard_router.admission.slot_metrics import SlotMetrics
 from loomyard_router.announced.target_metrics import TargetMetrics
+from loomyard_router.lag.lag_metrics import LagMetrics
 from loomyard_router.metrics.key_histograms import UNITS_PER_SECOND
 from loomyard_router.routed.body_metrics import BodyMetrics
 from loomyard_router.routed.unread_answer_metrics import UnreadAnswerMetrics
@@ -48,6 +49,7 @@
         unread: UnreadAnswerMetrics | None = None,
         shares: ShareMetrics | None = None,
         streams: StreamMetrics | None = None,
+        lag: LagMetrics | None = None,
     ) -> None:
         self._meters = requests
         self._traffic = traffic
@@ -59,6 +61,7 @@
         self._unread = unread or UnreadAnswerMetrics()
         self._shares = shares or ShareMetrics()
         self._streams = streams or StreamMetrics()
+        self._lag = lag or LagMetrics()
 
     def collect(self) -> Iterator[Metric]:
         yield from self._collect_phases()
@@ -74,6 +77,7 @@
         yield from self._collect_bodies()
         yield from self._collect_shares()
         yield from self._collect_streams()
+        yield from self._collect_lag()
 
     def _collect_phases(self) -> Iterator[Metric]:
         quantiles = GaugeMetricFamily(
@@ -296,6 +300,28 @@
             lookups.add_metric((result,), count)
         yield lookups
 
+    def _collect_lag(self) -> Iterator[Metric]:
+        yield _make_gauge(
+            "loomyard_router_lagging",
+            "1 while this router lags, so that others have its duties",
+            lambda: int(self._lag.is_lagging()),
+        )
+        yield _make_gauge(
+            "loomyard_routers_lagging",
+            "routers that this one knows to lag, itself included",
+            self._lag.lagging_routers,
+        )
+        yield _make_counter(
+            "loomyard_connections_offloaded",
+            "connections of callers passed on to other routers",
+            self._lag.offloaded,
+        )
+        yield _make_gauge(
+            "loomyard_connections_offloaded_open",
+            "connections of callers that are served by other routers now",
+            self._lag.offloaded_open,
+        )
+
 
 def _collect_failures() -> Metric:
     family = CounterMetricFamily(
--- a/packages/loomyard-router/src/loomyard_router/metrics/lazy_server.py
+++ b/packages/loomyard-router/src/loomyard_router/metrics/lazy_server.py
@@ -17,6 +17,7 @@
     from loomyard_router.admission.slot_metrics import SlotMetrics
     from loomyard_router.announced.target_metrics import TargetMetrics
     from loomyard_router.feeds.feed_state import FeedState
+    from loomyard_router.lag.lag_metrics import LagMetrics
     from loomyard_router.metrics.request_metrics import RequestMetrics
     from loomyard_router.peers.traffic import TrafficCounters
     from loomyard_router.routed.body_metrics import BodyMetrics
@@ -55,6 +56,7 @@
     unread: UnreadAnswerMetrics,
     shares: ShareMetrics,
     streams: StreamMetrics,
+    lag: LagMetrics,
 ) -> LazyMetricsServer:
     """Make the metrics listener; without an address it does not listen."""
 
@@ -66,7 +68,17 @@
             "",
             ready,
             RouterCollector(
-                requests, traffic, in_flight, feeds, targets, slots, bodies, unread, shares, streams
+                requests,
+                traffic,
+                in_flight,
+                feeds,
+                targets,
+                slots,
+                bodies,
+                unread,
+                shares,
+                streams,
+                lag,
             ),
         )
 
--- a/packages/loomyard-router/src/loomyard_router/routed_application.py
+++ b/packages/loomyard-router/src/loomyard_router/routed_application.py
@@ -41,6 +41,7 @@
 from loomyard_router.feeds.unreadable_entries import UnreadableEntries
 from loomyard_router.feeds.unreadable_entry import UnreadableEntry
 from loomyard_router.fleet_components import make_fleet_components
+from loomyard_router.lag.lag_metrics import LagMetrics
 from loomyard_router.lag.lag_monitor import LagMonitor
 from loomyard_router.lag.lagging_routers import LaggingRouters
 from loomyard_router.metrics.lazy_server import make_lazy_metrics
@@ -298,6 +299,12 @@
             ),
             shares=self._admission.ledger.metrics,
             streams=self._origins.metrics,
+            lag=LagMetrics(
+                is_lagging=lambda: self._lag_monitor.is_lagging,
+                lagging_routers=lambda: len(self._lagging_routers.names),
+                offloaded=lambda: self.listeners.offloader.total,
+                offloaded_open=lambda: len(self.listeners.offloader),
+            ),
         )
         self.registry.subscribe(self._retain_listed)
 
