Serve connections that were accepted just before a planned stop closed the listener

Found by reading: a connection that waits for its first bytes without a task, or whose router to pass it on to does not accept, gets its task later; the library's server can start none once its listener is closed, so the connection was left without an answer. The task is now started without the listener. The new test of test_arrivals failed before; the test case counts tasks where they are started now.

--- a/packages/loomyard-router/src/loomyard_router/routed/listener.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/listener.py
@@ -84,7 +84,7 @@
         self._arrivals = Arrivals(
             refusal=early_refusal,
             offloader=offloader,
-            serve=super().do_handle,
+            serve=self._start_task,
             closed=self._count_closed,
         )
         self._max_connections = max_connections
@@ -100,7 +100,7 @@
         if self._arrivals.are_watched:
             self._arrivals.take(sock, address, self._clock.now())
         else:
-            super().do_handle(sock, address)
+            self._start_task(sock, address)
 
     def do_close(self, sock: Any, *arguments: Any) -> None:
         super().do_close(sock, *arguments)
@@ -119,6 +119,17 @@
         for task in list(self.idle_tasks):
             _kill_idle(task)
 
+    def _start_task(self, sock: Any, address: Any) -> None:
+        # Unlike that of the base class it works once the listener is closed, for connections that
+        # were accepted before and waited for their first bytes.
+        self.pool.spawn(self._serve_connection, sock, address)
+
+    def _serve_connection(self, sock: Any, address: Any) -> None:
+        try:
+            self.handle(sock, address)
+        finally:
+            self.do_close(sock, address)
+
     def _count_closed(self) -> None:
         self._open_count -= 1
 
--- a/tests/test_loomyard_router/test_routed/test_arrivals.py
+++ b/tests/test_loomyard_router/test_routed/test_arrivals.py
@@ -18,13 +18,14 @@
         self.tasks = 0
         self.router._listener.early_refusal._overloaded = lambda: True
         self.router.app._overloaded = lambda: True
-        started = self.router._listener._spawn
+        pool = self.router._listener.pool
+        started = pool.spawn
 
         def spawn(*arguments: object) -> gevent.Greenlet:
             self.tasks += 1
             return started(*arguments)
 
-        self.router._listener._spawn = spawn
+        pool.spawn = spawn
 
     # Guards against refusals that wait behind all ready tasks, and make the router lag further.
     def test_a_refusal_waits_for_no_task(self) -> None:
@@ -64,3 +65,12 @@
             self.call()
         self.connect().close()
         self.until(lambda: self.router._listener._open_count == 0)
+
+    # Guards against a planned stop that drops what was accepted just before it.
+    def test_a_connection_accepted_before_the_listener_closed_is_answered(self) -> None:
+        sock = self.connect()
+        self.until(lambda: self.router._listener._open_count == 1)
+        self.router._listener.early_refusal._overloaded = lambda: False
+        self.router.app._overloaded = lambda: False
+        self.router._listener.close_listener()
+        self.assertEqual(200, self.call(sock=sock).status)
