--- a/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_ledger.py
@@ -17,6 +17,7 @@
     ReportsMoved,
     UsageReply,
     UsageReport,
+    make_own_usage,
 )
 from loomyard_router.admission.share_metrics import ShareMetrics
 from loomyard_router.admission.usage_growth import UsageGrowth
@@ -101,7 +102,7 @@
             demand=self._demand.all_tokens,
             usage=self._usage.all_tokens,
             unmet=self._unmet.all_tokens,
-            shares=self._known_shares,
+            shares=lambda: {} if self._is_stale else self._reply.known(),
         )
 
     def start(self) -> None:
@@ -243,16 +244,6 @@
     def _is_stale(self) -> bool:
         return self._clock.now() - self._reply_at > REPLY_EXPIRY_SECONDS
 
-    def _known_shares(self) -> dict[str, float]:
-        if self._is_stale:
-            return {}
-        shares = {
-            "share": self._reply.share,
-            "served_share": self._reply.served_share,
-            "cap": self._reply.usage_cap,
-        }
-        return {name: tokens for name, tokens in shares.items() if tokens != NO_SHARE}
-
     def _decay(self, since: float, window: float) -> float:
         return math.exp(-max(0.0, self._clock.now() - since) / window)
 
@@ -275,10 +266,8 @@
         )
 
     def _own_usage(self) -> OwnUsage:
-        return OwnUsage(
-            demand=_round_all(self._demand.all_tokens()),
-            usage=_round_all(self._usage.all_tokens()),
-            unmet=_round_all(self._unmet.all_tokens()),
+        return make_own_usage(
+            self._demand.all_tokens(), self._usage.all_tokens(), self._unmet.all_tokens()
         )
 
     def _store_reply(self, reply: UsageReply) -> None:
@@ -304,7 +293,3 @@
         while True:
             self._clock.sleep(REPORT_SECONDS * self._rng.uniform(0.8, 1.2))
             self.step()
-
-
-def _round_all(tokens: dict[str, float]) -> dict[str, int]:
-    return {account: round(value) for account, value in tokens.items()}
--- a/packages/loomyard-router/src/loomyard_router/admission/share_messages.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from attrs import field, frozen
 
 from loomyard_router.peers.message_types import peer_message
@@ -39,6 +41,17 @@
     unmet: dict[str, int] = field(factory=dict)
 
 
+def make_own_usage(
+    demand: Mapping[str, float], usage: Mapping[str, float], unmet: Mapping[str, float]
+) -> OwnUsage:
+    """Return the tokens by account in whole numbers."""
+    rounded = [
+        {account: round(tokens) for account, tokens in one.items()}
+        for one in (demand, usage, unmet)
+    ]
+    return OwnUsage(demand=rounded[0], usage=rounded[1], unmet=rounded[2])
+
+
 @peer_message("um")
 @frozen
 class ReportsMoved:
@@ -60,3 +73,8 @@
     served_share: int = NO_SHARE
     usage_cap: int = NO_SHARE
     usage: dict[str, int] = field(factory=dict)
+
+    def known(self) -> dict[str, int]:
+        """Return the share, the served share and the cap by name, without unknown ones."""
+        shares = {"share": self.share, "served_share": self.served_share, "cap": self.usage_cap}
+        return {name: tokens for name, tokens in shares.items() if tokens != NO_SHARE}
