--- a/packages/loomyard-router/src/loomyard_router/admission/share_messages.py
+++ b/packages/loomyard-router/src/loomyard_router/admission/share_messages.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from typing import TYPE_CHECKING
 
 from attrs import field, frozen
 
 from loomyard_router.peers.message_types import peer_message
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 # No share is known, so no account is over its share.
 NO_SHARE = -1
 
