Pass no connections on to a router that is suspected

A router that stands still accepts connections and serves none, until membership declares it dead some seconds later; it is suspected after one.

--- a/packages/loomyard-router/src/loomyard_router/offload/offload_candidates.py
+++ b/packages/loomyard-router/src/loomyard_router/offload/offload_candidates.py
@@ -9,7 +9,7 @@
 from loomyard.clock import Clock
 from loomyard.util.addresses import split_address
 from loomyard_router.lag.lagging_routers import RouterFitness
-from loomyard_router.members.membership import Membership
+from loomyard_router.members.membership import Membership, MemberState
 
 # Routers listen for offloaded connections at the port after that for links.
 PORT_OFFSET = 1
@@ -27,7 +27,7 @@
 
 @define(eq=False)
 class OffloadCandidates:
-    """Routers in this data centre that do not lag and lately accepted connections.
+    """Routers in this data centre that are not suspected, do not lag and accept connections.
 
     Other data centres are left out: the bytes of requests that must stay in a region would leave
     it, and traffic between data centres has a price.
@@ -42,18 +42,19 @@
     def choose(self) -> OffloadAddress | None:
         """Return one of the candidates at random, ``None`` without any."""
         own, now = self.members.own, self.clock.now()
-        names = [
+        candidates = [
             member
             for member in self.members.live()
             if member.data_centre == own.data_centre
+            and member.state is MemberState.ALIVE
             and member.name != own.name
             and member.address
             and not self.fitness.is_lagging(member.name)
             and self._excluded.get(member.name, 0.0) <= now
         ]
-        if not names:
+        if not candidates:
             return None
-        member = self.rng.choice(names)
+        member = self.rng.choice(candidates)
         host, port = split_address(member.address)
         return OffloadAddress(member.name, (host, port + PORT_OFFSET))
 
