--- a/packages/loomyard-router/src/loomyard_router/routed/listener.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/listener.py
@@ -10,6 +10,7 @@
 from loomyard_router.callers.handler import CONNECTION_TIMEOUT, CallerHandler, CallerServer
 from loomyard_router.routed.app import HEADERS_KEY
 from loomyard_router.routed.arrivals import Arrivals
+from loomyard_router.supervision.tasks import start_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -122,7 +123,7 @@
     def _start_task(self, sock: Any, address: Any) -> None:
         # Unlike that of the base class it works once the listener is closed, for connections that
         # were accepted before and waited for their first bytes.
-        self.pool.spawn(self._serve_connection, sock, address)
+        self.pool.add(start_task("callers", self._serve_connection, sock, address))
 
     def _serve_connection(self, sock: Any, address: Any) -> None:
         try:
--- a/tests/test_loomyard_router/test_routed/test_arrivals.py
+++ b/tests/test_loomyard_router/test_routed/test_arrivals.py
@@ -19,13 +19,13 @@
         self.router._listener.early_refusal._overloaded = lambda: True
         self.router.app._overloaded = lambda: True
         pool = self.router._listener.pool
-        started = pool.spawn
+        add = pool.add
 
-        def spawn(*arguments: object) -> gevent.Greenlet:
+        def count(task: gevent.Greenlet) -> None:
             self.tasks += 1
-            return started(*arguments)
+            add(task)
 
-        pool.spawn = spawn
+        pool.add = count
 
     # Guards against refusals that wait behind all ready tasks, and make the router lag further.
     def test_a_refusal_waits_for_no_task(self) -> None:
