Use a router that accepted a connection though this one noticed late

Found by reading: where the timer of an attempt to connect fires in the same pass of the loop in which the connection opened, the full router left a sound one out for five seconds and served or refused the request itself. The state of the connection counts now, not the order of the callbacks. The new test of test_offloader failed before.

--- a/packages/loomyard-router/src/loomyard_router/offload/offloader.py
+++ b/packages/loomyard-router/src/loomyard_router/offload/offloader.py
@@ -187,14 +187,25 @@
         self._socket.close()
 
     def _finish(self, error: int = 0) -> None:
-        error = error or self._socket.getsockopt(sockets.SOL_SOCKET, sockets.SO_ERROR)
         self._close_watchers()
+        if self._is_open():
+            # Also where the timer came first: the other router accepted, and this one is late.
+            error = 0
+        else:
+            error = error or self._socket.getsockopt(sockets.SOL_SOCKET, sockets.SO_ERROR)
         if error:
             self._socket.close()
             self._refused()
         else:
             self._connected(self._socket)
 
+    def _is_open(self) -> bool:
+        try:
+            self._socket.getpeername()
+        except OSError:
+            return False
+        return True
+
     def _close_watchers(self) -> None:
         for watcher in (self._writable, self._timer):
             watcher.stop()
--- a/tests/test_loomyard_router/test_offload/test_offloader.py
+++ b/tests/test_loomyard_router/test_offload/test_offloader.py
@@ -4,9 +4,11 @@
 
 import http.client
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 import gevent
 
+from loomyard_router.offload import offloader
 from loomyard_router.routes.kind import RouteKind
 from test_loomyard_router.test_offload.offload_case import OffloadCase
 from test_loomyard_router.test_routed.routed_case import request_bytes, route
@@ -56,6 +58,17 @@
             self.assertEqual(200, self.call().status)
         self.assertEqual(3, self.ended(self.routers[0]))
 
+    # Guards against a late router that leaves out others which accepted in time.
+    def test_a_router_that_accepted_is_used_though_this_one_noticed_late(self) -> None:
+        own_timer = patch.object(offloader, "CONNECT_SECONDS", 0.0)
+        with own_timer:
+            sock = self.connect()
+            sock.sendall(request_bytes("/p/x"))
+            response = http.client.HTTPResponse(sock, method="POST")
+            response.begin()
+        self.assertEqual(200, response.status)
+        self.assertEqual((0, 1), (self.ended(self.routers[0]), self.ended(self.routers[1])))
+
     def test_a_router_with_another_configuration_refuses_what_is_passed_on(self) -> None:
         self.routers[0].holder._table = None
         self.assertEqual(503, self.call().status)
