An answer without a length counts only where the whole request had arrived

What callers saw: a target answered a long upload at once with a head that had neither a length nor chunks, sent part of a body and reset the connection while the upload was still being written. The caller got the part as a whole answer: 200, 201, 404 and 500, plain answers and streams.

Cause: the kernel reports a reset once. The task that writes the upload waits in send and is told of it; the task that reads the answer then reads no bytes, which is how an orderly end looks. Besides, the end of the sending side of the target says nothing of the upload, which the kernel of the router may hold.

Evidence, from a trace of both tasks on (10 of 10 each, a target with a receive buffer of 4 kB): upload of 3 MiB, reset after .02 s: the sender takes ConnectionResetError, the reader reads an end, the answer is complete, the request unsent. End of the sending side, reset .1 s later: the reader reads an end while bytes are unacknowledged, for 5, 40 and 300 kB and for 3 MiB. Uploads up to 300 kB and a reset: the reader takes the error, the answer is broken.

Why the fix works: an end of the connection counts as the end of an answer where the whole request was written and acknowledged. Who is told of a reset does not matter then. A target that has read the request acknowledged it with or before its end, so no sound answer is rejected. Answers with a length or in chunks tell their end themselves and are not asked.

--- a/packages/loomyard-router/src/loomyard_router/routed/target_connection.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/target_connection.py
@@ -13,7 +13,7 @@
 from loomyard.util.addresses import split_address
 from loomyard.util.answer_bounds import ReadPacer
 from loomyard.util.read_buffer import receive
-from loomyard.util.tcp import disable_nagle, set_keepalive
+from loomyard.util.tcp import count_unacknowledged, disable_nagle, set_keepalive
 from loomyard_router.memory.shortages import note_shortage
 from loomyard_router.routed.answer_parser import AnswerParser
 from loomyard_router.supervision.tasks import start_task
@@ -100,6 +100,14 @@
             return False
         return False
 
+    @property
+    def _has_request_arrived(self) -> bool:
+        """Tell whether the target has acknowledged the whole request.
+
+        The end of its answer acknowledges all that came before it.
+        """
+        return self._sent and not count_unacknowledged(self._socket)
+
     def send(
         self, head: bytes, body: bytes, method: str, deadline: float, *, latest: float = math.inf
     ) -> None:
@@ -209,6 +217,10 @@
             raise ExchangeBrokenError(f"malformed answer: {error}") from error
         if not data and not parser.ended:
             raise ExchangeBrokenError("closed before the end of the answer")
+        if parser.ended_by_close and not self._has_request_arrived:
+            # The kernel reports a reset once. Where the task that sends is told of it, this one
+            # reads what looks like an orderly end.
+            raise ExchangeBrokenError("closed before the whole request had arrived at the target")
         self._pacer.record(len(data), perf_counter() - received_at)
 
     def _send_in_background(self, first: bytes, rest: memoryview, deadline: float) -> None:
--- a/packages/loomyard/src/loomyard/util/tcp.py
+++ b/packages/loomyard/src/loomyard/util/tcp.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
+import struct
+import termios
 from typing import TYPE_CHECKING, Any
 
 from gevent.pywsgi import WSGIServer
@@ -26,6 +29,7 @@
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
+_COUNT = struct.Struct("i")
 
 
 class NoDelayServer(WSGIServer):
@@ -77,3 +81,12 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def count_unacknowledged(sock: Any) -> int:
+    """Return how many sent bytes the peer has not acknowledged; 0 where the system can't tell."""
+    try:
+        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_COUNT.size))
+    except OSError:
+        return 0
+    return int(_COUNT.unpack(answer)[0])
--- /dev/null
+++ b/tests/test_loomyard_router/test_routed/early_target.py
@@ -0,0 +1,85 @@
+"""Target on loopback that answers once it has the head of a request, before the body."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable
+
+from attrs import define
+from gevent.server import StreamServer
+
+from loomyard_router.announced.announced_target import AnnouncedTarget
+from test_loomyard_router.test_routed.scripted_target import Received
+
+EarlyScript = Callable[[Received, socket.socket], None]
+
+# Less than an upload, so that the router is still writing when the answer comes.
+RECEIVE_BUFFER_BYTES = 4096
+RESET = struct.pack("ii", 1, 0)
+
+
+@define(eq=False)
+class EarlyTarget:
+    """Call the script with the head and what has arrived of the body; then close."""
+
+    id: str
+    service: str
+    script: EarlyScript
+    _server: StreamServer | None = None
+
+    def start(self) -> None:
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        self._server = StreamServer(listener, self._serve)
+        self._server.start()
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.stop(timeout=0)
+
+    def announced(self) -> AnnouncedTarget:
+        assert self._server is not None
+        address = f"127.0.0.1:{self._server.server_port}"
+        return AnnouncedTarget(id=self.id, service=self.service, address=address, slots=4)
+
+    def _serve(self, sock: socket.socket, _: object) -> None:
+        data = b""
+        try:
+            while b"\r\n\r\n" not in data:
+                block = sock.recv(1024)
+                if not block:
+                    return
+                data += block
+            head, _, body = data.partition(b"\r\n\r\n")
+            line, *lines = head.decode("latin-1").split("\r\n")
+            pairs = (text.split(": ", 1) for text in lines)
+            fields = {name.lower(): value for name, value in pairs}
+            self.script(Received(line, fields, body), sock)
+        except OSError:
+            return
+        finally:
+            sock.close()
+
+
+def answer_head(request: Received, *, status: str = "200 OK", fields: str = "") -> bytes:
+    """Return the head of an answer, which has neither a length nor chunks unless in ``fields``."""
+    return (
+        f"HTTP/1.1 {status}\r\nLoomyard-Attempt-Id: {request.attempt_id}\r\n"
+        f"Loomyard-Server-Stamp: stamp\r\n{fields}\r\n"
+    ).encode()
+
+
+def read_body(request: Received, sock: socket.socket) -> None:
+    """Read the rest of the body."""
+    left = int(request.headers["content-length"]) - len(request.body)
+    while left > 0:
+        left -= len(sock.recv(min(left, 65536)))
+
+
+def reset(sock: socket.socket) -> None:
+    """Close a connection by a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    sock.close()
