An answer of an engine without a length counts only after the whole request

What callers would see: on the product's own interface, an engine that answers a long request before it has read it, without a length, and ends its sending side is taken to have answered in full, whatever becomes of the request.

Cause: the same belief as at the targets of the platform, in the other reader of answers. One task sends and then reads here, so a reset is not lost on its way (holds, with a test); but the kernel may hold the request, and the end of the answer was not asked whether it had arrived.

Evidence: request of 300 kB, receive buffer of 4 kB, part of a body, end of the sending side, reset .1 s later: the part passes as whole on.

Why the fix works: an end of the connection while sent bytes are not acknowledged ends no answer. A target that has read the request acknowledged it with or before its end.

Beside it, passing before and after: a reset, an early 413 with a length, answers to the end of the connection to requests of 5 bytes, 300 kB and 3 MiB that were read.

--- a/packages/loomyard-router/src/loomyard_router/targets/http_answer.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/http_answer.py
@@ -12,6 +12,7 @@
 from loomyard.errors import Executed, Fault, ResultCode
 from loomyard.util.answer_bounds import BoundedFraming, ReadPacer
 from loomyard.util.read_buffer import receive
+from loomyard.util.tcp import count_unacknowledged
 
 if TYPE_CHECKING:
     from gevent.socket import socket
@@ -63,6 +64,9 @@
                 get_hub().wait(self._readable)
             self._reads += 1
             data = receive(sock, self._pacer.read_bytes)
+            if not data and count_unacknowledged(sock):
+                # It ends no answer, with or without a length.
+                raise HTTPConnectionClosed("closed before the whole request had arrived")
             received_at = perf_counter()
             self.feed(data)
             self._pacer.record(len(data), perf_counter() - received_at)
--- a/tests/test_loomyard_router/test_targets/test_http_engine.py
+++ b/tests/test_loomyard_router/test_targets/test_http_engine.py
@@ -5,6 +5,7 @@
 import unittest
 from typing import TYPE_CHECKING
 
+import gevent
 from gevent import socket as sockets
 
 from loomyard.clock import SystemClock
@@ -12,16 +13,29 @@
 from loomyard.external.engine import TargetCall
 from loomyard_router.targets.http_engine import make_http_engine
 from loomyard_standins.scripted_target import ScriptedTarget, answer_bytes
+from test_loomyard_router.test_routed.early_target import (
+    EarlyScript,
+    EarlyTarget,
+    answer_head,
+    read_body,
+    reset,
+)
 
 if TYPE_CHECKING:
     from gevent.socket import socket
 
     from loomyard_standins.scripted_target import ReceivedCall
+    from test_loomyard_router.test_routed.scripted_target import Received
 
 METHODS = ("GET", "PUT", "DELETE", "POST")
+PART = b"a part of the body"
+# The kernel of the sender holds the short one whole.
+SHORT_UPLOAD, UPLOAD = b"u" * 300_000, b"u" * (3 << 20)
 
 
-class HttpEngineTest(unittest.TestCase):
+class HttpEngineCase(unittest.TestCase):
+    """The adapter, and a target that answers each call once."""
+
     def setUp(self) -> None:
         self.clock = SystemClock()
         self.engine = make_http_engine(self.clock)
@@ -29,17 +43,26 @@
         self.target.start()
         self.addCleanup(self.target.stop)
 
-    def call(self, method: str = "POST", *, idempotent: bool = True, url: str = "") -> TargetCall:
+    def call(
+        self,
+        method: str = "POST",
+        *,
+        idempotent: bool = True,
+        url: str = "",
+        body: bytes = b"steel",
+    ) -> TargetCall:
         return TargetCall(
             attempt_id="r.1",
             url=url or self.target.url,
             method=method,
             path="/x",
-            body=b"steel",
+            body=body,
             deadline=self.clock.now() + 5.0,
             idempotent=idempotent,
         )
 
+
+class HttpEngineTest(HttpEngineCase):
     def test_a_call_on_a_reused_connection_that_closes_is_not_retried(self) -> None:
         for method in METHODS:
             with self.subTest(method=method):
@@ -100,6 +123,65 @@
         self.assertEqual(self.target.calls, [])
 
 
+class EarlyAnswersTest(HttpEngineCase):
+    """Answers without a length, or with one, to an upload that the target has not read."""
+
+    def upload(self, script: EarlyScript, body: bytes) -> bytes | ResultCode:
+        """Return the body of a whole answer, or the code of the fault."""
+        target = EarlyTarget("t", "s", script)
+        target.start()
+        self.addCleanup(target.stop)
+        opened = self.engine.open(self.call(url=f"http://{target.announced().address}", body=body))
+        if opened.is_err():
+            return opened.unwrap_err().code
+        blocks = []
+        while True:
+            read = opened.unwrap().read()
+            if read.is_err():
+                return read.unwrap_err().code
+            if not read.unwrap():
+                return b"".join(blocks)
+            blocks.append(read.unwrap())
+
+    # Guards against an end that says nothing of the upload, which the kernel may still hold.
+    def test_an_end_before_the_upload_has_arrived_is_no_end_of_an_answer(self) -> None:
+        def script(request: Received, sock: socket) -> None:
+            sock.sendall(answer_head(request) + PART)
+            sock.shutdown(sockets.SHUT_WR)
+            gevent.sleep(0.1)
+            reset(sock)
+
+        self.assertIs(ResultCode.ANSWER_INCOMPLETE, self.upload(script, SHORT_UPLOAD))
+        self.assertIs(ResultCode.ANSWER_LOST, self.upload(script, UPLOAD))
+
+    def test_a_part_before_a_reset_is_no_answer(self) -> None:
+        def script(request: Received, sock: socket) -> None:
+            sock.sendall(answer_head(request) + PART)
+            gevent.sleep(0.02)
+            reset(sock)
+
+        self.assertIs(ResultCode.ANSWER_INCOMPLETE, self.upload(script, SHORT_UPLOAD))
+        self.assertIs(ResultCode.ANSWER_LOST, self.upload(script, UPLOAD))
+
+    def test_an_early_answer_with_a_length_arrives(self) -> None:
+        def script(request: Received, sock: socket) -> None:
+            fields = f"Content-Length: {len(PART)}\r\n"
+            sock.sendall(answer_head(request, status="413 Too Large", fields=fields) + PART)
+            gevent.sleep(0.1)
+            reset(sock)
+
+        self.assertEqual(PART, self.upload(script, SHORT_UPLOAD))
+
+    def test_an_answer_to_the_end_of_the_connection_arrives_after_the_upload(self) -> None:
+        def script(request: Received, sock: socket) -> None:
+            read_body(request, sock)
+            sock.sendall(answer_head(request) + PART)
+
+        for body in (b"steel", SHORT_UPLOAD, UPLOAD):
+            with self.subTest(size=len(body)):
+                self.assertEqual(PART, self.upload(script, body))
+
+
 def answer_once(call: ReceivedCall, sock: socket) -> bool:
     sock.sendall(answer_bytes(call, b"done"))
     return True
