A broken answer without chunks ends at the caller by a reset

What callers saw: a caller that speaks HTTP/1.0 gets a stream, or an answer over 1 MiB, without a length and without chunks. Where the target reset after two events, or the router ended the stream, the caller's connection ended in an orderly way, so the part looked whole.

Cause: the listener closes a connection the same way after a whole answer and after a broken one. Chunks tell callers of HTTP/1.1 the difference; callers of HTTP/1.0 have nothing but the end of the connection.

Why the fix works: such a connection is set to end by a reset when the head is written, and in order again once the whole answer is. Any other end, by an error, the stop of the task or the end of the process, comes before that. Answers in chunks or with a length are untouched.

Whole streams and answers to such callers end in order, before and after.

--- a/packages/loomyard-router/src/loomyard_router/callers/handler.py
+++ b/packages/loomyard-router/src/loomyard_router/callers/handler.py
@@ -16,7 +16,7 @@
 from loomyard.errors import Fault, ResultCode
 from loomyard.events import Event, emit
 from loomyard.util.read_buffer import receive
-from loomyard.util.tcp import NoDelayServer
+from loomyard.util.tcp import NoDelayServer, set_reset_on_close
 from loomyard_router.callers.body_input import BodyInput
 from loomyard_router.callers.caller_stream import CallerStream
 from loomyard_router.callers.fields import MAX_BODY
@@ -48,6 +48,8 @@
 MAX_DISCARD_SECONDS = 1.0
 DISCARD_IDLE_SECONDS = 0.1
 READ_SIZE = 65536
+# Answers that have no body.
+BODILESS_CODES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
 class CallerHandler(WSGIHandler):
@@ -60,6 +62,7 @@
 
     def __init__(self, sock: Any, address: Any, server: CallerServer) -> None:
         self._stream = CallerStream(sock)
+        self._ends_by_close = False
         super().__init__(sock, address, server, rfile=io.BufferedReader(self._stream))
 
     @property
@@ -70,6 +73,13 @@
     def max_body_bytes(self) -> int:
         return MAX_BODY
 
+    @property
+    def _has_framing(self) -> bool:
+        """Tell whether the head of the answer tells the caller where its body ends."""
+        if self.response_use_chunked or self.code in BODILESS_CODES:
+            return True
+        return any(name.lower() == b"content-length" for name, _ in self.response_headers)
+
     def read_requestline(self) -> str:
         self._stream.begin_request(head_bytes=self.max_head_bytes, body_bytes=self.max_body_bytes)
         return super().read_requestline()
@@ -123,6 +133,12 @@
                 self.close_connection = True
                 self._skip_body()
 
+    def process_result(self) -> None:
+        super().process_result()
+        if self._ends_by_close:
+            self._ends_by_close = False
+            set_reset_on_close(self.socket, False)
+
     def _sendall(self, data: bytes) -> None:
         size = len(data)
         sent = self.socket.send(data)
@@ -138,6 +154,11 @@
     def _write_with_headers(self, data: bytes) -> None:
         self.headers_sent = True
         self.finalize_headers()
+        if not self._has_framing:
+            # Whatever ends the connection before the whole answer is written must not look like
+            # the end of the answer.
+            self._ends_by_close = True
+            set_reset_on_close(self.socket, True)
         lines = [b"%b: %b\r\n" % header for header in self.response_headers]
         head = b"HTTP/1.1 %b\r\n%b\r\n" % (self.status, b"".join(lines))
         self._sendall(head + self._frame(data) if data else head)
--- a/packages/loomyard/src/loomyard/util/tcp.py
+++ b/packages/loomyard/src/loomyard/util/tcp.py
@@ -29,6 +29,7 @@
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
+_LINGER = struct.Struct("ii")
 _COUNT = struct.Struct("i")
 
 
@@ -83,6 +84,14 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+def set_reset_on_close(sock: Any, enabled: bool) -> None:
+    """Let a close reset the connection, also where the process ends, or let it end in order.
+
+    A reset drops what was not sent yet.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER.pack(enabled, 0))
+
+
 def count_unacknowledged(sock: Any) -> int:
     """Return how many sent bytes the peer has not acknowledged; 0 where the system can't tell."""
     try:
