A connection that is passed on ends in order only where its answer did

What callers would see: a caller whose connection this router passes on to another one, and whose answer tells its end by the end of the connection alone (HTTP/1.0), takes a part for the whole answer where the other router resets while the request is being passed on, or ends before the request has arrived. The same where a caller pauses for a minute in the middle of its answer.

The sending half of the splice is told of the reset, once, and drops it; the answering half reads what looks like an orderly end. Closing in order was the rule, and a reset the exception for one of the ways to end early.

Why the fix works: the caller's connection is set to end by a reset from the start, and in order again only where the answer ended in order, no send of the request failed and the other router has acknowledged the whole request. An answer that tells its end by itself has reached its caller before the reset.

Requests that arrived whole end in order, before and after.

--- a/packages/loomyard-router/src/loomyard_router/offload/splice.py
+++ b/packages/loomyard-router/src/loomyard_router/offload/splice.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-import socket as sockets
-import struct
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import gevent
 
 from loomyard.util.read_buffer import receive
+from loomyard.util.tcp import count_unacknowledged, set_reset_on_close
+from loomyard_router.offload.deferred_reset import DeferredReset
 from loomyard_router.supervision.guard import call_guarded
 
 if TYPE_CHECKING:
+    import socket as sockets
     from collections.abc import Callable
 
 PART = "splice"
@@ -20,7 +21,6 @@
 BLOCK_BYTES = 65536
 # A receiver that takes nothing for so long is given up.
 STALL_SECONDS = 60.0
-RESET = struct.pack("ii", 1, 0)
 
 
 class _Flow:
@@ -45,6 +45,11 @@
         self._pending = memoryview(b"")
         self.has_begun = False
 
+    @property
+    def has_arrived(self) -> bool:
+        """Tell whether the sink has acknowledged all bytes."""
+        return not self._pending and not count_unacknowledged(self._sink)
+
     def start(self) -> None:
         """Begin to copy."""
         self._readable.start(call_guarded, PART, self._read)
@@ -107,6 +112,9 @@
     a router that lags. Both sockets must not block. ``pause`` returns the seconds to wait after
     each block of the answer, so that the next one holds more. A caller gets ``lost_answer`` where
     no byte of another answer came.
+
+    The connection of the caller ends by a reset unless its answer has ended, as the end of the
+    connection may be the end of an answer.
     """
 
     def __init__(
@@ -121,7 +129,9 @@
         self._caller, self._router = caller, router
         self._on_end = on_end
         self._lost_answer = lost_answer
+        self._is_copying = True
         self._is_closed = False
+        self._reset: DeferredReset | None = None
         self._request = _Flow(
             caller,
             router,
@@ -140,16 +150,19 @@
 
     def start(self, preamble: bytes) -> None:
         """Begin to copy; the other router gets the preamble first."""
+        with suppress(OSError):
+            set_reset_on_close(self._caller, True)
         self._answer.start()
         self._request.start()
         self._request.write(preamble)
 
     def close(self) -> None:
-        """Close both connections at once."""
-        self._close(is_whole=True)
+        """Close both connections at once, before the answer has ended."""
+        self._stop_copying()
+        self._close_caller()
 
     def end(self) -> None:
-        """Close both connections before the answer has ended."""
+        """Close both connections before the answer has ended, after what came of it."""
         self._end_answer(False)
 
     def _stop_request(self) -> None:
@@ -158,23 +171,37 @@
             self._is_requesting = False
             self._request.stop()
 
-    def _end_answer(self, is_whole: bool) -> None:
+    def _end_answer(self, is_orderly: bool) -> None:
+        if not self._is_copying:
+            return
+        # The kernel reports a reset once. Where a send of the request is told of it, a read sees
+        # what looks like an orderly end.
+        is_whole = is_orderly and self._is_requesting and self._request.has_arrived
         if self._lost_answer and not self._answer.has_begun:
             is_whole = True
             with suppress(OSError):
                 self._caller.send(self._lost_answer)
-        self._close(is_whole=is_whole)
+        self._stop_copying()
+        if is_whole:
+            with suppress(OSError):
+                set_reset_on_close(self._caller, False)
+            self._close_caller()
+        else:
+            self._reset = DeferredReset(self._caller, self._close_caller)
+            self._reset.start()
+
+    def _stop_copying(self) -> None:
+        if self._is_copying:
+            self._is_copying = False
+            self._stop_request()
+            self._answer.stop()
+            self._router.close()
 
-    def _close(self, *, is_whole: bool) -> None:
+    def _close_caller(self) -> None:
         if self._is_closed:
             return
         self._is_closed = True
-        self._stop_request()
-        self._answer.stop()
-        if not is_whole:
-            # An answer whose connection was reset must not look complete.
-            with suppress(OSError):
-                self._caller.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, RESET)
-        self._router.close()
+        if self._reset is not None:
+            self._reset.stop()
         self._caller.close()
         self._on_end(self)
--- a/tests/test_loomyard_router/test_offload/test_splice.py
+++ b/tests/test_loomyard_router/test_offload/test_splice.py
@@ -4,16 +4,28 @@
 
 import socket
 import unittest
+from typing import TYPE_CHECKING
+from unittest import mock
 
 import gevent
 
-from loomyard_router.offload.splice import RESET, Splice
+from loomyard.util.tcp import count_unacknowledged, set_reset_on_close
+from loomyard_router.offload.splice import Splice
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
-def make_pair() -> tuple[socket.socket, socket.socket]:
+SMALL_BUFFER_BYTES = 4096
+LONG_ANSWER = bytes(range(256)) * 6_000
+
+
+def make_pair(receive_bytes: int = 0) -> tuple[socket.socket, socket.socket]:
     """Return two ends of a TCP connection; the second one does not block."""
     listener = socket.create_server(("127.0.0.1", 0))
-    near = socket.create_connection(listener.getsockname())
+    near = socket.socket()
+    if receive_bytes:
+        near.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    near.connect(listener.getsockname())
     far, _ = listener.accept()
     listener.close()
     near.settimeout(5.0)
@@ -21,12 +33,15 @@
     return near, far
 
 
-class SpliceTest(unittest.TestCase):
+class SpliceCase(unittest.TestCase):
+    """A splice between a caller and a router, both played by the test."""
+
     pause = 0.0
+    router_buffer_bytes = 0
 
     def setUp(self) -> None:
         self.caller, caller_far = make_pair()
-        self.router, router_far = make_pair()
+        self.router, router_far = make_pair(self.router_buffer_bytes)
         self.ends = 0
         for sock in (self.caller, self.router):
             self.addCleanup(sock.close)
@@ -43,6 +58,8 @@
             data += block
         return data
 
+
+class SpliceTest(SpliceCase):
     def test_bytes_pass_in_both_directions_after_the_preamble(self) -> None:
         self.caller.sendall(b"question")
         self.assertEqual(b"before\nquestion", self.receive(self.router, 15))
@@ -74,7 +91,7 @@
     def test_a_reset_of_the_answer_resets_the_caller(self) -> None:
         self.caller.sendall(b"question")
         self.receive(self.router, 15)
-        self.router.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        set_reset_on_close(self.router, True)
         self.router.close()
         with self.assertRaises(ConnectionResetError):
             self.caller.recv(1)
@@ -105,3 +122,88 @@
             self.router.sendall(b"next ")
             gevent.sleep(0.001)
         self.assertGreater(len(self.caller.recv(65536)), 5)
+
+
+class BrokenSpliceTest(SpliceCase):
+    """Answers that are cut off, from a router that receives little at a time."""
+
+    router_buffer_bytes = SMALL_BUFFER_BYTES
+
+    def until(self, condition: Callable[[], object]) -> None:
+        """Wait until a condition holds."""
+        with gevent.Timeout(5.0):
+            while not condition():
+                gevent.sleep(0.01)
+
+    def read_to_reset(self) -> bytes:
+        """Return what the caller receives until its connection is reset."""
+        data = b""
+        with self.assertRaises(ConnectionResetError):
+            while block := self.caller.recv(65536):
+                data += block
+        return data
+
+    # Guards against a reset that only the sending half is told of, as the kernel reports it once.
+    def test_a_reset_in_the_middle_of_the_request_resets_the_caller(self) -> None:
+        self.receive(self.router, 7)
+        # Nothing waits from here on, so the splice meets all of it at once.
+        self.caller.sendall(b"question")
+        self.router.sendall(b"part")
+        set_reset_on_close(self.router, True)
+        self.router.close()
+        self.assertEqual(b"part", self.read_to_reset())
+        self.assertEqual(1, self.ends)
+
+    # Guards against a reset that drops an answer which tells its end by itself.
+    def test_an_answer_before_a_reset_arrives_whole_at_a_slow_caller(self) -> None:
+        self.caller.sendall(b"question")
+        self.receive(self.router, 15)
+        self.router.sendall(LONG_ANSWER)
+        # A reset drops what its sender still holds.
+        self.until(lambda: not count_unacknowledged(self.router))
+        set_reset_on_close(self.router, True)
+        self.router.close()
+        gevent.sleep(0.2)
+        self.assertEqual(LONG_ANSWER, self.read_to_reset())
+
+    def test_a_caller_that_takes_nothing_more_is_given_up(self) -> None:
+        with mock.patch("loomyard_router.offload.deferred_reset.MAX_IDLE_CHECKS", 3):
+            self.break_off_unread()
+            self.assertEqual(0, self.ends)
+            self.until(lambda: self.ends)
+
+    def test_a_splice_that_waits_for_its_caller_is_closed_at_once(self) -> None:
+        self.break_off_unread()
+        self.assertEqual(0, self.ends)
+        self.splice.close()
+        self.assertEqual(1, self.ends)
+
+    def break_off_unread(self) -> None:
+        """Send an answer that its caller does not read, and break it off."""
+        sending = gevent.spawn(self.router.sendall, bytes(64 << 20))
+        gevent.sleep(0.3)
+        sending.kill()
+        self.splice.end()
+
+    # Guards against a part that looks whole where its caller pauses for too long.
+    def test_a_caller_that_stops_reading_is_reset(self) -> None:
+        with mock.patch("loomyard_router.offload.splice.STALL_SECONDS", 0.1):
+            sending = gevent.spawn(self.router.sendall, bytes(64 << 20))
+            self.until(lambda: self.ends)
+            sending.kill()
+        self.read_to_reset()
+
+    # Guards against an end that says nothing of the request, which the kernel may still hold.
+    def test_an_end_before_the_request_has_arrived_resets_the_caller(self) -> None:
+        self.caller.sendall(bytes(300_000))
+        gevent.sleep(0.1)
+        self.router.sendall(b"part")
+        self.router.shutdown(socket.SHUT_WR)
+        self.assertEqual(b"part", self.read_to_reset())
+
+    def test_an_end_after_the_request_has_arrived_ends_in_order(self) -> None:
+        self.caller.sendall(bytes(300_000))
+        self.receive(self.router, 300_007)
+        self.router.sendall(b"whole")
+        self.router.close()
+        self.assertEqual(b"whole", self.receive(self.caller, 100))
