An answer with a status below 100 is no interim answer

What callers saw: a target that sends status 000 without a body, then a whole 200 on the same connection: the 000 was skipped and the 200 reached the caller.

Cause: the parser takes each status below 200 for that of an interim answer and reads the next one.

Evidence: of 14 malformed statuses (000, 001, 099, two digits, four, signs, letters, none), each alone and before a whole 200, plain and as a stream, those of three digits below 100 before a whole 200 reached the caller, 3 of 3.

Why the fix works: such a head is refused as soon as it is complete, in the parser that the readers of targets and of engines share.

Test: test_an_answer_after_such_a_status_reaches_no_caller failed before in 3 sub-tests. What held before has tests too: a malformed status alone in 4 framings, also after an interim answer; 13 names of fields that are no tokens in heads, trailers and interim answers; framing fields with such a name; lengths and codings that contradict each other; unusual heads that are allowed.

--- a/packages/loomyard/src/loomyard/util/answer_bounds.py
+++ b/packages/loomyard/src/loomyard/util/answer_bounds.py
@@ -18,6 +18,7 @@
 # trailers. Each byte of a body allows some more, as the smallest chunk has five beside its byte.
 MAX_FRAMING_BYTES = 1 << 16
 FRAMING_BYTES_PER_BODY_BYTE = 16
+FIRST_STATUS = 100
 FIRST_FINAL_STATUS = 200
 MAX_FIELDS = 256
 MAX_INTERIM_ANSWERS = 32
@@ -31,7 +32,10 @@
 
 
 class BoundedFraming:
-    """Mixin of a response parser that raises ``HTTPParseError`` where too much is no body."""
+    """Mixin of a response parser that raises ``HTTPParseError`` where too much is no body.
+
+    It also raises where a status is none.
+    """
 
     message_complete: bool
     _body_buffer: bytearray
@@ -60,6 +64,13 @@
             raise HTTPParseError(f"over {MAX_INTERIM_ANSWERS} interim answers")
         super()._on_message_begin()  # type: ignore[misc]
 
+    def _on_headers_complete(self) -> int | bool | None:
+        code = self.get_code()  # type: ignore[attr-defined]
+        if code < FIRST_STATUS:
+            # Below 200 an answer counts as interim, and another one is read.
+            raise HTTPParseError(f"status {code:03}")
+        return super()._on_headers_complete()  # type: ignore[misc]
+
     def _on_header_field(self, string: str) -> None:
         # Called once or more for each field of heads and trailers.
         self._fields += 1
