An answer with several stamps or ids is not passed on

What callers saw: a target's answer with two Loomyard-Server-Stamp fields reached the caller with both, so also one that no check was made on. The same with two Loomyard-Attempt-Id fields where the last one is the caller's.

Cause: the head is read into a mapping by name, in which the last value wins, and passed on as the list that it is.

Evidence: two stamps, in both orders and in lower case, and two ids, with 200 and with 404: 10 of 24 forms reached the caller.

Why the fix works: where names repeat, an answer needs one stamp, or at most one where it is a failure, and all its ids must be that of the attempt. Heads without repeated names take the way they took.

Test: test_an_answer_with_several_stamps_or_ids_reaches_no_caller failed before in 10 sub-tests.

--- a/packages/loomyard-router/src/loomyard_router/platform/targets.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/targets.py
@@ -49,17 +49,27 @@
     def decode_answer_head(self, status: int, headers: list[tuple[str, str]]) -> AnswerHead:
         fields = {name.lower(): value for name, value in headers}
         attempt_id = fields.get(names.ATTEMPT_ID.lower(), "")
+        stamps = int(names.STAMP.lower() in fields)
+        if len(fields) < len(headers):
+            # Of a repeated field, callers may read another value.
+            attempt_id = ", ".join(sorted(set(_read_values(names.ATTEMPT_ID, headers))))
+            stamps = len(_read_values(names.STAMP, headers))
         refused = names.NOT_EXECUTED.lower() in fields or status == HTTPStatus.MISDIRECTED_REQUEST
         success = HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
         encoded = "content-encoding" in fields
         return AnswerHead(
             attempt_id=attempt_id,
             not_executed=refused,
-            authentic=not success or (names.STAMP.lower() in fields and not encoded),
+            authentic=stamps == 1 and not encoded if success else stamps <= 1,
             notice=_read_notice(status, fields),
         )
 
 
+def _read_values(name: str, headers: list[tuple[str, str]]) -> list[str]:
+    """Return the values of the fields with a name."""
+    return [value for field, value in headers if field.lower() == name.lower()]
+
+
 def _read_notice(status: int, fields: Mapping[str, str]) -> TargetNotice:
     """Read the notice of the target that was addressed: whether it leaves or wants a back-off."""
     if status == HTTPStatus.MISDIRECTED_REQUEST:
--- a/packages/loomyard-router/src/loomyard_router/routed/attempt_sender.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/attempt_sender.py
@@ -211,7 +211,7 @@
             connection.close()
             return Err(
                 _uncertain_fault(
-                    ResultCode.ANSWER_INVALID, "the answer lacks the stamp of a target"
+                    ResultCode.ANSWER_INVALID, "the answer does not have one stamp of a target"
                 )
             )
         return Ok(
--- a/packages/loomyard-router/src/loomyard_router/routed/http_codecs.py
+++ b/packages/loomyard-router/src/loomyard_router/routed/http_codecs.py
@@ -50,7 +50,7 @@
     """Decoded head of a target's answer to an attempt.
 
     ``not_executed`` tells that the target ran nothing; ``authentic`` is false for a success without
-    the stamp by which callers recognize a target's answer.
+    the stamp by which callers recognize a target's answer, and for any answer with several stamps.
     """
 
     attempt_id: str
--- a/tests/test_loomyard_router/test_routed/test_malformed_answers.py
+++ b/tests/test_loomyard_router/test_routed/test_malformed_answers.py
@@ -150,6 +150,18 @@
             for framing, body in (("chunks", CHUNKS + b"\r\n"), ("close", BODY)):
                 self.refuse(make_answer(fields, body), coding=coding, framing=framing)
 
+    # Guards against a stamp or an id beside the one that the router has checked.
+    def test_an_answer_with_several_stamps_or_ids_reaches_no_caller(self) -> None:
+        stamp, other_id = b"Loomyard-Server-Stamp: t\r\n", b"Loomyard-Attempt-Id: attempt-2\r\n"
+        for status in (b"200 OK", b"404 Not Found"):
+            line = b"HTTP/1.1 " + status
+            for field in (stamp, stamp.lower(), other_id):
+                for head in (
+                    make_head(line, field + LENGTH),
+                    make_head(line + b"\r\n" + field[:-2], LENGTH),
+                ):
+                    self.refuse(head + BODY, head=head)
+
 
 class SoundAnswersTest(MalformedAnswersCase):
     def test_unusual_heads_that_are_allowed_reach_the_caller(self) -> None:
