Trailers of an answer are no fields of its head

What callers saw: a field behind the body of an answer in chunks, a second Loomyard-Server-Stamp for one, reached the caller as a field of the head where the answer came in one read.

Cause: the parser adds trailers to the fields of the head, which are taken once the head is complete, with what came after it by then.

Why the fix works: fields that come after a complete head are counted for the bounds and dropped. No part of the router reads trailers.

Test: test_trailers_are_no_fields_of_the_head failed before.

--- a/packages/loomyard/src/loomyard/util/answer_bounds.py
+++ b/packages/loomyard/src/loomyard/util/answer_bounds.py
@@ -39,6 +39,7 @@
     It also raises where a status is none, or a body has a coding that is not decoded.
     """
 
+    headers_complete: bool
     message_complete: bool
     _body_buffer: bytearray
     _framing_bytes = 0
@@ -82,7 +83,13 @@
         self._fields += 1
         if self._fields > MAX_FIELDS:
             raise HTTPParseError(f"over {MAX_FIELDS} fields")
-        super()._on_header_field(string)  # type: ignore[misc]
+        if not self.headers_complete:
+            super()._on_header_field(string)  # type: ignore[misc]
+
+    def _on_header_value(self, string: str) -> None:
+        # What follows the head are trailers, which are no fields of the head.
+        if not self.headers_complete:
+            super()._on_header_value(string)  # type: ignore[misc]
 
 
 def _are_decoded(codings: str | list[str]) -> bool:
--- a/tests/test_loomyard_router/test_routed/test_malformed_answers.py
+++ b/tests/test_loomyard_router/test_routed/test_malformed_answers.py
@@ -173,6 +173,14 @@
                         whole = b"" if framing == "no body" else BODY
                         self.assertEqual((200, whole), (response.status, response.read()))
 
+    # Guards against a field behind the body that passes for one of the head.
+    def test_trailers_are_no_fields_of_the_head(self) -> None:
+        trailers = b"Loomyard-Server-Stamp: t\r\nX-One: 1\r\nX-Two: 2\r\n\r\n"
+        response = self.ask("/n/x", make_answer(CHUNKED, CHUNKS + trailers))
+        self.assertEqual((200, BODY), (response.status, response.read()))
+        self.assertEqual("s", response.headers["Loomyard-Server-Stamp"])
+        self.assertNotIn("X-One", response.headers)
+
     def test_chunks_and_bodies_without_a_coding_reach_the_caller(self) -> None:
         for coding, body in (
             (b"chunked", CHUNKS + b"\r\n"),
