Test that no request follows an unread upload; share the parsing of heads

Cause: whether a connection is used again after an upload that failed was not tried. The two scripted targets parsed heads by the same lines.

--- a/tests/test_loomyard_router/test_routed/early_target.py
+++ b/tests/test_loomyard_router/test_routed/early_target.py
@@ -10,7 +10,7 @@
 from gevent.server import StreamServer
 
 from loomyard_router.announced.announced_target import AnnouncedTarget
-from test_loomyard_router.test_routed.scripted_target import Received
+from test_loomyard_router.test_routed.scripted_target import Received, parse_head
 
 EarlyScript = Callable[[Received, socket.socket], None]
 
@@ -54,10 +54,9 @@
                     return
                 data += block
             head, _, body = data.partition(b"\r\n\r\n")
-            line, *lines = head.decode("latin-1").split("\r\n")
-            pairs = (text.split(": ", 1) for text in lines)
-            fields = {name.lower(): value for name, value in pairs}
-            self.script(Received(line, fields, body), sock)
+            request = parse_head(head)
+            request.body = body
+            self.script(request, sock)
         except OSError:
             return
         finally:
--- a/tests/test_loomyard_router/test_routed/scripted_target.py
+++ b/tests/test_loomyard_router/test_routed/scripted_target.py
@@ -63,14 +63,11 @@
                         return
                     data += block
                 head, _, data = data.partition(b"\r\n\r\n")
-                line, *lines = head.decode("latin-1").split("\r\n")
-                pairs = (text.split(": ", 1) for text in lines)
-                headers = {name.lower(): value for name, value in pairs}
-                length = int(headers.get("content-length", 0))
+                request = parse_head(head)
+                length = int(request.headers.get("content-length", 0))
                 while len(data) < length:
                     data += sock.recv(65536)
-                body, data = data[:length], data[length:]
-                request = Received(line, headers, body)
+                request.body, data = data[:length], data[length:]
                 self.received.append(request)
                 if self.script(request, sock):
                     return
@@ -80,6 +77,13 @@
             sock.close()
 
 
+def parse_head(head: bytes) -> Received:
+    """Return a request of which only the head is known."""
+    line, *lines = head.decode("latin-1").split("\r\n")
+    pairs = (text.split(": ", 1) for text in lines)
+    return Received(line, {name.lower(): value for name, value in pairs}, b"")
+
+
 def answer(
     request: Received,
     body: bytes = b"whole",
--- a/tests/test_loomyard_router/test_routed/test_broken_uploads.py
+++ b/tests/test_loomyard_router/test_routed/test_broken_uploads.py
@@ -168,6 +168,18 @@
 
                 self.check("/n/x", script, int(status[:3]), PART)
 
+    # Guards against a request that follows on the rest of an upload.
+    def test_a_connection_with_an_unread_upload_carries_no_other_request(self) -> None:
+        def script(request: Received, sock: socket.socket) -> None:
+            fields = f"Content-Length: {len(PART)}\r\nKeep-Alive: timeout=5\r\n"
+            sock.sendall(answer_head(request, fields=fields) + PART)
+            gevent.sleep(1.0)
+
+        self.serve(script)
+        for number in range(3):
+            with self.subTest(number=number):
+                self.assertEqual((200, PART), self.upload("/n/x", UPLOAD))
+
     def test_an_early_answer_in_chunks_arrives(self) -> None:
         def script(request: Received, sock: socket.socket) -> None:
             fields = "Transfer-Encoding: chunked\r\n"
