Say more plainly why an end before the request is no end, and why repeated fields count

Cause: two comments that a newcomer has to guess at; no change of behaviour. Measured: lint and the tests of malformed answers, engines and the codec pass.

--- a/packages/loomyard-router/src/loomyard_router/platform/targets.py
+++ b/packages/loomyard-router/src/loomyard_router/platform/targets.py
@@ -51,7 +51,7 @@
         attempt_id = fields.get(names.ATTEMPT_ID.lower(), "")
         stamps = int(names.STAMP.lower() in fields)
         if len(fields) < len(headers):
-            # Of a repeated field, callers may read another value.
+            # Callers may read another value of a repeated field than the last one.
             attempt_id = ", ".join(sorted(set(_read_values(names.ATTEMPT_ID, headers))))
             stamps = len(_read_values(names.STAMP, headers))
         refused = names.NOT_EXECUTED.lower() in fields or status == HTTPStatus.MISDIRECTED_REQUEST
@@ -60,7 +60,7 @@
         return AnswerHead(
             attempt_id=attempt_id,
             not_executed=refused,
-            authentic=stamps == 1 and not encoded if success else stamps <= 1,
+            authentic=(stamps == 1 and not encoded) if success else stamps <= 1,
             notice=_read_notice(status, fields),
         )
 
--- a/packages/loomyard-router/src/loomyard_router/targets/http_answer.py
+++ b/packages/loomyard-router/src/loomyard_router/targets/http_answer.py
@@ -65,7 +65,7 @@
             self._reads += 1
             data = receive(sock, self._pacer.read_bytes)
             if not data and count_unacknowledged(sock):
-                # It ends no answer, with or without a length.
+                # An end that comes before the request has arrived is not that of its answer.
                 raise HTTPConnectionClosed("closed before the whole request had arrived")
             received_at = perf_counter()
             self.feed(data)
