--- a/tests/test_loomyard_router/test_routed/early_target.py
+++ b/tests/test_loomyard_router/test_routed/early_target.py
@@ -75,7 +75,10 @@
     """Read the rest of the body."""
     left = int(request.headers["content-length"]) - len(request.body)
     while left > 0:
-        left -= len(sock.recv(min(left, 65536)))
+        block = sock.recv(min(left, 65536))
+        if not block:
+            raise OSError("the router closed the connection")
+        left -= len(block)
 
 
 def reset(sock: socket.socket) -> None:
