--- a/tests/test_loomyard_router/test_routed/early_target.py
+++ b/tests/test_loomyard_router/test_routed/early_target.py
@@ -28,10 +28,15 @@
     script: EarlyScript
     _server: StreamServer | None = None
 
-    def start(self) -> None:
+    @property
+    def port(self) -> int:
+        assert self._server is not None
+        return int(self._server.server_port)
+
+    def start(self, host: str = "127.0.0.1") -> None:
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        listener.bind(("127.0.0.1", 0))
+        listener.bind((host, 0))
         listener.listen()
         self._server = StreamServer(listener, self._serve)
         self._server.start()
@@ -41,8 +46,7 @@
             self._server.stop(timeout=0)
 
     def announced(self) -> AnnouncedTarget:
-        assert self._server is not None
-        address = f"127.0.0.1:{self._server.server_port}"
+        address = f"127.0.0.1:{self.port}"
         return AnnouncedTarget(id=self.id, service=self.service, address=address, slots=4)
 
     def _serve(self, sock: socket.socket, _: object) -> None:
--- a/tests/test_loomyard_router/test_routed/test_broken_uploads.py
+++ b/tests/test_loomyard_router/test_routed/test_broken_uploads.py
@@ -5,9 +5,13 @@
 import http.client
 import socket
 import unittest
+from unittest import mock
 
 import gevent
 
+from loomyard.errors import ResultCode
+from loomyard_router.admission.ejection_tracker import EjectionTracker
+from loomyard_router.crashes.crash_guard import CrashGuard
 from loomyard_router.routes.kind import RouteKind
 from test_loomyard_router.test_routed.early_target import (
     EarlyScript,
@@ -23,6 +27,7 @@
 SHORT_UPLOAD = UPLOAD[:300_000]
 PART = b"a part of the body"
 EVENTS = "Content-Type: text/event-stream\r\n"
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 DELAYS = (0.0, 0.02, 0.3)
 
 
@@ -97,6 +102,35 @@
             with self.subTest(delay=delay):
                 self.check("/n/x", script)
 
+    def test_a_reset_before_the_end_of_the_head_is_no_answer(self) -> None:
+        for size in (0, 1, 30, 60):
+            for delay in DELAYS:
+
+                def script(
+                    request: Received, sock: socket.socket, size: int = size, wait: float = delay
+                ) -> None:
+                    sock.sendall(answer_head(request)[:size])
+                    gevent.sleep(wait)
+                    reset(sock)
+
+                with self.subTest(size=size, delay=delay):
+                    self.check("/n/x", script)
+
+    def test_a_part_after_an_interim_answer_is_no_answer(self) -> None:
+        for line in (b"HTTP/1.1", b"HTTP/1.0"):
+            for delay in DELAYS:
+
+                def script(
+                    request: Received, sock: socket.socket, line: bytes = line, wait: float = delay
+                ) -> None:
+                    head = answer_head(request).replace(b"HTTP/1.1", line)
+                    sock.sendall(INTERIM + head + PART)
+                    gevent.sleep(wait)
+                    reset(sock)
+
+                with self.subTest(line=line, delay=delay):
+                    self.check("/n/x", script)
+
     def test_parts_beside_an_upload_that_is_read_slowly_are_no_answer(self) -> None:
         def script(request: Received, sock: socket.socket) -> None:
             sock.sendall(answer_head(request))
@@ -127,6 +161,16 @@
             with self.subTest(delay=delay):
                 self.check("/s/x", script)
 
+    def test_events_before_an_end_that_the_upload_has_not_reached_are_no_stream(self) -> None:
+        def script(request: Received, sock: socket.socket) -> None:
+            sock.sendall(answer_head(request, fields=EVENTS) + event(1) + event(2))
+            sock.shutdown(socket.SHUT_WR)
+            gevent.sleep(0.1)
+
+        for body in (UPLOAD, SHORT_UPLOAD):
+            with self.subTest(size=len(body)):
+                self.check("/s/x", script, body)
+
     # Guards against an end that says nothing of the upload, which the kernel may still hold.
     def test_an_end_before_the_upload_has_arrived_is_no_end_of_an_answer(self) -> None:
         for body in (UPLOAD, SHORT_UPLOAD):
@@ -142,6 +186,77 @@
                     self.check("/n/x", script, body)
 
 
+class AfterBrokenUploadsTest(BrokenUploadsCase):
+    """What a router does where one of two targets breaks off its answer to an upload."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.resumed_after: list[str] = []
+        self.attempts = 0
+        for name in ("t1", "t2"):
+            target = EarlyTarget(name, "plain", self.answer)
+            target.start()
+            self.addCleanup(target.stop)
+            self.announce(target.announced())
+
+    def answer(self, request: Received, sock: socket.socket) -> None:
+        """Break off the first answer; give the others in full, once the upload was read."""
+        self.attempts += 1
+        is_stream = "/s/" in request.line
+        head = answer_head(request, fields=EVENTS if is_stream else "")
+        if self.attempts == 1:
+            sock.sendall(head + (event(1) if is_stream else PART))
+            gevent.sleep(0.1)
+            reset(sock)
+            return
+        read_body(request, sock)
+        self.resumed_after.append(request.headers.get("last-event-id", ""))
+        sock.sendall(head + (event(2) if is_stream else b"whole"))
+
+    # Guards against a second run of what may run once, and a promise that it did not run.
+    def test_a_request_that_may_run_once_is_not_sent_again(self) -> None:
+        self.publish(route("/n/", max_attempts=2))
+        sock = self.connect()
+        sock.sendall(request_bytes("/n/x", body=UPLOAD))
+        response = http.client.HTTPResponse(sock, method="POST")
+        response.begin()
+        self.assertEqual((502, b""), (response.status, response.read()))
+        self.assertNotIn("Retry-After", response.headers)
+        self.assertEqual(1, self.attempts)
+
+    def test_a_repeatable_request_gets_the_answer_of_another_target(self) -> None:
+        self.publish(route("/i/", kind=RouteKind.IDEMPOTENT, max_attempts=2))
+        self.assertEqual((200, b"whole"), self.upload("/i/x", UPLOAD))
+        self.assertEqual(2, self.attempts)
+
+    def test_a_repeatable_request_is_sent_as_often_as_its_route_allows(self) -> None:
+        self.publish(route("/i/", kind=RouteKind.IDEMPOTENT, max_attempts=1))
+        self.assertEqual((502, b""), self.upload("/i/x", UPLOAD))
+        self.assertEqual(1, self.attempts)
+
+    def test_a_stream_is_resumed_after_its_last_event(self) -> None:
+        self.publish(route("/s/", kind=RouteKind.STREAM, resumable=True, max_attempts=2))
+        self.assertEqual((200, event(1) + event(2)), self.upload("/s/x", UPLOAD))
+        self.assertEqual(["1"], self.resumed_after)
+
+    # Guards against a broken answer that counts as one, or that its request's id does not find.
+    def test_a_broken_answer_counts_as_a_failure(self) -> None:
+        self.publish(route("/n/", max_attempts=2))
+        with (
+            mock.patch("loomyard_router.routed.app.emit") as ended,
+            mock.patch("loomyard_router.routed.forwarder.emit") as failed,
+            mock.patch.object(EjectionTracker, "record_success") as succeeded,
+            mock.patch.object(CrashGuard, "record_completion") as completed,
+        ):
+            self.upload("/n/x", UPLOAD)
+            self.until(lambda: ended.called)
+        succeeded.assert_not_called()
+        completed.assert_not_called()
+        for line in (ended, failed):
+            self.assertEqual("attempt-1", line.call_args.kwargs["request"])
+            self.assertEqual(int(ResultCode.ANSWER_INCOMPLETE), line.call_args.kwargs["code"])
+
+
 class SoundAnswersTest(BrokenUploadsCase):
     """Whole answers arrive, whatever becomes of the upload."""
 
@@ -208,6 +323,14 @@
 
         self.check("/n/x", script, 200, PART)
 
+    def test_such_an_answer_arrives_after_an_interim_one(self) -> None:
+        def script(request: Received, sock: socket.socket) -> None:
+            sock.sendall(INTERIM)
+            read_body(request, sock)
+            sock.sendall(answer_head(request).replace(b"HTTP/1.1", b"HTTP/1.0") + PART)
+
+        self.check("/n/x", script, 200, PART)
+
     def test_an_answer_that_begins_before_the_upload_and_ends_after_it_arrives(self) -> None:
         def script(request: Received, sock: socket.socket) -> None:
             sock.sendall(answer_head(request) + PART)
