The log of a program in a test holds each line at once

Cause: the harness copied the output of a program into its log through a buffer of 8 KiB. So a check that reads the log of a running program counts older lines, tears lines in two, and never sees the newest ones; that of test_configuration_changes reads it in the same way.

Now the harness writes each line at once. test_the_log_holds_a_line_as_soon_as_the_listener_has_it failed before (an empty log) and passes.

--- a/packages/loomyard-standins/src/loomyard_standins/programs/program.py
+++ b/packages/loomyard-standins/src/loomyard_standins/programs/program.py
@@ -38,7 +38,8 @@
         environment: Mapping[str, str] = {},
         address_space: int = 0,
     ) -> None:
-        self._log = log.open("ab")
+        # Unbuffered, as tests read the log of a program that runs.
+        self._log = log.open("ab", buffering=0)
         self._listener = listener
         self._listening = Event()
         # A write of more than the pipe holds waits for the reader, and another may not begin then.
--- a/tests/test_loomyard_standins/test_programs/test_program.py
+++ b/tests/test_loomyard_standins/test_programs/test_program.py
@@ -15,6 +15,7 @@
 # More than a pipe holds, so that a write waits for its reader.
 LONG_LINE = "x" * 200_000
 LINES = 5
+SHORT_LINE = b'{"read": 1}\n'
 SLOW_READER = """
 import json, sys, time
 time.sleep(0.3)
@@ -38,6 +39,21 @@
                     gevent.sleep(0.01)
         self.assertEqual([{"read": len(LONG_LINE) + 1}] * LINES, read)
 
+    # Guards against checks of a running program's log that miss its end, or count it later.
+    def test_the_log_holds_a_line_as_soon_as_the_listener_has_it(self) -> None:
+        logged: list[bytes] = []
+        with tempfile.TemporaryDirectory() as folder:
+            log = Path(folder) / "log"
+            command = [sys.executable, "-c", SLOW_READER]
+            program = Program(command, log, lambda _: logged.append(log.read_bytes()))
+            self.addCleanup(program.kill)
+            program.send_line("")
+            with gevent.Timeout(10.0):
+                while not logged:
+                    gevent.sleep(0.01)
+            self.assertTrue(program.running)
+        self.assertEqual([SHORT_LINE], logged)
+
 
 if __name__ == "__main__":
     unittest.main()
